--- /dev/null
+++ b/stalltiller/fronts/http.py
@@ -0,0 +1,315 @@
+"""The platform's wire: HTTP/1.1 from clients and to targets, and discovery's list."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from stalltiller import interface as api
+from stalltiller.protocol import discovery, http
+from stalltiller.protocol.platform import AnswerFields, FieldError, RequestFields
+from stalltiller.routing.engine import Engine
+from stalltiller.routing.ports import Attempt, Ending, Incoming, Place
+from stalltiller.transport.buffers import BufferPool
+from stalltiller.transport.connection import Connection
+from stalltiller.transport.listener import Listener
+from stalltiller.transport.pool import ChannelPool
+
+READY_PATH = "/healthz"
+WAIT_MS = 5000  # that a watch call may wait: short enough to notice soon that discovery is silent
+WATCH_TIMEOUT = WAIT_MS / 1000 + 1.0  # s
+STALL_LIMIT = 10.0  # s that a client may take to send a request
+
+
+@dataclass(slots=True, frozen=True)
+class Payload:
+    """What passes from client to target unchanged."""
+
+    method: str
+    target: str
+    request_id: str
+    host: str
+    body: bytes
+
+
+# --- Clients --------------------------------------------------------------------------------------
+class ClientConnection(Connection):
+    """One client's connection: a request at a time, each answered once."""
+
+    def __init__(self, front: HttpFront, listener: Listener) -> None:
+        super().__init__(front.buffers)
+        self._front, self._listener = front, listener
+        self._reader = http.Reader(response=False)
+        self._request: int | None = None  # the engine's number of the request that is being served
+        self._keep = True
+        self._away = False
+        self._stall: asyncio.TimerHandle | None = None
+
+    def opened(self) -> None:
+        self._listener.arrived(self)
+
+    def received(self, data: memoryview) -> int:
+        if self._request is not None:
+            return 0  # the next request waits until this one is answered
+        try:
+            used = self._reader.feed(data)
+        except http.HttpError as error:
+            self._reject(error.status, str(error))
+            return len(data)
+        if self._reader.done:
+            self._stalled(False)
+            self._listener.used(self)
+            self._handle()
+        else:
+            self._stalled(True)
+        return used
+
+    def overflow(self) -> None:
+        if self._request is not None:
+            super().overflow()
+        else:
+            self._reject(431, "request head over the limit")
+
+    def ended(self, error: Exception | None) -> None:
+        self._listener.left(self)
+        self._stalled(False)
+        if self._request is not None:
+            number, self._request = self._request, None
+            self._front.engine.gone(number)
+
+    def close_if_idle(self) -> bool:
+        if self._request is not None or self._stall is not None or self.closing:
+            return False
+        self.close()
+        return True
+
+    def turn_away(self) -> None:
+        self._away = True
+
+    def _handle(self) -> None:
+        head, body = self._reader.head, bytes(self._reader.body)
+        self._keep = head.keeps_alive()
+        self._reader.reset()
+        if head.target.partition("?")[0] == READY_PATH:
+            self._answer(200 if self._front.ready() else 503)
+        elif self._away:
+            self._keep = False
+            self._answer(503)
+        else:
+            try:
+                ask = self._front.fields.parse(head, body)
+            except FieldError as error:
+                self._front.engine.counts["bad_requests"] += 1
+                self._answer(400, f"{error}\n".encode())
+                return
+            payload = Payload(head.method, head.target, head.fields["x-request-id"],
+                              head.fields.get("host", "localhost"), body)
+            self._request = self._front.engine.take(Incoming(
+                ask.cls, ask.plan, ask.volume, ask.units, ask.hosts, ask.key, ask.shard,
+                head.method == "PUT", ask.repeat, ask.timeout, payload, self))
+
+    # --- The engine's answers ---
+    def served(self, answer: bytes) -> None:
+        self._final(200, answer)
+
+    def refused(self, retry_after: float) -> None:
+        self._final(503, b"", {"Retry-After": f"{retry_after:.3f}"} if retry_after > 0 else None)
+
+    def failed(self) -> None:
+        self._final(504)
+
+    def _final(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
+        self._request = None
+        self._answer(status, body, fields)
+        self.resume()
+
+    def _answer(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
+        close = not self._keep or self._front.stopping
+        self.write(http.encode_response(status, body, fields, close))
+        if close:
+            self.close()
+
+    def _reject(self, status: int, text: str) -> None:
+        self._front.engine.counts["bad_requests"] += 1
+        self._keep = False
+        self._answer(status, f"{text}\n".encode())
+
+    def _stalled(self, begun: bool) -> None:
+        """Guard against clients that begin a request and never end it."""
+        if begun and self._stall is None:
+            self._stall = self._front.loop.call_later(STALL_LIMIT, self._reject, 408, "request not ended")
+        elif not begun and self._stall is not None:
+            self._stall.cancel()
+            self._stall = None
+
+
+class HttpFront:
+    """Clients over HTTP/1.1."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
+                 settings: api.Settings, ready: Callable[[], bool]) -> None:
+        self.loop, self.engine, self.buffers, self.ready = loop, engine, buffers, ready
+        self.fields = RequestFields(settings)
+        self.stopping = False
+
+    def connection(self, listener: Listener) -> ClientConnection:
+        return ClientConnection(self, listener)
+
+
+# --- Targets --------------------------------------------------------------------------------------
+class TargetConnection(Connection):
+    """A connection to a target that carries one attempt at a time."""
+
+    def __init__(self, carrier: HttpCarrier) -> None:
+        super().__init__(carrier.buffers)
+        self._carrier = carrier
+        self._reader = http.Reader(response=True)
+        self._attempt: Attempt | None = None
+
+    def carry(self, attempt: Attempt) -> None:
+        self._attempt = attempt
+        payload: Payload = attempt.payload
+        left = max(0.001, attempt.expires - self._carrier.loop.time())
+        self.write(http.encode_request(payload.method, payload.target, {
+            "Host": payload.host, "X-Request-ID": payload.request_id, "X-Timeout": f"{left:.3f}"},
+            payload.body))
+
+    def give_up(self) -> bool:
+        self._attempt = None
+        self.abort()
+        return self.flushed
+
+    def received(self, data: memoryview) -> int:
+        if self._attempt is None:
+            self.abort()  # a target speaks only when asked
+            return len(data)
+        try:
+            used = self._reader.feed(data)
+        except http.HttpError as error:
+            self._carrier.complain(self._attempt, str(error))
+            self._end(Ending(api.Status.ERROR), keep=False)
+            return len(data)
+        if self._reader.done:
+            self._finish()
+        return used
+
+    def overflow(self) -> None:
+        self._carrier.complain(self._attempt, "answer head over the limit")
+        self._end(Ending(api.Status.ERROR), keep=False)
+
+    def eof_received(self) -> bool:
+        self.abort()  # not close(): that would go on writing to a target that has stopped
+        return False
+
+    def ended(self, error: Exception | None) -> None:
+        if self._attempt is None:
+            return
+        if self._reader.begun and self._reader.finish():
+            self._finish()
+            return
+        # Only a break before the last byte was written proves that the target never began.
+        never = not self.flushed and not self._reader.begun
+        self._end(Ending(api.Status.CONNECT_FAILED if never else api.Status.RESET), keep=False)
+
+    def _finish(self) -> None:
+        head = self._reader.head
+        told = self._carrier.fields.parse(head)
+        answer = bytes(self._reader.body) if told.status is api.Status.OK else None
+        whole = self._reader.done and self.flushed  # else the answer came before the request was out
+        self._end(Ending(told.status, answer, told.others, told.report), keep=head.keeps_alive() and whole)
+
+    def _end(self, ending: Ending, keep: bool) -> None:
+        attempt, self._attempt = self._attempt, None
+        self._reader.reset()
+        if keep and not self.closing:
+            self._carrier.pool.release(attempt, self)
+        else:
+            attempt.wire = None
+            self.abort()
+        self._carrier.engine.ended(attempt, ending)
+
+
+class HttpCarrier:
+    """Carries attempts to targets over HTTP/1.1."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
+                 settings: api.Settings, connect_timeout: float, idle_limit: float,
+                 log: Callable[..., None]) -> None:
+        self.loop, self.engine, self.buffers = loop, engine, buffers
+        self.fields = AnswerFields(settings)
+        self._log = log
+        self.pool = ChannelPool(loop, self._connect, self._unreachable, connect_timeout, idle_limit)
+
+    def start(self, attempt: Attempt) -> None:
+        self.pool.start(attempt)
+
+    def abandon(self, attempt: Attempt) -> bool:
+        return self.pool.abandon(attempt)
+
+    def close_idle(self, node: api.NodeId) -> None:
+        self.pool.close_idle(node)
+
+    def complain(self, attempt: Attempt, text: str) -> None:
+        self.engine.counts["bad_answers"] += 1
+        self._log("bad_answer", node=attempt.node, text=text)
+
+    async def _connect(self, host: str, port: int) -> TargetConnection:
+        _, connection = await self.loop.create_connection(lambda: TargetConnection(self), host, port)
+        return connection
+
+    def _unreachable(self, attempt: Attempt) -> None:
+        self.engine.ended(attempt, Ending(api.Status.CONNECT_FAILED))
+
+
+# --- Discovery ------------------------------------------------------------------------------------
+class Directory:
+    """Turns discovery's list into the engine's."""
+
+    def __init__(self, engine: Engine, zones: list[str], kinds: list[str]) -> None:
+        self._engine, self._zones, self._kinds = engine, zones, kinds
+
+    def place(self, target: discovery.Target) -> Place:
+        zone = self._zones.index(target.zone) if target.zone in self._zones else len(self._zones)
+        kind = self._kinds.index(target.kind) if target.kind in self._kinds else len(self._kinds)
+        return Place(api.NodeEntry(target.name, zone, kind, target.cell, target.state, target.weight,
+                                   self._engine.since(target.since)), target.host, target.port)
+
+    def listed(self, kind: api.ListKind, listing: discovery.Listing) -> None:
+        self._engine.listed(kind, [self.place(target) for target in listing.targets])
+
+
+class WatchCodec:
+    """Words the watch's calls: first for the whole list, then for what is newer."""
+
+    def __init__(self, host: str, took: Callable[[discovery.Listing], None]) -> None:
+        self._host, self._took = host, took
+        self._reader = http.Reader(response=True)
+        self._index: int | None = None
+
+    def call(self) -> bytes:
+        self._reader.reset()
+        path = discovery.list_path(self._index, WAIT_MS)
+        return http.encode_request("GET", path, {"Host": self._host}, b"")
+
+    def feed(self, data: memoryview) -> int:
+        try:
+            return self._reader.feed(data)
+        except http.HttpError as error:
+            raise ValueError(str(error)) from error
+
+    def finish(self) -> bool | None:
+        if not self._reader.done:
+            return None
+        head = self._reader.head
+        if head.status != 200:
+            raise ValueError(f"status {head.status}")
+        try:
+            listing = discovery.parse_listing(bytes(self._reader.body))
+        except discovery.DiscoveryError as error:
+            raise ValueError(str(error)) from error
+        if self._index is None and not listing.whole:
+            raise ValueError("changes came where the whole list was asked for")
+        self._index = listing.index
+        self._took(listing)
+        return head.keeps_alive()
--- /dev/null
+++ b/stalltiller/program/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, logging, metrics and the wiring of the parts."""
--- /dev/null
+++ b/stalltiller/program/app.py
@@ -0,0 +1,101 @@
+"""Wires the parts of one initiator together, runs it and ends it."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import signal
+
+from stalltiller.fronts.http import WATCH_TIMEOUT, Directory, HttpCarrier, HttpFront, WatchCodec
+from stalltiller.interface import ListKind
+from stalltiller.program.config import Config
+from stalltiller.program.log import JsonLog
+from stalltiller.protocol.discovery import Listing
+from stalltiller.routing.engine import Engine
+from stalltiller.transport.buffers import BufferPool
+from stalltiller.transport.listener import Listener
+from stalltiller.transport.watch import Watch
+
+READY_AFTER = 1.0  # s without word of discovery after which the list known before has to do
+REPORT_EVERY = 5.0  # s between log lines with the counters
+STILL_LISTENING = 0.5  # s after SIGTERM for which new connections are taken: clients learn of it late
+LONGEST_STOP = 3.2  # s after SIGTERM at which the program ends at the latest
+OWN_SOCKETS = 64  # descriptors for the program itself, and for discovery
+TARGET_SHARE = 0.4  # of the descriptors, for targets
+
+
+def join(host: str, port: int) -> str:
+    return f"{host}:{port}"
+
+
+class App:
+    """One initiator on the platform."""
+
+    def __init__(self, config: Config, log: JsonLog, loop: asyncio.AbstractEventLoop) -> None:
+        self._config, self._log, self._loop = config, log, loop
+        self.buffers = BufferPool()
+        self.engine = Engine(config.settings, config.seed, loop, log)
+        self.carrier = HttpCarrier(loop, self.engine, self.buffers, config.settings, config.connect_timeout,
+                                   config.idle_limit, log)
+        self.engine.carrier = self.carrier
+        self._directory = Directory(self.engine, config.zones, config.kinds)
+        self.front = HttpFront(loop, self.engine, self.buffers, config.settings, self._is_ready)
+        most = int((config.sockets - OWN_SOCKETS) * (1 - TARGET_SHARE))
+        self.listener = Listener(self.front.connection, max(16, most))
+        self._ready_at = loop.time() + READY_AFTER
+        self._listed = False
+        self._stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then until all is answered."""
+        config = self._config
+        if config.known is not None:
+            self._directory.listed(ListKind.CACHED, config.known)
+        await self.listener.open(*config.listen)
+        codec = WatchCodec(join(*config.discovery), self._took_list)
+        watch = Watch(config.discovery, self.buffers, codec, WATCH_TIMEOUT, self._watch_failed)
+        watching = self._loop.create_task(watch.run())
+        reporting = self._loop.create_task(self._report())
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, stop.set)
+        self._log("started", listen=join(*self.listener.address))
+        await stop.wait()
+        self._log("stopping", open=self.engine.open)
+        await self._drain()
+        for task in (watching, reporting):
+            task.cancel()
+        self.carrier.pool.close()
+        self._log("stopped", **self.engine.counts)
+
+    async def _drain(self) -> None:
+        """Go on with what was taken and what comes on open connections; end when nothing is left."""
+        end = self._loop.time() + LONGEST_STOP
+        await asyncio.sleep(STILL_LISTENING)
+        self.listener.close()
+        self.front.stopping = True  # from now on each answer ends its connection
+        self.listener.close_idle()
+        while self._loop.time() < end and (self.engine.open or len(self.listener)):
+            await asyncio.sleep(0.02)
+
+    def _is_ready(self) -> bool:
+        return self._listed or self._loop.time() >= self._ready_at
+
+    def _took_list(self, listing: Listing) -> None:
+        self._listed = True
+        if listing.targets or listing.whole:
+            self._log("list", index=listing.index, whole=listing.whole,
+                      targets={target.name: target.state.value for target in listing.targets})
+            self._directory.listed(ListKind.FULL if listing.whole else ListKind.DELTA, listing)
+
+    def _watch_failed(self, error: Exception) -> None:
+        self.engine.counts["watch_failures"] += 1
+        self._log("discovery_failed", error=f"{type(error).__name__}: {error}")
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT_EVERY)
+            usage = resource.getrusage(resource.RUSAGE_SELF)
+            self._log("counters", open=self.engine.open, clients=len(self.listener), shed=self.listener.shed,
+                      connections=self.carrier.pool.opened, cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
+                      memory_kb=usage.ru_maxrss, **self.engine.counts)
--- /dev/null
+++ b/stalltiller/protocol/platform.py
@@ -0,0 +1,127 @@
+"""The platform's fields on requests and answers, as PROTOCOL names them."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass
+
+from stalltiller import interface as api
+from stalltiller.protocol.http import Head
+
+HEX = re.compile(r"[0-9A-Fa-f]{1,16}")
+NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
+WHOLE = re.compile(r"-?[0-9]{1,9}")
+REQUEST_ID = re.compile(r"[!-~]{1,128}")
+NOT_RUN = (503, 504)
+
+
+class FieldError(Exception):
+    """A field that is missing or wrong; the request is not taken."""
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """What a request says of itself; `timeout` is in seconds from when the client sent it."""
+
+    cls: int
+    plan: int
+    volume: int
+    units: float
+    hosts: int
+    key: int
+    shard: int | None
+    repeat: bool
+    timeout: float
+
+
+def _number(text: str | None, name: str) -> float:
+    if text is None or not NUMBER.fullmatch(text):
+        raise FieldError(f"{name} is missing or not a number")
+    return float(text)
+
+
+def _whole(text: str | None, name: str, least: int) -> int:
+    if text is None or not WHOLE.fullmatch(text) or int(text) < least:
+        raise FieldError(f"{name} is missing or wrong")
+    return int(text)
+
+
+def _hex(text: str | None, name: str) -> int:
+    if text is None or not HEX.fullmatch(text):
+        raise FieldError(f"{name} is missing or not hexadecimal")
+    return int(text, 16)
+
+
+class RequestFields:
+    """Reads requests with the class and plan names of the settings."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
+        self._plans = {plan.name: i for i, plan in enumerate(settings.plans)}
+        self._writes = [cls.writes for cls in settings.classes]
+
+    def parse(self, head: Head, body: bytes) -> Ask:
+        path = head.target.partition("?")[0]
+        parts = path.split("/")
+        if len(parts) < 3 or parts[0]:
+            raise FieldError("the path does not name a class and a key")
+        cls = self._classes.get(parts[1])
+        if cls is None:
+            raise FieldError("class not known")
+        if head.method != ("PUT" if self._writes[cls] else "GET"):
+            raise FieldError("method does not go with the class")
+        if body and head.method == "GET":
+            raise FieldError("a read has no body")
+        plan = self._plans.get(head.fields.get("tier", ""))
+        if plan is None:
+            raise FieldError("plan not known")
+        if not REQUEST_ID.fullmatch(head.fields.get("x-request-id", "")):
+            raise FieldError("X-Request-ID is missing or wrong")
+        info = dict(pair.strip().partition("=")[::2] for pair in head.fields.get("io-info", "").split(","))
+        units = _number(info.get("units"), "units")
+        if units <= 0:
+            raise FieldError("units must be above zero")
+        shard = _whole(info.get("shard"), "shard", -1)
+        return Ask(cls, plan, _hex(info.get("volume"), "volume"), units,
+                   _whole(info.get("hosts"), "hosts", 1), _hex(parts[-1], "the key"),
+                   None if shard < 0 else shard, head.fields.get("x-retried") == "1",
+                   _number(head.fields.get("x-timeout"), "X-Timeout"))
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """What a target's answer tells beside its body."""
+
+    status: api.Status
+    others: float = 0.0
+    report: tuple[float, ...] = ()
+
+
+class AnswerFields:
+    """Reads targets' answers; what is malformed in a report is passed over."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._report_fields = settings.report_fields if settings.reports_in_answers else ()
+
+    def parse(self, head: Head) -> Answered:
+        if head.status == 200:
+            status = api.Status.OK
+        elif head.status in NOT_RUN and head.fields.get("x-not-processed") == "1":
+            status = api.Status.FULL
+        else:
+            status = api.Status.ERROR
+        others = head.fields.get("other-hosts", "")
+        return Answered(status, float(others) if NUMBER.fullmatch(others) else 0.0,
+                        self._report(head.fields.get("x-server-load", "")))
+
+    def _report(self, text: str) -> tuple[float, ...]:
+        form, _, pairs = text.partition(" ")
+        if form != "TEXT" or not self._report_fields:
+            return ()
+        values = dict(pair.strip().partition("=")[::2] for pair in pairs.split(","))
+        try:
+            report = tuple(float(values[name]) for name in self._report_fields)
+        except (KeyError, ValueError):
+            return ()
+        return report if all(map(math.isfinite, report)) else ()
--- /dev/null
+++ b/stalltiller/routing/engine.py
@@ -0,0 +1,302 @@
+"""The engine: gathers the events of a loop turn, asks the scheduler once, and carries its actions out.
+
+It owns the scheduler, the table of requests, ids, the clock and one heap of timers.  It decides nothing,
+but holds what no front and no decision may bend: one final answer each, one attempt out at a time, no
+start at a draining target past its time, an answer before the deadline.  A guard that has to step in is a
+fault of the program: it is logged and counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from stalltiller import interface as api
+from stalltiller.interface import Effect, ListKind, NodeState, Status
+from stalltiller.logic import Scheduler
+from stalltiller.routing.ports import Attempt, Carrier, Ending, Incoming, Place
+
+NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
+ANSWER_MARGIN = 0.015  # s by which the scheduler's deadline is before the client's: the way back, a late turn
+BACKSTOP_MARGIN = 0.008  # s before the client's deadline at which the engine itself answers
+DRAIN_MARGIN = 0.1  # s before the end of a drain's grace after which the engine starts nothing
+MAX_LAG = 0.25  # s: the most that a request is taken to have waited unread
+
+Logger = Callable[..., None]
+
+
+class Entry:
+    """A request in the table: until it is answered and no attempt of it is out."""
+
+    __slots__ = ("attempts", "deadline", "done", "incoming", "out", "ran", "taken_at")
+
+    def __init__(self, incoming: Incoming, now: float, deadline: float) -> None:
+        self.incoming, self.taken_at, self.deadline = incoming, now, deadline
+        self.attempts = 0
+        self.out: Attempt | None = None
+        self.ran = self.done = False  # ran: some attempt may have
+
+
+class Engine:
+    """One initiator's requests, from the fronts to the targets and back."""
+
+    def __init__(self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop,
+                 log: Logger) -> None:
+        self.settings = settings
+        self.counts: Counter[str] = Counter()
+        self.carrier: Carrier | None = None
+        self._loop, self._log = loop, log
+        self._base = loop.time()
+        self._wall = time.time() - self._base  # Unix time at the loop's zero: one reading, so no steps
+        self._scheduler = Scheduler(settings, seed, 0.0)
+        self._ids = itertools.count(1)
+        self._entries: dict[int, Entry] = {}
+        self._open = 0
+        self._places: dict[api.NodeId, Place] = {}
+        self._told: dict[api.NodeId, float] = {}  # when a target was first said to drain
+        self._events: list[api.Event] = []
+        self._turn: asyncio.Handle | None = None
+        self._timers: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._timer_ids = itertools.count()
+        self._wake: asyncio.TimerHandle | None = None
+        self._turn_ended = self._base
+        self._turn_took = 0.0
+        self.on_idle: Callable[[], None] | None = None
+
+    # --- For the fronts ---------------------------------------------------------------------------
+    @property
+    def open(self) -> int:
+        """Requests taken and not yet answered."""
+        return self._open
+
+    @property
+    def out(self) -> int:
+        """Attempts out."""
+        return sum(entry.out is not None for entry in self._entries.values())
+
+    def take(self, incoming: Incoming) -> int:
+        """Take a request; its reply is used once, in a later turn."""
+        now = self._loop.time()
+        # It may have stood unread for as long as the turn before this one took.
+        lag = self._turn_took if now - self._turn_ended < self._turn_took else 0.0
+        deadline = now - min(lag, MAX_LAG) + incoming.timeout
+        number = next(self._ids)
+        self._entries[number] = Entry(incoming, now, deadline)
+        self._open += 1
+        self.counts["taken"] += 1
+        self.at(deadline - BACKSTOP_MARGIN, self._backstop, number)
+        self._feed(api.Request(
+            number, incoming.cls, incoming.plan, incoming.volume, incoming.units, incoming.hosts,
+            incoming.key, incoming.shard, incoming.write, incoming.repeat, max(0.0, deadline - ANSWER_MARGIN - now)))
+        return number
+
+    def gone(self, number: int) -> None:
+        """The client of a request has left."""
+        entry = self._entries.get(number)
+        if entry is not None and not entry.done:
+            self._finish(number, entry, "gone")
+            self._feed(api.ClientGone(number))
+
+    def ended(self, attempt: Attempt, ending: Ending) -> None:
+        """An attempt is over."""
+        entry = self._entries.get(attempt.id)
+        if entry is None or entry.out is not attempt:
+            self._fault("an attempt ended twice", id=attempt.id, attempt=attempt.number)
+            return
+        entry.out = None
+        if ending.status not in NEVER_RAN:
+            entry.ran = True
+        if ending.status is Status.OK and not entry.done:
+            self._finish(attempt.id, entry, "served")
+            entry.incoming.reply.served(ending.answer)
+        over = entry.done
+        self.counts[f"attempt_{ending.status.value}"] += 1
+        self._feed(api.Outcome(attempt.id, attempt.number, attempt.node, ending.status,
+                               self._loop.time() - attempt.sent_at, over, None, ending.others, ending.report))
+        if over:
+            self._drop(attempt.id)
+
+    def listed(self, kind: ListKind, places: Iterable[Place]) -> None:
+        """News of the target list; counts as told from now on."""
+        places = list(places)
+        if kind is not ListKind.DELTA:
+            self._places.clear()
+        for place in places:
+            name = place.entry.node
+            if place.entry.state is NodeState.GONE:
+                self._places.pop(name, None)
+            else:
+                self._places[name] = place
+            if place.entry.state is NodeState.DRAINING:
+                self._told.setdefault(name, self._loop.time())
+            else:
+                self._told.pop(name, None)
+        self._feed(api.NodeList(kind, tuple(place.entry for place in places)))
+
+    def since(self, unix: float | None) -> float | None:
+        """A Unix time on the scheduler's clock."""
+        return None if unix is None else unix - self._wall - self._base
+
+    def at(self, when: float, call: Callable[..., None], *args: object) -> None:
+        """Call at a time of the loop's clock, at the start of a turn."""
+        heapq.heappush(self._timers, (when, next(self._timer_ids), call, args))
+        if self._timers[0][0] == when:
+            self._arm()
+
+    # --- Turns ------------------------------------------------------------------------------------
+    def _feed(self, event: api.Event) -> None:
+        """Keep an event for this turn's end: the loop runs what is ready first, then `_run_turn`."""
+        self._events.append(event)
+        if self._turn is None:
+            self._turn = self._loop.call_soon(self._run_turn)
+
+    def _run_turn(self) -> None:
+        began = self._loop.time()
+        while self._timers and self._timers[0][0] <= began:
+            _, _, call, args = heapq.heappop(self._timers)
+            call(*args)
+        self._turn = None
+        events, self._events = self._events, []
+        if events:
+            try:
+                actions = self._scheduler.handle(began - self._base, events)
+            except Exception as error:  # a crash of the decisions must not end what is under way
+                self._fault("the scheduler raised", error=f"{type(error).__name__}: {error}")
+                actions = []
+            for action in actions:
+                self._carry_out(action)
+        self._arm()
+        self._turn_ended = self._loop.time()
+        self._turn_took = self._turn_ended - began
+        if self._open == 0 and self.on_idle is not None:
+            self.on_idle()
+
+    def _arm(self) -> None:
+        if not self._timers:
+            return
+        when = self._timers[0][0]
+        if self._wake is not None:
+            if not self._wake.cancelled() and self._wake.when() <= when:
+                return
+            self._wake.cancel()
+        self._wake = self._loop.call_at(when, self._woken)
+
+    def _woken(self) -> None:
+        self._wake = None
+        if self._turn is None:
+            self._turn = self._loop.call_soon(self._run_turn)
+
+    # --- Actions ----------------------------------------------------------------------------------
+    def _carry_out(self, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            self._send(action)
+        elif isinstance(action, api.Refuse):
+            self._refuse(action)
+        elif isinstance(action, api.Fail):
+            entry = self._unanswered(action.id)
+            if entry is not None:
+                self._finish(action.id, entry, "failed")
+                entry.incoming.reply.failed()
+        elif isinstance(action, api.Cancel):
+            entry = self._entries.get(action.id)
+            if entry is not None and entry.out is not None and entry.out.number == action.attempt:
+                self._abandon(entry.out, Status.CANCELLED)
+        elif isinstance(action, api.SetTimer):
+            self.at(self._loop.time() + action.delay, self._feed, api.TimerFired(action.token))
+        elif isinstance(action, api.CloseIdle):
+            self.carrier.close_idle(action.node)
+        elif isinstance(action, api.Log):
+            self._log("decision", text=action.text)
+
+    def _unanswered(self, number: int) -> Entry | None:
+        entry = self._entries.get(number)
+        if entry is None or entry.done:
+            self._fault("a second answer", id=number)
+            return None
+        return entry
+
+    def _send(self, action: api.Send) -> None:
+        entry, place = self._entries.get(action.id), self._places.get(action.node)
+        if entry is None or entry.done:
+            self._fault("an attempt after the end", id=action.id)
+            return
+        now = self._loop.time()
+        number, incoming = entry.attempts, entry.incoming
+        entry.attempts += 1
+        told = self._told.get(action.node)
+        stop = None if told is None else told + self.settings.rules.drain_grace - DRAIN_MARGIN
+        unsafe = self.settings.classes[incoming.cls].effect is Effect.UNSAFE
+        if entry.out is not None:
+            reason = "a second attempt at once"
+        elif entry.ran and unsafe:
+            reason = "a repeat of what may have run"
+        elif number >= self.settings.max_attempts:
+            reason = "an attempt over the number allowed"
+        elif place is None or (stop is not None and now >= stop):
+            reason = "an attempt at a target that drains or is not listed"
+        else:
+            expires = entry.deadline - ANSWER_MARGIN
+            if action.expires is not None:
+                expires = min(expires, action.expires + self._base)
+            attempt = Attempt(action.id, number, action.node, place.host, place.port, incoming.shard,
+                              incoming.payload, now, expires, stop)
+            entry.out = attempt
+            self.counts["attempts"] += 1
+            self.at(expires, self._expire, attempt)
+            self.carrier.start(attempt)
+            return
+        self._fault(reason, id=action.id, node=action.node)
+        self._feed(api.Outcome(action.id, number, action.node, Status.MOOT, 0.0, False, None, 0.0, ()))
+
+    def _refuse(self, action: api.Refuse) -> None:
+        entry = self._unanswered(action.id)
+        if entry is None:
+            return
+        effect = self.settings.classes[entry.incoming.cls].effect
+        if effect is not Effect.SAFE and (entry.ran or entry.out is not None):
+            self._fault("a refusal of what may have run", id=action.id)
+            self._finish(action.id, entry, "failed")
+            entry.incoming.reply.failed()
+            return
+        self._finish(action.id, entry, "refused")
+        entry.incoming.reply.refused(min(action.retry_after, self.settings.max_advice))
+
+    def _expire(self, attempt: Attempt) -> None:
+        entry = self._entries.get(attempt.id)
+        if entry is not None and entry.out is attempt:
+            self._abandon(attempt, Status.TIMEOUT)
+
+    def _abandon(self, attempt: Attempt, status: Status) -> None:
+        """Give an attempt up; one of which the target has not had the whole never ran."""
+        ran = self.carrier.abandon(attempt)
+        self.ended(attempt, Ending(status if ran else Status.CONNECT_FAILED))
+
+    # --- Ends -------------------------------------------------------------------------------------
+    def _backstop(self, number: int) -> None:
+        """The deadline is near and nothing has answered: a late answer would break the first rule."""
+        entry = self._entries.get(number)
+        if entry is None or entry.done:
+            return
+        self._fault("the deadline backstop answered", id=number)
+        self._finish(number, entry, "failed")
+        self._feed(api.ClientGone(number))  # for the scheduler it is over, as if the client had left
+        entry.incoming.reply.failed()
+
+    def _finish(self, number: int, entry: Entry, how: str) -> None:
+        entry.done = True
+        self._open -= 1
+        self.counts[how] += 1
+        self._drop(number)
+
+    def _drop(self, number: int) -> None:
+        entry = self._entries.get(number)
+        if entry is not None and entry.done and entry.out is None:
+            del self._entries[number]
+
+    def _fault(self, reason: str, **details: object) -> None:
+        self.counts["faults"] += 1
+        self._log("fault", reason=reason, **details)
--- /dev/null
+++ b/stalltiller/transport/buffers.py
@@ -0,0 +1,19 @@
+"""Receive buffers of one size, used again."""
+
+from __future__ import annotations
+
+SIZE = 16 * 1024  # bytes: also the longest message head that fits
+
+
+class BufferPool:
+    """Lends buffers; keeps at most `spare` of those that come back, the rest are freed."""
+
+    def __init__(self, spare: int = 64, size: int = SIZE) -> None:
+        self.size, self._spare, self._free = size, spare, []
+
+    def take(self) -> bytearray:
+        return self._free.pop() if self._free else bytearray(self.size)
+
+    def give(self, buffer: bytearray) -> None:
+        if len(self._free) < self._spare:
+            self._free.append(buffer)
--- /dev/null
+++ b/stalltiller/transport/connection.py
@@ -0,0 +1,121 @@
+"""A TCP connection that reads into a pooled buffer, which it holds only while bytes wait in it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from stalltiller.transport.buffers import BufferPool
+
+
+class Connection(asyncio.BufferedProtocol):
+    """Subclasses say what to do with received bytes and with the end."""
+
+    def __init__(self, buffers: BufferPool) -> None:
+        self._buffers = buffers
+        self._buffer: bytearray | None = None
+        self._start = self._end = 0
+        self._paused = False
+        self.flushed = True  # the kernel has taken every byte written so far
+        self.transport: asyncio.Transport | None = None
+
+    # --- For subclasses ---------------------------------------------------------------------------
+    def received(self, data: memoryview) -> int:
+        """Take bytes and return how many are done with; the rest is kept and shown again with more."""
+        raise NotImplementedError
+
+    def opened(self) -> None:
+        """The connection is up."""
+
+    def overflow(self) -> None:
+        """The buffer is full of bytes that `received` does not take; by default wait until it does."""
+        self._pause()
+
+    def ended(self, error: Exception | None) -> None:
+        """The connection is gone."""
+
+    # --- For owners -------------------------------------------------------------------------------
+    @property
+    def closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def write(self, data: bytes) -> None:
+        if self.closing:
+            self.flushed = False
+            return
+        self.transport.write(data)
+        if self.transport.is_closing():  # the kernel took nothing: the other side was gone already
+            self.flushed = False
+
+    def close(self) -> None:
+        """Close once what was written has gone out."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close now; what was not sent is dropped."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def resume(self) -> None:
+        """Look again at kept bytes, and go on reading."""
+        self._digest()
+        if self._paused and not self.closing and self._end - self._start < self._buffers.size:
+            self._paused = False
+            self.transport.resume_reading()
+
+    # --- asyncio ----------------------------------------------------------------------------------
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that `pause_writing` tells of any byte left over
+        self.opened()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        if self._buffer is None:
+            self._buffer = self._buffers.take()
+        return memoryview(self._buffer)[self._end:]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._end += nbytes
+        self._digest()
+
+    def pause_writing(self) -> None:
+        self.flushed = False
+
+    def resume_writing(self) -> None:
+        self.flushed = True
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._release()
+        self.ended(error)
+
+    def _digest(self) -> None:
+        while self._buffer is not None and self._end > self._start and not self.closing:
+            used = self.received(memoryview(self._buffer)[self._start:self._end])
+            self._start += used
+            if used == 0:
+                break
+        if self._buffer is None:
+            return
+        if self._start == self._end or self.closing:
+            self._release()
+        elif self._end == len(self._buffer):
+            if self._start:
+                left = self._end - self._start
+                self._buffer[:left] = self._buffer[self._start:self._end]
+                self._start, self._end = 0, left
+            else:
+                self.overflow()
+
+    def _pause(self) -> None:
+        if not self._paused and not self.closing:
+            self._paused = True
+            self.transport.pause_reading()
+
+    def _release(self) -> None:
+        if self._buffer is not None:
+            self._buffers.give(self._buffer)
+            self._buffer = None
+        self._start = self._end = 0
--- /dev/null
+++ b/stalltiller/transport/pool.py
@@ -0,0 +1,125 @@
+"""Connections to targets, each for one exchange at a time, kept while idle and used again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+
+class Job(Protocol):
+    """What is to be carried to a target; `wire` is where the pool notes what carries it."""
+
+    node: Any
+    host: str
+    port: int
+    last_start: float | None
+    wire: Any
+
+
+class Channel(Protocol):
+    """A connection that is up, ready for one exchange at a time."""
+
+    @property
+    def closing(self) -> bool: ...
+
+    def carry(self, job: Any) -> None: ...
+
+    def give_up(self) -> bool:
+        """Close at once; whether the target may have run what was under way."""
+
+    def close(self) -> None: ...
+
+
+Address = tuple[Any, str, int]
+
+
+class ChannelPool:
+    """Channels by target.  `connect` makes one; `unreachable` is told of jobs that never started."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, connect: Callable[[str, int], Awaitable[Channel]],
+                 unreachable: Callable[[Any], None], connect_timeout: float, idle_limit: float) -> None:
+        self._loop, self._connect, self._unreachable = loop, connect, unreachable
+        self._connect_timeout, self._idle_limit = connect_timeout, idle_limit
+        self._idle: dict[Address, list[tuple[float, Channel]]] = {}
+        self._sweep: asyncio.TimerHandle | None = None
+        self.opened = 0
+
+    def start(self, job: Job) -> None:
+        """Carry a job by the idle channel used last, or by a new one."""
+        idle = self._idle.get((job.node, job.host, job.port))
+        while idle:
+            _, channel = idle.pop()
+            if not channel.closing:
+                job.wire = channel
+                channel.carry(job)
+                return
+        job.wire = self._loop.create_task(self._open(job))
+
+    def abandon(self, job: Job) -> bool:
+        """Give a job up; whether it may have run."""
+        wire, job.wire = job.wire, None
+        if isinstance(wire, asyncio.Task):
+            wire.cancel()
+            return False
+        return wire is not None and wire.give_up()
+
+    def release(self, job: Job, channel: Channel) -> None:
+        """An exchange is over and its channel may be used again."""
+        job.wire = None
+        self._keep((job.node, job.host, job.port), channel)
+
+    def close_idle(self, node: Any) -> None:
+        for address in [address for address in self._idle if address[0] == node]:
+            for _, channel in self._idle.pop(address):
+                channel.close()
+
+    def close(self) -> None:
+        """Close all that stand idle and stop sweeping."""
+        if self._sweep is not None:
+            self._sweep.cancel()
+            self._sweep = None
+        for node in {address[0] for address in self._idle}:
+            self.close_idle(node)
+
+    async def _open(self, job: Job) -> None:
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                channel = await self._connect(job.host, job.port)
+        except (OSError, EOFError, ValueError):  # TimeoutError is an OSError
+            job.wire = None
+            self._unreachable(job)
+            return
+        self.opened += 1
+        if job.last_start is not None and self._loop.time() >= job.last_start:
+            # The target began to drain while the connection came up: nothing may start there any more.
+            self.release(job, channel)
+            self._unreachable(job)
+            return
+        job.wire = channel
+        channel.carry(job)
+
+    def _keep(self, address: Address, channel: Channel) -> None:
+        self._idle.setdefault(address, []).append((self._loop.time(), channel))
+        if self._sweep is None:
+            self._sweep = self._loop.call_later(self._idle_limit / 4, self._close_old)
+
+    def _close_old(self) -> None:
+        """Close channels before the target does, so that no request meets a connection just closed."""
+        self._sweep = None
+        oldest = self._loop.time() - self._idle_limit * 3 / 4
+        for address, idle in list(self._idle.items()):
+            kept = []
+            for since, channel in idle:
+                if channel.closing:
+                    continue
+                if since <= oldest:
+                    channel.close()
+                else:
+                    kept.append((since, channel))
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+        if self._idle:
+            self._sweep = self._loop.call_later(self._idle_limit / 4, self._close_old)
--- a/stalltiller/wire.py
+++ b/stalltiller/wire.py
@@ -226,12 +226,10 @@
 
 
 class _Options:
-    """The path=value lines, with typed look-ups; a missing path gives None."""
+    """The options by path, with typed look-ups; a missing path gives None."""
 
-    def __init__(self, text: str, prefix: str = "", values: dict[str, str] | None = None) -> None:
-        pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
-        self._values = {k.strip(): v.strip() for k, _, v in pairs} if values is None else values
-        self._prefix = prefix
+    def __init__(self, values: dict[str, str], prefix: str = "") -> None:
+        self._values, self._prefix = values, prefix
 
     def text(self, path: str) -> str | None:
         return self._values.get(self._prefix + path)
@@ -261,12 +259,18 @@
 
     def items(self, path: str) -> list[_Options]:
         count = int(self.amount(path + ".count"))
-        return [_Options("", f"{self._prefix}{path}.{i}.", self._values) for i in range(count)]
+        return [_Options(self._values, f"{self._prefix}{path}.{i}.") for i in range(count)]
 
 
 def parse_settings(text: str) -> api.Settings:
-    """Parse an instance's options; keys that are not known are passed over."""
-    o = _Options(text)
+    """Parse an instance's options, one path=value a line."""
+    pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
+    return settings_of({path.strip(): value.strip() for path, _, value in pairs})
+
+
+def settings_of(values: dict[str, str]) -> api.Settings:
+    """Read the options by path; those that are not known are passed over."""
+    o = _Options(values)
     writes = o.words("family-info.changes-data")
     classes = tuple(
         api.RequestClass(
