--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -188,7 +188,7 @@
             used = self._reader.feed(data)
         except http.HttpError as error:
             self._carrier.complain(self._attempt, str(error))
-            self._end(Ending(api.Status.ERROR), keep=False)
+            self._conclude(Ending(api.Status.ERROR), keep=False)
             return len(data)
         if self._reader.done:
             self._finish()
@@ -196,7 +196,7 @@
 
     def overflow(self) -> None:
         self._carrier.complain(self._attempt, "answer head over the limit")
-        self._end(Ending(api.Status.ERROR), keep=False)
+        self._conclude(Ending(api.Status.ERROR), keep=False)
 
     def eof_received(self) -> bool:
         self.abort()  # not close(): that would go on writing to a target that has stopped
@@ -210,16 +210,17 @@
             return
         # Only a break before the last byte was written proves that the target never began.
         never = not self.flushed and not self._reader.begun
-        self._end(Ending(api.Status.CONNECT_FAILED if never else api.Status.RESET), keep=False)
+        self._conclude(Ending(api.Status.CONNECT_FAILED if never else api.Status.RESET), keep=False)
 
     def _finish(self) -> None:
         head = self._reader.head
         told = self._carrier.fields.parse(head)
         answer = bytes(self._reader.body) if told.status is api.Status.OK else None
-        whole = self._reader.done and self.flushed  # else the answer came before the request was out
-        self._end(Ending(told.status, answer, told.others, told.report), keep=head.keeps_alive() and whole)
+        # An answer that came before the request was out leaves the connection in no known state.
+        keep = head.keeps_alive() and self._reader.done and self.flushed
+        self._conclude(Ending(told.status, answer, told.others, told.report), keep)
 
-    def _end(self, ending: Ending, keep: bool) -> None:
+    def _conclude(self, ending: Ending, keep: bool) -> None:
         attempt, self._attempt = self._attempt, None
         self._reader.reset()
         if keep and not self.closing:
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -89,9 +89,10 @@
         self._open += 1
         self.counts["taken"] += 1
         self.at(deadline - BACKSTOP_MARGIN, self._backstop, number)
+        left = max(0.0, deadline - ANSWER_MARGIN - now)
         self._feed(api.Request(
             number, incoming.cls, incoming.plan, incoming.volume, incoming.units, incoming.hosts,
-            incoming.key, incoming.shard, incoming.write, incoming.repeat, max(0.0, deadline - ANSWER_MARGIN - now)))
+            incoming.key, incoming.shard, incoming.write, incoming.repeat, left))
         return number
 
     def gone(self, number: int) -> None:
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -8,12 +8,16 @@
 
 
 class Connection(asyncio.BufferedProtocol):
-    """Subclasses say what to do with received bytes and with the end."""
+    """Subclasses say what to do with received bytes and with the end.
+
+    Names here stay clear of theirs: `_fill`, the buffer's fill, once hid a method `_fill` of a subclass, and
+    every answer of a target ended in a TypeError.
+    """
 
     def __init__(self, buffers: BufferPool) -> None:
         self._buffers = buffers
         self._buffer: bytearray | None = None
-        self._start = self._end = 0
+        self._read_at = self._fill = 0
         self._paused = False
         self.flushed = True  # the kernel has taken every byte written so far
         self.transport: asyncio.Transport | None = None
@@ -59,7 +63,7 @@
     def resume(self) -> None:
         """Look again at kept bytes, and go on reading."""
         self._digest()
-        if self._paused and not self.closing and self._end - self._start < self._buffers.size:
+        if self._paused and not self.closing and self._fill - self._read_at < self._buffers.size:
             self._paused = False
             self.transport.resume_reading()
 
@@ -72,10 +76,10 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         if self._buffer is None:
             self._buffer = self._buffers.take()
-        return memoryview(self._buffer)[self._end:]
+        return memoryview(self._buffer)[self._fill:]
 
     def buffer_updated(self, nbytes: int) -> None:
-        self._end += nbytes
+        self._fill += nbytes
         self._digest()
 
     def pause_writing(self) -> None:
@@ -92,20 +96,20 @@
         self.ended(error)
 
     def _digest(self) -> None:
-        while self._buffer is not None and self._end > self._start and not self.closing:
-            used = self.received(memoryview(self._buffer)[self._start:self._end])
-            self._start += used
+        while self._buffer is not None and self._fill > self._read_at and not self.closing:
+            used = self.received(memoryview(self._buffer)[self._read_at:self._fill])
+            self._read_at += used
             if used == 0:
                 break
         if self._buffer is None:
             return
-        if self._start == self._end or self.closing:
+        if self._read_at == self._fill or self.closing:
             self._release()
-        elif self._end == len(self._buffer):
-            if self._start:
-                left = self._end - self._start
-                self._buffer[:left] = self._buffer[self._start:self._end]
-                self._start, self._end = 0, left
+        elif self._fill == len(self._buffer):
+            if self._read_at:
+                left = self._fill - self._read_at
+                self._buffer[:left] = self._buffer[self._read_at:self._fill]
+                self._read_at, self._fill = 0, left
             else:
                 self.overflow()
 
@@ -118,4 +122,4 @@
         if self._buffer is not None:
             self._buffers.give(self._buffer)
             self._buffer = None
-        self._start = self._end = 0
+        self._read_at = self._fill = 0
--- /dev/null
+++ b/tests/test_connection.py
@@ -0,0 +1,75 @@
+"""The connection's buffer, without sockets."""
+
+from __future__ import annotations
+
+import pytest
+
+from stalltiller.fronts.http import ClientConnection, TargetConnection
+from stalltiller.transport.buffers import BufferPool
+from stalltiller.transport.connection import Connection
+
+
+class Transport:
+    closed = paused = False
+
+    def set_write_buffer_limits(self, high): ...
+
+    def is_closing(self):
+        return self.closed
+
+    def pause_reading(self):
+        self.paused = True
+
+    def resume_reading(self):
+        self.paused = False
+
+
+class Lines(Connection):
+    """Takes whole lines."""
+
+    def __init__(self, buffers):
+        super().__init__(buffers)
+        self.lines = []
+        self.connection_made(Transport())
+
+    def received(self, data):
+        end = bytes(data).find(b"\n") + 1
+        if end:
+            self.lines.append(bytes(data[:end]))
+        return end
+
+    def arrive(self, data):
+        self.get_buffer(-1)[:len(data)] = data
+        self.buffer_updated(len(data))
+
+
+def test_a_buffer_is_held_only_while_bytes_wait_and_is_used_again():
+    buffers = BufferPool(size=8)
+    first, second = Lines(buffers), Lines(buffers)
+    first.arrive(b"ab\nc")
+    assert first.lines == [b"ab\n"]
+    first.arrive(b"d\n")
+    assert first.lines == [b"ab\n", b"cd\n"]
+    (free,) = buffers._free
+    second.arrive(b"x")
+    assert second._buffer is free and buffers._free == []
+    second.connection_lost(None)
+    assert buffers._free == [free]
+
+
+def test_a_full_buffer_is_moved_down_or_stops_the_reading_until_there_is_room():
+    lines = Lines(BufferPool(size=8))
+    lines.arrive(b"ab\ncdefg")
+    assert not lines.transport.paused
+    lines.arrive(b"hij")
+    assert lines.transport.paused
+    lines._read_at = lines._fill  # someone took it
+    lines.resume()
+    assert not lines.transport.paused
+
+
+@pytest.mark.parametrize("cls", [ClientConnection, TargetConnection])
+def test_no_field_of_a_connection_hides_a_method_of_a_subclass(cls):
+    """Found by the first day: an index named like a method made every answer end in a TypeError."""
+    fields = vars(Connection(BufferPool()))
+    assert [name for name in fields if callable(getattr(cls, name, None))] == []
