Add the NVMe/TCP front, metrics, and rule tests that run on both fronts unchanged

Seen: one whole path of the second front (Connect, properties, Identify, Read, Write in capsule and by R2T, refusals with a retry delay, errors, Abort) serves against a stand-in target. The 19 scenes of tests/test_both_fronts.py found that a write turned away twice without having run was failed, not refused, on both wires. Ruled out: carrier and engine (both outcomes reached the module as FULL).

--- a/stalltiller/__main__.py
+++ b/stalltiller/__main__.py
@@ -1,29 +1,34 @@
-"""The real initiator: `python -m stalltiller`."""
+"""The real initiator: `python -m stalltiller`, or `python -m stalltiller FILE` with an operator's file."""
 
 from __future__ import annotations
 
 import asyncio
 import os
+import signal
 import sys
 
 from stalltiller.program.app import App
-from stalltiller.program.config import Config, ConfigError, from_platform
+from stalltiller.program.config import Config, ConfigError, from_operator, from_platform
 from stalltiller.program.log import JsonLog
 
 
-async def serve(config: Config, log: JsonLog) -> None:
-    await App(config, log, asyncio.get_running_loop()).run()
+async def serve(config: Config) -> None:
+    """Run until SIGTERM or SIGINT."""
+    loop = asyncio.get_running_loop()
+    app = App(config, JsonLog(config.name), loop)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, app.stop.set)
+    await app.run()
 
 
 def main() -> int:
-    """Serve; a bad configuration ends with one plain line."""
-    try:
-        config = from_platform(os.environ)
-        asyncio.run(serve(config, JsonLog(config.name)))
-    except ConfigError as error:
-        print(f"stalltiller: {error}", file=sys.stderr)
+    """Serve; what can't be started ends with one plain line."""
+    if len(sys.argv) > 2:
+        print("usage: python -m stalltiller [OPERATOR_FILE]", file=sys.stderr)
         return 2
-    except OSError as error:  # the address to listen on is taken or not ours
+    try:
+        asyncio.run(serve(from_operator(sys.argv[1]) if len(sys.argv) == 2 else from_platform(os.environ)))
+    except (ConfigError, OSError) as error:  # OSError: the address to listen on is taken or not ours
         print(f"stalltiller: {error}", file=sys.stderr)
         return 2
     return 0
--- /dev/null
+++ b/stalltiller/fronts/carrier.py
@@ -0,0 +1,42 @@
+"""What carrying attempts has in common on both wires: a pool of channels that ends in the engine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from stalltiller import interface as api
+from stalltiller.routing.engine import Engine
+from stalltiller.routing.ports import Attempt, Ending
+from stalltiller.transport.buffers import BufferPool
+from stalltiller.transport.pool import Channel, ChannelPool
+
+
+class PooledCarrier:
+    """Subclasses make the channels."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
+                 connect_timeout: float, idle_limit: float, log: Callable[..., None]) -> None:
+        self.loop, self.engine, self.buffers = loop, engine, buffers
+        self._log = log
+        self.pool = ChannelPool(loop, self.connect, self._unreachable, connect_timeout, idle_limit)
+
+    async def connect(self, host: str, port: int) -> Channel:
+        raise NotImplementedError
+
+    def start(self, attempt: Attempt) -> None:
+        self.pool.start(attempt)
+
+    def abandon(self, attempt: Attempt) -> bool:
+        return self.pool.abandon(attempt)
+
+    def close_idle(self, node: api.NodeId) -> None:
+        self.pool.close_idle(node)
+
+    def complain(self, attempt: Attempt | None, text: str) -> None:
+        """Note an answer that makes no sense: an event, and the end of that attempt alone."""
+        self.engine.counts["bad_answers"] += 1
+        self._log("bad_answer", node=attempt.node if attempt else None, text=text)
+
+    def _unreachable(self, attempt: Attempt) -> None:
+        self.engine.ended(attempt, Ending(api.Status.CONNECT_FAILED))
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -1,4 +1,4 @@
-"""The platform's wire: HTTP/1.1 from clients and to targets, and discovery's list."""
+"""The platform's wire: HTTP/1.1 from clients and to targets."""
 
 from __future__ import annotations
 
@@ -7,18 +7,16 @@
 from dataclasses import dataclass
 
 from stalltiller import interface as api
-from stalltiller.protocol import discovery, http
+from stalltiller.fronts.carrier import PooledCarrier
+from stalltiller.protocol import http
 from stalltiller.protocol.platform import AnswerFields, FieldError, RequestFields
 from stalltiller.routing.engine import Engine
-from stalltiller.routing.ports import Attempt, Ending, Incoming, Place
+from stalltiller.routing.ports import Attempt, Ending, Incoming
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
-from stalltiller.transport.pool import ChannelPool
 
 READY_PATH = "/healthz"
-WAIT_MS = 5000  # that a watch call may wait: short enough to notice soon that discovery is silent
-WATCH_TIMEOUT = WAIT_MS / 1000 + 1.0  # s
 STALL_LIMIT = 10.0  # s that a client may take to send a request
 
 
@@ -176,9 +174,10 @@
             payload.body))
 
     def give_up(self) -> bool:
+        """What was given up in the middle of its transfer counts as run: only a break proves otherwise."""
         self._attempt = None
         self.abort()
-        return self.flushed
+        return True
 
     def received(self, data: memoryview) -> int:
         if self._attempt is None:
@@ -231,86 +230,15 @@
         self._carrier.engine.ended(attempt, ending)
 
 
-class HttpCarrier:
+class HttpCarrier(PooledCarrier):
     """Carries attempts to targets over HTTP/1.1."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 settings: api.Settings, connect_timeout: float, idle_limit: float,
-                 log: Callable[..., None]) -> None:
-        self.loop, self.engine, self.buffers = loop, engine, buffers
+                 connect_timeout: float, idle_limit: float, log: Callable[..., None],
+                 settings: api.Settings) -> None:
+        super().__init__(loop, engine, buffers, connect_timeout, idle_limit, log)
         self.fields = AnswerFields(settings)
-        self._log = log
-        self.pool = ChannelPool(loop, self._connect, self._unreachable, connect_timeout, idle_limit)
-
-    def start(self, attempt: Attempt) -> None:
-        self.pool.start(attempt)
-
-    def abandon(self, attempt: Attempt) -> bool:
-        return self.pool.abandon(attempt)
 
-    def close_idle(self, node: api.NodeId) -> None:
-        self.pool.close_idle(node)
-
-    def complain(self, attempt: Attempt, text: str) -> None:
-        self.engine.counts["bad_answers"] += 1
-        self._log("bad_answer", node=attempt.node, text=text)
-
-    async def _connect(self, host: str, port: int) -> TargetConnection:
+    async def connect(self, host: str, port: int) -> TargetConnection:
         _, connection = await self.loop.create_connection(lambda: TargetConnection(self), host, port)
         return connection
-
-    def _unreachable(self, attempt: Attempt) -> None:
-        self.engine.ended(attempt, Ending(api.Status.CONNECT_FAILED))
-
-
-# --- Discovery ------------------------------------------------------------------------------------
-class Directory:
-    """Turns discovery's list into the engine's."""
-
-    def __init__(self, engine: Engine, zones: list[str], kinds: list[str]) -> None:
-        self._engine, self._zones, self._kinds = engine, zones, kinds
-
-    def place(self, target: discovery.Target) -> Place:
-        zone = self._zones.index(target.zone) if target.zone in self._zones else len(self._zones)
-        kind = self._kinds.index(target.kind) if target.kind in self._kinds else len(self._kinds)
-        return Place(api.NodeEntry(target.name, zone, kind, target.cell, target.state, target.weight,
-                                   self._engine.since(target.since)), target.host, target.port)
-
-    def listed(self, kind: api.ListKind, listing: discovery.Listing) -> None:
-        self._engine.listed(kind, [self.place(target) for target in listing.targets])
-
-
-class WatchCodec:
-    """Words the watch's calls: first for the whole list, then for what is newer."""
-
-    def __init__(self, host: str, took: Callable[[discovery.Listing], None]) -> None:
-        self._host, self._took = host, took
-        self._reader = http.Reader(response=True)
-        self._index: int | None = None
-
-    def call(self) -> bytes:
-        self._reader.reset()
-        path = discovery.list_path(self._index, WAIT_MS)
-        return http.encode_request("GET", path, {"Host": self._host}, b"")
-
-    def feed(self, data: memoryview) -> int:
-        try:
-            return self._reader.feed(data)
-        except http.HttpError as error:
-            raise ValueError(str(error)) from error
-
-    def finish(self) -> bool | None:
-        if not self._reader.done:
-            return None
-        head = self._reader.head
-        if head.status != 200:
-            raise ValueError(f"status {head.status}")
-        try:
-            listing = discovery.parse_listing(bytes(self._reader.body))
-        except discovery.DiscoveryError as error:
-            raise ValueError(str(error)) from error
-        if self._index is None and not listing.whole:
-            raise ValueError("changes came where the whole list was asked for")
-        self._index = listing.index
-        self._took(listing)
-        return head.keeps_alive()
--- a/stalltiller/logic.py
+++ b/stalltiller/logic.py
@@ -673,7 +673,9 @@
     def _again(self, held: Held, o: api.Outcome) -> None:
         """Whether a request whose attempt failed is sent once more or gets its final answer."""
         if o.status in NEVER_RAN:
-            if held.attempts == 1 or held.cls.effect is Effect.SAFE:
+            # Only a keyed request is sent again after an attempt that may have run.  Guards against failing
+            # an unsafe write that was turned away twice: it never ran, so its client may try again.
+            if held.attempts == 1 or held.cls.effect is not Effect.KEYED:
                 held.unsure_at = held.unsure_node = None
             if o.status is Status.MOOT and held.attempts == 1:
                 held.volume.limit.level += held.r.units
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import resource
-import signal
 
-from stalltiller.fronts.http import WATCH_TIMEOUT, Directory, HttpCarrier, HttpFront, WatchCodec
+from stalltiller.fronts.directory import WATCH_TIMEOUT, Directory, WatchCodec
+from stalltiller.fronts.http import HttpCarrier, HttpFront
+from stalltiller.fronts.nvme import NvmeCarrier, NvmeFront
 from stalltiller.interface import ListKind
 from stalltiller.program.config import Config
 from stalltiller.program.log import JsonLog
+from stalltiller.program.metrics import Metrics
 from stalltiller.protocol.discovery import Listing
 from stalltiller.routing.engine import Engine
 from stalltiller.transport.buffers import BufferPool
@@ -35,19 +37,25 @@
         self._config, self._log, self._loop = config, log, loop
         self.buffers = BufferPool()
         self.engine = Engine(config.settings, config.seed, loop, log)
-        self.carrier = HttpCarrier(loop, self.engine, self.buffers, config.settings, config.connect_timeout,
-                                   config.idle_limit, log)
+        common = (loop, self.engine, self.buffers)
+        timing = (config.connect_timeout, config.idle_limit, log)
+        if config.nvme is None:
+            self.front = HttpFront(*common, config.settings, self.is_ready)
+            self.carrier = HttpCarrier(*common, *timing, config.settings)
+        else:
+            self.front = NvmeFront(*common, config.settings, config.name, config.nvme, log)
+            self.carrier = NvmeCarrier(*common, *timing, config.name, config.nvme)
         self.engine.carrier = self.carrier
         self._directory = Directory(self.engine, config.zones, config.kinds)
-        self.front = HttpFront(loop, self.engine, self.buffers, config.settings, self._is_ready)
         most = int((config.sockets - OWN_SOCKETS) * (1 - TARGET_SHARE))
         self.listener = Listener(self.front.connection, max(16, most))
         self._ready_at = loop.time() + READY_AFTER
         self._listed = False
-        self._stopped = asyncio.Event()
+        self.stop = asyncio.Event()
+        self.started = asyncio.Event()
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then until all is answered."""
+        """Serve until `stop` is set, then until all is answered."""
         config = self._config
         if config.known is not None:
             self._directory.listed(ListKind.CACHED, config.known)
@@ -56,16 +64,20 @@
         watch = Watch(config.discovery, self.buffers, codec, WATCH_TIMEOUT, self._watch_failed)
         watching = self._loop.create_task(watch.run())
         reporting = self._loop.create_task(self._report())
-        stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, stop.set)
+        metrics = Metrics(config, self.sample, self._loop)
+        metrics.start()
         self._log("started", listen=join(*self.listener.address))
-        await stop.wait()
-        self._log("stopping", open=self.engine.open)
-        await self._drain()
-        for task in (watching, reporting):
-            task.cancel()
-        self.carrier.pool.close()
+        self.started.set()
+        try:
+            await self.stop.wait()
+            self._log("stopping", open=self.engine.open)
+            await self._drain()
+        finally:
+            metrics.close()
+            self.listener.close()
+            for task in (watching, reporting):
+                task.cancel()
+            self.carrier.pool.close()
         self._log("stopped", **self.engine.counts)
 
     async def _drain(self) -> None:
@@ -74,11 +86,11 @@
         await asyncio.sleep(STILL_LISTENING)
         self.listener.close()
         self.front.stopping = True  # from now on each answer ends its connection
-        self.listener.close_idle()
         while self._loop.time() < end and (self.engine.open or len(self.listener)):
+            self.listener.close_idle()
             await asyncio.sleep(0.02)
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
         return self._listed or self._loop.time() >= self._ready_at
 
     def _took_list(self, listing: Listing) -> None:
@@ -95,7 +107,12 @@
     async def _report(self) -> None:
         while True:
             await asyncio.sleep(REPORT_EVERY)
-            usage = resource.getrusage(resource.RUSAGE_SELF)
-            self._log("counters", open=self.engine.open, clients=len(self.listener), shed=self.listener.shed,
-                      connections=self.carrier.pool.opened, cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
-                      memory_kb=usage.ru_maxrss, **self.engine.counts)
+            self._log("counters", **self.sample())
+
+    def sample(self) -> dict[str, float]:
+        """All figures: gauges as in GAUGES, the others only ever rise."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {"open": self.engine.open, "clients": len(self.listener), "shed": self.listener.shed,
+                "connections": self.carrier.pool.opened, "memory_kb": usage.ru_maxrss,
+                "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000), "log_dropped": self._log.dropped,
+                **self.engine.counts}
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import orjson
 
 from stalltiller import interface as api
 from stalltiller import wire
-from stalltiller.protocol import discovery
+from stalltiller.fronts import nvme as nvme_front
+from stalltiller.protocol import discovery, nvme
 
 SECOND = 1_000_000_000  # the settings' durations are nanoseconds
 
@@ -19,13 +21,21 @@
     """The program can't start with what it was told; the text is one plain line."""
 
 
+@dataclass(slots=True, frozen=True)
+class Sink:
+    """Where metrics go, and how often."""
+
+    address: tuple[str, int]
+    interval: float
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     """All that one initiator is told when it starts."""
 
     name: str
     listen: tuple[str, int]
-    discovery: tuple[str, int] | None
+    discovery: tuple[str, int]
     seed: int
     sockets: int
     known: discovery.Listing | None
@@ -34,6 +44,9 @@
     kinds: list[str]
     connect_timeout: float
     idle_limit: float
+    nvme: nvme_front.Mapping | None = None  # None: the platform's HTTP front
+    graphite: Sink | None = None
+    collectd: Sink | None = None
 
 
 def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
@@ -101,19 +114,14 @@
     return data
 
 
-def from_platform(environment: Mapping[str, str]) -> Config:
-    """Read PROXY_CONFIG; the other PROXY_ variables go before what it says."""
-    path = environment.get("PROXY_CONFIG")
-    if not path:
-        raise ConfigError("PROXY_CONFIG is not set")
-    data = read_json(path)
+def _config(data: dict, where: str, **more: object) -> Config:
+    """What the platform's file and the operator's have in common."""
     nested = data.get("settings")
     if not isinstance(nested, dict):
-        raise ConfigError(f"{path}: no settings")
-    listen = environment.get("PROXY_LISTEN") or data.get("listen")
-    agent = environment.get("PROXY_DISCOVERY") or data.get("discovery")
-    if not listen or not agent:
-        raise ConfigError(f"{path}: no address to listen on, or none of discovery")
+        raise ConfigError(f"{where}: no settings")
+    for name in ("listen", "discovery"):
+        if not data.get(name):
+            raise ConfigError(f"{where}: no address for {name}")
     try:
         known = discovery.listing(data["known"]) if data.get("known") else None
     except discovery.DiscoveryError as error:
@@ -121,10 +129,81 @@
     limits, most = nested.get("limits"), data.get("limits")
     sockets = most.get("sockets") if isinstance(most, dict) else None
     return Config(
-        name=environment.get("PROXY_NAME") or str(data.get("name") or "stalltiller"),
-        listen=_address(listen, "listen"), discovery=_address(agent, "discovery"),
-        seed=_seed(data.get("seed") or "0"),
+        name=str(data.get("name") or "stalltiller"), listen=_address(data["listen"], "listen"),
+        discovery=_address(data["discovery"], "discovery"), seed=_seed(data.get("seed") or "0"),
         sockets=sockets if isinstance(sockets, int) and sockets > 0 else 1024, known=known,
         settings=parse_settings(nested), zones=_names(nested.get("areas")), kinds=_names(nested.get("kinds")),
         connect_timeout=_seconds(limits, "connect-timeout-ns", 0.25),
-        idle_limit=_seconds(limits, "conn-idle-ns", 30.0))
+        idle_limit=_seconds(limits, "conn-idle-ns", 30.0), **more)
+
+
+def from_platform(environment: Mapping[str, str]) -> Config:
+    """Read PROXY_CONFIG; the other PROXY_ variables go before what it says."""
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set")
+    data = read_json(path)
+    for name in ("name", "listen", "discovery"):
+        data[name] = environment.get(f"PROXY_{name.upper()}") or data.get(name)
+    return _config(data, path)
+
+
+# --- The operator's file ----------------------------------------------------------------------------
+def from_operator(path: str) -> Config:
+    """Read an operator's file, which may set up the NVMe/TCP front and metrics."""
+    try:
+        data = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: not TOML: {error}") from error
+    try:
+        config = _config(data, path, graphite=_sink(data, "graphite"), collectd=_sink(data, "collectd"))
+        if "nvme" not in data:
+            return config
+        return replace(config, nvme=_mapping(data["nvme"], config.settings))
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error.args[0]} is missing") from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+def _sink(data: dict, name: str) -> Sink | None:
+    if name not in data:
+        return None
+    interval = float(data[name].get("interval_s", 10.0))
+    if not 0.05 <= interval <= 3600:
+        raise ConfigError(f"{name}: interval_s must lie between 0.05 and 3600")
+    return Sink(_address(data[name]["address"], name), interval)
+
+
+def _mapping(data: dict, settings: api.Settings) -> nvme_front.Mapping:
+    plans = {plan.name: i for i, plan in enumerate(settings.plans)}
+    classes = {cls.name: i for i, cls in enumerate(settings.classes)}
+    spaces: dict[int, nvme_front.Namespace] = {}
+    for line in data["namespaces"]:
+        number, size = int(line["id"]), int(line.get("block_size", 4096))
+        if not 0 < number < 0xFFFFFFFF or number in spaces:
+            raise ConfigError(f"namespace {number}: the id is out of range or given twice")
+        if size & (size - 1) or not 512 <= size <= nvme.MAX_DATA:
+            raise ConfigError(f"namespace {number}: block_size must be a power of two from 512 to 64 KiB")
+        if line["plan"] not in plans:
+            raise ConfigError(f"namespace {number}: plan not known: {line['plan']}")
+        space = nvme_front.Namespace(int(str(line["volume"]), 16), plans[line["plan"]], int(line["shard"]),
+                                     int(line["hosts"]), int(line["blocks"]), size,
+                                     float(line["blocks_per_unit"]))
+        if min(space.hosts, space.blocks, space.blocks_per_unit) <= 0 or space.shard < 0:
+            raise ConfigError(f"namespace {number}: hosts, blocks, blocks_per_unit or shard out of range")
+        spaces[number] = space
+    opcodes: dict[int, tuple[int, float]] = {}
+    for name, opcode, write in (("read", nvme.READ, False), ("write", nvme.WRITE, True)):
+        line = data["opcodes"][name]
+        if line["class"] not in classes:
+            raise ConfigError(f"opcode {name}: class not known: {line['class']}")
+        cls = classes[line["class"]]
+        if settings.classes[cls].writes is not write:
+            raise ConfigError(f"opcode {name}: class {line['class']} does not go with it")
+        if not line["deadline_ms"] > 0:
+            raise ConfigError(f"opcode {name}: deadline_ms must be above zero")
+        opcodes[opcode] = (cls, line["deadline_ms"] / 1000)
+    return nvme_front.Mapping(str(data["subsystem"]), spaces, opcodes)
--- a/stalltiller/protocol/nvme.py
+++ b/stalltiller/protocol/nvme.py
@@ -210,7 +210,8 @@
     return Command(opcode, cid, nsid & 0xFF if opcode == FABRICS else nsid, sgl, length, raw)
 
 
-def command(opcode: int, cid: int, nsid: int = 0, rest: bytes = b"", length: int = 0, data: bytes = b"") -> bytes:
+def command(opcode: int, cid: int, nsid: int = 0, rest: bytes = b"", length: int = 0,
+            data: bytes = b"") -> bytes:
     """A capsule; `length` bytes follow or come back apart unless `data` goes along.  `rest` is CDW10 on."""
     sgl = IN_CAPSULE_SGL if data else TRANSPORT_SGL if length else 0
     entry = _SQE.pack(opcode, 0x40, cid, nsid, 0, len(data) or length, sgl, rest)
