--- /dev/null
+++ b/examples/toy_server.py
@@ -0,0 +1,83 @@
+"""A toy discovery and two toy targets on loopback, to try stalltiller with.
+
+Discovery listens on 127.0.0.1:8500, as examples/config.json expects.  The targets keep what they are sent in
+memory and answer reads with it.  It needs the standard library alone.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+DISCOVERY_PORT = 8500
+SERVICE_TIME = 0.02  # s
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def answer(self, status: int, body: bytes, **fields: str) -> None:
+        self.send_response(status)
+        for name, value in fields.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *args: object) -> None:
+        """Be quiet."""
+
+
+class Target(Handler):
+    """Keeps bodies by path."""
+
+    def do_GET(self) -> None:
+        time.sleep(SERVICE_TIME)
+        key = self.path.rsplit("/", 1)[-1]
+        self.answer(200, self.server.data.get(key, b"nothing yet\n"), X_Server_Load="TEXT mean_ms=20.0")
+
+    def do_PUT(self) -> None:
+        time.sleep(SERVICE_TIME)
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        self.server.data[self.path.rsplit("/", 1)[-1]] = body
+        self.answer(200, b"kept\n")
+
+
+class Discovery(Handler):
+    """Names the targets; the list never changes, so a watch waits out its time."""
+
+    def do_GET(self) -> None:
+        query = parse_qs(urlsplit(self.path).query)
+        lines = self.server.lines
+        if "after" in query:
+            time.sleep(int(query["wait_ms"][0]) / 1000)
+            lines = []
+        whole = "after" not in query
+        self.answer(200, json.dumps({"index": 1, "snapshot": whole, "endpoints": lines}).encode())
+
+
+def serve(port: int, handler: type[Handler], **more: object) -> ThreadingHTTPServer:
+    server = ThreadingHTTPServer(("127.0.0.1", port), handler)
+    server.daemon_threads = True
+    vars(server).update(more)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+def main() -> None:
+    lines = []
+    for shard in range(2):
+        port = serve(0, Target, data={}).server_port
+        lines.append({"name": f"s-{shard}", "address": f"127.0.0.1:{port}", "zone": "bat-a",
+                      "type": "small-2c", "group": shard, "status": "active", "weight": 1.0, "since_ms": 0})
+    serve(DISCOVERY_PORT, Discovery, lines=lines)
+    addresses = ", ".join(line["address"] for line in lines)
+    print(f"discovery on 127.0.0.1:{DISCOVERY_PORT}, targets on {addresses}", flush=True)
+    threading.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
--- a/stalltiller/__main__.py
+++ b/stalltiller/__main__.py
@@ -15,7 +15,12 @@
 async def serve(config: Config) -> None:
     """Run until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
-    app = App(config, JsonLog(config.name), loop)
+    log = JsonLog(config.name)
+    log.never_block()
+    # What asyncio would print, such as a failed accept when descriptors run out, is an event like any other.
+    loop.set_exception_handler(lambda _, context: log(
+        "loop_error", message=context.get("message"), error=repr(context.get("exception"))))
+    app = App(config, log, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, app.stop.set)
     await app.run()
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -17,6 +17,7 @@
 from stalltiller.transport.listener import Listener
 
 READY_PATH = "/healthz"
+LINGER = 1.0  # s for which a rejected client may go on sending: a close at once would reset its answer away
 STALL_LIMIT = 10.0  # s that a client may take to send a request
 
 
@@ -41,13 +42,15 @@
         self._reader = http.Reader(response=False)
         self._request: int | None = None  # the engine's number of the request that is being served
         self._keep = True
-        self._away = False
+        self._away = self._rejected = False
         self._stall: asyncio.TimerHandle | None = None
 
     def opened(self) -> None:
         self._listener.arrived(self)
 
     def received(self, data: memoryview) -> int:
+        if self._rejected:
+            return len(data)
         if self._request is not None:
             return 0  # the next request waits until this one is answered
         try:
@@ -68,6 +71,7 @@
             super().overflow()
         else:
             self._reject(431, "request head over the limit")
+            self.discard()
 
     def ended(self, error: Exception | None) -> None:
         self._listener.left(self)
@@ -77,7 +81,7 @@
             self._front.engine.gone(number)
 
     def close_if_idle(self) -> bool:
-        if self._request is not None or self._stall is not None or self.closing:
+        if self._request is not None or self._stall is not None or self._rejected or self.closing:
             return False
         self.close()
         return True
@@ -125,13 +129,23 @@
     def _answer(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
         close = not self._keep or self._front.stopping
         self.write(http.encode_response(status, body, fields, close))
+        if not self.flushed and not self.closing:
+            self._front.loop.call_later(STALL_LIMIT, self._unread)
         if close:
             self.close()
 
+    def _unread(self) -> None:
+        """Guard against clients that ask and do not read the answer."""
+        if not self.flushed:
+            self.abort()
+
     def _reject(self, status: int, text: str) -> None:
         self._front.engine.counts["bad_requests"] += 1
-        self._keep = False
-        self._answer(status, f"{text}\n".encode())
+        self._rejected = True
+        self.write(http.encode_response(status, f"{text}\n".encode(), close=True))
+        if not self.closing:
+            self.transport.write_eof()
+            self._front.loop.call_later(LINGER, self.abort)
 
     def _stalled(self, begun: bool) -> None:
         """Guard against clients that begin a request and never end it."""
--- a/stalltiller/fronts/nvme.py
+++ b/stalltiller/fronts/nvme.py
@@ -25,6 +25,7 @@
 
 MAX_IO_QUEUES = 8  # of one association
 MAX_HELD = 32 * 1024 * 1024  # bytes of data, of all commands together; past it commands are refused
+MAX_COMMANDS = 4096  # of all clients together; past it, too
 HELLO_LIMIT = 5.0  # s that a connection may take until its Connect
 KEEP_ALIVE = 10.0  # s that targets are told; it is sent in half the time
 KEEP_ALIVE_GRACE = 1.0  # s past a client's own keep alive time
@@ -342,7 +343,7 @@
             self.complete(nvme.Completion(command.cid, status, no_retry=True))
             return
         io = IoCommand(self, command, space, self.front.loop.time())
-        if self.front.held + io.size > MAX_HELD:
+        if self.front.held + io.size > MAX_HELD or self.front.engine.open >= MAX_COMMANDS:
             self.complete(nvme.Completion(command.cid, nvme.NOT_READY, delay=3))
             return
         self.commands[command.cid] = io
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -81,7 +81,7 @@
 
 def _address(text: object, name: str) -> tuple[str, int]:
     try:
-        return discovery.parse_address(text)
+        return discovery.parse_address(text, 0 if name == "listen" else 1)
     except ValueError as error:
         raise ConfigError(f"{name}: {error}") from error
 
--- a/stalltiller/program/log.py
+++ b/stalltiller/program/log.py
@@ -3,21 +3,27 @@
 from __future__ import annotations
 
 import os
-import sys
+import stat
 import time
 
 import orjson
 
+STDOUT = 1
 LINES_PER_S = 200  # past this, lines are counted and dropped: a log must not take the core from service
 
 
 class JsonLog:
-    """Writes events as lines; never raises and never blocks for long."""
+    """Writes events as lines; what can't be written is counted and dropped."""
 
-    def __init__(self, name: str, descriptor: int = sys.stdout.fileno() if sys.stdout else 1) -> None:
+    def __init__(self, name: str, descriptor: int = STDOUT) -> None:
         self._name, self._descriptor = name, descriptor
         self._second, self._lines, self.dropped = 0, 0, 0
 
+    def never_block(self) -> None:
+        """Guard against a reader of our pipe that stops: its lines are lost, service goes on."""
+        if stat.S_ISFIFO(os.fstat(self._descriptor).st_mode):
+            os.set_blocking(self._descriptor, False)
+
     def __call__(self, event: str, **details: object) -> None:
         now = time.time()
         if int(now) != self._second:
--- a/stalltiller/protocol/discovery.py
+++ b/stalltiller/protocol/discovery.py
@@ -45,10 +45,10 @@
     return PATH if after is None else f"{PATH}?after={after}&wait_ms={wait_ms}"
 
 
-def parse_address(text: object) -> tuple[str, int]:
-    """Split HOST:PORT."""
+def parse_address(text: object, least: int = 1) -> tuple[str, int]:
+    """Split HOST:PORT; to listen, a port of 0 leaves the choice to the system."""
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isascii() or not port.isdigit() or not least <= int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
     return host, int(port)
 
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -14,6 +14,7 @@
 WHOLE = re.compile(r"-?[0-9]{1,9}")
 REQUEST_ID = re.compile(r"[!-~]{1,128}")
 NOT_RUN = (503, 504)
+MAX_TIMEOUT = 60.0  # s: a request that may wait longer is held no longer than this
 
 
 class FieldError(Exception):
@@ -86,7 +87,7 @@
         return Ask(cls, plan, _hex(info.get("volume"), "volume"), units,
                    _whole(info.get("hosts"), "hosts", 1), _hex(parts[-1], "the key"),
                    None if shard < 0 else shard, head.fields.get("x-retried") == "1",
-                   _number(head.fields.get("x-timeout"), "X-Timeout"))
+                   min(MAX_TIMEOUT, _number(head.fields.get("x-timeout"), "X-Timeout")))
 
 
 @dataclass(slots=True, frozen=True)
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -67,6 +67,10 @@
             self._paused = False
             self.transport.resume_reading()
 
+    def discard(self) -> None:
+        """Drop the kept bytes."""
+        self._read_at = self._fill = 0
+
     # --- asyncio ----------------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -82,7 +82,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.index, self.lines, self.changed = 1, {}, asyncio.Event()
-        self.calls: list[tuple[float, str]] = []
+        self.calls: list[str] = []
         self.spoil: list[bytes] = []  # bodies to answer in place of the list
 
     def set(self, target: Target, status: str = "active") -> None:
@@ -96,8 +96,8 @@
     async def serve(self, reader, writer) -> None:
         while True:
             path = (await read_message(reader)).head.target
-            self.calls.append((time.monotonic(), path))
-            if path.endswith(f"wait_ms={5000}") and f"after={self.index}&" in path:
+            self.calls.append(path)
+            if f"after={self.index}&" in path:
                 await self.changed.wait()
             body = self.spoil.pop() if self.spoil else json.dumps(
                 {"index": self.index, "snapshot": True, "endpoints": list(self.lines.values())}).encode()
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,208 @@
+"""The engine's guards, with a carrier and a scheduler that are made to misbehave; no sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from stalltiller import interface as api
+from stalltiller.interface import ListKind, Status
+from stalltiller.routing.engine import Engine
+from stalltiller.routing.ports import Ending, Incoming, Place
+from tests.helpers import Gateway, entry, outcome, request, request_class, rules, settings
+
+
+class Reply:
+    def __init__(self):
+        self.answers = []
+
+    def served(self, answer):
+        self.answers.append(("served", answer))
+
+    def refused(self, retry_after):
+        self.answers.append(("refused", retry_after))
+
+    def failed(self):
+        self.answers.append(("failed",))
+
+
+class Carrier:
+    def __init__(self):
+        self.started, self.abandoned, self.ran = [], [], True
+
+    def start(self, attempt):
+        self.started.append(attempt)
+
+    def abandon(self, attempt):
+        self.abandoned.append(attempt)
+        return self.ran
+
+
+class Script:
+    """Stands in for the scheduler: answers each event by a function, else does nothing."""
+
+    def __init__(self, act):
+        self.act, self.events, self.turns = act, [], 0
+
+    def handle(self, now, events):
+        self.turns += 1
+        self.events += events
+        return [action for event in events for action in self.act(event)]
+
+
+def play(scene, act=None, effect=api.Effect.UNSAFE):
+    async def whole():
+        engine = Engine(settings(classes=(request_class(effect=effect),), rules=rules(drain_grace=0.3)), 1,
+                        asyncio.get_running_loop(), lambda event, **details: None)
+        engine.carrier = Carrier()
+        if act is not None:
+            engine._scheduler = Script(act)
+        engine.listed(ListKind.FULL, [Place(entry(1), "h", 1)])
+        await scene(engine, engine.carrier)
+    asyncio.run(whole())
+
+
+def incoming(reply, timeout=1.0):
+    return Incoming(0, 0, 1, 1.0, 1, 0, 1, True, False, timeout, "payload", reply)
+
+
+def on_request(*actions):
+    return lambda event: actions if isinstance(event, api.Request) else ()
+
+
+def again_after(status):
+    return lambda event: (SEND,) if isinstance(event, api.Request) or (
+        isinstance(event, api.Outcome) and event.status is status) else ()
+
+
+SEND = api.Send(1, 1, None)
+
+
+async def turn():
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(("actions", "answers", "started"), [
+    ((api.Fail(1), api.Refuse(1, 0.0)), [("failed",)], 0),
+    ((api.Refuse(1, 99.0), api.Fail(1)), [("refused", 1.5)], 0),  # advice within the settings' maximum
+    ((api.Fail(1), SEND), [("failed",)], 0),
+    ((SEND, SEND), [], 1),  # a second attempt at once
+    ((SEND, api.Refuse(1, 0.0)), [("failed",)], 1),  # the attempt may be running
+    ((api.Send(1, 9, None),), [], 0),  # a target that was never listed
+])
+def test_a_decision_against_the_rules_is_a_fault_and_not_carried_out(actions, answers, started):
+    async def scene(engine, carrier):
+        reply = Reply()
+        engine.take(incoming(reply))
+        await turn()
+        assert reply.answers == answers and len(carrier.started) == started
+        assert engine.counts["faults"] == (0 if len(actions) == 1 and answers else 1)
+    play(scene, on_request(*actions))
+
+
+def test_what_may_have_run_is_not_sent_again_whatever_the_decision():
+    async def scene(engine, carrier):
+        engine.take(incoming(Reply()))
+        await turn()
+        engine.ended(carrier.started[0], Ending(Status.RESET))
+        await turn()
+        assert len(carrier.started) == 1 and engine.counts["faults"] == 1
+        assert engine._scheduler.events[-1].status is Status.MOOT
+    play(scene, again_after(Status.RESET))
+
+
+def test_nothing_starts_at_a_target_past_its_drain_time():
+    async def scene(engine, carrier):
+        engine.listed(ListKind.DELTA, [Place(entry(1, state=api.NodeState.DRAINING), "h", 1)])
+        engine.take(incoming(Reply()))
+        await turn()
+        (attempt,) = carrier.started
+        assert attempt.last_start == pytest.approx(attempt.sent_at + 0.2, abs=0.1)
+        engine._told[1] -= 0.3
+        engine.ended(attempt, Ending(Status.FULL))
+        await turn()
+        assert len(carrier.started) == 1 and engine.counts["faults"] == 1
+    play(scene, again_after(Status.FULL))
+
+
+def test_the_backstop_answers_before_the_deadline_and_the_late_answer_is_dropped():
+    async def scene(engine, carrier):
+        reply = Reply()
+        began = asyncio.get_running_loop().time()
+        engine.take(incoming(reply, 0.1))
+        await turn()
+        carrier.ran = True
+        while not reply.answers:
+            await asyncio.sleep(0.001)
+        assert asyncio.get_running_loop().time() - began < 0.1
+        assert reply.answers == [("failed",)] and engine.open == 0
+        assert any(isinstance(event, api.ClientGone) for event in engine._scheduler.events)
+    play(scene, lambda event: ())
+
+
+def test_an_attempt_given_up_before_it_came_out_never_ran():
+    """A connection that never came up in the attempt's time proves that nothing was sent."""
+    async def scene(engine, carrier):
+        carrier.ran = False
+        reply = Reply()
+        engine.take(incoming(reply))
+        while not any(isinstance(event, api.Outcome) for event in engine._scheduler.events):
+            await asyncio.sleep(0.005)
+        assert engine._scheduler.events[-1].status is Status.CONNECT_FAILED
+        assert carrier.abandoned == carrier.started
+
+    play(scene, on_request(api.Send(1, 1, 0.05)))
+
+
+def test_the_events_of_a_turn_reach_the_scheduler_in_one_call():
+    async def scene(engine, carrier):
+        await turn()
+        before = engine._scheduler.turns
+        for _ in range(5):
+            engine.take(incoming(Reply()))
+        await turn()
+        assert engine._scheduler.turns == before + 1
+        assert [event.id for event in engine._scheduler.events[-5:]] == [1, 2, 3, 4, 5]
+    play(scene, lambda event: ())
+
+
+def test_a_crash_of_the_decisions_is_a_fault_and_every_request_is_still_answered():
+    async def scene(engine, carrier):
+        reply = Reply()
+        engine.take(incoming(reply, 0.05))
+        while not reply.answers:
+            await asyncio.sleep(0.005)
+        assert reply.answers == [("failed",)] and engine.counts["faults"] >= 1
+
+    def act(event):
+        raise ValueError("broken")
+    play(scene, act)
+
+
+def test_the_table_is_empty_when_all_is_over():
+    async def scene(engine, carrier):
+        reply = Reply()
+        number = engine.take(incoming(reply))
+        await turn()
+        engine.gone(number)
+        await turn()
+        assert engine.open == 0 and len(engine._entries) == 1  # the attempt is still out
+        engine.ended(carrier.started[0], Ending(Status.OK, "late"))
+        await turn()
+        assert reply.answers == [] and engine._entries == {} and engine._scheduler.held == {}
+    play(scene)
+
+
+# --- The module: found by the rule tests on sockets -----------------------------------------------
+@pytest.mark.parametrize("times", [1, 2, 3, 4])
+def test_an_unsafe_write_that_never_ran_is_refused_however_often_it_was_turned_away(times):
+    """It was failed from the second time on, although its client could safely have tried again."""
+    gateway = Gateway(classes=(request_class(effect=api.Effect.UNSAFE),), max_attempts=times)
+    gateway.feed(0.0, request(1))
+    actions = []
+    for attempt in range(times):
+        actions = gateway.feed(0.2 * attempt + 0.1, outcome(1, status=Status.FULL, attempt=attempt))
+        actions += gateway.poll(0.2 * attempt + 0.25)
+    assert [type(action) for action in actions] == [api.Refuse]
--- /dev/null
+++ b/tests/test_http_front.py
@@ -0,0 +1,159 @@
+"""What is particular to the platform's wire, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from stalltiller.protocol import http
+from tests.standins import DEADLINE, VOLUME, World, read_message
+
+GOOD = {"Host": "h", "X-Request-ID": "id1", "Tier": "plan", "X-Timeout": str(DEADLINE),
+        "IO-Info": f"volume={VOLUME:x},units=1,shard=0,hosts=1"}
+GET = http.encode_request("GET", "/read/1", GOOD, b"")
+
+
+def play(scene, **changes):
+    async def whole():
+        async with World("http", **changes) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
+            await asyncio.wait_for(scene(world, reader, writer), 20)
+            writer.transport.abort()
+            assert world.faults() == []
+    asyncio.run(whole())
+
+
+@pytest.mark.parametrize(("raw", "status"), [
+    (b"nonsense\r\n\r\n", 400),
+    (b"GET /read/1 HTTP/1.1\r\nHost: h\r\n" + b"a: b\r\n" * 4000 + b"\r\n", 431),
+    (b"PUT /write/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 65537\r\n\r\n", 413),
+], ids=["line", "head", "body"])
+def test_malformed_input_is_answered_and_the_connection_closed(raw, status):
+    async def scene(world, reader, writer):
+        writer.write(raw)
+        answer = await read_message(reader, response=True)
+        assert answer.head.status == status and not answer.head.keeps_alive()
+        assert await reader.read() == b""
+        assert world.app.engine.counts["taken"] == 0
+    play(scene)
+
+
+def test_a_wrong_field_gets_400_and_the_connection_stays():
+    async def scene(world, reader, writer):
+        writer.write(http.encode_request("GET", "/read/1", {**GOOD, "Tier": "tin"}, b""))
+        assert (await read_message(reader, response=True)).head.status == 400
+        assert world.app.engine.counts["taken"] == 0
+        writer.write(GET)
+        assert (await read_message(reader, response=True)).head.status == 200
+    play(scene)
+
+
+def test_requests_on_one_connection_are_served_in_turn_also_when_sent_ahead():
+    async def scene(world, reader, writer):
+        writer.write(GET * 3)
+        answers = b""
+        while answers.count(b"HTTP/1.1 200 OK") < 3:
+            answers += await reader.read(65536)
+        assert world.targets[0].most_out == 1
+    play(scene)
+
+
+def test_healthz_tells_that_it_is_ready():
+    async def scene(world, reader, writer):
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert (await read_message(reader, response=True)).head.status == 200
+    play(scene)
+
+
+def test_the_target_gets_path_id_and_body_unchanged_and_how_long_we_wait():
+    async def scene(world, reader, writer):
+        seen = []
+        target = world.targets[0]
+
+        async def serve(stream, out):
+            seen.append(await read_message(stream))
+            out.write(http.encode_response(200, b"done"))
+
+        target.serve = serve
+        writer.write(http.encode_request("PUT", "/write/a/2f?q=1", {**GOOD, "X-Request-ID": "x-7"}, b"body"))
+        answer = await read_message(reader, response=True)
+        assert (answer.head.status, bytes(answer.body)) == (200, b"done")
+        (message,) = seen
+        assert (message.head.method, message.head.target, bytes(message.body)) == (
+            "PUT", "/write/a/2f?q=1", b"body")
+        assert message.head.fields["x-request-id"] == "x-7"
+        assert 0 < float(message.head.fields["x-timeout"]) < DEADLINE
+    play(scene)
+
+
+def test_a_stale_kept_connection_is_no_hidden_resend():
+    """A target that closes a kept connection on a write may have run it: failed, not sent once more."""
+    async def scene(world, reader, writer):
+        target = world.targets[0]
+        writer.write(GET)
+        assert (await read_message(reader, response=True)).head.status == 200
+        target.mode = "break"
+        writer.write(http.encode_request("PUT", "/write/9", {**GOOD, "X-Request-ID": "w"}, b"x"))
+        assert (await read_message(reader, response=True)).head.status == 504
+        assert [tag for _, tag in target.begun] == [1, 9]
+    play(scene)
+
+
+@pytest.mark.parametrize("answer", [b"what?\r\n\r\n", b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 4000,
+                                    b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n"])
+def test_a_bad_answer_of_a_target_is_an_event_and_the_write_failed(answer):
+    async def scene(world, reader, writer):
+        async def serve(stream, out):
+            await read_message(stream)
+            out.write(answer)
+            await asyncio.sleep(10)
+
+        world.targets[0].serve = serve
+        writer.write(http.encode_request("PUT", "/write/9", GOOD, b"x"))
+        assert (await read_message(reader, response=True)).head.status == 504
+        assert any(line["event"] == "bad_answer" for line in world.logged)
+    play(scene)
+
+
+def test_discovery_is_watched_without_a_gap_and_bad_answers_are_events():
+    async def scene(world, reader, writer):
+        calls = world.discovery.calls
+        await world.until(lambda: len(calls) == 2)
+        for n in (3, 4, 5):
+            world.discovery.set(world.targets[0])
+            await world.until(lambda n=n: len(calls) == n)
+        assert all("after=" in path for path in calls[1:])
+        assert len(world.discovery.writers) == 1 and world.app.engine.counts["watch_failures"] == 0
+        world.discovery.spoil = [b"[]", b"{"]
+        world.discovery.set(world.targets[0])
+        await world.until(lambda: world.app.engine.counts["watch_failures"] == 2)
+        await world.until(lambda: world.discovery.spoil == [])
+        world.discovery.set(world.targets[0], "left")
+        await world.until(lambda: any(
+            line["event"] == "list" and line["targets"]["s-0"] == "gone" for line in world.logged))
+    play(scene)
+
+
+def test_over_its_number_of_connections_it_sheds_and_serves_on():
+    async def scene(world, reader, writer):
+        world.app.listener._most = 4
+        idle = [await asyncio.open_connection("127.0.0.1", world.app.listener.address[1]) for _ in range(8)]
+        await world.until(lambda: world.app.listener.shed >= 4)
+        await world.until(lambda: len(world.app.listener) <= 4)
+        reader, writer = idle[-1]
+        writer.write(GET)
+        assert (await read_message(reader, response=True)).head.status == 200
+        for _, other in idle:
+            other.transport.abort()
+    play(scene)
+
+
+def test_idle_target_connections_are_closed_before_the_target_does():
+    async def scene(world, reader, writer):
+        world.app.carrier.pool._idle_limit = 0.2
+        writer.write(GET)
+        assert (await read_message(reader, response=True)).head.status == 200
+        assert len(world.targets[0].writers) == 1
+        await world.until(lambda: not world.targets[0].writers, 2.0)
+    play(scene)
--- /dev/null
+++ b/tests/test_nvme_front.py
@@ -0,0 +1,180 @@
+"""What is particular to NVMe/TCP, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+
+import pytest
+
+from stalltiller.protocol import nvme
+from tests.standins import BLOCK, Pdus, World
+
+
+def play(scene, **changes):
+    async def whole():
+        async with World("nvme", **changes) as world:
+            await asyncio.wait_for(scene(world, world.client), 20)
+            assert world.faults() == []
+    asyncio.run(whole())
+
+
+def read(cid: int, lba: int = 1, nsid: int = 1, blocks: int = 1) -> bytes:
+    return nvme.io_command(nvme.READ, cid, nsid, lba, blocks, blocks * BLOCK)
+
+
+async def completion(stream: Pdus) -> nvme.Completion:
+    while (found := await stream.next()).kind != nvme.RESPONSE:
+        pass
+    return nvme.parse_completion(found)
+
+
+async def terminated(stream: Pdus) -> int:
+    """Read on to the TermReq and the end of the connection: the fatal error status."""
+    while (found := await stream.next()).kind != nvme.C2H_TERM:
+        pass
+    assert await stream.reader.read() == b""
+    return nvme.parse_term(found)[0]
+
+
+@pytest.mark.parametrize(("raw", "status"), [
+    (b"\x77" + bytes(7), nvme.BAD_FIELD),
+    (nvme.ic_request(), nvme.BAD_SEQUENCE),
+    (nvme.data_pdu(nvme.H2C_DATA, 3, 3, 0, b"data"), nvme.BAD_SEQUENCE),
+    (read(4) + read(4), nvme.BAD_FIELD),
+    (b"".join(read(cid) for cid in range(1, 17)), nvme.BAD_SEQUENCE),
+], ids=["type", "greeting", "data", "id", "queue"])
+def test_a_malformed_pdu_ends_its_association_alone(raw, status):
+    async def scene(world, client):
+        world.targets[0].mode = "silent"
+        _, other = await client.associate()
+        admin, io = await client.associate()
+        io.writer.write(raw)
+        assert await terminated(io) == status
+        assert await admin.reader.read() == b""
+        world.targets[0].mode = "serve"
+        other.writer.write(read(1, nsid=2))
+        assert (await completion(other)).status == nvme.OK
+        await world.until(lambda: world.app.engine.open == 0)
+    play(scene)
+
+
+def test_the_first_pdu_must_greet():
+    async def scene(world, client):
+        reader, writer = await asyncio.open_connection("127.0.0.1", client.port)
+        writer.write(read(1))
+        assert await terminated(Pdus(reader, writer, nvme.FROM_CONTROLLER)) == nvme.BAD_SEQUENCE
+    play(scene)
+
+
+@pytest.mark.parametrize(("raw", "status"), [
+    (read(1, nsid=9), nvme.BAD_NAMESPACE),
+    (read(1, lba=1 << 40), nvme.OUT_OF_LBA),
+    (read(1, blocks=129), nvme.INVALID_FIELD),
+    (nvme.command(0x55, 1, 1), nvme.BAD_OPCODE),
+])
+def test_a_command_that_can_not_be_is_completed_with_do_not_retry(raw, status):
+    async def scene(world, client):
+        _, io = await client.associate()
+        io.writer.write(raw)
+        done = await completion(io)
+        assert (done.cid, done.status, done.no_retry) == (1, status, True)
+        assert world.app.engine.counts["taken"] == 0
+    play(scene)
+
+
+def test_properties_identify_keep_alive_and_unknown_admin_commands():
+    async def scene(world, client):
+        admin, _ = await client.associate()
+        for raw, expected in [
+                (nvme.property_get(5, nvme.CSTS), (nvme.OK, nvme.CSTS_READY)),
+                (nvme.property_get(5, nvme.CAP, wide=True), (nvme.OK, nvme.capabilities())),
+                (nvme.property_get(5, 0x9999), (nvme.INVALID_FIELD, 0)),
+                (nvme.command(nvme.KEEP_ALIVE, 5), (nvme.OK, 0)),
+                (nvme.command(0x0C, 5), (nvme.BAD_OPCODE, 0)),
+                (nvme.command(nvme.ABORT, 5, rest=struct.pack("<HH", 1, 99)), (nvme.OK, 1))]:
+            admin.writer.write(raw)
+            done = await completion(admin)
+            assert (done.status, done.result) == expected
+        admin.writer.write(nvme.command(nvme.IDENTIFY, 6, 1, bytes([nvme.CNS_NAMESPACE]), 4096))
+        page = (await admin.next()).data
+        assert struct.unpack_from("<Q", page)[0] == 1 << 40 and 1 << page[130] == BLOCK
+        admin.writer.write(nvme.command(nvme.IDENTIFY, 7, 0, bytes([nvme.CNS_ACTIVE]), 4096))
+        await completion(admin)
+        assert struct.unpack_from("<3I", (await admin.next()).data) == (1, 2, 0)
+    play(scene)
+
+
+def test_abort_is_the_client_gone():
+    async def scene(world, client):
+        world.targets[0].mode = "silent"
+        admin, io = await client.associate()
+        io.writer.write(read(4))
+        await world.until(lambda: world.targets[0].begun)
+        admin.writer.write(nvme.command(nvme.ABORT, 5, rest=struct.pack("<HH", 1, 4)))
+        assert (await completion(admin)).result == 0
+        assert (await completion(io)).status == nvme.ABORTED
+        assert world.app.engine.counts["gone"] == 1
+        world.targets[0].mode = "serve"
+        io.writer.write(read(4))
+        assert (await completion(io)).status == nvme.OK
+    play(scene)
+
+
+def test_data_that_crosses_an_abort_is_passed_over():
+    async def scene(world, client):
+        admin, io = await client.associate()
+        io.writer.write(nvme.io_command(nvme.WRITE, 4, 1, 8, 32, 32 * BLOCK))
+        assert (await io.next()).kind == nvme.R2T
+        admin.writer.write(nvme.command(nvme.ABORT, 5, rest=struct.pack("<HH", 1, 4)))
+        done = await completion(io)
+        assert (done.status, done.no_retry) == (nvme.ABORTED, True)
+        io.writer.write(nvme.data_pdu(nvme.H2C_DATA, 4, 4, 0, bytes(32 * BLOCK)))
+        io.writer.write(read(5))
+        assert (await completion(io)).cid == 5
+        assert [tag for _, tag in world.targets[0].begun] == [1]
+    play(scene)
+
+
+def test_a_lost_queue_ends_the_association_and_its_commands():
+    async def scene(world, client):
+        world.targets[0].mode = "silent"
+        admin, io = await client.associate()
+        io.writer.write(read(4) + read(5))
+        await world.until(lambda: len(world.targets[0].begun) == 2)
+        admin.writer.transport.abort()
+        assert await io.reader.read() == b""
+        await world.until(lambda: world.app.engine.open == 0)
+        assert world.app.engine.counts["gone"] == 2 and world.app.front.held == 0
+    play(scene)
+
+
+def test_a_host_that_stays_silent_past_its_keep_alive_time_is_gone():
+    async def scene(world, client):
+        admin, _ = await client.queue(0, nvme.DYNAMIC, keep_alive=0.05)
+        assert await admin.reader.read() == b""
+        assert world.app.front.associations == {}
+    play(scene)
+
+
+@pytest.mark.parametrize("spoil", [b"\x77" + bytes(7), nvme.data_pdu(nvme.C2H_DATA, 77, 0, 0, b"data")])
+def test_a_bad_answer_of_a_target_is_an_event_and_the_write_failed(spoil):
+    async def scene(world, client):
+        async def act(tag, data):
+            for writer in list(world.targets[0].writers):
+                writer.write(spoil)
+            return "silent"
+
+        world.targets[0].act = act
+        assert (await world.write()).end == "failed"
+        assert any(line["event"] == "bad_answer" for line in world.logged)
+        assert world.app.engine.counts["attempts"] == 1
+    play(scene)
+
+
+def test_a_target_that_takes_no_data_in_capsules_asks_for_it():
+    async def scene(world, client):
+        world.targets[0].capsule = 0
+        assert (await world.write(tag=3)).end == "served"
+        assert [tag for tag, _ in world.targets[0].ran] == [3]
+    play(scene)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,157 @@
+"""The program as it is started: configuration, signals, log and metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tomllib
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from stalltiller.program import config
+from tests.standins import World
+from tests.test_parsers import collectd_decoded
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = json.loads((ROOT / "examples" / "config.json").read_text())
+
+
+def start(*arguments: str, **environment: str) -> subprocess.Popen:
+    return subprocess.Popen([sys.executable, "-m", "stalltiller", *arguments], cwd=ROOT, text=True,
+                            stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+                            env={**os.environ, "PYTHONUNBUFFERED": "1", **environment})
+
+
+@pytest.mark.parametrize("change", [
+    {"settings": None}, {"settings": {}}, {"listen": ""}, {"listen": "nowhere"}, {"discovery": "h:99999"},
+    {"seed": "xyz"}, {"known": {"index": 1}},
+    {"settings": {"classes": [{"aim-ns": "soon"}], "contracts": [{}]}}])
+def test_a_bad_configuration_ends_with_one_plain_line(change, tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**EXAMPLE, **change}))
+    program = start(PROXY_CONFIG=str(path))
+    out, err = program.communicate(timeout=20)
+    assert (program.returncode, out, err.count("\n")) == (2, "", 1) and err.startswith("stalltiller: ")
+
+
+@pytest.mark.parametrize("text", ["not json", "[]", None])
+def test_a_file_that_can_not_be_read_ends_with_one_plain_line(text, tmp_path):
+    path = tmp_path / "config"
+    if text is not None:
+        path.write_text(text)
+    for program in (start(PROXY_CONFIG=str(path)), start(str(path))):
+        _, err = program.communicate(timeout=20)
+        assert (program.returncode, err.count("\n")) == (2, 1)
+
+
+def test_settings_are_read_with_their_units_and_unknown_keys_passed_over():
+    nested = {**EXAMPLE["settings"], "no-such-key": {"a": [1, {"b": None}]}}
+    settings = config.parse_settings(nested)
+    assert [cls.name for cls in settings.classes] == ["order-read", "order-write", "report-export"]
+    assert (settings.classes[0].aim, settings.classes[1].writes) == (0.2, True)
+    assert settings.rules.drain_grace == 2.0
+    assert settings.plans[0].limit == nested["contracts"][0]["cap"] and settings.others_told
+
+
+OPERATOR = (ROOT / "deploy" / "operator.toml").read_text()
+
+
+def test_the_operator_s_file_is_read():
+    found = config.from_operator(str(ROOT / "deploy" / "operator.toml"))
+    data = tomllib.loads(OPERATOR)
+    space = found.nvme.namespaces[1]
+    assert space.blocks_per_unit == data["nvme"]["namespaces"][0]["blocks_per_unit"]
+    assert found.nvme.opcodes[2][1] == data["nvme"]["opcodes"]["read"]["deadline_ms"] / 1000
+    assert found.graphite.address[0] == found.collectd.address[0] == "127.0.0.1"
+
+
+@pytest.mark.parametrize(("old", "new"), [
+    ('plan = "standard"', 'plan = "tin"'), ('class = "order-read"', 'class = "order-write"'),
+    ("id = 2", "id = 1"), ("block_size = 4096", "block_size = 1000"),
+    ("deadline_ms = 1200", "deadline_ms = -1"), ("interval_s = 10", "interval_s = 0"),
+    ("blocks_per_unit = 2", ""), ('volume = "', 'volume = "xyz'),
+    ("[nvme.opcodes.write]", "[nvme.opcodes.other]"), ("shard = 0", 'shard = "a"')])
+def test_a_bad_operator_s_file_is_refused(old, new, tmp_path):
+    assert old in OPERATOR
+    path = tmp_path / "operator.toml"
+    path.write_text(OPERATOR.replace(old, new, 1))
+    with pytest.raises(config.ConfigError) as caught:
+        config.from_operator(str(path))
+    assert "\n" not in str(caught.value)
+
+
+def test_it_starts_logs_json_lines_and_ends_on_sigterm(tmp_path):
+    program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0")
+    lines = []
+    for line in program.stdout:
+        lines.append(json.loads(line))
+        if lines[-1]["event"] == "started":
+            break
+    program.send_signal(signal.SIGTERM)
+    out, err = program.communicate(timeout=20)
+    lines += [json.loads(line) for line in out.splitlines()]
+    assert (program.returncode, err, lines[-1]["event"]) == (0, "", "stopped")
+    assert {line["name"] for line in lines} == {EXAMPLE["name"]}
+
+
+class Sink(asyncio.DatagramProtocol):
+    def __init__(self) -> None:
+        self.got: list[bytes] = []
+
+    def datagram_received(self, data, address) -> None:
+        self.got.append(data)
+
+
+class MeteredWorld(World):
+    def changed(self, found):
+        return replace(found, graphite=config.Sink(self.graphite, 0.05),
+                       collectd=config.Sink(self.collectd, 0.05))
+
+
+def test_metrics_arrive_at_graphite_and_collectd():
+    async def whole():
+        lines: list[bytes] = []
+
+        async def plaintext(reader, writer):
+            while line := await reader.readline():
+                lines.append(line)
+            writer.close()
+
+        server = await asyncio.start_server(plaintext, "127.0.0.1", 0)
+        transport, sink = await asyncio.get_running_loop().create_datagram_endpoint(
+            Sink, local_addr=("127.0.0.1", 0))
+        world = MeteredWorld("http")
+        world.graphite, world.collectd = server.sockets[0].getsockname(), transport.get_extra_info("sockname")
+        async with world:
+            assert (await world.read()).end == "served"
+            served = len(lines)
+            await world.until(lambda: any(b".served 1 " in line for line in lines[served:]))
+            await world.until(lambda: any(b"served" in data for data in sink.got))
+        path, value, at = next(line for line in lines if b".served " in line).split()
+        assert (path, value) == (b"stalltiller.n0.served", b"1") and int(at) > 1_700_000_000
+        head, values = collectd_decoded(next(data for data in sink.got if b"served" in data))
+        assert (head[0], head[2], head[3], values["served"]) == (b"n0", b"stalltiller", b"n0", 1)
+        transport.close()
+        server.close()
+    asyncio.run(whole())
+
+
+def test_sinks_that_are_not_there_or_do_not_read_do_not_hold_up_service():
+    async def whole():
+        async def deaf(reader, writer):
+            await asyncio.sleep(30)
+
+        server = await asyncio.start_server(deaf, "127.0.0.1", 0)
+        world = MeteredWorld("http")
+        world.graphite, world.collectd = server.sockets[0].getsockname(), ("127.0.0.1", 9)
+        async with world:
+            await asyncio.sleep(0.2)
+            assert (await world.read()).end == "served"
+        server.close()
+    asyncio.run(whole())
