--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -51,8 +51,8 @@
     def received(self, data: memoryview) -> int:
         if self._rejected:
             return len(data)
-        if self._request is not None:
-            return 0  # the next request waits until this one is answered
+        if self._request is not None or not self.flushed:
+            return 0  # the next request waits until this one is answered, and its answer read
         try:
             used = self._reader.feed(data)
         except http.HttpError as error:
@@ -67,7 +67,7 @@
         return used
 
     def overflow(self) -> None:
-        if self._request is not None:
+        if self._request is not None or not self.flushed:
             super().overflow()
         else:
             self._reject(431, "request head over the limit")
@@ -97,7 +97,7 @@
             self._answer(200 if self._front.ready() else 503)
         elif self._away:
             self._keep = False
-            self._answer(503)
+            self.refused(self._front.advice)
         else:
             try:
                 ask = self._front.fields.parse(head, body)
@@ -163,6 +163,7 @@
                  settings: api.Settings, ready: Callable[[], bool]) -> None:
         self.loop, self.engine, self.buffers, self.ready = loop, engine, buffers, ready
         self.fields = RequestFields(settings)
+        self.advice = settings.max_advice if settings.may_advise else 0.0
         self.stopping = False
 
     def connection(self, listener: Listener) -> ClientConnection:
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -7,7 +7,8 @@
 
 from stalltiller.fronts.directory import WATCH_TIMEOUT, Directory, WatchCodec
 from stalltiller.fronts.http import HttpCarrier, HttpFront
-from stalltiller.fronts.nvme import NvmeCarrier, NvmeFront
+from stalltiller.fronts.nvme_clients import NvmeFront
+from stalltiller.fronts.nvme_targets import NvmeCarrier
 from stalltiller.interface import ListKind
 from stalltiller.program.config import Config
 from stalltiller.program.log import JsonLog
@@ -47,7 +48,8 @@
             self.carrier = NvmeCarrier(*common, *timing, config.name, config.nvme)
         self.engine.carrier = self.carrier
         self._directory = Directory(self.engine, config.zones, config.kinds)
-        most = int((config.sockets - OWN_SOCKETS) * (1 - TARGET_SHARE))
+        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        most = int((sockets - OWN_SOCKETS) * (1 - TARGET_SHARE))
         self.listener = Listener(self.front.connection, max(16, most))
         self._ready_at = loop.time() + READY_AFTER
         self._listed = False
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -11,7 +11,7 @@
 
 from stalltiller import interface as api
 from stalltiller import wire
-from stalltiller.fronts import nvme as nvme_front
+from stalltiller.fronts import nvme_mapping
 from stalltiller.protocol import discovery, nvme
 
 SECOND = 1_000_000_000  # the settings' durations are nanoseconds
@@ -44,7 +44,7 @@
     kinds: list[str]
     connect_timeout: float
     idle_limit: float
-    nvme: nvme_front.Mapping | None = None  # None: the platform's HTTP front
+    nvme: nvme_mapping.Mapping | None = None  # None: the platform's HTTP front
     graphite: Sink | None = None
     collectd: Sink | None = None
 
@@ -177,10 +177,10 @@
     return Sink(_address(data[name]["address"], name), interval)
 
 
-def _mapping(data: dict, settings: api.Settings) -> nvme_front.Mapping:
+def _mapping(data: dict, settings: api.Settings) -> nvme_mapping.Mapping:
     plans = {plan.name: i for i, plan in enumerate(settings.plans)}
     classes = {cls.name: i for i, cls in enumerate(settings.classes)}
-    spaces: dict[int, nvme_front.Namespace] = {}
+    spaces: dict[int, nvme_mapping.Namespace] = {}
     for line in data["namespaces"]:
         number, size = int(line["id"]), int(line.get("block_size", 4096))
         if not 0 < number < 0xFFFFFFFF or number in spaces:
@@ -189,7 +189,7 @@
             raise ConfigError(f"namespace {number}: block_size must be a power of two from 512 to 64 KiB")
         if line["plan"] not in plans:
             raise ConfigError(f"namespace {number}: plan not known: {line['plan']}")
-        space = nvme_front.Namespace(int(str(line["volume"]), 16), plans[line["plan"]], int(line["shard"]),
+        space = nvme_mapping.Namespace(int(str(line["volume"]), 16), plans[line["plan"]], int(line["shard"]),
                                      int(line["hosts"]), int(line["blocks"]), size,
                                      float(line["blocks_per_unit"]))
         if min(space.hosts, space.blocks, space.blocks_per_unit) <= 0 or space.shard < 0:
@@ -206,4 +206,4 @@
         if not line["deadline_ms"] > 0:
             raise ConfigError(f"opcode {name}: deadline_ms must be above zero")
         opcodes[opcode] = (cls, line["deadline_ms"] / 1000)
-    return nvme_front.Mapping(str(data["subsystem"]), spaces, opcodes)
+    return nvme_mapping.Mapping(str(data["subsystem"]), spaces, opcodes)
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -69,14 +69,14 @@
             raise FieldError("the path does not name a class and a key")
         cls = self._classes.get(parts[1])
         if cls is None:
-            raise FieldError("class not known")
+            raise FieldError("the path names no known class")
         if head.method != ("PUT" if self._writes[cls] else "GET"):
             raise FieldError("method does not go with the class")
         if body and head.method == "GET":
             raise FieldError("a read has no body")
         plan = self._plans.get(head.fields.get("tier", ""))
         if plan is None:
-            raise FieldError("plan not known")
+            raise FieldError("Tier is missing or names no plan")
         if not REQUEST_ID.fullmatch(head.fields.get("x-request-id", "")):
             raise FieldError("X-Request-ID is missing or wrong")
         info = dict(pair.strip().partition("=")[::2] for pair in head.fields.get("io-info", "").split(","))
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -91,6 +91,7 @@
 
     def resume_writing(self) -> None:
         self.flushed = True
+        self.resume()  # for those that take nothing more until what they wrote has gone out
 
     def eof_received(self) -> bool:
         return False
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 
 from stalltiller import interface as api
-from stalltiller.fronts.nvme import Mapping, Namespace
+from stalltiller.fronts.nvme_mapping import Mapping, Namespace
 from stalltiller.program.app import App
 from stalltiller.program.config import Config
 from stalltiller.protocol import http, nvme
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from types import SimpleNamespace
+
 import pytest
 
 from stalltiller.fronts.http import ClientConnection, TargetConnection
+from stalltiller.protocol.platform import FieldError
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.connection import Connection
+from stalltiller.transport.listener import Listener
 
 
 class Transport:
     closed = paused = False
+    written = b""
 
     def set_write_buffer_limits(self, high): ...
 
@@ -23,6 +29,9 @@
     def resume_reading(self):
         self.paused = False
 
+    def write(self, data):
+        self.written += data
+
 
 class Lines(Connection):
     """Takes whole lines."""
@@ -73,3 +82,24 @@
     """Found by the first day: an index named like a method made every answer end in a TypeError."""
     fields = vars(Connection(BufferPool()))
     assert [name for name in fields if callable(getattr(cls, name, None))] == []
+
+
+def refuse_fields(head, body):
+    raise FieldError("no")
+
+
+def test_a_client_that_does_not_read_its_answers_gets_no_further_requests_taken():
+    """Guards against a pipeline of requests whose answers pile up in memory."""
+    front = SimpleNamespace(  # answers every request at once as bad, which needs no engine
+        buffers=BufferPool(), loop=None, stopping=False, engine=SimpleNamespace(counts=Counter()),
+        fields=SimpleNamespace(parse=refuse_fields))
+    connection = ClientConnection(front, Listener(None, 9))
+    connection.connection_made(Transport())
+    raw = b"GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+    connection.pause_writing()  # the kernel takes no more
+    for _ in range(2):
+        connection.get_buffer(-1)[:len(raw)] = raw
+        connection.buffer_updated(len(raw))
+    assert connection.transport.written == b""
+    connection.resume_writing()
+    assert connection.transport.written.count(b"400 Bad Request") == 2
--- a/tests/test_nvme_front.py
+++ b/tests/test_nvme_front.py
@@ -121,6 +121,25 @@
     play(scene)
 
 
+def test_a_controller_that_is_disabled_drops_its_io_queues_and_comes_back():
+    async def scene(world, client):
+        world.targets[0].mode = "silent"
+        admin, io = await client.associate()
+        io.writer.write(read(4))
+        await world.until(lambda: world.targets[0].begun)
+        admin.writer.write(nvme.property_set(5, nvme.CC, 0))
+        assert (await completion(admin)).status == nvme.OK
+        assert await io.reader.read() == b"" and world.app.engine.open == 0
+        admin.writer.write(nvme.property_set(5, nvme.CC, nvme.CC_ENABLE))
+        assert (await completion(admin)).status == nvme.OK
+        (number,) = world.app.front.associations
+        io, _ = await client.queue(1, number)
+        world.targets[0].mode = "serve"
+        io.writer.write(read(5))
+        assert (await completion(io)).status == nvme.OK
+    play(scene)
+
+
 def test_data_that_crosses_an_abort_is_passed_over():
     async def scene(world, client):
         admin, io = await client.associate()
