Wait for the last answer at a stop, however long its deadline

Seen by reading PROTOCOL: what an initiator has taken and not answered when it ends after SIGTERM is lost, and a report's deadline (5 s) lies past the bound of 3.2 s. Ruled out: SIGKILL before that (what it finds that came early is not counted lost). Faulty line: LONGEST_STOP in program/app.py; the bound now follows the settings' longest deadline.

--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -22,7 +22,7 @@
 READY_AFTER = 1.0  # s without word of discovery after which the list known before has to do
 REPORT_EVERY = 5.0  # s between log lines with the counters
 STILL_LISTENING = 0.5  # s after SIGTERM for which new connections are taken: clients learn of it late
-LONGEST_STOP = 3.2  # s after SIGTERM at which the program ends at the latest
+STOP_GRACE = 1.0  # s past the longest deadline, counted from SIGTERM, at which the program ends at the latest
 OWN_SOCKETS = 64  # descriptors for the program itself, and for discovery
 TARGET_SHARE = 0.4  # of the descriptors, for targets
 
@@ -84,7 +84,8 @@
 
     async def _drain(self) -> None:
         """Go on with what was taken and what comes on open connections; end when nothing is left."""
-        end = self._loop.time() + LONGEST_STOP
+        # To end by itself with a request unanswered would lose it, so the bound lies past every deadline.
+        end = self._loop.time() + max(cls.deadline for cls in self._config.settings.classes) + STOP_GRACE
         await asyncio.sleep(STILL_LISTENING)
         self.listener.close()
         self.front.stopping = True  # from now on each answer ends its connection
--- a/tests/test_both_fronts.py
+++ b/tests/test_both_fronts.py
@@ -167,6 +167,19 @@
     on(scene)
 
 
+def test_a_stop_waits_for_the_last_answer_however_late(on):
+    """Found by reading: a fixed bound under the longest deadline would have lost what it cut off."""
+    async def scene(world):
+        world.targets[0].mode = "silent"
+        world.app.stop.set()
+        asking = asyncio.create_task(world.read())
+        await world.until(lambda: world.targets[0].begun)
+        assert (await asking).end in ("refused", "failed")
+        await asyncio.wait_for(asyncio.shield(world.running), 10)
+        assert world.app.engine.open == 0
+    on(scene)
+
+
 def test_units_follow_the_size(on):
     async def scene(world):
         assert (await world.read(units=3)).end == "served"
