Tell clients that expect it to go on; test stalled requests and the operator's start

Seen with curl's Expect: 100-continue by reading: nothing told such a client to send its body, so it waited. Faulty lines: ClientConnection.received looked only at whole messages.

--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -53,6 +53,7 @@
             return len(data)
         if self._request is not None or not self.flushed:
             return 0  # the next request waits until this one is answered, and its answer read
+        begun = self._reader.begun
         try:
             used = self._reader.feed(data)
         except http.HttpError as error:
@@ -63,6 +64,8 @@
             self._listener.used(self)
             self._handle()
         else:
+            if self._reader.begun and not begun and self._reader.head.expects_continue():
+                self.write(http.CONTINUE)
             self._stalled(True)
         return used
 
--- a/stalltiller/protocol/http.py
+++ b/stalltiller/protocol/http.py
@@ -35,11 +35,18 @@
     target: str = ""
     status: int = 0
 
+    def expects_continue(self) -> bool:
+        """Whether the client waits to be told to send the body."""
+        return self.minor == 1 and self.fields.get("expect", "").lower() == "100-continue"
+
     def keeps_alive(self) -> bool:
         options = {word.strip().lower() for word in self.fields.get("connection", "").split(",")}
         return "close" not in options and (self.minor == 1 or "keep-alive" in options)
 
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
 def parse_fields(lines: list[str]) -> dict[str, str]:
     fields: dict[str, str] = {}
     for line in lines:
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -59,6 +59,28 @@
     play(scene)
 
 
+def test_a_client_that_expects_it_is_told_to_go_on():
+    async def scene(world, reader, writer):
+        head, body = http.encode_request("PUT", "/write/9", {**GOOD, "Expect": "100-continue"}, b"lunch").split(
+            b"lunch")[0], b"lunch"
+        writer.write(head)
+        assert await reader.readuntil(b"\r\n\r\n") == http.CONTINUE
+        writer.write(body)
+        assert (await read_message(reader, response=True)).head.status == 200
+        assert world.targets[0].ran == [(9, b"lunch")]
+    play(scene)
+
+
+def test_a_request_that_is_begun_and_not_ended_is_given_up(monkeypatch):
+    monkeypatch.setattr("stalltiller.fronts.http.STALL_LIMIT", 0.05)
+
+    async def scene(world, reader, writer):
+        writer.write(GET[:-2])
+        assert (await read_message(reader, response=True)).head.status == 408
+        assert await reader.read() == b""
+    play(scene)
+
+
 def test_healthz_tells_that_it_is_ready():
     async def scene(world, reader, writer):
         writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -86,8 +86,14 @@
     assert "\n" not in str(caught.value)
 
 
-def test_it_starts_logs_json_lines_and_ends_on_sigterm(tmp_path):
-    program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0")
+@pytest.mark.parametrize("operator", [False, True])
+def test_it_starts_logs_json_lines_and_ends_on_sigterm(operator, tmp_path):
+    if operator:
+        path = tmp_path / "operator.toml"
+        path.write_text(OPERATOR.replace(":4420", ":0"))
+        program = start(str(path))
+    else:
+        program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0")
     lines = []
     for line in program.stdout:
         lines.append(json.loads(line))
