End a given-up attempt for its target before the next can go out

Seen by reading asyncio: transport.abort() closes the socket one loop turn later, so a decision in the same turn could have put a second attempt on another connection while the first was still open. Ruled out as harmless: the present decisions send nothing after a time-out, but the rule must not rest on that. Faulty lines: Connection.abort; it now shuts the socket down first, and the new test fails without it. Also: idle target connections close by three quarters of the idle limit (a look could come at its very end before), and a test runs the program out of descriptors: it logs, sheds and serves again.

--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -24,7 +24,7 @@
 STILL_LISTENING = 0.5  # s after SIGTERM for which new connections are taken: clients learn of it late
 STOP_GRACE = 1.0  # s past the longest deadline, counted from SIGTERM, at which the program ends at the latest
 OWN_SOCKETS = 64  # descriptors for the program itself, and for discovery
-TARGET_SHARE = 0.4  # of the descriptors, for targets
+TARGET_SHARE = 0.45  # of the descriptors, for targets
 
 
 def join(host: str, port: int) -> str:
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
 from stalltiller.transport.buffers import BufferPool
 
@@ -56,8 +58,14 @@
             self.transport.close()
 
     def abort(self) -> None:
-        """Close now; what was not sent is dropped."""
+        """Close now; what was not sent is dropped.
+
+        asyncio closes the socket one turn of the loop later.  Guards against a second copy: an attempt that
+        was given up must have ended for its target before the next one goes out on another connection.
+        """
         if self.transport is not None:
+            with contextlib.suppress(OSError):  # it may be down already
+                self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
     def resume(self) -> None:
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -107,7 +107,7 @@
     def _close_old(self) -> None:
         """Close channels before the target does, so that no request meets a connection just closed."""
         self._sweep = None
-        oldest = self._loop.time() - self._idle_limit * 3 / 4
+        oldest = self._loop.time() - self._idle_limit / 2  # and a quarter until the next look: well before
         for address, idle in list(self._idle.items()):
             kept = []
             for since, channel in idle:
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from collections import Counter
 from types import SimpleNamespace
 
@@ -84,6 +86,20 @@
     assert [name for name in fields if callable(getattr(cls, name, None))] == []
 
 
+def test_an_attempt_given_up_has_ended_for_its_target_before_another_can_start():
+    """Guards against a second copy: asyncio's abort alone leaves the socket open for a turn of the loop."""
+    async def scene():
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        theirs.settimeout(1.0)
+        _, lines = await asyncio.get_running_loop().create_connection(
+            lambda: TargetConnection(SimpleNamespace(buffers=BufferPool())), sock=ours)
+        lines.give_up()
+        assert theirs.recv(1) == b""  # at once: the loop has not run since
+        theirs.close()
+    asyncio.run(scene())
+
+
 def refuse_fields(head, body):
     raise FieldError("no")
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,7 +5,9 @@
 import asyncio
 import json
 import os
+import resource
 import signal
+import socket
 import subprocess
 import sys
 import tomllib
@@ -22,9 +24,9 @@
 EXAMPLE = json.loads((ROOT / "examples" / "config.json").read_text())
 
 
-def start(*arguments: str, **environment: str) -> subprocess.Popen:
+def start(*arguments: str, preexec_fn=None, **environment: str) -> subprocess.Popen:
     return subprocess.Popen([sys.executable, "-m", "stalltiller", *arguments], cwd=ROOT, text=True,
-                            stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+                            preexec_fn=preexec_fn, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
                             env={**os.environ, "PYTHONUNBUFFERED": "1", **environment})
 
 
@@ -106,6 +108,27 @@
     assert {line["name"] for line in lines} == {EXAMPLE["name"]}
 
 
+def test_it_lives_through_running_out_of_descriptors():
+    program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0",
+                    preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)))
+    events = map(json.loads, program.stdout)
+    host, _, port = next(event for event in events if event["event"] == "started")["listen"].partition(":")
+    crowd = [socket.create_connection((host, int(port))) for _ in range(60)]
+    assert any(event["event"] == "loop_error" for event in events)  # accept failed
+    for one in crowd:
+        one.close()
+    for _ in range(50):
+        with socket.create_connection((host, int(port)), timeout=10) as again:
+            again.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+            if again.recv(100).startswith(b"HTTP/1.1 200"):
+                break
+    else:
+        pytest.fail("it does not serve again")
+    program.send_signal(signal.SIGTERM)
+    program.communicate(timeout=20)
+    assert program.returncode == 0
+
+
 class Sink(asyncio.DatagramProtocol):
     def __init__(self) -> None:
         self.got: list[bytes] = []
