Draw a seed where none is given, drop unused code, say what remains

Seen: two instances started from one operator's file without a seed would have drawn alike (default 0), against 'instances share nothing'. Faulty line: _config in program/config.py.

--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
@@ -87,6 +88,9 @@
 
 
 def _seed(text: object) -> int:
+    """The seed as given, else one of our own: instances of a fleet must not draw alike."""
+    if not text:
+        return secrets.randbits(64)
     try:
         return int(str(text), 16)
     except ValueError as error:
@@ -130,7 +134,7 @@
     sockets = most.get("sockets") if isinstance(most, dict) else None
     return Config(
         name=str(data.get("name") or "stalltiller"), listen=_address(data["listen"], "listen"),
-        discovery=_address(data["discovery"], "discovery"), seed=_seed(data.get("seed") or "0"),
+        discovery=_address(data["discovery"], "discovery"), seed=_seed(data.get("seed")),
         sockets=sockets if isinstance(sockets, int) and sockets > 0 else 1024, known=known,
         settings=parse_settings(nested), zones=_names(nested.get("areas")), kinds=_names(nested.get("kinds")),
         connect_timeout=_seconds(limits, "connect-timeout-ns", 0.25),
--- a/stalltiller/protocol/nvme.py
+++ b/stalltiller/protocol/nvme.py
@@ -26,7 +26,7 @@
 COMMON = struct.Struct("<BBBBI")  # type, flags, HLEN, PDO, PLEN
 MAX_TERM_DATA = 128
 # Fatal error status of a TermReq
-BAD_FIELD, BAD_SEQUENCE, OUT_OF_RANGE, TOO_MUCH_DATA, UNSUPPORTED = 0x01, 0x02, 0x04, 0x05, 0x06
+BAD_FIELD, BAD_SEQUENCE, OUT_OF_RANGE, UNSUPPORTED = 0x01, 0x02, 0x04, 0x06
 
 # --- Commands -------------------------------------------------------------------------------------
 WRITE, READ = 0x01, 0x02
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -32,10 +32,10 @@
 class Entry:
     """A request in the table: until it is answered and no attempt of it is out."""
 
-    __slots__ = ("attempts", "deadline", "done", "incoming", "out", "ran", "taken_at")
+    __slots__ = ("attempts", "deadline", "done", "incoming", "out", "ran")
 
-    def __init__(self, incoming: Incoming, now: float, deadline: float) -> None:
-        self.incoming, self.taken_at, self.deadline = incoming, now, deadline
+    def __init__(self, incoming: Incoming, deadline: float) -> None:
+        self.incoming, self.deadline = incoming, deadline
         self.attempts = 0
         self.out: Attempt | None = None
         self.ran = self.done = False  # ran: some attempt may have
@@ -73,11 +73,6 @@
         """Requests taken and not yet answered."""
         return self._open
 
-    @property
-    def out(self) -> int:
-        """Attempts out."""
-        return sum(entry.out is not None for entry in self._entries.values())
-
     def take(self, incoming: Incoming) -> int:
         """Take a request; its reply is used once, in a later turn."""
         now = self._loop.time()
@@ -85,7 +80,7 @@
         lag = self._turn_took if now - self._turn_ended < self._turn_took else 0.0
         deadline = now - min(lag, MAX_LAG) + incoming.timeout
         number = next(self._ids)
-        self._entries[number] = Entry(incoming, now, deadline)
+        self._entries[number] = Entry(incoming, deadline)
         self._open += 1
         self.counts["taken"] += 1
         self.at(deadline - BACKSTOP_MARGIN, self._backstop, number)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -70,6 +70,7 @@
     space = found.nvme.namespaces[1]
     assert space.blocks_per_unit == data["nvme"]["namespaces"][0]["blocks_per_unit"]
     assert found.nvme.opcodes[2][1] == data["nvme"]["opcodes"]["read"]["deadline_ms"] / 1000
+    assert found.seed != config.from_operator(str(ROOT / "deploy" / "operator.toml")).seed
     assert found.graphite.address[0] == found.collectd.address[0] == "127.0.0.1"
 
 
