Let the scheduler answer a request with hardly any time left, not the backstop

Seen by reading, and shown by a test that failed: a client time of 1 ms put the backstop's time in the past, so it fired at the start of the turn that took the request and logged a fault where nothing was wrong. Ruled out: the scheduler (it refuses such a request at once when asked). Faulty line: Engine.take set the backstop without a floor.

--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -23,6 +23,7 @@
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 ANSWER_MARGIN = 0.015  # s by which the scheduler's deadline is before the client's: the way back, a late turn
 BACKSTOP_MARGIN = 0.008  # s before the client's deadline at which the engine itself answers
+LEAST_TURN = 0.002  # s that the scheduler has in any case
 DRAIN_MARGIN = 0.1  # s before the end of a drain's grace after which the engine starts nothing
 MAX_LAG = 0.25  # s: the most that a request is taken to have waited unread
 
@@ -65,7 +66,6 @@
         self._wake: asyncio.TimerHandle | None = None
         self._turn_ended = self._base
         self._turn_took = 0.0
-        self.on_idle: Callable[[], None] | None = None
 
     # --- For the fronts ---------------------------------------------------------------------------
     @property
@@ -83,7 +83,8 @@
         self._entries[number] = Entry(incoming, deadline)
         self._open += 1
         self.counts["taken"] += 1
-        self.at(deadline - BACKSTOP_MARGIN, self._backstop, number)
+        # Not before the scheduler has had its turn, however little time the client leaves.
+        self.at(max(deadline - BACKSTOP_MARGIN, now + LEAST_TURN), self._backstop, number)
         left = max(0.0, deadline - ANSWER_MARGIN - now)
         self._feed(api.Request(
             number, incoming.cls, incoming.plan, incoming.volume, incoming.units, incoming.hosts,
@@ -168,8 +169,6 @@
         self._arm()
         self._turn_ended = self._loop.time()
         self._turn_took = self._turn_ended - began
-        if self._open == 0 and self.on_idle is not None:
-            self.on_idle()
 
     def _arm(self) -> None:
         if not self._timers:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -142,6 +142,16 @@
     play(scene, lambda event: ())
 
 
+def test_a_request_with_hardly_any_time_left_is_refused_by_the_scheduler_not_the_backstop():
+    """The backstop came due within the turn that took the request, and was logged as a fault."""
+    async def scene(engine, carrier):
+        reply = Reply()
+        engine.take(incoming(reply, 0.001))
+        await turn()
+        assert reply.answers == [("refused", 1.5)] and engine.counts["faults"] == 0
+    play(scene)
+
+
 def test_an_attempt_given_up_before_it_came_out_never_ran():
     """A connection that never came up in the attempt's time proves that nothing was sent."""
     async def scene(engine, carrier):
