--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -156,6 +156,19 @@
     play(scene)
 
 
+def test_a_silent_discovery_is_called_anew_and_service_goes_on_with_the_last_list(monkeypatch):
+    monkeypatch.setattr("stalltiller.program.app.WATCH_TIMEOUT", 0.1)  # s: the stand-in never answers a wait
+
+    async def scene(world, reader, writer):
+        await world.until(lambda: world.app.engine.counts["watch_failures"] >= 2)
+        writer.write(GET)
+        assert (await read_message(reader, response=True)).head.status == 200
+        world.discovery.set(world.targets[0], "left")
+        await world.until(lambda: any(
+            line["event"] == "list" and line["targets"].get("s-0") == "gone" for line in world.logged))
+    play(scene)
+
+
 def test_over_its_number_of_connections_it_sheds_and_serves_on():
     async def scene(world, reader, writer):
         world.app.listener._most = 4
