Read the configuration anew on SIGHUP and move the discovery watch

Checked: exit code 129 is 128 + SIGHUP; __main__.serve set handlers for SIGTERM and SIGINT alone, so the default action ended the process. Ruled out: the watch itself (it never saw the new address). Changed: App.reload reads the file, keeps the old state if that fails, else ends the old watch and starts a new one from the whole list. PROXY_DISCOVERY does not go before the file then. A connect to discovery gets 1 s, not the whole call's time. Test: test_sighup_moves_the_watch_and_an_unreadable_file_changes_nothing fails without the handler.

--- a/stalltiller/__main__.py
+++ b/stalltiller/__main__.py
@@ -6,14 +6,15 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
 from stalltiller.program.app import App
 from stalltiller.program.config import Config, ConfigError, from_operator, from_platform
 from stalltiller.program.log import JsonLog
 
 
-async def serve(config: Config) -> None:
-    """Run until SIGTERM or SIGINT."""
+async def serve(config: Config, reread: Callable[[], Config]) -> None:
+    """Run until SIGTERM or SIGINT; SIGHUP has the configuration read anew."""
     loop = asyncio.get_running_loop()
     log = JsonLog(config.name)
     log.never_block()
@@ -23,6 +24,7 @@
     app = App(config, log, loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, app.stop.set)
+    loop.add_signal_handler(signal.SIGHUP, app.reload, reread)
     await app.run()
 
 
@@ -31,8 +33,13 @@
     if len(sys.argv) > 2:
         print("usage: python -m stalltiller [OPERATOR_FILE]", file=sys.stderr)
         return 2
+    # The environment stays as it was at the start, so a new address of discovery can stand in the file alone.
+    later = {name: value for name, value in os.environ.items() if name != "PROXY_DISCOVERY"}
     try:
-        asyncio.run(serve(from_operator(sys.argv[1]) if len(sys.argv) == 2 else from_platform(os.environ)))
+        if len(sys.argv) == 2:
+            asyncio.run(serve(from_operator(sys.argv[1]), lambda: from_operator(sys.argv[1])))
+        else:
+            asyncio.run(serve(from_platform(os.environ), lambda: from_platform(later)))
     except (ConfigError, OSError) as error:  # OSError: the address to listen on is taken or not ours
         print(f"stalltiller: {error}", file=sys.stderr)
         return 2
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import resource
+from collections.abc import Callable
 
 from stalltiller.fronts.directory import WATCH_TIMEOUT, Directory, WatchCodec
 from stalltiller.fronts.http import HttpCarrier, HttpFront
 from stalltiller.fronts.nvme_clients import NvmeFront
 from stalltiller.fronts.nvme_targets import NvmeCarrier
 from stalltiller.interface import ListKind
-from stalltiller.program.config import Config
+from stalltiller.program.config import Config, ConfigError
 from stalltiller.program.log import JsonLog
 from stalltiller.program.metrics import Metrics
 from stalltiller.protocol.discovery import Listing
@@ -53,6 +54,8 @@
         self.listener = Listener(self.front.connection, max(16, most))
         self._ready_at = loop.time() + READY_AFTER
         self._listed = False
+        self._discovery = config.discovery
+        self._watching: asyncio.Task | None = None
         self.stop = asyncio.Event()
         self.started = asyncio.Event()
 
@@ -62,9 +65,7 @@
         if config.known is not None:
             self._directory.listed(ListKind.CACHED, config.known)
         await self.listener.open(*config.listen)
-        codec = WatchCodec(join(*config.discovery), self._took_list)
-        watch = Watch(config.discovery, self.buffers, codec, WATCH_TIMEOUT, self._watch_failed)
-        watching = self._loop.create_task(watch.run())
+        self._watch()
         reporting = self._loop.create_task(self._report())
         metrics = Metrics(config, self.sample, self._loop)
         metrics.start()
@@ -77,7 +78,7 @@
         finally:
             metrics.close()
             self.listener.close()
-            for task in (watching, reporting):
+            for task in (self._watching, reporting):
                 task.cancel()
             self.carrier.pool.close()
         self._log("stopped", **self.engine.counts)
@@ -93,6 +94,29 @@
             self.listener.close_idle()
             await asyncio.sleep(0.02)
 
+    def reload(self, read: Callable[[], Config]) -> None:
+        """Read the configuration anew; a new address of discovery is watched at once, from its whole list on.
+
+        Guards against an end by SIGHUP, whose default it is, and against a file that can't be read: then all
+        stays as it was.  Other changes take effect at the next start.
+        """
+        try:
+            address = read().discovery
+        except ConfigError as error:
+            self._log("reload_failed", error=str(error))
+            return
+        self._log("reloaded", discovery=join(*address))
+        if address != self._discovery:
+            self._discovery = address
+            if self._watching is not None:
+                self._watching.cancel()
+                self._watch()
+
+    def _watch(self) -> None:
+        codec = WatchCodec(join(*self._discovery), self._took_list)
+        watch = Watch(self._discovery, self.buffers, codec, WATCH_TIMEOUT, self._watch_failed)
+        self._watching = self._loop.create_task(watch.run())
+
     def is_ready(self) -> bool:
         return self._listed or self._loop.time() >= self._ready_at
 
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -142,7 +142,10 @@
 
 
 def from_platform(environment: Mapping[str, str]) -> Config:
-    """Read PROXY_CONFIG; the other PROXY_ variables go before what it says."""
+    """Read PROXY_CONFIG; the other PROXY_ variables go before what it says.
+
+    Read anew, the file alone counts for discovery's address: leave PROXY_DISCOVERY out then.
+    """
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
--- a/stalltiller/transport/watch.py
+++ b/stalltiller/transport/watch.py
@@ -11,6 +11,7 @@
 from stalltiller.transport.connection import Connection
 
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 1.0  # s after a failed call; doubles
+CONNECT_TIMEOUT = 1.0  # s: an address that says nothing must not take the time of a whole call
 
 
 class Codec(Protocol):
@@ -68,22 +69,28 @@
     async def run(self) -> None:
         pause = FIRST_PAUSE
         call: _Call | None = None
-        while True:
-            try:
-                async with asyncio.timeout(self._timeout):
+        try:
+            while True:
+                try:
                     if call is None or call.closing:
-                        call = await self._open()
-                    if not await self._ask(call):
+                        async with asyncio.timeout(CONNECT_TIMEOUT):
+                            call = await self._open()
+                    async with asyncio.timeout(self._timeout):
+                        stays = await self._ask(call)
+                    if not stays:
                         call.close()
                         call = None
-                pause = FIRST_PAUSE
-            except (OSError, ValueError) as error:  # TimeoutError is an OSError
-                if call is not None:
-                    call.abort()
-                    call = None
-                self._failed(error)
-                await asyncio.sleep(pause * (0.5 + random.random() / 2))
-                pause = min(LONGEST_PAUSE, 2 * pause)
+                    pause = FIRST_PAUSE
+                except (OSError, ValueError) as error:  # TimeoutError is an OSError
+                    if call is not None:
+                        call.abort()
+                        call = None
+                    self._failed(error)
+                    await asyncio.sleep(pause * (0.5 + random.random() / 2))
+                    pause = min(LONGEST_PAUSE, 2 * pause)
+        finally:  # a watch that is ended must not be answered any more
+            if call is not None:
+                call.abort()
 
     async def _open(self) -> _Call:
         loop = asyncio.get_running_loop()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -109,6 +109,39 @@
     assert {line["name"] for line in lines} == {EXAMPLE["name"]}
 
 
+def test_sighup_moves_the_watch_and_an_unreadable_file_changes_nothing(tmp_path):
+    def call(server: socket.socket) -> bytes:
+        caller, _ = server.accept()
+        caller.settimeout(20)
+        callers.append(caller)
+        return caller.recv(1000)
+
+    def write(text: str) -> None:
+        path.with_suffix(".new").write_text(text)
+        path.with_suffix(".new").replace(path)
+
+    callers: list[socket.socket] = []
+    path = tmp_path / "config.json"
+    with socket.create_server(("127.0.0.1", 0)) as old, socket.create_server(("127.0.0.1", 0)) as new:
+        old.settimeout(20)
+        new.settimeout(20)
+        addresses = [f"127.0.0.1:{server.getsockname()[1]}" for server in (old, new)]
+        write(json.dumps({**EXAMPLE, "discovery": addresses[0]}))
+        program = start(PROXY_CONFIG=str(path), PROXY_LISTEN="127.0.0.1:0", PROXY_DISCOVERY=addresses[0])
+        events = (json.loads(line) for line in program.stdout)
+        assert call(old).startswith(b"GET /v1/servers HTTP/1.1")
+        for text, expected in (("{", "reload_failed"), (json.dumps({**EXAMPLE, "discovery": addresses[1]}),
+                                                        "reloaded")):
+            write(text)
+            program.send_signal(signal.SIGHUP)
+            assert any(event["event"] == expected for event in events)
+        assert call(new).startswith(b"GET /v1/servers HTTP/1.1")  # the whole list again
+        assert callers[0].recv(1) == b""  # the old call is over
+        program.send_signal(signal.SIGTERM)
+        assert program.wait(timeout=20) == 0
+        program.communicate()
+
+
 def test_it_lives_through_running_out_of_descriptors():
     program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0",
                     preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)))
