Serve on open connections after SIGTERM until shortly before the end

The logs show each one ending 0.6 to 1.0 s after SIGTERM and starting 3.3 to 4.4 s after it, whenever it had ended: its clients had nobody for 3 s of every restart. Ruled out: a slow start (0.3 to 0.5 s), lost requests (none), the watch (8 new configurations, no failure). At fault: App._drain closed the listener and every connection half a second after SIGTERM. Changed: it serves on for the longest deadline (3 s at most), closes connections in the last half second and answers what is still open (Engine.close_out), so that nothing it took is lost. Test: test_after_sigterm_open_connections_are_served_on_and_in_the_end_all_is_answered.

--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -22,8 +22,10 @@
 
 READY_AFTER = 1.0  # s without word of discovery after which the list known before has to do
 REPORT_EVERY = 5.0  # s between log lines with the counters
-STILL_LISTENING = 0.5  # s after SIGTERM for which new connections are taken: clients learn of it late
-STOP_GRACE = 1.0  # s past the longest deadline, counted from SIGTERM, at which the program ends at the latest
+STILL_LISTENING = 0.5  # s after SIGTERM for which it stays though nothing is open: clients learn of it late
+LONGEST_STOP = 3.0  # s: of a stop, a deadline longer than this counts as this
+STOP_GRACE = 0.1  # s past that, counted from SIGTERM, at which all is answered and the program ends
+CLOSING_TIME = 0.5  # s before its end at which it starts to close what clients keep open
 OWN_SOCKETS = 64  # descriptors for the program itself, and for discovery
 TARGET_SHARE = 0.45  # of the descriptors, for targets
 
@@ -84,15 +86,22 @@
         self._log("stopped", **self.engine.counts)
 
     async def _drain(self) -> None:
-        """Go on with what was taken and what comes on open connections; end when nothing is left."""
-        # To end by itself with a request unanswered would lose it, so the bound lies past every deadline.
-        end = self._loop.time() + max(cls.deadline for cls in self._config.settings.classes) + STOP_GRACE
+        """Serve on, then close connection by connection, and end when nothing is left or time is up.
+
+        Guards against standing idle: clients of this initiator have no other way to their data, and its next
+        start waits for no early end.  Whoever stops it gives it the longest deadline, of 3 s at most.
+        """
+        longest = max(cls.deadline for cls in self._config.settings.classes)
+        end = self._loop.time() + min(longest, LONGEST_STOP) + STOP_GRACE
         await asyncio.sleep(STILL_LISTENING)
-        self.listener.close()
-        self.front.stopping = True  # from now on each answer ends its connection
         while self._loop.time() < end and (self.engine.open or len(self.listener)):
-            self.listener.close_idle()
+            if self._loop.time() >= end - CLOSING_TIME:
+                self.listener.close()
+                self.front.stopping = True  # from now on each answer ends its connection
+                self.listener.close_idle()
             await asyncio.sleep(0.02)
+        self.engine.close_out()
+        await asyncio.sleep(0.02)  # for the last answers to go out
 
     def reload(self, read: Callable[[], Config]) -> None:
         """Read the configuration anew; a new address of discovery is watched at once, from its whole list on.
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -122,6 +122,8 @@
         places = list(places)
         if kind is not ListKind.DELTA:
             self._places.clear()
+            listed = {place.entry.node for place in places}
+            self._told = {name: at for name, at in self._told.items() if name in listed}
         for place in places:
             name = place.entry.node
             if place.entry.state is NodeState.GONE:
@@ -134,6 +136,19 @@
                 self._told.pop(name, None)
         self._feed(api.NodeList(kind, tuple(place.entry for place in places)))
 
+    def close_out(self) -> None:
+        """Answer all that is open: the program ends, and what it took must not be lost."""
+        for number, entry in list(self._entries.items()):
+            if entry.done:
+                continue
+            effect = self.settings.classes[entry.incoming.cls].effect
+            harmless = effect is Effect.SAFE or not (entry.ran or entry.out is not None)
+            self._finish(number, entry, "refused" if harmless else "failed")
+            if harmless:
+                entry.incoming.reply.refused(self.settings.max_advice)
+            else:
+                entry.incoming.reply.failed()
+
     def since(self, unix: float | None) -> float | None:
         """A Unix time on the scheduler's clock."""
         return None if unix is None else unix - self._wall - self._base
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -183,6 +183,27 @@
     play(scene)
 
 
+def test_after_sigterm_open_connections_are_served_on_and_in_the_end_all_is_answered(monkeypatch):
+    """Closing at once left the clients without their one initiator until its next start."""
+    monkeypatch.setattr("stalltiller.program.app.STILL_LISTENING", 0.05)
+    monkeypatch.setattr("stalltiller.program.app.CLOSING_TIME", 0.1)
+
+    async def scene(world, reader, writer):
+        world.app.stop.set()
+        await asyncio.sleep(0.2)
+        for number in (b"id2", b"id3"):
+            writer.write(GET.replace(b"id1", number))
+            answer = await read_message(reader, response=True)
+            assert answer.head.status == 200 and answer.head.keeps_alive()
+        world.targets[0].mode = "silent"
+        writer.write(GET)
+        answer = await read_message(reader, response=True)
+        assert answer.head.status in (503, 504) and not answer.head.keeps_alive()
+        await asyncio.wait_for(asyncio.shield(world.running), 10)
+        assert world.app.engine.open == 0
+    play(scene)
+
+
 def test_idle_target_connections_are_closed_before_the_target_does():
     async def scene(world, reader, writer):
         world.app.carrier.pool._idle_limit = 0.2
