Bound bad clients and targets: connections, ids, figures, answers, channels

Now 1 MiB each, all together within an allowance from the memory limit; answers that clients leave unread are held to as much. - asyncio accepted up to 512 connections in one turn (backlog), past the descriptors; now 16. - A connection that said nothing, or half a request, stayed for good or 10 s; now 2 s, idle ones 15 s. An answer of no length on a kept connection never ended. An unreadable report cost the answer; now its field is left out.

--- a/stalltiller/fronts/directory.py
+++ b/stalltiller/fronts/directory.py
@@ -34,7 +34,7 @@
 
     def __init__(self, host: str, took: Callable[[discovery.Listing], None]) -> None:
         self._host, self._took = host, took
-        self._reader = http.Reader(response=True)
+        self._reader = http.Reader(response=True, limit=http.MAX_ANSWER)
         self._index: int | None = None
 
     def call(self) -> bytes:
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -12,13 +12,15 @@
 from stalltiller.protocol.platform import AnswerFields, FieldError, RequestFields
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Attempt, Ending, Incoming
-from stalltiller.transport.buffers import BufferPool
+from stalltiller.transport.buffers import Allowance, BufferPool
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
 
 READY_PATH = "/healthz"
-LINGER = 1.0  # s for which a rejected client may go on sending: a close at once would reset its answer away
-STALL_LIMIT = 10.0  # s that a client may take to send a request
+LINGER = 3.0  # s for which a rejected client may go on sending: a close at once would reset its answer away
+STALL_LIMIT = 2.5  # s that a client may take to send a request, from its first byte on
+UNREAD_LIMIT = 5.0  # s that a client may leave an answer unread
+MOST_IDS = 8192  # request ids that are remembered, and up to twice that
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,6 +34,28 @@
     body: bytes
 
 
+class RecentIds:
+    """The request ids that came within the last `span` seconds, and up to twice that.
+
+    Guards against a client that copies the id of another's request: to a target it would be a second attempt
+    of that request while the first may be out.
+    """
+
+    def __init__(self, span: float) -> None:
+        self._span, self._turn_at = span, 0.0
+        self._new: set[str] = set()
+        self._old: set[str] = set()
+
+    def claim(self, now: float, request_id: str) -> bool:
+        """Remember an id; whether it is new."""
+        if now >= self._turn_at or len(self._new) >= MOST_IDS:
+            self._new, self._old, self._turn_at = set(), self._new, now + self._span
+        if request_id in self._new or request_id in self._old:
+            return False
+        self._new.add(request_id)
+        return True
+
+
 # --- Clients --------------------------------------------------------------------------------------
 class ClientConnection(Connection):
     """One client's connection: a request at a time, each answered once."""
@@ -44,6 +68,7 @@
         self._keep = True
         self._away = self._rejected = False
         self._stall: asyncio.TimerHandle | None = None
+        self._unread_bytes = 0
 
     def opened(self) -> None:
         self._listener.arrived(self)
@@ -76,19 +101,29 @@
             self._reject(431, "request head over the limit")
             self.discard()
 
+    def resume_writing(self) -> None:
+        self._forget_unread()
+        super().resume_writing()
+
     def ended(self, error: Exception | None) -> None:
         self._listener.left(self)
         self._stalled(False)
+        self._forget_unread()
         if self._request is not None:
             number, self._request = self._request, None
             self._front.engine.gone(number)
 
     def close_if_idle(self) -> bool:
-        if self._request is not None or self._stall is not None or self._rejected or self.closing:
+        busy = self._request is not None or self._reader.begun or self.waiting or not self.flushed
+        if busy or self._rejected or self.closing:
             return False
         self.close()
         return True
 
+    def overdue(self) -> None:
+        if not self._rejected and not self.close_if_idle():
+            self._reject(408, "request not ended")
+
     def turn_away(self) -> None:
         self._away = True
 
@@ -105,8 +140,10 @@
             try:
                 ask = self._front.fields.parse(head, body)
             except FieldError as error:
-                self._front.engine.counts["bad_requests"] += 1
-                self._answer(400, f"{error}\n".encode())
+                self._bad(400, str(error))
+                return
+            if not self._front.ids.claim(self._front.loop.time(), head.fields["x-request-id"]):
+                self._bad(409, "X-Request-ID is not new")
                 return
             payload = Payload(head.method, head.target, head.fields["x-request-id"],
                               head.fields.get("host", "localhost"), body)
@@ -129,14 +166,26 @@
         self._answer(status, body, fields)
         self.resume()
 
+    def _bad(self, status: int, text: str) -> None:
+        """A request that was read and is not taken."""
+        self._front.engine.counts["bad_requests"] += 1
+        self._answer(status, f"{text}\n".encode())
+
     def _answer(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
         close = not self._keep or self._front.stopping
         self.write(http.encode_response(status, body, fields, close))
         if not self.flushed and not self.closing:
-            self._front.loop.call_later(STALL_LIMIT, self._unread)
+            self._front.loop.call_later(UNREAD_LIMIT, self._unread)
+            self._unread_bytes = self.transport.get_write_buffer_size()
+            if not self._front.unread.change(self._unread_bytes):
+                self.abort()
         if close:
             self.close()
 
+    def _forget_unread(self) -> None:
+        size, self._unread_bytes = self._unread_bytes, 0
+        self._front.unread.change(-size)
+
     def _unread(self) -> None:
         """Guard against clients that ask and do not read the answer."""
         if not self.flushed:
@@ -145,6 +194,7 @@
     def _reject(self, status: int, text: str) -> None:
         self._front.engine.counts["bad_requests"] += 1
         self._rejected = True
+        self._stalled(False)
         self.write(http.encode_response(status, f"{text}\n".encode(), close=True))
         if not self.closing:
             self.transport.write_eof()
@@ -163,10 +213,12 @@
     """Clients over HTTP/1.1."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 settings: api.Settings, ready: Callable[[], bool]) -> None:
+                 settings: api.Settings, ready: Callable[[], bool], memory: int) -> None:
+        self.unread = Allowance(memory)
         self.loop, self.engine, self.buffers, self.ready = loop, engine, buffers, ready
         self.fields = RequestFields(settings)
         self.advice = settings.max_advice if settings.may_advise else 0.0
+        self.ids = RecentIds(max(cls.deadline for cls in settings.classes))
         self.stopping = False
 
     def connection(self, listener: Listener) -> ClientConnection:
@@ -180,7 +232,8 @@
     def __init__(self, carrier: HttpCarrier) -> None:
         super().__init__(carrier.buffers)
         self._carrier = carrier
-        self._reader = http.Reader(response=True)
+        self._reader = http.Reader(response=True, limit=http.MAX_ANSWER)
+        self._held = 0  # bytes counted in the carrier's allowance
         self._attempt: Attempt | None = None
 
     def carry(self, attempt: Attempt) -> None:
@@ -207,10 +260,18 @@
             self._carrier.complain(self._attempt, str(error))
             self._conclude(Ending(api.Status.ERROR), keep=False)
             return len(data)
+        if not self._hold(self._reader.size):
+            self._carrier.complain(self._attempt, "no memory left for the answer")
+            self._conclude(Ending(api.Status.ERROR), keep=False)
+            return len(data)
         if self._reader.done:
             self._finish()
         return used
 
+    def _hold(self, size: int) -> bool:
+        change, self._held = size - self._held, size
+        return self._carrier.allowance.change(change)
+
     def overflow(self) -> None:
         self._carrier.complain(self._attempt, "answer head over the limit")
         self._conclude(Ending(api.Status.ERROR), keep=False)
@@ -221,6 +282,7 @@
 
     def ended(self, error: Exception | None) -> None:
         if self._attempt is None:
+            self._hold(0)
             return
         if self._reader.begun and self._reader.finish():
             self._finish()
@@ -240,6 +302,7 @@
     def _conclude(self, ending: Ending, keep: bool) -> None:
         attempt, self._attempt = self._attempt, None
         self._reader.reset()
+        self._hold(0)
         if keep and not self.closing:
             self._carrier.pool.release(attempt, self)
         else:
@@ -252,9 +315,10 @@
     """Carries attempts to targets over HTTP/1.1."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 connect_timeout: float, idle_limit: float, log: Callable[..., None],
-                 settings: api.Settings) -> None:
-        super().__init__(loop, engine, buffers, connect_timeout, idle_limit, log)
+                 connect_timeout: float, idle_limit: float, most: int, log: Callable[..., None],
+                 settings: api.Settings, memory: int) -> None:
+        super().__init__(loop, engine, buffers, connect_timeout, idle_limit, most, log)
+        self.allowance = Allowance(memory)
         self.fields = AnswerFields(settings)
 
     async def connect(self, host: str, port: int) -> TargetConnection:
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -22,7 +22,6 @@
 MAX_IO_QUEUES = 8  # of one association
 MAX_HELD = 32 * 1024 * 1024  # bytes of data, of all commands together; past it commands are refused
 MAX_COMMANDS = 4096  # of all clients together; past it, too
-HELLO_LIMIT = 5.0  # s that a connection may take until its Connect
 UNREAD_LIMIT = 10.0  # s that a host may leave completions unread
 KEEP_ALIVE_GRACE = 1.0  # s past a client's own keep alive time
 
@@ -125,7 +124,6 @@
         self.front, self._listener = front, listener
         self._reader = nvme.PduReader(nvme.FROM_HOST)
         self._greeted = False
-        self._hello: asyncio.TimerHandle | None = None
         self._unread: asyncio.TimerHandle | None = None
         self._head = 0
         self.association: Association | None = None
@@ -135,11 +133,9 @@
 
     # --- Connection ---
     def opened(self) -> None:
-        self._hello = self.front.loop.call_later(HELLO_LIMIT, self.abort)
         self._listener.arrived(self)
 
     def ended(self, error: Exception | None) -> None:
-        self._hello.cancel()
         if self._unread is not None:
             self._unread.cancel()
         self._listener.left(self)
@@ -153,6 +149,9 @@
         self.close()
         return True
 
+    def overdue(self) -> None:
+        self.abort()  # its Connect did not come in time
+
     def turn_away(self) -> None:
         self.abort()
 
@@ -250,7 +249,7 @@
             if (association is None or not association.enabled or number > MAX_IO_QUEUES
                     or number in association.queues or not 2 <= entries <= nvme.IO_ENTRIES):
                 return nvme.BAD_CONNECT, 0
-        self._hello.cancel()
+        self._listener.used(self)
         self.association, self.number, self.entries = association, number, entries
         association.queues[number] = self
         self.complete(nvme.Completion(command.cid, result=association.number))
--- a/stalltiller/fronts/nvme_targets.py
+++ b/stalltiller/fronts/nvme_targets.py
@@ -147,6 +147,9 @@
     def closing(self) -> bool:
         return self._admin.closing or self._io.closing
 
+    def quiet(self) -> bool:
+        return not self._admin.closing and self._io.quiet()  # the admin queue may have a keep alive answered
+
     def carry(self, attempt: Attempt) -> None:
         self._attempt = attempt
         p: Payload = attempt.payload
@@ -199,9 +202,10 @@
     """Carries attempts to targets over NVMe/TCP."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 connect_timeout: float, idle_limit: float, log: Callable[..., None], name: str,
+                 connect_timeout: float, idle_limit: float, most: int, log: Callable[..., None], name: str,
                  mapping: Mapping) -> None:
-        super().__init__(loop, engine, buffers, connect_timeout, idle_limit, log)
+        # A channel is an association of two connections.
+        super().__init__(loop, engine, buffers, connect_timeout, idle_limit, most // 2, log)
         self._name, self._mapping = f"nqn.2014-08.org.nvmexpress:stalltiller:{name}", mapping
         self._id = os.urandom(16)  # an association's identity, not a decision
 
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -28,6 +28,9 @@
 CLOSING_TIME = 0.5  # s before its end at which it starts to close what clients keep open
 OWN_SOCKETS = 64  # descriptors for the program itself, and for discovery
 TARGET_SHARE = 0.45  # of the descriptors, for targets
+OWN_MEMORY = 24 * 1024 * 1024  # bytes of the program itself and what is small
+BODY_SHARE = 0.3  # of the memory left: for answers coming in, and as much for those that clients do not read
+LEAST_BODIES = 2 * 1024 * 1024  # bytes: in any case
 
 
 def join(host: str, port: int) -> str:
@@ -42,18 +45,19 @@
         self.buffers = BufferPool()
         self.engine = Engine(config.settings, config.seed, loop, log)
         common = (loop, self.engine, self.buffers)
-        timing = (config.connect_timeout, config.idle_limit, log)
+        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS
+        targets = max(16, int(sockets * TARGET_SHARE))
+        channels = (config.connect_timeout, config.idle_limit, targets, log)
         if config.nvme is None:
-            self.front = HttpFront(*common, config.settings, self.is_ready)
-            self.carrier = HttpCarrier(*common, *timing, config.settings)
+            bodies = max(LEAST_BODIES, int((config.memory - OWN_MEMORY) * BODY_SHARE))
+            self.front = HttpFront(*common, config.settings, self.is_ready, bodies)
+            self.carrier = HttpCarrier(*common, *channels, config.settings, bodies)
         else:
             self.front = NvmeFront(*common, config.settings, config.name, config.nvme, log)
-            self.carrier = NvmeCarrier(*common, *timing, config.name, config.nvme)
+            self.carrier = NvmeCarrier(*common, *channels, config.name, config.nvme)
         self.engine.carrier = self.carrier
         self._directory = Directory(self.engine, config.zones, config.kinds)
-        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        most = int((sockets - OWN_SOCKETS) * (1 - TARGET_SHARE))
-        self.listener = Listener(self.front.connection, max(16, most))
+        self.listener = Listener(self.front.connection, max(16, sockets - targets))
         self._ready_at = loop.time() + READY_AFTER
         self._listed = False
         self._discovery = config.discovery
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -15,6 +15,7 @@
 from stalltiller.fronts import nvme_mapping
 from stalltiller.protocol import discovery, nvme
 
+MEGABYTE = 1024 * 1024
 SECOND = 1_000_000_000  # the settings' durations are nanoseconds
 
 
@@ -39,6 +40,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory: int  # bytes
     known: discovery.Listing | None
     settings: api.Settings
     zones: list[str]
@@ -102,6 +104,11 @@
     return value / SECOND if isinstance(value, int | float) and value > 0 else default
 
 
+def _limit(limits: dict, key: str, default: int) -> int:
+    value = limits.get(key)
+    return value if isinstance(value, int) and value > 0 else default
+
+
 def _names(value: object) -> list[str]:
     return [str(item) for item in value] if isinstance(value, list) else []
 
@@ -131,11 +138,11 @@
     except discovery.DiscoveryError as error:
         raise ConfigError(f"known: {error}") from error
     limits, most = nested.get("limits"), data.get("limits")
-    sockets = most.get("sockets") if isinstance(most, dict) else None
+    most = most if isinstance(most, dict) else {}
     return Config(
         name=str(data.get("name") or "stalltiller"), listen=_address(data["listen"], "listen"),
         discovery=_address(data["discovery"], "discovery"), seed=_seed(data.get("seed")),
-        sockets=sockets if isinstance(sockets, int) and sockets > 0 else 1024, known=known,
+        sockets=_limit(most, "sockets", 1024), memory=_limit(most, "memory_mb", 192) * MEGABYTE, known=known,
         settings=parse_settings(nested), zones=_names(nested.get("areas")), kinds=_names(nested.get("kinds")),
         connect_timeout=_seconds(limits, "connect-timeout-ns", 0.25),
         idle_limit=_seconds(limits, "conn-idle-ns", 30.0), **more)
--- a/stalltiller/protocol/http.py
+++ b/stalltiller/protocol/http.py
@@ -5,14 +5,18 @@
 import re
 from dataclasses import dataclass, field
 
-MAX_BODY = 64 * 1024
+MAX_BODY = 64 * 1024  # of a request
+MAX_ANSWER = 1024 * 1024  # bytes of an answer's body: reads of several units bring back some hundred KiB
 MAX_CHUNK_LINE = 1024
+MAX_INTERIM = 16  # interim answers before the final one
+MAX_TRAILERS = 64  # lines
 TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 TARGET = re.compile(r"[!-~]+")
 VERSION = re.compile(r"HTTP/1\.[01]")
 STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?")
+ONCE = ("content-length", "transfer-encoding", "host")
 VALUE = re.compile(r"[\t -~\x80-\xff]*")
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout",
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
            502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
@@ -47,16 +51,24 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-def parse_fields(lines: list[str]) -> dict[str, str]:
+def parse_fields(lines: list[str], lenient: bool = False) -> dict[str, str]:
+    """Fields by lower-case name; if `lenient`, a value with control characters in it is left out.
+
+    Guards against throwing a good answer away for a load report that can't be read.
+    """
     fields: dict[str, str] = {}
     for line in lines:
         name, colon, value = line.partition(":")
         value = value.strip(" \t")
-        if not colon or not TOKEN.fullmatch(name) or not VALUE.fullmatch(value):
+        if not colon or not TOKEN.fullmatch(name):
             raise HttpError(400, "malformed field line")
         name = name.lower()
+        if not VALUE.fullmatch(value):
+            if lenient and name not in (*ONCE, "connection") and not set(value) & {"\r", "\n"}:
+                continue
+            raise HttpError(400, "malformed field line")
         if name in fields:
-            if name in ("content-length", "transfer-encoding", "host"):
+            if name in ONCE:
                 raise HttpError(400, f"{name} given twice")
             value = f"{fields[name]}, {value}"
         fields[name] = value
@@ -80,7 +92,7 @@
     match = STATUS_LINE.fullmatch(line)
     if match is None:
         raise HttpError(502, "malformed status line")
-    return Head(int(match[1]), parse_fields(rest), status=int(match[2]))
+    return Head(int(match[1]), parse_fields(rest, lenient=True), status=int(match[2]))
 
 
 @dataclass(slots=True)
@@ -88,19 +100,27 @@
     """Takes the bytes of one message after another; `done` tells that `head` and `body` are whole."""
 
     response: bool
+    limit: int = MAX_BODY  # of the body
     head: Head | None = None
     body: bytearray = field(default_factory=bytearray)
     done: bool = False
     _left: int = 0  # bytes of the body, or of the chunk, still to come
     _stage: str = "head"
+    _lines: int = 0  # interim answers or trailer lines so far
 
     def reset(self) -> None:
         self.head, self.body, self.done, self._left, self._stage = None, bytearray(), False, 0, "head"
+        self._lines = 0
 
     @property
     def begun(self) -> bool:
         return self.head is not None
 
+    @property
+    def size(self) -> int:
+        """Bytes of the body that have come or are known to come."""
+        return len(self.body) + self._left
+
     def feed(self, data: memoryview) -> int:
         """Take what can be taken, up to the end of the message, and return how much that was."""
         used = 0
@@ -127,25 +147,35 @@
         text = raw[:end].decode("latin-1")
         self.head = parse_response(text) if self.response else parse_request(text)
         if self.response and 100 <= self.head.status < 200:
+            self._count(MAX_INTERIM, "interim answers without end")
+            if self.head.status == 101:
+                raise HttpError(502, "a switch of protocols that nobody asked for")
             self.head = None  # an interim answer: the final one follows
             return end + 4
         self._frame(self.head)
         return end + 4
 
+    def _count(self, most: int, text: str) -> None:
+        self._lines += 1
+        if self._lines > most:
+            raise HttpError(400, text)
+
     def _frame(self, head: Head) -> None:
         coding, length = head.fields.get("transfer-encoding"), head.fields.get("content-length")
         if coding is not None:
-            if coding.lower() != "chunked" or length is not None:
+            if coding.lower() != "chunked" or length is not None or head.minor == 0:
                 raise HttpError(400, "transfer coding not understood")
             self._stage = "chunk_line"
         elif length is not None:
             if not length.isascii() or not length.isdigit():
                 raise HttpError(400, "malformed content length")
-            if len(length) > 9 or int(length) > MAX_BODY:
+            if len(length) > 9 or int(length) > self.limit:
                 raise HttpError(413, "body over the limit")
             self._left, self._stage = int(length), "fixed"
             self.done = self._left == 0
         elif self.response and head.status not in (204, 304):
+            if head.keeps_alive():  # its end could never be told
+                raise HttpError(502, "no length on a connection that stays open")
             self._stage = "rest"
         else:
             self.done = True
@@ -162,7 +192,7 @@
         return used
 
     def _rest(self, data: memoryview) -> int:
-        if len(self.body) + len(data) > MAX_BODY:
+        if len(self.body) + len(data) > self.limit:
             raise HttpError(413, "body over the limit")
         self.body += data
         return len(data)
@@ -182,7 +212,7 @@
         if not re.fullmatch(rb"[0-9A-Fa-f]{1,8}", size):
             raise HttpError(400, "malformed chunk size")
         self._left = int(size, 16)
-        if len(self.body) + self._left > MAX_BODY:
+        if len(self.body) + self._left > self.limit:
             raise HttpError(413, "body over the limit")
         self._stage = "chunk" if self._left else "trailer"
         return len(line) + 2
@@ -202,6 +232,7 @@
         if line is None:
             return 0
         self.done = not line
+        self._count(MAX_TRAILERS, "trailer without end")
         return len(line) + 2
 
 
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -14,7 +14,7 @@
 WHOLE = re.compile(r"-?[0-9]{1,9}")
 REQUEST_ID = re.compile(r"[!-~]{1,128}")
 NOT_RUN = (503, 504)
-MAX_TIMEOUT = 60.0  # s: a request that may wait longer is held no longer than this
+MAX_SHARD = 1 << 20  # far above any shard: what names a higher one is in error
 
 
 class FieldError(Exception):
@@ -42,8 +42,8 @@
     return float(text)
 
 
-def _whole(text: str | None, name: str, least: int) -> int:
-    if text is None or not WHOLE.fullmatch(text) or int(text) < least:
+def _whole(text: str | None, name: str, least: int, most: int) -> int:
+    if text is None or not WHOLE.fullmatch(text) or not least <= int(text) <= most:
         raise FieldError(f"{name} is missing or wrong")
     return int(text)
 
@@ -55,9 +55,15 @@
 
 
 class RequestFields:
-    """Reads requests with the class and plan names of the settings."""
+    """Reads requests with the class and plan names of the settings.
+
+    What the settings rule out is wrong, too.  Guards against figures that would stay with the volume they
+    name: a million hosts leave it no part of its limit, a million units fill its demand for a minute.
+    """
 
     def __init__(self, settings: api.Settings) -> None:
+        self._hosts, self._largest = settings.gateways, settings.largest_units or math.inf
+        self._deadlines = [cls.deadline for cls in settings.classes]
         self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
         self._plans = {plan.name: i for i, plan in enumerate(settings.plans)}
         self._writes = [cls.writes for cls in settings.classes]
@@ -81,13 +87,13 @@
             raise FieldError("X-Request-ID is missing or wrong")
         info = dict(pair.strip().partition("=")[::2] for pair in head.fields.get("io-info", "").split(","))
         units = _number(info.get("units"), "units")
-        if units <= 0:
-            raise FieldError("units must be above zero")
-        shard = _whole(info.get("shard"), "shard", -1)
+        if not 0 < units <= self._largest:
+            raise FieldError("units must be above zero and no more than the largest request")
+        shard = _whole(info.get("shard"), "shard", -1, MAX_SHARD)
         return Ask(cls, plan, _hex(info.get("volume"), "volume"), units,
-                   _whole(info.get("hosts"), "hosts", 1), _hex(parts[-1], "the key"),
+                   _whole(info.get("hosts"), "hosts", 1, self._hosts), _hex(parts[-1], "the key"),
                    None if shard < 0 else shard, head.fields.get("x-retried") == "1",
-                   min(MAX_TIMEOUT, _number(head.fields.get("x-timeout"), "X-Timeout")))
+                   min(self._deadlines[cls], _number(head.fields.get("x-timeout"), "X-Timeout")))
 
 
 @dataclass(slots=True, frozen=True)
--- a/stalltiller/transport/buffers.py
+++ b/stalltiller/transport/buffers.py
@@ -17,3 +17,15 @@
     def give(self, buffer: bytearray) -> None:
         if len(self._free) < self._spare:
             self._free.append(buffer)
+
+
+class Allowance:
+    """Bytes that may be held at once by all who share it."""
+
+    def __init__(self, most: int) -> None:
+        self._most, self.held = most, 0
+
+    def change(self, by: int) -> bool:
+        """Count bytes in, or out if negative; whether all are within the allowance."""
+        self.held += by
+        return self.held <= self._most
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 
 from stalltiller.transport.buffers import BufferPool
@@ -44,6 +45,22 @@
     def closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
+    @property
+    def waiting(self) -> bool:
+        """Whether bytes were received that are not done with."""
+        return self._fill > self._read_at
+
+    def quiet(self) -> bool:
+        """Whether nothing has come that nobody read, bytes or an end, in the kernel's buffer neither.
+
+        Guards against an answer's surplus that the loop has not seen yet: it would pass for the next answer.
+        """
+        if self.closing or self.waiting:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return not poll.poll(0)
+
     def write(self, data: bytes) -> None:
         if self.closing:
             self.flushed = False
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from collections.abc import Callable
 from typing import Protocol
 
-BACKLOG = 512
+BACKLOG = 512  # connections that wait in the kernel
+BATCH = 16  # connections accepted in one turn of the loop
+TURNED_AWAY = 16  # connections over the number that are still told so; the rest are closed unheard
+SWEEP_EVERY = 0.25  # s between looks for connections to close
+SPEAK_LIMIT = 0.1  # s in which a client that has something to ask has asked, as a rule
+HELLO_LIMIT = 2.0  # s that a new connection may take until its first whole request
+IDLE_LIMIT = 15.0  # s that a connection may stand idle
 
 
 class Guest(Protocol):
@@ -15,17 +23,33 @@
     def close_if_idle(self) -> bool:
         """Close between requests; whether it was idle."""
 
+    def overdue(self) -> None:
+        """No whole request has come in time: say so or close."""
+
     def turn_away(self) -> None:
         """Answer whatever comes with a refusal and close."""
 
+    @property
+    def closing(self) -> bool: ...
+
+    def abort(self) -> None:
+        """Close now."""
+
 
 class Listener:
-    """Accepts connections.  Over `most` an idle one makes room, or the new one is turned away."""
+    """Accepts connections.  Over `most` another makes room, or the new one is turned away.
+
+    Those go first that have not sent a whole request in SPEAK_LIMIT, then idle ones, then new ones, each the
+    oldest first.  Guards against clients that connect by hundreds and say nothing: they would push out the
+    idle connections of usual clients, and new ones whose first request is on its way.
+    """
 
     def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int) -> None:
         self._make, self._most = make, most
         self._server: asyncio.Server | None = None
-        self._guests: dict[Guest, None] = {}  # in order of last use
+        self._strangers: dict[Guest, float] = {}  # no whole request yet: when each arrived, in order
+        self._guests: dict[Guest, float] = {}  # when each was last used, in order
+        self._sweep: asyncio.TimerHandle | None = None
         self.shed = 0
 
     @property
@@ -33,32 +57,79 @@
         return self._server.sockets[0].getsockname()[:2]
 
     def __len__(self) -> int:
-        return len(self._guests)
+        return len(self._strangers) + len(self._guests)
 
     async def open(self, host: str, port: int) -> None:
+        """Listen.
+
+        asyncio accepts as many connections in one turn as `backlog` says, before any can be closed: with the
+        kernel's number there a crowd would take every descriptor, and asyncio then accepts none for a second.
+        """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: self._make(self), host, port, backlog=BACKLOG)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        listening.setblocking(False)
+        self._server = await loop.create_server(lambda: self._make(self), sock=listening, backlog=BATCH)
+        listening.listen(BACKLOG)
+        self._sweep_later()
 
     def arrived(self, guest: Guest) -> None:
-        self._guests[guest] = None
-        if len(self._guests) > self._most:
-            self.shed += 1
-            if not any(other is not guest and other.close_if_idle() for other in list(self._guests)):
-                guest.turn_away()
+        self._strangers[guest] = time.monotonic()
+        over = len(self) - self._most
+        if over <= 0:
+            return
+        self.shed += 1
+        now = time.monotonic()
+        for other, since in self._strangers.items():
+            if now - since < SPEAK_LIMIT:
+                break
+            if not other.closing:
+                other.abort()
+                return
+        if any(other.close_if_idle() for other in self._guests):
+            return
+        for other in self._strangers:
+            if other is not guest and not other.closing:
+                other.abort()
+                return
+        if over > TURNED_AWAY:
+            guest.abort()
+        else:
+            guest.turn_away()
 
     def used(self, guest: Guest) -> None:
-        """Move a connection to the end of those that make room."""
+        """A whole request has come: the connection makes room last."""
+        self._strangers.pop(guest, None)
         self._guests.pop(guest, None)
-        self._guests[guest] = None
+        self._guests[guest] = time.monotonic()
 
     def left(self, guest: Guest) -> None:
+        self._strangers.pop(guest, None)
         self._guests.pop(guest, None)
 
     def close_idle(self) -> None:
-        for guest in list(self._guests):
+        for guest in (*self._strangers, *self._guests):
+            guest.close_if_idle()
+
+    def _sweep_later(self) -> None:
+        self._sweep = asyncio.get_running_loop().call_later(SWEEP_EVERY, self._close_old)
+
+    def _close_old(self) -> None:
+        """Guard against clients that say nothing, never end what they begin, or ask once and stay."""
+        now = time.monotonic()
+        for guest, since in list(self._strangers.items()):
+            if now - since < HELLO_LIMIT:
+                break
+            guest.overdue()
+        for guest, since in list(self._guests.items()):
+            if now - since < IDLE_LIMIT:
+                break
             guest.close_if_idle()
+        self._sweep_later()
 
     def close(self) -> None:
         """Accept no more; open connections stay."""
+        if self._sweep is not None:
+            self._sweep.cancel()
         if self._server is not None:
             self._server.close()
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -23,6 +23,9 @@
     @property
     def closing(self) -> bool: ...
 
+    def quiet(self) -> bool:
+        """Whether it is open and nothing has come on it unasked."""
+
     def carry(self, job: Any) -> None: ...
 
     def give_up(self) -> bool:
@@ -35,12 +38,19 @@
 
 
 class ChannelPool:
-    """Channels by target.  `connect` makes one; `unreachable` is told of jobs that never started."""
+    """Channels by target.  `connect` makes one; `unreachable` is told of jobs that never started.
+
+    All together are held to `most`: over it the one idle for longest makes room, or the job never starts.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, connect: Callable[[str, int], Awaitable[Channel]],
-                 unreachable: Callable[[Any], None], connect_timeout: float, idle_limit: float) -> None:
+                 unreachable: Callable[[Any], None], connect_timeout: float, idle_limit: float,
+                 most: int) -> None:
         self._loop, self._connect, self._unreachable = loop, connect, unreachable
         self._connect_timeout, self._idle_limit = connect_timeout, idle_limit
+        self._most = most
+        self._channels: set[Channel] = set()  # those that are up; closing ones are left out at the next look
+        self._connecting = 0
         self._idle: dict[Address, list[tuple[float, Channel]]] = {}
         self._sweep: asyncio.TimerHandle | None = None
         self.opened = 0
@@ -50,10 +60,11 @@
         idle = self._idle.get((job.node, job.host, job.port))
         while idle:
             _, channel = idle.pop()
-            if not channel.closing:
+            if channel.quiet():
                 job.wire = channel
                 channel.carry(job)
                 return
+            channel.close()
         job.wire = self._loop.create_task(self._open(job))
 
     def abandon(self, job: Job) -> bool:
@@ -83,14 +94,20 @@
             self.close_idle(node)
 
     async def _open(self, job: Job) -> None:
+        self._connecting += 1
         try:
+            if not self._room():
+                raise ConnectionError("no descriptor left for it")
             async with asyncio.timeout(self._connect_timeout):
                 channel = await self._connect(job.host, job.port)
         except (OSError, EOFError, ValueError):  # TimeoutError is an OSError
             job.wire = None
             self._unreachable(job)
             return
+        finally:
+            self._connecting -= 1
         self.opened += 1
+        self._channels.add(channel)
         if job.last_start is not None and self._loop.time() >= job.last_start:
             # The target began to drain while the connection came up: nothing may start there any more.
             self.release(job, channel)
@@ -99,6 +116,20 @@
         job.wire = channel
         channel.carry(job)
 
+    def _room(self) -> bool:
+        """Whether one more channel may come up; an idle one is closed for it if need be."""
+        if len(self._channels) + self._connecting <= self._most:
+            return True
+        self._channels = {channel for channel in self._channels if not channel.closing}
+        if len(self._channels) + self._connecting <= self._most:
+            return True
+        waiting = [idle for idle in self._idle.values() if idle]
+        if not waiting:
+            return False
+        _, oldest = min(waiting, key=lambda idle: idle[0][0]).pop(0)
+        oldest.close()
+        return True
+
     def _keep(self, address: Address, channel: Channel) -> None:
         self._idle.setdefault(address, []).append((self._loop.time(), channel))
         if self._sweep is None:
@@ -121,5 +152,6 @@
                 self._idle[address] = kept
             else:
                 del self._idle[address]
+        self._channels = {channel for channel in self._channels if not channel.closing}
         if self._idle:
             self._sweep = self._loop.call_later(self._idle_limit / 4, self._close_old)
--- a/tests/test_nvme_front.py
+++ b/tests/test_nvme_front.py
@@ -59,6 +59,19 @@
     play(scene)
 
 
+def test_a_connection_without_its_connect_command_is_ended_in_time(monkeypatch):
+    monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.1)
+
+    async def scene(world, client):
+        reader, writer = await asyncio.open_connection("127.0.0.1", client.port)
+        _, io = await client.associate()
+        assert await reader.read() == b""
+        io.writer.write(read(1))
+        assert (await completion(io)).status == nvme.OK
+        writer.close()
+    play(scene)
+
+
 def test_the_first_pdu_must_greet():
     async def scene(world, client):
         reader, writer = await asyncio.open_connection("127.0.0.1", client.port)
