Forget idle volumes and cells; give up what has had no attempt at half of its time

Seen by reading: Scheduler.volumes and .asked only grew; one X-Timeout of a minute raised full_left for good, so that every later request of the class counted as a late try (test); a hasty client's request that waited without an attempt was given up 20 ms before its end, which costs extra. Tests: three in tests/test_clients.py.

--- a/stalltiller/logic.py
+++ b/stalltiller/logic.py
@@ -38,6 +38,8 @@
 # --- Buckets and estimates ------------------------------------------------------------------------
 DEMAND_SPAN = 2.0  # s over which demand and the parts of other gateways are averaged
 PRIOR_UNITS = 3.0  # mean requests' worth of belief in the even split before any news
+FORGET_AFTER = 30.0  # s after its last request at which a volume is forgotten: by then its averages are gone
+SWEEP_EVERY = 5.0  # s between looks for what can be forgotten
 BUCKET_DEPTH = 1.0  # s of a grant or reservation slice that may be saved up, plus one largest request
 # --- Leases of limit tokens, where gateways may talk ------------------------------------------------
 LEASE_EVERY = 0.06  # s between asks of a gateway short of tokens: a few times a message's way and back
@@ -49,6 +51,7 @@
 ASK, GRANT = 1, 2  # kinds of message
 # --- Time -----------------------------------------------------------------------------------------
 POLL = 0.01  # s between looks at waiting requests
+HALF = 0.5  # of a client's time: a request of which no node had the whole by then is given up
 ANSWER_MARGIN = 0.02  # s before the deadline at which a held request is failed at the latest
 COLD_SAFETY = 0.8  # of the cold budget that is used: arrival times at the node differ from send times
 SUBSCRIBE_AFTER = 0.5  # s (and up to twice that) until a failed subscription is opened again
@@ -98,6 +101,7 @@
         self.limit = Bucket(0.0, now)
         self.reservation = Bucket(0.0, now)
         self.demand, self.others, self.served = Mean(now), Mean(now), Mean(now)
+        self.asked_at = now
         self.peers: list[int] = []  # gateways known to serve it too
         self.ask, self.answered = -1, [0]  # number of the last ask for tokens; who granted some
         self.ask_at = self.cry_at = now
@@ -144,7 +148,8 @@
         self.node: Node | None = None  # where it waits or runs
         self.unsure_at: float | None = None  # send time of the first attempt that may have run
         self.unsure_node: Node | None = None
-        self.over = self.drawn = False
+        self.over = self.drawn = self.landed = False  # landed: an attempt went whole to a node
+        self.half = deadline - HALF * r.left
         self.place = IN_RESERVATION
 
 
@@ -170,7 +175,7 @@
         self.tightest = min((c.aim for c in settings.classes if c.aim > 0), default=1.0)
         self.queued: dict[api.NodeId, Node] = {}  # nodes with requests in line: the others cost nothing
         self.polling = False
-        self.started = now
+        self.started = self.swept_at = now
         self.watching = False
         self.actions: list[api.Action] = []
 
@@ -181,6 +186,8 @@
         if not self.watching and not self.s.list_pushed:
             self.watching = True
             self.actions.append(api.Watch(True))
+        if now - self.swept_at >= SWEEP_EVERY:
+            self._sweep()
         touched: dict[api.NodeId, Node] = {}
         for event in events:
             node = None
@@ -299,6 +306,23 @@
             node.cold.append((self.now, units))
             node.cold_net += units
 
+    def _sweep(self) -> None:
+        """Forget volumes and cells that nobody asks for any more.
+
+        Guards against tables that only grow.  A volume is kept until its limit's bucket is full again: one
+        that is met anew starts with a full one.
+        """
+        self.swept_at = self.now
+        for node in self.nodes.values():
+            self._idle(node)
+        for name, volume in list(self.volumes.items()):
+            quiet, plan = self.now - volume.asked_at, volume.plan
+            if quiet > FORGET_AFTER and (plan.limit <= 0 or quiet * plan.limit >= plan.burst):
+                del self.volumes[name]
+        since = self.now - max(FORGET_AFTER, self.s.rules.tip_time)
+        self.asked = {cell: at for cell, at in self.asked.items() if at > since}
+        self.rest_until = {key: at for key, at in self.rest_until.items() if at > self.now}
+
     # --- Taking a request -------------------------------------------------------------------------
     def _take(self, r: api.Request) -> Node | None:
         cls, plan = self.s.classes[r.cls], self.s.plans[r.plan]
@@ -313,6 +337,7 @@
         due, deadline = self._due(r, cls), self.now + r.left
         held = self.held[r.id] = Held(r, cls, volume, min(due, deadline - ANSWER_MARGIN), deadline)
         volume.demand.add(self.now, r.units)
+        volume.asked_at = self.now
         if r.shard is not None:
             self.asked[r.shard] = self.now
         if cls.in_order and r.key:
@@ -323,10 +348,11 @@
         """When the aim ends: it runs from the client's first try.
 
         A client's later try has less time left than a first one of its class.  One that ends before its own
-        aim would is taken for the first of a client that waits for a short time only.
+        aim would is taken for the first of a client that waits for a short time only.  Nobody waits longer
+        than the class does: one request that said so would make all that follow look like late tries.
         """
-        full = self.full_left[r.cls] = max(self.full_left[r.cls], r.left)
-        return self.now + cls.aim - (full - r.left if r.left >= cls.aim else 0.0)
+        full = self.full_left[r.cls] = min(max(self.full_left[r.cls], r.left), cls.deadline)
+        return self.now + cls.aim - (max(0.0, full - r.left) if r.left >= cls.aim else 0.0)
 
     def _enqueue(self, held: Held) -> Node | None:
         """Put a request in line at the node that can serve it."""
@@ -593,7 +619,8 @@
         kept, lost = [], []
         for held in node.queue:
             kept.append(held)
-            alone = self.now + node.latency * REACH_SHARE > held.due or self._hopeless(node, held)
+            alone = (self.now + node.latency * REACH_SHARE > held.due or self._late(held)
+                     or self._hopeless(node, held))
             start = self.now + ahead / width * node.latency
             if node.window < 1 and held.place is not IN_RESERVATION:
                 start = max(start, node.paced_until)
@@ -606,6 +633,13 @@
         for held in lost:
             self._give_up(held)
 
+    def _late(self, held: Held) -> bool:
+        """Whether half of a client's time is over, or will be by the next look, and no node had its request.
+
+        To hear so later costs the client more.
+        """
+        return not held.landed and self.now + POLL >= held.half
+
     def _worth(self, held: Held) -> float:
         """What a unit of a request earns, as far as this gateway can tell."""
         due = (1.0, self.s.share_worth, self.s.spare_worth)[held.place]
@@ -617,6 +651,7 @@
         if held is None or held.out == 0:
             return None
         held.out -= 1
+        held.landed |= o.status not in (Status.CONNECT_FAILED, Status.MOOT)
         at = held.node
         if at is not None:
             at.out -= 1
@@ -723,5 +758,5 @@
     def _poll(self) -> None:
         """Requests that no node can serve are given up once their aim is out of reach."""
         for held in list(self.waiting):
-            if self.now + ANSWER_MARGIN >= min(held.due, held.deadline):
+            if self.now + ANSWER_MARGIN >= min(held.due, held.deadline) or self._late(held):
                 self._give_up(held)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -43,3 +43,34 @@
     window = gateway.scheduler.nodes[1].window
     gateway.feed(0.15, outcome(1, status=api.Status.TIMEOUT, took=0.15))
     assert gateway.scheduler.nodes[1].window == window
+
+
+def test_a_client_that_claims_to_wait_for_ever_does_not_make_the_others_late():
+    """One X-Timeout of a minute made every request that followed a late try, refused at once."""
+    gateway = Gateway()
+    gateway.feed(0.0, request(1, left=60.0))
+    assert gateway.sends(0.1, request(2, left=3.0)) == [2]
+    assert held(gateway, 2).due == pytest.approx(1.1)
+
+
+def test_without_a_whole_attempt_a_request_is_given_up_before_half_of_its_time():
+    gateway = Gateway(nodes=(entry(1, state=api.NodeState.DRAINING),))  # nothing can be sent
+    gateway.feed(0.0, request(1, left=0.9))
+    assert gateway.poll(0.40) == []
+    assert gateway.poll(0.44) == [api.Refuse(1, 1.5)]
+    gateway = Gateway()
+    assert gateway.sends(0.0, request(1, left=0.9)) == [1]
+    gateway.feed(0.1, outcome(1, status=api.Status.CONNECT_FAILED))
+    assert gateway.poll(0.44) in ([api.Refuse(1, 1.5)], [api.Send(1, 1, pytest.approx(0.9, abs=0.1))])
+
+
+def test_what_nobody_asks_for_any_more_is_forgotten():
+    """Tables by volume and cell only grew, on days on which both are ever new."""
+    gateway = Gateway(nodes=tuple(entry(n) for n in range(50)))
+    for n in range(50):
+        gateway.feed(n * 0.01, request(n, volume=n, shard=n))
+        gateway.feed(n * 0.01 + 0.005, outcome(n, node=n))
+    later = 1.0 + logic.FORGET_AFTER
+    gateway.feed(later, request(99, volume=99, shard=1))
+    assert set(gateway.scheduler.volumes) == {99} and set(gateway.scheduler.asked) == {1}
+    assert sum(len(node.shares) for node in gateway.scheduler.nodes.values()) == 1
