Give up reads on silent connections early; do not cut the window for a reset

Probe of kept connections: resets do not follow load. At fault: Scheduler._learn halved the window and raised the latency for lost connections, though the node went on answering; an attempt on one held its place until its aim was gone. Changed: answers to later sends count against earlier ones (nodes take turns); a read passed three times that takes twice the usual is cancelled and sent again; no cut for it or for a reset; an answer that stands still for 0.1 s after its head is a failed attempt. Tests: three in test_clients.py, one on sockets.

--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -19,6 +19,7 @@
 READY_PATH = "/healthz"
 LINGER = 3.0  # s for which a rejected client may go on sending: a close at once would reset its answer away
 STALL_LIMIT = 2.5  # s that a client may take to send a request, from its first byte on
+ANSWER_STALL = 0.1  # s that an answer may stand still once its head has come
 UNREAD_LIMIT = 5.0  # s that a client may leave an answer unread
 MOST_IDS = 8192  # request ids that are remembered, and up to twice that
 
@@ -234,6 +235,8 @@
         self._carrier = carrier
         self._reader = http.Reader(response=True, limit=http.MAX_ANSWER)
         self._held = 0  # bytes counted in the carrier's allowance
+        self._moved_at = 0.0  # when bytes came last
+        self._stall: asyncio.TimerHandle | None = None
         self._attempt: Attempt | None = None
 
     def carry(self, attempt: Attempt) -> None:
@@ -266,8 +269,24 @@
             return len(data)
         if self._reader.done:
             self._finish()
+        elif self._reader.begun:
+            self._moved_at = self._carrier.loop.time()
+            if self._stall is None:
+                self._stall = self._carrier.loop.call_later(ANSWER_STALL, self._check_stall)
         return used
 
+    def _check_stall(self) -> None:
+        """Guard against answers that stop short on a connection that stays open: a read can be sent again."""
+        self._stall = None
+        if self._attempt is None or not self._reader.begun:
+            return
+        left = self._moved_at + ANSWER_STALL - self._carrier.loop.time()
+        if left > 0:
+            self._stall = self._carrier.loop.call_later(left, self._check_stall)
+            return
+        self._carrier.complain(self._attempt, "the answer stopped short")
+        self._conclude(Ending(api.Status.ERROR), keep=False)
+
     def _hold(self, size: int) -> bool:
         change, self._held = size - self._held, size
         return self._carrier.allowance.change(change)
--- a/stalltiller/logic.py
+++ b/stalltiller/logic.py
@@ -30,11 +30,15 @@
 START_WINDOW = 4.0  # requests: a guess between floor and ceiling until answers tell
 LATE_SHARE = 0.2  # of the tightest aim: a mean-sized answer slower than this shows a queue at the node
 DEEP_SHARE = 0.4  # of the tightest aim: the same where the window is one or less and the queue is others'
+SLOW_GAIN = 0.02  # weight of a new answer in what a class takes over the mean
 MEAN_GAIN = 0.1  # weight of a new answer in a node's mean latency: about the last ten count
 REACH_SHARE = 0.6  # of the mean latency: the least a request needs to be held to be in reach of its aim
 WAIT_SHARE = 1.2  # of the mean latency: a client that will not wait this long for an answer gets no attempt
 LATE_PATIENCE = 0.05  # s past its aim for which an attempt may still hold its place in the window
 LONG_SHARE = 3.0  # of the mean latency: an attempt sent late gets at least this long
+PASSED = 3  # answers to later sends at the same node after which an attempt may be lost: nodes take turns
+LOST_SHARE = 2.0  # of what such an attempt takes as a rule: past that it is lost
+LOST_MARGIN = 0.01  # s on top
 # --- Buckets and estimates ------------------------------------------------------------------------
 DEMAND_SPAN = 2.0  # s over which demand and the parts of other gateways are averaged
 PRIOR_UNITS = 3.0  # mean requests' worth of belief in the even split before any news
@@ -131,6 +135,7 @@
         self.reserve = RESERVE_SHARE  # as a share of capacity
         self.quiet_at = now
         self.queue: list[Held] = []
+        self.flying: dict[int, Held] = {}  # attempts that are out, in the order of their sends
         self.cold: deque[tuple[float, float]] = deque()  # (time, units) while cold; served ones below 0
         self.cold_net = 0.0  # units of the above within the rule's span
         self.cold_until = self.cold_part = self.cold_luck = 0.0  # this gateway's turn: end, part, draw
@@ -149,6 +154,8 @@
         self.unsure_at: float | None = None  # send time of the first attempt that may have run
         self.unsure_node: Node | None = None
         self.over = self.drawn = self.landed = False  # landed: an attempt went whole to a node
+        self.sent_at, self.passed = 0.0, 0  # of the last attempt; answers to later sends that came first
+        self.cancelled = False
         self.half = deadline - HALF * r.left
         self.place = IN_RESERVATION
 
@@ -170,6 +177,7 @@
         self.rest_until: dict[int, float] = {}
         self.extra: deque[float] = deque()
         self.taken: deque[float] = deque()
+        self.slowness = [1.0] * len(settings.classes)  # what an attempt takes, over the node's mean latency
         self.full_left = [0.0] * len(settings.classes)
         self.mean = max(settings.mean_units, 1e-9)  # units of a usual request
         self.tightest = min((c.aim for c in settings.classes if c.aim > 0), default=1.0)
@@ -215,7 +223,9 @@
                 touched[node.entry.node] = node
         for name, node in touched.items():
             self._serve(node)
-            if not node.queue:
+            if self._drop_lost(node) or node.queue:
+                self.queued[name] = node
+            else:
                 self.queued.pop(name, None)
         if self.waiting:  # at once, too: a later try may arrive with less time left than a poll takes
             self._poll()
@@ -605,7 +615,9 @@
         node.paced_until = self.now + node.latency / node.window * (0.5 + self.random.random())
         held.attempts += 1
         held.out += 1
+        held.sent_at, held.passed, held.cancelled = self.now, 0, False
         node.out += 1
+        node.flying[r.id] = held
         # An attempt is given up soon after its aim: its place in the window is worth more than a late answer.
         expires = min(held.deadline, max(held.due, self.now + LONG_SHARE * node.latency) + LATE_PATIENCE)
         self.actions.append(api.Send(r.id, node.entry.node, expires))
@@ -645,6 +657,24 @@
         due = (1.0, self.s.share_worth, self.s.spare_worth)[held.place]
         return due * held.cls.worth * held.volume.plan.price
 
+    def _drop_lost(self, node: Node) -> bool:
+        """Give up attempts that a node's later answers have passed; whether some may become lost.
+
+        Guards against connections that fall silent: the request waits on one until its aim is gone, while
+        the node answers those sent after it, which it takes in turn.
+        """
+        suspect = False
+        for held in node.flying.values():
+            if held.passed < PASSED or held.over or held.cancelled or held.cls.effect is not Effect.SAFE:
+                continue
+            usual = node.latency * self.slowness[held.r.cls] * max(1.0, held.r.units / self.mean)
+            if self.now - held.sent_at < LOST_SHARE * usual + LOST_MARGIN:
+                suspect = True
+            elif self.s.may_cancel and held.attempts < self.s.max_attempts:
+                held.cancelled = True
+                self.actions.append(api.Cancel(held.r.id, held.attempts - 1))
+        return suspect
+
     # --- Outcomes ---------------------------------------------------------------------------------
     def _outcome(self, o: api.Outcome) -> Node | None:
         held, node = self.held.get(o.id), self.nodes.get(o.node)
@@ -655,6 +685,7 @@
         at = held.node
         if at is not None:
             at.out -= 1
+            at.flying.pop(o.id, None)
             share = at.shares.get(held.r.volume)
             if share is not None:
                 share.open -= 1
@@ -674,6 +705,16 @@
     def _learn(self, node: Node, held: Held, o: api.Outcome) -> None:
         """Window and latency from one outcome; volume news from an answer."""
         size = max(1.0, held.r.units / self.mean)
+        if o.status is Status.OK:
+            slow = o.took / size / node.latency
+            self.slowness[held.r.cls] += SLOW_GAIN * (min(slow, 10.0) - self.slowness[held.r.cls])
+            for other in node.flying.values():
+                if other.sent_at >= held.sent_at:
+                    break
+                other.passed += 1
+        elif o.status is Status.RESET or (held.passed >= PASSED and o.status in UNSURE_END):
+            node.paused = 0.0  # a connection was lost; the node answers others and is no fuller for it
+            return
         deep = o.took > DEEP_SHARE * self.tightest * size
         late = deep or (node.window > 1 and o.took > LATE_SHARE * self.tightest * size)
         if o.status is Status.OK or (o.status is Status.TIMEOUT and o.took > node.latency):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,7 +6,7 @@
 
 from stalltiller import interface as api
 from stalltiller import logic
-from tests.helpers import Gateway, entry, outcome, request
+from tests.helpers import Gateway, entry, outcome, request, request_class
 
 
 def held(gateway: Gateway, number: int):
@@ -74,3 +74,35 @@
     gateway.feed(later, request(99, volume=99, shard=1))
     assert set(gateway.scheduler.volumes) == {99} and set(gateway.scheduler.asked) == {1}
     assert sum(len(node.shares) for node in gateway.scheduler.nodes.values()) == 1
+
+
+def test_a_read_that_later_answers_have_passed_is_dropped_and_sent_again():
+    """Attempts on connections that had fallen silent held their place until their aim was gone."""
+    gateway = Gateway()
+    node = gateway.scheduler.nodes[1]
+    assert gateway.sends(0.0, *(request(n) for n in range(1, 5))) == [1, 2, 3, 4]
+    node.flying[1].sent_at = -0.01  # the first went a little earlier
+    gateway.feed(0.02, *(outcome(n, took=0.02) for n in (2, 3, 4)))
+    assert node.flying[1].passed == logic.PASSED
+    window = node.window
+    assert gateway.poll(0.03) == []
+    lost = logic.LOST_SHARE * node.latency * gateway.scheduler.slowness[0] + logic.LOST_MARGIN
+    assert gateway.poll(lost) == [api.Cancel(1, 0)]
+    assert gateway.poll(lost + 0.01) == []  # once
+    assert gateway.sends(lost + 0.02, outcome(1, status=api.Status.CANCELLED, over=False, took=lost)) == [1]
+    assert node.window == window  # the node is no fuller for it
+
+
+def test_an_unsafe_write_that_was_passed_is_left_to_its_time():
+    gateway = Gateway(classes=(request_class(effect=api.Effect.UNSAFE, writes=True),))
+    gateway.feed(0.0, *(request(n) for n in range(1, 5)))
+    gateway.scheduler.nodes[1].flying[1].sent_at = -0.01
+    gateway.feed(0.02, *(outcome(n, took=0.02) for n in (2, 3, 4)))
+    assert gateway.poll(0.9) == []
+
+
+def test_a_reset_does_not_cut_the_window():
+    gateway = Gateway()
+    gateway.feed(0.0, request(1))
+    gateway.feed(0.3, outcome(1, status=api.Status.RESET, over=False, took=0.3))
+    assert gateway.scheduler.nodes[1].window == logic.START_WINDOW
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -282,6 +282,24 @@
     play(scene)
 
 
+def test_an_answer_that_stops_short_is_given_up_soon_and_a_read_sent_again():
+    async def scene(world, reader, writer):
+        target, serve, answers = world.targets[0], world.targets[0].serve, []
+
+        async def stop_short(stream, out):
+            await read_message(stream)
+            out.write(http.encode_response(200, b"whole")[:-2])
+            answers.append(out)
+            target.serve = serve
+            await asyncio.sleep(10)
+
+        target.serve = stop_short
+        writer.write(GET)
+        assert (await read_message(reader, response=True)).head.status == 200
+        assert len(answers) == 1 and len(target.ran) == 1
+    play(scene)
+
+
 def test_an_answer_larger_than_a_request_may_be_is_passed_on_within_the_allowance():
     """Answers of 128 to 400 KB were taken for spoilt ones."""
     async def scene(world, reader, writer):
