Leave idle connections alone that targets forget; try a node again that seemed too slow

Changed: ChannelPool keeps both shares and uses fresh channels only for 20 s where the older are lost clearly more often. By reading: a node whose mean latency is over every aim gets no request and is never seen to recover (Scheduler._hopeless, ._shed; test). Changed: what is known of the latency is forgotten after 0.5 s untried. Both fronts: an NVMe answer that stops short, and data held or left unread by hosts, are bounded as on HTTP (MAX_HELD of 32 MiB was as much as the least memory). Tests: four, on both fronts.

--- a/stalltiller/fronts/carrier.py
+++ b/stalltiller/fronts/carrier.py
@@ -11,6 +11,8 @@
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.pool import Channel, ChannelPool
 
+ANSWER_STALL = 0.1  # s that an answer may stand still once it has begun: then a read can be sent again
+
 
 class PooledCarrier:
     """Subclasses make the channels."""
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from stalltiller import interface as api
-from stalltiller.fronts.carrier import PooledCarrier
+from stalltiller.fronts.carrier import ANSWER_STALL, PooledCarrier
 from stalltiller.protocol import http
 from stalltiller.protocol.platform import AnswerFields, FieldError, RequestFields
 from stalltiller.routing.engine import Engine
@@ -19,7 +19,6 @@
 READY_PATH = "/healthz"
 LINGER = 3.0  # s for which a rejected client may go on sending: a close at once would reset its answer away
 STALL_LIMIT = 2.5  # s that a client may take to send a request, from its first byte on
-ANSWER_STALL = 0.1  # s that an answer may stand still once its head has come
 UNREAD_LIMIT = 5.0  # s that a client may leave an answer unread
 MOST_IDS = 8192  # request ids that are remembered, and up to twice that
 
@@ -320,6 +319,7 @@
 
     def _conclude(self, ending: Ending, keep: bool) -> None:
         attempt, self._attempt = self._attempt, None
+        self._carrier.pool.used(attempt, ending.status is api.Status.RESET and not self._reader.begun)
         self._reader.reset()
         self._hold(0)
         if keep and not self.closing:
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -15,12 +15,11 @@
 from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Incoming
-from stalltiller.transport.buffers import BufferPool
+from stalltiller.transport.buffers import Allowance, BufferPool
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
 
 MAX_IO_QUEUES = 8  # of one association
-MAX_HELD = 32 * 1024 * 1024  # bytes of data, of all commands together; past it commands are refused
 MAX_COMMANDS = 4096  # of all clients together; past it, too
 UNREAD_LIMIT = 10.0  # s that a host may leave completions unread
 KEEP_ALIVE_GRACE = 1.0  # s past a client's own keep alive time
@@ -59,7 +58,7 @@
 
     def forget(self) -> None:
         if self.queue.commands.pop(self.command.cid, None) is not None:
-            self.queue.front.held -= self.size
+            self.queue.front.held.change(-self.size)
         if self.stall is not None:
             self.stall.cancel()
 
@@ -125,6 +124,7 @@
         self._reader = nvme.PduReader(nvme.FROM_HOST)
         self._greeted = False
         self._unread: asyncio.TimerHandle | None = None
+        self._unread_bytes = 0
         self._head = 0
         self.association: Association | None = None
         self.number = self.entries = 0
@@ -136,6 +136,7 @@
         self._listener.arrived(self)
 
     def ended(self, error: Exception | None) -> None:
+        self._count_unread(0)
         if self._unread is not None:
             self._unread.cancel()
         self._listener.left(self)
@@ -172,7 +173,12 @@
         if self._unread is None:
             self._unread = self.front.loop.call_later(UNREAD_LIMIT, self.abort)
 
+    def _count_unread(self, size: int) -> bool:
+        change, self._unread_bytes = size - self._unread_bytes, size
+        return self.front.unread.change(change)
+
     def resume_writing(self) -> None:
+        self._count_unread(0)
         self._unread.cancel()
         self._unread = None
         super().resume_writing()
@@ -184,6 +190,9 @@
     def complete(self, done: nvme.Completion) -> None:
         self._head = (self._head + 1) % max(1, self.entries)
         self.write(nvme.completion(done, self.number, self._head))
+        if not self.flushed and not self.closing and not self._count_unread(
+                self.transport.get_write_buffer_size()):
+            self.abort()
 
     def _terminate(self, error: nvme.PduError) -> None:
         """Say why, and end this association alone."""
@@ -329,11 +338,11 @@
             self.complete(nvme.Completion(command.cid, status, no_retry=True))
             return
         io = IoCommand(self, command, space, self.front.loop.time())
-        if self.front.held + io.size > MAX_HELD or self.front.engine.open >= MAX_COMMANDS:
+        if not self.front.held.change(io.size) or self.front.engine.open >= MAX_COMMANDS:
+            self.front.held.change(-io.size)
             self.complete(nvme.Completion(command.cid, nvme.NOT_READY, delay=3))
             return
         self.commands[command.cid] = io
-        self.front.held += io.size
         if io.write and command.sgl != nvme.IN_CAPSULE_SGL:
             io.stall = self.front.loop.call_later(self.front.mapping.opcodes[nvme.WRITE][1], self._stalled)
             self.write(nvme.r2t(command.cid, command.cid, 0, io.size))
@@ -369,11 +378,13 @@
     """Clients over NVMe/TCP."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 settings: api.Settings, name: str, mapping: Mapping, log: Callable[..., None]) -> None:
+                 settings: api.Settings, name: str, mapping: Mapping, log: Callable[..., None],
+                 memory: int) -> None:
         self.loop, self.engine, self.buffers, self.log = loop, engine, buffers, log
         self.name, self.mapping = name, mapping
         self.stopping = False
-        self.held = 0  # bytes of data of the commands under way
+        self.held = Allowance(memory)  # data of the commands under way; past it commands are refused
+        self.unread = Allowance(memory)  # what hosts leave unread; past it their connections end
         self.associations: dict[int, Association] = {}
         self._numbers = itertools.cycle(range(1, 0xFFF0))
         longest = max(1, int(settings.max_advice * 10)) if settings.may_advise else 1
--- a/stalltiller/fronts/nvme_targets.py
+++ b/stalltiller/fronts/nvme_targets.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from stalltiller import interface as api
-from stalltiller.fronts.carrier import PooledCarrier
+from stalltiller.fronts.carrier import ANSWER_STALL, PooledCarrier
 from stalltiller.fronts.nvme_mapping import Mapping, Payload
 from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
@@ -35,6 +35,8 @@
         self._cid = 0
         self._out, self._in = b"", bytearray()  # data still to send, and received
         self._size = 0
+        self._moved_at = 0.0  # when bytes came last
+        self._stall: asyncio.TimerHandle | None = None
         self._max_data = nvme.MAX_DATA
         self._greeting: asyncio.Future[None] | None = None
         self.error: nvme.PduError | None = None
@@ -78,8 +80,26 @@
             self.write(nvme.term(nvme.H2C_TERM, error))
             self.close()
             return len(data)
+        if self._in and self._done is not None:
+            loop = asyncio.get_running_loop()
+            self._moved_at = loop.time()
+            if self._stall is None:
+                self._stall = loop.call_later(ANSWER_STALL, self._check_stall)
         return used
 
+    def _check_stall(self) -> None:
+        """Guard against answers that stop short on a connection that stays open."""
+        self._stall = None
+        if not self._in or self._done is None:
+            return
+        loop = asyncio.get_running_loop()
+        left = self._moved_at + ANSWER_STALL - loop.time()
+        if left > 0:
+            self._stall = loop.call_later(left, self._check_stall)
+            return
+        self.error = nvme.PduError("the answer stopped short")
+        self.abort()
+
     def eof_received(self) -> bool:
         self.abort()
         return False
@@ -183,6 +203,7 @@
         if self._io.error is not None:
             status = api.Status.ERROR
             self._carrier.complain(attempt, str(self._io.error))
+        self._carrier.pool.used(attempt, status is api.Status.RESET)
         if completion is not None and not self.closing:
             self._carrier.pool.release(attempt, self)
         else:
--- a/stalltiller/logic.py
+++ b/stalltiller/logic.py
@@ -36,6 +36,7 @@
 WAIT_SHARE = 1.2  # of the mean latency: a client that will not wait this long for an answer gets no attempt
 LATE_PATIENCE = 0.05  # s past its aim for which an attempt may still hold its place in the window
 LONG_SHARE = 3.0  # of the mean latency: an attempt sent late gets at least this long
+UNTRIED = 0.5  # s without an attempt after which what is known of a node's latency is forgotten
 PASSED = 3  # answers to later sends at the same node after which an attempt may be lost: nodes take turns
 LOST_SHARE = 2.0  # of what such an attempt takes as a rule: past that it is lost
 LOST_MARGIN = 0.01  # s on top
@@ -130,6 +131,7 @@
         self.entry = entry
         self.window, self.latency = START_WINDOW, latency
         self.out = 0
+        self.sent_at = now  # last
         self.cut_at = now
         self.shares: dict[int, Share] = {}
         self.reserve = RESERVE_SHARE  # as a share of capacity
@@ -466,6 +468,10 @@
         """Send what the window allows, then give up what is out of reach."""
         if node.entry.state is not NodeState.READY or node.entry.node not in self.nodes:
             return
+        if not node.out and self.now - node.sent_at >= UNTRIED:
+            # Guards against a node avoided for good: what seems too slow for every request is never tried
+            # again, and so never seen to have recovered.
+            node.latency = min(node.latency, LATE_SHARE * self.tightest)
         while True:
             for held in node.queue:
                 held.place = self._rank(node, held)
@@ -617,7 +623,7 @@
         held.out += 1
         held.sent_at, held.passed, held.cancelled = self.now, 0, False
         node.out += 1
-        node.flying[r.id] = held
+        node.flying[r.id], node.sent_at = held, self.now
         # An attempt is given up soon after its aim: its place in the window is worth more than a late answer.
         expires = min(held.deadline, max(held.due, self.now + LONG_SHARE * node.latency) + LATE_PATIENCE)
         self.actions.append(api.Send(r.id, node.entry.node, expires))
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -48,12 +48,12 @@
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS
         targets = max(16, int(sockets * TARGET_SHARE))
         channels = (config.connect_timeout, config.idle_limit, targets, log)
+        bodies = max(LEAST_BODIES, int((config.memory - OWN_MEMORY) * BODY_SHARE))
         if config.nvme is None:
-            bodies = max(LEAST_BODIES, int((config.memory - OWN_MEMORY) * BODY_SHARE))
             self.front = HttpFront(*common, config.settings, self.is_ready, bodies)
             self.carrier = HttpCarrier(*common, *channels, config.settings, bodies)
         else:
-            self.front = NvmeFront(*common, config.settings, config.name, config.nvme, log)
+            self.front = NvmeFront(*common, config.settings, config.name, config.nvme, log, bodies)
             self.carrier = NvmeCarrier(*common, *channels, config.name, config.nvme)
         self.engine.carrier = self.carrier
         self._directory = Directory(self.engine, config.zones, config.kinds)
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -54,6 +54,7 @@
     expires: float
     last_start: float | None = None  # when a drain ends the time for first bytes; None: no drain
     wire: Any = field(default=None, repr=False)
+    idle_for: float | None = None  # s for which `wire` had stood idle before; None: it is new
 
 
 @dataclass(slots=True, frozen=True)
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -6,15 +6,24 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
+FRESH = 0.1  # s for which an idle channel is as good as a new one
+STALE_GAIN = 0.05  # weight of a new use in the shares of uses that are lost
+STALE_SHARE = 0.1  # of uses lost, over that of fresh channels, from which only fresh ones are used
+WARY = 20.0  # s for which that holds
+
 
 class Job(Protocol):
-    """What is to be carried to a target; `wire` is where the pool notes what carries it."""
+    """What is to be carried to a target; `wire` is where the pool notes what carries it.
+
+    `idle_for` says for how long that had stood idle, None if it is new.
+    """
 
     node: Any
     host: str
     port: int
     last_start: float | None
     wire: Any
+    idle_for: float | None
 
 
 class Channel(Protocol):
@@ -52,16 +61,20 @@
         self._channels: set[Channel] = set()  # those that are up; closing ones are left out at the next look
         self._connecting = 0
         self._idle: dict[Address, list[tuple[float, Channel]]] = {}
+        self._lost = {True: 0.0, False: 0.0}  # share of uses lost, of fresh channels and of the others
+        self._wary_until = 0.0
         self._sweep: asyncio.TimerHandle | None = None
         self.opened = 0
 
     def start(self, job: Job) -> None:
         """Carry a job by the idle channel used last, or by a new one."""
         idle = self._idle.get((job.node, job.host, job.port))
+        now = self._loop.time()
+        oldest = now - FRESH if now < self._wary_until else 0.0
         while idle:
-            _, channel = idle.pop()
-            if channel.quiet():
-                job.wire = channel
+            since, channel = idle.pop()
+            if channel.quiet() and since >= oldest:
+                job.wire, job.idle_for = channel, now - since
                 channel.carry(job)
                 return
             channel.close()
@@ -75,6 +88,19 @@
             return False
         return wire is not None and wire.give_up()
 
+    def used(self, job: Job, lost: bool) -> None:
+        """How the use of a channel ended.
+
+        Guards against targets, and what lies between, that forget idle connections sooner than the settings
+        say: each use of one is an attempt that may have run.  They show in losses that grow with idle time.
+        """
+        if job.idle_for is None:
+            return
+        fresh = job.idle_for <= FRESH
+        self._lost[fresh] += STALE_GAIN * (lost - self._lost[fresh])
+        if lost and not fresh and self._lost[False] > STALE_SHARE + 2 * self._lost[True]:
+            self._wary_until = self._loop.time() + WARY
+
     def release(self, job: Job, channel: Channel) -> None:
         """An exchange is over and its channel may be used again."""
         job.wire = None
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -106,3 +106,16 @@
     gateway.feed(0.0, request(1))
     gateway.feed(0.3, outcome(1, status=api.Status.RESET, over=False, took=0.3))
     assert gateway.scheduler.nodes[1].window == logic.START_WINDOW
+
+
+def test_a_node_that_seemed_too_slow_is_tried_again():
+    """With a mean latency over every aim it got no request, and so no answer that could lower the mean."""
+    gateway = Gateway()
+    gateway.feed(0.0, request(1))
+    gateway.feed(0.1, outcome(1))
+    node = gateway.scheduler.nodes[1]
+    node.latency, node.window = 5.0, logic.FLOOR
+    assert gateway.sends(0.3, request(2)) == []
+    assert gateway.sends(0.2 + logic.UNTRIED, request(3)) == [3]
+    node.latency = 5.0
+    assert gateway.sends(0.21 + logic.UNTRIED, request(4)) == []
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from types import SimpleNamespace
 
 import pytest
 
@@ -282,6 +283,26 @@
     play(scene)
 
 
+def test_idle_connections_that_targets_forget_are_no_longer_used():
+    """A write on each of them is an attempt that may have run: failed, with nothing wrong at the target."""
+    async def scene(world, reader, writer):
+        pool, job = world.app.carrier.pool, SimpleNamespace(idle_for=0.2)
+        assert (await world.read()).end == "served"
+        await asyncio.sleep(0.12)
+        assert (await world.read()).end == "served" and pool.opened == 1
+        for lost in (True, False, True, True):
+            pool.used(job, lost)
+        await asyncio.sleep(0.12)
+        assert (await world.read()).end == "served" and pool.opened == 2
+        assert (await world.read()).end == "served" and pool.opened == 2  # a fresh one is used again
+        pool._wary_until = 0.0
+        for lost in (True, False, True, True):  # where fresh ones are lost as often, age is not the cause
+            pool.used(SimpleNamespace(idle_for=0.01), lost)
+            pool.used(job, lost)
+        assert pool._wary_until == 0.0
+    play(scene)
+
+
 def test_an_answer_that_stops_short_is_given_up_soon_and_a_read_sent_again():
     async def scene(world, reader, writer):
         target, serve, answers = world.targets[0], world.targets[0].serve, []
--- a/tests/test_nvme_front.py
+++ b/tests/test_nvme_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import struct
 
 import pytest
@@ -177,7 +178,7 @@
         admin.writer.transport.abort()
         assert await io.reader.read() == b""
         await world.until(lambda: world.app.engine.open == 0)
-        assert world.app.engine.counts["gone"] == 2 and world.app.front.held == 0
+        assert world.app.engine.counts["gone"] == 2 and world.app.front.held.held == 0
     play(scene)
 
 
@@ -210,3 +211,37 @@
         assert (await world.write(tag=3)).end == "served"
         assert [tag for tag, _ in world.targets[0].ran] == [3]
     play(scene)
+
+
+def test_an_answer_that_stops_short_is_given_up_soon_and_a_read_sent_again():
+    async def scene(world, client):
+        target, command = world.targets[0], world.targets[0].command
+
+        async def stop_short(stream, c, data):
+            if c.opcode != nvme.READ:
+                return await command(stream, c, data)
+            stream.writer.write(nvme.data_pdu(nvme.C2H_DATA, c.cid, 0, 0, bytes(BLOCK)))
+            target.command = command
+            await asyncio.sleep(10)
+
+        target.command = stop_short
+        result = await world.read()
+        assert result.end == "served"
+        assert world.app.engine.counts["attempt_error"] == 1
+    play(scene)
+
+
+def test_completions_that_a_host_does_not_read_are_held_to_an_allowance():
+    async def scene(world, client):
+        admin, io = await client.associate()
+        world.app.front.unread._most = 50_000
+        (association,) = world.app.front.associations.values()
+        ours = association.queues[1].transport
+        for end, option in ((ours, socket.SO_SNDBUF), (io.writer, socket.SO_RCVBUF)):
+            end.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, 4096)
+        io.writer.transport.pause_reading()
+        for cid in range(1, 16):
+            io.writer.write(read(cid, blocks=128))
+        await world.until(lambda: world.app.front.associations == {})
+        assert world.app.front.unread.held == 0
+    play(scene)
