Close idle client connections after 2 s, sooner when clients hold a fifth of the descriptors

Checked with a probe of the listener: none turned away, 128 connections used at least once, almost all idle, requests down from 200 to 50 a second. 128 is the third of the descriptors that clients may hold: those that ask once and stay left the others none to ask by. Ruled out: shedding (turned away: 0), rejected clients that linger, unread answers, lost attempts. At fault: Listener.IDLE_LIMIT of 15 s. Changed: 2 s, and 0.3 s while more than a fifth of the descriptors are clients'. Test: test_idle_connections_are_closed_and_sooner_in_a_crowd.

--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -27,6 +27,7 @@
 STOP_GRACE = 0.1  # s past that, counted from SIGTERM, at which all is answered and the program ends
 CLOSING_TIME = 0.5  # s before its end at which it starts to close what clients keep open
 OWN_SOCKETS = 64  # descriptors for the program itself, and for discovery
+USUAL_SHARE = 5  # of all descriptors: a part in so many for clients is usual; they may hold a third
 TARGET_SHARE = 0.45  # of the descriptors, for targets
 OWN_MEMORY = 24 * 1024 * 1024  # bytes of the program itself and what is small
 BODY_SHARE = 0.3  # of the memory left: for answers coming in, and as much for those that clients do not read
@@ -57,7 +58,8 @@
             self.carrier = NvmeCarrier(*common, *channels, config.name, config.nvme)
         self.engine.carrier = self.carrier
         self._directory = Directory(self.engine, config.zones, config.kinds)
-        self.listener = Listener(self.front.connection, max(16, sockets - targets))
+        usual = (sockets + OWN_SOCKETS) // USUAL_SHARE
+        self.listener = Listener(self.front.connection, max(16, sockets - targets), usual)
         self._ready_at = loop.time() + READY_AFTER
         self._listed = False
         self._discovery = config.discovery
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -14,7 +14,8 @@
 SWEEP_EVERY = 0.25  # s between looks for connections to close
 SPEAK_LIMIT = 0.1  # s in which a client that has something to ask has asked, as a rule
 HELLO_LIMIT = 2.0  # s that a new connection may take until its first whole request
-IDLE_LIMIT = 15.0  # s that a connection may stand idle
+IDLE_LIMIT = 2.0  # s that a connection may stand idle
+CROWDED_LIMIT = 0.3  # s, while there are more than `usual`
 
 
 class Guest(Protocol):
@@ -44,8 +45,8 @@
     idle connections of usual clients, and new ones whose first request is on its way.
     """
 
-    def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int) -> None:
-        self._make, self._most = make, most
+    def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int, usual: int) -> None:
+        self._make, self._most, self._usual = make, most, usual
         self._server: asyncio.Server | None = None
         self._strangers: dict[Guest, float] = {}  # no whole request yet: when each arrived, in order
         self._guests: dict[Guest, float] = {}  # when each was last used, in order
@@ -115,16 +116,20 @@
         self._sweep = asyncio.get_running_loop().call_later(SWEEP_EVERY, self._close_old)
 
     def _close_old(self) -> None:
-        """Guard against clients that say nothing, never end what they begin, or ask once and stay."""
+        """Guard against clients that say nothing, never end what they begin, or ask once and stay.
+
+        Clients hold only so many connections to an initiator: those that stay unused keep others from asking.
+        """
         now = time.monotonic()
         for guest, since in list(self._strangers.items()):
             if now - since < HELLO_LIMIT:
                 break
             guest.overdue()
+        left = len(self._guests)
         for guest, since in list(self._guests.items()):
-            if now - since < IDLE_LIMIT:
+            if now - since < (IDLE_LIMIT if left <= self._usual else CROWDED_LIMIT):
                 break
-            guest.close_if_idle()
+            left -= guest.close_if_idle()
         self._sweep_later()
 
     def close(self) -> None:
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -109,7 +109,7 @@
     front = SimpleNamespace(  # answers every request at once as bad, which needs no engine
         buffers=BufferPool(), loop=None, stopping=False, engine=SimpleNamespace(counts=Counter()),
         fields=SimpleNamespace(parse=refuse_fields), unread=Allowance(99))
-    connection = ClientConnection(front, Listener(None, 9))
+    connection = ClientConnection(front, Listener(None, 9, 9))
     connection.connection_made(Transport())
     raw = b"GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n"
     connection.pause_writing()  # the kernel takes no more
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -231,6 +231,24 @@
     play(scene)
 
 
+@pytest.mark.parametrize(("limit", "usual"), [("IDLE_LIMIT", 9), ("CROWDED_LIMIT", 1)])
+def test_idle_connections_are_closed_and_sooner_in_a_crowd(monkeypatch, limit, usual):
+    """Clients that asked once and stayed held every place, and the others had none left to ask by."""
+    monkeypatch.setattr(f"stalltiller.transport.listener.{limit}", 0.05)
+
+    async def scene(world, reader, writer):
+        world.app.listener._usual = usual
+        world.targets[0].delay = 0.3
+        other, asking = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
+        asking.write(GET)
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert (await read_message(reader, response=True)).head.keeps_alive()
+        assert await reader.read() == b""
+        assert (await read_message(other, response=True)).head.status == 200  # it was not idle
+        asking.transport.abort()
+    play(scene)
+
+
 def test_after_sigterm_open_connections_are_served_on_and_in_the_end_all_is_answered(monkeypatch):
     """Closing at once left the clients without their one initiator until its next start."""
     monkeypatch.setattr("stalltiller.program.app.STILL_LISTENING", 0.05)
@@ -352,12 +370,16 @@
 
         world.targets[0].serve = serve
         world.app.front.unread._most = 100_000
-        client = socket.create_connection(("127.0.0.1", world.app.listener.address[1]))
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        client.sendall(GET)
+        client, asking = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
+        await world.until(lambda: len(world.app.listener) == 2)
+        for ours in world.app.listener._strangers:
+            ours.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        asking.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        asking.transport.pause_reading()
+        asking.write(GET)
         await world.until(lambda: world.app.engine.counts["served"] == 1)
-        await world.until(lambda: len(world.app.listener) == 1 and world.app.front.unread.held == 0)
-        client.close()
+        await world.until(lambda: len(world.app.listener) <= 1 and world.app.front.unread.held == 0)
+        asking.transport.abort()
     play(scene)
 
 
