Have the stop's test fail without close_out, too

Now nothing may be open at that end. Tried with keep_idle and with close_out taken out: it fails both times.

--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -270,10 +270,10 @@
             await asyncio.sleep(0.2)
             writer.write(request.replace(b"id1", number))
             world.targets[0].mode = {b"id2": "serve", b"id3": "silent"}[number]
-        answer = await read_message(reader, response=True)
-        assert answer.head.status in (503, 504) and not answer.head.keeps_alive()
         await asyncio.wait_for(asyncio.shield(world.running), 10)
         assert world.app.engine.open == 0
+        answer = await read_message(reader, response=True)
+        assert answer.head.status in (503, 504) and not answer.head.keeps_alive()
     play(scene, classes=(request_class(name="read", aim=5.0, deadline=2.0),))
 
 
