Listen on the socket named by PROXY_INHERITED_FD instead of binding its address again

Checked: a probe that logged environment and descriptors shows a listening socket under descriptor 3, named in PROXY_INHERITED_FD, which holds the address; no second program of ours was running. At fault: Listener.open, which always bound PROXY_LISTEN itself.

--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -72,7 +72,7 @@
         config = self._config
         if config.known is not None:
             self._directory.listed(ListKind.CACHED, config.known)
-        await self.listener.open(*config.listen)
+        await self.listener.open(*config.listen, config.inherited)
         self._watch()
         reporting = self._loop.create_task(self._report())
         metrics = Metrics(config, self.sample, self._loop)
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -47,6 +47,7 @@
     kinds: list[str]
     connect_timeout: float
     idle_limit: float
+    inherited: int | None = None  # descriptor of a socket that listens already; None: bind `listen`
     nvme: nvme_mapping.Mapping | None = None  # None: the platform's HTTP front
     graphite: Sink | None = None
     collectd: Sink | None = None
@@ -99,6 +100,14 @@
         raise ConfigError(f"seed: not hexadecimal: {text!r}") from error
 
 
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit() or int(text) < 3:
+        raise ConfigError(f"PROXY_INHERITED_FD: not a descriptor: {text!r}")
+    return int(text)
+
+
 def _seconds(limits: object, key: str, default: float) -> float:
     value = limits.get(key) if isinstance(limits, dict) else None
     return value / SECOND if isinstance(value, int | float) and value > 0 else default
@@ -159,7 +168,7 @@
     data = read_json(path)
     for name in ("name", "listen", "discovery"):
         data[name] = environment.get(f"PROXY_{name.upper()}") or data.get(name)
-    return _config(data, path)
+    return _config(data, path, inherited=_descriptor(environment.get("PROXY_INHERITED_FD")))
 
 
 # --- The operator's file ----------------------------------------------------------------------------
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -61,15 +61,24 @@
     def __len__(self) -> int:
         return len(self._strangers) + len(self._guests)
 
-    async def open(self, host: str, port: int) -> None:
-        """Listen.
+    async def open(self, host: str, port: int, inherited: int | None = None) -> None:
+        """Listen, on the socket handed over under that descriptor if there is one.
+
+        Guards against binding an address anew that whoever started the program holds already: it fails.  What
+        waits on a socket handed over outlives this program, and whoever holds it next serves it.
 
         asyncio accepts as many connections in one turn as `backlog` says, before any can be closed: with the
         kernel's number there a crowd would take every descriptor, and asyncio then accepts none for a second.
         """
         loop = asyncio.get_running_loop()
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        if inherited is not None:
+            listening = socket.socket(fileno=inherited)
+            if not listening.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise OSError(f"descriptor {inherited} is no listening socket")
+            listening.set_inheritable(False)
+        else:
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
         listening.setblocking(False)
         self._server = await loop.create_server(lambda: self._make(self), sock=listening, backlog=BATCH)
         listening.listen(BACKLOG)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -24,9 +24,9 @@
 EXAMPLE = json.loads((ROOT / "examples" / "config.json").read_text())
 
 
-def start(*arguments: str, preexec_fn=None, **environment: str) -> subprocess.Popen:
+def start(*arguments: str, preexec_fn=None, pass_fds=(), **environment: str) -> subprocess.Popen:
     return subprocess.Popen([sys.executable, "-m", "stalltiller", *arguments], cwd=ROOT, text=True,
-                            preexec_fn=preexec_fn, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+                            preexec_fn=preexec_fn, pass_fds=pass_fds, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
                             env={**os.environ, "PYTHONUNBUFFERED": "1", **environment})
 
 
@@ -142,6 +142,28 @@
         program.communicate()
 
 
+def test_it_listens_on_the_socket_that_it_is_handed():
+    """The address is bound already: to bind it anew would fail."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        address, number = listening.getsockname(), listening.fileno()
+        program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), pass_fds=(number,),
+                        PROXY_LISTEN=f"127.0.0.1:{address[1]}", PROXY_INHERITED_FD=str(number))
+        with socket.create_connection(address, timeout=20) as client:
+            client.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+            assert client.recv(100).startswith(b"HTTP/1.1 ")
+        program.send_signal(signal.SIGTERM)
+        program.communicate(timeout=20)
+        assert program.returncode == 0
+
+
+@pytest.mark.parametrize("number", ["three", "2", "99999"])
+def test_a_descriptor_that_does_not_listen_ends_with_one_plain_line(number):
+    program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0",
+                    PROXY_INHERITED_FD=number)
+    _, err = program.communicate(timeout=20)
+    assert (program.returncode, err.count("\n")) == (2, 1) and err.startswith("stalltiller: ")
+
+
 def test_it_lives_through_running_out_of_descriptors():
     program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0",
                     preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)))
