Answer operators' calls at a second address; hand over to the next process

Ruled out: a slow start (both processes had started and served within 0.05 s) and discovery (the lists came in time). At fault: nothing read admin; App.run accepted at once, so both processes spent the initiator's whole part of the limits. Now: fronts/admin.py answers _ready, detach and attach; a target taken out drains whatever discovery lists, also in the next process (a file in TMPDIR), and comes back cold; a lock in TMPDIR gives the turn to take clients to one process, whose tokens count from then.

--- /dev/null
+++ b/stalltiller/fronts/admin.py
@@ -0,0 +1,84 @@
+"""The second address: HTTP/1.1 calls of the operators, one to a connection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from stalltiller.protocol import http
+from stalltiller.transport.buffers import BufferPool
+from stalltiller.transport.connection import Connection
+from stalltiller.transport.listener import Listener
+
+MAX_CALLERS = 16  # connections at once
+CALL_LIMIT = 10.0  # s that a caller may take over its call
+MAX_CALL = 1024  # bytes of a call's body
+
+Act = Callable[[str], bool]  # takes the call's body, stripped; whether the answer is yes
+
+
+class AdminConnection(Connection):
+    """One call: it is answered in the turn of the loop in which it is whole, and the connection closed."""
+
+    def __init__(self, buffers: BufferPool, calls: dict[tuple[str, str], Act], listener: Listener) -> None:
+        super().__init__(buffers)
+        self._calls, self._listener = calls, listener
+        self._reader = http.Reader(response=False, limit=MAX_CALL)
+        self._answered = False
+
+    def opened(self) -> None:
+        self._listener.arrived(self)
+
+    def ended(self, error: Exception | None) -> None:
+        self._listener.left(self)
+
+    def received(self, data: memoryview) -> int:
+        if self._answered:
+            return len(data)
+        try:
+            used = self._reader.feed(data)
+        except http.HttpError as error:
+            self._answer(error.status)
+            return len(data)
+        if self._reader.done:
+            self._answer(self._act(self._reader.head, bytes(self._reader.body)))
+        return used
+
+    def overflow(self) -> None:
+        self._answer(431)
+        self.discard()
+
+    def _act(self, head: http.Head, body: bytes) -> int:
+        path = head.target.partition("?")[0]
+        act = self._calls.get((head.method, path))
+        if act is None:
+            return 405 if any(path == known for _, known in self._calls) else 404
+        try:
+            yes = act(body.decode("ascii").strip())
+        except UnicodeDecodeError:
+            return 400
+        except OSError:  # what was asked for can't be kept
+            return 500
+        if yes:
+            return 200
+        return 503 if head.method == "GET" else 404
+
+    def _answer(self, status: int) -> None:
+        self._answered = True
+        self.write(http.encode_response(status, close=True))
+        self.close()
+
+    # --- The listener's side ---
+    def close_if_idle(self) -> bool:
+        return False
+
+    def overdue(self) -> None:
+        self.abort()
+
+    def turn_away(self) -> None:
+        self.abort()
+
+
+def admin_listener(buffers: BufferPool, calls: dict[tuple[str, str], Act]) -> Listener:
+    """Listens for calls.  Callers that say nothing make room for others, the oldest first."""
+    return Listener(lambda listener: AdminConnection(buffers, calls, listener), MAX_CALLERS, MAX_CALLERS,
+                    hello=CALL_LIMIT)
--- a/stalltiller/fronts/directory.py
+++ b/stalltiller/fronts/directory.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from stalltiller import interface as api
 from stalltiller.protocol import discovery, http
@@ -14,10 +16,17 @@
 
 
 class Directory:
-    """Turns discovery's list into the engine's."""
+    """Turns discovery's list into the engine's.
+
+    A target taken out by hand drains for the engine, whatever discovery says, until it is put back.  It was
+    restarted meanwhile, so it counts as started then unless discovery tells a start since it was taken out.
+    """
 
     def __init__(self, engine: Engine, zones: list[str], kinds: list[str]) -> None:
         self._engine, self._zones, self._kinds = engine, zones, kinds
+        self._listed: dict[str, Place] = {}  # as discovery last told
+        self.out: dict[str, float] = {}  # taken out: when (Unix time)
+        self._back: dict[str, tuple[float, float]] = {}  # put back: when taken out and when put back
 
     def place(self, target: discovery.Target) -> Place:
         zone = self._zones.index(target.zone) if target.zone in self._zones else len(self._zones)
@@ -26,7 +35,42 @@
                                    self._engine.since(target.since)), target.host, target.port)
 
     def listed(self, kind: api.ListKind, listing: discovery.Listing) -> None:
-        self._engine.listed(kind, [self.place(target) for target in listing.targets])
+        places = [self.place(target) for target in listing.targets]
+        if kind is not api.ListKind.DELTA:
+            self._listed.clear()
+        for place in places:
+            if place.entry.state is api.NodeState.GONE:
+                self._listed.pop(place.entry.node, None)
+            else:
+                self._listed[place.entry.node] = place
+        self._back = {name: times for name, times in self._back.items() if name in self._listed}
+        self._engine.listed(kind, [self._ours(place) for place in places])
+
+    def _ours(self, place: Place) -> Place:
+        entry = place.entry
+        if entry.node in self.out and entry.state is api.NodeState.READY:
+            return replace(place, entry=replace(entry, state=api.NodeState.DRAINING))
+        if entry.node in self._back:
+            left, back = map(self._engine.since, self._back[entry.node])
+            if entry.started is None or entry.started < left:
+                return replace(place, entry=replace(entry, started=back))
+        return place
+
+    def knows(self, name: str) -> bool:
+        return name in self._listed or name in self.out
+
+    def set_out(self, out: dict[str, float]) -> None:
+        """Take out and put back targets, so that those named are out, each since a Unix time."""
+        changed = [name for name in (*self.out, *out) if (name in self.out) != (name in out)]
+        for name in changed:
+            if name in self.out:
+                self._back[name] = (self.out[name], time.time())
+            else:
+                self._back.pop(name, None)
+        self.out = out
+        told = [self._ours(self._listed[name]) for name in changed if name in self._listed]
+        if told:
+            self._engine.listed(api.ListKind.DELTA, told)
 
 
 class WatchCodec:
--- a/stalltiller/logic.py
+++ b/stalltiller/logic.py
@@ -187,8 +187,17 @@
         self.polling = False
         self.started = self.swept_at = now
         self.watching = False
+        self.filling = True  # the buckets of the limits
         self.actions: list[api.Action] = []
 
+    def begin(self, now: float) -> None:
+        """Count tokens from now on.  Guards against spending what the process before has spent already."""
+        self.started = now
+
+    def retire(self) -> None:
+        """Spend what was saved up, no more: what comes in from now on is another process's."""
+        self.filling = False
+
     # --- Entry ------------------------------------------------------------------------------------
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
         """Take the events of one moment and return what to do about them, in order (probes are not used)."""
@@ -540,6 +549,8 @@
 
     def _tokens(self, volume: Volume) -> float:
         hosts = volume.hosts
+        if not self.filling:
+            return volume.limit.level
         return volume.limit.fill(self.now, volume.plan.limit / hosts, volume.plan.burst / hosts)
 
     def _borrow(self, name: int, volume: Volume) -> None:
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import resource
+import time
 from collections.abc import Callable
 
+from stalltiller.fronts.admin import admin_listener
 from stalltiller.fronts.directory import WATCH_TIMEOUT, Directory, WatchCodec
 from stalltiller.fronts.http import HttpCarrier, HttpFront
 from stalltiller.fronts.nvme_clients import NvmeFront
 from stalltiller.fronts.nvme_targets import NvmeCarrier
 from stalltiller.interface import ListKind
 from stalltiller.program.config import Config, ConfigError
+from stalltiller.program.handover import Handover
 from stalltiller.program.log import JsonLog
 from stalltiller.program.metrics import Metrics
 from stalltiller.protocol.discovery import Listing
@@ -20,6 +23,8 @@
 from stalltiller.transport.listener import Listener
 from stalltiller.transport.watch import Watch
 
+TURN_EVERY = 0.01  # s between looks whether the process before still takes clients
+LOOK_EVERY = 0.2  # s between looks whether the other process has taken targets out
 READY_AFTER = 1.0  # s without word of discovery after which the list known before has to do
 REPORT_EVERY = 5.0  # s between log lines with the counters
 STILL_LISTENING = 0.5  # s after SIGTERM for which it stays though nothing is open: clients learn of it late
@@ -58,6 +63,11 @@
             self.carrier = NvmeCarrier(*common, *channels, config.name, config.nvme)
         self.engine.carrier = self.carrier
         self._directory = Directory(self.engine, config.zones, config.kinds)
+        self._handover = Handover(config.folder, config.name)
+        self.admin = admin_listener(self.buffers, {
+            ("GET", "/_ready"): lambda _: self.is_ready() and not self.stop.is_set(),
+            ("PUT", "/_targets/detach"): lambda name: self._take_out(name, True),
+            ("PUT", "/_targets/attach"): lambda name: self._take_out(name, False)})
         usual = (sockets + OWN_SOCKETS) // USUAL_SHARE
         self.listener = Listener(self.front.connection, max(16, sockets - targets), usual)
         self._ready_at = loop.time() + READY_AFTER
@@ -70,11 +80,17 @@
     async def run(self) -> None:
         """Serve until `stop` is set, then until all is answered."""
         config = self._config
+        self._directory.set_out(self._handover.load())
         if config.known is not None:
             self._directory.listed(ListKind.CACHED, config.known)
-        await self.listener.open(*config.listen, config.inherited)
+        if config.admin is not None:
+            await self.admin.open(*config.admin)
+            self._log("admin", listen=join(*self.admin.address))
         self._watch()
-        reporting = self._loop.create_task(self._report())
+        if config.inherited is not None:
+            await self._own_turn()
+        await self.listener.open(*config.listen, config.inherited)
+        tasks = [self._loop.create_task(work) for work in (self._report(), self._follow())]
         metrics = Metrics(config, self.sample, self._loop)
         metrics.start()
         self._log("started", listen=join(*self.listener.address))
@@ -86,11 +102,42 @@
         finally:
             metrics.close()
             self.listener.close()
-            for task in (self._watching, reporting):
+            self.admin.close()
+            for task in (self._watching, *tasks):
                 task.cancel()
             self.carrier.pool.close()
         self._log("stopped", **self.engine.counts)
 
+    async def _own_turn(self) -> None:
+        """Wait until the process that shares the listening socket takes no more clients.
+
+        Guards against two processes that each spend the whole of this initiator's part of the limits.
+        """
+        while not self._handover.take_turn() and not self.stop.is_set():
+            await asyncio.sleep(TURN_EVERY)
+        self.engine.begin()
+
+    def _take_out(self, name: str, out: bool) -> bool:
+        """Take a target out or put it back; whether it is known.  OSError: it can't be kept, so not done."""
+        if not self._directory.knows(name):
+            return False
+        now = self._handover.load() if self._handover.changed() else dict(self._directory.out)
+        if out:
+            now.setdefault(name, time.time())
+        else:
+            now.pop(name, None)
+        self._handover.save(now)
+        self._directory.set_out(now)
+        self._log("taken_out" if out else "put_back", target=name)
+        return True
+
+    async def _follow(self) -> None:
+        """Do as the other process of this initiator was told, while there are two."""
+        while True:
+            await asyncio.sleep(LOOK_EVERY)
+            if self._handover.changed():
+                self._directory.set_out(self._handover.load())
+
     async def _drain(self) -> None:
         """Serve on, then close connection by connection, and end when nothing is left or time is up.
 
@@ -100,6 +147,12 @@
         longest = max(cls.deadline for cls in self._config.settings.classes)
         end = self._loop.time() + min(longest, LONGEST_STOP) + STOP_GRACE
         self.listener.keep_idle = True
+        if self._config.inherited is not None:
+            # Whoever holds the socket next serves what comes on new connections; here each answer ends one.
+            self.listener.close()
+            self.front.stopping = True
+            self.engine.retire()
+            self._handover.end_turn()
         await asyncio.sleep(STILL_LISTENING)
         while self._loop.time() < end and (self.engine.open or len(self.listener)):
             if self._loop.time() >= end - CLOSING_TIME:
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -47,10 +47,12 @@
     kinds: list[str]
     connect_timeout: float
     idle_limit: float
-    inherited: int | None = None  # descriptor of a socket that listens already; None: bind `listen`
     nvme: nvme_mapping.Mapping | None = None  # None: the platform's HTTP front
     graphite: Sink | None = None
     collectd: Sink | None = None
+    admin: tuple[str, int] | None = None  # the second address, for calls of the operators
+    folder: str | None = None  # what the processes of one initiator leave to each other is kept there
+    inherited: int | None = None  # descriptor of a socket that listens already; None: bind `listen`
 
 
 def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
@@ -85,7 +87,7 @@
 
 def _address(text: object, name: str) -> tuple[str, int]:
     try:
-        return discovery.parse_address(text, 0 if name == "listen" else 1)
+        return discovery.parse_address(text, 1 if name == "discovery" else 0)
     except ValueError as error:
         raise ConfigError(f"{name}: {error}") from error
 
@@ -142,6 +144,8 @@
     for name in ("listen", "discovery"):
         if not data.get(name):
             raise ConfigError(f"{where}: no address for {name}")
+    if data.get("admin"):
+        more["admin"] = _address(data["admin"], "admin")
     try:
         known = discovery.listing(data["known"]) if data.get("known") else None
     except discovery.DiscoveryError as error:
@@ -166,9 +170,10 @@
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
     data = read_json(path)
-    for name in ("name", "listen", "discovery"):
+    for name in ("name", "listen", "discovery", "admin"):
         data[name] = environment.get(f"PROXY_{name.upper()}") or data.get(name)
-    return _config(data, path, inherited=_descriptor(environment.get("PROXY_INHERITED_FD")))
+    return _config(data, path, folder=environment.get("TMPDIR"),
+                   inherited=_descriptor(environment.get("PROXY_INHERITED_FD")))
 
 
 # --- The operator's file ----------------------------------------------------------------------------
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -149,6 +149,14 @@
             else:
                 entry.incoming.reply.failed()
 
+    def begin(self) -> None:
+        """This process takes clients from now on: no tokens of the time before are its own."""
+        self._scheduler.begin(self._loop.time() - self._base)
+
+    def retire(self) -> None:
+        """Another process of this initiator takes clients from now on: what tokens come in are its."""
+        self._scheduler.retire()
+
     def since(self, unix: float | None) -> float | None:
         """A Unix time on the scheduler's clock."""
         return None if unix is None else unix - self._wall - self._base
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -45,8 +45,9 @@
     idle connections of usual clients, and new ones whose first request is on its way.
     """
 
-    def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int, usual: int) -> None:
-        self._make, self._most, self._usual = make, most, usual
+    def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int, usual: int,
+                 hello: float = HELLO_LIMIT) -> None:
+        self._make, self._most, self._usual, self._hello = make, most, usual, hello
         self._server: asyncio.Server | None = None
         self._strangers: dict[Guest, float] = {}  # no whole request yet: when each arrived, in order
         self._guests: dict[Guest, float] = {}  # when each was last used, in order
@@ -132,7 +133,7 @@
         """
         now = time.monotonic()
         for guest, since in list(self._strangers.items()):
-            if now - since < HELLO_LIMIT:
+            if now - since < self._hello:
                 break
             guest.overdue()
         left = len(self._guests)
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,163 @@
+"""What operators do by hand: calls at the second address, targets taken out, one process after another."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import time
+from dataclasses import replace
+
+import pytest
+
+from stalltiller.program.handover import Handover
+from tests.helpers import Gateway, outcome, plan, request
+from tests.standins import World
+from tests.test_program import EXAMPLE, start
+
+
+async def call(address, text: str, body: str = "") -> int:
+    """One call; its status."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(f"{text} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return int(answer.split(b" ")[1])
+
+
+class AdminWorld(World):
+    folder = None
+
+    def changed(self, found):
+        return replace(found, admin=("127.0.0.1", 0), folder=self.folder)
+
+    async def call(self, text: str, body: str = "") -> int:
+        return await call(self.app.admin.address, text, body)
+
+
+def on(scene, kind: str = "http", folder=None) -> None:
+    async def whole():
+        world = AdminWorld(kind)
+        world.folder = folder
+        async with world:
+            await asyncio.wait_for(scene(world), 20)
+            assert world.faults() == []
+    asyncio.run(whole())
+
+
+@pytest.mark.parametrize(("text", "body", "status"), [
+    ("GET /_ready", "", 200), ("PUT /_targets/detach", "s-0", 200), ("PUT /_targets/detach", " s-0\n", 200),
+    ("PUT /_targets/attach", "s-0", 200), ("PUT /_targets/detach", "s-9", 404),
+    ("PUT /_targets/attach", "s-9", 404), ("PUT /_targets/detach", "", 404), ("PUT /_ready", "", 405),
+    ("GET /other", "", 404), ("PUT /_targets/detach", "s" * 2000, 413), ("nonsense", "", 400)])
+def test_a_call_gets_a_yes_or_a_no(text, body, status):
+    async def scene(world):
+        assert await world.call(text, body) == status
+    on(scene)
+
+
+def test_callers_that_say_nothing_do_not_keep_others_waiting():
+    async def scene(world):
+        silent = [await asyncio.open_connection(*world.app.admin.address) for _ in range(20)]
+        began = time.monotonic()
+        assert await world.call("GET /_ready") == 200
+        assert time.monotonic() - began < 1.0
+        for _, writer in silent:
+            writer.close()
+    on(scene)
+
+
+@pytest.mark.parametrize("kind", ["http", "nvme"])
+def test_a_target_taken_out_gets_nothing_until_it_is_put_back(kind):
+    async def scene(world):
+        target, lists = world.targets[0], len(world.logged)
+        for _ in range(2):
+            assert await world.call("PUT /_targets/detach", "s-0") == 200
+        world.discovery.set(target)  # what discovery lists meanwhile changes nothing
+        await world.until(lambda: any(line["event"] == "list" for line in world.logged[lists:]))
+        assert (await world.read(tag=1)).end == "refused" and target.begun == []
+        assert await world.call("PUT /_targets/attach", "s-0") == 200  # one call undoes both
+        assert (await world.read(tag=2)).end == "served"
+        node = world.app.engine._scheduler.nodes["s-0"]
+        assert node.entry.started == pytest.approx(world.app.engine.since(time.time()), abs=5)  # cold
+    on(scene, kind)
+
+
+def test_another_process_of_the_initiator_follows_suit(tmp_path):
+    async def scene(world):
+        other = Handover(str(tmp_path), "n0")
+        other.save({"s-0": time.time()})
+        state = world.app.engine._scheduler.nodes["s-0"].entry
+        assert state.state.value == "ready"
+        await world.until(lambda: world.app.engine._scheduler.nodes["s-0"].entry.state.value == "draining")
+        assert await world.call("PUT /_targets/attach", "s-0") == 200
+        assert other.changed() and other.load() == {}
+    on(scene, folder=str(tmp_path))
+
+
+@pytest.mark.parametrize("text", ["", "[1]", '{"s-0": "x"}'])
+def test_a_file_of_targets_that_can_not_be_read_counts_as_none(text, tmp_path):
+    (tmp_path / "stalltiller-n0.out").write_text(text)
+    assert Handover(str(tmp_path), "n0").load() == {}
+
+
+def test_the_next_process_waits_its_turn_and_takes_over_socket_and_targets(tmp_path):
+    def begin(until: str):
+        program = start(PROXY_CONFIG=str(path), PROXY_LISTEN=address, PROXY_INHERITED_FD=str(number),
+                        PROXY_ADMIN="127.0.0.1:0", TMPDIR=str(tmp_path), pass_fds=(number,))
+        events = map(json.loads, program.stdout)
+        found = {}
+        while until not in found:
+            event = next(events)
+            found[event["event"]] = event
+        host, _, port = found["admin"]["listen"].partition(":")
+        return program, events, (host, int(port))
+
+    def healthy() -> bool:
+        with socket.create_connection(listening.getsockname(), timeout=20) as client:
+            client.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+            return client.recv(100).startswith(b"HTTP/1.1 200")
+
+    path = tmp_path / "config.json"
+    line = {"name": "s-1", "address": "127.0.0.1:9", "group": 0, "status": "active"}
+    path.write_text(json.dumps({**EXAMPLE, "known": {"index": 1, "snapshot": True, "endpoints": [line]}}))
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        address, number = f"127.0.0.1:{listening.getsockname()[1]}", listening.fileno()
+        old, _, old_admin = begin("started")
+        assert asyncio.run(call(old_admin, "PUT /_targets/detach", "s-1")) == 200
+        new, events, new_admin = begin("admin")
+        while asyncio.run(call(new_admin, "GET /_ready")) != 200:
+            time.sleep(0.05)
+        assert healthy()  # by the old one: the new one has not started to take clients
+        old.send_signal(signal.SIGTERM)
+        assert next(event for event in events if event["event"] == "started")["listen"] == address
+        assert healthy()
+        assert json.loads((tmp_path / f"stalltiller-{EXAMPLE['name']}.out").read_text()).keys() == {"s-1"}
+        assert asyncio.run(call(new_admin, "PUT /_targets/attach", "s-1")) == 200
+        for program in (old, new):
+            program.send_signal(signal.SIGTERM)
+            program.communicate(timeout=20)
+            assert program.returncode == 0
+    assert os.path.exists(tmp_path / f"stalltiller-{EXAMPLE['name']}.lock")
+
+
+LIMITED = {"plans": (plan(rate=5.0, limit=10.0, burst=20.0, slack=2.0),)}
+
+
+def test_no_token_is_spent_by_two_processes():
+    """The next process starts with none; the one before goes on with what it has, and gets no more."""
+    new = Gateway(**LIMITED)
+    new.scheduler.begin(5.0)
+    assert new.sends(5.0, request(1)) == []
+    old = Gateway(**LIMITED)
+    assert old.sends(1.0, request(1)) == [1]  # 10 tokens by then
+    old.scheduler.retire()
+    spent = 2.0
+    for number in range(2, 20):
+        now = 1.0 + number / 10
+        for sent in old.sends(now, request(number)):
+            spent += 2.0
+            old.feed(now, outcome(sent))
+    assert spent == 10.0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -26,7 +26,8 @@
 
 def start(*arguments: str, preexec_fn=None, pass_fds=(), **environment: str) -> subprocess.Popen:
     return subprocess.Popen([sys.executable, "-m", "stalltiller", *arguments], cwd=ROOT, text=True,
-                            preexec_fn=preexec_fn, pass_fds=pass_fds, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+                            preexec_fn=preexec_fn, pass_fds=pass_fds, stdout=subprocess.PIPE,
+                            stderr=subprocess.PIPE,
                             env={**os.environ, "PYTHONUNBUFFERED": "1", **environment})
 
 
