Take up changed settings at SIGHUP; turn down a file with wrong or missing keys whole

Checked: a probe that logged the file at each SIGHUP: first a class added and attempts-cap 4 -> 2, then a file with a deadline of -5 that also names a dead discovery, then an empty one, then a class dropped and the order changed. Ruled out: the watch itself (it called the dead address each second, as the file said). At fault: App.reload, which took discovery's address alone, from a file that should have been turned down, and kept the classes of the start, so requests of the new class were answered 400. Now: missing keys and deadlines or attempts that are no number above 0 turn a file down; the settings of the others hold at once where they are the stricter and in full after 1.5 s; open requests keep their class.

--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -42,14 +42,14 @@
     """
 
     def __init__(self, span: float) -> None:
-        self._span, self._turn_at = span, 0.0
+        self.span, self._turn_at = span, 0.0
         self._new: set[str] = set()
         self._old: set[str] = set()
 
     def claim(self, now: float, request_id: str) -> bool:
         """Remember an id; whether it is new."""
         if now >= self._turn_at or len(self._new) >= MOST_IDS:
-            self._new, self._old, self._turn_at = set(), self._new, now + self._span
+            self._new, self._old, self._turn_at = set(), self._new, now + self.span
         if request_id in self._new or request_id in self._old:
             return False
         self._new.add(request_id)
@@ -217,10 +217,14 @@
                  settings: api.Settings, ready: Callable[[], bool], memory: int) -> None:
         self.unread = Allowance(memory)
         self.loop, self.engine, self.buffers, self.ready = loop, engine, buffers, ready
+        self.ids = RecentIds(0.0)
+        self.stopping = False
+        self.retune(settings)
+
+    def retune(self, settings: api.Settings) -> None:
         self.fields = RequestFields(settings)
         self.advice = settings.max_advice if settings.may_advise else 0.0
-        self.ids = RecentIds(max(cls.deadline for cls in settings.classes))
-        self.stopping = False
+        self.ids.span = max(cls.deadline for cls in settings.classes)
 
     def connection(self, listener: Listener) -> ClientConnection:
         return ClientConnection(self, listener)
@@ -339,6 +343,9 @@
                  settings: api.Settings, memory: int) -> None:
         super().__init__(loop, engine, buffers, connect_timeout, idle_limit, most, log)
         self.allowance = Allowance(memory)
+        self.retune(settings)
+
+    def retune(self, settings: api.Settings) -> None:
         self.fields = AnswerFields(settings)
 
     async def connect(self, host: str, port: int) -> TargetConnection:
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -381,12 +381,16 @@
                  settings: api.Settings, name: str, mapping: Mapping, log: Callable[..., None],
                  memory: int) -> None:
         self.loop, self.engine, self.buffers, self.log = loop, engine, buffers, log
-        self.name, self.mapping = name, mapping
+        self.name = name
         self.stopping = False
         self.held = Allowance(memory)  # data of the commands under way; past it commands are refused
         self.unread = Allowance(memory)  # what hosts leave unread; past it their connections end
         self.associations: dict[int, Association] = {}
         self._numbers = itertools.cycle(range(1, 0xFFF0))
+        self.retune(settings, mapping)
+
+    def retune(self, settings: api.Settings, mapping: Mapping) -> None:
+        self.mapping = mapping
         longest = max(1, int(settings.max_advice * 10)) if settings.may_advise else 1
         self.delays = (1, max(1, longest // 2), longest)  # units of 100 ms
 
--- a/stalltiller/interface.py
+++ b/stalltiller/interface.py
@@ -215,6 +215,13 @@
     token: int
 
 
+@dataclass(slots=True, frozen=True)
+class Retuned:
+    """Other settings hold from now on; `Request`s after it count classes and plans by them."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class Probed:
     """The result of a probe."""
@@ -233,7 +240,7 @@
     data: bytes
 
 
-Event = NodeList | Request | FirstByte | Outcome | ClientGone | TimerFired | Probed | Message
+Event = NodeList | Request | FirstByte | Outcome | ClientGone | TimerFired | Retuned | Probed | Message
 
 
 @dataclass(slots=True, frozen=True)
--- a/stalltiller/logic.py
+++ b/stalltiller/logic.py
@@ -149,9 +149,10 @@
     """A request that this gateway has taken and not yet answered."""
 
     def __init__(self, r: api.Request, cls: api.RequestClass, volume: Volume, due: float,
-                 deadline: float) -> None:
+                 deadline: float, most: int) -> None:
         self.r, self.cls, self.volume, self.due, self.deadline = r, cls, volume, due, deadline
         self.attempts = self.out = 0
+        self.most = most  # attempts, by the settings when it came
         self.node: Node | None = None  # where it waits or runs
         self.unsure_at: float | None = None  # send time of the first attempt that may have run
         self.unsure_node: Node | None = None
@@ -166,7 +167,6 @@
     """The decisions of one gateway: `handle` turns timed events into actions."""
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
-        self.s = settings
         self.random = random.Random(seed)
         self.now = now
         self.nodes: dict[api.NodeId, Node] = {}
@@ -179,10 +179,9 @@
         self.rest_until: dict[int, float] = {}
         self.extra: deque[float] = deque()
         self.taken: deque[float] = deque()
-        self.slowness = [1.0] * len(settings.classes)  # what an attempt takes, over the node's mean latency
-        self.full_left = [0.0] * len(settings.classes)
-        self.mean = max(settings.mean_units, 1e-9)  # units of a usual request
-        self.tightest = min((c.aim for c in settings.classes if c.aim > 0), default=1.0)
+        self.slowness: dict[str, float] = {}  # by class: what an attempt takes, over the node's mean latency
+        self.full_left: dict[str, float] = {}  # by class
+        self._retune(settings)
         self.queued: dict[api.NodeId, Node] = {}  # nodes with requests in line: the others cost nothing
         self.polling = False
         self.started = self.swept_at = now
@@ -190,6 +189,17 @@
         self.filling = True  # the buckets of the limits
         self.actions: list[api.Action] = []
 
+    def _retune(self, settings: api.Settings) -> None:
+        """Go by other settings; what is known of a class or plan stays with its name."""
+        self.s = settings
+        self.mean = max(settings.mean_units, 1e-9)  # units of a usual request
+        self.tightest = min((c.aim for c in settings.classes if c.aim > 0), default=1.0)
+        self.slowness = {c.name: self.slowness.get(c.name, 1.0) for c in settings.classes}
+        self.full_left = {c.name: self.full_left.get(c.name, 0.0) for c in settings.classes}
+        plans = {plan.name: plan for plan in settings.plans}
+        for volume in self.volumes.values():
+            volume.plan = plans.get(volume.plan.name, volume.plan)
+
     def begin(self, now: float) -> None:
         """Count tokens from now on.  Guards against spending what the process before has spent already."""
         self.started = now
@@ -220,6 +230,8 @@
                 else:
                     self.polling = False
                     touched.update(self.queued)
+            elif isinstance(event, api.Retuned):
+                self._retune(event.settings)
             elif isinstance(event, api.Message) and self.s.may_message:
                 self._message(event)
             elif isinstance(event, api.NodeList):
@@ -356,7 +368,8 @@
             volume.limit.level *= volume.hosts / r.hosts
             volume.hosts = r.hosts
         due, deadline = self._due(r, cls), self.now + r.left
-        held = self.held[r.id] = Held(r, cls, volume, min(due, deadline - ANSWER_MARGIN), deadline)
+        held = self.held[r.id] = Held(r, cls, volume, min(due, deadline - ANSWER_MARGIN), deadline,
+                                     self.s.max_attempts)
         volume.demand.add(self.now, r.units)
         volume.asked_at = self.now
         if r.shard is not None:
@@ -372,7 +385,7 @@
         aim would is taken for the first of a client that waits for a short time only.  Nobody waits longer
         than the class does: one request that said so would make all that follow look like late tries.
         """
-        full = self.full_left[r.cls] = min(max(self.full_left[r.cls], r.left), cls.deadline)
+        full = self.full_left[cls.name] = min(max(self.full_left[cls.name], r.left), cls.deadline)
         return self.now + cls.aim - (max(0.0, full - r.left) if r.left >= cls.aim else 0.0)
 
     def _enqueue(self, held: Held) -> Node | None:
@@ -684,10 +697,10 @@
         for held in node.flying.values():
             if held.passed < PASSED or held.over or held.cancelled or held.cls.effect is not Effect.SAFE:
                 continue
-            usual = node.latency * self.slowness[held.r.cls] * max(1.0, held.r.units / self.mean)
+            usual = node.latency * self.slowness.get(held.cls.name, 1.0) * max(1.0, held.r.units / self.mean)
             if self.now - held.sent_at < LOST_SHARE * usual + LOST_MARGIN:
                 suspect = True
-            elif self.s.may_cancel and held.attempts < self.s.max_attempts:
+            elif self.s.may_cancel and held.attempts < min(held.most, self.s.max_attempts):
                 held.cancelled = True
                 self.actions.append(api.Cancel(held.r.id, held.attempts - 1))
         return suspect
@@ -724,7 +737,8 @@
         size = max(1.0, held.r.units / self.mean)
         if o.status is Status.OK:
             slow = o.took / size / node.latency
-            self.slowness[held.r.cls] += SLOW_GAIN * (min(slow, 10.0) - self.slowness[held.r.cls])
+            known = self.slowness.get(held.cls.name, 1.0)
+            self.slowness[held.cls.name] = known + SLOW_GAIN * (min(slow, 10.0) - known)
             for other in node.flying.values():
                 if other.sent_at >= held.sent_at:
                     break
@@ -773,7 +787,7 @@
             if o.status is Status.MOOT and held.attempts == 1:
                 held.volume.limit.level += held.r.units
                 held.drawn = False
-        more = held.attempts < self.s.max_attempts and self.now + ANSWER_MARGIN < held.due
+        more = held.attempts < min(held.most, self.s.max_attempts) and self.now + ANSWER_MARGIN < held.due
         bound = held.unsure_at is not None and self._choose(held) is None
         if not more or bound or not self._budget_room():
             self._give_up(held)
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -6,17 +6,21 @@
 import resource
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
+from stalltiller import interface as api
 from stalltiller.fronts.admin import admin_listener
 from stalltiller.fronts.directory import WATCH_TIMEOUT, Directory, WatchCodec
 from stalltiller.fronts.http import HttpCarrier, HttpFront
 from stalltiller.fronts.nvme_clients import NvmeFront
+from stalltiller.fronts.nvme_mapping import Mapping
 from stalltiller.fronts.nvme_targets import NvmeCarrier
 from stalltiller.interface import ListKind
 from stalltiller.program.config import Config, ConfigError
 from stalltiller.program.handover import Handover
 from stalltiller.program.log import JsonLog
 from stalltiller.program.metrics import Metrics
+from stalltiller.program.reload import SETTLE, between
 from stalltiller.protocol.discovery import Listing
 from stalltiller.routing.engine import Engine
 from stalltiller.transport.buffers import BufferPool
@@ -73,6 +77,7 @@
         self._ready_at = loop.time() + READY_AFTER
         self._listed = False
         self._discovery = config.discovery
+        self._settling: asyncio.TimerHandle | None = None  # until settings read anew hold in full
         self._watching: asyncio.Task | None = None
         self.stop = asyncio.Event()
         self.started = asyncio.Event()
@@ -144,7 +149,7 @@
         Guards against standing idle: clients of this initiator have no other way to their data, and its next
         start waits for no early end.  Whoever stops it gives it the longest deadline, of 3 s at most.
         """
-        longest = max(cls.deadline for cls in self._config.settings.classes)
+        longest = max(cls.deadline for cls in self.engine.settings.classes)
         end = self._loop.time() + min(longest, LONGEST_STOP) + STOP_GRACE
         self.listener.keep_idle = True
         if self._config.inherited is not None:
@@ -166,21 +171,42 @@
     def reload(self, read: Callable[[], Config]) -> None:
         """Read the configuration anew; a new address of discovery is watched at once, from its whole list on.
 
-        Guards against an end by SIGHUP, whose default it is, and against a file that can't be read: then all
-        stays as it was.  Other changes take effect at the next start.
+        Guards against an end by SIGHUP, whose default it is, and against a file that can't be read or lacks
+        what the one before had: then all stays as it was.  Settings change in two steps, since clients learn
+        of them late.  Addresses, limits and sinks wait for the next start.
         """
         try:
-            address = read().discovery
+            config = read()
+            missing = sorted(self._config.keys - config.keys)
+            if missing:
+                raise ConfigError(f"{missing[0]} is missing")
         except ConfigError as error:
             self._log("reload_failed", error=str(error))
             return
-        self._log("reloaded", discovery=join(*address))
+        if (self._config.nvme is None) != (config.nvme is None):
+            config = replace(config, nvme=self._config.nvme)  # another wire waits for the next start
+        address = config.discovery
+        self._log("reloaded", discovery=join(*address), classes=[cls.name for cls in config.settings.classes])
+        if self._settling is not None:
+            self._settling.cancel()
+        if config.settings != self.engine.settings or config.nvme != self._config.nvme:
+            self._retune(between(self.engine.settings, config.settings))
+            self._settling = self._loop.call_later(SETTLE, self._retune, config.settings, config.nvme)
+        self._config = config
         if address != self._discovery:
             self._discovery = address
             if self._watching is not None:
                 self._watching.cancel()
                 self._watch()
 
+    def _retune(self, settings: api.Settings, mapping: Mapping | None = None) -> None:
+        self.engine.retune(settings)
+        if isinstance(self.front, NvmeFront):
+            self.front.retune(settings, mapping or self.front.mapping)
+        else:
+            self.front.retune(settings)
+            self.carrier.retune(settings)
+
     def _watch(self) -> None:
         codec = WatchCodec(join(*self._discovery), self._took_list)
         watch = Watch(self._discovery, self.buffers, codec, WATCH_TIMEOUT, self._watch_failed)
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -16,6 +16,7 @@
 from stalltiller.protocol import discovery, nvme
 
 MEGABYTE = 1024 * 1024
+PLATFORM_KEYS = ("name", "listen", "discovery", "admin", "seed", "limits", "settings")
 SECOND = 1_000_000_000  # the settings' durations are nanoseconds
 
 
@@ -50,11 +51,22 @@
     nvme: nvme_mapping.Mapping | None = None  # None: the platform's HTTP front
     graphite: Sink | None = None
     collectd: Sink | None = None
+    keys: frozenset[str] = frozenset()  # the file's, without those that may come and go
     admin: tuple[str, int] | None = None  # the second address, for calls of the operators
     folder: str | None = None  # what the processes of one initiator leave to each other is kept there
     inherited: int | None = None  # descriptor of a socket that listens already; None: bind `listen`
 
 
+def key_paths(value: object, path: str = "") -> frozenset[str]:
+    """The paths of all keys; for a list of objects, of those that all of them have."""
+    if isinstance(value, dict):
+        return frozenset().union(*({f"{path}{key}"} | key_paths(item, f"{path}{key}.")
+                                   for key, item in value.items()))
+    if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        return frozenset.intersection(*(key_paths(item, path) for item in value))
+    return frozenset()
+
+
 def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
     """Nested settings as the path=value pairs of the simulator's first message."""
     if isinstance(value, dict):
@@ -74,8 +86,21 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
+def _check_positive(nested: dict) -> None:
+    """Guard against deadlines and attempts that are no numbers above 0: nothing could be served by them."""
+    classes, limits = nested.get("classes"), nested.get("limits")
+    found = [(f"{cls.get('name')}: {key}", cls.get(key)) for key in ("aim-ns", "give-up-ns")
+             for cls in (classes if isinstance(classes, list) else ()) if isinstance(cls, dict)]
+    if isinstance(limits, dict) and "attempts-cap" in limits:
+        found.append(("attempts-cap", limits["attempts-cap"]))
+    for name, value in found:
+        if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+            raise ConfigError(f"settings: {name} is no number above 0: {value!r}")
+
+
 def parse_settings(nested: dict) -> api.Settings:
     """The settings object as the decision module knows it."""
+    _check_positive(nested)
     try:
         settings = wire.settings_of(dict(flatten(nested)))
     except (wire.WireError, ValueError, OverflowError) as error:
@@ -138,6 +163,7 @@
 
 def _config(data: dict, where: str, **more: object) -> Config:
     """What the platform's file and the operator's have in common."""
+    keys = key_paths({key: data[key] for key in PLATFORM_KEYS if data.get(key) is not None})
     nested = data.get("settings")
     if not isinstance(nested, dict):
         raise ConfigError(f"{where}: no settings")
@@ -158,7 +184,7 @@
         sockets=_limit(most, "sockets", 1024), memory=_limit(most, "memory_mb", 192) * MEGABYTE, known=known,
         settings=parse_settings(nested), zones=_names(nested.get("areas")), kinds=_names(nested.get("kinds")),
         connect_timeout=_seconds(limits, "connect-timeout-ns", 0.25),
-        idle_limit=_seconds(limits, "conn-idle-ns", 30.0), **more)
+        idle_limit=_seconds(limits, "conn-idle-ns", 30.0), keys=keys, **more)
 
 
 def from_platform(environment: Mapping[str, str]) -> Config:
--- /dev/null
+++ b/stalltiller/program/reload.py
@@ -0,0 +1,26 @@
+"""From one configuration to the next, while requests come in."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from stalltiller import interface as api
+
+SETTLE = 1.5  # s after SIGHUP for which clients may still go by the settings before
+STRICTNESS = (api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE)
+
+
+def between(old: api.Settings, new: api.Settings) -> api.Settings:
+    """What holds while either may be meant: all classes and plans of both, and the stricter of two rules.
+
+    Guards against refusing what the one names and the other does not, and against repeating a request that
+    only the new settings allow to be repeated while its client still goes by the old ones.
+    """
+    coming = {cls.name: cls for cls in new.classes}
+    classes = []
+    for cls in old.classes:
+        same = coming.pop(cls.name, cls)
+        classes.append(replace(same, effect=max(cls.effect, same.effect, key=STRICTNESS.index)))
+    plans = {plan.name: plan for plan in (*old.plans, *new.plans)}
+    return replace(new, classes=(*classes, *coming.values()), plans=tuple(plans.values()),
+                   max_attempts=min(old.max_attempts, new.max_attempts))
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -33,10 +33,11 @@
 class Entry:
     """A request in the table: until it is answered and no attempt of it is out."""
 
-    __slots__ = ("attempts", "deadline", "done", "incoming", "out", "ran")
+    __slots__ = ("attempts", "deadline", "done", "effect", "incoming", "most", "out", "ran")
 
-    def __init__(self, incoming: Incoming, deadline: float) -> None:
+    def __init__(self, incoming: Incoming, deadline: float, effect: Effect, most: int) -> None:
         self.incoming, self.deadline = incoming, deadline
+        self.effect, self.most = effect, most  # by the settings when it came
         self.attempts = 0
         self.out: Attempt | None = None
         self.ran = self.done = False  # ran: some attempt may have
@@ -80,7 +81,8 @@
         lag = self._turn_took if now - self._turn_ended < self._turn_took else 0.0
         deadline = now - min(lag, MAX_LAG) + incoming.timeout
         number = next(self._ids)
-        self._entries[number] = Entry(incoming, deadline)
+        self._entries[number] = Entry(incoming, deadline, self.settings.classes[incoming.cls].effect,
+                                      self.settings.max_attempts)
         self._open += 1
         self.counts["taken"] += 1
         # Not before the scheduler has had its turn, however little time the client leaves.
@@ -136,13 +138,17 @@
                 self._told.pop(name, None)
         self._feed(api.NodeList(kind, tuple(place.entry for place in places)))
 
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings hold from now on; what is open keeps its class."""
+        self.settings = settings
+        self._feed(api.Retuned(settings))
+
     def close_out(self) -> None:
         """Answer all that is open: the program ends, and what it took must not be lost."""
         for number, entry in list(self._entries.items()):
             if entry.done:
                 continue
-            effect = self.settings.classes[entry.incoming.cls].effect
-            harmless = effect is Effect.SAFE or not (entry.ran or entry.out is not None)
+            harmless = entry.effect is Effect.SAFE or not (entry.ran or entry.out is not None)
             self._finish(number, entry, "refused" if harmless else "failed")
             if harmless:
                 entry.incoming.reply.refused(self.settings.max_advice)
@@ -247,12 +253,12 @@
         entry.attempts += 1
         told = self._told.get(action.node)
         stop = None if told is None else told + self.settings.rules.drain_grace - DRAIN_MARGIN
-        unsafe = self.settings.classes[incoming.cls].effect is Effect.UNSAFE
+        unsafe = entry.effect is Effect.UNSAFE
         if entry.out is not None:
             reason = "a second attempt at once"
         elif entry.ran and unsafe:
             reason = "a repeat of what may have run"
-        elif number >= self.settings.max_attempts:
+        elif number >= min(entry.most, self.settings.max_attempts):
             reason = "an attempt over the number allowed"
         elif place is None or (stop is not None and now >= stop):
             reason = "an attempt at a target that drains or is not listed"
@@ -274,8 +280,7 @@
         entry = self._unanswered(action.id)
         if entry is None:
             return
-        effect = self.settings.classes[entry.incoming.cls].effect
-        if effect is not Effect.SAFE and (entry.ran or entry.out is not None):
+        if entry.effect is not Effect.SAFE and (entry.ran or entry.out is not None):
             self._fault("a refusal of what may have run", id=action.id)
             self._finish(action.id, entry, "failed")
             entry.incoming.reply.failed()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -86,7 +86,7 @@
     assert node.flying[1].passed == logic.PASSED
     window = node.window
     assert gateway.poll(0.03) == []
-    lost = logic.LOST_SHARE * node.latency * gateway.scheduler.slowness[0] + logic.LOST_MARGIN
+    lost = logic.LOST_SHARE * node.latency * gateway.scheduler.slowness["read"] + logic.LOST_MARGIN
     assert gateway.poll(lost) == [api.Cancel(1, 0)]
     assert gateway.poll(lost + 0.01) == []  # once
     assert gateway.sends(lost + 0.02, outcome(1, status=api.Status.CANCELLED, over=False, took=lost)) == [1]
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,112 @@
+"""SIGHUP: other settings while requests come in, and files that are turned down whole."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+from dataclasses import replace
+
+import pytest
+
+from stalltiller import interface as api
+from stalltiller.program import app as program
+from stalltiller.program import config
+from stalltiller.program.reload import between
+from tests.helpers import plan, request_class, settings
+from tests.standins import CLASSES, DEADLINE, World
+from tests.test_program import EXAMPLE
+
+READ, WRITE = CLASSES
+KEYED = request_class(name="keyed", effect=api.Effect.KEYED)
+
+
+@pytest.mark.parametrize(("old", "new", "classes"), [
+    ((READ,), (WRITE, READ), ["read safe", "write unsafe"]),
+    ((READ, WRITE), (READ,), ["read safe", "write unsafe"]),
+    ((READ,), (replace(READ, effect=api.Effect.UNSAFE),), ["read unsafe"]),
+    ((replace(READ, effect=api.Effect.UNSAFE), KEYED), (READ,), ["read unsafe", "keyed keyed"]),
+    ((KEYED,), (replace(KEYED, effect=api.Effect.SAFE),), ["keyed keyed"])])
+def test_between_two_settings_both_names_and_the_stricter_rule_hold(old, new, classes):
+    found = between(settings(classes=old, max_attempts=4),
+                    settings(classes=new, max_attempts=2, plans=(plan(name="b"),)))
+    assert [f"{cls.name} {cls.effect.value}" for cls in found.classes] == classes
+    assert (found.max_attempts, [p.name for p in found.plans]) == (2, ["plan", "b"])
+
+
+def test_new_settings_hold_at_once_where_stricter_and_in_full_later(monkeypatch):
+    """The open write keeps its class, though that is gone when its attempt ends; no class is mixed up."""
+    monkeypatch.setattr(program, "SETTLE", 0.2)
+
+    async def scene():
+        async with World("http") as world:
+            world.targets[0].delay = 0.4
+            asking = asyncio.create_task(world.write(tag=1))
+            await world.until(lambda: world.targets[0].begun)
+            after = replace(world.settings, max_attempts=1, classes=(
+                request_class(name="next", aim=0.4, deadline=DEADLINE, effect=api.Effect.UNSAFE, writes=True),
+                READ))
+            world.app.reload(lambda: replace(world.config(), settings=after))
+            for answer in ("served", "failed"):  # the old name; later it is refused as unknown
+                result = await world.write(tag=2, shard=1)
+                assert result.end == answer
+                await asyncio.sleep(0.25)
+            assert world.app.engine.counts["bad_requests"] == 1
+            assert (await asking).end == "served"
+            assert (await world.read(tag=3, shard=1)).end == "served"
+            world.targets[1].mode = "error"
+            assert (await world.read(tag=4, shard=1)).end == "refused"
+            assert [tag for tag, _ in world.targets[1].ran].count(4) == 1
+            assert world.faults() == []
+    asyncio.run(scene())
+
+
+def test_the_nvme_front_keeps_its_classes_while_their_order_changes(monkeypatch):
+    monkeypatch.setattr(program, "SETTLE", 0.1)
+
+    async def scene():
+        async with World("nvme") as world:
+            after = replace(world.settings, classes=(WRITE, READ))
+            mapping = replace(world.config().nvme, opcodes={2: (1, DEADLINE), 1: (0, DEADLINE)})
+            world.app.reload(lambda: replace(world.config(), settings=after, nvme=mapping))
+            for tag in (1, 2):
+                assert (await world.write(tag)).end == (await world.read(tag)).end == "served"
+                await asyncio.sleep(0.15)
+            world.targets[0].mode = "error"
+            assert (await world.write(tag=3)).end == "failed"
+            assert [tag for tag, _ in world.targets[0].ran].count(3) == 1
+    asyncio.run(scene())
+
+
+def changed(path: str, value: object) -> dict:
+    data = copy.deepcopy(EXAMPLE)
+    *parents, last = path.split(".")
+    at = data
+    for name in parents:
+        at = at[int(name) if name.isdigit() else name]
+    if value is None:
+        del at[last]
+    else:
+        at[last] = value
+    return data
+
+
+@pytest.mark.parametrize(("path", "value"), [
+    ("settings.classes.1.give-up-ns", -5), ("settings.classes.0.give-up-ns", 0),
+    ("settings.classes.2.give-up-ns", "5"), ("settings.classes.0.aim-ns", True),
+    ("settings.limits.attempts-cap", 0), ("settings.limits.attempts-cap", "many"),
+    ("settings.classes.1.give-up-ns", None), ("settings.classes.0.effect", None), ("discovery", None),
+    ("settings.limits.attempts-cap", None), ("settings.contracts.0.cap", None), ("settings.rules", None),
+    ("settings.classes", []), ("limits.sockets", None)])
+def test_a_file_with_a_wrong_or_missing_key_is_turned_down_whole(path, value, tmp_path):
+    async def scene():
+        async with World("http") as world:
+            file.write_text(json.dumps(EXAMPLE))
+            world.app._config = config.from_platform({"PROXY_CONFIG": str(file)})
+            before = world.app.engine.settings
+            file.write_text(json.dumps({**changed(path, value), "name": "other"}))
+            world.app.reload(lambda: config.from_platform({"PROXY_CONFIG": str(file)}))
+            assert world.logged[-1]["event"] == "reload_failed"
+            assert world.app.engine.settings is before and world.app._config.name == EXAMPLE["name"]
+    file = tmp_path / "config.json"
+    asyncio.run(scene())
