Pass long answers on as they come; take bodies up to 32 MiB within an allowance

Checked: a probe of lengths and forms: answers to 4.3 MB (1.1 GB in 20 s), bodies to 2.1 MB, half of them in chunks; no other form was refused. Ruled out: slow heads and stalls (no 408 was sent), memory (18 of 80 MB). At fault: MAX_ANSWER and MAX_BODY in protocol/http.py, and TargetConnection, which took answers whole. Now: above 64 KiB an answer goes on to the client as it comes, the target being read only while the client reads, and one that breaks off ends in a reset; the attempt is over for the module when the answer begins. Bodies to 32 MiB are held within half of the memory beside the program's own, their fields checked before they come, with 2.5 s and 48 kB/s as the least. A close-delimited answer that ends in a reset no longer counts as whole.

--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -8,6 +8,7 @@
 
 from stalltiller import interface as api
 from stalltiller.fronts.carrier import ANSWER_STALL, PooledCarrier
+from stalltiller.fronts.relay import Relay
 from stalltiller.protocol import http
 from stalltiller.protocol.platform import AnswerFields, FieldError, RequestFields
 from stalltiller.routing.engine import Engine
@@ -18,8 +19,13 @@
 
 READY_PATH = "/healthz"
 LINGER = 3.0  # s for which a rejected client may go on sending: a close at once would reset its answer away
-STALL_LIMIT = 2.5  # s that a client may take to send a request, from its first byte on
-UNREAD_LIMIT = 5.0  # s that a client may leave an answer unread
+STALL_LIMIT = 2.5  # s that a client may take to send a request's head, and a body beside SLOWEST
+SLOWEST = 48_000  # bytes a second: a body that comes more slowly is not waited for
+UNREAD_LIMIT = 5.0  # s that a client may read nothing of an answer
+SMALL = 64 * 1024  # bytes: a body up to it is not counted, an answer up to it is passed on when it is whole
+RELAY_FROM = 8 * 1024  # bytes of a longer answer that show it to be one: from then on it is passed on
+RELAY_STALL = 5.0  # s that a target may stand still in an answer that is being passed on
+PIECE = 64 * 1024  # bytes of a long body written at once
 MOST_IDS = 8192  # request ids that are remembered, and up to twice that
 
 
@@ -31,7 +37,7 @@
     target: str
     request_id: str
     host: str
-    body: bytes
+    body: bytes | bytearray
 
 
 class RecentIds:
@@ -68,7 +74,12 @@
         self._keep = True
         self._away = self._rejected = False
         self._stall: asyncio.TimerHandle | None = None
-        self._unread_bytes = 0
+        self._began = 0.0  # when the request that is coming in did
+        self._unread_bytes = self._body_bytes = 0  # counted in the front's allowances
+        self._unread: asyncio.TimerHandle | None = None
+        self._relay: Relay | None = None  # the answer that is being passed on
+        self._chunked = False
+        self._minor = 1
 
     def opened(self) -> None:
         self._listener.arrived(self)
@@ -76,7 +87,7 @@
     def received(self, data: memoryview) -> int:
         if self._rejected:
             return len(data)
-        if self._request is not None or not self.flushed:
+        if self._request is not None or self._relay is not None or not self.flushed:
             return 0  # the next request waits until this one is answered, and its answer read
         begun = self._reader.begun
         try:
@@ -89,13 +100,36 @@
             self._listener.used(self)
             self._handle()
         else:
-            if self._reader.begun and not begun and self._reader.head.expects_continue():
-                self.write(http.CONTINUE)
             self._stalled(True)
+            if self._reader.begun and not (begun or self._wanted()):
+                return len(data)
+            if not self._hold_body(self._reader.length or self._reader.received):
+                self._reject(503, "no memory left for the body")
+                return len(data)
         return used
 
+    def _wanted(self) -> bool:
+        """Whether the body that follows a head is to be had.
+
+        Guards against taking in megabytes of what is refused in the end.
+        """
+        try:
+            self._front.fields.parse(self._reader.head, b"")
+        except FieldError as error:
+            self._reject(400, str(error))
+            return False
+        if self._reader.head.expects_continue():
+            self.write(http.CONTINUE)
+        return True
+
+    def _hold_body(self, size: int) -> bool:
+        """Count a body that is coming in, or is held for its request; small ones are not counted."""
+        size = size if size > SMALL else 0
+        change, self._body_bytes = size - self._body_bytes, size
+        return self._front.bodies.change(change)
+
     def overflow(self) -> None:
-        if self._request is not None or not self.flushed:
+        if self._request is not None or self._relay is not None or not self.flushed:
             super().overflow()
         else:
             self._reject(431, "request head over the limit")
@@ -104,31 +138,42 @@
     def resume_writing(self) -> None:
         self._forget_unread()
         super().resume_writing()
+        if self._relay is not None:
+            self._relay.source.go_on()
 
     def ended(self, error: Exception | None) -> None:
         self._listener.left(self)
         self._stalled(False)
         self._forget_unread()
+        self._hold_body(0)
+        if self._unread is not None:
+            self._unread.cancel()
+        if self._relay is not None:
+            self._relay.source.cut()
+            self._relay = None
         if self._request is not None:
             number, self._request = self._request, None
             self._front.engine.gone(number)
 
     def close_if_idle(self) -> bool:
-        busy = self._request is not None or self._reader.begun or not self.flushed
+        busy = self._request is not None or self._relay is not None or self._reader.begun or not self.flushed
         if busy or self._rejected or not self.quiet():  # a request may wait in the kernel's buffer
             return False
         self.close()
         return True
 
     def overdue(self) -> None:
-        if not self._rejected and not self.closing and not self.close_if_idle():
+        if self._rejected or self.closing or self._reader.begun:
+            return  # a body has its own time
+        if not self.close_if_idle():
             self._reject(408, "request not ended")
 
     def turn_away(self) -> None:
         self._away = True
 
     def _handle(self) -> None:
-        head, body = self._reader.head, bytes(self._reader.body)
+        head, body = self._reader.head, self._reader.body
+        self._minor = head.minor
         self._keep = head.keeps_alive()
         self._reader.reset()
         if head.target.partition("?")[0] == READY_PATH:
@@ -152,8 +197,34 @@
                 head.method == "PUT", ask.repeat, ask.timeout, payload, self))
 
     # --- The engine's answers ---
-    def served(self, answer: bytes) -> None:
-        self._final(200, answer)
+    def served(self, answer: bytes | Relay) -> None:
+        if not isinstance(answer, Relay):
+            self._final(200, answer)
+            return
+        self._request, self._relay, answer.sink = None, answer, self
+        self._hold_body(0)
+        self._chunked = answer.length is None and self._minor == 1
+        self._keep = self._keep and not self._front.stopping and (answer.length is not None or self._chunked)
+        self.write(http.response_head(200, answer.length, None, not self._keep, self._chunked))
+        self.part(answer.first)
+        self._mind_unread()
+
+    def part(self, data: bytes) -> None:
+        self.write(http.encode_chunk(data) if self._chunked else data)
+
+    def whole(self) -> None:
+        self._relay = None
+        if self._chunked:
+            self.write(http.LAST_CHUNK)
+        if not self._keep:
+            self.close()
+            return
+        self._listener.used(self)
+        self.resume()
+
+    def broken(self) -> None:
+        self._relay = None
+        self.reset()
 
     def refused(self, retry_after: float) -> None:
         self._final(503, b"", {"Retry-After": f"{retry_after:.3f}"} if retry_after > 0 else None)
@@ -163,6 +234,7 @@
 
     def _final(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
         self._request = None
+        self._hold_body(0)
         self._listener.used(self)
         self._answer(status, body, fields)
         self.resume()
@@ -176,7 +248,7 @@
         close = not self._keep or self._front.stopping
         self.write(http.encode_response(status, body, fields, close))
         if not self.flushed and not self.closing:
-            self._front.loop.call_later(UNREAD_LIMIT, self._unread)
+            self._mind_unread()
             self._unread_bytes = self.transport.get_write_buffer_size()
             if not self._front.unread.change(self._unread_bytes):
                 self.abort()
@@ -187,15 +259,24 @@
         size, self._unread_bytes = self._unread_bytes, 0
         self._front.unread.change(-size)
 
-    def _unread(self) -> None:
-        """Guard against clients that ask and do not read the answer."""
-        if not self.flushed:
+    def _mind_unread(self) -> None:
+        if self._unread is None:
+            self._unread = self._front.loop.call_later(UNREAD_LIMIT, self._check_unread, self.taken)
+
+    def _check_unread(self, before: int) -> None:
+        """Guard against clients that ask and do not read the answer; one that reads slowly has its time."""
+        self._unread = None
+        if not self.flushed and self.taken == before:
             self.abort()
+        elif not self.flushed or self._relay is not None:
+            self._mind_unread()
 
     def _reject(self, status: int, text: str) -> None:
         self._front.engine.counts["bad_requests"] += 1
         self._rejected = True
         self._stalled(False)
+        self._reader.reset()
+        self._hold_body(0)
         self.write(http.encode_response(status, f"{text}\n".encode(), close=True))
         if not self.closing:
             self.transport.write_eof()
@@ -204,18 +285,28 @@
     def _stalled(self, begun: bool) -> None:
         """Guard against clients that begin a request and never end it."""
         if begun and self._stall is None:
-            self._stall = self._front.loop.call_later(STALL_LIMIT, self._reject, 408, "request not ended")
+            self._began = self._front.loop.time()
+            self._stall = self._front.loop.call_later(STALL_LIMIT, self._check_stall)
         elif not begun and self._stall is not None:
             self._stall.cancel()
             self._stall = None
 
 
+    def _check_stall(self) -> None:
+        left = self._began + STALL_LIMIT + self._reader.received / SLOWEST - self._front.loop.time()
+        if left <= 0:
+            self._reject(408, "request not ended")
+        else:
+            self._stall = self._front.loop.call_later(max(left, 0.05), self._check_stall)
+
+
 class HttpFront:
     """Clients over HTTP/1.1."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 settings: api.Settings, ready: Callable[[], bool], memory: int) -> None:
-        self.unread = Allowance(memory)
+                 settings: api.Settings, ready: Callable[[], bool], unread: int, bodies: int) -> None:
+        self.unread = Allowance(unread)  # bytes of answers that clients do not read
+        self.bodies = Allowance(bodies)  # bytes of long bodies, as they come and until they are answered
         self.loop, self.engine, self.buffers, self.ready = loop, engine, buffers, ready
         self.ids = RecentIds(0.0)
         self.stopping = False
@@ -237,7 +328,10 @@
     def __init__(self, carrier: HttpCarrier) -> None:
         super().__init__(carrier.buffers)
         self._carrier = carrier
-        self._reader = http.Reader(response=True, limit=http.MAX_ANSWER)
+        self._reader = http.Reader(response=True)
+        self._out = memoryview(b"")  # what of a long body is not written yet
+        self._relay: Relay | None = None
+        self._answered: Attempt | None = None  # whose answer is being passed on
         self._held = 0  # bytes counted in the carrier's allowance
         self._moved_at = 0.0  # when bytes came last
         self._stall: asyncio.TimerHandle | None = None
@@ -247,17 +341,35 @@
         self._attempt = attempt
         payload: Payload = attempt.payload
         left = max(0.001, attempt.expires - self._carrier.loop.time())
-        self.write(http.encode_request(payload.method, payload.target, {
-            "Host": payload.host, "X-Request-ID": payload.request_id, "X-Timeout": f"{left:.3f}"},
-            payload.body))
+        fields = {"Host": payload.host, "X-Request-ID": payload.request_id, "X-Timeout": f"{left:.3f}"}
+        head = http.request_head(payload.method, payload.target, fields, len(payload.body))
+        if len(payload.body) <= SMALL:
+            self.write(head + payload.body)
+            return
+        self._out = memoryview(payload.body)
+        self.write(head)
+        self._write_on()
+
+    def _write_on(self) -> None:
+        """Write as much of a long body as the target takes.  Guards against a second copy of all of it."""
+        while self._out and self.flushed and not self.closing:
+            part, self._out = self._out[:PIECE], self._out[PIECE:]
+            self.write(part)
+
+    def resume_writing(self) -> None:
+        self.flushed = True
+        self._write_on()
+        self.resume()
 
     def give_up(self) -> bool:
         """What was given up in the middle of its transfer counts as run: only a break proves otherwise."""
-        self._attempt = None
+        self._attempt, self._out = None, memoryview(b"")
         self.abort()
         return True
 
     def received(self, data: memoryview) -> int:
+        if self._relay is not None:
+            return self._pass_on(data)
         if self._attempt is None:
             self.abort()  # a target speaks only when asked
             return len(data)
@@ -267,21 +379,104 @@
             self._carrier.complain(self._attempt, str(error))
             self._conclude(Ending(api.Status.ERROR), keep=False)
             return len(data)
-        if not self._hold(self._reader.size):
+        if not self._hold(len(self._reader.body)):
             self._carrier.complain(self._attempt, "no memory left for the answer")
             self._conclude(Ending(api.Status.ERROR), keep=False)
             return len(data)
         if self._reader.done:
             self._finish()
+        elif self._reader.begun and self._is_long():
+            self._begin_relay()
         elif self._reader.begun:
             self._moved_at = self._carrier.loop.time()
             if self._stall is None:
                 self._stall = self._carrier.loop.call_later(ANSWER_STALL, self._check_stall)
         return used
 
+    def _is_long(self) -> bool:
+        """Whether an answer is to be passed on as it comes: such a one can't be tried again."""
+        if (self._reader.length or 0) > SMALL:
+            return self._reader.received >= RELAY_FROM
+        return self._reader.received > SMALL
+
+    def _begin_relay(self) -> None:
+        """Pass the answer on from here.  For the engine the attempt is over: the target has done its work."""
+        told = self._carrier.fields.parse(self._reader.head)
+        if told.status is not api.Status.OK:
+            self._conclude(Ending(told.status), keep=False)  # nobody wants the text of a long error
+            return
+        attempt, self._attempt = self._attempt, None
+        self._answered, self._moved_at = attempt, self._carrier.loop.time()
+        relay = self._relay = Relay(self, self._reader.length, self._reader.drain())
+        self._hold(0)
+        self._carrier.pool.used(attempt, False)
+        self._carrier.engine.counts["relayed"] += 1
+        self._carrier.engine.ended(attempt, Ending(told.status, relay, told.others, told.report))
+        if relay.sink is None:  # its client had left
+            self.cut()
+        elif not relay.wants_more:
+            self._pause()
+        self._watch_relay()
+
+    def _watch_relay(self) -> None:
+        if self._stall is not None:
+            self._stall.cancel()
+        self._stall = self._carrier.loop.call_later(RELAY_STALL, self._check_stall)
+
+    def _pass_on(self, data: memoryview) -> int:
+        self._moved_at = self._carrier.loop.time()
+        try:
+            used = self._reader.feed(data)
+        except http.HttpError as error:
+            self._carrier.complain(self._answered, str(error))
+            self._break_off()
+            return len(data)
+        part, done = self._reader.drain(), self._reader.done
+        if part:
+            self._relay.sink.part(part)
+        if done:
+            self._end_relay(self._reader.head.keeps_alive() and self.flushed and not self._out)
+        elif self._relay is not None and not self._relay.wants_more:
+            self._pause()
+        return used
+
+    def _end_relay(self, keep: bool) -> None:
+        relay, self._relay = self._relay, None
+        attempt, self._answered = self._answered, None
+        self._reader.reset()
+        if keep and not self.closing:
+            self._carrier.pool.release(attempt, self)
+        else:
+            self.abort()
+        if relay is not None:
+            relay.sink.whole()
+
+    def _break_off(self) -> None:
+        """The rest of an answer that was begun will not come."""
+        relay, self._relay = self._relay, None
+        self._carrier.engine.counts["broken_off"] += 1
+        self.abort()
+        relay.sink.broken()
+
+    def go_on(self) -> None:
+        self._moved_at = self._carrier.loop.time()
+        self.resume()
+
+    def cut(self) -> None:
+        self._relay = None
+        self.abort()
+
     def _check_stall(self) -> None:
         """Guard against answers that stop short on a connection that stays open: a read can be sent again."""
         self._stall = None
+        if self._relay is not None:
+            waits = self._relay.wants_more and self._carrier.loop.time() - self._moved_at >= RELAY_STALL
+            if waits:
+                self._carrier.complain(self._answered, "the answer stopped short")
+                self._break_off()
+            else:
+                self._watch_relay()
+            return
         if self._attempt is None or not self._reader.begun:
             return
         left = self._moved_at + ANSWER_STALL - self._carrier.loop.time()
@@ -304,14 +499,21 @@
         return False
 
     def ended(self, error: Exception | None) -> None:
+        whole = error is None and self._reader.begun and self._reader.finish()  # a reset ends nothing well
+        if self._relay is not None:
+            if whole:
+                self._end_relay(keep=False)
+            else:
+                self._break_off()
+            return
         if self._attempt is None:
             self._hold(0)
             return
-        if self._reader.begun and self._reader.finish():
+        if whole:
             self._finish()
             return
         # Only a break before the last byte was written proves that the target never began.
-        never = not self.flushed and not self._reader.begun
+        never = (not self.flushed or bool(self._out)) and not self._reader.begun
         self._conclude(Ending(api.Status.CONNECT_FAILED if never else api.Status.RESET), keep=False)
 
     def _finish(self) -> None:
@@ -319,11 +521,12 @@
         told = self._carrier.fields.parse(head)
         answer = bytes(self._reader.body) if told.status is api.Status.OK else None
         # An answer that came before the request was out leaves the connection in no known state.
-        keep = head.keeps_alive() and self._reader.done and self.flushed
+        keep = head.keeps_alive() and self._reader.done and self.flushed and not self._out
         self._conclude(Ending(told.status, answer, told.others, told.report), keep)
 
     def _conclude(self, ending: Ending, keep: bool) -> None:
         attempt, self._attempt = self._attempt, None
+        self._out = memoryview(b"")
         self._carrier.pool.used(attempt, ending.status is api.Status.RESET and not self._reader.begun)
         self._reader.reset()
         self._hold(0)
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -39,8 +39,10 @@
 USUAL_SHARE = 5  # of all descriptors: a part in so many for clients is usual; they may hold a third
 TARGET_SHARE = 0.45  # of the descriptors, for targets
 OWN_MEMORY = 24 * 1024 * 1024  # bytes of the program itself and what is small
-BODY_SHARE = 0.3  # of the memory left: for answers coming in, and as much for those that clients do not read
-LEAST_BODIES = 2 * 1024 * 1024  # bytes: in any case
+ANSWER_SHARE = 0.2  # of the memory left: for answers coming in, and as much for what clients do not read
+BODY_SHARE = 0.5  # of the memory left: for the long bodies of requests
+NVME_SHARE = 0.3  # of the memory left: for the data of commands, and as much for what hosts do not read
+LEAST_SHARE = 2 * 1024 * 1024  # bytes: in any case
 
 
 def join(host: str, port: int) -> str:
@@ -58,12 +60,13 @@
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS
         targets = max(16, int(sockets * TARGET_SHARE))
         channels = (config.connect_timeout, config.idle_limit, targets, log)
-        bodies = max(LEAST_BODIES, int((config.memory - OWN_MEMORY) * BODY_SHARE))
+        answers, bodies, commands = (max(LEAST_SHARE, int((config.memory - OWN_MEMORY) * share))
+                                     for share in (ANSWER_SHARE, BODY_SHARE, NVME_SHARE))
         if config.nvme is None:
-            self.front = HttpFront(*common, config.settings, self.is_ready, bodies)
-            self.carrier = HttpCarrier(*common, *channels, config.settings, bodies)
+            self.front = HttpFront(*common, config.settings, self.is_ready, answers, bodies)
+            self.carrier = HttpCarrier(*common, *channels, config.settings, answers)
         else:
-            self.front = NvmeFront(*common, config.settings, config.name, config.nvme, log, bodies)
+            self.front = NvmeFront(*common, config.settings, config.name, config.nvme, log, commands)
             self.carrier = NvmeCarrier(*common, *channels, config.name, config.nvme)
         self.engine.carrier = self.carrier
         self._directory = Directory(self.engine, config.zones, config.kinds)
--- a/stalltiller/protocol/http.py
+++ b/stalltiller/protocol/http.py
@@ -5,8 +5,8 @@
 import re
 from dataclasses import dataclass, field
 
-MAX_BODY = 64 * 1024  # of a request
-MAX_ANSWER = 1024 * 1024  # bytes of an answer's body: reads of several units bring back some hundred KiB
+MAX_BODY = 32 * 1024 * 1024  # bytes of a request's body, and of an answer's
+MAX_ANSWER = 1024 * 1024  # bytes of an answer that is wanted whole, as discovery's list
 MAX_CHUNK_LINE = 1024
 MAX_INTERIM = 16  # interim answers before the final one
 MAX_TRAILERS = 64  # lines
@@ -104,23 +104,27 @@
     head: Head | None = None
     body: bytearray = field(default_factory=bytearray)
     done: bool = False
+    length: int | None = None  # of the body, where the head tells it
+    received: int = 0  # bytes of the body so far
     _left: int = 0  # bytes of the body, or of the chunk, still to come
     _stage: str = "head"
     _lines: int = 0  # interim answers or trailer lines so far
 
     def reset(self) -> None:
         self.head, self.body, self.done, self._left, self._stage = None, bytearray(), False, 0, "head"
-        self._lines = 0
+        self._lines = self.received = 0
+        self.length = None
+
+    def drain(self) -> bytes:
+        """Take out what of the body has come since the last time."""
+        part = bytes(self.body)
+        self.body.clear()
+        return part
 
     @property
     def begun(self) -> bool:
         return self.head is not None
 
-    @property
-    def size(self) -> int:
-        """Bytes of the body that have come or are known to come."""
-        return len(self.body) + self._left
-
     def feed(self, data: memoryview) -> int:
         """Take what can be taken, up to the end of the message, and return how much that was."""
         used = 0
@@ -171,7 +175,7 @@
                 raise HttpError(400, "malformed content length")
             if len(length) > 9 or int(length) > self.limit:
                 raise HttpError(413, "body over the limit")
-            self._left, self._stage = int(length), "fixed"
+            self._left, self._stage, self.length = int(length), "fixed", int(length)
             self.done = self._left == 0
         elif self.response and head.status not in (204, 304):
             if head.keeps_alive():  # its end could never be told
@@ -183,6 +187,7 @@
     def _take(self, data: memoryview) -> int:
         part = data[:self._left]
         self.body += part
+        self.received += len(part)
         self._left -= len(part)
         return len(part)
 
@@ -192,7 +197,8 @@
         return used
 
     def _rest(self, data: memoryview) -> int:
-        if len(self.body) + len(data) > self.limit:
+        self.received += len(data)
+        if self.received > self.limit:
             raise HttpError(413, "body over the limit")
         self.body += data
         return len(data)
@@ -212,7 +218,7 @@
         if not re.fullmatch(rb"[0-9A-Fa-f]{1,8}", size):
             raise HttpError(400, "malformed chunk size")
         self._left = int(size, 16)
-        if len(self.body) + self._left > self.limit:
+        if self.received + self._left > self.limit:
             raise HttpError(413, "body over the limit")
         self._stage = "chunk" if self._left else "trailer"
         return len(line) + 2
@@ -236,18 +242,39 @@
         return len(line) + 2
 
 
-def encode_request(method: str, target: str, fields: dict[str, str], body: bytes) -> bytes:
+def request_head(method: str, target: str, fields: dict[str, str], length: int) -> bytes:
     lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in fields.items())]
-    if body or method != "GET":
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join((*lines, "", "")).encode("latin-1") + body
+    if length or method != "GET":
+        lines.append(f"Content-Length: {length}")
+    return "\r\n".join((*lines, "", "")).encode("latin-1")
+
+
+def encode_request(method: str, target: str, fields: dict[str, str], body: bytes) -> bytes:
+    return request_head(method, target, fields, len(body)) + body
 
 
 def encode_response(status: int, body: bytes = b"", fields: dict[str, str] | None = None,
                     close: bool = False) -> bytes:
-    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", f"Content-Length: {len(body)}"]
+    return response_head(status, len(body), fields, close) + body
+
+
+def response_head(status: int, length: int | None, fields: dict[str, str] | None = None,
+                  close: bool = False, chunked: bool = False) -> bytes:
+    """A head; with no length told, the body comes in chunks or ends with the connection."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    elif chunked:
+        lines.append("Transfer-Encoding: chunked")
     if fields:
         lines += [f"{name}: {value}" for name, value in fields.items()]
     if close:
         lines.append("Connection: close")
-    return "\r\n".join((*lines, "", "")).encode("latin-1") + body
+    return "\r\n".join((*lines, "", "")).encode("latin-1")
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def encode_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -6,6 +6,7 @@
 import contextlib
 import select
 import socket
+import struct
 
 from stalltiller.transport.buffers import BufferPool
 
@@ -22,6 +23,7 @@
         self._buffer: bytearray | None = None
         self._read_at = self._fill = 0
         self._paused = False
+        self.written = 0  # bytes in all
         self.flushed = True  # the kernel has taken every byte written so far
         self.transport: asyncio.Transport | None = None
 
@@ -61,10 +63,16 @@
         poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
         return not poll.poll(0)
 
-    def write(self, data: bytes) -> None:
+    @property
+    def taken(self) -> int:
+        """Bytes written that the kernel has taken."""
+        return self.written - (0 if self.closing else self.transport.get_write_buffer_size())
+
+    def write(self, data: bytes | memoryview) -> None:
         if self.closing:
             self.flushed = False
             return
+        self.written += len(data)
         self.transport.write(data)
         if self.transport.is_closing():  # the kernel took nothing: the other side was gone already
             self.flushed = False
@@ -85,6 +93,14 @@
                 self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Close now with a reset, so that no one takes what was sent for all there is."""
+        if self.transport is not None:
+            with contextlib.suppress(OSError):
+                self.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.transport.abort()
+
     def resume(self) -> None:
         """Look again at kept bytes, and go on reading."""
         self._digest()
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -13,7 +13,7 @@
 TURNED_AWAY = 16  # connections over the number that are still told so; the rest are closed unheard
 SWEEP_EVERY = 0.25  # s between looks for connections to close
 SPEAK_LIMIT = 0.1  # s in which a client that has something to ask has asked, as a rule
-HELLO_LIMIT = 2.0  # s that a new connection may take until its first whole request
+HELLO_LIMIT = 2.3  # s that a new connection may take until its first whole head
 IDLE_LIMIT = 2.0  # s that a connection may stand idle
 CROWDED_LIMIT = 0.3  # s, while there are more than `usual`
 
@@ -25,7 +25,7 @@
         """Close between requests; whether it was idle."""
 
     def overdue(self) -> None:
-        """No whole request has come in time: say so or close."""
+        """No whole request has come in time: say so or close, unless its head has come."""
 
     def turn_away(self) -> None:
         """Answer whatever comes with a refusal and close."""
@@ -46,8 +46,9 @@
     """
 
     def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int, usual: int,
-                 hello: float = HELLO_LIMIT) -> None:
-        self._make, self._most, self._usual, self._hello = make, most, usual, hello
+                 hello: float | None = None) -> None:
+        self._make, self._most, self._usual = make, most, usual
+        self._hello = HELLO_LIMIT if hello is None else hello
         self._server: asyncio.Server | None = None
         self._strangers: dict[Guest, float] = {}  # no whole request yet: when each arrived, in order
         self._guests: dict[Guest, float] = {}  # when each was last used, in order
