Let connections in the middle of their first request make room last, the quietest first

At fault: Listener.arrived, which aborted every connection without a whole request after 0.1 s, oldest first.

--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -101,6 +101,7 @@
             self._handle()
         else:
             self._stalled(True)
+            self._listener.spoke(self)
             if self._reader.begun and not (begun or self._wanted()):
                 return len(data)
             if not self._hold_body(self._reader.length or self._reader.received):
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -161,6 +161,7 @@
             return 0  # a host that does not read its completions gets no further commands taken
         try:
             used, found = self._reader.feed(data)
+            self._listener.spoke(self)
             if found is not None:
                 self._take(found)
         except nvme.PduError as error:
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -40,9 +40,10 @@
 class Listener:
     """Accepts connections.  Over `most` another makes room, or the new one is turned away.
 
-    Those go first that have not sent a whole request in SPEAK_LIMIT, then idle ones, then new ones, each the
-    oldest first.  Guards against clients that connect by hundreds and say nothing: they would push out the
-    idle connections of usual clients, and new ones whose first request is on its way.
+    Those go first that have sent nothing in SPEAK_LIMIT, then idle ones, then those in their first request,
+    from the one silent for longest on, then new ones.  Guards against clients that connect by hundreds and
+    say nothing or never end what they say: they would push out the idle connections of usual clients, new
+    ones whose first request is on its way, and those that write it slowly.
     """
 
     def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int, usual: int,
@@ -51,6 +52,7 @@
         self._hello = HELLO_LIMIT if hello is None else hello
         self._server: asyncio.Server | None = None
         self._strangers: dict[Guest, float] = {}  # no whole request yet: when each arrived, in order
+        self._spoke: dict[Guest, float] = {}  # strangers that have begun one: when some came last, in order
         self._guests: dict[Guest, float] = {}  # when each was last used, in order
         self._sweep: asyncio.TimerHandle | None = None
         self.keep_idle = False  # while it stops, clients have no other connections than those they hold
@@ -96,12 +98,12 @@
         for other, since in self._strangers.items():
             if now - since < SPEAK_LIMIT:
                 break
-            if not other.closing:
+            if other not in self._spoke and not other.closing:
                 other.abort()
                 return
         if any(other.close_if_idle() for other in self._guests):
             return
-        for other in self._strangers:
+        for other in (*self._spoke, *self._strangers):
             if other is not guest and not other.closing:
                 other.abort()
                 return
@@ -110,14 +112,22 @@
         else:
             guest.turn_away()
 
+    def spoke(self, guest: Guest) -> None:
+        """A part of a request has come."""
+        if guest in self._strangers:
+            self._spoke.pop(guest, None)
+            self._spoke[guest] = time.monotonic()
+
     def used(self, guest: Guest) -> None:
         """A whole request has come, or was answered: the connection makes room last."""
         self._strangers.pop(guest, None)
+        self._spoke.pop(guest, None)
         self._guests.pop(guest, None)
         self._guests[guest] = time.monotonic()
 
     def left(self, guest: Guest) -> None:
         self._strangers.pop(guest, None)
+        self._spoke.pop(guest, None)
         self._guests.pop(guest, None)
 
     def close_idle(self) -> None:
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -346,6 +346,32 @@
     play(scene)
 
 
+def test_a_crowd_that_never_ends_its_requests_does_not_push_out_one_that_writes_slowly(monkeypatch):
+    monkeypatch.setattr("stalltiller.transport.listener.SPEAK_LIMIT", 0.02)
+
+    async def scene(world, reader, writer):
+        async def slowly():
+            for at in range(0, len(GET), 20):
+                writer.write(GET[at:at + 20])
+                await asyncio.sleep(0.05)
+            return await read_message(reader, response=True)
+
+        address = world.app.listener.address
+        world.app.listener._most = 4
+        asking, crowd = asyncio.create_task(slowly()), []
+        while not asking.done():
+            other, half = await asyncio.open_connection(*address)
+            half.write(GET[:30])
+            crowd.append(half)
+            await asyncio.sleep(0.02)
+        assert asking.result().head.status == 200
+        assert world.app.listener.shed > 4 and len(world.app.listener._spoke) <= 4
+        for half in crowd:
+            half.transport.abort()
+        await world.until(lambda: not world.app.listener._spoke)
+    play(scene)
+
+
 def test_answers_that_clients_do_not_read_are_held_to_an_allowance():
     async def scene(world, reader, writer):
         async def serve(stream, out):
