Pass on long answers that come slowly from their first bytes on

Checked: a probe of times from an answer's head to its passing on: up to 150 ms where its length is known, up to 1140 ms in chunks; ruled out answers of 64 KiB and less (their head and end lie 1 ms apart). At fault: TargetConnection._is_long, which waited for 8 or 64 KiB, at 64 kB/s. Now 20 ms after the head whatever comes shows that the answer goes on.

--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -24,6 +24,7 @@
 UNREAD_LIMIT = 5.0  # s that a client may read nothing of an answer
 SMALL = 64 * 1024  # bytes: a body up to it is not counted, an answer up to it is passed on when it is whole
 RELAY_FROM = 8 * 1024  # bytes of a longer answer that show it to be one: from then on it is passed on
+RELAY_AFTER = 0.02  # s after its head at which one that still comes in is passed on with fewer
 RELAY_STALL = 5.0  # s that a target may stand still in an answer that is being passed on
 PIECE = 64 * 1024  # bytes of a long body written at once
 MOST_IDS = 8192  # request ids that are remembered, and up to twice that
@@ -334,7 +335,7 @@
         self._relay: Relay | None = None
         self._answered: Attempt | None = None  # whose answer is being passed on
         self._held = 0  # bytes counted in the carrier's allowance
-        self._moved_at = 0.0  # when bytes came last
+        self._begun_at = self._moved_at = 0.0  # when the answer's head came, and its last bytes
         self._stall: asyncio.TimerHandle | None = None
         self._attempt: Attempt | None = None
 
@@ -374,6 +375,7 @@
         if self._attempt is None:
             self.abort()  # a target speaks only when asked
             return len(data)
+        begun = self._reader.begun
         try:
             used = self._reader.feed(data)
         except http.HttpError as error:
@@ -384,21 +386,28 @@
             self._carrier.complain(self._attempt, "no memory left for the answer")
             self._conclude(Ending(api.Status.ERROR), keep=False)
             return len(data)
+        self._moved_at = self._carrier.loop.time()
+        if not begun:
+            self._begun_at = self._moved_at
         if self._reader.done:
             self._finish()
         elif self._reader.begun and self._is_long():
             self._begin_relay()
-        elif self._reader.begun:
-            self._moved_at = self._carrier.loop.time()
-            if self._stall is None:
-                self._stall = self._carrier.loop.call_later(ANSWER_STALL, self._check_stall)
+        elif self._reader.begun and self._stall is None:
+            self._stall = self._carrier.loop.call_later(ANSWER_STALL, self._check_stall)
         return used
 
     def _is_long(self) -> bool:
-        """Whether an answer is to be passed on as it comes: such a one can't be tried again."""
-        if (self._reader.length or 0) > SMALL:
-            return self._reader.received >= RELAY_FROM
-        return self._reader.received > SMALL
+        """Whether an answer is to be passed on as it comes: such a one can't be tried again.
+
+        Guards against targets that write slowly: 64 KiB of chunks took up to 1.1 s, and it is the first bytes
+        of a long answer that its client waits for.  One that stops short sends no more and is tried again.
+        """
+        if self._reader.length is not None and self._reader.length <= SMALL:
+            return False
+        enough = SMALL if self._reader.length is None else RELAY_FROM
+        slow = self._moved_at - self._begun_at >= RELAY_AFTER
+        return self._reader.received > enough or (slow and self._reader.received > 0)
 
     def _begin_relay(self) -> None:
         """Pass the answer on from here.  For the engine the attempt is over: the target has done its work."""
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -9,7 +9,7 @@
 
 from stalltiller.fronts import http as front
 from stalltiller.protocol import http
-from tests.standins import read_message
+from tests.standins import DEADLINE, read_message
 from tests.test_http_front import GET, GOOD, play
 
 LONG = b"menu" * 100_000
@@ -217,3 +217,22 @@
         assert (await read_message(reader, response=True)).head.status == 200
         assert [tag for tag, _ in world.targets[0].ran] == [9]
     play(scene)
+
+
+@pytest.mark.parametrize("head", [b"Transfer-Encoding: chunked\r\n\r\n", b"Content-Length: 100000\r\n\r\n"])
+def test_the_first_bytes_of_an_answer_that_comes_slowly_are_passed_on_early(head):
+    """Not before it has shown that it goes on: one that stops short can be tried again."""
+    async def scene(world, reader, writer):
+        async def serve(stream, out):
+            await read_message(stream)
+            out.write(b"HTTP/1.1 200 OK\r\n" + head)
+            for _ in range(3):
+                out.write(http.encode_chunk(b"menu") if b"chunked" in head else b"menu")
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(30)
+
+        world.targets[0].serve = serve
+        writer.write(GET)
+        assert b"200" in await asyncio.wait_for(reader.readuntil(b"\r\n"), DEADLINE / 2)
+        assert world.app.engine.counts["relayed"] == 1
+    play(scene)
