Give slow readers their time on NVMe/TCP too; give back what a refused long body held

Seen by reading, beside the long bodies: a long body whose id was not new stayed counted in the allowance until its connection ended (ClientConnection._bad); a host that reads slowly was cut off after 10 s however much it had read (HostQueue.pause_writing); a limit raised at SIGHUP held at once, while clients and the other initiators still go by the old one (reload.between).

--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -77,7 +77,6 @@
         self._stall: asyncio.TimerHandle | None = None
         self._began = 0.0  # when the request that is coming in did
         self._unread_bytes = self._body_bytes = 0  # counted in the front's allowances
-        self._unread: asyncio.TimerHandle | None = None
         self._relay: Relay | None = None  # the answer that is being passed on
         self._chunked = False
         self._minor = 1
@@ -148,8 +147,6 @@
         self._stalled(False)
         self._forget_unread()
         self._hold_body(0)
-        if self._unread is not None:
-            self._unread.cancel()
         if self._relay is not None:
             self._relay.source.cut()
             self._relay = None
@@ -209,10 +206,10 @@
         self._keep = self._keep and not self._front.stopping and (answer.length is not None or self._chunked)
         self.write(http.response_head(200, answer.length, None, not self._keep, self._chunked))
         self.part(answer.first)
-        self._mind_unread()
 
     def part(self, data: bytes) -> None:
         self.write(http.encode_chunk(data) if self._chunked else data)
+        self.expect_reading(UNREAD_LIMIT)
 
     def whole(self) -> None:
         self._relay = None
@@ -243,6 +240,7 @@
 
     def _bad(self, status: int, text: str) -> None:
         """A request that was read and is not taken."""
+        self._hold_body(0)
         self._front.engine.counts["bad_requests"] += 1
         self._answer(status, f"{text}\n".encode())
 
@@ -250,7 +248,7 @@
         close = not self._keep or self._front.stopping
         self.write(http.encode_response(status, body, fields, close))
         if not self.flushed and not self.closing:
-            self._mind_unread()
+            self.expect_reading(UNREAD_LIMIT)
             self._unread_bytes = self.transport.get_write_buffer_size()
             if not self._front.unread.change(self._unread_bytes):
                 self.abort()
@@ -261,18 +259,6 @@
         size, self._unread_bytes = self._unread_bytes, 0
         self._front.unread.change(-size)
 
-    def _mind_unread(self) -> None:
-        if self._unread is None:
-            self._unread = self._front.loop.call_later(UNREAD_LIMIT, self._check_unread, self.taken)
-
-    def _check_unread(self, before: int) -> None:
-        """Guard against clients that ask and do not read the answer; one that reads slowly has its time."""
-        self._unread = None
-        if not self.flushed and self.taken == before:
-            self.abort()
-        elif not self.flushed or self._relay is not None:
-            self._mind_unread()
-
     def _reject(self, status: int, text: str) -> None:
         self._front.engine.counts["bad_requests"] += 1
         self._rejected = True
@@ -293,7 +279,6 @@
             self._stall.cancel()
             self._stall = None
 
-
     def _check_stall(self) -> None:
         left = self._began + STALL_LIMIT + self._reader.received / SLOWEST - self._front.loop.time()
         if left <= 0:
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -123,7 +123,6 @@
         self.front, self._listener = front, listener
         self._reader = nvme.PduReader(nvme.FROM_HOST)
         self._greeted = False
-        self._unread: asyncio.TimerHandle | None = None
         self._unread_bytes = 0
         self._head = 0
         self.association: Association | None = None
@@ -137,8 +136,6 @@
 
     def ended(self, error: Exception | None) -> None:
         self._count_unread(0)
-        if self._unread is not None:
-            self._unread.cancel()
         self._listener.left(self)
         if self.association is not None:
             self.association.end()
@@ -171,8 +168,7 @@
 
     def pause_writing(self) -> None:
         super().pause_writing()
-        if self._unread is None:
-            self._unread = self.front.loop.call_later(UNREAD_LIMIT, self.abort)
+        self.expect_reading(UNREAD_LIMIT)
 
     def _count_unread(self, size: int) -> bool:
         change, self._unread_bytes = size - self._unread_bytes, size
@@ -180,8 +176,6 @@
 
     def resume_writing(self) -> None:
         self._count_unread(0)
-        self._unread.cancel()
-        self._unread = None
         super().resume_writing()
 
     def drop_commands(self) -> None:
--- a/stalltiller/program/reload.py
+++ b/stalltiller/program/reload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 from stalltiller import interface as api
@@ -21,6 +22,8 @@
     for cls in old.classes:
         same = coming.pop(cls.name, cls)
         classes.append(replace(same, effect=max(cls.effect, same.effect, key=STRICTNESS.index)))
-    plans = {plan.name: plan for plan in (*old.plans, *new.plans)}
+    plans = {plan.name: plan for plan in old.plans}
+    for plan in new.plans:
+        plans[plan.name] = min(plan, plans.get(plan.name, plan), key=lambda one: one.limit or math.inf)
     return replace(new, classes=(*classes, *coming.values()), plans=tuple(plans.values()),
                    max_attempts=min(old.max_attempts, new.max_attempts))
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -23,7 +23,8 @@
         self._buffer: bytearray | None = None
         self._read_at = self._fill = 0
         self._paused = False
-        self.written = 0  # bytes in all
+        self._written = 0  # bytes in all
+        self._reading: asyncio.TimerHandle | None = None  # the next look whether the other side reads
         self.flushed = True  # the kernel has taken every byte written so far
         self.transport: asyncio.Transport | None = None
 
@@ -63,20 +64,33 @@
         poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
         return not poll.poll(0)
 
-    @property
-    def taken(self) -> int:
-        """Bytes written that the kernel has taken."""
-        return self.written - (0 if self.closing else self.transport.get_write_buffer_size())
-
     def write(self, data: bytes | memoryview) -> None:
         if self.closing:
             self.flushed = False
             return
-        self.written += len(data)
+        self._written += len(data)
         self.transport.write(data)
         if self.transport.is_closing():  # the kernel took nothing: the other side was gone already
             self.flushed = False
 
+    def expect_reading(self, limit: float) -> None:
+        """Abort if for so long the kernel takes nothing of what it has not taken by now.
+
+        Guards against a side that asks and does not read; one that reads slowly has its time.
+        """
+        if self._reading is None and not self.flushed and self.transport is not None:
+            taken = self._written - self.transport.get_write_buffer_size()
+            self._reading = asyncio.get_running_loop().call_later(limit, self._look, limit, taken)
+
+    def _look(self, limit: float, before: int) -> None:
+        self._reading = None
+        if self.flushed:
+            return
+        if self._written - self.transport.get_write_buffer_size() == before:
+            self.abort()
+        else:
+            self.expect_reading(limit)
+
     def close(self) -> None:
         """Close once what was written has gone out."""
         if self.transport is not None:
@@ -138,6 +152,8 @@
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
+        if self._reading is not None:
+            self._reading.cancel()
         self._release()
         self.ended(error)
 
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -108,7 +108,7 @@
     """Guards against a pipeline of requests whose answers pile up in memory."""
     front = SimpleNamespace(  # answers every request at once as bad, which needs no engine
         buffers=BufferPool(), loop=None, stopping=False, engine=SimpleNamespace(counts=Counter()),
-        fields=SimpleNamespace(parse=refuse_fields), unread=Allowance(99))
+        fields=SimpleNamespace(parse=refuse_fields), unread=Allowance(99), bodies=Allowance(99))
     connection = ClientConnection(front, Listener(None, 9, 9))
     connection.connection_made(Transport())
     raw = b"GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -119,3 +119,24 @@
     assert connection.transport.written == b""
     connection.resume_writing()
     assert connection.transport.written.count(b"400 Bad Request") == 2
+
+
+@pytest.mark.parametrize(("reads", "stays"), [(False, False), (True, True)])
+def test_one_that_reads_slowly_has_its_time_and_one_that_does_not_read_is_cut_off(reads, stays):
+    async def scene():
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            _, ours = await loop.create_connection(lambda: Lines(BufferPool()), *server.getsockname())
+            theirs, _ = server.accept()
+        with theirs:
+            theirs.setblocking(False)
+            ours.write(bytes(40 << 20))
+            ours.expect_reading(0.2)
+            for _ in range(25):
+                await asyncio.sleep(0.02)
+                if reads:
+                    await loop.sock_recv(theirs, 300_000)
+            assert ours.closing is not stays
+        ours.abort()
+        await asyncio.sleep(0)
+    asyncio.run(scene())
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -196,6 +196,16 @@
     play(scene)
 
 
+def test_what_a_long_body_held_is_given_back_when_its_request_is_not_taken():
+    async def scene(world, reader, writer):
+        raw = http.encode_request("PUT", "/write/9", GOOD, LONG)
+        for status in (200, 409):  # the second time its id is not new
+            writer.write(raw)
+            assert (await read_message(reader, response=True)).head.status == status
+            assert world.app.front.bodies.held == 0
+    play(scene)
+
+
 def test_a_wrong_field_is_told_before_a_long_body_has_come():
     async def scene(world, reader, writer):
         raw = http.encode_request("PUT", "/write/9", {**GOOD, "Tier": "tin"}, LONG)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -34,6 +34,12 @@
     assert (found.max_attempts, [p.name for p in found.plans]) == (2, ["plan", "b"])
 
 
+def test_between_two_settings_the_smaller_limit_holds():
+    for limits in ((10.0, 5.0), (5.0, 10.0), (5.0, 0.0), (0.0, 5.0)):
+        old, new = (settings(plans=(plan(limit=limit),)) for limit in limits)
+        assert between(old, new).plans[0].limit == 5.0
+
+
 def test_new_settings_hold_at_once_where_stricter_and_in_full_later(monkeypatch):
     """The open write keeps its class, though that is gone when its attempt ends; no class is mixed up."""
     monkeypatch.setattr(program, "SETTLE", 0.2)
