Keep most of a limit's part for the classes worth most

Ruled out: late answers (2%), silent connections (85) and the clients that leave (their requests are not refused). At fault: Scheduler._limit_room.

--- a/stalltiller/logic.py
+++ b/stalltiller/logic.py
@@ -45,6 +45,7 @@
 PRIOR_UNITS = 3.0  # mean requests' worth of belief in the even split before any news
 FORGET_AFTER = 30.0  # s after its last request at which a volume is forgotten: by then its averages are gone
 SWEEP_EVERY = 5.0  # s between looks for what can be forgotten
+KEEP_SHARE = 0.9  # of a limit's burst, less a largest request, that only the classes worth most may spend
 BUCKET_DEPTH = 1.0  # s of a grant or reservation slice that may be saved up, plus one largest request
 # --- Leases of limit tokens, where gateways may talk ------------------------------------------------
 LEASE_EVERY = 0.06  # s between asks of a gateway short of tokens: a few times a message's way and back
@@ -151,16 +152,14 @@
     def __init__(self, r: api.Request, cls: api.RequestClass, volume: Volume, due: float,
                  deadline: float, most: int) -> None:
         self.r, self.cls, self.volume, self.due, self.deadline = r, cls, volume, due, deadline
-        self.attempts = self.out = 0
-        self.most = most  # attempts, by the settings when it came
+        self.attempts, self.out, self.most = 0, 0, most  # most: attempts, by the settings when it came
         self.node: Node | None = None  # where it waits or runs
         self.unsure_at: float | None = None  # send time of the first attempt that may have run
         self.unsure_node: Node | None = None
         self.over = self.drawn = self.landed = False  # landed: an attempt went whole to a node
         self.sent_at, self.passed = 0.0, 0  # of the last attempt; answers to later sends that came first
-        self.cancelled = False
+        self.cancelled, self.place = False, IN_RESERVATION
         self.half = deadline - HALF * r.left
-        self.place = IN_RESERVATION
 
 
 class Scheduler:
@@ -185,14 +184,14 @@
         self.queued: dict[api.NodeId, Node] = {}  # nodes with requests in line: the others cost nothing
         self.polling = False
         self.started = self.swept_at = now
-        self.watching = False
-        self.filling = True  # the buckets of the limits
+        self.watching, self.filling = False, True  # filling: the buckets of the limits
         self.actions: list[api.Action] = []
 
     def _retune(self, settings: api.Settings) -> None:
         """Go by other settings; what is known of a class or plan stays with its name."""
         self.s = settings
         self.mean = max(settings.mean_units, 1e-9)  # units of a usual request
+        self.best = max(c.worth for c in settings.classes)
         self.tightest = min((c.aim for c in settings.classes if c.aim > 0), default=1.0)
         self.slowness = {c.name: self.slowness.get(c.name, 1.0) for c in settings.classes}
         self.full_left = {c.name: self.full_left.get(c.name, 0.0) for c in settings.classes}
@@ -549,22 +548,23 @@
     def _limit_room(self, held: Held) -> bool:
         """Whether this gateway's part of the limit has the units.
 
-        Parts are limit and burst over the host count and start empty: a restart must not mint a burst.
+        Parts are limit and burst over the host count and start empty: a restart must not mint a burst.  Most
+        of a part is kept for the classes worth most: volumes ask for more than their limit, and a class that
+        can wait for units would spend what those that can't wait earn more with.
         """
         volume, plan = held.volume, held.volume.plan
         if plan.limit <= 0:
             return True
-        if self._tokens(volume) >= held.r.units:
+        keep = KEEP_SHARE * max(0.0, plan.burst / volume.hosts - self.s.largest_units)
+        if self._tokens(volume) >= held.r.units + keep * (held.cls.worth < self.best):
             return True
         if self.s.may_message:
             self._borrow(held.r.volume, volume)
         return False
 
     def _tokens(self, volume: Volume) -> float:
-        hosts = volume.hosts
-        if not self.filling:
-            return volume.limit.level
-        return volume.limit.fill(self.now, volume.plan.limit / hosts, volume.plan.burst / hosts)
+        rate = volume.plan.limit / volume.hosts if self.filling else 0.0
+        return volume.limit.fill(self.now, rate, volume.plan.burst / volume.hosts)
 
     def _borrow(self, name: int, volume: Volume) -> None:
         """Ask other gateways of a volume for tokens: all gateways while some of its own are not known."""
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -256,3 +256,19 @@
     gateway = Gateway()
     gateway.scheduler.nodes[1].window = 1.0
     assert gateway.sends(0.0, request(1), request(2)) == [1]
+
+
+def test_most_of_a_limit_is_kept_for_the_classes_worth_most():
+    """A patient class took the tokens as they came, and reads of the same volume were refused."""
+    classes = (request_class(name="read", worth=3.0), request_class(name="export", worth=1.0, aim=2.5))
+    gateway = Gateway(classes=classes, plans=(plan(limit=10.0, burst=28.0),))  # 18 kept
+    assert gateway.sends(1.0, request(1, cls=1)) == []  # 10 tokens
+    assert gateway.sends(1.1, request(2)) == [2]
+    assert gateway.sends(1.2, outcome(2)) == []
+    assert gateway.sends(3.0, api.TimerFired(1)) == [1]  # full: what comes in would be lost
+
+
+def test_a_part_that_holds_one_request_serves_every_class():
+    classes = (request_class(name="read", worth=3.0), request_class(name="export", worth=1.0, aim=2.5))
+    gateway = Gateway(classes=classes, plans=(plan(limit=10.0, burst=8.0),))
+    assert gateway.sends(1.0, request(1, cls=1, units=8.0)) == [1]
