Keep a class a read or a write when classes change places at SIGHUP

Checked: a replay with the files logged: classes are dropped and added, while family-info.changes-data, which goes by place, stays [false, true, false]. Ruled out: targets (1 error after 15 s) and the windows (half an attempt a request). At fault: wire.settings_of and RequestFields.parse, which took order-write, first in the list now, for a read and answered its PUTs 400. Now a class that goes on keeps what it was; for others, and where the list has another length, the request's own method tells.

--- a/stalltiller/interface.py
+++ b/stalltiller/interface.py
@@ -61,7 +61,10 @@
 
 @dataclass(slots=True, frozen=True)
 class RequestClass:
-    """A kind of request: its aim, its deadline and what a repeat of it may do."""
+    """A kind of request: its aim, its deadline and what a repeat of it may do.
+
+    `writes` is None where it is not told: then each request says whether it is a write.
+    """
 
     name: str
     aim: float
@@ -73,7 +76,7 @@
     keep: float
     streaming: bool
     in_order: bool
-    writes: bool
+    writes: bool | None
 
 
 @dataclass(slots=True, frozen=True)
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -20,7 +20,7 @@
 from stalltiller.program.handover import Handover
 from stalltiller.program.log import JsonLog
 from stalltiller.program.metrics import Metrics
-from stalltiller.program.reload import SETTLE, between
+from stalltiller.program.reload import SETTLE, between, carried
 from stalltiller.protocol.discovery import Listing
 from stalltiller.routing.engine import Engine
 from stalltiller.transport.buffers import BufferPool
@@ -188,6 +188,7 @@
             return
         if (self._config.nvme is None) != (config.nvme is None):
             config = replace(config, nvme=self._config.nvme)  # another wire waits for the next start
+        config = replace(config, settings=carried(self.engine.settings, config.settings))
         address = config.discovery
         self._log("reloaded", discovery=join(*address), classes=[cls.name for cls in config.settings.classes])
         if self._settling is not None:
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -255,7 +255,7 @@
         if line["class"] not in classes:
             raise ConfigError(f"opcode {name}: class not known: {line['class']}")
         cls = classes[line["class"]]
-        if settings.classes[cls].writes is not write:
+        if settings.classes[cls].writes is (not write):
             raise ConfigError(f"opcode {name}: class {line['class']} does not go with it")
         if not line["deadline_ms"] > 0:
             raise ConfigError(f"opcode {name}: deadline_ms must be above zero")
--- a/stalltiller/program/reload.py
+++ b/stalltiller/program/reload.py
@@ -11,6 +11,16 @@
 STRICTNESS = (api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE)
 
 
+def carried(old: api.Settings, new: api.Settings) -> api.Settings:
+    """The new settings, in which a class that goes on is a write if it was one, and of others it is not told.
+
+    Guards against settings that tell it by place and keep that list while the classes change theirs: every
+    write was taken for a read, and answered 400.
+    """
+    writes = {cls.name: cls.writes for cls in old.classes}
+    return replace(new, classes=tuple(replace(cls, writes=writes.get(cls.name)) for cls in new.classes))
+
+
 def between(old: api.Settings, new: api.Settings) -> api.Settings:
     """What holds while either may be meant: all classes and plans of both, and the stricter of two rules.
 
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -66,7 +66,8 @@
         self._deadlines = [cls.deadline for cls in settings.classes]
         self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
         self._plans = {plan.name: i for i, plan in enumerate(settings.plans)}
-        self._writes = [cls.writes for cls in settings.classes]
+        methods = {True: ("PUT",), False: ("GET",), None: ("GET", "PUT")}
+        self._methods = [methods[cls.writes] for cls in settings.classes]
 
     def parse(self, head: Head, body: bytes) -> Ask:
         path = head.target.partition("?")[0]
@@ -76,7 +77,7 @@
         cls = self._classes.get(parts[1])
         if cls is None:
             raise FieldError("the path names no known class")
-        if head.method != ("PUT" if self._writes[cls] else "GET"):
+        if head.method not in self._methods[cls]:
             raise FieldError("method does not go with the class")
         if body and head.method == "GET":
             raise FieldError("a read has no body")
--- a/stalltiller/wire.py
+++ b/stalltiller/wire.py
@@ -271,14 +271,17 @@
 def settings_of(values: dict[str, str]) -> api.Settings:
     """Read the options by path; those that are not known are passed over."""
     o = _Options(values)
-    writes = o.words("family-info.changes-data")
+    # By place in the list of classes.  Guards against a list of another length, as files have once classes
+    # were added or dropped: its places say nothing.
+    words = o.words("family-info.changes-data")
+    writes = [w == "true" for w in words] if len(words) == o.amount("classes.count") else []
     classes = tuple(
         api.RequestClass(
             c.text("name") or "", c.span("aim"), c.span("give-up"), c.amount("worth"),
             c.amount("late-share"), EFFECTS.get(c.text("effect") or "", api.Effect.UNSAFE),
             {"all": api.Scope.ALL, "zone": api.Scope.ZONE}.get(c.text("key-scope") or "", api.Scope.CELL),
             c.span("key-ttl"), c.flag("streaming"), c.flag("by-arrival"),
-            i < len(writes) and writes[i] == "true")
+            writes[i] if writes else None)
         for i, c in enumerate(o.items("classes")))
     plans = tuple(
         api.Plan(p.text("name") or "", p.amount("nominal"), p.amount("guaranteed"), p.amount("parts"),
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -84,6 +84,38 @@
     asyncio.run(scene())
 
 
+def test_classes_that_change_places_stay_reads_and_writes(monkeypatch, tmp_path):
+    """The list of those that write kept its places, so every write was answered 400."""
+    monkeypatch.setattr(program, "SETTLE", 0.0)
+
+    def read_file():
+        world_settings = config.parse_settings(json.loads(file.read_text()))
+        return replace(world.config(), settings=replace(world.settings, classes=world_settings.classes))
+
+    async def scene():
+        async with world:
+            classes = nested["classes"] = [*nested["classes"][1:], {**nested["classes"][1], "name": "new"}]
+            file.write_text(json.dumps(nested))
+            world.app.reload(read_file)
+            await asyncio.sleep(0.05)
+            fields = world.app.front.fields
+            assert [cls["name"] for cls in classes] == ["write", "report-export", "new"]
+            assert [fields._methods[fields._classes[name]] for name in ("write", "new")] == [
+                ("PUT",), ("GET", "PUT")]
+            assert (await world.write(tag=1)).end == "served"
+    file, nested = tmp_path / "settings.json", copy.deepcopy(EXAMPLE["settings"])
+    for cls, name in zip(nested["classes"], ("read", "write"), strict=False):
+        cls["name"] = name
+    world = World("http")
+    asyncio.run(scene())
+
+
+def test_a_list_of_writes_of_another_length_says_nothing():
+    nested = copy.deepcopy(EXAMPLE["settings"])
+    nested["classes"].append({**nested["classes"][0], "name": "new"})
+    assert {cls.writes for cls in config.parse_settings(nested).classes} == {None}
+
+
 def changed(path: str, value: object) -> dict:
     data = copy.deepcopy(EXAMPLE)
     *parents, last = path.split(".")
