--- a/stalltiller/__main__.py
+++ b/stalltiller/__main__.py
@@ -10,18 +10,21 @@
 
 from stalltiller.program.app import App
 from stalltiller.program.config import Config, ConfigError, from_operator, from_platform
-from stalltiller.program.log import JsonLog
+from stalltiller.program.log import LINES_PER_S, TRACE_LINES_PER_S, JsonLog
+
+TRACE = "STALLTILLER_TRACE"  # set to 1: each step of each request is a line of the log
 
 
 async def serve(config: Config, reread: Callable[[], Config]) -> None:
     """Run until SIGTERM or SIGINT; SIGHUP has the configuration read anew."""
     loop = asyncio.get_running_loop()
-    log = JsonLog(config.name)
+    trace = os.environ.get(TRACE) == "1"
+    log = JsonLog(config.name, lines_per_s=TRACE_LINES_PER_S if trace else LINES_PER_S)
     log.never_block()
     # What asyncio would print, such as a failed accept when descriptors run out, is an event like any other.
     loop.set_exception_handler(lambda _, context: log(
         "loop_error", message=context.get("message"), error=repr(context.get("exception"))))
-    app = App(config, log, loop)
+    app = App(config, log, loop, trace)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, app.stop.set)
     loop.add_signal_handler(signal.SIGHUP, app.reload, reread)
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -193,7 +193,7 @@
                               head.fields.get("host", "localhost"), body)
             self._request = self._front.engine.take(Incoming(
                 ask.cls, ask.plan, ask.volume, ask.units, ask.hosts, ask.key, ask.shard,
-                head.method == "PUT", ask.repeat, ask.timeout, payload, self))
+                head.method == "PUT", ask.repeat, ask.timeout, payload, self, payload.request_id))
 
     # --- The engine's answers ---
     def served(self, answer: bytes | Relay) -> None:
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -52,10 +52,11 @@
 class App:
     """One initiator on the platform."""
 
-    def __init__(self, config: Config, log: JsonLog, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, config: Config, log: JsonLog, loop: asyncio.AbstractEventLoop,
+                 trace: bool = False) -> None:
         self._config, self._log, self._loop = config, log, loop
         self.buffers = BufferPool()
-        self.engine = Engine(config.settings, config.seed, loop, log)
+        self.engine = Engine(config.settings, config.seed, loop, log, log if trace else None)
         common = (loop, self.engine, self.buffers)
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS
         targets = max(16, int(sockets * TARGET_SHARE))
--- a/stalltiller/program/log.py
+++ b/stalltiller/program/log.py
@@ -10,13 +10,14 @@
 
 STDOUT = 1
 LINES_PER_S = 200  # past this, lines are counted and dropped: a log must not take the core from service
+TRACE_LINES_PER_S = 5000  # with each request's steps traced
 
 
 class JsonLog:
     """Writes events as lines; what can't be written is counted and dropped."""
 
-    def __init__(self, name: str, descriptor: int = STDOUT) -> None:
-        self._name, self._descriptor = name, descriptor
+    def __init__(self, name: str, descriptor: int = STDOUT, lines_per_s: int = LINES_PER_S) -> None:
+        self._name, self._descriptor, self._most = name, descriptor, lines_per_s
         self._second, self._lines, self.dropped = 0, 0, 0
 
     def never_block(self) -> None:
@@ -29,7 +30,7 @@
         if int(now) != self._second:
             self._second, self._lines = int(now), 0
         self._lines += 1
-        if self._lines > LINES_PER_S:
+        if self._lines > self._most:
             self.dropped += 1
             return
         line = {"time": round(now, 3), "name": self._name, "event": event, **details}
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -47,8 +47,9 @@
     """One initiator's requests, from the fronts to the targets and back."""
 
     def __init__(self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop,
-                 log: Logger) -> None:
+                 log: Logger, trace: Logger | None = None) -> None:
         self.settings = settings
+        self._trace = trace  # one line for each step of each request, where asked for
         self.counts: Counter[str] = Counter()
         self.carrier: Carrier | None = None
         self._loop, self._log = loop, log
@@ -85,6 +86,9 @@
                                       self.settings.max_attempts)
         self._open += 1
         self.counts["taken"] += 1
+        if self._trace:
+            self._trace("taken", id=number, label=incoming.label, cls=incoming.cls, plan=incoming.plan,
+                        units=incoming.units, timeout=incoming.timeout, lag=round(min(lag, MAX_LAG), 4))
         # Not before the scheduler has had its turn, however little time the client leaves.
         self.at(max(deadline - BACKSTOP_MARGIN, now + LEAST_TURN), self._backstop, number)
         left = max(0.0, deadline - ANSWER_MARGIN - now)
@@ -114,6 +118,9 @@
             entry.incoming.reply.served(ending.answer)
         over = entry.done
         self.counts[f"attempt_{ending.status.value}"] += 1
+        if self._trace:
+            self._trace("attempt_ended", id=attempt.id, attempt=attempt.number, node=attempt.node,
+                        status=ending.status.value, ms=round(1000 * (self._loop.time() - attempt.sent_at), 1))
         self._feed(api.Outcome(attempt.id, attempt.number, attempt.node, ending.status,
                                self._loop.time() - attempt.sent_at, over, None, ending.others, ending.report))
         if over:
@@ -270,6 +277,9 @@
                               incoming.payload, now, expires, stop)
             entry.out = attempt
             self.counts["attempts"] += 1
+            if self._trace:
+                self._trace("attempt", id=action.id, attempt=number, node=action.node,
+                            waited_ms=round(1000 * (now - entry.deadline + incoming.timeout), 1))
             self.at(expires, self._expire, attempt)
             self.carrier.start(attempt)
             return
@@ -313,6 +323,9 @@
         entry.done = True
         self._open -= 1
         self.counts[how] += 1
+        if self._trace:
+            self._trace("answered", id=number, how=how, attempts=entry.attempts,
+                        left_ms=round(1000 * (entry.deadline - self._loop.time()), 1))
         self._drop(number)
 
     def _drop(self, number: int) -> None:
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -37,6 +37,7 @@
     timeout: float
     payload: Any
     reply: Reply
+    label: str = ""  # the client's name for it, for the trace
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -216,3 +216,24 @@
         actions = gateway.feed(0.2 * attempt + 0.1, outcome(1, status=Status.FULL, attempt=attempt))
         actions += gateway.poll(0.2 * attempt + 0.25)
     assert [type(action) for action in actions] == [api.Refuse]
+
+
+FAIL_AFTER = lambda event: (SEND,) if isinstance(event, api.Request) else (  # noqa: E731
+    (api.Fail(1),) if isinstance(event, api.Outcome) else ())
+
+
+@pytest.mark.parametrize(("status", "act", "steps"), [
+    (Status.OK, on_request(SEND), ["taken", "attempt", "answered", "attempt_ended"]),  # answered at once
+    (Status.ERROR, FAIL_AFTER, ["taken", "attempt", "attempt_ended", "answered"]),
+])
+def test_a_trace_tells_each_step_of_a_request_under_its_clients_name(status, act, steps):
+    lines = []
+
+    async def scene(engine, carrier):
+        engine._trace = lambda event, **details: lines.append((event, details))
+        engine.take(Incoming(0, 0, 1, 1.0, 1, 0, 1, True, False, 1.0, "payload", Reply(), "9b1f03aa"))
+        await turn()
+        engine.ended(carrier.started[0], Ending(status, "answer"))
+        await turn()
+    play(scene, act)
+    assert [event for event, _ in lines] == steps and lines[0][1]["label"] == "9b1f03aa"
