Tell the scheduler of each request that a stop answers, so it sends no attempt after

Engine.close_out answered every open request but told the scheduler nothing, so in the last turn before the end it still sent one, and the engine's guard stopped it. The backstop already feeds a ClientGone for what it answers; close_out (routing/engine.py) now does the same. A test fails without it.

--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -157,6 +157,7 @@
                 continue
             harmless = entry.effect is Effect.SAFE or not (entry.ran or entry.out is not None)
             self._finish(number, entry, "refused" if harmless else "failed")
+            self._feed(api.ClientGone(number))  # for the scheduler it is over: it must send no attempt now
             if harmless:
                 entry.incoming.reply.refused(self.settings.max_advice)
             else:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -127,6 +127,19 @@
     play(scene, again_after(Status.FULL))
 
 
+def test_what_the_end_answers_is_over_for_the_scheduler_too():
+    """Found on roll+mass: after the answers of a stop the scheduler sent one more, and a guard stepped in."""
+    async def scene(engine, carrier):
+        reply = Reply()
+        number = engine.take(incoming(reply))
+        await turn()
+        engine.close_out()
+        await turn()
+        assert reply.answers == [("refused", 1.5)] and engine.counts["faults"] == 0
+        assert api.ClientGone(number) in engine._scheduler.events
+    play(scene, lambda event: ())
+
+
 def test_the_backstop_answers_before_the_deadline_and_the_late_answer_is_dropped():
     async def scene(engine, carrier):
         reply = Reply()
