Shrink a cold target's part with how often this gateway's requests name its cell

Cause (logic.py, _cold_part): each gateway guessed how many others ask a cold target from how often it asks any cell. A busy cell draws far more, and once its warm node leaves all of them send to the cold one. Change: the guess is now the larger of that and this cell's own rate, 1 - exp(-rate * span). The case table fails without the change.

--- a/stalltiller/logic.py
+++ b/stalltiller/logic.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import struct
 from collections import deque
@@ -173,6 +174,7 @@
         self.volumes: dict[int, Volume] = {}
         self.held: dict[int, Held] = {}  # those answered, too, while attempts are out
         self.asked: dict[int, float] = {}  # when a request last named the cell
+        self.heat: dict[int, Mean] = {}  # how often requests name the cell
         self.waiting: list[Held] = []  # no node holds their shard now
         self.orders: dict[int, deque[Held]] = {}
         self.rest_until: dict[int, float] = {}
@@ -314,21 +316,20 @@
             first = node.cold_until == 0.0  # the first turn has a random part of a span, so turns are spread
             node.cold_until = self.now + rules.tip_time * (self.random.random() if first else 1.0)
             node.cold_luck = self.random.random()
-            node.cold_part = self._cold_part()
+            node.cold_part = self._cold_part(node.entry.cell)
         age = max(0.0, self.now - rules.tip_time - (node.entry.started or 0.0))
         share = rules.cold_share + (1 - rules.cold_share) * min(1.0, age / max(rules.cold_time, 1e-9))
         budget = self.s.cold_units * share / max(rules.cold_share, 1e-9) * COLD_SAFETY
         return node.cold_part * budget - node.cold_net >= units * node.cold_luck
 
-    def _cold_part(self) -> float:
-        """This gateway's part of a cold node's budget.
-
-        Of the others as large a share is taken to ask for a node in a span as, of the nodes, it has asked for
-        itself, and a standard deviation more; all of them before it has lived for a span.
-        """
-        since = self.now - self.s.rules.tip_time
+    def _cold_part(self, cell: int) -> float:
+        """This gateway's part of a cold node's budget.  Of the others as large a share is taken to ask for
+        the node in a span as it asks for it or for nodes at all, whichever is more, and a standard deviation
+        more; all of them before it has lived for a span.  Guards against a busy cell losing its warm node."""
+        since, heat = self.now - self.s.rules.tip_time, self.heat.get(cell)
         asked = sum(at > since for at in self.asked.values()) / max(1, len(self.cells))
-        chance = min(1.0, asked) if since > self.started else 1.0
+        own = 1.0 - math.exp(-heat.rate(self.now) * self.s.rules.tip_time) if heat else 0.0
+        chance = min(1.0, max(asked, own)) if since > self.started else 1.0
         others = (self.s.gateways - 1) * chance
         return 1.0 / (1.0 + others + (others * (1.0 - chance)) ** 0.5)
 
@@ -353,6 +354,7 @@
                 del self.volumes[name]
         since = self.now - max(FORGET_AFTER, self.s.rules.tip_time)
         self.asked = {cell: at for cell, at in self.asked.items() if at > since}
+        self.heat = {cell: heat for cell, heat in self.heat.items() if cell in self.asked}
         self.rest_until = {key: at for key, at in self.rest_until.items() if at > self.now}
 
     # --- Taking a request -------------------------------------------------------------------------
@@ -373,6 +375,7 @@
         volume.asked_at = self.now
         if r.shard is not None:
             self.asked[r.shard] = self.now
+            self.heat.setdefault(r.shard, Mean(self.now)).add(self.now, 1.0)
         if cls.in_order and r.key:
             self.orders.setdefault(r.key, deque()).append(held)
         return self._enqueue(held)
@@ -537,11 +540,8 @@
         return (held.drawn or self._limit_room(held)) and self._cold_room(node, held.r.units)
 
     def _hopeless(self, node: Node, held: Held) -> bool:
-        """Whether the client will have left before the node answers: such work serves nobody.
-
-        Guards against clients that give up early and repeat at once; spares a slow node.  It may do harm
-        where one slow answer has raised the mean of a node seldom used.
-        """
+        """Whether the client will have left before the node answers: such work serves nobody.  Guards against
+        clients that give up early and repeat at once; spares a slow node."""
         size = max(1.0, held.r.units / self.mean)
         return self.now + WAIT_SHARE * node.latency * size >= held.deadline - ANSWER_MARGIN
 
@@ -676,10 +676,7 @@
             self._give_up(held)
 
     def _late(self, held: Held) -> bool:
-        """Whether half of a client's time is over, or will be by the next look, and no node had its request.
-
-        To hear so later costs the client more.
-        """
+        """Whether half of a client's time is over, or will be by the next look, and no node had it."""
         return not held.landed and self.now + POLL >= held.half
 
     def _worth(self, held: Held) -> float:
