Hear of every change before it counts as told: short waits, calls that catch up do not wait

Need: a change counts as told 6 s after discovery had it, whatever call failed or fell silent; where lists are pushed, what an agent gets at discovery's return counts at once. Seen (scripted discovery on real connections, jumping clock): a silent call cost 6 s where lists are pushed and up to 8 s where they are asked for (wait 5 s, answer 1 s, pause up to 2, then 4 and 8 s); after an outage a pause of 1 s and a call that waited again. Lines: transport/watch.py, Pace (wait, PAUSE_SHARES) and Watch.run, which made the call after a failed one wait as well. The test of a silent discovery bent a constant that is gone; the stand-in now is silent itself, which is as strict.

--- a/stalltiller/fronts/directory.py
+++ b/stalltiller/fronts/directory.py
@@ -101,9 +101,10 @@
         self._index = index
         self._heard = first_waits  # whether there was an answer so far, or none is needed soon
 
-    def call(self) -> bytes:
+    def call(self, waits: bool = True) -> bytes:
+        """The next call.  One that follows a failed one does not wait: what it missed is wanted at once."""
         self._reader.reset()
-        path = discovery.list_path(self._index, self._wait_ms if self._heard else 0)
+        path = discovery.list_path(self._index, self._wait_ms if self._heard and waits else 0)
         return http.encode_request("GET", path, {"Host": self._host}, b"")
 
     def feed(self, data: memoryview) -> int:
--- a/stalltiller/program/returning.py
+++ b/stalltiller/program/returning.py
@@ -49,9 +49,8 @@
         self._alone, self._returning = alone, returning
         self._turns = Turns(alone.wait, random.Random())
 
-    @property
-    def timeout(self) -> float:
-        return self._alone.timeout
+    def timeout(self, failures: int) -> float:
+        return self._alone.timeout(failures)
 
     def hold(self) -> float:
         return self._returning.hold(self._turns)
--- a/stalltiller/transport/watch.py
+++ b/stalltiller/transport/watch.py
@@ -12,34 +12,45 @@
 from stalltiller.transport.connection import Connection
 
 CONNECT_TIMEOUT = 1.0  # s: an address that says nothing must not take the time of a whole call
-ANSWER_TIME = 1.0  # s past a call's wait that its answer may take
-LAST_SHARE = 0.5  # of the list's age limit: a call's wait, so that one that fails leaves time for another
-PAUSE_SHARES = 0.2, 0.8  # of the list's age limit: first and longest bound of the pause after a failed call
+TOLD_AFTER = 6.0  # s after which a change that discovery has counts as told, whatever became of our calls
+AGENT_WAIT = 2.0  # s that a call to an agent may wait: a watch that has fallen silent shows soon after
+AGENT_ANSWER = 0.35  # s past a call's wait that the agent on the own machine may take
+AGENT_PAUSES = 0.05, 0.1  # s: first and longest bound of the pause after a failed call to it
+ASKED_WAIT = 1 / 3  # of the time until told: what a call may wait; the rest is for two calls that fail
+ASKED_ANSWER = 1 / 6  # of it: what an answer may take past the call's wait, where calls stand in line
+ASKED_PAUSES = 1 / 12, 1 / 4  # of it: first and longest bound of the pause after a failed call
 
 
 @dataclass(slots=True, frozen=True)
 class Pace:
-    """How a watch calls, in seconds: a call's wait, and the first and the longest bound of a pause.
+    """How a watch calls, in seconds: a call's wait, its answer's time, the first and longest pause's bound.
 
-    Where the agent on its own machine answers, calls cost nothing and a failed one is soon made again.
-    Where discovery itself has to be asked, the whole fleet asks it, so a failed call is made again after a
-    pause drawn from nothing up to a bound that doubles (full jitter): quick calls in step would keep an
-    overbooked discovery overbooked.
+    A change counts as told TOLD_AFTER seconds after discovery had it, also where a watch fell silent or calls
+    were refused.  Guards against learning of a drain after that: a call that waited and got nothing, a pause
+    and the call that follows have to fit into it, with room for a second call that fails.
+
+    Where the agent on its own machine answers, calls cost nothing and a failed one is soon made again: what
+    an agent gets at discovery's return counts at once.  Where discovery itself has to be asked, the whole
+    fleet asks it, so a failed call is made again after a pause drawn from nothing up to a bound that doubles
+    (full jitter): quick calls in step would keep an overbooked discovery overbooked.
     """
 
-    wait: float = 5.0  # short enough to notice soon that discovery is silent
-    first: float = 0.05
-    longest: float = 1.0
+    wait: float = AGENT_WAIT
+    answer: float = AGENT_ANSWER
+    first: float = AGENT_PAUSES[0]
+    longest: float = AGENT_PAUSES[1]
     jitter: float = 0.5  # the part of a pause that is drawn
 
     @classmethod
     def asking(cls, age_limit: float) -> Pace:
         """The pace where discovery has to be asked and a list may be `age_limit` seconds old."""
-        return cls(LAST_SHARE * age_limit, *(share * age_limit for share in PAUSE_SHARES), jitter=1.0)
+        told = min(age_limit, TOLD_AFTER)
+        return cls(ASKED_WAIT * told, ASKED_ANSWER * told, *(share * told for share in ASKED_PAUSES),
+                   jitter=1.0)
 
-    @property
-    def timeout(self) -> float:
-        return self.wait + ANSWER_TIME
+    def timeout(self, failures: int) -> float:
+        """For a call and its answer, after so many failed calls in a row: only the first one waits."""
+        return self.answer + (0.0 if failures else self.wait)
 
     def hold(self) -> float:
         return 0.0  # alone: the first call is made at once
@@ -53,9 +64,8 @@
 class Pacing(Protocol):
     """When a watch calls; times in seconds."""
 
-    @property
-    def timeout(self) -> float:
-        """For a call and its answer."""
+    def timeout(self, failures: int) -> float:
+        """For a call and its answer, after so many failed calls in a row."""
 
     def hold(self) -> float:
         """After which to ask again whether the first call may be made; 0: it may be made now."""
@@ -67,8 +77,8 @@
 class Codec(Protocol):
     """Words a call and reads its answer; both raise ValueError on what they don't understand."""
 
-    def call(self) -> bytes:
-        """The next call's bytes."""
+    def call(self, waits: bool) -> bytes:
+        """The next call's bytes; whether it may wait for news."""
 
     def feed(self, data: memoryview) -> int:
         """Take bytes of an answer and return how many."""
@@ -125,10 +135,10 @@
             while True:
                 try:
                     if call is None or call.closing:
-                        async with asyncio.timeout(CONNECT_TIMEOUT):
+                        async with asyncio.timeout(min(CONNECT_TIMEOUT, self._pace.timeout(1))):
                             call = await self._open()
-                    async with asyncio.timeout(self._pace.timeout):
-                        stays = await self._ask(call)
+                    async with asyncio.timeout(self._pace.timeout(failures)):
+                        stays = await self._ask(call, not failures)
                     if not stays:
                         call.close()
                         call = None
@@ -149,7 +159,7 @@
         _, call = await loop.create_connection(lambda: _Call(self._buffers, self._codec), *self._address)
         return call
 
-    async def _ask(self, call: _Call) -> bool:
+    async def _ask(self, call: _Call, waits: bool) -> bool:
         call.answer = asyncio.get_running_loop().create_future()
-        call.write(self._codec.call())
+        call.write(self._codec.call(waits))
         return await call.answer
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -86,6 +86,7 @@
         self.calls: list[str] = []
         self.times: list[float] = []  # of the calls
         self.spoil: list[bytes] = []  # bodies to answer in place of the list
+        self.silent = False  # it takes calls and answers none
 
     def set(self, target: Target, status: str = "active", since_ms: int = 0) -> None:
         self.lines[target.name] = {
@@ -100,6 +101,8 @@
             path = (await read_message(reader)).head.target
             self.calls.append(path)
             self.times.append(time.monotonic())
+            if self.silent:
+                await asyncio.get_running_loop().create_future()
             if f"after={self.index}&" in path:
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(int(path.rpartition("=")[2]) / 1000):
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -10,6 +10,7 @@
 
 from stalltiller.fronts.http import RecentIds
 from stalltiller.protocol import http
+from stalltiller.transport.watch import Pace
 from tests.helpers import request_class
 from tests.standins import DEADLINE, VOLUME, World, read_message
 
@@ -206,13 +207,15 @@
 
 
 def test_a_silent_discovery_is_called_anew_and_service_goes_on_with_the_last_list(monkeypatch):
-    monkeypatch.setattr("stalltiller.transport.watch.ANSWER_TIME", -4.9)  # the stand-in never answers a wait
+    monkeypatch.setattr("stalltiller.program.app.Pace", lambda: Pace(wait=0.1, answer=0.1))
 
     async def scene(world, reader, writer):
+        world.discovery.silent = True
         await world.until(lambda: world.app.engine.counts["watch_failures"] >= 2)
         writer.write(GET)
         assert (await read_message(reader, response=True)).head.status == 200
         world.discovery.set(world.targets[0], "left")
+        world.discovery.silent = False
         await world.until(lambda: any(
             line["event"] == "list" and line["targets"].get("s-0") == "gone" for line in world.logged))
     play(scene)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -11,23 +11,97 @@
 from stalltiller.fronts.directory import WatchCodec
 from stalltiller.protocol import http
 from stalltiller.transport.buffers import BufferPool
-from stalltiller.transport.watch import Pace, Watch
+from stalltiller.transport.watch import TOLD_AFTER, Pace, Watch
+from tests.jumping import run_on_jumping_clock
 from tests.standins import Standin, read_message
 
 LINES, KNOWN = 60, 41
 
 
 @pytest.mark.parametrize(("pace", "failures", "least", "most"), [
-    (Pace(), 1, 0.025, 0.05), (Pace(), 99, 0.5, 1.0),  # an agent of its own: soon again
-    (Pace.asking(10.0), 1, 0.0, 2.0), (Pace.asking(10.0), 2, 0.0, 4.0), (Pace.asking(10.0), 4000, 0.0, 8.0),
+    (Pace(), 1, 0.025, 0.05), (Pace(), 99, 0.05, 0.1),  # an agent of its own: soon again
+    (Pace.asking(10.0), 1, 0.0, 0.5), (Pace.asking(10.0), 2, 0.0, 1.0), (Pace.asking(10.0), 4000, 0.0, 1.5),
+    (Pace.asking(3.0), 1, 0.0, 0.25), (Pace.asking(3.0), 4000, 0.0, 0.75),  # settings that ask for more
 ])
 def test_a_failed_call_is_made_again_within_its_bounds(pace, failures, least, most):
     assert [pace.pause(failures, draw) for draw in (0.0, 1.0)] == pytest.approx([least, most])
 
 
-def test_a_call_that_fails_leaves_time_for_another_before_the_list_counts_as_told():
-    pace = Pace.asking(10.0)
-    assert pace.timeout + pace.pause(1, 1.0) < 10.0
+class Scripted(Standin):
+    """Discovery that has a change from the first call on, and does with each call what the script says next:
+    silent, refuse (503), break or, from the script's end on, serve."""
+
+    def __init__(self, script: list[str]) -> None:
+        super().__init__()
+        self.script, self.had_at, self.calls = script, 0.0, []
+
+    async def serve(self, reader, writer) -> None:
+        while True:
+            self.calls.append((await read_message(reader)).head.target)
+            self.had_at = self.had_at or asyncio.get_running_loop().time()
+            act = self.script.pop(0) if self.script else "serve"
+            if act == "silent":
+                await asyncio.get_running_loop().create_future()
+            elif act == "break":
+                writer.transport.abort()
+                return
+            body = json.dumps({"index": KNOWN + 1, "snapshot": False, "endpoints": []}).encode()
+            writer.write(http.encode_response(*((503,) if act == "refuse" else (200, body))))
+
+
+def told_after(pace: Pace, script: list[str], outage: float = 0.0) -> tuple[float, list[str]]:
+    """Seconds from when discovery had a change and could be reached until the watch had it, and the calls.
+    On the jumping clock, so that no case waits."""
+    async def scene():
+        discovery, told = Scripted(script), asyncio.get_running_loop().create_future()
+        await discovery.open()
+        listening = discovery.server.sockets[0].getsockname()
+        if outage:
+            discovery.close()
+
+        def took(listing):
+            if not told.done():
+                told.set_result(asyncio.get_running_loop().time())
+        # The watch stands already: its call waits for news.
+        codec = WatchCodec("d", took, pace.wait, KNOWN, first_waits=True)
+        watch = asyncio.create_task(Watch(listening, BufferPool(), codec, pace, lambda _: None).run())
+        if outage:
+            await asyncio.sleep(outage)
+            await discovery.open()
+            discovery.had_at = asyncio.get_running_loop().time()
+        async with asyncio.timeout(60):
+            at = await told
+        watch.cancel()
+        await asyncio.gather(watch, return_exceptions=True)
+        discovery.close()
+        return at - discovery.had_at, discovery.calls
+    return run_on_jumping_clock(scene())
+
+
+PACES = [Pace(), Pace.asking(10.0), Pace.asking(60.0)]
+WORST = [[], ["silent"], ["silent", "silent"], ["silent", "refuse"], ["silent", "break"],
+         ["refuse", "silent"], ["break", "break", "break"], ["refuse", "refuse", "refuse"]]
+
+
+@pytest.mark.parametrize("pace", PACES, ids=["pushed", "asked", "seldom asked"])
+@pytest.mark.parametrize("script", WORST, ids="+".join)
+@pytest.mark.parametrize("draw", [0.0, 0.999])
+def test_a_change_is_heard_of_before_it_counts_as_told_whatever_became_of_the_calls(
+        monkeypatch, pace, script, draw):
+    """Where lists are asked for, a silent call and the pause after it took up to 8 s; a pushed watch 6 s."""
+    monkeypatch.setattr("random.random", lambda: draw)
+    after, calls = told_after(pace, list(script))
+    assert after < TOLD_AFTER
+    assert all(call.endswith("wait_ms=0") for call in calls[1:])  # what was missed is wanted at once
+
+
+@pytest.mark.parametrize(("pace", "most"), [(Pace(), 0.5), (Pace.asking(10.0), TOLD_AFTER)],
+                         ids=["pushed", "asked"])
+@pytest.mark.parametrize("outage", [2.0, 8.0, 31.0])
+def test_after_an_outage_discovery_is_heard_in_time(monkeypatch, pace, most, outage):
+    """What an agent gets at discovery's return counts at once, and a drain's grace may be half a second."""
+    monkeypatch.setattr("random.random", lambda: 0.999)
+    assert told_after(pace, [], outage)[0] < most
 
 
 def answered(codec: WatchCodec, status: int, **listing: object) -> None:
