Let nothing begin for a client that left, and lose no answer to a close or to the stop

Change: attempts not begun are withdrawn when their request is over; each send looks whether the client is still there; connections end by Connection.finish (shut down sending, read on for a bounded time, close); the listener takes in what waits before it stops; a lingering connection makes room when room is short.

--- a/stalltiller/fronts/admin.py
+++ b/stalltiller/fronts/admin.py
@@ -65,7 +65,9 @@
     def _answer(self, status: int, body: bytes = b"") -> None:
         self._answered = True
         self.write(http.encode_response(status, body, close=True))
-        self.close()
+        if not self.closing:
+            self._listener.leaving(self)
+            self.finish()
 
     # --- The listener's side ---
     def close_if_idle(self) -> bool:
--- a/stalltiller/fronts/carrier.py
+++ b/stalltiller/fronts/carrier.py
@@ -29,6 +29,9 @@
     def start(self, attempt: Attempt) -> None:
         self.pool.start(attempt)
 
+    def begun(self, attempt: Attempt) -> bool:
+        return self.pool.begun(attempt)
+
     def abandon(self, attempt: Attempt) -> bool:
         return self.pool.abandon(attempt)
 
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -18,7 +18,6 @@
 from stalltiller.transport.listener import Listener
 
 READY_PATH = "/healthz"
-LINGER = 3.0  # s for which a rejected client may go on sending: a close at once would reset its answer away
 STALL_LIMIT = 2.5  # s that a client may take to send a request's head, and a body beside SLOWEST
 SLOWEST = 48_000  # bytes a second: a body that comes more slowly is not waited for
 UNREAD_LIMIT = 5.0  # s that a client may read nothing of an answer
@@ -39,6 +38,7 @@
     request_id: str
     host: str
     body: bytes | bytearray
+    repeat_key: str | None = None  # by which targets know a repeat, where the class has one
 
 
 class RecentIds:
@@ -73,7 +73,8 @@
         self._reader = http.Reader(response=False)
         self._request: int | None = None  # the engine's number of the request that is being served
         self._keep = True
-        self._away = self._rejected = False
+        self._away = False
+        self._overrun = False  # it sent more ahead than is kept: that is dropped, and this request its last
         self._stall: asyncio.TimerHandle | None = None
         self._began = 0.0  # when the request that is coming in did
         self._unread_bytes = self._body_bytes = 0  # counted in the front's allowances
@@ -85,9 +86,9 @@
         self._listener.arrived(self)
 
     def received(self, data: memoryview) -> int:
-        if self._rejected:
+        if self._overrun:
             return len(data)
-        if self._request is not None or self._relay is not None or not self.flushed:
+        if self._busy:
             return 0  # the next request waits until this one is answered, and its answer read
         begun = self._reader.begun
         try:
@@ -129,9 +130,16 @@
         change, self._body_bytes = size - self._body_bytes, size
         return self._front.bodies.change(change)
 
+    @property
+    def _busy(self) -> bool:
+        return self._request is not None or self._relay is not None or not self.flushed
+
     def overflow(self) -> None:
-        if self._request is not None or self._relay is not None or not self.flushed:
-            super().overflow()
+        """Guard against one that sends much ahead and leaves: if reading stopped, nobody would see it go, and
+        what it asked for would be sent on."""
+        if self._busy:
+            self._overrun, self._keep = True, False
+            self.discard()
         else:
             self._reject(431, "request head over the limit")
             self.discard()
@@ -141,6 +149,8 @@
         super().resume_writing()
         if self._relay is not None:
             self._relay.source.go_on()
+        elif self._overrun and self._request is None:
+            self.finish()
 
     def ended(self, error: Exception | None) -> None:
         self._listener.left(self)
@@ -156,13 +166,25 @@
 
     def close_if_idle(self) -> bool:
         busy = self._request is not None or self._relay is not None or self._reader.begun or not self.flushed
-        if busy or self._rejected or not self.quiet():  # a request may wait in the kernel's buffer
+        if busy or self.finishing or not self.quiet():  # a request may wait in the kernel's buffer
             return False
-        self.close()
+        self.finish()
         return True
 
+    def finish(self) -> None:
+        if self.closing or self.finishing:
+            return
+        self._stalled(False)
+        self._reader.reset()
+        self._hold_body(0)
+        self._listener.leaving(self)
+        super().finish()
+
+    def left(self) -> bool:
+        return self.hung_up()
+
     def overdue(self) -> None:
-        if self._rejected or self.closing or self._reader.begun:
+        if self.finishing or self.closing or self._reader.begun:
             return  # a body has its own time
         if not self.close_if_idle():
             self._reject(408, "request not ended")
@@ -190,7 +212,8 @@
                 self._bad(409, "X-Request-ID is not new")
                 return
             payload = Payload(head.method, head.target, head.fields["x-request-id"],
-                              head.fields.get("host", "localhost"), body)
+                              head.fields.get("host", "localhost"), body,
+                              head.fields.get("idempotency-key"))
             self._request = self._front.engine.take(Incoming(
                 ask.cls, ask.plan, ask.volume, ask.units, ask.hosts, ask.key, ask.shard,
                 head.method == "PUT", ask.repeat, ask.timeout, payload, self, payload.request_id))
@@ -215,8 +238,8 @@
         self._relay = None
         if self._chunked:
             self.write(http.LAST_CHUNK)
-        if not self._keep:
-            self.close()
+        if not self._keep or self._front.stopping:
+            self.finish()
             return
         self._listener.used(self)
         self.resume()
@@ -253,7 +276,7 @@
             if not self._front.unread.change(self._unread_bytes):
                 self.abort()
         if close:
-            self.close()
+            self.finish()
 
     def _forget_unread(self) -> None:
         size, self._unread_bytes = self._unread_bytes, 0
@@ -261,14 +284,8 @@
 
     def _reject(self, status: int, text: str) -> None:
         self._front.engine.counts["bad_requests"] += 1
-        self._rejected = True
-        self._stalled(False)
-        self._reader.reset()
-        self._hold_body(0)
         self.write(http.encode_response(status, f"{text}\n".encode(), close=True))
-        if not self.closing:
-            self.transport.write_eof()
-            self._front.loop.call_later(LINGER, self.abort)
+        self.finish()
 
     def _stalled(self, begun: bool) -> None:
         """Guard against clients that begin a request and never end it."""
@@ -329,6 +346,8 @@
         payload: Payload = attempt.payload
         left = max(0.001, attempt.expires - self._carrier.loop.time())
         fields = {"Host": payload.host, "X-Request-ID": payload.request_id, "X-Timeout": f"{left:.3f}"}
+        if payload.repeat_key is not None:
+            fields["Idempotency-Key"] = payload.repeat_key
         head = http.request_head(payload.method, payload.target, fields, len(payload.body))
         if len(payload.body) <= SMALL:
             self.write(head + payload.body)
@@ -348,6 +367,9 @@
         self._write_on()
         self.resume()
 
+    def begun(self) -> bool:
+        return self.flushed and not self._out
+
     def give_up(self) -> bool:
         """What was given up in the middle of its transfer counts as run: only a break proves otherwise."""
         self._attempt, self._out = None, memoryview(b"")
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -22,6 +22,7 @@
 MAX_IO_QUEUES = 8  # of one association
 MAX_COMMANDS = 4096  # of all clients together; past it, too
 UNREAD_LIMIT = 10.0  # s that a host may leave completions unread
+END_LOOK = 0.05  # s between looks whether a host has left that is not read from
 KEEP_ALIVE_GRACE = 1.0  # s past a client's own keep alive time
 
 
@@ -52,6 +53,9 @@
         """A write may have run: the host must not repeat it on its own."""
         self.complete(nvme.INTERNAL, no_retry=self.write)
 
+    def left(self) -> bool:
+        return self.queue.hung_up()
+
     def complete(self, status: int = nvme.OK, delay: int = 0, no_retry: bool = False) -> None:
         self.forget()
         self.queue.complete(nvme.Completion(self.command.cid, status, 0, delay, no_retry))
@@ -91,7 +95,7 @@
             queue = self.queues.pop(number)
             queue.association = None
             queue.drop_commands()
-            queue.close()
+            queue.finish()
 
     def end(self) -> None:
         """The association is over: every queue of it goes, and the client of every command."""
@@ -101,7 +105,7 @@
         queues, self.queues = self.queues, {}
         for queue in queues.values():
             queue.drop_commands()
-            queue.close()
+            queue.finish()
 
     def _check(self) -> None:
         if not self.keep_alive:
@@ -144,9 +148,27 @@
         """Only at the end: a host's idle queue is in use."""
         if not self.front.stopping or (self.association is not None and self.association.busy()):
             return False
-        self.close()
+        self.finish()
         return True
 
+    def finish(self) -> None:
+        if not self.closing and not self.finishing:
+            self._listener.leaving(self)
+            super().finish()
+
+    def overflow(self) -> None:
+        """Wait until its completions are read.  Guards against a host that leaves meanwhile: it is not seen
+        to go by reading, and its commands would be sent on."""
+        super().overflow()
+        self._look_for_end()
+
+    def _look_for_end(self) -> None:
+        if self._paused and not self.closing:
+            if self.hung_up():
+                self.abort()
+            else:
+                self.front.loop.call_later(END_LOOK, self._look_for_end)
+
     def overdue(self) -> None:
         self.abort()  # its Connect did not come in time
 
@@ -194,7 +216,7 @@
         self.front.engine.counts["bad_pdus"] += 1
         self.front.log("bad_pdu", error=str(error), status=error.status)
         self.write(nvme.term(nvme.C2H_TERM, error))
-        self.close()
+        self.finish()
         if self.association is not None:
             self.association.end()
 
@@ -204,7 +226,7 @@
             self.association.heard_at = self.front.loop.time()
         if found.kind == nvme.H2C_TERM:
             self.front.log("host_terminated", status=nvme.parse_term(found)[0])
-            self.close()
+            self.finish()
         elif not self._greeted:
             if found.kind != nvme.IC_REQ:
                 raise nvme.PduError("the first PDU must be ICReq", nvme.BAD_SEQUENCE)
--- a/stalltiller/fronts/nvme_targets.py
+++ b/stalltiller/fronts/nvme_targets.py
@@ -177,6 +177,9 @@
         self._io.run(lambda cid: nvme.io_command(p.opcode, cid, p.nsid, p.lba, p.blocks, size, inside),
                      self._done, p.data, p.size)
 
+    def begun(self) -> bool:
+        return True  # a capsule is enough to make a target begin
+
     def give_up(self) -> bool:
         """Any byte of a capsule sent may have made a target run it, whatever of its data has followed."""
         self._attempt = None
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -45,7 +45,8 @@
 LONGEST_STOP = 3.0  # s: of a stop, a deadline longer than this counts as this
 STOP_GRACE = 0.1  # s past that, counted from SIGTERM, at which all is answered and the program ends
 CLOSING_TIME = 0.5  # s before its end at which it starts to close what clients keep open
-OWN_SOCKETS = 64  # descriptors for the program itself, and for discovery
+LAST_WORDS = 0.4  # s past its end in which clients read the last answers and close
+OWN_SOCKETS = 80  # descriptors for the program, discovery, operators, and clients about to be turned away
 USUAL_SHARE = 5  # of all descriptors: a part in so many for clients is usual; they may hold a third
 TARGET_SHARE = 0.45  # of the descriptors, for targets
 OWN_MEMORY = 24 * 1024 * 1024  # bytes of the program itself and what is small
@@ -121,7 +122,8 @@
         if config.admin is not None:
             await self.admin.open(*config.admin)
             self._log("admin", listen=join(*self.admin.address))
-        self._watch(None if known is None else known.index)
+        moved = self._discovery != config.discovery  # by a SIGHUP meanwhile: other versions count there
+        self._watch(None if known is None or moved else known.index)
         if config.inherited is not None:
             await self._own_turn()
         await self.listener.open(*config.listen, config.inherited)
@@ -224,19 +226,26 @@
         self.listener.keep_idle = True
         if self._config.inherited is not None:
             # Whoever holds the socket next serves what comes on new connections; here each answer ends one.
-            self.listener.close()
+            await self.listener.stop(take_in=False)
             self.front.stopping = True
             self.engine.retire()
             self._handover.end_turn()
         await asyncio.sleep(STILL_LISTENING)
-        while self._loop.time() < end and (self.engine.open or len(self.listener)):
-            if self._loop.time() >= end - CLOSING_TIME:
-                self.listener.close()
-                self.front.stopping = True  # from now on each answer ends its connection
-                self.listener.close_idle()
+        while self._loop.time() < end - CLOSING_TIME and self._in_use():
+            await asyncio.sleep(0.02)
+        # What waits to be accepted now is served too.
+        await self.listener.stop(take_in=self._config.inherited is None)
+        self.front.stopping = True  # from now on each answer ends its connection
+        while self._loop.time() < end and self._in_use():
+            self.listener.close_idle()
             await asyncio.sleep(0.02)
         self.engine.close_out()
-        await asyncio.sleep(0.02)  # for the last answers to go out
+        while self._loop.time() < end + LAST_WORDS and len(self.listener):
+            self.listener.close_idle()
+            await asyncio.sleep(0.01)
+
+    def _in_use(self) -> bool:
+        return self.engine.open > 0 or len(self.listener) > 0
 
     def reload(self, read: Callable[[], Config]) -> None:
         """Read the configuration anew; a new address of discovery is watched at once, from its whole list on.
--- a/stalltiller/program/reload.py
+++ b/stalltiller/program/reload.py
@@ -8,6 +8,7 @@
 from stalltiller import interface as api
 
 SETTLE = 1.5  # s after SIGHUP for which clients may still go by the settings before
+WIDTH = (api.Scope.CELL, api.Scope.ZONE, api.Scope.ALL)  # where a repeat is known as one, the narrowest first
 STRICTNESS = (api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE)
 
 
@@ -31,7 +32,9 @@
     classes = []
     for cls in old.classes:
         same = coming.pop(cls.name, cls)
-        classes.append(replace(same, effect=max(cls.effect, same.effect, key=STRICTNESS.index)))
+        classes.append(replace(same, effect=max(cls.effect, same.effect, key=STRICTNESS.index),
+                               scope=min(cls.scope, same.scope, key=WIDTH.index),
+                               keep=min(cls.keep, same.keep)))
     plans = {plan.name: plan for plan in old.plans}
     for plan in new.plans:
         plans[plan.name] = min(plan, plans.get(plan.name, plan), key=lambda one: one.limit or math.inf)
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -17,7 +17,7 @@
 from typing import TypeVar
 
 from stalltiller import interface as api
-from stalltiller.interface import Effect, ListKind, NodeState, Status
+from stalltiller.interface import Effect, ListKind, NodeState, Scope, Status
 from stalltiller.logic import Scheduler
 from stalltiller.routing.ports import Attempt, Carrier, Door, Ending, Incoming, Peers, Place
 
@@ -25,6 +25,7 @@
 ANSWER_MARGIN = 0.015  # s by which the scheduler's deadline is before the client's: the way back, a late turn
 BACKSTOP_MARGIN = 0.008  # s before the client's deadline at which the engine itself answers
 LEAST_TURN = 0.002  # s that the scheduler has in any case
+REPEAT_MARGIN = 0.02  # s before targets may forget a keyed request after which it is not begun again
 DRAIN_MARGIN = 0.1  # s before the end of a drain's grace after which the engine starts nothing
 MAX_LAG = 0.25  # s: the most that a request is taken to have waited unread
 
@@ -35,15 +36,22 @@
 class Entry:
     """A request in the table: until it is answered and no attempt of it is out."""
 
-    __slots__ = ("attempts", "deadline", "done", "effect", "incoming", "most", "out", "ran")
+    __slots__ = ("attempts", "cls", "deadline", "done", "first_at", "incoming", "most", "out", "ran")
 
-    def __init__(self, incoming: Incoming, deadline: float, effect: Effect, most: int) -> None:
+    def __init__(self, incoming: Incoming, deadline: float, cls: api.RequestClass, most: int) -> None:
         self.incoming, self.deadline = incoming, deadline
-        self.effect, self.most = effect, most  # by the settings when it came
+        self.cls, self.most = cls, most  # by the settings when it came
+        self.first_at = 0.0  # when the first attempt that may have run was sent
         self.attempts = 0
         self.out: Attempt | None = None
         self.ran = self.done = False  # ran: some attempt may have
 
+    def refusable(self, out: bool) -> bool:
+        """Whether trying again is harmless; `out`: whether an attempt that may have run is out."""
+        harmless = self.cls.effect is Effect.SAFE or (
+            self.cls.effect is Effect.KEYED and self.cls.scope is Scope.ALL)  # known as a repeat everywhere
+        return harmless or not (self.ran or out)
+
 
 class Engine:
     """One initiator's requests, from the fronts to the targets and back."""
@@ -70,6 +78,7 @@
         self._timers: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._timer_ids = itertools.count()
         self._wake: asyncio.TimerHandle | None = None
+        self._over = False  # all is answered: nothing more is taken
         self._turn_ended = self._base
         self._turn_took = 0.0
 
@@ -111,7 +120,7 @@
         lag = self._turn_took if now - self._turn_ended < self._turn_took else 0.0
         deadline = now - min(lag, MAX_LAG) + incoming.timeout
         number = next(self._ids)
-        self._entries[number] = Entry(incoming, deadline, self.settings.classes[incoming.cls].effect,
+        self._entries[number] = Entry(incoming, deadline, self.settings.classes[incoming.cls],
                                       self.settings.max_attempts)
         self._open += 1
         self.counts["taken"] += 1
@@ -119,6 +128,8 @@
             self._trace("taken", id=number, label=incoming.label, cls=incoming.cls, plan=incoming.plan,
                         units=incoming.units, timeout=incoming.timeout, lag=round(min(lag, MAX_LAG), 4))
         wait = 0.0 if self._door is None else self._door.admit(incoming)
+        if self._over:
+            wait = self.settings.max_advice or LEAST_TURN
         if wait > 0.0:  # in a later turn, as all replies are
             self._loop.call_soon(self._turn_back, number, wait)
             return number
@@ -152,8 +163,8 @@
             self._fault("an attempt ended twice", id=attempt.id, attempt=attempt.number)
             return
         entry.out = None
-        if ending.status not in NEVER_RAN:
-            entry.ran = True
+        if ending.status not in NEVER_RAN and not entry.ran:
+            entry.ran, entry.first_at = True, attempt.sent_at
         if ending.status is Status.OK and not entry.done:
             self._finish(attempt.id, entry, "served")
             entry.incoming.reply.served(ending.answer)
@@ -192,11 +203,13 @@
         self._feed(api.Retuned(settings))
 
     def close_out(self) -> None:
-        """Answer all that is open: the program ends, and what it took must not be lost."""
+        """Answer all that is open: the program ends, and what it took must not be lost.  What comes from now
+        on is turned back at once."""
+        self._over = True
         for number, entry in list(self._entries.items()):
             if entry.done:
                 continue
-            harmless = entry.effect is Effect.SAFE or not (entry.ran or entry.out is not None)
+            harmless = entry.refusable(entry.out is not None and self.carrier.begun(entry.out))
             self._finish(number, entry, "refused" if harmless else "failed")
             self._feed(api.ClientGone(number))  # for the scheduler it is over: it must send no attempt now
             if harmless:
@@ -304,7 +317,15 @@
         entry.attempts += 1
         told = self._told.get(action.node)
         stop = None if told is None else told + self.settings.rules.drain_grace - DRAIN_MARGIN
-        unsafe = entry.effect is Effect.UNSAFE
+        unsafe = entry.cls.effect is Effect.UNSAFE
+        if entry.ran and entry.cls.effect is Effect.KEYED:
+            forget = entry.first_at + entry.cls.keep - REPEAT_MARGIN
+            stop = forget if stop is None else min(stop, forget)
+        if entry.out is None and incoming.reply.left():
+            self._finish(action.id, entry, "gone")
+            self._feed(api.ClientGone(action.id))
+            self._feed(api.Outcome(action.id, number, action.node, Status.MOOT, 0.0, True, None, 0.0, ()))
+            return
         if entry.out is not None:
             reason = "a second attempt at once"
         elif entry.ran and unsafe:
@@ -312,7 +333,7 @@
         elif number >= min(entry.most, self.settings.max_attempts):
             reason = "an attempt over the number allowed"
         elif place is None or (stop is not None and now >= stop):
-            reason = "an attempt at a target that drains or is not listed"
+            reason = "an attempt at a target that drains, is not listed or may forget the one before"
         else:
             expires = entry.deadline - ANSWER_MARGIN
             if action.expires is not None:
@@ -325,6 +346,8 @@
                 self._trace("attempt", id=action.id, attempt=number, node=action.node,
                             waited_ms=round(1000 * (now - entry.deadline + incoming.timeout), 1))
             self.at(expires, self._expire, attempt)
+            if entry.ran and stop is not None and stop < expires:
+                self.at(stop, self._withdraw, attempt)
             self.carrier.start(attempt)
             return
         self._fault(reason, id=action.id, node=action.node)
@@ -334,7 +357,7 @@
         entry = self._unanswered(action.id)
         if entry is None:
             return
-        if entry.effect is not Effect.SAFE and (entry.ran or entry.out is not None):
+        if not entry.refusable(entry.out is not None):
             self._fault("a refusal of what may have run", id=action.id)
             self._finish(action.id, entry, "failed")
             entry.incoming.reply.failed()
@@ -348,10 +371,18 @@
         if entry is not None and entry.out is attempt:
             self._abandon(attempt, Status.TIMEOUT)
 
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Give an attempt up if its target has not had the whole: it must not begin any more."""
+        entry = self._entries.get(attempt.id)
+        if entry is not None and entry.out is attempt and not self.carrier.begun(attempt):
+            self._abandon(attempt, Status.CANCELLED)
+
     def _abandon(self, attempt: Attempt, status: Status) -> None:
-        """Give an attempt up; one of which the target has not had the whole never ran."""
+        """Give an attempt up; one of which the target has not had the whole never ran.  That its client left
+        before says nothing of the target."""
+        over = self._entries[attempt.id].done
         ran = self.carrier.abandon(attempt)
-        self.ended(attempt, Ending(status if ran else Status.CONNECT_FAILED))
+        self.ended(attempt, Ending(status if ran or over else Status.CONNECT_FAILED))
 
     # --- Ends -------------------------------------------------------------------------------------
     def _backstop(self, number: int) -> None:
@@ -371,6 +402,8 @@
         if self._trace:
             self._trace("answered", id=number, how=how, attempts=entry.attempts,
                         left_ms=round(1000 * (entry.deadline - self._loop.time()), 1))
+        if entry.out is not None:  # for its client it is over: what has not begun must not begin
+            self._withdraw(entry.out)
         self._drop(number)
 
     def _drop(self, number: int) -> None:
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -20,6 +20,9 @@
     def failed(self) -> None:
         """No promise about the effect."""
 
+    def left(self) -> bool:
+        """Whether the client has gone, also where the loop has not come to see it."""
+
 
 @dataclass(slots=True, frozen=True)
 class Incoming:
@@ -94,6 +97,9 @@
     def start(self, attempt: Attempt) -> None:
         """Begin an attempt; its end is reported later, never from within this call."""
 
+    def begun(self, attempt: Attempt) -> bool:
+        """Whether the target may have the whole of an attempt, so that giving it up undoes nothing."""
+
     def abandon(self, attempt: Attempt) -> bool:
         """Give an attempt up for good; whether it may have run."""
 
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -10,6 +10,9 @@
 
 from stalltiller.transport.buffers import BufferPool
 
+LINGER = 3.0  # s for which a connection that was shut down still reads, if the other side does not close it
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 class Connection(asyncio.BufferedProtocol):
     """Subclasses say what to do with received bytes and with the end.
@@ -25,7 +28,9 @@
         self._paused = False
         self._written = 0  # bytes in all
         self._reading: asyncio.TimerHandle | None = None  # the next look whether the other side reads
+        self._lingering: asyncio.TimerHandle | None = None  # when it closes though the other side has not
         self.flushed = True  # the kernel has taken every byte written so far
+        self.finishing = False  # sending was shut down; what still comes is dropped
         self.transport: asyncio.Transport | None = None
 
     # --- For subclasses ---------------------------------------------------------------------------
@@ -64,8 +69,17 @@
         poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
         return not poll.poll(0)
 
-    def write(self, data: bytes | memoryview) -> None:
+    def hung_up(self) -> bool:
+        """Whether the other side has ended or reset the connection, also where bytes wait before its end or
+        the loop has not come to see it."""
         if self.closing:
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
+        return any(found & GONE for _, found in poll.poll(0))
+
+    def write(self, data: bytes | memoryview) -> None:
+        if self.closing or self.finishing:
             self.flushed = False
             return
         self._written += len(data)
@@ -91,6 +105,38 @@
         else:
             self.expect_reading(limit)
 
+    def finish(self) -> None:
+        """Close so that all that was written arrives: shut down sending, drop what still comes, and close
+        when the other side has or LINGER is over.
+
+        Guards against a close over bytes that nobody read, or that come right after it: it resets the
+        connection, and what the other side has not read yet is lost to it.
+        """
+        if self.closing or self.finishing:
+            return
+        self.finishing = True
+        self._release()
+        try:
+            self.transport.write_eof()  # once what was written has gone out
+        except OSError:  # the other side was gone already
+            self.abort()
+            return
+        if self._paused:
+            self._paused = False
+            self.transport.resume_reading()
+        self.expect_reading(LINGER)
+        self._linger()
+
+    def _linger(self) -> None:
+        self._lingering = asyncio.get_running_loop().call_later(LINGER, self._lingered)
+
+    def _lingered(self) -> None:
+        if self.flushed:
+            self.abort()
+        else:  # it reads slowly: `expect_reading` ends it if it reads nothing
+            self.expect_reading(LINGER)
+            self._linger()
+
     def close(self) -> None:
         """Close once what was written has gone out."""
         if self.transport is not None:
@@ -152,12 +198,16 @@
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        if self._reading is not None:
-            self._reading.cancel()
+        for timer in (self._reading, self._lingering):
+            if timer is not None:
+                timer.cancel()
         self._release()
         self.ended(error)
 
     def _digest(self) -> None:
+        if self.finishing:
+            self._release()
+            return
         while self._buffer is not None and self._fill > self._read_at and not self.closing:
             used = self.received(memoryview(self._buffer)[self._read_at:self._fill])
             self._read_at += used
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from collections.abc import Callable
@@ -37,11 +38,15 @@
         """Close now."""
 
 
+SPARE = TURNED_AWAY  # connections over the number that may be about to close
+
+
 class Listener:
     """Accepts connections.  Over `most` another makes room, or the new one is turned away.
 
     Those go first that have sent nothing in SPEAK_LIMIT, then idle ones, then those in their first request,
-    from the one silent for longest on, then new ones.  Guards against clients that connect by hundreds and
+    from the one silent for longest on, then new ones.  One that was shut down and not closed yet goes when
+    more than SPARE are over the number.  Guards against clients that connect by hundreds and
     say nothing or never end what they say: they would push out the idle connections of usual clients, new
     ones whose first request is on its way, and those that write it slowly.
     """
@@ -51,9 +56,11 @@
         self._make, self._most, self._usual = make, most, usual
         self._hello = HELLO_LIMIT if hello is None else hello
         self._server: asyncio.Server | None = None
+        self._listening: socket.socket | None = None
         self._strangers: dict[Guest, float] = {}  # no whole request yet: when each arrived, in order
         self._spoke: dict[Guest, float] = {}  # strangers that have begun one: when some came last, in order
         self._guests: dict[Guest, float] = {}  # when each was last used, in order
+        self._leaving: dict[Guest, float] = {}  # shut down and not closed yet: since when, in order
         self._sweep: asyncio.TimerHandle | None = None
         self.keep_idle = False  # while it stops, clients have no other connections than those they hold
         self.shed = 0
@@ -63,7 +70,7 @@
         return self._server.sockets[0].getsockname()[:2]
 
     def __len__(self) -> int:
-        return len(self._strangers) + len(self._guests)
+        return len(self._strangers) + len(self._guests) + len(self._leaving)
 
     async def open(self, host: str, port: int, inherited: int | None = None) -> None:
         """Listen, on the socket handed over under that descriptor if there is one.
@@ -84,6 +91,7 @@
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
             listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
         listening.setblocking(False)
+        self._listening = listening
         self._server = await loop.create_server(lambda: self._make(self), sock=listening, backlog=BATCH)
         listening.listen(BACKLOG)
         self._sweep_later()
@@ -101,6 +109,9 @@
             if other not in self._spoke and not other.closing:
                 other.abort()
                 return
+        if over > SPARE and self._leaving:
+            next(iter(self._leaving)).abort()
+            return
         if any(other.close_if_idle() for other in self._guests):
             return
         for other in (*self._spoke, *self._strangers):
@@ -125,10 +136,14 @@
         self._guests.pop(guest, None)
         self._guests[guest] = time.monotonic()
 
+    def leaving(self, guest: Guest) -> None:
+        """Its connection was shut down: it takes no more requests, and closes soon."""
+        self.left(guest)
+        self._leaving[guest] = time.monotonic()
+
     def left(self, guest: Guest) -> None:
-        self._strangers.pop(guest, None)
-        self._spoke.pop(guest, None)
-        self._guests.pop(guest, None)
+        for kind in (self._strangers, self._spoke, self._guests, self._leaving):
+            kind.pop(guest, None)
 
     def close_idle(self) -> None:
         for guest in (*self._strangers, *self._guests):
@@ -147,6 +162,10 @@
             if now - since < self._hello:
                 break
             guest.overdue()
+        over = len(self) - self._most
+        for guest, since in list(self._leaving.items())[:max(0, over)]:
+            if now - since >= SWEEP_EVERY:
+                guest.abort()  # it has had the time to read its last answer, and others wait for its place
         left = len(self._guests)
         for guest, since in () if self.keep_idle else list(self._guests.items()):
             if now - since < (IDLE_LIMIT if left <= self._usual else CROWDED_LIMIT):
@@ -154,6 +173,23 @@
             left -= guest.close_if_idle()
         self._sweep_later()
 
+    async def stop(self, take_in: bool) -> None:
+        """Accept no more; open connections stay.  With `take_in`, first accept what waits in the kernel.
+
+        Guards against closing the listening socket between a connection's accept and the turn of the loop in
+        which it comes up, or over connections that wait: both are reset, and what they asked is lost.
+        """
+        loop, listening = asyncio.get_running_loop(), self._listening
+        if listening is not None and listening.fileno() >= 0:
+            loop.remove_reader(listening)
+            await asyncio.sleep(0)  # those accepted come up
+            with contextlib.suppress(OSError):  # none waits, or no descriptor is left
+                while take_in:
+                    accepted, _ = listening.accept()
+                    accepted.setblocking(False)
+                    await loop.connect_accepted_socket(lambda: self._make(self), accepted)
+        self.close()
+
     def close(self) -> None:
         """Accept no more; open connections stay."""
         if self._sweep is not None:
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -37,6 +37,9 @@
 
     def carry(self, job: Any) -> None: ...
 
+    def begun(self) -> bool:
+        """Whether the target may have the whole of what is carried."""
+
     def give_up(self) -> bool:
         """Close at once; whether the target may have run what was under way."""
 
@@ -80,6 +83,10 @@
             channel.close()
         job.wire = self._loop.create_task(self._open(job))
 
+    def begun(self, job: Job) -> bool:
+        """Whether the target may have the whole of a job."""
+        return not isinstance(job.wire, asyncio.Task | None) and job.wire.begun()
+
     def abandon(self, job: Job) -> bool:
         """Give a job up; whether it may have run."""
         wire, job.wire = job.wire, None
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -26,6 +26,9 @@
     def failed(self):
         self.answers.append(("failed",))
 
+    def left(self):
+        return False
+
 
 class Carrier:
     def __init__(self):
@@ -34,6 +37,9 @@
     def start(self, attempt):
         self.started.append(attempt)
 
+    def begun(self, attempt):
+        return self.ran
+
     def abandon(self, attempt):
         self.abandoned.append(attempt)
         return self.ran
@@ -113,6 +119,22 @@
     play(scene, again_after(Status.RESET))
 
 
+@pytest.mark.parametrize(("scope", "end"), [(api.Scope.ALL, "refused"), (api.Scope.CELL, "failed")])
+def test_a_keyed_request_that_may_have_run_is_refused_only_where_every_target_knows_a_repeat(scope, end):
+    """It was failed, and the decision taken for a fault, also where the settings allow the refusal."""
+    async def scene(engine, carrier):
+        engine.settings = settings(classes=(request_class(effect=api.Effect.KEYED, scope=scope),))
+        reply = Reply()
+        engine.take(incoming(reply))
+        await asyncio.sleep(0.01)
+        engine.ended(carrier.started[0], Ending(Status.RESET))
+        await asyncio.sleep(0.01)
+        assert reply.answers[0][0] == end
+        assert engine.counts["faults"] == (end == "failed")
+    play(scene, lambda event: (SEND,) if isinstance(event, api.Request) else (
+        api.Refuse(1, 0.0),) if isinstance(event, api.Outcome) else ())
+
+
 def test_nothing_starts_at_a_target_past_its_drain_time():
     async def scene(engine, carrier):
         engine.listed(ListKind.DELTA, [Place(entry(1, state=api.NodeState.DRAINING), "h", 1)])
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -40,6 +40,18 @@
         assert between(old, new).plans[0].limit == 5.0
 
 
+@pytest.mark.parametrize(("changes", "held"), [
+    ([{"keep": 6.0}, {"keep": 1.5}], (1.5, api.Scope.ALL)),
+    ([{"keep": 1.5}, {"keep": 6.0}], (1.5, api.Scope.ALL)),  # clients and targets may still go by the old
+    ([{"scope": api.Scope.ZONE}, {"scope": api.Scope.ALL}], (2.0, api.Scope.ZONE)),
+    ([{"scope": api.Scope.ALL}, {"scope": api.Scope.CELL}], (2.0, api.Scope.CELL)),
+])
+def test_between_two_settings_a_repeat_keeps_to_the_shorter_window_and_the_fewer_targets(changes, held):
+    old, new = (settings(classes=(replace(KEYED, **change),)) for change in changes)
+    (found,) = between(old, new).classes
+    assert (found.keep, found.scope) == held
+
+
 def test_new_settings_hold_at_once_where_stricter_and_in_full_later(monkeypatch):
     """The open write keeps its class, though that is gone when its attempt ends; no class is mixed up."""
     monkeypatch.setattr(program, "SETTLE", 60.0)
