Keep descriptors for the watch, dials and operators past any crowd, also where there are few

Need: idle clients may fill the descriptors while discovery is down. Seen (tests/test_descriptors.py, a real process with RLIMIT_NOFILE): with 96 descriptors a crowd of 300 that comes again at once made accept fail (EMFILE), which stops asyncio's listener for a second; with 160 it did not. Cause: program/app.py kept 64 and then gave clients and targets at least 16 each, whatever was left, and the listener accepts 16 in a turn and keeps 16 over its number in any case. The watch's dials and the pool's take EMFILE as any failed call, which was so.

--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -10,8 +10,10 @@
 from typing import Protocol
 
 BACKLOG = 512  # connections that wait in the kernel
-BATCH = 16  # connections accepted in one turn of the loop
+BATCH = 16  # connections accepted in one turn of the loop, or BATCH_SHARE of the number if that is fewer
+BATCH_SHARE = 4
 TURNED_AWAY = 16  # connections over the number that are still told so; the rest are closed unheard
+AWAY_SHARE = 2  # of the number: no more than this part of it, or there would be no descriptors for others
 SWEEP_EVERY = 0.25  # s between looks for connections to close
 SPEAK_LIMIT = 0.1  # s in which a client that has something to ask has asked, as a rule
 HELLO_LIMIT = 2.3  # s that a new connection may take until its first whole head
@@ -38,15 +40,12 @@
         """Close now."""
 
 
-SPARE = TURNED_AWAY  # connections over the number that may be about to close
-
-
 class Listener:
     """Accepts connections.  Over `most` another makes room, or the new one is turned away.
 
     Those go first that have sent nothing in SPEAK_LIMIT, then idle ones, then those in their first request,
     from the one silent for longest on, then new ones.  One that was shut down and not closed yet goes when
-    more than SPARE are over the number.  Guards against clients that connect by hundreds and
+    more are over the number than are told so.  Guards against clients that connect by hundreds and
     say nothing or never end what they say: they would push out the idle connections of usual clients, new
     ones whose first request is on its way, and those that write it slowly.
     """
@@ -54,6 +53,7 @@
     def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int, usual: int,
                  hello: float | None = None) -> None:
         self._make, self._most, self._usual = make, most, usual
+        self._away = min(TURNED_AWAY, most // AWAY_SHARE)
         self._hello = HELLO_LIMIT if hello is None else hello
         self._server: asyncio.Server | None = None
         self._listening: socket.socket | None = None
@@ -92,7 +92,8 @@
             listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
         listening.setblocking(False)
         self._listening = listening
-        self._server = await loop.create_server(lambda: self._make(self), sock=listening, backlog=BATCH)
+        self._server = await loop.create_server(lambda: self._make(self), sock=listening,
+                                                 backlog=max(1, min(BATCH, self._most // BATCH_SHARE)))
         listening.listen(BACKLOG)
         self._sweep_later()
 
@@ -109,7 +110,7 @@
             if other not in self._spoke and not other.closing:
                 other.abort()
                 return
-        if over > SPARE and self._leaving:
+        if over > self._away and self._leaving:
             next(iter(self._leaving)).abort()
             return
         if any(other.close_if_idle() for other in self._guests):
@@ -118,7 +119,7 @@
             if other is not guest and not other.closing:
                 other.abort()
                 return
-        if over > TURNED_AWAY:
+        if over > self._away:
             guest.abort()
         else:
             guest.turn_away()
