Bound attempts under way by a drain told later; reset long answers that the end cuts off

Need: reading the code for races, two orders that nothing held. Seen (tests/test_races.py, real connections, 4 cases fail on the version before): an attempt whose connection was coming up when its target was told to drain, leave or miss from a whole list kept its old bound, and began whenever the connection came up (engine.listed told only the decisions); at the program's end a long answer without a length ended in order with the process, so that a client of HTTP/1.0 took the half for the whole. Change: Engine.listed bounds attempts that are out; App._drain resets what is still passed on.

--- a/stalltiller/fronts/admin.py
+++ b/stalltiller/fronts/admin.py
@@ -79,6 +79,9 @@
     def turn_away(self) -> None:
         self.abort()
 
+    def cut_off(self) -> None:
+        self.abort()
+
 
 def admin_listener(buffers: BufferPool, calls: dict[tuple[str, str], Act]) -> Listener:
     """Listens for calls.  Callers that say nothing make room for others, the oldest first."""
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -248,6 +248,13 @@
         self._relay = None
         self.reset()
 
+    def cut_off(self) -> None:
+        """Guard against an answer that only the connection's end would tell to be whole."""
+        if self._relay is not None:
+            relay, self._relay = self._relay, None
+            relay.source.cut()
+            self.reset()
+
     def refused(self, retry_after: float) -> None:
         self._final(503, b"", {"Retry-After": f"{retry_after:.3f}"} if retry_after > 0 else None)
 
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -169,6 +169,8 @@
             else:
                 self.front.loop.call_later(END_LOOK, self._look_for_end)
 
+    def cut_off(self) -> None: ...  # a command's end is told by its completion alone
+
     def overdue(self) -> None:
         self.abort()  # its Connect did not come in time
 
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -245,6 +245,8 @@
         while self._loop.time() < end + LAST_WORDS and len(self.listener):
             self.listener.close_idle()
             await asyncio.sleep(0.01)
+        self.listener.cut_off()
+        await asyncio.sleep(0)
 
     def _in_use(self) -> bool:
         return self.engine.open > 0 or len(self.listener) > 0
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -185,6 +185,9 @@
             self._places.clear()
             listed = {place.entry.node for place in places}
             self._told = {name: at for name, at in self._told.items() if name in listed}
+        leaving = {place.entry.node for place in places if place.entry.state is not NodeState.READY}
+        if kind is not ListKind.DELTA:
+            leaving |= {entry.out.node for entry in self._entries.values() if entry.out} - listed
         for place in places:
             name = place.entry.node
             if place.entry.state is NodeState.GONE:
@@ -195,8 +198,20 @@
                 self._told.setdefault(name, self._loop.time())
             else:
                 self._told.pop(name, None)
+        if leaving:
+            self._stop_late_starts(leaving)
         self._feed(api.NodeList(kind, tuple(place.entry for place in places)))
 
+    def _stop_late_starts(self, leaving: set[api.NodeId]) -> None:
+        """Bound attempts that are out by the drain, too.  Guards against one whose connection comes up so
+        late that its first byte would go to the target past the grace."""
+        for entry in self._entries.values():
+            attempt = entry.out
+            if attempt is not None and attempt.node in leaving:
+                told = self._told.get(attempt.node, self._loop.time())
+                stop = told + self.settings.rules.drain_grace - DRAIN_MARGIN
+                attempt.last_start = stop if attempt.last_start is None else min(stop, attempt.last_start)
+
     def retune(self, settings: api.Settings) -> None:
         """Other settings hold from now on; what is open keeps its class."""
         self.settings = settings
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -39,6 +39,9 @@
     def abort(self) -> None:
         """Close now."""
 
+    def cut_off(self) -> None:
+        """The program ends: have the other side see what is not whole."""
+
 
 class Listener:
     """Accepts connections.  Over `most` another makes room, or the new one is turned away.
@@ -150,6 +153,10 @@
         for guest in (*self._strangers, *self._guests):
             guest.close_if_idle()
 
+    def cut_off(self) -> None:
+        for guest in (*self._strangers, *self._guests, *self._leaving):
+            guest.cut_off()
+
     def _sweep_later(self) -> None:
         self._sweep = asyncio.get_running_loop().call_later(SWEEP_EVERY, self._close_old)
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -272,7 +272,29 @@
     play(scene)
 
 
-# --- Repeats -----------------------------------------------------------------------------------------
+def test_a_long_answer_that_the_end_cuts_off_does_not_look_whole(monkeypatch):
+    """To a client of HTTP/1.0 an answer without a length ends with its connection."""
+    for name in ("STILL_LISTENING", "CLOSING_TIME", "LAST_WORDS"):
+        monkeypatch.setattr(f"stalltiller.program.app.{name}", 0.01, raising=False)
+
+    async def scene(world):
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * 300_000)
+            await asyncio.get_running_loop().create_future()
+        world.targets[0].serve = answer
+        client = dial(world)
+        client.sendall(get(1).replace(b"HTTP/1.1", b"HTTP/1.0"))
+        await world.until(lambda: world.app.engine.counts["relayed"] == 1)
+        world.app.stop.set()
+        await asyncio.wait_for(world.running, 5)
+        with pytest.raises(ConnectionResetError):  # by now: what is left open ends in order with the process
+            await asyncio.wait_for(rest_of(client), 1)
+        client.close()
+    play(scene)
+
+
+# --- Repeats and drains ----------------------------------------------------------------------------
 def test_a_keyed_repeat_does_not_begin_once_targets_may_have_forgotten_the_first():
     """It was sent in time, and began when its connection came up, past the window for repeats."""
     keyed = request_class(name="read", aim=0.4, deadline=DEADLINE, effect=api.Effect.KEYED, keep=0.1)
@@ -316,6 +338,32 @@
     play(scene)
 
 
+@pytest.mark.parametrize("told", ["leaving", "left", "missing"])
+def test_nothing_begins_past_a_drain_that_was_told_while_the_connection_came_up(told):
+    """An attempt knew of a drain only if that was told before it was sent."""
+    patient = request_class(name="read", aim=4.0, deadline=5.0)
+
+    async def scene(world):
+        target, gate = world.targets[0], Gate(world)
+        world.app.carrier.pool._connect_timeout = 9.0
+        client = dial(world)
+        client.sendall(get(1, Connection="close", **{"X-Timeout": "5.0"}))
+        await world.until(lambda: gate.held == 1)
+        if told == "missing":
+            del world.discovery.lines[target.name]
+            world.discovery.set(world.targets[1])
+        else:
+            world.discovery.set(target, told)
+        heard = len(world.logged)
+        await world.until(lambda: any(line["event"] == "list" for line in world.logged[heard - 1:]))
+        await asyncio.sleep(world.settings.rules.drain_grace + 0.1)  # on the jumping clock
+        gate.open.set()
+        assert not (await rest_of(client)).startswith(b"HTTP/1.1 200")
+        assert target.begun == []
+        client.close()
+    play(scene, run=run_on_jumping_clock, classes=(patient,))
+
+
 # --- Answers that end by a reset ------------------------------------------------------------------------
 @pytest.mark.parametrize("size", [5, 20_000, 300_000])
 @pytest.mark.parametrize("reset", [True, False])
