--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -271,11 +271,12 @@
         config = replace(config, settings=carried(self.engine.settings, config.settings))
         address = config.discovery
         self._log("reloaded", discovery=join(*address), classes=[cls.name for cls in config.settings.classes])
-        if self._settling is not None:
+        settling = self._settling is not None  # what the file before brought does not hold in full yet
+        if settling:
             self._settling.cancel()
-        if config.settings != self.engine.settings or config.nvme != self._config.nvme:
+        if settling or config.settings != self.engine.settings or config.nvme != self._config.nvme:
             self._retune(between(self.engine.settings, config.settings))
-            self._settling = self._loop.call_later(SETTLE, self._retune, config.settings, config.nvme)
+            self._settling = self._loop.call_later(SETTLE, self._settled, config.settings, config.nvme)
         self._config = config
         if address != self._discovery:
             self._discovery = address
@@ -285,6 +286,10 @@
                 self._watching.cancel()
                 self._watch()
 
+    def _settled(self, settings: api.Settings, mapping: Mapping | None) -> None:
+        self._settling = None
+        self._retune(settings, mapping)
+
     def _retune(self, settings: api.Settings, mapping: Mapping | None = None) -> None:
         self.engine.retune(settings)
         if isinstance(self.front, NvmeFront):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -96,6 +96,21 @@
     asyncio.run(scene())
 
 
+def test_a_second_reload_while_the_first_settles_loses_none_of_it(monkeypatch):
+    """It cancelled the first one's second step, and took the file for known: the new mapping never held."""
+    monkeypatch.setattr(program, "SETTLE", 0.1)
+
+    async def scene():
+        async with World("nvme") as world:
+            mapping = world.config().nvme
+            mapping = replace(mapping, namespaces={**mapping.namespaces, 7: mapping.namespaces[1]})
+            for _ in range(2):
+                world.app.reload(lambda: replace(world.config(), nvme=mapping))
+            await world.until(lambda: 7 in world.app.front.mapping.namespaces, 2.0)
+            assert world.app._settling is None
+    asyncio.run(scene())
+
+
 def test_classes_that_change_places_stay_reads_and_writes(monkeypatch, tmp_path):
     """The list of those that write kept its places, so every write was answered 400."""
     monkeypatch.setattr(program, "SETTLE", 0.0)
