--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,6 @@
 """Known failures: KNOWN-RED.txt names tests that fail for a real fault that is not mended yet.
 
-A run passes over these alone, and prints them.  A line that names no test, or a fourth one, fails a whole run.
+A run passes over these alone, and prints them.  A line that names no test, or a fourth, fails a whole run.
 """
 
 from __future__ import annotations
