Let a connection to a target rest after an answer, so that a second one is not taken for the next

Cause: ChannelPool.start took the connection used last, at once. Ruled out: quiet() sees what has arrived, not what is on its way. NVMe answers name their command, so its channels do not rest.

--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -53,14 +53,15 @@
     """Channels by target.  `connect` makes one; `unreachable` is told of jobs that never started.
 
     All together are held to `most`: over it the one idle for longest makes room, or the job never starts.
+    A channel rests for `rest` seconds before it is used again, if another can be had.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, connect: Callable[[str, int], Awaitable[Channel]],
                  unreachable: Callable[[Any], None], connect_timeout: float, idle_limit: float,
-                 most: int) -> None:
+                 most: int, rest: float = 0.0) -> None:
         self._loop, self._connect, self._unreachable = loop, connect, unreachable
         self._connect_timeout, self._idle_limit = connect_timeout, idle_limit
-        self._most = most
+        self._most, self._rest = most, rest
         self._channels: set[Channel] = set()  # those that are up; closing ones are left out at the next look
         self._connecting = 0
         self._idle: dict[Address, list[tuple[float, Channel]]] = {}
@@ -70,12 +71,16 @@
         self.opened = 0
 
     def start(self, job: Job) -> None:
-        """Carry a job by the idle channel used last, or by a new one."""
-        idle = self._idle.get((job.node, job.host, job.port))
+        """Carry a job by the idle channel used last of those that have rested, or by a new one."""
+        idle = self._idle.get((job.node, job.host, job.port), [])
         now = self._loop.time()
         oldest = now - FRESH if now < self._wary_until else 0.0
-        while idle:
-            since, channel = idle.pop()
+        rested = sum(since <= now - self._rest for since, _ in idle)
+        if idle and not rested and not self._may_open():
+            rested = len(idle)
+        while rested:
+            rested -= 1
+            since, channel = idle.pop(rested)
             if channel.quiet() and since >= oldest:
                 job.wire, job.idle_for = channel, now - since
                 channel.carry(job)
@@ -83,6 +88,12 @@
             channel.close()
         job.wire = self._loop.create_task(self._open(job))
 
+    def _may_open(self) -> bool:
+        """Whether one more channel fits without closing another."""
+        if len(self._channels) + self._connecting >= self._most:
+            self._channels = {channel for channel in self._channels if not channel.closing}
+        return len(self._channels) + self._connecting < self._most
+
     def begun(self, job: Job) -> bool:
         """Whether the target may have the whole of a job."""
         return not isinstance(job.wire, asyncio.Task | None) and job.wire.begun()
