--- a/stalltiller/fronts/carrier.py
+++ b/stalltiller/fronts/carrier.py
@@ -19,7 +19,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
                  connect_timeout: float, idle_limit: float, most: int, log: Callable[..., None],
-                 rest: float = 0.0) -> None:
+                 rest: tuple[float, float] = (0.0, 0.0)) -> None:
         self.loop, self.engine, self.buffers = loop, engine, buffers
         self._log = log
         self.pool = ChannelPool(loop, self.connect, self._unreachable, connect_timeout, idle_limit, most,
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -21,7 +21,9 @@
 STALL_LIMIT = 2.5  # s that a client may take to send a request's head, and a body beside SLOWEST
 SLOWEST = 48_000  # bytes a second: a body that comes more slowly is not waited for
 UNREAD_LIMIT = 5.0  # s that a client may read nothing of an answer
-REST = 0.01  # s after an answer in which a second one may still come, which would pass for the next one's
+# s after an answer from and up to which a second one may be on its way, which would pass for the next one's.
+# A request that follows at once is there first, and who has one waiting does not answer the one before again.
+REST = 0.001, 0.006
 SMALL = 64 * 1024  # bytes: a body up to it is not counted, an answer up to it is passed on when it is whole
 RELAY_FROM = 8 * 1024  # bytes of a longer answer that show it to be one: from then on it is passed on
 RELAY_AFTER = 0.02  # s after its head at which one that still comes in is passed on with fewer
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -53,12 +53,12 @@
     """Channels by target.  `connect` makes one; `unreachable` is told of jobs that never started.
 
     All together are held to `most`: over it the one idle for longest makes room, or the job never starts.
-    A channel rests for `rest` seconds before it is used again, if another can be had.
+    A channel is used again before the first of the seconds in `rest` or past the second, if that can be had.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, connect: Callable[[str, int], Awaitable[Channel]],
                  unreachable: Callable[[Any], None], connect_timeout: float, idle_limit: float,
-                 most: int, rest: float = 0.0) -> None:
+                 most: int, rest: tuple[float, float] = (0.0, 0.0)) -> None:
         self._loop, self._connect, self._unreachable = loop, connect, unreachable
         self._connect_timeout, self._idle_limit = connect_timeout, idle_limit
         self._most, self._rest = most, rest
@@ -71,12 +71,13 @@
         self.opened = 0
 
     def start(self, job: Job) -> None:
-        """Carry a job by the idle channel used last of those that have rested, or by a new one."""
+        """Carry a job by the idle channel used last of those that need not rest, or by a new one."""
         idle = self._idle.get((job.node, job.host, job.port), [])
         now = self._loop.time()
         oldest = now - FRESH if now < self._wary_until else 0.0
-        rested = sum(since <= now - self._rest for since, _ in idle)
-        if idle and not rested and not self._may_open():
+        soonest, longest = self._rest
+        rested = sum(since <= now - longest for since, _ in idle)
+        if idle and (now - idle[-1][0] < soonest or (not rested and not self._may_open())):
             rested = len(idle)
         while rested:
             rested -= 1
