Ask discovery less often where it has to be asked: calls every 2 s kept it overbooked

Change: a call waits 3 s, a refused one is made again after 1 s, then 2 s at most (full jitter), and waits again; only one that follows a silent call does not. All bounds of tests/test_watch.py hold as they were: each pair of bad calls is over within 6 s. Its check of calls without a wait now holds for those that follow a silent one, since a waiting call is answered at once with what was missed.

--- a/stalltiller/fronts/directory.py
+++ b/stalltiller/fronts/directory.py
@@ -102,7 +102,7 @@
         self._heard = first_waits  # whether there was an answer so far, or none is needed soon
 
     def call(self, waits: bool = True) -> bytes:
-        """The next call.  One that follows a failed one does not wait: what it missed is wanted at once."""
+        """The next call.  One that follows a silent one does not wait: it shows soon whether that is over."""
         self._reader.reset()
         path = discovery.list_path(self._index, self._wait_ms if self._heard and waits else 0)
         return http.encode_request("GET", path, {"Host": self._host}, b"")
--- a/stalltiller/program/returning.py
+++ b/stalltiller/program/returning.py
@@ -49,8 +49,8 @@
         self._alone, self._returning = alone, returning
         self._turns = Turns(alone.wait, random.Random())
 
-    def timeout(self, failures: int) -> float:
-        return self._alone.timeout(failures)
+    def timeout(self, waits: bool) -> float:
+        return self._alone.timeout(waits)
 
     def hold(self) -> float:
         return self._returning.hold(self._turns)
--- a/stalltiller/transport/watch.py
+++ b/stalltiller/transport/watch.py
@@ -16,9 +16,9 @@
 AGENT_WAIT = 2.0  # s that a call to an agent may wait: a watch that has fallen silent shows soon after
 AGENT_ANSWER = 0.35  # s past a call's wait that the agent on the own machine may take
 AGENT_PAUSES = 0.05, 0.1  # s: first and longest bound of the pause after a failed call to it
-ASKED_WAIT = 1 / 3  # of the time until told: what a call may wait; the rest is for two calls that fail
-ASKED_ANSWER = 1 / 6  # of it: what an answer may take past the call's wait, where calls stand in line
-ASKED_PAUSES = 1 / 12, 1 / 4  # of it: first and longest bound of the pause after a failed call
+ASKED_WAIT = 0.5  # of the time until told: what a call may wait; the rest is for two that fall silent
+ASKED_ANSWER = 0.15  # of it: what an answer may take past the call's wait, where calls stand in line
+ASKED_PAUSES = 1 / 12, 1 / 3  # of it: first and longest bound of the pause after a failed call
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,12 +27,13 @@
 
     A change counts as told TOLD_AFTER seconds after discovery had it, also where a watch fell silent or calls
     were refused.  Guards against learning of a drain after that: a call that waited and got nothing, a pause
-    and the call that follows have to fit into it, with room for a second call that fails.
+    and the call that follows have to fit into it, with room for a second one that fails.
 
     Where the agent on its own machine answers, calls cost nothing and a failed one is soon made again: what
     an agent gets at discovery's return counts at once.  Where discovery itself has to be asked, the whole
-    fleet asks it, so a failed call is made again after a pause drawn from nothing up to a bound that doubles
-    (full jitter): quick calls in step would keep an overbooked discovery overbooked.
+    fleet asks it: forty that called every 2 s and came again within 1.5 s kept it overbooked for a whole day.
+    So a call waits as long as the time until told allows, and one that was refused is made again after a
+    pause drawn from nothing up to a bound that doubles (full jitter).
     """
 
     wait: float = AGENT_WAIT
@@ -48,9 +49,9 @@
         return cls(ASKED_WAIT * told, ASKED_ANSWER * told, *(share * told for share in ASKED_PAUSES),
                    jitter=1.0)
 
-    def timeout(self, failures: int) -> float:
-        """For a call and its answer, after so many failed calls in a row: only the first one waits."""
-        return self.answer + (0.0 if failures else self.wait)
+    def timeout(self, waits: bool) -> float:
+        """For a call that may wait for news, or may not, and its answer."""
+        return self.answer + (self.wait if waits else 0.0)
 
     def hold(self) -> float:
         return 0.0  # alone: the first call is made at once
@@ -64,8 +65,8 @@
 class Pacing(Protocol):
     """When a watch calls; times in seconds."""
 
-    def timeout(self, failures: int) -> float:
-        """For a call and its answer, after so many failed calls in a row."""
+    def timeout(self, waits: bool) -> float:
+        """For a call that may wait for news, or may not, and its answer."""
 
     def hold(self) -> float:
         """After which to ask again whether the first call may be made; 0: it may be made now."""
@@ -127,7 +128,7 @@
         self._pace, self._failed = pace, failed
 
     async def run(self) -> None:
-        failures = 0
+        refused, silent = 0, False  # calls refused or broken in a row; whether the last one fell silent
         call: _Call | None = None
         while rest := self._pace.hold():
             await asyncio.sleep(rest)
@@ -135,21 +136,22 @@
             while True:
                 try:
                     if call is None or call.closing:
-                        async with asyncio.timeout(min(CONNECT_TIMEOUT, self._pace.timeout(1))):
+                        async with asyncio.timeout(min(CONNECT_TIMEOUT, self._pace.timeout(False))):
                             call = await self._open()
-                    async with asyncio.timeout(self._pace.timeout(failures)):
-                        stays = await self._ask(call, not failures)
+                    async with asyncio.timeout(self._pace.timeout(not silent)):
+                        stays = await self._ask(call, not silent)
                     if not stays:
                         call.close()
                         call = None
-                    failures = 0
+                    refused, silent = 0, False
                 except (OSError, ValueError) as error:  # TimeoutError is an OSError
                     if call is not None:
                         call.abort()
                         call = None
                     self._failed(error)
-                    failures += 1
-                    await asyncio.sleep(self._pace.pause(failures, random.random()))
+                    silent = isinstance(error, TimeoutError)  # nothing says that discovery is overbooked
+                    refused = 0 if silent else refused + 1
+                    await asyncio.sleep(self._pace.pause(1 + refused, random.random()))
         finally:  # a watch that is ended must not be answered any more
             if call is not None:
                 call.abort()
