Name the graceful close, the half-closed state and the closed peer as the field does

Connection.finish -> close_gracefully, finishing -> half_closed, hung_up -> peer_closed, Listener.leaving -> lingering. No change of behaviour. The stand-in target of the cold fleets' test is that of the crowd's now, not a copy.

--- a/stalltiller/fronts/admin.py
+++ b/stalltiller/fronts/admin.py
@@ -66,8 +66,8 @@
         self._answered = True
         self.write(http.encode_response(status, body, close=True))
         if not self.closing:
-            self._listener.leaving(self)
-            self.finish()
+            self._listener.lingering(self)
+            self.close_gracefully()
 
     # --- The listener's side ---
     def close_if_idle(self) -> bool:
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -153,7 +153,7 @@
         if self._relay is not None:
             self._relay.source.go_on()
         elif self._overrun and self._request is None:
-            self.finish()
+            self.close_gracefully()
 
     def ended(self, error: Exception | None) -> None:
         self._listener.left(self)
@@ -169,25 +169,25 @@
 
     def close_if_idle(self) -> bool:
         busy = self._request is not None or self._relay is not None or self._reader.begun or not self.flushed
-        if busy or self.finishing or not self.quiet():  # a request may wait in the kernel's buffer
+        if busy or self.half_closed or not self.quiet():  # a request may wait in the kernel's buffer
             return False
-        self.finish()
+        self.close_gracefully()
         return True
 
-    def finish(self) -> None:
-        if self.closing or self.finishing:
+    def close_gracefully(self) -> None:
+        if self.closing or self.half_closed:
             return
         self._stalled(False)
         self._reader.reset()
         self._hold_body(0)
-        self._listener.leaving(self)
-        super().finish()
+        self._listener.lingering(self)
+        super().close_gracefully()
 
     def left(self) -> bool:
-        return self.hung_up()
+        return self.peer_closed()
 
     def overdue(self) -> None:
-        if self.finishing or self.closing or self._reader.begun:
+        if self.half_closed or self.closing or self._reader.begun:
             return  # a body has its own time
         if not self.close_if_idle():
             self._reject(408, "request not ended")
@@ -242,7 +242,7 @@
         if self._chunked:
             self.write(http.LAST_CHUNK)
         if not self._keep or self._front.stopping:
-            self.finish()
+            self.close_gracefully()
             return
         self._listener.used(self)
         self.resume()
@@ -286,7 +286,7 @@
             if not self._front.unread.change(self._unread_bytes):
                 self.abort()
         if close:
-            self.finish()
+            self.close_gracefully()
 
     def _forget_unread(self) -> None:
         size, self._unread_bytes = self._unread_bytes, 0
@@ -295,7 +295,7 @@
     def _reject(self, status: int, text: str) -> None:
         self._front.engine.counts["bad_requests"] += 1
         self.write(http.encode_response(status, f"{text}\n".encode(), close=True))
-        self.finish()
+        self.close_gracefully()
 
     def _stalled(self, begun: bool) -> None:
         """Guard against clients that begin a request and never end it."""
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -54,7 +54,7 @@
         self.complete(nvme.INTERNAL, no_retry=self.write)
 
     def left(self) -> bool:
-        return self.queue.hung_up()
+        return self.queue.peer_closed()
 
     def complete(self, status: int = nvme.OK, delay: int = 0, no_retry: bool = False) -> None:
         self.forget()
@@ -95,7 +95,7 @@
             queue = self.queues.pop(number)
             queue.association = None
             queue.drop_commands()
-            queue.finish()
+            queue.close_gracefully()
 
     def end(self) -> None:
         """The association is over: every queue of it goes, and the client of every command."""
@@ -105,7 +105,7 @@
         queues, self.queues = self.queues, {}
         for queue in queues.values():
             queue.drop_commands()
-            queue.finish()
+            queue.close_gracefully()
 
     def _check(self) -> None:
         if not self.keep_alive:
@@ -148,13 +148,13 @@
         """Only at the end: a host's idle queue is in use."""
         if not self.front.stopping or (self.association is not None and self.association.busy()):
             return False
-        self.finish()
+        self.close_gracefully()
         return True
 
-    def finish(self) -> None:
-        if not self.closing and not self.finishing:
-            self._listener.leaving(self)
-            super().finish()
+    def close_gracefully(self) -> None:
+        if not self.closing and not self.half_closed:
+            self._listener.lingering(self)
+            super().close_gracefully()
 
     def overflow(self) -> None:
         """Wait until its completions are read.  Guards against a host that leaves meanwhile: it is not seen
@@ -164,7 +164,7 @@
 
     def _look_for_end(self) -> None:
         if self._paused and not self.closing:
-            if self.hung_up():
+            if self.peer_closed():
                 self.abort()
             else:
                 self.front.loop.call_later(END_LOOK, self._look_for_end)
@@ -218,7 +218,7 @@
         self.front.engine.counts["bad_pdus"] += 1
         self.front.log("bad_pdu", error=str(error), status=error.status)
         self.write(nvme.term(nvme.C2H_TERM, error))
-        self.finish()
+        self.close_gracefully()
         if self.association is not None:
             self.association.end()
 
@@ -228,7 +228,7 @@
             self.association.heard_at = self.front.loop.time()
         if found.kind == nvme.H2C_TERM:
             self.front.log("host_terminated", status=nvme.parse_term(found)[0])
-            self.finish()
+            self.close_gracefully()
         elif not self._greeted:
             if found.kind != nvme.IC_REQ:
                 raise nvme.PduError("the first PDU must be ICReq", nvme.BAD_SEQUENCE)
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -30,7 +30,7 @@
         self._reading: asyncio.TimerHandle | None = None  # the next look whether the other side reads
         self._lingering: asyncio.TimerHandle | None = None  # when it closes though the other side has not
         self.flushed = True  # the kernel has taken every byte written so far
-        self.finishing = False  # sending was shut down; what still comes is dropped
+        self.half_closed = False  # sending was shut down; what still comes is dropped
         self.transport: asyncio.Transport | None = None
 
     # --- For subclasses ---------------------------------------------------------------------------
@@ -69,7 +69,7 @@
         poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
         return not poll.poll(0)
 
-    def hung_up(self) -> bool:
+    def peer_closed(self) -> bool:
         """Whether the other side has ended or reset the connection, also where bytes wait before its end or
         the loop has not come to see it."""
         if self.closing:
@@ -79,7 +79,7 @@
         return any(found & GONE for _, found in poll.poll(0))
 
     def write(self, data: bytes | memoryview) -> None:
-        if self.closing or self.finishing:
+        if self.closing or self.half_closed:
             self.flushed = False
             return
         self._written += len(data)
@@ -105,16 +105,16 @@
         else:
             self.expect_reading(limit)
 
-    def finish(self) -> None:
+    def close_gracefully(self) -> None:
         """Close so that all that was written arrives: shut down sending, drop what still comes, and close
         when the other side has or LINGER is over.
 
         Guards against a close over bytes that nobody read, or that come right after it: it resets the
         connection, and what the other side has not read yet is lost to it.
         """
-        if self.closing or self.finishing:
+        if self.closing or self.half_closed:
             return
-        self.finishing = True
+        self.half_closed = True
         self._release()
         try:
             self.transport.write_eof()  # once what was written has gone out
@@ -128,9 +128,9 @@
         self._linger()
 
     def _linger(self) -> None:
-        self._lingering = asyncio.get_running_loop().call_later(LINGER, self._lingered)
+        self._lingering = asyncio.get_running_loop().call_later(LINGER, self._linger_over)
 
-    def _lingered(self) -> None:
+    def _linger_over(self) -> None:
         if self.flushed:
             self.abort()
         else:  # it reads slowly: `expect_reading` ends it if it reads nothing
@@ -205,7 +205,7 @@
         self.ended(error)
 
     def _digest(self) -> None:
-        if self.finishing:
+        if self.half_closed:
             self._release()
             return
         while self._buffer is not None and self._fill > self._read_at and not self.closing:
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -63,7 +63,7 @@
         self._strangers: dict[Guest, float] = {}  # no whole request yet: when each arrived, in order
         self._spoke: dict[Guest, float] = {}  # strangers that have begun one: when some came last, in order
         self._guests: dict[Guest, float] = {}  # when each was last used, in order
-        self._leaving: dict[Guest, float] = {}  # shut down and not closed yet: since when, in order
+        self._lingering: dict[Guest, float] = {}  # shut down and not closed yet: since when, in order
         self._sweep: asyncio.TimerHandle | None = None
         self.keep_idle = False  # while it stops, clients have no other connections than those they hold
         self.shed = 0
@@ -73,7 +73,7 @@
         return self._server.sockets[0].getsockname()[:2]
 
     def __len__(self) -> int:
-        return len(self._strangers) + len(self._guests) + len(self._leaving)
+        return len(self._strangers) + len(self._guests) + len(self._lingering)
 
     async def open(self, host: str, port: int, inherited: int | None = None) -> None:
         """Listen, on the socket handed over under that descriptor if there is one.
@@ -113,8 +113,8 @@
             if other not in self._spoke and not other.closing:
                 other.abort()
                 return
-        if over > self._away and self._leaving:
-            next(iter(self._leaving)).abort()
+        if over > self._away and self._lingering:
+            next(iter(self._lingering)).abort()
             return
         if any(other.close_if_idle() for other in self._guests):
             return
@@ -140,13 +140,13 @@
         self._guests.pop(guest, None)
         self._guests[guest] = time.monotonic()
 
-    def leaving(self, guest: Guest) -> None:
+    def lingering(self, guest: Guest) -> None:
         """Its connection was shut down: it takes no more requests, and closes soon."""
         self.left(guest)
-        self._leaving[guest] = time.monotonic()
+        self._lingering[guest] = time.monotonic()
 
     def left(self, guest: Guest) -> None:
-        for kind in (self._strangers, self._spoke, self._guests, self._leaving):
+        for kind in (self._strangers, self._spoke, self._guests, self._lingering):
             kind.pop(guest, None)
 
     def close_idle(self) -> None:
@@ -154,7 +154,7 @@
             guest.close_if_idle()
 
     def cut_off(self) -> None:
-        for guest in (*self._strangers, *self._guests, *self._leaving):
+        for guest in (*self._strangers, *self._guests, *self._lingering):
             guest.cut_off()
 
     def _sweep_later(self) -> None:
@@ -171,7 +171,7 @@
                 break
             guest.overdue()
         over = len(self) - self._most
-        for guest, since in list(self._leaving.items())[:max(0, over)]:
+        for guest, since in list(self._lingering.items())[:max(0, over)]:
             if now - since >= SWEEP_EVERY:
                 guest.abort()  # it has had the time to read its last answer, and others wait for its place
         left = len(self._guests)
--- a/tests/test_cold_fleets.py
+++ b/tests/test_cold_fleets.py
@@ -13,6 +13,7 @@
 from stalltiller import interface as api
 from stalltiller import logic
 from tests.helpers import entry, outcome, request, request_class, rules, settings
+from tests.test_crowd import Herd
 
 COLD_FROM, COLD_TIME, SHARE, MEAN = 3.0, 17.0, 0.15, 2.0
 CELL = 1  # the busy one, whose warm target leaves at COLD_FROM
@@ -31,7 +32,7 @@
     restarts: str = "none"
 
 
-class Fleet:
+class Fleet(Herd):
     """Schedulers, the volumes that come through them, and one cold target that serves in turn."""
 
     def __init__(self, case: Case, seed: int) -> None:
@@ -74,18 +75,6 @@
         """Units per second."""
         return self.case.power * self.case.units / (2.0 * SHARE) * self.share(now)
 
-    def act(self, now: float, index: int, event: api.Event) -> None:
-        for action in self.made[index].handle(now, [event]):
-            if isinstance(action, api.Send):
-                units = float(action.id % 3 + 1)
-                self.sent.append((now, units))
-                begin, size = max(self.free, now), units / self.capacity(now)
-                if begin - now > 1.0:
-                    heapq.heappush(self.ends, (now + 0.002, index, action.id, 0.002, api.Status.FULL))
-                else:
-                    self.free = begin + size
-                    heapq.heappush(self.ends, (self.free, index, action.id, self.free - now, api.Status.OK))
-
     def run(self, seconds: float = 15.0) -> float:
         """The most requests of mean work in a span, over what the settings allow and chance explains."""
         sums = list(itertools.accumulate(weight for _, _, weight in self.volumes))
