--- a/bench/cold.py
+++ b/bench/cold.py
@@ -84,11 +84,20 @@
         worst = [herd.run(18.0) for herd in herds]
         sent = [sum(units for _, units in herd.sent) for herd in herds]
         served = statistics.mean(herd.served for herd in herds)
-        print(json.dumps({
-            "kind": "shared" if kind is Sharing else "guessed", "busier": options.busier,
-            "seeds": options.seeds, "sent": round(statistics.mean(sent), 1),
-            "served": round(served, 1), "worst_second": round(statistics.mean(worst), 2),
-            "worst_of_all": round(max(worst), 2)}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "kind": "shared" if kind is Sharing else "guessed",
+                    "busier": options.busier,
+                    "seeds": options.seeds,
+                    "sent": round(statistics.mean(sent), 1),
+                    "served": round(served, 1),
+                    "worst_second": round(statistics.mean(worst), 2),
+                    "worst_of_all": round(max(worst), 2),
+                }
+            ),
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/bench/coming_back.py
+++ b/bench/coming_back.py
@@ -29,8 +29,13 @@
 SHARE, HOLD = 0.95, 2.0  # full: this share of what was served before, for so many seconds
 SERVICE, ROOM = 0.1, 2.0  # s of work for a read; what a target can do, over what it is asked in the calm
 STEP = 0.25  # s of the series
-WAYS = {"on": {}, "no_ramp": {"ramp": "false"}, "off": {"keep": "false"}, "cold": {},
-        "cold_no_ramp": {"ramp": "false"}}
+WAYS = {
+    "on": {},
+    "no_ramp": {"ramp": "false"},
+    "off": {"keep": "false"},
+    "cold": {},
+    "cold_no_ramp": {"ramp": "false"},
+}
 
 
 class Counted(HttpTarget):
@@ -58,8 +63,13 @@
         await super().serve(reader, writer)
 
 
-async def load(rig: Rig, ends: list[tuple[float, bool]], patience: float, each: float = EACH,
-               took: list[float] | None = None) -> None:
+async def load(
+    rig: Rig,
+    ends: list[tuple[float, bool]],
+    patience: float,
+    each: float = EACH,
+    took: list[float] | None = None,
+) -> None:
     """Read through all members in turn; when each read was sent, and whether it was served in time.
 
     `took` is given the seconds of each that was served at its first try.
@@ -68,8 +78,9 @@
 
     async def one(number: int) -> None:
         at = time.monotonic()
-        told = await patient(rig[names[number % len(names)]].listen, number, patience,
-                             shard=number // len(names) % 2)
+        told = await patient(
+            rig[names[number % len(names)]].listen, number, patience, shard=number // len(names) % 2
+        )
         ends.append((at, told[-1:] == [0.0] and time.monotonic() - at <= IN_TIME))
         if took is not None and told == [0.0]:
             took.append(time.monotonic() - at)
@@ -101,13 +112,19 @@
         rig.discovery.set(new)
         rig.targets.append(new)
         old.mode = "turn_away"
-    await rig.until(lambda: all(any(line["index"] >= rig.discovery.index for line in member.said("list"))
-                                for member in rig.members.values()), "they are listed")
+    await rig.until(
+        lambda: all(
+            any(line["index"] >= rig.discovery.index for line in member.said("list"))
+            for member in rig.members.values()
+        ),
+        "they are listed",
+    )
     return found
 
 
-async def play(way: str, size: int, killed: int, down: float, patience: float, room: float,
-               folder: Path) -> dict[str, object]:
+async def play(
+    way: str, size: int, killed: int, down: float, patience: float, room: float, folder: Path
+) -> dict[str, object]:
     changes = {"keep": "true", "probe_every_s": "0.5", "probe_timeout_s": "0.2", **WAYS[way]}
     async with Rig(size, folder, **changes) as rig:
         await rig.agreed()
@@ -117,7 +134,7 @@
         await asyncio.sleep(4.0)
         calm = time.monotonic()
         await asyncio.sleep(CALM)
-        names = list(rig.members)[:size if way.startswith("cold") else killed]
+        names = list(rig.members)[: size if way.startswith("cold") else killed]
         struck = time.monotonic()
         for name in names:
             rig[name].send(signal.SIGKILL)
@@ -137,34 +154,61 @@
         before = served(ends, calm, struck)
         steps = [began + step / 10 for step in range(int((WATCHED - HOLD - 1.5) * 10))]
         full = next((at - began for at in steps if served(ends, at, at + HOLD) >= SHARE * before), None)
-        count = {"list_calls": rig.discovery.times,
-                 "connections": [at for target in targets for at in target.opened]}
+        count = {
+            "list_calls": rig.discovery.times,
+            "connections": [at for target in targets for at in target.opened],
+        }
         sends = [[at for at, _ in target.begun] for target in targets]
-        return {"kind": "coming_back", "way": way, "size": size, "killed": len(names), "down_s": down,
-                "before_per_s": round(before, 1), "full_after_s": None if full is None else round(full, 1),
-                "lost": sum(not good for at, good in ends if at >= struck),
-                "list_calls_calm_mean": round(sum(calm <= at < struck for at in rig.discovery.times)
-                                              / (struck - calm), 1),
-                "turned_away_calm": sum(at < struck for target in targets for at in target.full_at),
-                "turned_away_after": sum(at >= struck for target in targets for at in target.full_at),
-                "whole_lists": sum("after=" not in call for call in rig.discovery.calls) - whole_before,
-                **{f"{name}_{when}": most(times, *span) for name, times in count.items()
-                   for when, span in (("calm", (calm, struck)), ("after", (struck, end)))},
-                **{f"sends_{when}": max(most(times, *span) for times in sends)
-                   for when, span in (("calm", (calm, struck)), ("after", (struck, end)))},
-                **{f"open_{when}": sum(max((n for at, n in target.open_now if span[0] <= at < span[1]),
-                                           default=0) for target in targets)
-                   for when, span in (("calm", (0.0, struck)), ("after", (began, end)))},
-                "series": series(began, {**count, "sends": [at for times in sends for at in times],
-                                         "served": [at for at, good in ends if good],
-                                         "asked": [at for at, _ in ends]})}
+        return {
+            "kind": "coming_back",
+            "way": way,
+            "size": size,
+            "killed": len(names),
+            "down_s": down,
+            "before_per_s": round(before, 1),
+            "full_after_s": None if full is None else round(full, 1),
+            "lost": sum(not good for at, good in ends if at >= struck),
+            "list_calls_calm_mean": round(
+                sum(calm <= at < struck for at in rig.discovery.times) / (struck - calm), 1
+            ),
+            "turned_away_calm": sum(at < struck for target in targets for at in target.full_at),
+            "turned_away_after": sum(at >= struck for target in targets for at in target.full_at),
+            "whole_lists": sum("after=" not in call for call in rig.discovery.calls) - whole_before,
+            **{
+                f"{name}_{when}": most(times, *span)
+                for name, times in count.items()
+                for when, span in (("calm", (calm, struck)), ("after", (struck, end)))
+            },
+            **{
+                f"sends_{when}": max(most(times, *span) for times in sends)
+                for when, span in (("calm", (calm, struck)), ("after", (struck, end)))
+            },
+            **{
+                f"open_{when}": sum(
+                    max((n for at, n in target.open_now if span[0] <= at < span[1]), default=0)
+                    for target in targets
+                )
+                for when, span in (("calm", (0.0, struck)), ("after", (began, end)))
+            },
+            "series": series(
+                began,
+                {
+                    **count,
+                    "sends": [at for times in sends for at in times],
+                    "served": [at for at, good in ends if good],
+                    "asked": [at for at, _ in ends],
+                },
+            ),
+        }
 
 
 def series(began: float, times: dict[str, list[float]]) -> dict[str, list[float]]:
     """Counts a second in steps of STEP, from 4 s before the restart on."""
     edges = [began + STEP * n for n in range(int(-4 / STEP), int((WATCHED - 1.5) / STEP))]
-    found = {name: [sum(edge <= at < edge + STEP for at in each) / STEP for edge in edges]
-             for name, each in times.items()}
+    found = {
+        name: [sum(edge <= at < edge + STEP for at in each) / STEP for edge in edges]
+        for name, each in times.items()
+    }
     return {"at": [round(edge - began, 3) for edge in edges], **found}
 
 
@@ -180,8 +224,12 @@
         await asyncio.sleep(10.0)
         loading.cancel()
         took.sort()
-        return {"kind": "snapshots", "keep": keep, "reads": len(took),
-                **{f"p{share}_ms": round(1000 * took[int(len(took) * share / 100)], 2) for share in (50, 99)}}
+        return {
+            "kind": "snapshots",
+            "keep": keep,
+            "reads": len(took),
+            **{f"p{share}_ms": round(1000 * took[int(len(took) * share / 100)], 2) for share in (50, 99)},
+        }
 
 
 def main() -> None:
@@ -198,8 +246,17 @@
     kept = []
     for way in filter(None, options.ways.split(",")):
         with tempfile.TemporaryDirectory() as folder:
-            found = asyncio.run(play(way, options.size, options.killed, options.down, options.patience,
-                                     options.room, Path(folder)))
+            found = asyncio.run(
+                play(
+                    way,
+                    options.size,
+                    options.killed,
+                    options.down,
+                    options.patience,
+                    options.room,
+                    Path(folder),
+                )
+            )
             kept.append({"way": way, **found.pop("series")})
             print(json.dumps(found), flush=True)
     for keep in (False, True) * options.costs:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -40,14 +40,25 @@
         before = await sent(rig)
         await asyncio.sleep(REST)
         after = await sent(rig)
-        bytes_s, packets_s = (sum(after[n][key] - before[n][key] for n in after) / REST / size
-                              for key in ("sent_bytes", "sent_packets"))
+        bytes_s, packets_s = (
+            sum(after[n][key] - before[n][key] for n in after) / REST / size
+            for key in ("sent_bytes", "sent_packets")
+        )
         await rig["m2"].kill()
         death = await rig.agreed(*(name for name in rig.members if name != "m2"))
-        wrong = len({line["member"] for member in rig.members.values()
-                     for line in member.said("fleet_suspect")} - {"m2"})
-        return {"kind": "processes", "size": size, "join_s": round(joined, 2), "death_s": round(death, 2),
-                "bytes_s": round(bytes_s), "packets_s": round(packets_s, 1), "false_suspicions": wrong}
+        wrong = len(
+            {line["member"] for member in rig.members.values() for line in member.said("fleet_suspect")}
+            - {"m2"}
+        )
+        return {
+            "kind": "processes",
+            "size": size,
+            "join_s": round(joined, 2),
+            "death_s": round(death, 2),
+            "bytes_s": round(bytes_s),
+            "packets_s": round(packets_s, 1),
+            "false_suspicions": wrong,
+        }
 
 
 async def rush(size: int, folder: Path, share: bool) -> dict[str, object]:
@@ -59,8 +70,14 @@
             await rig.shares_whole()
         askers, asked = list(rig.members)[::ASKERS], RUSH * size // ASKERS
         served, cold = await rig.rush(askers, asked, RUSH_TIME, delay=SERVICE, usual=2 * size)
-        return {"kind": "rush", "size": size, "share": share, "asked": int(asked * RUSH_TIME),
-                "sent": len(cold.begun), "served": served}
+        return {
+            "kind": "rush",
+            "size": size,
+            "share": share,
+            "asked": int(asked * RUSH_TIME),
+            "sent": len(cold.begun),
+            "served": served,
+        }
 
 
 def virtual(size: int, seed: int) -> dict[str, object]:
@@ -75,9 +92,16 @@
     fleet.kill("m2")
     death = fleet.run(120.0, fleet.agreed)
     wrong = len({notice[3] for notice in fleet.said("suspect")} - {"m2"})
-    return {"kind": "virtual", "size": size, "seed": seed, "join_s": round(joined, 2),
-            "death_s": round(death, 2), "bytes_s": round(bytes_s), "false_suspicions": wrong,
-            "took_s": round(time.monotonic() - began, 1)}
+    return {
+        "kind": "virtual",
+        "size": size,
+        "seed": seed,
+        "join_s": round(joined, 2),
+        "death_s": round(death, 2),
+        "bytes_s": round(bytes_s),
+        "false_suspicions": wrong,
+        "took_s": round(time.monotonic() - began, 1),
+    }
 
 
 def sizes(text: str) -> list[int]:
--- a/bench/lease_model.py
+++ b/bench/lease_model.py
@@ -58,9 +58,19 @@
 
     def start(self, now: float, seed: int, bug: str | None) -> None:
         term, vote, log = self.disk
-        self.raft = Raft(self.name, self.names, random.Random(seed), now * self.rate, term=term,
-                         vote=None if bug == "vote" else vote, log=list(log), base=self.cut[0],
-                         base_term=self.cut[1], state=self.cut[2], piece=PIECE)
+        self.raft = Raft(
+            self.name,
+            self.names,
+            random.Random(seed),
+            now * self.rate,
+            term=term,
+            vote=None if bug == "vote" else vote,
+            log=list(log),
+            base=self.cut[0],
+            base_term=self.cut[1],
+            state=self.cut[2],
+            piece=PIECE,
+        )
         self.table, self.keeper, self.led = decode_table(self.cut[2]), Keeper(), False
         self.waiting: dict[int, tuple[int, Client, float, Command]] = {}
 
@@ -97,8 +107,9 @@
             return
         for _ in range(1 + (self.draw.random() < 0.03)):
             late = self.draw.choice((0.005, 0.01, 0.03, 0.4 if self.draw.random() < 0.1 else 0.02))
-            heapq.heappush(self.mail, (self.now + late * (0.5 + self.draw.random()), next(self.count), one,
-                                       other, what))
+            heapq.heappush(
+                self.mail, (self.now + late * (0.5 + self.draw.random()), next(self.count), one, other, what)
+            )
 
     def act(self, voter: Voter, actions: list) -> None:
         voted = False
@@ -112,7 +123,7 @@
             elif isinstance(action, Apply):
                 self.apply(voter, action)
             elif isinstance(action, Cut):
-                log = [] if action.whole else voter.disk[2][action.index - voter.cut[0]:]
+                log = [] if action.whole else voter.disk[2][action.index - voter.cut[0] :]
                 voter.disk = *voter.disk[:2], log
                 voter.cut = action.index, action.term, action.state
             elif isinstance(action, Restore):
@@ -151,8 +162,9 @@
     def ask(self, client: Client, what: str) -> None:
         """Send a command to a voter drawn at random; one that does not lead drops it."""
         token = client.holder.drop(self.now * client.rate) if what == "release" else client.holder.token
-        command = Command(what, LEASE, client.name, TTL, token, session=client.name,
-                          number=next(client.numbers))
+        command = Command(
+            what, LEASE, client.name, TTL, token, session=client.name, number=next(client.numbers)
+        )
         self.post(client.name, self.draw.choice(list(self.voters)), (command, self.now * client.rate, None))
 
     def step(self) -> None:
@@ -262,9 +274,19 @@
                 found.append(seed)
                 if len(found) <= 5:
                     print(json.dumps({"seed": seed, "violation": wrong}), flush=True)
-    print(json.dumps({"bug": options.bug, "seeds": options.seeds, "violations": len(found),
-                      "first": found[0] if found else None, "effects": taken, "states": restored,
-                      "took_s": round(time.monotonic() - began, 1)}))
+    print(
+        json.dumps(
+            {
+                "bug": options.bug,
+                "seeds": options.seeds,
+                "violations": len(found),
+                "first": found[0] if found else None,
+                "effects": taken,
+                "states": restored,
+                "took_s": round(time.monotonic() - began, 1),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/bench/leases.py
+++ b/bench/leases.py
@@ -42,12 +42,16 @@
 async def play(size: int, rounds: int, folder: Path) -> dict[str, object]:
     async with Rig(size, folder, voters="3") as rig:
         await rig.agreed()
-        found = {number: [await hand_over(rig, number) for _ in range(rounds)]
-                 for number in (signal.SIGKILL, signal.SIGTERM)}
+        found = {
+            number: [await hand_over(rig, number) for _ in range(rounds)]
+            for number in (signal.SIGKILL, signal.SIGTERM)
+        }
         killed, told = found[signal.SIGKILL], found[signal.SIGTERM]
-        figures = {f"{how}_{which}_s": round(of(times), 2)
-                   for how, times in (("killed", killed), ("told", told))
-                   for which, of in (("median", statistics.median), ("worst", max))}
+        figures = {
+            f"{how}_{which}_s": round(of(times), 2)
+            for how, times in (("killed", killed), ("told", told))
+            for which, of in (("median", statistics.median), ("worst", max))
+        }
         return {"kind": "hand_over", "size": size, "rounds": rounds, "lease_s": TTL, **figures}
 
 
@@ -60,8 +64,13 @@
         took.append(time.monotonic() - began)
     store.close()
     took.sort()
-    return {"kind": "disk", "commits": COMMITS, "median_ms": round(1000 * statistics.median(took), 2),
-            "p99_ms": round(1000 * took[int(0.99 * COMMITS)], 2), "a_second": round(COMMITS / sum(took))}
+    return {
+        "kind": "disk",
+        "commits": COMMITS,
+        "median_ms": round(1000 * statistics.median(took), 2),
+        "p99_ms": round(1000 * took[int(0.99 * COMMITS)], 2),
+        "a_second": round(COMMITS / sum(took)),
+    }
 
 
 def main() -> None:
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -15,16 +15,31 @@
 matplotlib.use("Agg")
 from matplotlib import pyplot
 
-ROWS = (("reads a second", ("asked", "served")), ("list calls a second", ("list_calls",)),
-        ("new connections a second", ("connections",)), ("sends to targets a second", ("sends",)))
-TITLES = {"on": "state kept, paced", "no_ramp": "state kept", "off": "neither",
-          "cold": "all lost, paced", "cold_no_ramp": "all lost"}
+ROWS = (
+    ("reads a second", ("asked", "served")),
+    ("list calls a second", ("list_calls",)),
+    ("new connections a second", ("connections",)),
+    ("sends to targets a second", ("sends",)),
+)
+TITLES = {
+    "on": "state kept, paced",
+    "no_ramp": "state kept",
+    "off": "neither",
+    "cold": "all lost, paced",
+    "cold_no_ramp": "all lost",
+}
 
 
 def draw(lines: list[dict], picture: Path) -> None:
     """One picture of all ways."""
-    figure, axes = pyplot.subplots(len(ROWS), len(lines), sharex=True, sharey="row", squeeze=False,
-                                   figsize=(3.2 * len(lines), 2.2 * len(ROWS)))
+    figure, axes = pyplot.subplots(
+        len(ROWS),
+        len(lines),
+        sharex=True,
+        sharey="row",
+        squeeze=False,
+        figsize=(3.2 * len(lines), 2.2 * len(ROWS)),
+    )
     for column, line in enumerate(lines):
         for row, (title, names) in enumerate(ROWS):
             place = axes[row][column]
--- a/bench/return_faults.py
+++ b/bench/return_faults.py
@@ -59,9 +59,17 @@
         killed = draw.sample(names, draw.randint(2, SIZE))
         spoilt = draw.sample(killed, draw.choice((0, 0, 1, len(killed) // 2, len(killed))))
         half = draw.randint(0, len(spoilt))
-        return cls(tuple(killed), draw.random() < 0.2, tuple(spoilt[:half]), tuple(spoilt[half:]),
-                   draw.choice((0.0, 0.0, 2.0, 5.0)), tuple(draw.sample(killed, draw.choice((0, 1, 2)))),
-                   draw.uniform(0.3, 2.5), draw.choice((0, 0, 2, 3)), draw.random() < 0.5)
+        return cls(
+            tuple(killed),
+            draw.random() < 0.2,
+            tuple(spoilt[:half]),
+            tuple(spoilt[half:]),
+            draw.choice((0.0, 0.0, 2.0, 5.0)),
+            tuple(draw.sample(killed, draw.choice((0, 1, 2)))),
+            draw.uniform(0.3, 2.5),
+            draw.choice((0, 0, 2, 3)),
+            draw.random() < 0.5,
+        )
 
 
 class Watcher:
@@ -105,20 +113,27 @@
         alone = await rig.add("s-2", 2)
         watcher = Watcher(rig)
         watcher.away |= set(plan.killed)
-        clients = [asyncio.create_task(watcher.run(RATE, names)),
-                   asyncio.create_task(watcher.run(VOLUME_RATE, names[:1], shard=2, plan="basic", volume=9))]
+        clients = [
+            asyncio.create_task(watcher.run(RATE, names)),
+            asyncio.create_task(watcher.run(VOLUME_RATE, names[:1], shard=2, plan="basic", volume=9)),
+        ]
         await asyncio.sleep(CALM)
         told = back = 0.0
         if plan.drains:
             rig.discovery.set(rig.targets[1], "leaving")
-            await rig.until(lambda: all(any(line["targets"].get("s-1") == "draining"
-                                            for line in rig[name].said("list")) for name in names), "told")
+            await rig.until(
+                lambda: all(
+                    any(line["targets"].get("s-1") == "draining" for line in rig[name].said("list"))
+                    for name in names
+                ),
+                "told",
+            )
             told = time.monotonic()
             await asyncio.sleep(KEPT)
         if plan.down:
             rig.discovery.close()
         if plan.cut:
-            rig.proxy.cut(set(names[:plan.cut]), set(names[plan.cut:]))
+            rig.proxy.cut(set(names[: plan.cut]), set(names[plan.cut :]))
 
         async def strike(some: tuple[str, ...], orderly: bool) -> None:
             for name in some:
@@ -171,11 +186,21 @@
         left = least_left(alone.begun)
         if left < -SLACK:
             broken.append(f"the limit was passed by {-left:.1f} units")
-        return {"seed": seed, "killed": len(plan.killed), "second": len(plan.second), "down_s": plan.down,
-                "cut": plan.cut, "lost": len(plan.lost), "torn": len(plan.torn), "drains": plan.drains,
-                "full_after_healing_s": round(full, 1), "served": watcher.served,
-                "limit_left": round(left, 1), "took_s": round(time.monotonic() - began, 1),
-                "broken": sorted(set(broken))}
+        return {
+            "seed": seed,
+            "killed": len(plan.killed),
+            "second": len(plan.second),
+            "down_s": plan.down,
+            "cut": plan.cut,
+            "lost": len(plan.lost),
+            "torn": len(plan.torn),
+            "drains": plan.drains,
+            "full_after_healing_s": round(full, 1),
+            "served": watcher.served,
+            "limit_left": round(left, 1),
+            "took_s": round(time.monotonic() - began, 1),
+            "broken": sorted(set(broken)),
+        }
 
 
 def main() -> None:
@@ -189,9 +214,19 @@
             lines.append(asyncio.run(play(seed, Path(folder))))
             print(json.dumps(lines[-1]), flush=True)
     times = sorted(line["full_after_healing_s"] for line in lines)
-    print(json.dumps({"kind": "return_faults", "schedules": len(lines), "limit": LIMIT, "burst": BURST,
-                      "full_p50_s": times[len(times) // 2], "full_worst_s": times[-1],
-                      "broken": sum(bool(line["broken"]) for line in lines)}))
+    print(
+        json.dumps(
+            {
+                "kind": "return_faults",
+                "schedules": len(lines),
+                "limit": LIMIT,
+                "burst": BURST,
+                "full_p50_s": times[len(times) // 2],
+                "full_worst_s": times[-1],
+                "broken": sum(bool(line["broken"]) for line in lines),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/bench/storm.py
+++ b/bench/storm.py
@@ -25,8 +25,11 @@
 
 def worst_second(begun: list[tuple[float, int]]) -> float:
     first = begun[0][0]
-    return max(sum(at - SPAN < other <= at for other, _ in begun)
-               / (BEARS * (SHARE + (1 - SHARE) * min(1.0, (at - first) / WARM)) / SHARE) for at, _ in begun)
+    return max(
+        sum(at - SPAN < other <= at for other, _ in begun)
+        / (BEARS * (SHARE + (1 - SHARE) * min(1.0, (at - first) / WARM)) / SHARE)
+        for at, _ in begun
+    )
 
 
 def least_left(begun: list[tuple[float, int]]) -> float:
@@ -64,15 +67,22 @@
         await asyncio.gather(*(rig[name].start() for name in half))
         back = await rig.agreed()
         await asyncio.sleep(AWAY)
-        rig.proxy.cut(set(names[:size // 2]), set(names[size // 2:]))
+        rig.proxy.cut(set(names[: size // 2]), set(names[size // 2 :]))
         await asyncio.sleep(CUT)
         rig.proxy.heal()
         whole = await rig.agreed()
         _, target = await cold
         volume.cancel()
-        return {"kind": "storm", "size": size, "back_s": round(back, 2), "healed_s": round(whole, 2),
-                "cold_attempts": len(target.begun), "worst_second": round(worst_second(target.begun), 2),
-                "volume_reads": len(alone.begun), "least_left": round(least_left(alone.begun), 1)}
+        return {
+            "kind": "storm",
+            "size": size,
+            "back_s": round(back, 2),
+            "healed_s": round(whole, 2),
+            "cold_attempts": len(target.begun),
+            "worst_second": round(worst_second(target.begun), 2),
+            "volume_reads": len(alone.begun),
+            "least_left": round(least_left(alone.begun), 1),
+        }
 
 
 def main() -> None:
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -71,8 +71,18 @@
     lines = []
     for shard in range(2):
         port = serve(0, Target, data={}).server_port
-        lines.append({"name": f"s-{shard}", "address": f"127.0.0.1:{port}", "zone": "bat-a",
-                      "type": "small-2c", "group": shard, "status": "active", "weight": 1.0, "since_ms": 0})
+        lines.append(
+            {
+                "name": f"s-{shard}",
+                "address": f"127.0.0.1:{port}",
+                "zone": "bat-a",
+                "type": "small-2c",
+                "group": shard,
+                "status": "active",
+                "weight": 1.0,
+                "since_ms": 0,
+            }
+        )
     serve(DISCOVERY_PORT, Discovery, lines=lines)
     addresses = ", ".join(line["address"] for line in lines)
     print(f"discovery on 127.0.0.1:{DISCOVERY_PORT}, targets on {addresses}", flush=True)
--- a/stalltiller/__main__.py
+++ b/stalltiller/__main__.py
@@ -15,6 +15,7 @@
     """Serve by the environment or by an operator's file, or do what a command says."""
     if len(sys.argv) > 1 and sys.argv[1] in COMMANDS:
         from stalltiller.program import cli  # the platform's start does without it
+
         return cli.main(prog_name="stalltiller")
     if len(sys.argv) > 2:
         print(f"usage: python -m stalltiller [OPERATOR_FILE | {' | '.join(COMMANDS)} ...]", file=sys.stderr)
--- a/stalltiller/fleet/__init__.py
+++ b/stalltiller/fleet/__init__.py
@@ -8,4 +8,15 @@
 from stalltiller.fleet.swim import Settings, Swim
 
 __all__ = [
-    "Exchange", "Kind", "Member", "Notice", "Packet", "Send", "Settings", "State", "Swim", "Sync", "Table"]
+    "Exchange",
+    "Kind",
+    "Member",
+    "Notice",
+    "Packet",
+    "Send",
+    "Settings",
+    "State",
+    "Swim",
+    "Sync",
+    "Table",
+]
--- a/stalltiller/fleet/codec.py
+++ b/stalltiller/fleet/codec.py
@@ -21,9 +21,19 @@
 
 
 def _to_pb(member: Member) -> pb.Member:
-    return pb.Member(name=member.name, host=member.address[0], port=member.address[1], zone=member.zone,
-                     start_ms=member.start, incarnation=member.incarnation, state=member.state,
-                     protocol=member.protocol, load=member.load, by=member.by, position=member.position + 1)
+    return pb.Member(
+        name=member.name,
+        host=member.address[0],
+        port=member.address[1],
+        zone=member.zone,
+        start_ms=member.start,
+        incarnation=member.incarnation,
+        state=member.state,
+        protocol=member.protocol,
+        load=member.load,
+        by=member.by,
+        position=member.position + 1,
+    )
 
 
 def _from_pb(found: pb.Member) -> Member:
@@ -31,8 +41,18 @@
         raise Malformed("name")
     if not 0 < len(found.host) <= MOST_HOST or not 0 < found.port < 65536 or found.state > State.LEFT:
         raise Malformed("member")
-    return Member(found.name, (found.host, found.port), found.zone, found.start_ms, found.incarnation,
-                  State(found.state), found.protocol, found.load, found.by, found.position - 1)
+    return Member(
+        found.name,
+        (found.host, found.port),
+        found.zone,
+        found.start_ms,
+        found.incarnation,
+        State(found.state),
+        found.protocol,
+        found.load,
+        found.by,
+        found.position - 1,
+    )
 
 
 def _part_to_pb(part: Ask | Grant) -> pb.Part:
@@ -60,10 +80,18 @@
 
 def encode_packet(fleet: str, packet: Packet) -> bytes:
     """One datagram; of the news as many as go in."""
-    message = pb.Packet(fleet=fleet, sender=_to_pb(packet.sender), kind=packet.kind, number=packet.number,
-                        target=packet.target, host=packet.address[0], port=packet.address[1],
-                        parts=map(_part_to_pb, packet.parts[:MOST_PARTS]), letter=packet.letter[:MOST_LETTER],
-                        body=packet.body)
+    message = pb.Packet(
+        fleet=fleet,
+        sender=_to_pb(packet.sender),
+        kind=packet.kind,
+        number=packet.number,
+        target=packet.target,
+        host=packet.address[0],
+        port=packet.address[1],
+        parts=map(_part_to_pb, packet.parts[:MOST_PARTS]),
+        letter=packet.letter[:MOST_LETTER],
+        body=packet.body,
+    )
     for word in packet.news:
         message.news.append(_to_pb(word))
         if message.ByteSize() > MOST_DATAGRAM:
@@ -86,14 +114,23 @@
         raise Malformed("target")
     if len(message.parts) > MOST_PARTS or len(message.letter) > MOST_LETTER:
         raise Malformed("part")
-    return Packet(kind, _from_pb(message.sender), message.number, message.target,
-                  (message.host, message.port), tuple(map(_from_pb, message.news)),
-                  tuple(map(_part_from_pb, message.parts)), message.letter, message.body)
+    return Packet(
+        kind,
+        _from_pb(message.sender),
+        message.number,
+        message.target,
+        (message.host, message.port),
+        tuple(map(_from_pb, message.news)),
+        tuple(map(_part_from_pb, message.parts)),
+        message.letter,
+        message.body,
+    )
 
 
 def encode_exchange(fleet: str, exchange: Exchange) -> bytes:
-    return pb.Exchange(fleet=fleet, sender=_to_pb(exchange.sender),
-                       members=map(_to_pb, exchange.members)).SerializeToString()
+    return pb.Exchange(
+        fleet=fleet, sender=_to_pb(exchange.sender), members=map(_to_pb, exchange.members)
+    ).SerializeToString()
 
 
 def decode_exchange(fleet: str, data: bytes) -> Exchange:
--- a/stalltiller/fleet/config.py
+++ b/stalltiller/fleet/config.py
@@ -37,10 +37,19 @@
     for name, value in times.items():
         if not 0.01 <= value <= 3600:
             raise ValueError(f"fleet: {name}_s must lie between 0.01 and 3600")
-    settings = Settings(seeds=tuple(map(_address, data.get("seeds", []))), **times,
-                        most_members=int(data.get("most_members", Settings().most_members)))
+    settings = Settings(
+        seeds=tuple(map(_address, data.get("seeds", []))),
+        **times,
+        most_members=int(data.get("most_members", Settings().most_members)),
+    )
     if settings.probe_timeout >= settings.probe_every:
         raise ValueError("fleet: probe_timeout_s must be under probe_every_s")
-    return FleetConfig(str(data["name"]), listen, _address(data.get("advertise", data["listen"])),
-                       str(data.get("zone", zone)), settings, bool(data.get("share", True)),
-                       float(data.get("clock_offset_s", 0.0)))
+    return FleetConfig(
+        str(data["name"]),
+        listen,
+        _address(data.get("advertise", data["listen"])),
+        str(data.get("zone", zone)),
+        settings,
+        bool(data.get("share", True)),
+        float(data.get("clock_offset_s", 0.0)),
+    )
--- a/stalltiller/fleet/members.py
+++ b/stalltiller/fleet/members.py
@@ -96,15 +96,21 @@
     def others(self) -> list[Member]:
         """All others that run, suspects too, by name."""
         if self._running is None:
-            self._running = [self.known[name] for name in sorted(self.known)
-                             if name != self.me.name and self.known[name].running]
+            self._running = [
+                self.known[name]
+                for name in sorted(self.known)
+                if name != self.me.name and self.known[name].running
+            ]
         return self._running
 
     @property
     def ended(self) -> list[Member]:
         """Those that are dead or have left and are still remembered, by name."""
-        return [self.known[name] for name in sorted(self.known)
-                if name != self.me.name and not self.known[name].running]
+        return [
+            self.known[name]
+            for name in sorted(self.known)
+            if name != self.me.name and not self.known[name].running
+        ]
 
     @property
     def size(self) -> int:
--- a/stalltiller/fleet/node.py
+++ b/stalltiller/fleet/node.py
@@ -62,7 +62,7 @@
                 self._node.dropped["oversized"] += 1
                 self.abort()
             elif len(self._got) >= LENGTH.size + size:
-                answer = self._node.exchanged(bytes(self._got[LENGTH.size:LENGTH.size + size]))
+                answer = self._node.exchanged(bytes(self._got[LENGTH.size : LENGTH.size + size]))
                 if self._ours is None and answer is not None:
                     self.write(answer)
                 self.close()
@@ -80,8 +80,15 @@
     `load` tells how many requests are open here.
     """
 
-    def __init__(self, name: str, config: FleetConfig, buffers: BufferPool, log: Log,
-                 load: Callable[[], int], position: int = -1) -> None:
+    def __init__(
+        self,
+        name: str,
+        config: FleetConfig,
+        buffers: BufferPool,
+        log: Log,
+        load: Callable[[], int],
+        position: int = -1,
+    ) -> None:
         self.config, self.buffers, self._log, self._load = config, buffers, log, load
         life = int((time.time() + config.clock_offset) * 1000)
         me = Member(name, config.advertise, config.zone, start=life, position=position)
@@ -129,18 +136,38 @@
     def status(self) -> dict[str, object]:
         """What an operator may want to know of this member."""
         table = self.swim.table
-        return {"fleet": self.config.fleet, "name": table.me.name, "life": table.me.start,
-                "incarnation": table.me.incarnation, "state": table.me.state.name.lower(),
-                "members": table.size, "ended": len(table.ended), "health": self.swim.health.score,
-                "refused": table.refused, "dropped": dict(self.dropped), "sent_packets": self.sent_packets,
-                "sent_bytes": self.sent_bytes, "commons": self.commons.status() if self.commons else None}
+        return {
+            "fleet": self.config.fleet,
+            "name": table.me.name,
+            "life": table.me.start,
+            "incarnation": table.me.incarnation,
+            "state": table.me.state.name.lower(),
+            "members": table.size,
+            "ended": len(table.ended),
+            "health": self.swim.health.score,
+            "refused": table.refused,
+            "dropped": dict(self.dropped),
+            "sent_packets": self.sent_packets,
+            "sent_bytes": self.sent_bytes,
+            "commons": self.commons.status() if self.commons else None,
+        }
 
     def members(self) -> list[dict[str, object]]:
         """All members known, by name."""
         table = self.swim.table
-        return [{"name": m.name, "address": "{}:{}".format(*m.address), "zone": m.zone, "life": m.start,
-                 "incarnation": m.incarnation, "state": m.state.name.lower(), "protocol": m.protocol,
-                 "load": m.load} for _, m in sorted(table.known.items())]
+        return [
+            {
+                "name": m.name,
+                "address": "{}:{}".format(*m.address),
+                "zone": m.zone,
+                "life": m.start,
+                "incarnation": m.incarnation,
+                "state": m.state.name.lower(),
+                "protocol": m.protocol,
+                "load": m.load,
+            }
+            for _, m in sorted(table.known.items())
+        ]
 
     # --- The core's actions ---------------------------------------------------------------------------
     def _wake(self) -> None:
@@ -161,8 +188,13 @@
                 self._made.add(task)
                 task.add_done_callback(self._made.discard)
             elif isinstance(action, Notice):
-                self._log("fleet_" + action.event, member=action.member.name, life=action.member.start,
-                          incarnation=action.member.incarnation, by=action.member.by)
+                self._log(
+                    "fleet_" + action.event,
+                    member=action.member.name,
+                    life=action.member.start,
+                    incarnation=action.member.incarnation,
+                    by=action.member.by,
+                )
         self._wake()
 
     def send(self, address: Address, packet: Packet) -> None:
@@ -226,4 +258,3 @@
         ours = self._framed(self.swim.all_known())
         self._act(self.swim.exchange(self._loop.time(), theirs))
         return ours
-
--- a/stalltiller/fleet/shares.py
+++ b/stalltiller/fleet/shares.py
@@ -60,7 +60,8 @@
     asks: dict[int, tuple[float, set[str], int]] = field(default_factory=dict)  # when, who answered, loan
     lent: dict[tuple[str, int], tuple[float, float]] = field(default_factory=dict)  # part, until
     borrowed: dict[tuple[str, int], tuple[float, float, float]] = field(  # part, from, until
-        default_factory=dict)
+        default_factory=dict
+    )
 
 
 class Shares:
@@ -107,8 +108,10 @@
             short = budget.need - self.home - sum(part for part, _, _ in budget.borrowed.values())
             if now >= budget.asked_at + ASK_EVERY and short > -LEAST:
                 ending = [loan for loan, (_, _, end) in budget.borrowed.items() if end < now + RENEW * LOAN]
-                found += [(lender, self._ask(now, key, budget, budget.borrowed[lender, number][0], number))
-                          for lender, number in ending]
+                found += [
+                    (lender, self._ask(now, key, budget, budget.borrowed[lender, number][0], number))
+                    for lender, number in ending
+                ]
             if short < LEAST * self.home or now < budget.asked_at + ASK_EVERY or not peers:
                 continue
             chosen = chosen or self._draw.sample(peers, min(ASKED, len(peers)))
--- a/stalltiller/fleet/swim.py
+++ b/stalltiller/fleet/swim.py
@@ -127,8 +127,10 @@
 
     def all_known(self) -> Exchange:
         """All that this member knows, for another."""
-        return Exchange(self.me, tuple(self.table.known[name] for name in sorted(self.table.known)
-                                       if name != self.me.name))
+        return Exchange(
+            self.me,
+            tuple(self.table.known[name] for name in sorted(self.table.known) if name != self.me.name),
+        )
 
     def leave(self, now: float) -> list[Action]:
         """Tell that this member leaves; from then on it refutes nothing."""
@@ -167,8 +169,15 @@
     def _notice(self, event: str, member: Member) -> None:
         self._actions.append(Notice(event, member))
 
-    def _send(self, to: Address, kind: Kind, number: int = 0, target: str = "", address: Address = ("", 0),
-              about: str | None = None) -> None:
+    def _send(
+        self,
+        to: Address,
+        kind: Kind,
+        number: int = 0,
+        target: str = "",
+        address: Address = ("", 0),
+        about: str | None = None,
+    ) -> None:
         """Send a packet with news, first that on `about` unless it is well: it must know."""
         known = self.table.known.get(about) if about else None
         first = (known,) if known is not None and known.state is not State.ALIVE else ()
--- a/stalltiller/fronts/admin.py
+++ b/stalltiller/fronts/admin.py
@@ -85,5 +85,6 @@
 
 def admin_listener(buffers: BufferPool, calls: dict[tuple[str, str], Act]) -> Listener:
     """Listens for calls.  Callers that say nothing make room for others, the oldest first."""
-    return Listener(lambda listener: AdminConnection(buffers, calls, listener), MAX_CALLERS, MAX_CALLERS,
-                    hello=CALL_LIMIT)
+    return Listener(
+        lambda listener: AdminConnection(buffers, calls, listener), MAX_CALLERS, MAX_CALLERS, hello=CALL_LIMIT
+    )
--- a/stalltiller/fronts/carrier.py
+++ b/stalltiller/fronts/carrier.py
@@ -17,13 +17,22 @@
 class PooledCarrier:
     """Subclasses make the channels."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 connect_timeout: float, idle_limit: float, most: int, log: Callable[..., None],
-                 rest: tuple[float, float] = (0.0, 0.0)) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        engine: Engine,
+        buffers: BufferPool,
+        connect_timeout: float,
+        idle_limit: float,
+        most: int,
+        log: Callable[..., None],
+        rest: tuple[float, float] = (0.0, 0.0),
+    ) -> None:
         self.loop, self.engine, self.buffers = loop, engine, buffers
         self._log = log
-        self.pool = ChannelPool(loop, self.connect, self._unreachable, connect_timeout, idle_limit, most,
-                                rest)
+        self.pool = ChannelPool(
+            loop, self.connect, self._unreachable, connect_timeout, idle_limit, most, rest
+        )
 
     async def connect(self, host: str, port: int) -> Channel:
         raise NotImplementedError
--- a/stalltiller/fronts/directory.py
+++ b/stalltiller/fronts/directory.py
@@ -32,8 +32,19 @@
     def place(self, target: discovery.Target) -> Place:
         zone = self._zones.index(target.zone) if target.zone in self._zones else len(self._zones)
         kind = self._kinds.index(target.kind) if target.kind in self._kinds else len(self._kinds)
-        return Place(api.NodeEntry(target.name, zone, kind, target.cell, target.state, target.weight,
-                                   self._engine.since(target.since)), target.host, target.port)
+        return Place(
+            api.NodeEntry(
+                target.name,
+                zone,
+                kind,
+                target.cell,
+                target.state,
+                target.weight,
+                self._engine.since(target.since),
+            ),
+            target.host,
+            target.port,
+        )
 
     def listed(self, kind: api.ListKind, listing: discovery.Listing) -> None:
         places = [self.place(target) for target in listing.targets]
@@ -94,8 +105,14 @@
     `first_waits` it does.
     """
 
-    def __init__(self, host: str, took: Callable[[discovery.Listing], None], wait: float,
-                 index: int | None = None, first_waits: bool = False) -> None:
+    def __init__(
+        self,
+        host: str,
+        took: Callable[[discovery.Listing], None],
+        wait: float,
+        index: int | None = None,
+        first_waits: bool = False,
+    ) -> None:
         self._host, self._took, self._wait_ms = host, took, round(wait * 1000)
         self._reader = http.Reader(response=True, limit=http.MAX_ANSWER)
         self._index = index
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/fronts/http.py
@@ -214,12 +214,31 @@
             if not self._front.ids.claim(self._front.loop.time(), head.fields["x-request-id"]):
                 self._bad(409, "X-Request-ID is not new")
                 return
-            payload = Payload(head.method, head.target, head.fields["x-request-id"],
-                              head.fields.get("host", "localhost"), body,
-                              head.fields.get("idempotency-key"))
-            self._request = self._front.engine.take(Incoming(
-                ask.cls, ask.plan, ask.volume, ask.units, ask.hosts, ask.key, ask.shard,
-                head.method == "PUT", ask.repeat, ask.timeout, payload, self, payload.request_id))
+            payload = Payload(
+                head.method,
+                head.target,
+                head.fields["x-request-id"],
+                head.fields.get("host", "localhost"),
+                body,
+                head.fields.get("idempotency-key"),
+            )
+            self._request = self._front.engine.take(
+                Incoming(
+                    ask.cls,
+                    ask.plan,
+                    ask.volume,
+                    ask.units,
+                    ask.hosts,
+                    ask.key,
+                    ask.shard,
+                    head.method == "PUT",
+                    ask.repeat,
+                    ask.timeout,
+                    payload,
+                    self,
+                    payload.request_id,
+                )
+            )
 
     # --- The engine's answers ---
     def served(self, answer: bytes | Relay) -> None:
@@ -317,8 +336,16 @@
 class HttpFront:
     """Clients over HTTP/1.1."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 settings: api.Settings, ready: Callable[[], bool], unread: int, bodies: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        engine: Engine,
+        buffers: BufferPool,
+        settings: api.Settings,
+        ready: Callable[[], bool],
+        unread: int,
+        bodies: int,
+    ) -> None:
         self.unread = Allowance(unread)  # bytes of answers that clients do not read
         self.bodies = Allowance(bodies)  # bytes of long bodies, as they come and until they are answered
         self.loop, self.engine, self.buffers, self.ready = loop, engine, buffers, ready
@@ -568,9 +595,18 @@
 class HttpCarrier(PooledCarrier):
     """Carries attempts to targets over HTTP/1.1."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 connect_timeout: float, idle_limit: float, most: int, log: Callable[..., None],
-                 settings: api.Settings, memory: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        engine: Engine,
+        buffers: BufferPool,
+        connect_timeout: float,
+        idle_limit: float,
+        most: int,
+        log: Callable[..., None],
+        settings: api.Settings,
+        memory: int,
+    ) -> None:
         super().__init__(loop, engine, buffers, connect_timeout, idle_limit, most, log, REST)
         self.allowance = Allowance(memory)
         self.retune(settings)
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/fronts/nvme_clients.py
@@ -115,8 +115,9 @@
             self.front.log("keep_alive_expired", association=self.number)
             self.end()
         else:
-            self._timer = self.front.loop.call_later(self.keep_alive + KEEP_ALIVE_GRACE - quiet + 0.01,
-                                                     self._check)
+            self._timer = self.front.loop.call_later(
+                self.keep_alive + KEEP_ALIVE_GRACE - quiet + 0.01, self._check
+            )
 
 
 class HostQueue(Connection):
@@ -209,8 +210,11 @@
     def complete(self, done: nvme.Completion) -> None:
         self._head = (self._head + 1) % max(1, self.entries)
         self.write(nvme.completion(done, self.number, self._head))
-        if not self.flushed and not self.closing and not self._count_unread(
-                self.transport.get_write_buffer_size()):
+        if (
+            not self.flushed
+            and not self.closing
+            and not self._count_unread(self.transport.get_write_buffer_size())
+        ):
             self.abort()
 
     def _terminate(self, error: nvme.PduError) -> None:
@@ -274,8 +278,13 @@
                 return nvme.BUSY, 0
         else:
             association = self.front.associations.get(controller)
-            if (association is None or not association.enabled or number > MAX_IO_QUEUES
-                    or number in association.queues or not 2 <= entries <= nvme.IO_ENTRIES):
+            if (
+                association is None
+                or not association.enabled
+                or number > MAX_IO_QUEUES
+                or number in association.queues
+                or not 2 <= entries <= nvme.IO_ENTRIES
+            ):
                 return nvme.BAD_CONNECT, 0
         self._listener.used(self)
         self.association, self.number, self.entries = association, number, entries
@@ -288,8 +297,12 @@
         association = self.association
         if command.opcode == nvme.FABRICS and command.nsid == nvme.PROPERTY_GET:
             ready = nvme.CSTS_READY * association.enabled | nvme.CSTS_SHUT * association.shut
-            values = {nvme.CAP: nvme.capabilities(), nvme.VS: nvme.VERSION, nvme.CSTS: ready,
-                      nvme.CC: 0x460000 | association.enabled}
+            values = {
+                nvme.CAP: nvme.capabilities(),
+                nvme.VS: nvme.VERSION,
+                nvme.CSTS: ready,
+                nvme.CC: 0x460000 | association.enabled,
+            }
             value = values.get(command.u32(44))
             return (nvme.INVALID_FIELD, 0) if value is None else (nvme.OK, value)
         if command.opcode == nvme.FABRICS and command.nsid == nvme.PROPERTY_SET:
@@ -327,9 +340,13 @@
         spaces = self.front.mapping.namespaces
         match command.u32(40) & 0xFF:
             case nvme.CNS_CONTROLLER:
-                return nvme.identify_controller(self.association.number, self.front.name,
-                                                self.front.mapping.subsystem, self.front.delays,
-                                                max(spaces, default=0))
+                return nvme.identify_controller(
+                    self.association.number,
+                    self.front.name,
+                    self.front.mapping.subsystem,
+                    self.front.delays,
+                    max(spaces, default=0),
+                )
             case nvme.CNS_NAMESPACE if command.nsid in spaces:
                 space = spaces[command.nsid]
                 return nvme.identify_namespace(space.blocks, space.block_size)
@@ -396,9 +413,17 @@
 class NvmeFront:
     """Clients over NVMe/TCP."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 settings: api.Settings, name: str, mapping: Mapping, log: Callable[..., None],
-                 memory: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        engine: Engine,
+        buffers: BufferPool,
+        settings: api.Settings,
+        name: str,
+        mapping: Mapping,
+        log: Callable[..., None],
+        memory: int,
+    ) -> None:
         self.loop, self.engine, self.buffers, self.log = loop, engine, buffers, log
         self.name = name
         self.stopping = False
@@ -431,9 +456,27 @@
         """Hand a command, whole now, to the engine; its deadline counts from its capsule."""
         command, space = io.command, io.space
         cls, deadline = self.mapping.opcodes[command.opcode]
-        payload = Payload(command.opcode, command.nsid, command.lba, command.blocks, bytes(io.data),
-                          0 if io.write else io.size)
-        io.number = self.engine.take(Incoming(
-            cls, space.plan, space.volume, max(1.0, math.ceil(command.blocks / space.blocks_per_unit)),
-            space.hosts, (command.nsid << 44 | command.lba & (1 << 44) - 1) & (1 << 64) - 1, space.shard,
-            io.write, False, max(0.0, deadline - (self.loop.time() - io.came_at)), payload, io))
+        payload = Payload(
+            command.opcode,
+            command.nsid,
+            command.lba,
+            command.blocks,
+            bytes(io.data),
+            0 if io.write else io.size,
+        )
+        io.number = self.engine.take(
+            Incoming(
+                cls,
+                space.plan,
+                space.volume,
+                max(1.0, math.ceil(command.blocks / space.blocks_per_unit)),
+                space.hosts,
+                (command.nsid << 44 | command.lba & (1 << 44) - 1) & (1 << 64) - 1,
+                space.shard,
+                io.write,
+                False,
+                max(0.0, deadline - (self.loop.time() - io.came_at)),
+                payload,
+                io,
+            )
+        )
--- a/stalltiller/fronts/nvme_targets.py
+++ b/stalltiller/fronts/nvme_targets.py
@@ -60,8 +60,13 @@
             raise ConnectionError("the target refused the association")
         return done, data
 
-    def run(self, encode: Callable[[int], bytes],
-            done: Callable[[nvme.Completion | None, bytes], None], data: bytes = b"", size: int = 0) -> None:
+    def run(
+        self,
+        encode: Callable[[int], bytes],
+        done: Callable[[nvme.Completion | None, bytes], None],
+        data: bytes = b"",
+        size: int = 0,
+    ) -> None:
         """Send a command; `done` is called once, with None if the queue is lost.
 
         `data` goes when the target asks for it, `size` bytes are to come back.
@@ -144,7 +149,7 @@
         if not length or end > len(self._out):
             raise nvme.PduError("data asked for is out of range", nvme.OUT_OF_RANGE, 12)
         for at in range(offset, end, self._max_data):
-            part = self._out[at:min(end, at + self._max_data)]
+            part = self._out[at : min(end, at + self._max_data)]
             flags = nvme.LAST if at + len(part) == end else 0
             self.write(nvme.data_pdu(nvme.H2C_DATA, self._cid, tag, at, part, flags))
 
@@ -174,8 +179,12 @@
         self._attempt = attempt
         p: Payload = attempt.payload
         size, inside = len(p.data) or p.size, p.data if len(p.data) <= self._capsule else b""
-        self._io.run(lambda cid: nvme.io_command(p.opcode, cid, p.nsid, p.lba, p.blocks, size, inside),
-                     self._done, p.data, p.size)
+        self._io.run(
+            lambda cid: nvme.io_command(p.opcode, cid, p.nsid, p.lba, p.blocks, size, inside),
+            self._done,
+            p.data,
+            p.size,
+        )
 
     def begun(self) -> bool:
         return True  # a capsule is enough to make a target begin
@@ -225,9 +234,18 @@
 class NvmeCarrier(PooledCarrier):
     """Carries attempts to targets over NVMe/TCP."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, engine: Engine, buffers: BufferPool,
-                 connect_timeout: float, idle_limit: float, most: int, log: Callable[..., None], name: str,
-                 mapping: Mapping) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        engine: Engine,
+        buffers: BufferPool,
+        connect_timeout: float,
+        idle_limit: float,
+        most: int,
+        log: Callable[..., None],
+        name: str,
+        mapping: Mapping,
+    ) -> None:
         # A channel is an association of two connections.
         super().__init__(loop, engine, buffers, connect_timeout, idle_limit, most // 2, log)
         self._name, self._mapping = f"nqn.2014-08.org.nvmexpress:stalltiller:{name}", mapping
@@ -242,9 +260,12 @@
             await admin.ask(lambda cid: nvme.property_set(cid, nvme.CC, 0x460000 | nvme.CC_ENABLE))
             while not (await admin.ask(lambda cid: nvme.property_get(cid, nvme.CSTS)))[0].result & 1:
                 await asyncio.sleep(ENABLE_POLL)
-            _, page = await admin.ask(lambda cid: nvme.command(
-                nvme.IDENTIFY, cid, rest=bytes([nvme.CNS_CONTROLLER]), length=nvme.IDENTIFY_SIZE),
-                size=nvme.IDENTIFY_SIZE)
+            _, page = await admin.ask(
+                lambda cid: nvme.command(
+                    nvme.IDENTIFY, cid, rest=bytes([nvme.CNS_CONTROLLER]), length=nvme.IDENTIFY_SIZE
+                ),
+                size=nvme.IDENTIFY_SIZE,
+            )
             io = await self._queue(host, port, queues)
             await io.ask(lambda cid: self._connect_command(cid, 1, controller))
         except BaseException:
@@ -260,5 +281,13 @@
         return queue
 
     def _connect_command(self, cid: int, queue: int, controller: int) -> bytes:
-        return nvme.connect(cid, queue, 8, 0 if queue else KEEP_ALIVE, controller, self._id,
-                            self._mapping.subsystem, self._name)
+        return nvme.connect(
+            cid,
+            queue,
+            8,
+            0 if queue else KEEP_ALIVE,
+            controller,
+            self._id,
+            self._mapping.subsystem,
+            self._name,
+        )
--- a/stalltiller/leases/__init__.py
+++ b/stalltiller/leases/__init__.py
@@ -5,5 +5,23 @@
 from stalltiller.leases.table import RATE_ERROR, Command, Gate, Holder, Keeper, Lease, Table
 
 __all__ = [
-    "RATE_ERROR", "Append", "Apply", "Command", "Cut", "Entry", "Gate", "Holder", "Install", "Keep",
-    "Keeper", "Lease", "Message", "Raft", "Restore", "Send", "Table", "Times", "Vote"]
+    "RATE_ERROR",
+    "Append",
+    "Apply",
+    "Command",
+    "Cut",
+    "Entry",
+    "Gate",
+    "Holder",
+    "Install",
+    "Keep",
+    "Keeper",
+    "Lease",
+    "Message",
+    "Raft",
+    "Restore",
+    "Send",
+    "Table",
+    "Times",
+    "Vote",
+]
--- a/stalltiller/leases/client.py
+++ b/stalltiller/leases/client.py
@@ -25,8 +25,15 @@
     Ask `holds` right before each effect and send the token with it: the process may have stood still.
     """
 
-    def __init__(self, name: str, life: int, voters: tuple[str, ...], leases: dict[str, float],
-                 send: Callable[[str, Said], None], log: Log) -> None:
+    def __init__(
+        self,
+        name: str,
+        life: int,
+        voters: tuple[str, ...],
+        leases: dict[str, float],
+        send: Callable[[str, Said], None],
+        log: Log,
+    ) -> None:
         self._name, self._session, self._voters = name, f"{name}/{life}", voters
         self._send, self._log = send, log
         self._loop = asyncio.get_running_loop()
--- a/stalltiller/leases/codec.py
+++ b/stalltiller/leases/codec.py
@@ -57,17 +57,32 @@
 
 
 def command_to_pb(command: Command) -> pb.Command:
-    return pb.Command(what=command.what, lease=command.lease, holder=command.holder, ttl=command.ttl,
-                      token=command.token, renewed=command.renewed, session=command.session,
-                      number=command.number)
+    return pb.Command(
+        what=command.what,
+        lease=command.lease,
+        holder=command.holder,
+        ttl=command.ttl,
+        token=command.token,
+        renewed=command.renewed,
+        session=command.session,
+        number=command.number,
+    )
 
 
 def command_from_pb(found: pb.Command) -> Command:
     texts = found.what, found.lease, found.holder, found.session
     if max(map(len, texts)) > MOST_TEXT or not 0.0 <= found.ttl <= 86400.0:
         raise Malformed("command")
-    return Command(found.what, found.lease, found.holder, found.ttl, found.token, found.renewed,
-                   found.session, found.number)
+    return Command(
+        found.what,
+        found.lease,
+        found.holder,
+        found.ttl,
+        found.token,
+        found.renewed,
+        found.session,
+        found.number,
+    )
 
 
 def _entry(entry: Entry) -> pb.Entry:
@@ -81,8 +96,9 @@
     """A lease table whole, as the state that stands for the entries that made it."""
     made = pb.State()
     for name, lease in table.leases.items():
-        made.leases.add(name=name, holder=lease.holder, token=lease.token, ttl=lease.ttl,
-                        renewed=lease.renewed)
+        made.leases.add(
+            name=name, holder=lease.holder, token=lease.token, ttl=lease.ttl, renewed=lease.renewed
+        )
     for name, (number, answer) in table.answers.items():
         made.sessions.add(name=name, number=number, answer=answer)
     return made.SerializeToString()
@@ -95,20 +111,29 @@
         found.ParseFromString(state)
     except DecodeError as error:
         raise Malformed("state") from error
-    return Table({each.name: Lease(each.holder, each.token, each.ttl, each.renewed) for each in found.leases},
-                 {each.name: (each.number, each.answer) for each in found.sessions})
+    return Table(
+        {each.name: Lease(each.holder, each.token, each.ttl, each.renewed) for each in found.leases},
+        {each.name: (each.number, each.answer) for each in found.sessions},
+    )
 
 
 def encode(said: Said) -> bytes:
     """One message; of the entries of an append as many as go in."""
     if isinstance(said, Vote):
-        made = pb.Said(kind=1, term=said.term, pre=said.pre, index=said.last_index,
-                       index_term=said.last_term, good=said.handed)
+        made = pb.Said(
+            kind=1,
+            term=said.term,
+            pre=said.pre,
+            index=said.last_index,
+            index_term=said.last_term,
+            good=said.handed,
+        )
     elif isinstance(said, Voted):
         made = pb.Said(kind=2, term=said.term, pre=said.pre, good=said.granted)
     elif isinstance(said, Append):
-        made = pb.Said(kind=3, term=said.term, index=said.index, index_term=said.index_term,
-                       commit=said.commit)
+        made = pb.Said(
+            kind=3, term=said.term, index=said.index, index_term=said.index_term, commit=said.commit
+        )
         for entry in said.entries:
             made.entries.append(_entry(entry))
             if made.ByteSize() > MOST_BYTES:
@@ -117,8 +142,15 @@
     elif isinstance(said, Appended):
         made = pb.Said(kind=4, term=said.term, good=said.good, index=said.match)
     elif isinstance(said, Install):
-        made = pb.Said(kind=8, term=said.term, index=said.index, index_term=said.index_term,
-                       offset=said.offset, total=said.total, data=said.data)
+        made = pb.Said(
+            kind=8,
+            term=said.term,
+            index=said.index,
+            index_term=said.index_term,
+            offset=said.offset,
+            total=said.total,
+            data=said.data,
+        )
     elif isinstance(said, Installed):
         made = pb.Said(kind=9, term=said.term, index=said.index, offset=said.have)
     elif isinstance(said, Hand):
@@ -141,8 +173,10 @@
         raise Malformed("malformed") from error
     if max(len(found.session), len(found.leader)) > MOST_TEXT:
         raise Malformed("text")
-    entries = tuple(Entry(entry.term, command_from_pb(entry.command) if entry.HasField("command") else None)
-                    for entry in found.entries)
+    entries = tuple(
+        Entry(entry.term, command_from_pb(entry.command) if entry.HasField("command") else None)
+        for entry in found.entries
+    )
     made = {
         1: lambda: Vote(found.term, found.pre, found.index, found.index_term, found.good),
         2: lambda: Voted(found.term, found.pre, found.good),
--- a/stalltiller/leases/log.py
+++ b/stalltiller/leases/log.py
@@ -135,7 +135,7 @@
         self.now = now
         if self.base < index <= self.commit:
             term = self.term_at(index)
-            del self.log[:index - self.base]
+            del self.log[: index - self.base]
             self.base, self.base_term, self.state = index, term, state
             self._actions.append(Cut(index, term, state))
         return self._end()
@@ -184,8 +184,7 @@
             self._won(pre)
             return
         for other in self.others:
-            self._send(other, Vote(self.term + pre, pre, self.last, self.term_at(self.last),
-                                   handed))
+            self._send(other, Vote(self.term + pre, pre, self.last, self.term_at(self.last), handed))
 
     def _asked(self, sender: str, ask: Vote) -> None:
         """Give a vote to whose log is as far as this one's, unless a leader was heard just now: one that
@@ -246,10 +245,19 @@
         index = peer.next - 1
         if index < self.base:  # what it lacks is cut off
             offset = peer.have[1] if peer.have[0] == self.base else 0
-            self._send(other, Install(self.term, self.base, self.base_term, offset, len(self.state),
-                                      self.state[offset:offset + self.piece]))
+            self._send(
+                other,
+                Install(
+                    self.term,
+                    self.base,
+                    self.base_term,
+                    offset,
+                    len(self.state),
+                    self.state[offset : offset + self.piece],
+                ),
+            )
             return
-        entries = tuple(self.log[index - self.base:index - self.base + MOST_ENTRIES])
+        entries = tuple(self.log[index - self.base : index - self.base + MOST_ENTRIES])
         self._send(other, Append(self.term, index, self.term_at(index), entries, self.commit))
 
     def _led(self, sender: str) -> None:
@@ -267,8 +275,11 @@
             self._send(sender, Appended(self.term, False, min(index - 1, self.last)))
             return
         fresh = min(max(0, self.base - index), len(message.entries))  # what is cut off is the same: committed
-        while (fresh < len(message.entries) and index + fresh < self.last
-               and self.term_at(index + fresh + 1) == message.entries[fresh].term):
+        while (
+            fresh < len(message.entries)
+            and index + fresh < self.last
+            and self.term_at(index + fresh + 1) == message.entries[fresh].term
+        ):
             fresh += 1
         if fresh < len(message.entries):
             self._add(message.entries[fresh:], index + fresh)
@@ -292,11 +303,13 @@
             return
         self._coming = 0, b""
         agrees = message.index <= self.last and self.term_at(message.index) == message.index_term
-        self.log = self.log[message.index - self.base:] if agrees else []
+        self.log = self.log[message.index - self.base :] if agrees else []
         self.base, self.base_term, self.state = message.index, message.index_term, had
         self.commit = message.index
-        self._actions += [Cut(message.index, message.index_term, had, not agrees),
-                          Restore(message.index, had)]
+        self._actions += [
+            Cut(message.index, message.index_term, had, not agrees),
+            Restore(message.index, had),
+        ]
         self._send(sender, Appended(self.term, True, message.index))
 
     def _appended(self, sender: str, message: Appended | Installed) -> None:
@@ -338,7 +351,7 @@
             self._actions.append(Apply(self.commit, self.log[self.commit - self.base - 1]))
 
     def _add(self, entries: Iterable[Entry], length: int) -> None:
-        del self.log[length - self.base:]
+        del self.log[length - self.base :]
         entries = tuple(entries)
         self.log += entries
         self._keep(length, entries)
--- a/stalltiller/leases/store.py
+++ b/stalltiller/leases/store.py
@@ -79,8 +79,11 @@
                 transaction.put(SNAPSHOT, made.SerializeToString())
                 cursor = transaction.cursor()
                 if cursor.set_range(INDEX.pack(b"e", 0)):
-                    while bytes(cursor.key()[:1]) == b"e" and (
-                            cut.whole or INDEX.unpack(cursor.key())[1] <= cut.index) and cursor.delete():
+                    while (
+                        bytes(cursor.key()[:1]) == b"e"
+                        and (cut.whole or INDEX.unpack(cursor.key())[1] <= cut.index)
+                        and cursor.delete()
+                    ):
                         pass
         except lmdb.Error as error:
             raise OSError(str(error)) from error
--- a/stalltiller/leases/voter.py
+++ b/stalltiller/leases/voter.py
@@ -25,17 +25,35 @@
     loop does not: the disk has a thread.  If the disk fails the voter stops and answers nothing more.
     """
 
-    def __init__(self, name: str, voters: tuple[str, ...], store: VoterStore,
-                 send: Callable[[str, Said], None], log: Log, times: Times | None = None,
-                 most_log: int = 2000) -> None:
+    def __init__(
+        self,
+        name: str,
+        voters: tuple[str, ...],
+        store: VoterStore,
+        send: Callable[[str, Said], None],
+        log: Log,
+        times: Times | None = None,
+        most_log: int = 2000,
+    ) -> None:
         """`most_log` entries applied, a state is put in their place."""
         self.name, self._store, self._send, self._log = name, store, send, log
         self._most_log = most_log
         self._loop = asyncio.get_running_loop()
         term, vote, entries = store.load()
         base, base_term, state = store.state()
-        self.raft = Raft(name, voters, random.Random(), self._loop.time(), times or Times(), term, vote,
-                         entries, base, base_term, state)
+        self.raft = Raft(
+            name,
+            voters,
+            random.Random(),
+            self._loop.time(),
+            times or Times(),
+            term,
+            vote,
+            entries,
+            base,
+            base_term,
+            state,
+        )
         self.table, self._keeper = decode_table(state), Keeper()
         self._inbox: asyncio.Queue[tuple[str, Said]] = asyncio.Queue(MOST_WAITING)
         self._asked: dict[int, tuple[int, str, Command]] = {}  # by index: term, who asked, what
@@ -53,11 +71,19 @@
 
     def status(self) -> dict[str, object]:
         """What an operator may want to know."""
-        return {"role": self.raft.role, "term": self.raft.term, "leader": self.raft.leader,
-                "log": len(self.raft.log), "cut": self.raft.base, "committed": self.raft.commit,
-                "working": not self._task.done(),
-                "leases": {name: {"holder": lease.holder, "token": lease.token, "ttl_s": lease.ttl}
-                           for name, lease in sorted(self.table.leases.items())}}
+        return {
+            "role": self.raft.role,
+            "term": self.raft.term,
+            "leader": self.raft.leader,
+            "log": len(self.raft.log),
+            "cut": self.raft.base,
+            "committed": self.raft.commit,
+            "working": not self._task.done(),
+            "leases": {
+                name: {"holder": lease.holder, "token": lease.token, "ttl_s": lease.ttl}
+                for name, lease in sorted(self.table.leases.items())
+            },
+        }
 
     async def close(self) -> None:
         self._task.cancel()
@@ -130,8 +156,13 @@
         self._keeper.applied(self._loop.time(), self.table, command)
         after = self.table.leases.get(command.lease)
         if self._led and (before is None or after is None or before.token != after.token) and before != after:
-            self._log("lease_granted" if after else "lease_ended", lease=command.lease, why=command.what,
-                      holder=(after or before).holder, token=(after or before).token)
+            self._log(
+                "lease_granted" if after else "lease_ended",
+                lease=command.lease,
+                why=command.what,
+                holder=(after or before).holder,
+                token=(after or before).token,
+            )
         term, sender, asked = self._asked.pop(action.index, (0, "", None))
         if asked == command and term == action.entry.term:
             self._send(sender, Answer(command.session, command.number, token))
--- a/stalltiller/program/app.py
+++ b/stalltiller/program/app.py
@@ -64,8 +64,9 @@
 class App:
     """One initiator on the platform."""
 
-    def __init__(self, config: Config, log: JsonLog, loop: asyncio.AbstractEventLoop,
-                 trace: bool = False) -> None:
+    def __init__(
+        self, config: Config, log: JsonLog, loop: asyncio.AbstractEventLoop, trace: bool = False
+    ) -> None:
         self._config, self._log, self._loop = config, log, loop
         self.buffers = BufferPool()
         self.engine = Engine(config.settings, config.seed, loop, log, log if trace else None)
@@ -74,8 +75,10 @@
         sockets = descriptors - min(OWN_SOCKETS, int(descriptors * OWN_SHARE))
         targets = max(16, int(sockets * TARGET_SHARE))
         channels = (config.connect_timeout, config.idle_limit, targets, log)
-        answers, bodies, commands = (max(LEAST_SHARE, int((config.memory - OWN_MEMORY) * share))
-                                     for share in (ANSWER_SHARE, BODY_SHARE, NVME_SHARE))
+        answers, bodies, commands = (
+            max(LEAST_SHARE, int((config.memory - OWN_MEMORY) * share))
+            for share in (ANSWER_SHARE, BODY_SHARE, NVME_SHARE)
+        )
         if config.nvme is None:
             self.front = HttpFront(*common, config.settings, self.is_ready, answers, bodies)
             self.carrier = HttpCarrier(*common, *channels, config.settings, answers)
@@ -85,15 +88,21 @@
         self.engine.carrier = self.carrier
         self._directory = Directory(self.engine, config.zones, config.kinds)
         self._handover = Handover(config.folder, config.name)
-        self.admin = admin_listener(self.buffers, {
-            ("GET", "/_ready"): lambda _: self.is_ready() and not self.stop.is_set(),
-            ("PUT", "/_targets/detach"): lambda name: self._take_out(name, True),
-            ("PUT", "/_targets/attach"): lambda name: self._take_out(name, False),
-            ("GET", "/_fleet/status"): lambda _: self.fleet and orjson.dumps(
-                {**self.fleet.status(), **(self.comeback.status() if self.comeback else {})}),
-            ("GET", "/_fleet/members"): lambda _: self.fleet and orjson.dumps(self.fleet.members()),
-            ("GET", "/_fleet/leases"): lambda _: self.duties and orjson.dumps(self.duties.status()),
-            ("PUT", "/_fleet/leave"): self._leave_fleet})
+        self.admin = admin_listener(
+            self.buffers,
+            {
+                ("GET", "/_ready"): lambda _: self.is_ready() and not self.stop.is_set(),
+                ("PUT", "/_targets/detach"): lambda name: self._take_out(name, True),
+                ("PUT", "/_targets/attach"): lambda name: self._take_out(name, False),
+                ("GET", "/_fleet/status"): lambda _: self.fleet
+                and orjson.dumps(
+                    {**self.fleet.status(), **(self.comeback.status() if self.comeback else {})}
+                ),
+                ("GET", "/_fleet/members"): lambda _: self.fleet and orjson.dumps(self.fleet.members()),
+                ("GET", "/_fleet/leases"): lambda _: self.duties and orjson.dumps(self.duties.status()),
+                ("PUT", "/_fleet/leave"): self._leave_fleet,
+            },
+        )
         self.fleet: Node | None = None
         self.commons: Commons | None = None
         self.comeback: Comeback | None = None
@@ -116,8 +125,16 @@
         known = config.known
         if config.recovery is not None:
             from stalltiller.program.comeback import Comeback  # the platform's start does without it
-            self.comeback = Comeback(config.recovery, config.name, join(*config.discovery), self.engine,
-                                     self._directory, config.fleet is not None, self._log)
+
+            self.comeback = Comeback(
+                config.recovery,
+                config.name,
+                join(*config.discovery),
+                self.engine,
+                self._directory,
+                config.fleet is not None,
+                self._log,
+            )
             known = self.comeback.known(known)
         if known is not None:
             self._directory.listed(ListKind.CACHED, known)
@@ -187,9 +204,11 @@
     async def _join_fleet(self, config: FleetConfig) -> None:
         from stalltiller.fleet.commons import Commons  # the platform's start does without them
         from stalltiller.fleet.node import Node
+
         settings = self.engine.settings
-        self.fleet = Node(self._config.name, config, self.buffers, self._log, lambda: self.engine.open,
-                          settings.gateway)
+        self.fleet = Node(
+            self._config.name, config, self.buffers, self._log, lambda: self.engine.open, settings.gateway
+        )
         await self.fleet.open()
         if self.comeback is not None:
             self.comeback.joined(self.fleet)
@@ -198,6 +217,7 @@
             self.engine.join(self.commons)
         if self._config.leases is not None:
             from stalltiller.program.duties import Duties
+
             self.duties = Duties(self._config.name, self._config.leases, self.fleet, self._log)
 
     def _leave_fleet(self, _: str = "") -> bool:
@@ -303,8 +323,13 @@
         settings = self.engine.settings
         limit = settings.rules.ask_every
         pace = Pace() if settings.list_pushed or not limit else Pace.asking(limit)
-        codec = WatchCodec(join(*self._discovery), self._took_list, pace.wait, index,
-                           self.comeback is not None and self.comeback.first_waits)
+        codec = WatchCodec(
+            join(*self._discovery),
+            self._took_list,
+            pace.wait,
+            index,
+            self.comeback is not None and self.comeback.first_waits,
+        )
         pacing = pace if self.comeback is None else self.comeback.pace(pace)
         watch = Watch(self._discovery, self.buffers, codec, pacing, self._watch_failed)
         self._watching = self._loop.create_task(watch.run())
@@ -318,8 +343,12 @@
         if self.comeback is not None:
             self.comeback.took(listing)
         if listing.targets or listing.whole:
-            self._log("list", index=listing.index, whole=listing.whole,
-                      targets={target.name: target.state.value for target in listing.targets})
+            self._log(
+                "list",
+                index=listing.index,
+                whole=listing.whole,
+                targets={target.name: target.state.value for target in listing.targets},
+            )
             self._directory.listed(ListKind.FULL if listing.whole else ListKind.DELTA, listing)
 
     def _watch_failed(self, error: Exception) -> None:
@@ -334,8 +363,15 @@
     def sample(self) -> dict[str, float]:
         """All figures: gauges as in GAUGES, the others only ever rise."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
-        return {"open": self.engine.open, "clients": len(self.listener), "shed": self.listener.shed,
-                "connections": self.carrier.pool.opened, "memory_kb": usage.ru_maxrss,
-                "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000), "log_dropped": self._log.dropped,
-                **(self.comeback.figures() if self.comeback is not None else {}),
-                **(self.duties.totals() if self.duties is not None else {}), **self.engine.counts}
+        return {
+            "open": self.engine.open,
+            "clients": len(self.listener),
+            "shed": self.listener.shed,
+            "connections": self.carrier.pool.opened,
+            "memory_kb": usage.ru_maxrss,
+            "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000),
+            "log_dropped": self._log.dropped,
+            **(self.comeback.figures() if self.comeback is not None else {}),
+            **(self.duties.totals() if self.duties is not None else {}),
+            **self.engine.counts,
+        }
--- a/stalltiller/program/cli.py
+++ b/stalltiller/program/cli.py
@@ -45,8 +45,10 @@
         config = from_operator(file)
     except ConfigError as error:
         raise Failed(str(error)) from error
-    click.echo(f"{file}: good, {config.name} listens on {config.listen[0]}:{config.listen[1]}"
-               + (f" in fleet {config.fleet.fleet}" if config.fleet else ""))
+    click.echo(
+        f"{file}: good, {config.name} listens on {config.listen[0]}:{config.listen[1]}"
+        + (f" in fleet {config.fleet.fleet}" if config.fleet else "")
+    )
 
 
 @main.command("init-voter")
@@ -54,6 +56,7 @@
 def init_voter(file: str) -> None:
     """Make the store of the voter that an operator's FILE names: once in its life, not after a lost disk."""
     from stalltiller.leases.store import make
+
     try:
         config = from_operator(file)
         if config.leases is None or config.name not in config.leases.voters:
--- a/stalltiller/program/comeback.py
+++ b/stalltiller/program/comeback.py
@@ -40,8 +40,16 @@
 class Comeback:
     """One instance's kept state.  Saving blocks a thread of its own, never the loop."""
 
-    def __init__(self, config: RecoveryConfig, name: str, address: str, engine: Engine, directory: Directory,
-                 in_fleet: bool, log: Log) -> None:
+    def __init__(
+        self,
+        config: RecoveryConfig,
+        name: str,
+        address: str,
+        engine: Engine,
+        directory: Directory,
+        in_fleet: bool,
+        log: Log,
+    ) -> None:
         """Open the store and narrow the door if need be; raises OSError."""
         self._config, self._store = config, Store(config.folder)
         self._name, self._address, self._engine, self._log = name, address, engine, log
@@ -54,8 +62,7 @@
         # No peers are kept if it was saved before it met any.
         size = len(calm.peers) + 1 if calm.peers else engine.settings.gateways
         herd = Herd(size if paced else 1, killed=kept is None or not kept.closed)
-        self.returning = Returning(name, address, engine, directory, self._book, calm, herd,
-                                   self.phases, log)
+        self.returning = Returning(name, address, engine, directory, self._book, calm, herd, self.phases, log)
         self._paced, self._peers = paced, None
         if paced:
             self.returning.narrow()
@@ -74,9 +81,15 @@
         if found is None:
             return None
         kept = usable(found, now)
-        self._log("recovery_loaded", age_s=round(now - found.saved_at, 3), closed=found.closed,
-                  listing=None if kept.listing is None else kept.listing.index, paces=len(kept.paces),
-                  levels=len(kept.levels), peers=len(kept.calm.peers))
+        self._log(
+            "recovery_loaded",
+            age_s=round(now - found.saved_at, 3),
+            closed=found.closed,
+            listing=None if kept.listing is None else kept.listing.index,
+            paces=len(kept.paces),
+            levels=len(kept.levels),
+            peers=len(kept.calm.peers),
+        )
         return kept
 
     def known(self, configured: Listing | None) -> Listing | None:
@@ -114,8 +127,10 @@
         if self._kept is not None:
             kept, self._kept = self._kept, None
             self.returning.taught = {pace.target for pace in kept.paces}
-            self._log("recovery_recalled", **self._engine.consult(
-                lambda scheduler, now, wall: recall(scheduler, kept, now, wall)))
+            self._log(
+                "recovery_recalled",
+                **self._engine.consult(lambda scheduler, now, wall: recall(scheduler, kept, now, wall)),
+            )
         self._saving = self._loop.create_task(self._save_for_ever())
         self._look()
 
@@ -144,14 +159,19 @@
 
     def status(self) -> dict[str, object]:
         """The phase, the seconds from the start until service was full (0: not yet), and of the return."""
-        return {"phase": self.phases.phase, "full_after_s": round(self.phases.took, 3),
-                **self.returning.status()}
+        return {
+            "phase": self.phases.phase,
+            "full_after_s": round(self.phases.took, 3),
+            **self.returning.status(),
+        }
 
     def figures(self) -> dict[str, float]:
         """The same for metrics."""
-        return {"recovery_full": float(self.phases.phase == "full"),
-                "recovery_full_after_s": self.phases.took,
-                "recovery_ramping": float(self.returning.door.ramp is not None)}
+        return {
+            "recovery_full": float(self.phases.phase == "full"),
+            "recovery_full_after_s": self.phases.took,
+            "recovery_ramping": float(self.returning.door.ramp is not None),
+        }
 
     async def end(self) -> None:
         """All is answered and nothing more will be sent: keep the last facts as of a life that ended."""
@@ -196,8 +216,17 @@
     async def _save(self, closed: bool) -> None:
         paces, levels = self._engine.consult(remember)
         self.returning.calm = self._calm()
-        facts = Facts(self._name, self._address, time.time(), closed, self._book.listing, self._heard_at,
-                      paces, levels, self.returning.calm)
+        facts = Facts(
+            self._name,
+            self._address,
+            time.time(),
+            closed,
+            self._book.listing,
+            self._heard_at,
+            paces,
+            levels,
+            self.returning.calm,
+        )
         try:
             await self._loop.run_in_executor(None, self._store.save, facts)
         except OSError as error:  # what was kept before still stands
--- a/stalltiller/program/config.py
+++ b/stalltiller/program/config.py
@@ -69,8 +69,9 @@
 def key_paths(value: object, path: str = "") -> frozenset[str]:
     """The paths of all keys; for a list of objects, of those that all of them have."""
     if isinstance(value, dict):
-        return frozenset().union(*({f"{path}{key}"} | key_paths(item, f"{path}{key}.")
-                                   for key, item in value.items()))
+        return frozenset().union(
+            *({f"{path}{key}"} | key_paths(item, f"{path}{key}.") for key, item in value.items())
+        )
     if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
         return frozenset.intersection(*(key_paths(item, path) for item in value))
     return frozenset()
@@ -98,8 +99,12 @@
 def _check_positive(nested: dict) -> None:
     """Guard against deadlines and attempts that are no numbers above 0: nothing could be served by them."""
     classes, limits = nested.get("classes"), nested.get("limits")
-    found = [(f"{cls.get('name')}: {key}", cls.get(key)) for key in ("aim-ns", "give-up-ns")
-             for cls in (classes if isinstance(classes, list) else ()) if isinstance(cls, dict)]
+    found = [
+        (f"{cls.get('name')}: {key}", cls.get(key))
+        for key in ("aim-ns", "give-up-ns")
+        for cls in (classes if isinstance(classes, list) else ())
+        if isinstance(cls, dict)
+    ]
     if isinstance(limits, dict) and "attempts-cap" in limits:
         found.append(("attempts-cap", limits["attempts-cap"]))
     for name, value in found:
@@ -188,12 +193,21 @@
     limits, most = nested.get("limits"), data.get("limits")
     most = most if isinstance(most, dict) else {}
     return Config(
-        name=str(data.get("name") or "stalltiller"), listen=_address(data["listen"], "listen"),
-        discovery=_address(data["discovery"], "discovery"), seed=_seed(data.get("seed")),
-        sockets=_limit(most, "sockets", 1024), memory=_limit(most, "memory_mb", 192) * MEGABYTE, known=known,
-        settings=parse_settings(nested), zones=_names(nested.get("areas")), kinds=_names(nested.get("kinds")),
+        name=str(data.get("name") or "stalltiller"),
+        listen=_address(data["listen"], "listen"),
+        discovery=_address(data["discovery"], "discovery"),
+        seed=_seed(data.get("seed")),
+        sockets=_limit(most, "sockets", 1024),
+        memory=_limit(most, "memory_mb", 192) * MEGABYTE,
+        known=known,
+        settings=parse_settings(nested),
+        zones=_names(nested.get("areas")),
+        kinds=_names(nested.get("kinds")),
         connect_timeout=_seconds(limits, "connect-timeout-ns", 0.25),
-        idle_limit=_seconds(limits, "conn-idle-ns", 30.0), keys=keys, **more)
+        idle_limit=_seconds(limits, "conn-idle-ns", 30.0),
+        keys=keys,
+        **more,
+    )
 
 
 def from_platform(environment: Mapping[str, str]) -> Config:
@@ -207,14 +221,19 @@
     data = read_json(path)
     for name in ("name", "listen", "discovery", "admin"):
         data[name] = environment.get(f"PROXY_{name.upper()}") or data.get(name)
-    return _config(data, path, folder=environment.get("TMPDIR"),
-                   inherited=_descriptor(environment.get("PROXY_INHERITED_FD")))
+    return _config(
+        data,
+        path,
+        folder=environment.get("TMPDIR"),
+        inherited=_descriptor(environment.get("PROXY_INHERITED_FD")),
+    )
 
 
 # --- The operator's file ----------------------------------------------------------------------------
 def from_operator(path: str) -> Config:
     """Read an operator's file, which may set up the NVMe/TCP front and metrics."""
     from stalltiller.program.schema import first_error  # the platform's start does without it
+
     try:
         text = Path(path).read_text()
         data = tomllib.loads(text)
@@ -253,24 +272,32 @@
 
 def _fleet(data: dict, config: Config) -> FleetConfig:
     from stalltiller.fleet.config import fleet_config  # the platform's start does without it
+
     zone = config.zones[config.settings.zone] if config.settings.zone < len(config.zones) else ""
     return fleet_config(data, zone)
 
 
 def _recovery(data: dict) -> RecoveryConfig:
     from stalltiller.program.comeback import RecoveryConfig
+
     usual = RecoveryConfig(str(data["folder"]))
-    return RecoveryConfig(usual.folder, float(data.get("save_every_s", usual.save_every)),
-                          data.get("ramp", usual.ramp), float(data.get("ask_peers_s", usual.ask_peers)))
+    return RecoveryConfig(
+        usual.folder,
+        float(data.get("save_every_s", usual.save_every)),
+        data.get("ramp", usual.ramp),
+        float(data.get("ask_peers_s", usual.ask_peers)),
+    )
 
 
 def _leases(data: dict, config: Config) -> LeaseConfig:
     from stalltiller.program.duties import LeaseConfig
+
     voters = tuple(map(str, data["voters"]))
     if config.fleet is None or len(voters) not in (3, 5) or len(set(voters)) != len(voters):
         raise ConfigError("leases: they need [fleet] and the names of 3 or 5 members to vote")
-    return LeaseConfig(voters, str(data["folder"]), float(data.get("ttl_s", 2.0)),
-                       int(data.get("most_log", 2000)))
+    return LeaseConfig(
+        voters, str(data["folder"]), float(data.get("ttl_s", 2.0)), int(data.get("most_log", 2000))
+    )
 
 
 def _mapping(data: dict, settings: api.Settings) -> nvme_mapping.Mapping:
@@ -285,9 +312,15 @@
             raise ConfigError(f"namespace {number}: block_size must be a power of two from 512 to 64 KiB")
         if line["plan"] not in plans:
             raise ConfigError(f"namespace {number}: plan not known: {line['plan']}")
-        space = nvme_mapping.Namespace(int(str(line["volume"]), 16), plans[line["plan"]], int(line["shard"]),
-                                     int(line["hosts"]), int(line["blocks"]), size,
-                                     float(line["blocks_per_unit"]))
+        space = nvme_mapping.Namespace(
+            int(str(line["volume"]), 16),
+            plans[line["plan"]],
+            int(line["shard"]),
+            int(line["hosts"]),
+            int(line["blocks"]),
+            size,
+            float(line["blocks_per_unit"]),
+        )
         if min(space.hosts, space.blocks, space.blocks_per_unit) <= 0 or space.shard < 0:
             raise ConfigError(f"namespace {number}: hosts, blocks, blocks_per_unit or shard out of range")
         spaces[number] = space
--- a/stalltiller/program/door.py
+++ b/stalltiller/program/door.py
@@ -28,8 +28,9 @@
         fleet of that size."""
         settings = self._settings()
         blind = settings.cold_units / max(settings.rules.tip_time, 1e-3) / max(1, size)
-        self.ramp = Ramp(self._loop.time(), rates, blind, settings.mean_units, settings.max_advice,
-                         random.Random())
+        self.ramp = Ramp(
+            self._loop.time(), rates, blind, settings.mean_units, settings.max_advice, random.Random()
+        )
 
     def open(self) -> dict[str, int]:
         """End the ramp; what became of the requests that met it."""
@@ -48,8 +49,9 @@
         settings = self._settings()
         best = max(cls.worth for cls in settings.classes) * max(plan.price for plan in settings.plans)
         worth = settings.classes[incoming.cls].worth * settings.plans[incoming.plan].price / best
-        return self.ramp.admit(now, incoming.shard, incoming.units, worth,
-                               (incoming.volume, incoming.cls, incoming.key))
+        return self.ramp.admit(
+            now, incoming.shard, incoming.units, worth, (incoming.volume, incoming.cls, incoming.key)
+        )
 
     def advise(self, advice: float) -> float:
         """What to tell a client whom the decisions refuse."""
--- a/stalltiller/program/duties.py
+++ b/stalltiller/program/duties.py
@@ -36,8 +36,14 @@
         self._name, self._node, self._loop = name, node, asyncio.get_running_loop()
         self.voter: Voter | None = None
         if name in config.voters:
-            self.voter = Voter(name, config.voters, VoterStore(config.folder, name), self._send, log,
-                               most_log=config.most_log)
+            self.voter = Voter(
+                name,
+                config.voters,
+                VoterStore(config.folder, name),
+                self._send,
+                log,
+                most_log=config.most_log,
+            )
         node.takes[Kind.LEASES] = self._heard
         self.client = Client(name, node.swim.me.start, config.voters, {TOTALS: config.ttl}, self._send, log)
 
@@ -47,8 +53,11 @@
         if not token:
             return {}
         members = [self._node.swim.me, *self._node.swim.table.others]
-        return {"fleet_members": len(members), "fleet_open": sum(member.load for member in members),
-                "fleet_token": token}
+        return {
+            "fleet_members": len(members),
+            "fleet_open": sum(member.load for member in members),
+            "fleet_token": token,
+        }
 
     def status(self) -> dict[str, object]:
         return {"held": self.client.status(), "voter": None if self.voter is None else self.voter.status()}
--- a/stalltiller/program/metrics.py
+++ b/stalltiller/program/metrics.py
@@ -13,19 +13,34 @@
 from stalltiller.program.config import Config, Sink
 from stalltiller.protocol.metrics import collectd_packets, graphite_lines
 
-GAUGES = frozenset(("open", "clients", "memory_kb", "fleet_members", "fleet_open", "fleet_token",
-                    "recovery_full", "recovery_full_after_s", "recovery_ramping"))
+GAUGES = frozenset(
+    (
+        "open",
+        "clients",
+        "memory_kb",
+        "fleet_members",
+        "fleet_open",
+        "fleet_token",
+        "recovery_full",
+        "recovery_full_after_s",
+        "recovery_ramping",
+    )
+)
 MAX_UNSENT = 64 * 1024  # bytes kept for a Graphite that does not read
 
 
 class Metrics:
     """Sends samples until it is closed."""
 
-    def __init__(self, config: Config, sample: Callable[[], dict[str, float]],
-                 loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, sample: Callable[[], dict[str, float]], loop: asyncio.AbstractEventLoop
+    ) -> None:
         self._name, self._sample, self._loop = config.name, sample, loop
-        self._sinks = [(sink, send) for sink, send in ((config.graphite, self._graphite),
-                                                       (config.collectd, self._collectd)) if sink]
+        self._sinks = [
+            (sink, send)
+            for sink, send in ((config.graphite, self._graphite), (config.collectd, self._collectd))
+            if sink
+        ]
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -60,12 +75,14 @@
                 if transport is None or transport.is_closing():
                     try:
                         transport, _ = await self._loop.create_datagram_endpoint(
-                            asyncio.DatagramProtocol, remote_addr=sink.address)
+                            asyncio.DatagramProtocol, remote_addr=sink.address
+                        )
                     except OSError:
                         continue
                 if transport.get_write_buffer_size() < MAX_UNSENT:
-                    for packet in collectd_packets(self._name, self._sample(), GAUGES, time.time(),
-                                                   sink.interval):
+                    for packet in collectd_packets(
+                        self._name, self._sample(), GAUGES, time.time(), sink.interval
+                    ):
                         transport.sendto(packet)
         finally:
             if transport is not None:
--- a/stalltiller/program/peers.py
+++ b/stalltiller/program/peers.py
@@ -22,8 +22,14 @@
     `kept` are addresses of peers from before, asked while no member is known to run.
     """
 
-    def __init__(self, node: Node, kept: list[Address], ask: Callable[[], Ask | None],
-                 answer: Callable[[Ask], Word | None], heard: Callable[[Word], None]) -> None:
+    def __init__(
+        self,
+        node: Node,
+        kept: list[Address],
+        ask: Callable[[], Ask | None],
+        answer: Callable[[Ask], Word | None],
+        heard: Callable[[Word], None],
+    ) -> None:
         self._node, self._kept = node, [each for each in kept if each != node.swim.me.address]
         self._ask, self._answer, self._heard = ask, answer, heard
         self._loop = asyncio.get_running_loop()
--- a/stalltiller/program/reload.py
+++ b/stalltiller/program/reload.py
@@ -32,11 +32,20 @@
     classes = []
     for cls in old.classes:
         same = coming.pop(cls.name, cls)
-        classes.append(replace(same, effect=max(cls.effect, same.effect, key=STRICTNESS.index),
-                               scope=min(cls.scope, same.scope, key=WIDTH.index),
-                               keep=min(cls.keep, same.keep)))
+        classes.append(
+            replace(
+                same,
+                effect=max(cls.effect, same.effect, key=STRICTNESS.index),
+                scope=min(cls.scope, same.scope, key=WIDTH.index),
+                keep=min(cls.keep, same.keep),
+            )
+        )
     plans = {plan.name: plan for plan in old.plans}
     for plan in new.plans:
         plans[plan.name] = min(plan, plans.get(plan.name, plan), key=lambda one: one.limit or math.inf)
-    return replace(new, classes=(*classes, *coming.values()), plans=tuple(plans.values()),
-                   max_attempts=min(old.max_attempts, new.max_attempts))
+    return replace(
+        new,
+        classes=(*classes, *coming.values()),
+        plans=tuple(plans.values()),
+        max_attempts=min(old.max_attempts, new.max_attempts),
+    )
--- a/stalltiller/program/returning.py
+++ b/stalltiller/program/returning.py
@@ -65,8 +65,18 @@
 class Returning:
     """One life's return.  `calm` is what was kept of before, `paces` the targets whose pace was kept."""
 
-    def __init__(self, name: str, address: str, engine: Engine, directory: Directory, book: Book, calm: Calm,
-                 herd: Herd, phases: Phases, log: Log) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        engine: Engine,
+        directory: Directory,
+        book: Book,
+        calm: Calm,
+        herd: Herd,
+        phases: Phases,
+        log: Log,
+    ) -> None:
         self.phases = phases
         self._name, self._address, self._engine, self._log = name, address, engine, log
         self._directory, self._book, self.calm, self.herd = directory, book, calm, herd
@@ -113,8 +123,11 @@
     def look(self) -> None:
         """Open the door once the ramp is over, or if it shows that nobody else came back."""
         ramp = self.door.ramp
-        if ramp is not None and self._book.index and (ramp.over(self._loop.time())
-                                 or not self.herd.verdict(self.view, self.age)):
+        if (
+            ramp is not None
+            and self._book.index
+            and (ramp.over(self._loop.time()) or not self.herd.verdict(self.view, self.age))
+        ):
             self._log("recovery_door", open_after_s=round(self.age, 3), **self.door.open())
 
     # --- The list ---------------------------------------------------------------------------------
@@ -128,8 +141,9 @@
         view = self.view
         herd = self.herd.verdict(view, self.age)
         rest = turns.first(time.time(), view) if herd else 0.0
-        self._log("recovery_turn", herd=herd, size=self.herd.size(view), young=view.young,
-                  wait_s=round(rest, 3))
+        self._log(
+            "recovery_turn", herd=herd, size=self.herd.size(view), young=view.young, wait_s=round(rest, 3)
+        )
         return rest
 
     def failed(self) -> View:
@@ -173,9 +187,15 @@
         newer = self._book.newer(ask.index)
         changes = [target for target in listing.targets if target.since] if newer is None else newer
         paces, _ = self._engine.consult(remember)
-        return Word(self._address, listing.index, ask.index, self._confirmed and newer is not None,
-                    tuple(Change(target.name, target.state, target.since) for target in changes), paces,
-                    self.calm)
+        return Word(
+            self._address,
+            listing.index,
+            ask.index,
+            self._confirmed and newer is not None,
+            tuple(Change(target.name, target.state, target.since) for target in changes),
+            paces,
+            self.calm,
+        )
 
     def heard(self, word: Word) -> None:
         """A peer has answered."""
@@ -202,5 +222,8 @@
     def status(self) -> dict[str, object]:
         """What an operator may want to know."""
         ramp = self.door.ramp
-        return {"ramping": ramp is not None, "door": {} if ramp is None else dict(ramp.counts),
-                "withheld": sorted(self._caution.withheld)}
+        return {
+            "ramping": ramp is not None,
+            "door": {} if ramp is None else dict(ramp.counts),
+            "withheld": sorted(self._caution.withheld),
+        }
--- a/stalltiller/program/schema.py
+++ b/stalltiller/program/schema.py
@@ -51,8 +51,10 @@
             known = known[:-1]
         return lines[known], ".".join(map(str, path))
 
-    errors = sorted((place(error), error.message)
-                    for error in Draft202012Validator(orjson.loads(SCHEMA.read_bytes())).iter_errors(data))
+    errors = sorted(
+        (place(error), error.message)
+        for error in Draft202012Validator(orjson.loads(SCHEMA.read_bytes())).iter_errors(data)
+    )
     if not errors:
         return None
     (line, path), message = errors[0]
--- a/stalltiller/program/serve.py
+++ b/stalltiller/program/serve.py
@@ -22,8 +22,11 @@
     log = JsonLog(config.name, lines_per_s=TRACE_LINES_PER_S if trace else LINES_PER_S)
     log.never_block()
     # What asyncio would print, such as a failed accept when descriptors run out, is an event like any other.
-    loop.set_exception_handler(lambda _, context: log(
-        "loop_error", message=context.get("message"), error=repr(context.get("exception"))))
+    loop.set_exception_handler(
+        lambda _, context: log(
+            "loop_error", message=context.get("message"), error=repr(context.get("exception"))
+        )
+    )
     app = App(config, log, loop, trace)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, app.stop.set)
--- a/stalltiller/protocol/discovery.py
+++ b/stalltiller/protocol/discovery.py
@@ -56,16 +56,27 @@
 def _target(line: dict) -> Target:
     host, port = parse_address(line["address"])
     since = float(line.get("since_ms") or 0)
-    return Target(str(line["name"]), host, port, str(line.get("zone", "")), str(line.get("type", "")),
-                  int(line["group"]), STATES[line["status"]], float(line.get("weight", 1.0)),
-                  since / 1000 if since > 0 else None)
+    return Target(
+        str(line["name"]),
+        host,
+        port,
+        str(line.get("zone", "")),
+        str(line.get("type", "")),
+        int(line["group"]),
+        STATES[line["status"]],
+        float(line.get("weight", 1.0)),
+        since / 1000 if since > 0 else None,
+    )
 
 
 def listing(value: object) -> Listing:
     """Read a list that is parsed JSON already."""
     try:
-        return Listing(int(value["index"]), value["snapshot"] is True,
-                       tuple(_target(line) for line in value["endpoints"]))
+        return Listing(
+            int(value["index"]),
+            value["snapshot"] is True,
+            tuple(_target(line) for line in value["endpoints"]),
+        )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise DiscoveryError(f"not a list of targets: {type(error).__name__}: {error}") from error
 
--- a/stalltiller/protocol/http.py
+++ b/stalltiller/protocol/http.py
@@ -16,9 +16,19 @@
 STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n]*)?")
 ONCE = ("content-length", "transfer-encoding", "host")
 VALUE = re.compile(r"[\t -~\x80-\xff]*")
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
-           413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 class HttpError(Exception):
@@ -78,8 +88,12 @@
 def parse_request(text: str) -> Head:
     line, *rest = text.split("\r\n")
     parts = line.split(" ")
-    if (len(parts) != 3 or not TOKEN.fullmatch(parts[0]) or not TARGET.fullmatch(parts[1])
-            or not VERSION.fullmatch(parts[2])):
+    if (
+        len(parts) != 3
+        or not TOKEN.fullmatch(parts[0])
+        or not TARGET.fullmatch(parts[1])
+        or not VERSION.fullmatch(parts[2])
+    ):
         raise HttpError(400, "malformed request line")
     head = Head(int(parts[2][-1]), parse_fields(rest), method=parts[0], target=parts[1])
     if head.minor == 1 and "host" not in head.fields:
@@ -185,7 +199,7 @@
             self.done = True
 
     def _take(self, data: memoryview) -> int:
-        part = data[:self._left]
+        part = data[: self._left]
         self.body += part
         self.received += len(part)
         self._left -= len(part)
@@ -253,13 +267,19 @@
     return request_head(method, target, fields, len(body)) + body
 
 
-def encode_response(status: int, body: bytes = b"", fields: dict[str, str] | None = None,
-                    close: bool = False) -> bytes:
+def encode_response(
+    status: int, body: bytes = b"", fields: dict[str, str] | None = None, close: bool = False
+) -> bytes:
     return response_head(status, len(body), fields, close) + body
 
 
-def response_head(status: int, length: int | None, fields: dict[str, str] | None = None,
-                  close: bool = False, chunked: bool = False) -> bytes:
+def response_head(
+    status: int,
+    length: int | None,
+    fields: dict[str, str] | None = None,
+    close: bool = False,
+    chunked: bool = False,
+) -> bytes:
     """A head; with no length told, the body comes in chunks or ends with the connection."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"]
     if length is not None:
--- a/stalltiller/protocol/metrics.py
+++ b/stalltiller/protocol/metrics.py
@@ -28,15 +28,25 @@
 
 def _value(name: str, value: float, gauge: bool) -> bytes:
     coded = struct.pack("<d", value) if gauge else struct.pack(">q", int(value))
-    return (_text(TYPE, "gauge" if gauge else "derive") + _text(TYPE_INSTANCE, name)
-            + struct.pack(">HHHB", VALUES, 4 + 2 + 9, 1, GAUGE if gauge else DERIVE) + coded)
+    return (
+        _text(TYPE, "gauge" if gauge else "derive")
+        + _text(TYPE_INSTANCE, name)
+        + struct.pack(">HHHB", VALUES, 4 + 2 + 9, 1, GAUGE if gauge else DERIVE)
+        + coded
+    )
 
 
-def collectd_packets(instance: str, sample: Mapping[str, float], gauges: frozenset[str], now: float,
-                     interval: float) -> list[bytes]:
+def collectd_packets(
+    instance: str, sample: Mapping[str, float], gauges: frozenset[str], now: float, interval: float
+) -> list[bytes]:
     """Packets no longer than MAX_PACKET, each whole in itself."""
-    head = (_text(HOST, instance) + _number(TIME, int(now)) + _number(INTERVAL, max(1, round(interval)))
-            + _text(PLUGIN, "stalltiller") + _text(PLUGIN_INSTANCE, instance))
+    head = (
+        _text(HOST, instance)
+        + _number(TIME, int(now))
+        + _number(INTERVAL, max(1, round(interval)))
+        + _text(PLUGIN, "stalltiller")
+        + _text(PLUGIN_INSTANCE, instance)
+    )
     packets = [head]
     for name, value in sample.items():
         part = _value(name, value, name in gauges)
--- a/stalltiller/protocol/nvme.py
+++ b/stalltiller/protocol/nvme.py
@@ -16,9 +16,27 @@
 
 # --- PDUs -----------------------------------------------------------------------------------------
 IC_REQ, IC_RESP, H2C_TERM, C2H_TERM, CAPSULE, RESPONSE, H2C_DATA, C2H_DATA, R2T = (
-    0x00, 0x01, 0x02, 0x03, 0x04, 0x05, 0x06, 0x07, 0x09)
-HEADER_LENGTHS = {IC_REQ: 128, IC_RESP: 128, H2C_TERM: 24, C2H_TERM: 24, CAPSULE: 72, RESPONSE: 24,
-                  H2C_DATA: 24, C2H_DATA: 24, R2T: 24}
+    0x00,
+    0x01,
+    0x02,
+    0x03,
+    0x04,
+    0x05,
+    0x06,
+    0x07,
+    0x09,
+)
+HEADER_LENGTHS = {
+    IC_REQ: 128,
+    IC_RESP: 128,
+    H2C_TERM: 24,
+    C2H_TERM: 24,
+    CAPSULE: 72,
+    RESPONSE: 24,
+    H2C_DATA: 24,
+    C2H_DATA: 24,
+    R2T: 24,
+}
 FROM_HOST = frozenset((IC_REQ, H2C_TERM, CAPSULE, H2C_DATA))
 FROM_CONTROLLER = frozenset((IC_RESP, C2H_TERM, RESPONSE, C2H_DATA, R2T))
 LAST, SUCCESS = 0x04, 0x08  # flags of data PDUs
@@ -42,7 +60,16 @@
 
 # --- Status: type << 8 | code ---------------------------------------------------------------------
 OK, BAD_OPCODE, INVALID_FIELD, INTERNAL, ABORTED, BAD_NAMESPACE, SEQUENCE, NOT_READY, OUT_OF_LBA = (
-    0x000, 0x001, 0x002, 0x006, 0x007, 0x00B, 0x00C, 0x082, 0x080)
+    0x000,
+    0x001,
+    0x002,
+    0x006,
+    0x007,
+    0x00B,
+    0x00C,
+    0x082,
+    0x080,
+)
 BAD_CONNECT, BUSY = 0x182, 0x181
 
 
@@ -80,17 +107,17 @@
             if len(data) < COMMON.size:
                 return 0, None
             kind, _, length, offset, total = COMMON.unpack_from(data)
-            self._check(bytes(data[:COMMON.size]), kind, length, offset, total)
+            self._check(bytes(data[: COMMON.size]), kind, length, offset, total)
             if len(data) < length:
                 return 0, None
             self._head, self._need = bytes(data[:length]), total - length
             used = length
-        part = data[used:used + self._need - len(self._data)]
+        part = data[used : used + self._need - len(self._data)]
         self._data += part
         used += len(part)
         if len(self._data) < self._need:
             return used, None
-        pdu = Pdu(self._head[0], self._head[1], self._head[COMMON.size:], bytes(self._data))
+        pdu = Pdu(self._head[0], self._head[1], self._head[COMMON.size :], bytes(self._data))
         self._head, self._data = b"", bytearray()
         return used, pdu
 
@@ -178,13 +205,13 @@
     raw: bytes
 
     def u16(self, at: int) -> int:
-        return int.from_bytes(self.raw[at:at + 2], "little")
+        return int.from_bytes(self.raw[at : at + 2], "little")
 
     def u32(self, at: int) -> int:
-        return int.from_bytes(self.raw[at:at + 4], "little")
+        return int.from_bytes(self.raw[at : at + 4], "little")
 
     def u64(self, at: int) -> int:
-        return int.from_bytes(self.raw[at:at + 8], "little")
+        return int.from_bytes(self.raw[at : at + 8], "little")
 
     @property
     def lba(self) -> int:
@@ -210,21 +237,31 @@
     return Command(opcode, cid, nsid & 0xFF if opcode == FABRICS else nsid, sgl, length, raw)
 
 
-def command(opcode: int, cid: int, nsid: int = 0, rest: bytes = b"", length: int = 0,
-            data: bytes = b"") -> bytes:
+def command(
+    opcode: int, cid: int, nsid: int = 0, rest: bytes = b"", length: int = 0, data: bytes = b""
+) -> bytes:
     """A capsule; `length` bytes follow or come back apart unless `data` goes along.  `rest` is CDW10 on."""
     sgl = IN_CAPSULE_SGL if data else TRANSPORT_SGL if length else 0
     entry = _SQE.pack(opcode, 0x40, cid, nsid, 0, len(data) or length, sgl, rest)
     return pdu(CAPSULE, entry, data)
 
 
-def io_command(opcode: int, cid: int, nsid: int, lba: int, blocks: int, length: int,
-               data: bytes = b"") -> bytes:
+def io_command(
+    opcode: int, cid: int, nsid: int, lba: int, blocks: int, length: int, data: bytes = b""
+) -> bytes:
     return command(opcode, cid, nsid, struct.pack("<QH", lba, blocks - 1), length, data)
 
 
-def connect(cid: int, queue: int, entries: int, keep_alive: float, controller: int, host: bytes,
-            subsystem: str, host_name: str) -> bytes:
+def connect(
+    cid: int,
+    queue: int,
+    entries: int,
+    keep_alive: float,
+    controller: int,
+    host: bytes,
+    subsystem: str,
+    host_name: str,
+) -> bytes:
     data = host.ljust(16, b"\0")[:16] + struct.pack("<H238x", controller)
     data += subsystem.encode().ljust(256, b"\0") + host_name.encode().ljust(256, b"\0") + bytes(256)
     rest = struct.pack("<HHHBxI", 0, queue, entries - 1, 0, round(keep_alive * 1000))
@@ -233,7 +270,7 @@
 
 def parse_connect(data: bytes) -> tuple[int, str, str]:
     """Controller id, subsystem and host names."""
-    names = [data[at:at + 256].partition(b"\0")[0].decode("utf-8", "replace") for at in (256, 512)]
+    names = [data[at : at + 256].partition(b"\0")[0].decode("utf-8", "replace") for at in (256, 512)]
     return int.from_bytes(data[16:18], "little"), names[0], names[1]
 
 
@@ -272,8 +309,9 @@
 
 
 # --- Identify -------------------------------------------------------------------------------------
-def identify_controller(controller: int, name: str, subsystem: str, delays: tuple[int, int, int],
-                        namespaces: int) -> bytes:
+def identify_controller(
+    controller: int, name: str, subsystem: str, delays: tuple[int, int, int], namespaces: int
+) -> bytes:
     """The controller's data; `delays` are the Command Retry Delays in units of 100 ms."""
     page = bytearray(IDENTIFY_SIZE)
     page[4:24] = name.encode()[:20].ljust(20)
@@ -303,7 +341,7 @@
 
 def active_namespaces(ids: list[int], after: int) -> bytes:
     page = bytearray(IDENTIFY_SIZE)
-    found = [i for i in sorted(ids) if i > after][:IDENTIFY_SIZE // 4]
+    found = [i for i in sorted(ids) if i > after][: IDENTIFY_SIZE // 4]
     struct.pack_into(f"<{len(found)}I", page, 0, *found)
     return bytes(page)
 
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -91,10 +91,17 @@
         if not 0 < units <= self._largest:
             raise FieldError("units must be above zero and no more than the largest request")
         shard = _whole(info.get("shard"), "shard", -1, MAX_SHARD)
-        return Ask(cls, plan, _hex(info.get("volume"), "volume"), units,
-                   _whole(info.get("hosts"), "hosts", 1, self._hosts), _hex(parts[-1], "the key"),
-                   None if shard < 0 else shard, head.fields.get("x-retried") == "1",
-                   min(self._deadlines[cls], _number(head.fields.get("x-timeout"), "X-Timeout")))
+        return Ask(
+            cls,
+            plan,
+            _hex(info.get("volume"), "volume"),
+            units,
+            _whole(info.get("hosts"), "hosts", 1, self._hosts),
+            _hex(parts[-1], "the key"),
+            None if shard < 0 else shard,
+            head.fields.get("x-retried") == "1",
+            min(self._deadlines[cls], _number(head.fields.get("x-timeout"), "X-Timeout")),
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,8 +127,11 @@
         else:
             status = api.Status.ERROR
         others = head.fields.get("other-hosts", "")
-        return Answered(status, float(others) if NUMBER.fullmatch(others) else 0.0,
-                        self._report(head.fields.get("x-server-load", "")))
+        return Answered(
+            status,
+            float(others) if NUMBER.fullmatch(others) else 0.0,
+            self._report(head.fields.get("x-server-load", "")),
+        )
 
     def _report(self, text: str) -> tuple[float, ...]:
         form, _, pairs = text.partition(" ")
--- a/stalltiller/recovery/__init__.py
+++ b/stalltiller/recovery/__init__.py
@@ -27,6 +27,28 @@
 from stalltiller.recovery.word import Ask, Caution, Change, Word
 
 __all__ = [
-    "Ask", "Book", "Calm", "Caution", "Change", "Facts", "Herd", "Level", "Load", "Pace", "Phases", "Ramp",
-    "Refused", "Returns", "Store", "Turns", "View", "Word", "decode", "encode", "recall", "remember",
-    "start_level", "usable"]
+    "Ask",
+    "Book",
+    "Calm",
+    "Caution",
+    "Change",
+    "Facts",
+    "Herd",
+    "Level",
+    "Load",
+    "Pace",
+    "Phases",
+    "Ramp",
+    "Refused",
+    "Returns",
+    "Store",
+    "Turns",
+    "View",
+    "Word",
+    "decode",
+    "encode",
+    "recall",
+    "remember",
+    "start_level",
+    "usable",
+]
--- a/stalltiller/recovery/facts.py
+++ b/stalltiller/recovery/facts.py
@@ -143,32 +143,51 @@
 
 
 def _line(target: discovery.Target) -> dict[str, object]:
-    return {"name": target.name, "address": f"{target.host}:{target.port}", "zone": target.zone,
-            "type": target.kind, "group": target.cell, "status": STATES[target.state],
-            "weight": target.weight, "since_ms": 0 if target.since is None else target.since * 1000}
+    return {
+        "name": target.name,
+        "address": f"{target.host}:{target.port}",
+        "zone": target.zone,
+        "type": target.kind,
+        "group": target.cell,
+        "status": STATES[target.state],
+        "weight": target.weight,
+        "since_ms": 0 if target.since is None else target.since * 1000,
+    }
 
 
 def encode(facts: Facts) -> bytes:
     """Facts as bytes with a checksum before them."""
     listing = facts.listing
-    body = orjson.dumps({
-        "version": VERSION, "name": facts.name, "discovery": facts.discovery, "saved_at": facts.saved_at,
-        "closed": facts.closed, "heard_at": facts.heard_at,
-        "listing": None if listing is None else {
-            "index": listing.index, "snapshot": True,
-            "endpoints": [_line(target) for target in listing.targets]},
-        "paces": [[p.target, p.since, p.latency, p.window, p.at] for p in facts.paces[:MOST_PACES]],
-        "levels": [[v.volume, v.plan, v.hosts, v.units, v.at] for v in facts.levels[:MOST_LEVELS]],
-        "share": facts.calm.share, "rates": facts.calm.rates[:MOST_RATES],
-        "peers": facts.calm.peers[:MOST_PEERS]})
+    body = orjson.dumps(
+        {
+            "version": VERSION,
+            "name": facts.name,
+            "discovery": facts.discovery,
+            "saved_at": facts.saved_at,
+            "closed": facts.closed,
+            "heard_at": facts.heard_at,
+            "listing": None
+            if listing is None
+            else {
+                "index": listing.index,
+                "snapshot": True,
+                "endpoints": [_line(target) for target in listing.targets],
+            },
+            "paces": [[p.target, p.since, p.latency, p.window, p.at] for p in facts.paces[:MOST_PACES]],
+            "levels": [[v.volume, v.plan, v.hosts, v.units, v.at] for v in facts.levels[:MOST_LEVELS]],
+            "share": facts.calm.share,
+            "rates": facts.calm.rates[:MOST_RATES],
+            "peers": facts.calm.peers[:MOST_PEERS],
+        }
+    )
     return MAGIC + hashlib.blake2b(body, digest_size=DIGEST).digest() + body
 
 
 def decode(data: bytes, name: str, address: str, now: float) -> Facts:
     """Read kept bytes; raises Refused for what is not whole, of another instance, another form or to come."""
-    body = data[len(MAGIC) + DIGEST:]
+    body = data[len(MAGIC) + DIGEST :]
     whole = hashlib.blake2b(body, digest_size=DIGEST).digest()
-    if len(data) > MOST_BYTES or data[:-len(body) or None] != MAGIC + whole:
+    if len(data) > MOST_BYTES or data[: -len(body) or None] != MAGIC + whole:
         raise Refused("torn")
     try:
         found = orjson.loads(body)
@@ -177,11 +196,16 @@
         if (found["name"], found["discovery"]) != (name, address):
             raise Refused("foreign")
         facts = Facts(
-            name, address, float(found["saved_at"]), found["closed"] is True,
+            name,
+            address,
+            float(found["saved_at"]),
+            found["closed"] is True,
             None if found["listing"] is None else discovery.listing(found["listing"]),
-            float(found["heard_at"]), tuple(Pace(*each) for each in found["paces"]),
+            float(found["heard_at"]),
+            tuple(Pace(*each) for each in found["paces"]),
             tuple(Level(*each) for each in found["levels"]),
-            Calm(found["share"], *(tuple(map(tuple, found[key])) for key in ("rates", "peers"))))
+            Calm(found["share"], *(tuple(map(tuple, found[key])) for key in ("rates", "peers"))),
+        )
     except (KeyError, TypeError, discovery.DiscoveryError) as error:
         raise Refused("torn") from error
     if facts.saved_at > now + FUTURE:
@@ -192,10 +216,13 @@
 def usable(facts: Facts, now: float) -> Facts:
     """The facts that may still be believed."""
     fresh = facts.heard_at > now - LIST_AGE
-    return replace(facts, listing=facts.listing if fresh else None,
-                   paces=tuple(pace for pace in facts.paces if pace.at > now - PACE_AGE),
-                   levels=facts.levels if facts.closed else (),
-                   calm=facts.calm if facts.saved_at > now - CALM_AGE else UNKNOWN)
+    return replace(
+        facts,
+        listing=facts.listing if fresh else None,
+        paces=tuple(pace for pace in facts.paces if pace.at > now - PACE_AGE),
+        levels=facts.levels if facts.closed else (),
+        calm=facts.calm if facts.saved_at > now - CALM_AGE else UNKNOWN,
+    )
 
 
 def start_level(level: Level, plan: api.Plan, now: float) -> float:
--- a/stalltiller/recovery/herd.py
+++ b/stalltiller/recovery/herd.py
@@ -35,8 +35,11 @@
     def of(cls, name: str, starts: Mapping[str, float]) -> View:
         """From the Unix times, in seconds, at which the members that run began their lives."""
         mine = starts[name]
-        return cls(len(starts), sorted(starts).index(name),
-                   sum(abs(start - mine) <= HERD_SPAN for start in starts.values()))
+        return cls(
+            len(starts),
+            sorted(starts).index(name),
+            sum(abs(start - mine) <= HERD_SPAN for start in starts.values()),
+        )
 
 
 class Herd:
--- a/stalltiller/recovery/load.py
+++ b/stalltiller/recovery/load.py
@@ -27,6 +27,7 @@
         """Units a second by cell; exact for a steady stream however short the time counted."""
         lived = max(1e-3, now - self._began)
         whole = SPAN / math.log(2) * (1.0 - 0.5 ** (lived / SPAN))  # the sum of a stream of one unit a second
-        found = ((cell, total * 0.5 ** ((now - at) / SPAN) / whole) for cell, (total, at) in
-                 self._sums.items())
+        found = (
+            (cell, total * 0.5 ** ((now - at) / SPAN) / whole) for cell, (total, at) in self._sums.items()
+        )
         return tuple((cell, rate) for cell, rate in found if rate >= LEAST)
--- a/stalltiller/recovery/memory.py
+++ b/stalltiller/recovery/memory.py
@@ -16,8 +16,10 @@
 def remember(scheduler: Scheduler, now: float, wall: float) -> tuple[tuple[Pace, ...], tuple[Level, ...]]:
     """Paces of targets and levels of limited volumes at `now` on the scheduler's clock; `wall` is the Unix
     time of its zero."""
-    paces = tuple(Pace(str(name), _unix(node, wall), node.latency, node.window, wall + node.sent_at)
-                  for name, node in scheduler.nodes.items())
+    paces = tuple(
+        Pace(str(name), _unix(node, wall), node.latency, node.window, wall + node.sent_at)
+        for name, node in scheduler.nodes.items()
+    )
     levels = []
     for name, volume in scheduler.volumes.items():
         if volume.plan.limit > 0:
--- a/stalltiller/recovery/ramp.py
+++ b/stalltiller/recovery/ramp.py
@@ -46,8 +46,15 @@
     with at others.  `usual` is the size of a usual request in units, `advice` the longest advice in seconds.
     """
 
-    def __init__(self, now: float, rates: Mapping[Cell, float], blind: float, usual: float, advice: float,
-                 draw: random.Random) -> None:
+    def __init__(
+        self,
+        now: float,
+        rates: Mapping[Cell, float],
+        blind: float,
+        usual: float,
+        advice: float,
+        draw: random.Random,
+    ) -> None:
         self._began, self._rates, self._blind = now, dict(rates), blind
         self._usual, self._advice, self._draw = usual, advice, draw
         self._buckets: dict[Cell, _Bucket] = {}
@@ -74,9 +81,11 @@
     def _earned(self, cell: Cell, begin: float, end: float) -> float:
         """Units that the rate earns between two times."""
         base, double = self._base(cell)
-        grown = [2.0 ** (min(age, LONGEST) / double) * double / math.log(2)
-                 + max(0.0, age - LONGEST) * 2.0 ** (LONGEST / double)
-                 for age in (max(0.0, at - self._began) for at in (begin, end))]
+        grown = [
+            2.0 ** (min(age, LONGEST) / double) * double / math.log(2)
+            + max(0.0, age - LONGEST) * 2.0 ** (LONGEST / double)
+            for age in (max(0.0, at - self._began) for at in (begin, end))
+        ]
         return base * (grown[1] - grown[0])
 
     def learn(self, rates: Mapping[Cell, float]) -> None:
--- a/stalltiller/recovery/word.py
+++ b/stalltiller/recovery/word.py
@@ -60,13 +60,17 @@
 def _parts(word: Word) -> Iterable[tuple[str, object]]:
     """The lines of an answer, what matters most first."""
     for change in word.changes:
-        yield "changes", pb.Change(target=change.target, state=STATES.index(change.state),
-                                   since=change.since or 0.0)
+        yield (
+            "changes",
+            pb.Change(target=change.target, state=STATES.index(change.state), since=change.since or 0.0),
+        )
     for cell, units in word.calm.rates:
         yield "rates", pb.Rate(cell=0 if cell is None else cell + 1, units=units)
     for pace in word.paces:
-        yield "paces", pb.Pace(target=pace.target, since=pace.since or 0.0, latency=pace.latency,
-                               window=pace.window)
+        yield (
+            "paces",
+            pb.Pace(target=pace.target, since=pace.since or 0.0, latency=pace.latency, window=pace.window),
+        )
 
 
 def encode(said: Ask | Word) -> list[bytes]:
@@ -97,17 +101,25 @@
     names = [found.discovery, *(line.target for line in (*found.changes, *found.paces))]
     if max(map(len, names)) > MOST_NAME or any(change.state >= len(STATES) for change in found.changes):
         raise Malformed("text or state")
-    numbers = [found.share, *(n for pace in found.paces for n in (pace.since, pace.latency, pace.window)),
-               *(change.since for change in found.changes), *(rate.units for rate in found.rates)]
+    numbers = [
+        found.share,
+        *(n for pace in found.paces for n in (pace.since, pace.latency, pace.window)),
+        *(change.since for change in found.changes),
+        *(rate.units for rate in found.rates),
+    ]
     if not all(0.0 <= number < 1e12 for number in numbers):  # NaN neither
         raise Malformed("number")
     if found.asks:
         return Ask(found.discovery, found.index)
-    return Word(found.discovery, found.index, found.asked, found.follows,
-                tuple(Change(c.target, STATES[c.state], c.since or None) for c in found.changes),
-                tuple(Pace(p.target, p.since or None, p.latency, p.window, 0.0) for p in found.paces),
-                Calm(found.share or None, tuple((r.cell - 1 if r.cell else None, r.units)
-                                                for r in found.rates)))
+    return Word(
+        found.discovery,
+        found.index,
+        found.asked,
+        found.follows,
+        tuple(Change(c.target, STATES[c.state], c.since or None) for c in found.changes),
+        tuple(Pace(p.target, p.since or None, p.latency, p.window, 0.0) for p in found.paces),
+        Calm(found.share or None, tuple((r.cell - 1 if r.cell else None, r.units) for r in found.rates)),
+    )
 
 
 # --- What is heeded -----------------------------------------------------------------------------------
@@ -128,8 +140,9 @@
             old = self._heeded.get(change.target)
             if change.target not in listed or (old is not None and old[0] >= word.index):
                 continue
-            careful = (change.state is not api.NodeState.READY
-                       or (change.since or 0.0) > (listed[change.target] or 0.0))
+            careful = change.state is not api.NodeState.READY or (change.since or 0.0) > (
+                listed[change.target] or 0.0
+            )
             if careful and (old is None or old[1] != change):
                 news = True
             if careful:
@@ -149,11 +162,15 @@
     @property
     def withheld(self) -> frozenset[str]:
         """Targets that get nothing new."""
-        return frozenset(name for name, (_, change) in self._heeded.items()
-                         if change.state is not api.NodeState.READY)
+        return frozenset(
+            name for name, (_, change) in self._heeded.items() if change.state is not api.NodeState.READY
+        )
 
     @property
     def starts(self) -> dict[str, float]:
         """Targets that have started anew, and when (Unix time)."""
-        return {name: change.since for name, (_, change) in self._heeded.items()
-                if change.state is api.NodeState.READY and change.since is not None}
+        return {
+            name: change.since
+            for name, (_, change) in self._heeded.items()
+            if change.state is api.NodeState.READY and change.since is not None
+        }
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -36,8 +36,14 @@
 class Engine:
     """One initiator's requests, from the fronts to the targets and back."""
 
-    def __init__(self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop,
-                 log: Logger, trace: Logger | None = None) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        loop: asyncio.AbstractEventLoop,
+        log: Logger,
+        trace: Logger | None = None,
+    ) -> None:
         self.settings = settings
         self._trace = trace  # one line for each step of each request, where asked for
         self.counts: Counter[str] = Counter()
@@ -100,13 +106,22 @@
         lag = self._turn_took if now - self._turn_ended < self._turn_took else 0.0
         deadline = now - min(lag, MAX_LAG) + incoming.timeout
         number = next(self._ids)
-        self._entries[number] = Entry(incoming, deadline, self.settings.classes[incoming.cls],
-                                      self.settings.max_attempts)
+        self._entries[number] = Entry(
+            incoming, deadline, self.settings.classes[incoming.cls], self.settings.max_attempts
+        )
         self._open += 1
         self.counts["taken"] += 1
         if self._trace:
-            self._trace("taken", id=number, label=incoming.label, cls=incoming.cls, plan=incoming.plan,
-                        units=incoming.units, timeout=incoming.timeout, lag=round(min(lag, MAX_LAG), 4))
+            self._trace(
+                "taken",
+                id=number,
+                label=incoming.label,
+                cls=incoming.cls,
+                plan=incoming.plan,
+                units=incoming.units,
+                timeout=incoming.timeout,
+                lag=round(min(lag, MAX_LAG), 4),
+            )
         wait = 0.0 if self._door is None else self._door.admit(incoming)
         if self._over:
             wait = self.settings.max_advice or LEAST_TURN
@@ -116,9 +131,21 @@
         # Not before the scheduler has had its turn, however little time the client leaves.
         self.at(max(deadline - BACKSTOP_MARGIN, now + LEAST_TURN), self._backstop, number)
         left = max(0.0, deadline - ANSWER_MARGIN - now)
-        self._feed(api.Request(
-            number, incoming.cls, incoming.plan, incoming.volume, incoming.units, incoming.hosts,
-            incoming.key, incoming.shard, incoming.write, incoming.repeat, left))
+        self._feed(
+            api.Request(
+                number,
+                incoming.cls,
+                incoming.plan,
+                incoming.volume,
+                incoming.units,
+                incoming.hosts,
+                incoming.key,
+                incoming.shard,
+                incoming.write,
+                incoming.repeat,
+                left,
+            )
+        )
         return number
 
     def _turn_back(self, number: int, wait: float) -> None:
@@ -151,10 +178,27 @@
         over = entry.done
         self.counts[f"attempt_{ending.status.value}"] += 1
         if self._trace:
-            self._trace("attempt_ended", id=attempt.id, attempt=attempt.number, node=attempt.node,
-                        status=ending.status.value, ms=round(1000 * (self._loop.time() - attempt.sent_at), 1))
-        self._feed(api.Outcome(attempt.id, attempt.number, attempt.node, ending.status,
-                               self._loop.time() - attempt.sent_at, over, None, ending.others, ending.report))
+            self._trace(
+                "attempt_ended",
+                id=attempt.id,
+                attempt=attempt.number,
+                node=attempt.node,
+                status=ending.status.value,
+                ms=round(1000 * (self._loop.time() - attempt.sent_at), 1),
+            )
+        self._feed(
+            api.Outcome(
+                attempt.id,
+                attempt.number,
+                attempt.node,
+                ending.status,
+                self._loop.time() - attempt.sent_at,
+                over,
+                None,
+                ending.others,
+                ending.report,
+            )
+        )
         if over:
             self._drop(attempt.id)
 
@@ -333,13 +377,28 @@
             expires = entry.deadline - ANSWER_MARGIN
             if action.expires is not None:
                 expires = min(expires, action.expires + self._base)
-            attempt = Attempt(action.id, number, action.node, place.host, place.port, incoming.shard,
-                              incoming.payload, now, expires, stop)
+            attempt = Attempt(
+                action.id,
+                number,
+                action.node,
+                place.host,
+                place.port,
+                incoming.shard,
+                incoming.payload,
+                now,
+                expires,
+                stop,
+            )
             entry.out = attempt
             self.counts["attempts"] += 1
             if self._trace:
-                self._trace("attempt", id=action.id, attempt=number, node=action.node,
-                            waited_ms=round(1000 * (now - entry.deadline + incoming.timeout), 1))
+                self._trace(
+                    "attempt",
+                    id=action.id,
+                    attempt=number,
+                    node=action.node,
+                    waited_ms=round(1000 * (now - entry.deadline + incoming.timeout), 1),
+                )
             self.at(expires, self._expire, attempt)
             if entry.ran and stop is not None and stop < expires:
                 self.at(stop, self._withdraw, attempt)
@@ -395,8 +454,13 @@
         self._open -= 1
         self.counts[how] += 1
         if self._trace:
-            self._trace("answered", id=number, how=how, attempts=entry.attempts,
-                        left_ms=round(1000 * (entry.deadline - self._loop.time()), 1))
+            self._trace(
+                "answered",
+                id=number,
+                how=how,
+                attempts=entry.attempts,
+                left_ms=round(1000 * (entry.deadline - self._loop.time()), 1),
+            )
         if entry.out is not None:  # for its client it is over: what has not begun must not begin
             self._withdraw(entry.out)
         self._drop(number)
--- a/stalltiller/routing/entry.py
+++ b/stalltiller/routing/entry.py
@@ -25,5 +25,6 @@
     def refusable(self, out: bool) -> bool:
         """Whether trying again is harmless; `out`: whether an attempt that may have run is out."""
         harmless = self.cls.effect is Effect.SAFE or (
-            self.cls.effect is Effect.KEYED and self.cls.scope is Scope.ALL)  # known as a repeat everywhere
+            self.cls.effect is Effect.KEYED and self.cls.scope is Scope.ALL
+        )  # known as a repeat everywhere
         return harmless or not (self.ran or out)
--- a/stalltiller/trace.py
+++ b/stalltiller/trace.py
@@ -84,8 +84,10 @@
     spans = Counter((int((t.taken_at - start) // SPAN), t.how) for t in all_trails)
     hows = sorted({t.how for t in all_trails})
     rows = [f"{len(all_trails)} requests"]
-    rows += [f"{count:7d}  {how:8s} {' '.join(statuses) or '(no attempt)'}"
-             for (how, statuses), count in ends.most_common()]
+    rows += [
+        f"{count:7d}  {how:8s} {' '.join(statuses) or '(no attempt)'}"
+        for (how, statuses), count in ends.most_common()
+    ]
     rows.append("from s  " + " ".join(f"{how:>8s}" for how in hows))
     for span in sorted({span for span, _ in spans}):
         rows.append(f"{span * SPAN:6.0f}  " + " ".join(f"{spans[(span, how)]:8d}" for how in hows))
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -158,7 +158,8 @@
         if self.transport is not None:
             with contextlib.suppress(OSError):
                 self.transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
             self.transport.abort()
 
     def resume(self) -> None:
@@ -181,7 +182,7 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         if self._buffer is None:
             self._buffer = self._buffers.take()
-        return memoryview(self._buffer)[self._fill:]
+        return memoryview(self._buffer)[self._fill :]
 
     def buffer_updated(self, nbytes: int) -> None:
         self._fill += nbytes
@@ -209,7 +210,7 @@
             self._release()
             return
         while self._buffer is not None and self._fill > self._read_at and not self.closing:
-            used = self.received(memoryview(self._buffer)[self._read_at:self._fill])
+            used = self.received(memoryview(self._buffer)[self._read_at : self._fill])
             self._read_at += used
             if used == 0:
                 break
@@ -220,7 +221,7 @@
         elif self._fill == len(self._buffer):
             if self._read_at:
                 left = self._fill - self._read_at
-                self._buffer[:left] = self._buffer[self._read_at:self._fill]
+                self._buffer[:left] = self._buffer[self._read_at : self._fill]
                 self._read_at, self._fill = 0, left
             else:
                 self.overflow()
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -53,8 +53,13 @@
     ones whose first request is on its way, and those that write it slowly.
     """
 
-    def __init__(self, make: Callable[[Listener], asyncio.BufferedProtocol], most: int, usual: int,
-                 hello: float | None = None) -> None:
+    def __init__(
+        self,
+        make: Callable[[Listener], asyncio.BufferedProtocol],
+        most: int,
+        usual: int,
+        hello: float | None = None,
+    ) -> None:
         self._make, self._most, self._usual = make, most, usual
         self._away = min(TURNED_AWAY, most // AWAY_SHARE)
         self._hello = HELLO_LIMIT if hello is None else hello
@@ -95,8 +100,9 @@
             listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
         listening.setblocking(False)
         self._listening = listening
-        self._server = await loop.create_server(lambda: self._make(self), sock=listening,
-                                                 backlog=max(1, min(BATCH, self._most // BATCH_SHARE)))
+        self._server = await loop.create_server(
+            lambda: self._make(self), sock=listening, backlog=max(1, min(BATCH, self._most // BATCH_SHARE))
+        )
         listening.listen(BACKLOG)
         self._sweep_later()
 
@@ -171,7 +177,7 @@
                 break
             guest.overdue()
         over = len(self) - self._most
-        for guest, since in list(self._lingering.items())[:max(0, over)]:
+        for guest, since in list(self._lingering.items())[: max(0, over)]:
             if now - since >= SWEEP_EVERY:
                 guest.abort()  # it has had the time to read its last answer, and others wait for its place
         left = len(self._guests)
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -56,9 +56,16 @@
     A channel is used again before the first of the seconds in `rest` or past the second, if that can be had.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, connect: Callable[[str, int], Awaitable[Channel]],
-                 unreachable: Callable[[Any], None], connect_timeout: float, idle_limit: float,
-                 most: int, rest: tuple[float, float] = (0.0, 0.0)) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        connect: Callable[[str, int], Awaitable[Channel]],
+        unreachable: Callable[[Any], None],
+        connect_timeout: float,
+        idle_limit: float,
+        most: int,
+        rest: tuple[float, float] = (0.0, 0.0),
+    ) -> None:
         self._loop, self._connect, self._unreachable = loop, connect, unreachable
         self._connect_timeout, self._idle_limit = connect_timeout, idle_limit
         self._most, self._rest = most, rest
--- a/stalltiller/transport/watch.py
+++ b/stalltiller/transport/watch.py
@@ -46,8 +46,9 @@
     def asking(cls, age_limit: float) -> Pace:
         """The pace where discovery has to be asked and a list may be `age_limit` seconds old."""
         told = min(age_limit, TOLD_AFTER)
-        return cls(ASKED_WAIT * told, ASKED_ANSWER * told, *(share * told for share in ASKED_PAUSES),
-                   jitter=1.0)
+        return cls(
+            ASKED_WAIT * told, ASKED_ANSWER * told, *(share * told for share in ASKED_PAUSES), jitter=1.0
+        )
 
     def timeout(self, waits: bool) -> float:
         """For a call that may wait for news, or may not, and its answer."""
@@ -122,8 +123,14 @@
 class Watch:
     """Calls discovery for ever; a failed call is told to `failed` and made again after a bounded pause."""
 
-    def __init__(self, address: tuple[str, int], buffers: BufferPool, codec: Codec, pace: Pacing,
-                 failed: Callable[[Exception], None]) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        buffers: BufferPool,
+        codec: Codec,
+        pace: Pacing,
+        failed: Callable[[Exception], None],
+    ) -> None:
         self._address, self._buffers, self._codec = address, buffers, codec
         self._pace, self._failed = pace, failed
 
--- a/stalltiller/wire.py
+++ b/stalltiller/wire.py
@@ -30,8 +30,16 @@
     TIMER: struct.Struct("<IQ"),
     OUTCOME: struct.Struct("<IQBIHHQBHH"),
 }
-STATUSES = (api.Status.OK, api.Status.ERROR, api.Status.FULL, api.Status.TIMEOUT,
-            api.Status.CONNECT_FAILED, api.Status.RESET, api.Status.CANCELLED, api.Status.MOOT)
+STATUSES = (
+    api.Status.OK,
+    api.Status.ERROR,
+    api.Status.FULL,
+    api.Status.TIMEOUT,
+    api.Status.CONNECT_FAILED,
+    api.Status.RESET,
+    api.Status.CANCELLED,
+    api.Status.MOOT,
+)
 STATES = (api.NodeState.GONE, api.NodeState.DRAINING, api.NodeState.READY)
 LIST_KINDS = (api.ListKind.DELTA, api.ListKind.FULL, api.ListKind.CACHED, api.ListKind.FAILED)
 EFFECTS = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
@@ -117,7 +125,7 @@
         at += size.size
         if at + length > len(body):
             raise WireError("batch body ends inside a record")
-        return body[at:at + length], at + length
+        return body[at : at + length], at + length
 
     @staticmethod
     def _floats(body: bytes, at: int) -> tuple[tuple[float, ...], int]:
@@ -138,12 +146,32 @@
         try:
             if code == REQUEST:
                 shard = None if v[9] < 0 else int(v[9])
-                return api.Request(v[1], v[6], v[8], v[7], v[2], max(1, int(v[3])), v[5], shard,
-                                   bool(v[4] & WRITE_BIT), bool(v[4] & REPEAT_BIT), v[10] / NS)
+                return api.Request(
+                    v[1],
+                    v[6],
+                    v[8],
+                    v[7],
+                    v[2],
+                    max(1, int(v[3])),
+                    v[5],
+                    shard,
+                    bool(v[4] & WRITE_BIT),
+                    bool(v[4] & REPEAT_BIT),
+                    v[10] / NS,
+                )
             if code == OUTCOME:
                 use = (v[8] - 1) / 100 if v[8] else None
-                return api.Outcome(v[1], v[2], node_id(v[3], v[4]), STATUSES[v[5]], v[6] / NS,
-                                   bool(v[7]), use, float(v[9]), v[10])
+                return api.Outcome(
+                    v[1],
+                    v[2],
+                    node_id(v[3], v[4]),
+                    STATUSES[v[5]],
+                    v[6] / NS,
+                    bool(v[7]),
+                    use,
+                    float(v[9]),
+                    v[10],
+                )
             if code == TIMER:
                 return api.TimerFired(v[1])
             if code == FIRST:
@@ -170,10 +198,21 @@
 def node_list(kind: api.ListKind, rows: tuple[tuple, ...], base: int) -> api.NodeList:
     """Give a raw node list the clock of the instance that hears of it."""
     try:
-        return api.NodeList(kind, tuple(
-            api.NodeEntry(node_id(a, p), zone, hw, cell, STATES[state], weight,
-                          (started - base) / NS if started else None)
-            for a, p, zone, hw, cell, state, weight, started in rows))
+        return api.NodeList(
+            kind,
+            tuple(
+                api.NodeEntry(
+                    node_id(a, p),
+                    zone,
+                    hw,
+                    cell,
+                    STATES[state],
+                    weight,
+                    (started - base) / NS if started else None,
+                )
+                for a, p, zone, hw, cell, state, weight, started in rows
+            ),
+        )
     except IndexError as error:
         raise WireError("a node state out of range") from error
 
@@ -277,32 +316,71 @@
     writes = [w == "true" for w in words] if len(words) == o.amount("classes.count") else []
     classes = tuple(
         api.RequestClass(
-            c.text("name") or "", c.span("aim"), c.span("give-up"), c.amount("worth"),
-            c.amount("late-share"), EFFECTS.get(c.text("effect") or "", api.Effect.UNSAFE),
+            c.text("name") or "",
+            c.span("aim"),
+            c.span("give-up"),
+            c.amount("worth"),
+            c.amount("late-share"),
+            EFFECTS.get(c.text("effect") or "", api.Effect.UNSAFE),
             {"all": api.Scope.ALL, "zone": api.Scope.ZONE}.get(c.text("key-scope") or "", api.Scope.CELL),
-            c.span("key-ttl"), c.flag("streaming"), c.flag("by-arrival"),
-            writes[i] if writes else None)
-        for i, c in enumerate(o.items("classes")))
+            c.span("key-ttl"),
+            c.flag("streaming"),
+            c.flag("by-arrival"),
+            writes[i] if writes else None,
+        )
+        for i, c in enumerate(o.items("classes"))
+    )
     plans = tuple(
-        api.Plan(p.text("name") or "", p.amount("nominal"), p.amount("guaranteed"), p.amount("parts"),
-                 p.amount("price"), p.amount("cap"), p.amount("burst"), p.amount("slack"))
-        for p in o.items("contracts"))
+        api.Plan(
+            p.text("name") or "",
+            p.amount("nominal"),
+            p.amount("guaranteed"),
+            p.amount("parts"),
+            p.amount("price"),
+            p.amount("cap"),
+            p.amount("burst"),
+            p.amount("slack"),
+        )
+        for p in o.items("contracts")
+    )
     rules = api.Rules(
-        o.span("rules.answer-slack"), o.span("rules.drain-grace"), o.amount("rules.cold-share"),
-        o.span("rules.cold"), o.amount("rules.tip-multiple"), o.span("rules.tip-after"),
-        o.seconds("rules.ask-every"), o.seconds("rules.order-pause"), o.number("rules.budget-free"),
-        o.number("rules.extra-share"), o.seconds("rules.resend-span"))
+        o.span("rules.answer-slack"),
+        o.span("rules.drain-grace"),
+        o.amount("rules.cold-share"),
+        o.span("rules.cold"),
+        o.amount("rules.tip-multiple"),
+        o.span("rules.tip-after"),
+        o.seconds("rules.ask-every"),
+        o.seconds("rules.order-pause"),
+        o.number("rules.budget-free"),
+        o.number("rules.extra-share"),
+        o.seconds("rules.resend-span"),
+    )
     attempts = o.number("limits.attempts-cap")
     return api.Settings(
-        gateway=int(o.amount("position")), gateways=int(o.amount("balancers")) or 1,
-        zone=int(o.amount("zone")), tick=o.span("tick"), classes=classes, plans=plans, rules=rules,
-        mean_units=o.amount("family-info.usual-units"), largest_units=o.amount("family-info.largest"),
-        cold_units=o.amount("family-info.young-limit"), share_worth=o.amount("family-info.share-worth"),
-        spare_worth=o.amount("family-info.spare-worth"), meter_period=o.span("family-info.metering"),
-        others_told=o.flag("family-info.tells-elsewhere"), list_pushed=o.text("membership-mode") != "ask",
+        gateway=int(o.amount("position")),
+        gateways=int(o.amount("balancers")) or 1,
+        zone=int(o.amount("zone")),
+        tick=o.span("tick"),
+        classes=classes,
+        plans=plans,
+        rules=rules,
+        mean_units=o.amount("family-info.usual-units"),
+        largest_units=o.amount("family-info.largest"),
+        cold_units=o.amount("family-info.young-limit"),
+        share_worth=o.amount("family-info.share-worth"),
+        spare_worth=o.amount("family-info.spare-worth"),
+        meter_period=o.span("family-info.metering"),
+        others_told=o.flag("family-info.tells-elsewhere"),
+        list_pushed=o.text("membership-mode") != "ask",
         report_fields=tuple(o.words("feedback.fields")),
-        reports_in_answers=o.text("feedback.how") == "piggyback", may_probe=o.flag("limits.probes"),
-        may_message=o.flag("limits.peers"), may_cancel=o.flag("limits.cancel"),
-        may_copy=o.flag("limits.parallel-tries"), may_advise=o.flag("limits.retry-after"),
-        max_advice=o.span("limits.max-retry-after"), max_attempts=1 if attempts is None else int(attempts),
-        retries_marked=o.flag("clients.marks-retry"))
+        reports_in_answers=o.text("feedback.how") == "piggyback",
+        may_probe=o.flag("limits.probes"),
+        may_message=o.flag("limits.peers"),
+        may_cancel=o.flag("limits.cancel"),
+        may_copy=o.flag("limits.parallel-tries"),
+        may_advise=o.flag("limits.retry-after"),
+        max_advice=o.span("limits.max-retry-after"),
+        max_attempts=1 if attempts is None else int(attempts),
+        retries_marked=o.flag("clients.marks-retry"),
+    )
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -86,7 +86,8 @@
     def _refusal(self, number: int) -> None:
         cls = self.s.classes[self.seen[number].cls]
         harmless = cls.effect is api.Effect.SAFE or (
-            cls.effect is api.Effect.KEYED and cls.scope is api.Scope.ALL)
+            cls.effect is api.Effect.KEYED and cls.scope is api.Scope.ALL
+        )
         must(harmless or not self.maybe_ran(number), "2: refused though it may have run")
 
     def _send(self, now: float, send: api.Send) -> None:
@@ -97,8 +98,12 @@
             must(cls.effect is api.Effect.KEYED, "2: unsafe sent again")
             must(now <= before[0]["at"] + cls.keep, "2: keyed sent after its repeats are forgotten")
             here, first = self.entries[send.node], self.entries[before[0]["node"]]
-            must(cls.scope is api.Scope.ALL or (cls.scope is api.Scope.ZONE and here.zone == first.zone)
-                 or here.cell == first.cell, "2: keyed left its group")
+            must(
+                cls.scope is api.Scope.ALL
+                or (cls.scope is api.Scope.ZONE and here.zone == first.zone)
+                or here.cell == first.cell,
+                "2: keyed left its group",
+            )
         must(self.s.may_copy or all(a["status"] for a in self.attempts[send.id]), "2: two at once")
         if send.node in self.told:
             must(now <= self.told[send.node] + rules.drain_grace, "3: sent to a draining node")
@@ -107,7 +112,7 @@
             self.cold_sent[send.node].append((now, r.units))
             self._cold(now, send.node, now - started)
         if cls.in_order and r.key:
-            for earlier in self.lines[r.key][:self.lines[r.key].index(r.id)]:
+            for earlier in self.lines[r.key][: self.lines[r.key].index(r.id)]:
                 idle = all(a["status"] for a in self.attempts[earlier])
                 must(earlier not in self.open and idle, "5: out of order")
             must(now >= self.rest.get(r.key, now), "5: the key rests")
@@ -175,8 +180,17 @@
         elif isinstance(item, api.Outcome):
             is_open = item.id in self.checker.open
             over = not is_open or item.status is api.Status.OK
-            item = api.Outcome(item.id, item.attempt, item.node, item.status, item.took, over, item.use,
-                               item.others, item.report)
+            item = api.Outcome(
+                item.id,
+                item.attempt,
+                item.node,
+                item.status,
+                item.took,
+                over,
+                item.use,
+                item.others,
+                item.report,
+            )
             self.checker.on_outcome(now, item)
             if is_open and over:
                 self.checker.on_end(now, item.id)
@@ -193,13 +207,16 @@
             status, took = self.fates[(action.id * 7 + attempt) % len(self.fates)]
             if now + took > expiry:
                 status, took = api.Status.TIMEOUT, max(0.0, expiry - now)
-            self.push(now + took, api.Outcome(action.id, attempt, action.node, status, took, False, None,
-                                              1.0, ()))
+            self.push(
+                now + took, api.Outcome(action.id, attempt, action.node, status, took, False, None, 1.0, ())
+            )
         else:
             self.checker.on_action(now, action)
 
 
 def nodes(count: int, cold: int, now: float) -> api.NodeList:
     """Nodes in two zones; the last few have just started."""
-    return api.NodeList(api.ListKind.CACHED, tuple(
-        entry(i, zone=i % 2, cell=i, started=now if i >= count - cold else None) for i in range(count)))
+    return api.NodeList(
+        api.ListKind.CACHED,
+        tuple(entry(i, zone=i % 2, cell=i, started=now if i >= count - cold else None) for i in range(count)),
+    )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -39,8 +39,11 @@
 
 def missing(known: list[Known], nodes: list[str]) -> list[str]:
     """The tests listed that are not there; a test's name stands for all its cases."""
-    return [line.test for line in known
-            if not any(node == line.test or node.startswith(f"{line.test}[") for node in nodes)]
+    return [
+        line.test
+        for line in known
+        if not any(node == line.test or node.startswith(f"{line.test}[") for node in nodes)
+    ]
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
--- a/tests/fleet/proxy.py
+++ b/tests/fleet/proxy.py
@@ -44,8 +44,7 @@
             self.proxy.lost[self.proxy.names.get(source[1], "?"), self.name] += 1
             return
         for _ in range(1 + (self.proxy.draw.random() < fault.double)):
-            asyncio.get_running_loop().call_later(
-                fault.delay * self.proxy.draw.random(), self.forward, data)
+            asyncio.get_running_loop().call_later(fault.delay * self.proxy.draw.random(), self.forward, data)
 
     def forward(self, data: bytes) -> None:
         if not self.transport.is_closing():
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -65,14 +65,21 @@
         here, seeds = "127.0.0.1", ", ".join(f'"127.0.0.1:{port}"' for port in self.seeds)
         text = FILE if "folder" in changes else re.sub(r"^\[recovery\](.|\n)*?\n\n", "", FILE, flags=re.M)
         for old, new in [
-                (f'^listen = "{here}:7946".*',
-                 f'listen = "{here}:{self.own}"\nadvertise = "{here}:{self.gate}"'),
-                ("^seeds = .*", f"seeds = [{seeds}]"), ('^name = "n1"', f'name = "{self.name}"'),
-                *((rf"{here}:{old}\b", f"{here}:{new}") for old, new in (  # whole: 30005 begins with 3000
-                    (3000, self.listen), (9600, self.admin), (8500, discovery))),
-                ("^position = .*", f"position = {self.name[1:]}"),
-                ("^balancers = .*", f"balancers = {size}"),
-                *((f"^{key} = .*", f"{key} = {value}") for key, value in changes.items())]:
+            (f'^listen = "{here}:7946".*', f'listen = "{here}:{self.own}"\nadvertise = "{here}:{self.gate}"'),
+            ("^seeds = .*", f"seeds = [{seeds}]"),
+            ('^name = "n1"', f'name = "{self.name}"'),
+            *(
+                (rf"{here}:{old}\b", f"{here}:{new}")
+                for old, new in (  # whole: 30005 begins with 3000
+                    (3000, self.listen),
+                    (9600, self.admin),
+                    (8500, discovery),
+                )
+            ),
+            ("^position = .*", f"position = {self.name[1:]}"),
+            ("^balancers = .*", f"balancers = {size}"),
+            *((f"^{key} = .*", f"{key} = {value}") for key, value in changes.items()),
+        ]:
             text, found = re.subn(old, new, text, flags=re.M)
             assert found, old
         self.file.write_text(text)
@@ -83,15 +90,24 @@
         if self.name in voters:
             make(str(folder), self.name)
         text = self.file.read_text()
-        section = (f'[leases]\nvoters = {json.dumps(voters)}\nfolder = "{folder}"\n'
-                   f'ttl_s = {TTL}\nmost_log = 20\n\n')
+        section = (
+            f'[leases]\nvoters = {json.dumps(voters)}\nfolder = "{folder}"\n'
+            f"ttl_s = {TTL}\nmost_log = 20\n\n"
+        )
         self.file.write_text(text.replace("# The settings, with", section + "# The settings, with"))
 
     async def start(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "stalltiller", "serve", str(self.file), cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
-            env={**os.environ, "TMPDIR": str(self.folder)})
+            sys.executable,
+            "-m",
+            "stalltiller",
+            "serve",
+            str(self.file),
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env={**os.environ, "TMPDIR": str(self.folder)},
+        )
         self.reading = asyncio.create_task(self._read(self.process.stdout))
 
     async def _read(self, stream: asyncio.StreamReader) -> None:
@@ -139,15 +155,33 @@
         return {m["name"]: m["life"] for m in found or [] if m["state"] in ("alive", "suspect")}
 
 
-async def exchange(port: int, number: int, shard: int = 0, plan: str = "standard", hosts: int = 1,
-                   volume: int | None = None, data: int | None = None) -> http.Head:
+async def exchange(
+    port: int,
+    number: int,
+    shard: int = 0,
+    plan: str = "standard",
+    hosts: int = 1,
+    volume: int | None = None,
+    data: int | None = None,
+) -> http.Head:
     """The head of the answer to a read of some data at the member that serves there; of one of four volumes,
     if none is named."""
     volume = number % 4 if volume is None else volume
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(http.encode_request("GET", f"/order-read/{number if data is None else data:x}", {
-        "Host": "h", "X-Request-ID": f"id{number}", "Tier": plan, "X-Timeout": "1.2",
-        "IO-Info": f"volume={volume:x},units=1,shard={shard},hosts={hosts}"}, b""))
+    writer.write(
+        http.encode_request(
+            "GET",
+            f"/order-read/{number if data is None else data:x}",
+            {
+                "Host": "h",
+                "X-Request-ID": f"id{number}",
+                "Tier": plan,
+                "X-Timeout": "1.2",
+                "IO-Info": f"volume={volume:x},units=1,shard={shard},hosts={hosts}",
+            },
+            b"",
+        )
+    )
     try:
         return (await read_message(reader, response=True)).head
     finally:
@@ -188,7 +222,9 @@
         voters = int(changes.pop("voters", "0"))  # so many of them vote on leases
         self.voters = [f"m{n}" for n in range(voters)]
         self.lists = int(changes.pop("lists", "1"))
-        self.members = {f"m{n}": Process(f"m{n}", folder, seeds, ports[4 * n:4 * n + 4]) for n in range(size)}
+        self.members = {
+            f"m{n}": Process(f"m{n}", folder, seeds, ports[4 * n : 4 * n + 4]) for n in range(size)
+        }
         self.changes = changes
         self.proxy = Proxy(FLEET)
         self.discovery, self.targets = Discovery(), [HttpTarget("s-0", 0), HttpTarget("s-1", 1)]
@@ -231,6 +267,7 @@
 
     async def shares_whole(self) -> None:
         """Wait until all may lend: what an earlier life has lent is back."""
+
         async def all_whole() -> bool:
             found = await asyncio.gather(*(member.ask("/_fleet/status") for member in self.members.values()))
             return all(status and status["commons"]["whole"] for status in found)
@@ -243,17 +280,30 @@
         await target.open()
         self.targets.append(target)
         self.discovery.set(target, since_ms=since_ms)
-        await self.until(lambda: all(any(name in line.get("targets", {}) for line in member.said("list"))
-                                     for member in self.members.values()), f"{name} is listed")
+        await self.until(
+            lambda: all(
+                any(name in line.get("targets", {}) for line in member.said("list"))
+                for member in self.members.values()
+            ),
+            f"{name} is listed",
+        )
         return target
 
-    async def rush(self, askers: list[str], a_second: int, seconds: float,
-                   mode: str = "serve", delay: float = 0.0, usual: int = 20) -> tuple[int, HttpTarget]:
+    async def rush(
+        self,
+        askers: list[str],
+        a_second: int,
+        seconds: float,
+        mode: str = "serve",
+        delay: float = 0.0,
+        usual: int = 20,
+    ) -> tuple[int, HttpTarget]:
         """Have some members read from a target that has just started, one unit each, while all read from the
         others, so many times a second; how many were served there, and the target."""
         served, asked, others = 0, [], []
         cold = await self.add("s-9", 9, since_ms=int(time.time() * 1000))
         cold.mode, cold.delay = mode, delay
+
         async def elsewhere() -> None:
             for number in itertools.count():
                 member = list(self.members.values())[number % len(self.members)]
@@ -298,8 +348,10 @@
 
 def play(scene: Callable[[Rig], Awaitable[None]], size: int, folder: Path, **changes: str) -> None:
     """Run a scene with a fleet that is whole."""
+
     async def whole() -> None:
         async with Rig(size, folder, **changes) as rig:
             await rig.agreed()
             await scene(rig)
+
     asyncio.run(whole())
--- a/tests/fleet/test_coming_back.py
+++ b/tests/fleet/test_coming_back.py
@@ -19,6 +19,7 @@
 
 async def saved(rig: Rig) -> None:
     """Wait until all have the newest list on their disks."""
+
     def kept(name: str) -> bool:
         store = Store(str(rig[name].store))
         try:
@@ -27,6 +28,7 @@
             return listing is not None and listing.index == rig.discovery.index
         finally:
             store.close()
+
     await rig.until(lambda: all(rig[name].store.exists() and kept(name) for name in FOUR), "all have kept it")
 
 
@@ -55,6 +57,7 @@
 async def ready(rig: Rig, names: list[str], status: int = 200) -> None:
     async def all_say() -> bool:
         return [await rig[name].status("/_ready") for name in names] == [status] * len(names)
+
     await rig.until(all_say, f"/_ready says {status}")
 
 
@@ -70,6 +73,7 @@
         await restart(rig)
         assert good([await patient(rig[name].listen, 1) for name in FOUR])
         await rig.until(lambda: all(rig[name].said("recovery_loaded") for name in FOUR), "all say so")
+
     play(scene, 4, tmp_path, keep="true")
 
 
@@ -88,6 +92,7 @@
         await rig.discovery.open()
         await ready(rig, FOUR)
         assert good([await patient(rig[name].listen, 1) for name in FOUR])
+
     play(scene, 4, tmp_path, keep="true")
 
 
@@ -109,19 +114,23 @@
         assert sum("after=" not in call for call in rig.discovery.calls) == 2
         await rig.agreed()
         assert good([await patient(rig[name].listen, 1) for name in FOUR])
+
     play(scene, 4, tmp_path, keep="true")
 
 
 def test_what_a_peer_knows_to_drain_gets_nothing_from_those_that_come_back_with_an_older_list(tmp_path):
     """Three are killed; the fourth hears that s-1 leaves, then discovery falls silent.  On the lists that the
     three have kept s-1 is ready."""
+
     async def scene(rig):
         await saved(rig)
         back = FOUR[:3]
         await end(rig, back)
         rig.discovery.set(rig.targets[1], "leaving")
-        await rig.until(lambda: any(line["targets"].get("s-1") == "draining"
-                                    for line in rig["m3"].said("list")), "m3 hears of it")
+        await rig.until(
+            lambda: any(line["targets"].get("s-1") == "draining" for line in rig["m3"].said("list")),
+            "m3 hears of it",
+        )
         rig.discovery.close()
         sent = len(rig.targets[1].begun)
         await start(rig, back)
@@ -135,6 +144,7 @@
         await rig.discovery.open()
         await rig.until(lambda: all(rig[name].said("list") for name in back), "they hear of it")
         assert good([await patient(rig[name].listen, 3, shard=1) for name in back])
+
     play(scene, 4, tmp_path, keep="true", ask_peers_s="3.0")
 
 
@@ -150,13 +160,16 @@
         assert good([await patient(rig[name].listen, 1) for name in FOUR])
         told = [await patient(rig[name].listen, 2, shard=1) for name in FOUR]
         assert all(each[-1] > 0 for each in told) and len(rig.targets[1].begun) == sent
+
     play(scene, 4, tmp_path, keep="true", save_every_s="300.0")
 
 
 @pytest.mark.parametrize(("age", "waits"), [(60.0, False), (700.0, True)])
 def test_a_list_of_another_time_is_served_from_once_confirmed_and_not_at_all_if_it_is_too_old(
-        tmp_path, age, waits):
+    tmp_path, age, waits
+):
     """While discovery is down nobody confirms it: one of 60 s is believed in the end, one of 700 s never."""
+
     async def scene(rig):
         await saved(rig)
         await end(rig, FOUR)
@@ -174,20 +187,24 @@
         await ready(rig, FOUR)
         assert good([await patient(rig[name].listen, 1) for name in FOUR])
         assert waits or all(rig[name].said("recovery_phase")[0]["after_s"] >= CONFIRM for name in FOUR)
+
     play(scene, 4, tmp_path, keep="true")
 
 
 def test_a_second_wave_of_kills_while_the_first_comes_back_brings_no_rush_on_discovery(tmp_path):
     """Six are killed together while discovery is down, three of them again in their return.  Discovery sees
     1.2 calls a second of six in the calm."""
+
     async def scene(rig):
         names, wave = list(rig.members), list(rig.members)[::2]
         await ready(rig, names)
         rig.discovery.close()
         await end(rig, names)
         await start(rig, names)
-        reads = [asyncio.create_task(patient(rig[name].listen, n, 20.0, shard=n % 2))
-                 for n, name in enumerate(names * 6)]
+        reads = [
+            asyncio.create_task(patient(rig[name].listen, n, 20.0, shard=n % 2))
+            for n, name in enumerate(names * 6)
+        ]
         await asyncio.sleep(0.5)
         await end(rig, wave)
         await start(rig, wave)
@@ -201,6 +218,7 @@
         assert sum(bool(rig[name].said("fault")) for name in names) == 0
         ran = [tag for target in rig.targets for tag, _ in target.ran]
         assert set(ran) >= set(range(36))
+
     play(scene, 6, tmp_path, keep="true")
 
 
@@ -208,19 +226,23 @@
     async def scene(rig):
         reads, number = [], 0
         for name in FOUR:
-            reads += [asyncio.create_task(patient(rig[each].listen, n, 12.0, shard=n % 2))
-                      for n, each in enumerate(FOUR * 4, number)]
+            reads += [
+                asyncio.create_task(patient(rig[each].listen, n, 12.0, shard=n % 2))
+                for n, each in enumerate(FOUR * 4, number)
+            ]
             number += 16
             await end(rig, [name], signal.SIGTERM)
             await start(rig, [name])
             assert rig[name].said("recovery_loaded")[0]["closed"]
         assert good(await asyncio.gather(*reads))
         assert not any(rig[name].said("recovery_door") or rig[name].said("fault") for name in FOUR)
+
     play(scene, 4, tmp_path, keep="true")
 
 
 def test_clients_that_come_at_the_time_they_were_told_are_served_first(tmp_path):
     """All are killed and one is asked by forty at once: whom it can't serve it tells when to return."""
+
     async def scene(rig):
         await saved(rig)
         await restart(rig)
@@ -229,11 +251,13 @@
         await rig.until(lambda: bool(rig["m0"].said("recovery_door")), "its door is open")
         counts = rig["m0"].said("recovery_door")[0]
         assert counts["returned"] >= 0.8 * counts["booked"] > 0
+
     play(scene, 4, tmp_path, keep="true")
 
 
 def test_restarts_in_a_row_give_a_limited_volume_no_unit_more(tmp_path):
     """One host of a `basic` volume (27 units a second, 44 at once) is told to end and started four times."""
+
     async def scene(rig):
         began, number, served = time.monotonic(), 0, 0
         for _ in range(4):
@@ -252,4 +276,5 @@
         ran = len(rig.targets[0].ran)
         assert served <= ran <= 27 * took + 44
         assert rig["m0"].said("recovery_recalled")[0]["levels"] == 1
+
     play(scene, 4, tmp_path, keep="true")
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -69,8 +69,15 @@
         return total
 
 
-events = st.lists(st.tuples(st.sampled_from(["need", "restart", "cut", "heal", "rest"]), st.integers(0, 4),
-                            st.sampled_from([0.0, 0.1, 0.5, 1.0]), st.integers(1, 40)), max_size=14)
+events = st.lists(
+    st.tuples(
+        st.sampled_from(["need", "restart", "cut", "heal", "rest"]),
+        st.integers(0, 4),
+        st.sampled_from([0.0, 0.1, 0.5, 1.0]),
+        st.integers(1, 40),
+    ),
+    max_size=14,
+)
 
 
 def most(script, seed: int, loss: float, double: float, late: float) -> float:
@@ -96,15 +103,25 @@
     assert most(script, seed, loss, double, late) <= 1 + 1e-9
 
 
-SCRIPT = [("rest", 0, 0.0, 80), *(("need", n, 0.0, 1) for n in range(1, 5)), ("need", 0, 1.0, 60),
-          ("restart", 1, 0.0, 40), ("restart", 2, 0.0, 40), ("need", 3, 1.0, 60), ("need", 0, 0.0, 60)]
-
-
-@pytest.mark.parametrize(("name", "broken"), [
-    ("lent", lambda s: setattr(s, "asked", lambda now, who, ask: Grant(ask.key, ask.number, 0.1))),
-    ("restart", lambda s: setattr(s, "_whole_from", 0.0) or setattr(s, "_rest_from", 0.0)),
-    ("no rest", lambda s: setattr(s, "span", 0.0)),
-])
+SCRIPT = [
+    ("rest", 0, 0.0, 80),
+    *(("need", n, 0.0, 1) for n in range(1, 5)),
+    ("need", 0, 1.0, 60),
+    ("restart", 1, 0.0, 40),
+    ("restart", 2, 0.0, 40),
+    ("need", 3, 1.0, 60),
+    ("need", 0, 0.0, 60),
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "broken"),
+    [
+        ("lent", lambda s: setattr(s, "asked", lambda now, who, ask: Grant(ask.key, ask.number, 0.1))),
+        ("restart", lambda s: setattr(s, "_whole_from", 0.0) or setattr(s, "_rest_from", 0.0)),
+        ("no rest", lambda s: setattr(s, "span", 0.0)),
+    ],
+)
 def test_a_broken_rule_of_lending_would_be_seen(name, broken, monkeypatch):
     made = Shares.__init__
 
@@ -134,7 +151,14 @@
     member.set_need(KEY, 1.0)
     asks = member.asks(10.0, ["a", "b"])
     grant = Grant(KEY, asks[0][1].number, 0.1)
-    assert [member.granted(10.1, lender, g) for lender, g in [
-        ("a", grant), ("a", grant), ("b", Grant(KEY, grant.number ^ 1, 0.1)), ("b", Grant("other", 1, 0.1)),
-        ("b", Grant(KEY, grant.number, 9.0))]] == [True, False, False, False, False]
+    assert [
+        member.granted(10.1, lender, g)
+        for lender, g in [
+            ("a", grant),
+            ("a", grant),
+            ("b", Grant(KEY, grant.number ^ 1, 0.1)),
+            ("b", Grant("other", 1, 0.1)),
+            ("b", Grant(KEY, grant.number, 9.0)),
+        ]
+    ] == [True, False, False, False, False]
     assert [member.part(now, KEY) for now in (11.0, 11.2, 15.0)] == pytest.approx([0.25, 0.35, 0.25])
--- a/tests/fleet/test_swim.py
+++ b/tests/fleet/test_swim.py
@@ -40,13 +40,26 @@
 
 
 # --- Words ----------------------------------------------------------------------------------------------
-@pytest.mark.parametrize(("old", "new", "news"), [
-    ((5, 0, A), (5, 0, A), False), ((5, 0, A), (5, 0, S), True), ((5, 0, S), (5, 0, A), False),
-    ((5, 0, S), (5, 1, A), True), ((5, 1, A), (5, 0, D), False), ((5, 0, S), (5, 0, D), True),
-    ((5, 0, D), (5, 0, S), False), ((5, 0, D), (5, 1, A), True), ((5, 0, D), (5, 0, L), True),
-    ((5, 9, L), (6, 0, A), True), ((6, 0, A), (5, 9, D), False), ((6, 0, A), (5, 9, L), False),
-    (None, (5, 0, S), True), (None, (5, 0, D), False), (None, (5, 0, L), False),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "news"),
+    [
+        ((5, 0, A), (5, 0, A), False),
+        ((5, 0, A), (5, 0, S), True),
+        ((5, 0, S), (5, 0, A), False),
+        ((5, 0, S), (5, 1, A), True),
+        ((5, 1, A), (5, 0, D), False),
+        ((5, 0, S), (5, 0, D), True),
+        ((5, 0, D), (5, 0, S), False),
+        ((5, 0, D), (5, 1, A), True),
+        ((5, 0, D), (5, 0, L), True),
+        ((5, 9, L), (6, 0, A), True),
+        ((6, 0, A), (5, 9, D), False),
+        ((6, 0, A), (5, 9, L), False),
+        (None, (5, 0, S), True),
+        (None, (5, 0, D), False),
+        (None, (5, 0, L), False),
+    ],
+)
 def test_the_higher_word_holds_and_a_later_life_is_above_all_of_an_earlier_one(old, new, news):
     table = Table(member("me"), 8)
     for known in [(0, 0, A), old] if old else []:
@@ -55,7 +68,8 @@
 
 
 words = st.builds(
-    member, st.sampled_from("xyz"), st.integers(1, 3), st.integers(0, 2), st.sampled_from(State))
+    member, st.sampled_from("xyz"), st.integers(1, 3), st.integers(0, 2), st.sampled_from(State)
+)
 
 
 @given(st.lists(words, max_size=12), st.randoms())
@@ -97,8 +111,9 @@
     assert suspicion.end == pytest.approx(end, abs=0.01)
 
 
-@pytest.mark.parametrize(("changes", "score"), [
-    ([1, 1, -1], 1), ([-1], 0), ([99], MOST), ([99, -1], MOST - 1)])
+@pytest.mark.parametrize(
+    ("changes", "score"), [([1, 1, -1], 1), ([-1], 0), ([99], MOST), ([99, -1], MOST - 1)]
+)
 def test_the_health_score_stays_within_its_bounds(changes, score):
     health = Health()
     for change in changes:
@@ -111,12 +126,17 @@
     return Swim(Settings(**changes), member("me"), random.Random(1), 0.0)
 
 
-@pytest.mark.parametrize(("word", "start", "incarnation", "events"), [
-    (member("me", 5, 0, S), 5, 1, ["refuted"]), (member("me", 5, 3, D), 5, 4, ["refuted"]),
-    (member("me", 5, 3, A), 5, 0, []), (member("me", 4, 9, D), 5, 0, []),
-    (member("me", 9, 2, D), 10, 0, []),  # an earlier life with a clock ahead of this one's
-    (Member("me", ("10.0.0.2", 1), "a", 9), 5, 0, ["conflict"]),  # another process of the same name
-])
+@pytest.mark.parametrize(
+    ("word", "start", "incarnation", "events"),
+    [
+        (member("me", 5, 0, S), 5, 1, ["refuted"]),
+        (member("me", 5, 3, D), 5, 4, ["refuted"]),
+        (member("me", 5, 3, A), 5, 0, []),
+        (member("me", 4, 9, D), 5, 0, []),
+        (member("me", 9, 2, D), 10, 0, []),  # an earlier life with a clock ahead of this one's
+        (Member("me", ("10.0.0.2", 1), "a", 9), 5, 0, ["conflict"]),  # another process of the same name
+    ],
+)
 def test_a_member_refutes_what_is_wrong_of_itself(word, start, incarnation, events):
     swim = one()
     actions = swim.packet(0.0, Packet(Kind.GOSSIP, member("x"), news=(word,)))
@@ -148,8 +168,16 @@
 
 
 # --- The wire -----------------------------------------------------------------------------------------
-PACKET = Packet(Kind.REQUEST, member("x", load=3, position=4), 7, "y", ("10.0.0.9", 80),
-                (member("z", 2, 1, D, by="w"),), (Ask("s-1", 8, 0.25, 6), Grant("s-1", 8, 0.5)), b"letter")
+PACKET = Packet(
+    Kind.REQUEST,
+    member("x", load=3, position=4),
+    7,
+    "y",
+    ("10.0.0.9", 80),
+    (member("z", 2, 1, D, by="w"),),
+    (Ask("s-1", 8, 0.25, 6), Grant("s-1", 8, 0.5)),
+    b"letter",
+)
 
 
 def test_messages_come_back_as_they_were():
@@ -158,17 +186,29 @@
     assert codec.decode_exchange("f", codec.encode_exchange("f", exchange)) == exchange
 
 
-@pytest.mark.parametrize(("data", "why"), [
-    (b"\xff\xff\xff", "malformed"), (b"", "foreign"), (codec.encode_packet("g", PACKET), "foreign"),
-    (codec.encode_packet("f", PACKET) + b"\0" * 1400, "oversized"),
-    (codec.encode_packet("f", Packet(Kind.PING, member("n" * 49))), "name"),
-    (codec.encode_packet("f", Packet(Kind.PING, Member("x", ("h", 0)))), "member"),
-    (codec.encode_packet("f", Packet(Kind.PING, member(), target="t" * 49)), "target"),
-    (codec.encode_packet("f", Packet(9, member())), "kind"),
-    *((codec.encode_packet("f", Packet(Kind.COMMONS, member(), parts=(part,))), "part") for part in (
-        Ask("", 1, 0.5), Ask("k" * 65, 1, 0.5), Ask("k", 1, 1.5), Grant("k", 1, -0.1),
-        Grant("k", 1, float("nan")))),
-])
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"\xff\xff\xff", "malformed"),
+        (b"", "foreign"),
+        (codec.encode_packet("g", PACKET), "foreign"),
+        (codec.encode_packet("f", PACKET) + b"\0" * 1400, "oversized"),
+        (codec.encode_packet("f", Packet(Kind.PING, member("n" * 49))), "name"),
+        (codec.encode_packet("f", Packet(Kind.PING, Member("x", ("h", 0)))), "member"),
+        (codec.encode_packet("f", Packet(Kind.PING, member(), target="t" * 49)), "target"),
+        (codec.encode_packet("f", Packet(9, member())), "kind"),
+        *(
+            (codec.encode_packet("f", Packet(Kind.COMMONS, member(), parts=(part,))), "part")
+            for part in (
+                Ask("", 1, 0.5),
+                Ask("k" * 65, 1, 0.5),
+                Ask("k", 1, 1.5),
+                Grant("k", 1, -0.1),
+                Grant("k", 1, float("nan")),
+            )
+        ),
+    ],
+)
 def test_what_is_no_message_of_this_fleet_is_named(data, why):
     with pytest.raises(codec.Malformed, match=why):
         codec.decode_packet("f", data)
@@ -191,8 +231,18 @@
 
 def test_the_generated_code_is_current(tmp_path):
     pytest.importorskip("grpc_tools")
-    subprocess.run([sys.executable, "-m", "grpc_tools.protoc", "-I.", f"--python_out={tmp_path}",
-                    "stalltiller/fleet/fleet.proto"], cwd=ROOT, check=True)
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "grpc_tools.protoc",
+            "-I.",
+            f"--python_out={tmp_path}",
+            "stalltiller/fleet/fleet.proto",
+        ],
+        cwd=ROOT,
+        check=True,
+    )
     made = "stalltiller/fleet/fleet_pb2.py"
     assert (tmp_path / made).read_bytes() == (ROOT / made).read_bytes()
 
@@ -201,9 +251,17 @@
 GOOD = {"name": "f", "listen": "127.0.0.1:7946", "seeds": ["127.0.0.1:7947"]}
 
 
-@pytest.mark.parametrize("change", [
-    {"listen": "nowhere"}, {"listen": "127.0.0.1:0"}, {"seeds": ["x"]}, {"probe_every_s": 0},
-    {"probe_timeout_s": 0.5}, {"probe_every_s": "soon"}])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"listen": "nowhere"},
+        {"listen": "127.0.0.1:0"},
+        {"seeds": ["x"]},
+        {"probe_every_s": 0},
+        {"probe_timeout_s": 0.5},
+        {"probe_every_s": "soon"},
+    ],
+)
 def test_a_bad_section_is_refused(change):
     assert fleet_config(GOOD, "a").advertise == ("127.0.0.1", 7946)
     with pytest.raises(ValueError):
@@ -220,8 +278,14 @@
     assert {notice[3] for notice in fleet.said("dead")} == {"m1"}
 
 
-faults = st.lists(st.tuples(st.sampled_from(["kill", "start", "stop", "go on", "cut", "one way", "heal"]),
-                            st.integers(0, 5), st.floats(0.1, 6.0)), max_size=8)
+faults = st.lists(
+    st.tuples(
+        st.sampled_from(["kill", "start", "stop", "go on", "cut", "one way", "heal"]),
+        st.integers(0, 5),
+        st.floats(0.1, 6.0),
+    ),
+    max_size=8,
+)
 
 
 @settings(max_examples=30, deadline=None, derandomize=True)
--- a/tests/fleet/virtual.py
+++ b/tests/fleet/virtual.py
@@ -17,8 +17,15 @@
 class Fleet:
     """`cut(a, b)` tells whether what `a` sends to `b` is lost."""
 
-    def __init__(self, size: int, seed: int, loss: float = 0.0, double: float = 0.0, delay: float = 0.002,
-                 settings: Settings | None = None) -> None:
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        loss: float = 0.0,
+        double: float = 0.0,
+        delay: float = 0.002,
+        settings: Settings | None = None,
+    ) -> None:
         self.draw, self.loss, self.double, self.delay = random.Random(seed), loss, double, delay
         self.settings = settings or Settings()
         self.now, self.count = 0.0, 0
@@ -38,8 +45,12 @@
 
     def start(self, name: str) -> None:
         """Begin a life of that name; it knows the first two members as seeds."""
-        settings = Settings(**{**{f: getattr(self.settings, f) for f in self.settings.__slots__},
-                               "seeds": (self.address("m0"), self.address("m1"))})
+        settings = Settings(
+            **{
+                **{f: getattr(self.settings, f) for f in self.settings.__slots__},
+                "seeds": (self.address("m0"), self.address("m1")),
+            }
+        )
         me = Member(name, self.address(name), "ab"[int(name[1:]) % 2], start=1 + int(self.now * 1000))
         self.members[name] = Swim(settings, me, random.Random(self.draw.getrandbits(64)), self.now)
         self.wake(name)
@@ -85,8 +96,10 @@
                 to = f"m{action.address[1] - 1000}"
                 for _ in range(1 + (self.draw.random() < self.double)):
                     if not self.cut(name, to) and self.draw.random() >= self.loss:
-                        self.at(self.now + self.delay * (0.5 + self.draw.random()),
-                                lambda to=to, data=data: self.deliver(to, data))
+                        self.at(
+                            self.now + self.delay * (0.5 + self.draw.random()),
+                            lambda to=to, data=data: self.deliver(to, data),
+                        )
             elif isinstance(action, Sync):
                 to = f"m{action.address[1] - 1000}"
                 if not self.cut(name, to) and not self.cut(to, name):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,8 +9,9 @@
 
 
 def request_class(**changes: object) -> api.RequestClass:
-    base = api.RequestClass("read", 1.0, 3.0, 1.0, 0.1, api.Effect.SAFE, api.Scope.ALL, 2.0, False, False,
-                            False)
+    base = api.RequestClass(
+        "read", 1.0, 3.0, 1.0, 0.1, api.Effect.SAFE, api.Scope.ALL, 2.0, False, False, False
+    )
     return replace(base, **changes)
 
 
@@ -25,11 +26,32 @@
 
 def settings(**changes: object) -> api.Settings:
     base = api.Settings(
-        gateway=0, gateways=2, zone=0, tick=0.001, classes=(request_class(),), plans=(plan(),),
-        rules=rules(), mean_units=2.0, largest_units=8.0, cold_units=40.0, share_worth=0.5,
-        spare_worth=0.1, meter_period=0.0, others_told=False, list_pushed=True, report_fields=(),
-        reports_in_answers=False, may_probe=False, may_message=False, may_cancel=True, may_copy=False,
-        may_advise=True, max_advice=1.5, max_attempts=3, retries_marked=False)
+        gateway=0,
+        gateways=2,
+        zone=0,
+        tick=0.001,
+        classes=(request_class(),),
+        plans=(plan(),),
+        rules=rules(),
+        mean_units=2.0,
+        largest_units=8.0,
+        cold_units=40.0,
+        share_worth=0.5,
+        spare_worth=0.1,
+        meter_period=0.0,
+        others_told=False,
+        list_pushed=True,
+        report_fields=(),
+        reports_in_answers=False,
+        may_probe=False,
+        may_message=False,
+        may_cancel=True,
+        may_copy=False,
+        may_advise=True,
+        max_advice=1.5,
+        max_attempts=3,
+        retries_marked=False,
+    )
     return replace(base, **changes)
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -20,8 +20,10 @@
 SUBSYSTEM = "nqn.2026-12.example:canteen"
 DEADLINE = 0.6
 MAX_ADVICE = 0.5
-CLASSES = (request_class(name="read", aim=0.4, deadline=DEADLINE),
-           request_class(name="write", aim=0.4, deadline=DEADLINE, effect=api.Effect.UNSAFE, writes=True))
+CLASSES = (
+    request_class(name="read", aim=0.4, deadline=DEADLINE),
+    request_class(name="write", aim=0.4, deadline=DEADLINE, effect=api.Effect.UNSAFE, writes=True),
+)
 
 
 @dataclass
@@ -73,7 +75,7 @@
         if not got:
             raise EOFError
         kept += got
-        kept = kept[reader.feed(memoryview(kept)):]
+        kept = kept[reader.feed(memoryview(kept)) :]
     return reader
 
 
@@ -90,8 +92,15 @@
 
     def set(self, target: Target, status: str = "active", since_ms: int = 0) -> None:
         self.lines[target.name] = {
-            "name": target.name, "address": f"127.0.0.1:{target.port}", "zone": "a", "type": "m",
-            "group": target.shard, "status": status, "weight": 1.0, "since_ms": since_ms}
+            "name": target.name,
+            "address": f"127.0.0.1:{target.port}",
+            "zone": "a",
+            "type": "m",
+            "group": target.shard,
+            "status": status,
+            "weight": 1.0,
+            "since_ms": since_ms,
+        }
         self.index += 1
         self.changed.set()
         self.changed = asyncio.Event()
@@ -107,8 +116,13 @@
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(int(path.rpartition("=")[2]) / 1000):
                         await self.changed.wait()
-            body = self.spoil.pop() if self.spoil else json.dumps(
-                {"index": self.index, "snapshot": True, "endpoints": list(self.lines.values())}).encode()
+            body = (
+                self.spoil.pop()
+                if self.spoil
+                else json.dumps(
+                    {"index": self.index, "snapshot": True, "endpoints": list(self.lines.values())}
+                ).encode()
+            )
             writer.write(http.encode_response(200, body))
 
 
@@ -179,17 +193,28 @@
         began = time.monotonic()
         try:
             method, path = ("PUT", f"/write/{tag:x}") if write else ("GET", f"/read/{tag:x}")
-            writer.write(http.encode_request(method, path, {
-                "Host": "h", "X-Request-ID": f"id{next(self.numbers)}", "Tier": "plan",
-                "X-Timeout": str(DEADLINE),
-                "IO-Info": f"volume={VOLUME:x},units={units},shard={shard},hosts=1"}, data))
+            writer.write(
+                http.encode_request(
+                    method,
+                    path,
+                    {
+                        "Host": "h",
+                        "X-Request-ID": f"id{next(self.numbers)}",
+                        "Tier": "plan",
+                        "X-Timeout": str(DEADLINE),
+                        "IO-Info": f"volume={VOLUME:x},units={units},shard={shard},hosts=1",
+                    },
+                    data,
+                )
+            )
             answer = await read_message(reader, response=True)
         finally:
             writer.transport.abort()
         head = answer.head
         end = {200: "served", 429: "refused", 503: "refused"}.get(head.status, "failed")
-        return Result(end, bytes(answer.body), time.monotonic() - began,
-                      float(head.fields.get("retry-after", 0)))
+        return Result(
+            end, bytes(answer.body), time.monotonic() - began, float(head.fields.get("retry-after", 0))
+        )
 
     def close(self) -> None: ...
 
@@ -287,8 +312,11 @@
         size = len(data) if write else BLOCK * PER_UNIT * units
         inside = data if len(data) <= nvme.IN_CAPSULE else b""
         try:
-            io.writer.write(nvme.io_command(nvme.WRITE if write else nvme.READ, 9, shard + 1, tag,
-                                            size // BLOCK, size, inside))
+            io.writer.write(
+                nvme.io_command(
+                    nvme.WRITE if write else nvme.READ, 9, shard + 1, tag, size // BLOCK, size, inside
+                )
+            )
             got = b""
             while True:
                 found = await io.next()
@@ -296,7 +324,7 @@
                     break
                 if found.kind == nvme.R2T:
                     _, ttag, offset, length = nvme.parse_data(found)
-                    part = data[offset:offset + length]
+                    part = data[offset : offset + length]
                     io.writer.write(nvme.data_pdu(nvme.H2C_DATA, 9, ttag, offset, part))
                 else:
                     got += found.data
@@ -328,8 +356,14 @@
         make = HttpTarget if kind == "http" else NvmeTarget
         self.targets = [make("s-0", 0), make("s-1", 1)]
         self.logged: list[dict] = []
-        changes = {"classes": CLASSES, "plans": (plan(rate=500.0, reservation=500.0),), "max_attempts": 4,
-                   "max_advice": MAX_ADVICE, "rules": rules(drain_grace=0.5), **changes}
+        changes = {
+            "classes": CLASSES,
+            "plans": (plan(rate=500.0, reservation=500.0),),
+            "max_attempts": 4,
+            "max_advice": MAX_ADVICE,
+            "rules": rules(drain_grace=0.5),
+            **changes,
+        }
         self.settings = settings(**changes)
 
     def log(self, event: str, **details: object) -> None:
@@ -342,8 +376,21 @@
         opcodes = {nvme.READ: (0, DEADLINE), nvme.WRITE: (1, DEADLINE)}
         mapping = Mapping(SUBSYSTEM, spaces, opcodes) if self.kind == "nvme" else None
         agent = ("127.0.0.1", self.discovery.port)
-        return Config("n0", ("127.0.0.1", 0), agent, 1, 1024, 64 << 20, None, self.settings, ["a"], ["m"],
-                      0.25, 30.0, mapping)
+        return Config(
+            "n0",
+            ("127.0.0.1", 0),
+            agent,
+            1,
+            1024,
+            64 << 20,
+            None,
+            self.settings,
+            ["a"],
+            ["m"],
+            0.25,
+            30.0,
+            mapping,
+        )
 
     async def __aenter__(self) -> World:
         for target in self.targets:
