--- a/tests/test_cold_fleets.py
+++ b/tests/test_cold_fleets.py
@@ -37,13 +37,19 @@
 
     def __init__(self, case: Case, seed: int) -> None:
         self.case, self.draw = case, random.Random(seed)
-        self.nodes = tuple(entry(n, started=COLD_FROM if n == CELL else None)
-                           for n in range(1, case.cells + 1))
+        self.nodes = tuple(
+            entry(n, started=COLD_FROM if n == CELL else None) for n in range(1, case.cells + 1)
+        )
         self.made = [self.fresh(0.0) for _ in range(case.gateways)]
         self.free, self.number, self.ends, self.sent = COLD_FROM, 0, [], []
-        self.volumes = [(self.draw.sample(range(1, case.cells + 1), self.draw.randint(1, 4)),
-                         self.draw.sample(range(case.gateways), self.draw.randint(1, 3)),
-                         self.draw.choice([1, 1, 2, 3, 8])) for _ in range(6 * case.cells)]
+        self.volumes = [
+            (
+                self.draw.sample(range(1, case.cells + 1), self.draw.randint(1, 4)),
+                self.draw.sample(range(case.gateways), self.draw.randint(1, 3)),
+                self.draw.choice([1, 1, 2, 3, 8]),
+            )
+            for _ in range(6 * case.cells)
+        ]
         for cells, _, _ in self.volumes:
             if self.draw.random() < case.busier:
                 cells[0] = CELL
@@ -51,9 +57,13 @@
 
     def fresh(self, now: float) -> logic.Scheduler:
         """A process that has just come up with the list as it is."""
-        site = settings(gateways=self.case.gateways, cold_units=self.case.units, mean_units=MEAN,
-                        classes=(request_class(aim=0.2, deadline=1.2),),
-                        rules=rules(cold_time=COLD_TIME, cold_share=SHARE, tip_time=1.0, tip_multiple=2.0))
+        site = settings(
+            gateways=self.case.gateways,
+            cold_units=self.case.units,
+            mean_units=MEAN,
+            classes=(request_class(aim=0.2, deadline=1.2),),
+            rules=rules(cold_time=COLD_TIME, cold_share=SHARE, tip_time=1.0, tip_multiple=2.0),
+        )
         made = logic.Scheduler(site, self.draw.getrandbits(32), now)
         made.handle(now, [api.NodeList(api.ListKind.CACHED, self.nodes)])
         return made
@@ -62,8 +72,10 @@
         """When which process comes up anew."""
         everyone = range(self.case.gateways)
         if self.case.restarts == "together":  # seven in ten come back in the moment that the target starts
-            return sorted((COLD_FROM + self.draw.uniform(0.0, 0.3), index)
-                          for index in self.draw.sample(everyone, self.case.gateways * 7 // 10))
+            return sorted(
+                (COLD_FROM + self.draw.uniform(0.0, 0.3), index)
+                for index in self.draw.sample(everyone, self.case.gateways * 7 // 10)
+            )
         if self.case.restarts == "rolling":  # one after another, a tenth of them in each second
             return [(COLD_FROM - 2.0 + index * 10.0 / self.case.gateways, index) for index in everyone]
         return []
@@ -93,8 +105,17 @@
             cell, index = self.draw.choice(cells), self.draw.choice(hosts)
             if cell == CELL and now >= COLD_FROM:
                 self.number += 1
-                self.act(now, index, request(self.number, volume=place, units=float(self.number % 3 + 1),
-                                             hosts=len(hosts), left=1.2))
+                self.act(
+                    now,
+                    index,
+                    request(
+                        self.number,
+                        volume=place,
+                        units=float(self.number % 3 + 1),
+                        hosts=len(hosts),
+                        left=1.2,
+                    ),
+                )
             else:
                 self.made[index].crowd.note(now, cell, place, len(hosts))
         return self.worst()
@@ -107,19 +128,26 @@
             while span[0][0] <= at - 1.0:
                 total -= span.popleft()[1]
             allowed = self.case.units * self.share(at) / SHARE / MEAN
-            worst = max(worst, total / (allowed + 2 * allowed ** 0.5 + 2))
+            worst = max(worst, total / (allowed + 2 * allowed**0.5 + 2))
         return worst
 
 
 SIZES = {20: (30, (2.0, 8.0)), 30: (45, (2.0, 8.0)), 200: (200, (1.0, 3.0))}  # cells, and what a target bears
-FLEETS = [Case(gateways, cells, units, 1.0, 0.0, restarts) for gateways, (cells, bears) in SIZES.items()
-          for units in bears for restarts in ("none", "together", "rolling")]
+FLEETS = [
+    Case(gateways, cells, units, 1.0, 0.0, restarts)
+    for gateways, (cells, bears) in SIZES.items()
+    for units in bears
+    for restarts in ("none", "together", "rolling")
+]
 
 
 def worst_of(cases: list[Case], seeds: int) -> float:
     """Over so many seeds; a tenth of them where two hundred schedulers take their time."""
-    return max(Fleet(case, seed).run() for case in cases
-               for seed in range(seeds if case.gateways < 200 else seeds // 10))
+    return max(
+        Fleet(case, seed).run()
+        for case in cases
+        for seed in range(seeds if case.gateways < 200 else seeds // 10)
+    )
 
 
 @pytest.mark.parametrize("case", FLEETS, ids=lambda case: f"{case.gateways}-{case.units:g}-{case.restarts}")
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -50,7 +50,7 @@
         return end
 
     def arrive(self, data):
-        self.get_buffer(-1)[:len(data)] = data
+        self.get_buffer(-1)[: len(data)] = data
         self.buffer_updated(len(data))
 
 
@@ -88,15 +88,18 @@
 
 def test_an_attempt_given_up_has_ended_for_its_target_before_another_can_start():
     """Guards against a second copy: asyncio's abort alone leaves the socket open for a turn of the loop."""
+
     async def scene():
         ours, theirs = socket.socketpair()
         ours.setblocking(False)
         theirs.settimeout(1.0)
         _, lines = await asyncio.get_running_loop().create_connection(
-            lambda: TargetConnection(SimpleNamespace(buffers=BufferPool())), sock=ours)
+            lambda: TargetConnection(SimpleNamespace(buffers=BufferPool())), sock=ours
+        )
         lines.give_up()
         assert theirs.recv(1) == b""  # at once: the loop has not run since
         theirs.close()
+
     asyncio.run(scene())
 
 
@@ -107,14 +110,20 @@
 def test_a_client_that_does_not_read_its_answers_gets_no_further_requests_taken():
     """Guards against a pipeline of requests whose answers pile up in memory."""
     front = SimpleNamespace(  # answers every request at once as bad, which needs no engine
-        buffers=BufferPool(), loop=None, stopping=False, engine=SimpleNamespace(counts=Counter()),
-        fields=SimpleNamespace(parse=refuse_fields), unread=Allowance(99), bodies=Allowance(99))
+        buffers=BufferPool(),
+        loop=None,
+        stopping=False,
+        engine=SimpleNamespace(counts=Counter()),
+        fields=SimpleNamespace(parse=refuse_fields),
+        unread=Allowance(99),
+        bodies=Allowance(99),
+    )
     connection = ClientConnection(front, Listener(None, 9, 9))
     connection.connection_made(Transport())
     raw = b"GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n"
     connection.pause_writing()  # the kernel takes no more
     for _ in range(2):
-        connection.get_buffer(-1)[:len(raw)] = raw
+        connection.get_buffer(-1)[: len(raw)] = raw
         connection.buffer_updated(len(raw))
     assert connection.transport.written == b""
     connection.resume_writing()
@@ -139,4 +148,5 @@
             assert ours.closing is not stays
         ours.abort()
         await asyncio.sleep(0)
+
     asyncio.run(scene())
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -27,15 +27,18 @@
     return made
 
 
-@pytest.mark.parametrize(("asks", "least", "most"), [
-    ([], 0.0, 0.0),
-    ([(9, 1, 1)], 0.9, 1.1),  # seen at another cell only: a usual one is asked by one in two hundred
-    ([(1, 1, 1)], 1.2, 1.8),  # seen here: it may be busier than a usual one
-    ([(1, 1, 3)], 2.8, 3.8),  # and two more hosts of a volume that always asks
-    ([(1, v, 1) for v in range(20)], 8.0, 12.0),  # many volumes: a busy cell
-    ([(c, 1, 1) for c in range(1, 201)], 199.0, 199.0),  # all ask for all
-    ([(1, v, 3) for v in range(500)], 199.0, 199.0),  # never more than there are
-])
+@pytest.mark.parametrize(
+    ("asks", "least", "most"),
+    [
+        ([], 0.0, 0.0),
+        ([(9, 1, 1)], 0.9, 1.1),  # seen at another cell only: a usual one is asked by one in two hundred
+        ([(1, 1, 1)], 1.2, 1.8),  # seen here: it may be busier than a usual one
+        ([(1, 1, 3)], 2.8, 3.8),  # and two more hosts of a volume that always asks
+        ([(1, v, 1) for v in range(20)], 8.0, 12.0),  # many volumes: a busy cell
+        ([(c, 1, 1) for c in range(1, 201)], 199.0, 199.0),  # all ask for all
+        ([(1, v, 3) for v in range(500)], 199.0, 199.0),  # never more than there are
+    ],
+)
 def test_the_crowd_grows_with_volumes_and_hosts_seen_up_to_all_others(asks, least, most):
     assert least <= crowd(*asks).others(0.95, 1, GATEWAYS, CELLS, 1.0) <= most
 
@@ -56,15 +59,24 @@
     def __init__(self, seed: int, busier: float) -> None:
         self.draw = random.Random(seed)
         nodes = tuple(entry(n, started=COLD_FROM if n == 1 else None) for n in range(1, CELLS + 1))
-        site = settings(gateways=GATEWAYS, cold_units=UNITS, classes=(request_class(aim=0.2, deadline=1.2),),
-                        rules=rules(cold_time=WARM_AFTER, cold_share=SHARE, tip_time=1.0))
+        site = settings(
+            gateways=GATEWAYS,
+            cold_units=UNITS,
+            classes=(request_class(aim=0.2, deadline=1.2),),
+            rules=rules(cold_time=WARM_AFTER, cold_share=SHARE, tip_time=1.0),
+        )
         self.made = [logic.Scheduler(site, seed * 1000 + n, 0.0) for n in range(GATEWAYS)]
         for gateway in self.made:
             gateway.handle(0.0, [api.NodeList(api.ListKind.CACHED, nodes)])
         self.free, self.number, self.ends, self.sent, self.served = COLD_FROM, 0, [], [], 0
-        volumes = [(self.draw.sample(range(1, CELLS + 1), self.draw.randint(1, 4)),
-                    self.draw.sample(range(GATEWAYS), self.draw.randint(1, 3)),
-                    self.draw.choice([1, 1, 2, 3, 8])) for _ in range(6 * CELLS)]
+        volumes = [
+            (
+                self.draw.sample(range(1, CELLS + 1), self.draw.randint(1, 4)),
+                self.draw.sample(range(GATEWAYS), self.draw.randint(1, 3)),
+                self.draw.choice([1, 1, 2, 3, 8]),
+            )
+            for _ in range(6 * CELLS)
+        ]
         for cells, _, _ in volumes:
             if self.draw.random() < busier:
                 cells[0] = 1
@@ -102,8 +114,17 @@
             cell, index = self.draw.choice(cells), self.draw.choice(hosts)
             if cell == 1 and now >= COLD_FROM:
                 self.number += 1
-                self.act(now, index, request(self.number, volume=place, units=float(self.number % 3 + 1),
-                                             hosts=len(hosts), left=1.2))
+                self.act(
+                    now,
+                    index,
+                    request(
+                        self.number,
+                        volume=place,
+                        units=float(self.number % 3 + 1),
+                        hosts=len(hosts),
+                        left=1.2,
+                    ),
+                )
             else:
                 self.made[index].crowd.note(now, cell, place, len(hosts))
         worst, total, span = 0.0, 0.0, deque()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -33,6 +33,7 @@
 @pytest.mark.parametrize("sockets", [96, 160])
 def test_the_watch_the_dials_and_the_second_address_work_past_a_crowd_of_idle_clients(sockets, tmp_path):
     """Discovery is down as the crowd comes; when it returns the list is learned, and a request served."""
+
     async def scene():
         discovery, target = Discovery(), HttpTarget("s-0", 0)
         await discovery.open()
@@ -43,17 +44,29 @@
             free.bind(("127.0.0.1", 0))
             admin = free.getsockname()
         path = tmp_path / "config.json"
-        path.write_text(json.dumps({
-            **EXAMPLE, "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "known": None,
-            "admin": f"127.0.0.1:{admin[1]}", "limits": {**EXAMPLE["limits"], "sockets": sockets}}))
-        program = start(PROXY_CONFIG=str(path), preexec_fn=lambda: resource.setrlimit(
-            resource.RLIMIT_NOFILE, (sockets, sockets)))
+        path.write_text(
+            json.dumps(
+                {
+                    **EXAMPLE,
+                    "listen": "127.0.0.1:0",
+                    "discovery": f"127.0.0.1:{discovery.port}",
+                    "known": None,
+                    "admin": f"127.0.0.1:{admin[1]}",
+                    "limits": {**EXAMPLE["limits"], "sockets": sockets},
+                }
+            )
+        )
+        program = start(
+            PROXY_CONFIG=str(path),
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+        )
         lines: asyncio.Queue[dict] = asyncio.Queue()
         loop = asyncio.get_running_loop()
 
         def read() -> None:
             for line in program.stdout:
                 loop.call_soon_threadsafe(lines.put_nowait, json.loads(line))
+
         reading = loop.run_in_executor(None, read)
 
         async def said(event: str) -> dict:
@@ -62,6 +75,7 @@
                 assert line["event"] != "loop_error", line  # an accept that found no descriptor
                 if line["event"] == event:
                     return line
+
         host, _, port = (await said("started"))["listen"].partition(":")
         address = (host, int(port))
         pause = [0.0]  # at first they come again at once
@@ -78,9 +92,20 @@
             assert (await reader.read()).startswith(b"HTTP/1.1 200")
             writer.close()
             reader, writer = await asyncio.open_connection(*address)
-            writer.write(http.encode_request("GET", "/order-read/1", {
-                "Host": "h", "X-Request-ID": "id1", "Tier": EXAMPLE["settings"]["contracts"][1]["name"],
-                "X-Timeout": "1.2", "IO-Info": "volume=a1,units=1,shard=0,hosts=1"}, b""))
+            writer.write(
+                http.encode_request(
+                    "GET",
+                    "/order-read/1",
+                    {
+                        "Host": "h",
+                        "X-Request-ID": "id1",
+                        "Tier": EXAMPLE["settings"]["contracts"][1]["name"],
+                        "X-Timeout": "1.2",
+                        "IO-Info": "volume=a1,units=1,shard=0,hosts=1",
+                    },
+                    b"",
+                )
+            )
             answer = await read_message(reader, response=True)
             assert (answer.head.status, bytes(answer.body)) == (200, target.content(1, BLOCK))
             writer.close()
@@ -94,4 +119,5 @@
             target.close()
         _, err = program.communicate(timeout=20)
         assert (program.returncode, err) == (0, "")
+
     asyncio.run(asyncio.wait_for(scene(), 60))
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -59,13 +59,18 @@
 
 def play(scene, act=None, effect=api.Effect.UNSAFE):
     async def whole():
-        engine = Engine(settings(classes=(request_class(effect=effect),), rules=rules(drain_grace=0.3)), 1,
-                        asyncio.get_running_loop(), lambda event, **details: None)
+        engine = Engine(
+            settings(classes=(request_class(effect=effect),), rules=rules(drain_grace=0.3)),
+            1,
+            asyncio.get_running_loop(),
+            lambda event, **details: None,
+        )
         engine.carrier = Carrier()
         if act is not None:
             engine._scheduler = Script(act)
         engine.listed(ListKind.FULL, [Place(entry(1), "h", 1)])
         await scene(engine, engine.carrier)
+
     asyncio.run(whole())
 
 
@@ -78,8 +83,11 @@
 
 
 def again_after(status):
-    return lambda event: (SEND,) if isinstance(event, api.Request) or (
-        isinstance(event, api.Outcome) and event.status is status) else ()
+    return (
+        lambda event: (SEND,)
+        if isinstance(event, api.Request) or (isinstance(event, api.Outcome) and event.status is status)
+        else ()
+    )
 
 
 SEND = api.Send(1, 1, None)
@@ -90,14 +98,17 @@
         await asyncio.sleep(0)
 
 
-@pytest.mark.parametrize(("actions", "answers", "started"), [
-    ((api.Fail(1), api.Refuse(1, 0.0)), [("failed",)], 0),
-    ((api.Refuse(1, 99.0), api.Fail(1)), [("refused", 1.5)], 0),  # advice within the settings' maximum
-    ((api.Fail(1), SEND), [("failed",)], 0),
-    ((SEND, SEND), [], 1),  # a second attempt at once
-    ((SEND, api.Refuse(1, 0.0)), [("failed",)], 1),  # the attempt may be running
-    ((api.Send(1, 9, None),), [], 0),  # a target that was never listed
-])
+@pytest.mark.parametrize(
+    ("actions", "answers", "started"),
+    [
+        ((api.Fail(1), api.Refuse(1, 0.0)), [("failed",)], 0),
+        ((api.Refuse(1, 99.0), api.Fail(1)), [("refused", 1.5)], 0),  # advice within the settings' maximum
+        ((api.Fail(1), SEND), [("failed",)], 0),
+        ((SEND, SEND), [], 1),  # a second attempt at once
+        ((SEND, api.Refuse(1, 0.0)), [("failed",)], 1),  # the attempt may be running
+        ((api.Send(1, 9, None),), [], 0),  # a target that was never listed
+    ],
+)
 def test_a_decision_against_the_rules_is_a_fault_and_not_carried_out(actions, answers, started):
     async def scene(engine, carrier):
         reply = Reply()
@@ -105,6 +116,7 @@
         await turn()
         assert reply.answers == answers and len(carrier.started) == started
         assert engine.counts["faults"] == (0 if len(actions) == 1 and answers else 1)
+
     play(scene, on_request(*actions))
 
 
@@ -116,12 +128,14 @@
         await turn()
         assert len(carrier.started) == 1 and engine.counts["faults"] == 1
         assert engine._scheduler.events[-1].status is Status.MOOT
+
     play(scene, again_after(Status.RESET))
 
 
 @pytest.mark.parametrize(("scope", "end"), [(api.Scope.ALL, "refused"), (api.Scope.CELL, "failed")])
 def test_a_keyed_request_that_may_have_run_is_refused_only_where_every_target_knows_a_repeat(scope, end):
     """It was failed, and the decision taken for a fault, also where the settings allow the refusal."""
+
     async def scene(engine, carrier):
         engine.settings = settings(classes=(request_class(effect=api.Effect.KEYED, scope=scope),))
         reply = Reply()
@@ -131,8 +145,15 @@
         await asyncio.sleep(0.01)
         assert reply.answers[0][0] == end
         assert engine.counts["faults"] == (end == "failed")
-    play(scene, lambda event: (SEND,) if isinstance(event, api.Request) else (
-        api.Refuse(1, 0.0),) if isinstance(event, api.Outcome) else ())
+
+    play(
+        scene,
+        lambda event: (SEND,)
+        if isinstance(event, api.Request)
+        else (api.Refuse(1, 0.0),)
+        if isinstance(event, api.Outcome)
+        else (),
+    )
 
 
 def test_nothing_starts_at_a_target_past_its_drain_time():
@@ -146,11 +167,13 @@
         engine.ended(attempt, Ending(Status.FULL))
         await turn()
         assert len(carrier.started) == 1 and engine.counts["faults"] == 1
+
     play(scene, again_after(Status.FULL))
 
 
 def test_what_the_end_answers_is_over_for_the_scheduler_too():
     """Found on roll+mass: after the answers of a stop the scheduler sent one more, and a guard stepped in."""
+
     async def scene(engine, carrier):
         reply = Reply()
         number = engine.take(incoming(reply))
@@ -159,6 +182,7 @@
         await turn()
         assert reply.answers == [("refused", 1.5)] and engine.counts["faults"] == 0
         assert api.ClientGone(number) in engine._scheduler.events
+
     play(scene, lambda event: ())
 
 
@@ -174,21 +198,25 @@
         assert asyncio.get_running_loop().time() - began < 0.1
         assert reply.answers == [("failed",)] and engine.open == 0
         assert any(isinstance(event, api.ClientGone) for event in engine._scheduler.events)
+
     play(scene, lambda event: ())
 
 
 def test_a_request_with_hardly_any_time_left_is_refused_by_the_scheduler_not_the_backstop():
     """The backstop came due within the turn that took the request, and was logged as a fault."""
+
     async def scene(engine, carrier):
         reply = Reply()
         engine.take(incoming(reply, 0.001))
         await turn()
         assert reply.answers == [("refused", 1.5)] and engine.counts["faults"] == 0
+
     play(scene)
 
 
 def test_an_attempt_given_up_before_it_came_out_never_ran():
     """A connection that never came up in the attempt's time proves that nothing was sent."""
+
     async def scene(engine, carrier):
         carrier.ran = False
         reply = Reply()
@@ -210,6 +238,7 @@
         await turn()
         assert engine._scheduler.turns == before + 1
         assert [event.id for event in engine._scheduler.events[-5:]] == [1, 2, 3, 4, 5]
+
     play(scene, lambda event: ())
 
 
@@ -223,6 +252,7 @@
 
     def act(event):
         raise ValueError("broken")
+
     play(scene, act)
 
 
@@ -237,6 +267,7 @@
         engine.ended(carrier.started[0], Ending(Status.OK, "late"))
         await turn()
         assert reply.answers == [] and engine._entries == {} and engine._scheduler.held == {}
+
     play(scene)
 
 
@@ -253,14 +284,20 @@
     assert [type(action) for action in actions] == [api.Refuse]
 
 
-FAIL_AFTER = lambda event: (SEND,) if isinstance(event, api.Request) else (  # noqa: E731
-    (api.Fail(1),) if isinstance(event, api.Outcome) else ())
+def fail_after(event):
+    """Send a request once, and fail it when the attempt has ended."""
+    if isinstance(event, api.Request):
+        return (SEND,)
+    return (api.Fail(1),) if isinstance(event, api.Outcome) else ()
 
 
-@pytest.mark.parametrize(("status", "act", "steps"), [
-    (Status.OK, on_request(SEND), ["taken", "attempt", "answered", "attempt_ended"]),  # answered at once
-    (Status.ERROR, FAIL_AFTER, ["taken", "attempt", "attempt_ended", "answered"]),
-])
+@pytest.mark.parametrize(
+    ("status", "act", "steps"),
+    [
+        (Status.OK, on_request(SEND), ["taken", "attempt", "answered", "attempt_ended"]),  # answered at once
+        (Status.ERROR, fail_after, ["taken", "attempt", "attempt_ended", "answered"]),
+    ],
+)
 def test_a_trace_tells_each_step_of_a_request_under_its_clients_name(status, act, steps):
     lines = []
 
@@ -270,6 +307,7 @@
         await turn()
         engine.ended(carrier.started[0], Ending(status, "answer"))
         await turn()
+
     play(scene, act)
     assert [event for event, _ in lines] == steps and lines[0][1]["label"] == "9b1f03aa"
 
@@ -296,6 +334,7 @@
         await asyncio.sleep(0.05)
         assert reply.answers == ([] if leaves else [("refused", 0.2)])
         assert (engine.open, engine.counts["turned_back"], carrier.started) == (0, int(not leaves), [])
+
     play(scene)
 
 
@@ -307,4 +346,5 @@
         engine.take(incoming(reply))
         await asyncio.sleep(0.05)
         assert reply.answers == [("refused", 0.1)]
+
     play(scene, on_request(api.Refuse(1, 0.2)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,8 +15,10 @@
 
 def fleet(gateways: int, nodes: tuple[api.NodeEntry, ...], **changes: object) -> list[logic.Scheduler]:
     """That many gateways with seeds of their own, told of the same nodes."""
-    made = [logic.Scheduler(settings(gateway=n, gateways=gateways, **changes), 100 + n, 0.0)
-            for n in range(gateways)]
+    made = [
+        logic.Scheduler(settings(gateway=n, gateways=gateways, **changes), 100 + n, 0.0)
+        for n in range(gateways)
+    ]
     for scheduler in made:
         scheduler.handle(0.0, [api.NodeList(api.ListKind.CACHED, nodes)])
     return made
@@ -62,6 +64,7 @@
 def test_a_part_rounded_up_to_a_request_would_be_seen(monkeypatch):
     def broken(self, node, units):
         return not any(at > self.now - 2.0 for at, _ in node.cold)
+
     monkeypatch.setattr(logic.Scheduler, "_cold_room", broken)
     assert most_in_a_span(ask_of_cold_node(150, 4, 8.0)) > 60.0
 
@@ -115,8 +118,14 @@
                 events: list[api.Event] = [api.TimerFired(1)]
                 if self.draw.random() < (0.2 if index == lead else 0.001):
                     self.number += 1
-                    events.append(request(self.number, units=float(self.number % 4 + 1), hosts=HOSTS,
-                                          shard=1 + self.number % 4))
+                    events.append(
+                        request(
+                            self.number,
+                            units=float(self.number % 4 + 1),
+                            hosts=HOSTS,
+                            shard=1 + self.number % 4,
+                        )
+                    )
                 self.act(now, index, events)
 
     def lowest(self) -> float:
@@ -128,8 +137,9 @@
         return lowest
 
 
-@pytest.mark.parametrize(("loss", "double", "crash_every"), [(0.0, 0.0, 0), (0.3, 0.0, 0), (0.1, 0.5, 0),
-                                                             (0.1, 0.3, 150)])
+@pytest.mark.parametrize(
+    ("loss", "double", "crash_every"), [(0.0, 0.0, 0), (0.3, 0.0, 0), (0.1, 0.5, 0), (0.1, 0.3, 150)]
+)
 def test_leased_tokens_never_pass_the_limit(loss, double, crash_every):
     talk = Talk(3, loss, double, crash_every)
     talk.run(18.0)
@@ -163,10 +173,17 @@
     volume = gateway.volumes[1]
     grant = logic.MESSAGE.pack(logic.GRANT, 1, volume.ask, 64)
     level = volume.limit.level
-    for sender, data in [(3, b""), (3, b"x" * 300), (3, grant[:-1]), (99, grant), (0, grant), (-1, grant),
-                         (3, logic.MESSAGE.pack(9, 1, volume.ask, 64)),
-                         (3, logic.MESSAGE.pack(logic.GRANT, 77, volume.ask, 64)),
-                         (3, logic.MESSAGE.pack(logic.GRANT, 1, volume.ask ^ 1, 64))]:
+    for sender, data in [
+        (3, b""),
+        (3, b"x" * 300),
+        (3, grant[:-1]),
+        (99, grant),
+        (0, grant),
+        (-1, grant),
+        (3, logic.MESSAGE.pack(9, 1, volume.ask, 64)),
+        (3, logic.MESSAGE.pack(logic.GRANT, 77, volume.ask, 64)),
+        (3, logic.MESSAGE.pack(logic.GRANT, 1, volume.ask ^ 1, 64)),
+    ]:
         assert gateway.handle(0.1, [api.Message(sender, data)]) == []
         assert volume.limit.level == level
     gateway.handle(0.1, [api.Message(3, grant), api.Message(3, grant)])
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -14,8 +14,13 @@
 from tests.helpers import request_class
 from tests.standins import DEADLINE, VOLUME, World, read_message
 
-GOOD = {"Host": "h", "X-Request-ID": "id1", "Tier": "plan", "X-Timeout": str(DEADLINE),
-        "IO-Info": f"volume={VOLUME:x},units=1,shard=0,hosts=1"}
+GOOD = {
+    "Host": "h",
+    "X-Request-ID": "id1",
+    "Tier": "plan",
+    "X-Timeout": str(DEADLINE),
+    "IO-Info": f"volume={VOLUME:x},units=1,shard=0,hosts=1",
+}
 GET = http.encode_request("GET", "/read/1", GOOD, b"")
 
 
@@ -26,14 +31,19 @@
             await asyncio.wait_for(scene(world, reader, writer), 20)
             writer.transport.abort()
             assert world.faults() == []
+
     asyncio.run(whole())
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (b"nonsense\r\n\r\n", 400),
-    (b"GET /read/1 HTTP/1.1\r\nHost: h\r\n" + b"a: b\r\n" * 4000 + b"\r\n", 431),
-    (b"PUT /write/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 33554433\r\n\r\n", 413),
-], ids=["line", "head", "body"])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /read/1 HTTP/1.1\r\nHost: h\r\n" + b"a: b\r\n" * 4000 + b"\r\n", 431),
+        (b"PUT /write/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 33554433\r\n\r\n", 413),
+    ],
+    ids=["line", "head", "body"],
+)
 def test_malformed_input_is_answered_and_the_connection_closed(raw, status):
     async def scene(world, reader, writer):
         writer.write(raw)
@@ -41,6 +51,7 @@
         assert answer.head.status == status and not answer.head.keeps_alive()
         assert await reader.read() == b""
         assert world.app.engine.counts["taken"] == 0
+
     play(scene)
 
 
@@ -51,6 +62,7 @@
         assert world.app.engine.counts["taken"] == 0
         writer.write(GET)
         assert (await read_message(reader, response=True)).head.status == 200
+
     play(scene)
 
 
@@ -61,6 +73,7 @@
         while answers.count(b"HTTP/1.1 200 OK") < 3:
             answers += await reader.read(65536)
         assert world.targets[0].most_out == 1
+
     play(scene)
 
 
@@ -72,6 +85,7 @@
         writer.write(raw[-5:])
         assert (await read_message(reader, response=True)).head.status == 200
         assert world.targets[0].ran == [(9, b"lunch")]
+
     play(scene)
 
 
@@ -82,6 +96,7 @@
         writer.write(GET[:-2])
         assert (await read_message(reader, response=True)).head.status == 408
         assert await reader.read() == b""
+
     play(scene)
 
 
@@ -94,6 +109,7 @@
         writer.write(raw)
         assert (await reader.read()).startswith(answer)
         await world.until(lambda: len(world.app.listener) == 0)
+
     play(scene)
 
 
@@ -110,6 +126,7 @@
         assert (await read_message(other, response=True)).head.status == 409
         assert len(world.targets[0].ran) == 1
         copier.transport.abort()
+
     play(scene)
 
 
@@ -127,6 +144,7 @@
             await writer.drain()
         assert (await read_message(reader, response=True)).head.status == 413
         assert len(world.app.buffers._free) < 5
+
     play(scene)
 
 
@@ -134,6 +152,7 @@
     async def scene(world, reader, writer):
         writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
         assert (await read_message(reader, response=True)).head.status == 200
+
     play(scene)
 
 
@@ -152,14 +171,19 @@
         assert (answer.head.status, bytes(answer.body)) == (200, b"done")
         (message,) = seen
         assert (message.head.method, message.head.target, bytes(message.body)) == (
-            "PUT", "/write/a/2f?q=1", b"body")
+            "PUT",
+            "/write/a/2f?q=1",
+            b"body",
+        )
         assert message.head.fields["x-request-id"] == "x-7"
         assert 0 < float(message.head.fields["x-timeout"]) < DEADLINE
+
     play(scene)
 
 
 def test_a_stale_kept_connection_is_no_hidden_resend():
     """A target that closes a kept connection on a write may have run it: failed, not sent once more."""
+
     async def scene(world, reader, writer):
         target = world.targets[0]
         writer.write(GET)
@@ -168,11 +192,18 @@
         writer.write(http.encode_request("PUT", "/write/9", {**GOOD, "X-Request-ID": "w"}, b"x"))
         assert (await read_message(reader, response=True)).head.status == 504
         assert [tag for _, tag in target.begun] == [1, 9]
+
     play(scene)
 
 
-@pytest.mark.parametrize("answer", [b"what?\r\n\r\n", b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 4000,
-                                    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"what?\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"a: b\r\n" * 4000,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+    ],
+)
 def test_a_bad_answer_of_a_target_is_an_event_and_the_write_failed(answer):
     async def scene(world, reader, writer):
         async def serve(stream, out):
@@ -184,6 +215,7 @@
         writer.write(http.encode_request("PUT", "/write/9", GOOD, b"x"))
         assert (await read_message(reader, response=True)).head.status == 504
         assert any(line["event"] == "bad_answer" for line in world.logged)
+
     play(scene)
 
 
@@ -201,8 +233,10 @@
         await world.until(lambda: world.app.engine.counts["watch_failures"] == 2)
         await world.until(lambda: world.discovery.spoil == [])
         world.discovery.set(world.targets[0], "left")
-        await world.until(lambda: any(
-            line["event"] == "list" and line["targets"]["s-0"] == "gone" for line in world.logged))
+        await world.until(
+            lambda: any(line["event"] == "list" and line["targets"]["s-0"] == "gone" for line in world.logged)
+        )
+
     play(scene)
 
 
@@ -216,8 +250,12 @@
         assert (await read_message(reader, response=True)).head.status == 200
         world.discovery.set(world.targets[0], "left")
         world.discovery.silent = False
-        await world.until(lambda: any(
-            line["event"] == "list" and line["targets"].get("s-0") == "gone" for line in world.logged))
+        await world.until(
+            lambda: any(
+                line["event"] == "list" and line["targets"].get("s-0") == "gone" for line in world.logged
+            )
+        )
+
     play(scene)
 
 
@@ -232,6 +270,7 @@
         assert (await read_message(reader, response=True)).head.status == 200
         for _, other in idle:
             other.transport.abort()
+
     play(scene)
 
 
@@ -250,6 +289,7 @@
         assert await reader.read() == b""
         assert (await read_message(other, response=True)).head.status == 200  # it was not idle
         asking.transport.abort()
+
     play(scene)
 
 
@@ -277,6 +317,7 @@
         assert world.app.engine.open == 0
         answer = await read_message(reader, response=True)
         assert answer.head.status in (503, 504) and not answer.head.keeps_alive()
+
     play(scene, classes=(request_class(name="read", aim=5.0, deadline=2.0),))
 
 
@@ -297,6 +338,7 @@
         assert (await read_message(reader, response=True)).head.status == 200
         for _, other in crowd:
             other.transport.abort()
+
     play(scene)
 
 
@@ -308,11 +350,13 @@
         assert [answer.end for answer in answers] == ["served"] * 5
         assert (await world.read(7, 1)).end == "served"
         await world.until(lambda: len(world.targets[0].writers) + len(world.targets[1].writers) <= 2)
+
     play(scene)
 
 
 def test_idle_connections_that_targets_forget_are_no_longer_used():
     """A write on each of them is an attempt that may have run: failed, with nothing wrong at the target."""
+
     async def scene(world, reader, writer):
         pool, job = world.app.carrier.pool, SimpleNamespace(idle_for=0.2)
         pool._rest = 0.0, 0.0  # the rest after an answer is another matter (test_races.py)
@@ -329,6 +373,7 @@
             pool.used(SimpleNamespace(idle_for=0.01), lost)
             pool.used(job, lost)
         assert pool._wary_until == 0.0
+
     play(scene)
 
 
@@ -347,6 +392,7 @@
         writer.write(GET)
         assert (await read_message(reader, response=True)).head.status == 200
         assert len(answers) == 1 and len(target.ran) == 1
+
     play(scene)
 
 
@@ -356,7 +402,7 @@
     async def scene(world, reader, writer):
         async def slowly():
             for at in range(0, len(GET), 20):
-                writer.write(GET[at:at + 20])
+                writer.write(GET[at : at + 20])
                 await asyncio.sleep(0.05)
             return await read_message(reader, response=True)
 
@@ -373,6 +419,7 @@
         for half in crowd:
             half.transport.abort()
         await world.until(lambda: not world.app.listener._spoke)
+
     play(scene)
 
 
@@ -395,11 +442,13 @@
         await world.until(lambda: world.app.engine.counts["served"] == 1)
         await world.until(lambda: len(world.app.listener) <= 1 and world.app.front.unread.held == 0)
         asking.transport.abort()
+
     play(scene)
 
 
 def test_a_connection_with_bytes_that_nobody_asked_for_is_not_used_again():
     """A second copy of an answer, not seen by the loop yet, would be passed on as the next one's."""
+
     async def scene(world, reader, writer):
         writer.write(GET)
         assert (await read_message(reader, response=True)).head.status == 200
@@ -410,6 +459,7 @@
         assert not channel.quiet()
         writer.write(GET.replace(b"id1", b"id2"))
         assert bytes((await read_message(reader, response=True)).body) != b"a copy"
+
     play(scene)
 
 
@@ -420,4 +470,5 @@
         assert (await read_message(reader, response=True)).head.status == 200
         assert len(world.targets[0].writers) == 1
         await world.until(lambda: not world.targets[0].writers, 2.0)
+
     play(scene)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -13,15 +13,22 @@
 RED, GREEN = "tests/test_a.py::test_red", "tests/test_a.py::test_green"
 
 
-@pytest.mark.parametrize(("lines", "code", "says"), [
-    ([], 1, "1 failed, 1 passed"),
-    ([f"{RED} | cause | issue 1"], 0, f"{RED}: still fails"),
-    ([f"{RED} | cause | issue 1", f"{GREEN} | cause | issue 1"], 0, f"{GREEN}: PASSES NOW"),
-    ([f"{GREEN} | cause | issue 1"], 1, "1 failed"),  # others still count
-    ([f"{RED} | cause | issue 1", "tests/test_a.py::test_gone | c | issue 1"], 4, "names what is no test"),
-    ([f"{RED} | cause"], 4, "not `test | cause | issue`"),
-    ([f"{RED} | cause | issue {n}" for n in range(4)], 4, "4 lines, 3 allowed"),
-])
+@pytest.mark.parametrize(
+    ("lines", "code", "says"),
+    [
+        ([], 1, "1 failed, 1 passed"),
+        ([f"{RED} | cause | issue 1"], 0, f"{RED}: still fails"),
+        ([f"{RED} | cause | issue 1", f"{GREEN} | cause | issue 1"], 0, f"{GREEN}: PASSES NOW"),
+        ([f"{GREEN} | cause | issue 1"], 1, "1 failed"),  # others still count
+        (
+            [f"{RED} | cause | issue 1", "tests/test_a.py::test_gone | c | issue 1"],
+            4,
+            "names what is no test",
+        ),
+        ([f"{RED} | cause"], 4, "not `test | cause | issue`"),
+        ([f"{RED} | cause | issue {n}" for n in range(4)], 4, "4 lines, 3 allowed"),
+    ],
+)
 def test_a_run_passes_over_just_the_tests_listed_and_prints_them(lines, code, says, tmp_path):
     (tmp_path / "tests").mkdir()
     (tmp_path / "tests" / "conftest.py").write_text(CONFTEST.read_text())
@@ -29,7 +36,12 @@
     (tmp_path / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
     if lines:
         (tmp_path / "KNOWN-RED.txt").write_text("\n".join(["# test | cause | issue", *lines]) + "\n")
-    run = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"], cwd=tmp_path,
-                         capture_output=True, text=True, timeout=60)
+    run = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert run.returncode == code, run.stdout + run.stderr
     assert says in run.stdout + run.stderr
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,11 +11,24 @@
 OWN = "stalltiller."
 DECISIONS = ("interface", "logic", "crowd")
 MAY = {  # what a layer may import besides itself
-    "transport": (), "protocol": ("interface",), "routing": DECISIONS,
+    "transport": (),
+    "protocol": ("interface",),
+    "routing": DECISIONS,
     "fronts": (*DECISIONS, "transport", "protocol", "routing"),
-    "leases": (), "fleet": ("transport",), "recovery": (*DECISIONS, "protocol"),
-    "program": (*DECISIONS, "wire", "transport", "protocol", "routing", "fronts", "fleet", "recovery",
-                "leases"),
+    "leases": (),
+    "fleet": ("transport",),
+    "recovery": (*DECISIONS, "protocol"),
+    "program": (
+        *DECISIONS,
+        "wire",
+        "transport",
+        "protocol",
+        "routing",
+        "fronts",
+        "fleet",
+        "recovery",
+        "leases",
+    ),
 }
 
 
--- a/tests/test_lease_store.py
+++ b/tests/test_lease_store.py
@@ -18,12 +18,22 @@
 COMMAND = Command("acquire", "allot", "n1", 2.0, 7, 8, "s", 9)
 
 
-@pytest.mark.parametrize("said", [
-    Vote(3, True, 5, 2), Voted(3, False, True), Appended(4, True, 9), codec.Ask(COMMAND),
-    Install(3, 20, 2, 900, 1000, b"\x00state"), Installed(3, 20, 900),
-    Hand(3), Vote(3, False, 5, 2, True),
-    codec.Answer("s", 9, 41), codec.NotLeader("s", 9, "n2"),
-    Append(4, 8, 3, (Entry(4), Entry(4, COMMAND)), 7)])
+@pytest.mark.parametrize(
+    "said",
+    [
+        Vote(3, True, 5, 2),
+        Voted(3, False, True),
+        Appended(4, True, 9),
+        codec.Ask(COMMAND),
+        Install(3, 20, 2, 900, 1000, b"\x00state"),
+        Installed(3, 20, 900),
+        Hand(3),
+        Vote(3, False, 5, 2, True),
+        codec.Answer("s", 9, 41),
+        codec.NotLeader("s", 9, "n2"),
+        Append(4, 8, 3, (Entry(4), Entry(4, COMMAND)), 7),
+    ],
+)
 def test_what_is_said_comes_back_as_it_was(said):
     assert codec.decode(codec.encode(said)) == said
 
@@ -51,9 +61,16 @@
     assert codec.decode_table(b"") == Table()
 
 
-keeps = st.lists(st.tuples(st.integers(0, 9), st.sampled_from([None, "b"]), st.integers(0, 12),
-                           st.lists(st.sampled_from([Entry(1), Entry(2, COMMAND)]), max_size=4),
-                           st.sampled_from([None, None, False, True])), max_size=12)
+keeps = st.lists(
+    st.tuples(
+        st.integers(0, 9),
+        st.sampled_from([None, "b"]),
+        st.integers(0, 12),
+        st.lists(st.sampled_from([Entry(1), Entry(2, COMMAND)]), max_size=4),
+        st.sampled_from([None, None, False, True]),
+    ),
+    max_size=12,
+)
 
 
 @given(keeps)
@@ -90,7 +107,17 @@
 
 def test_the_generated_code_is_current(tmp_path):
     pytest.importorskip("grpc_tools")
-    subprocess.run([sys.executable, "-m", "grpc_tools.protoc", "-I.", f"--python_out={tmp_path}",
-                    "stalltiller/leases/leases.proto"], cwd=ROOT, check=True)
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "grpc_tools.protoc",
+            "-I.",
+            f"--python_out={tmp_path}",
+            "stalltiller/leases/leases.proto",
+        ],
+        cwd=ROOT,
+        check=True,
+    )
     made = "stalltiller/leases/leases_pb2.py"
     assert (tmp_path / made).read_bytes() == (ROOT / made).read_bytes()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -37,17 +37,24 @@
     return Command(what, "l", token=token, **more)
 
 
-@pytest.mark.parametrize(("commands", "answers", "holder"), [
-    ([acquire("a"), acquire("b")], [1, 0], "a"),
-    ([acquire("a"), of("renew", 1), of("renew", 9)], [1, 1, 0], "a"),
-    ([acquire("a"), of("release", 1), acquire("b")], [1, 0, 3], "b"),
-    ([acquire("a"), of("release", 9), acquire("b")], [1, 0, 0], "a"),
-    ([acquire("a"), of("expire", 1), acquire("b"), of("renew", 1)], [1, 0, 3, 0], "b"),
-    ([acquire("a"), of("renew", 1), of("expire", 1), acquire("b")], [1, 1, 0, 0], "a"),  # found by the model
-    ([acquire("a"), of("renew", 1), of("expire", 1, renewed=2), acquire("b")], [1, 1, 0, 4], "b"),
-    ([acquire("a", session="s", number=1)] * 2, [1, 1], "a"),  # came twice: answered alike
-    ([acquire("a", session="s", number=2), of("release", 1, session="s", number=1)], [1, 0], "a"),  # late
-])
+@pytest.mark.parametrize(
+    ("commands", "answers", "holder"),
+    [
+        ([acquire("a"), acquire("b")], [1, 0], "a"),
+        ([acquire("a"), of("renew", 1), of("renew", 9)], [1, 1, 0], "a"),
+        ([acquire("a"), of("release", 1), acquire("b")], [1, 0, 3], "b"),
+        ([acquire("a"), of("release", 9), acquire("b")], [1, 0, 0], "a"),
+        ([acquire("a"), of("expire", 1), acquire("b"), of("renew", 1)], [1, 0, 3, 0], "b"),
+        (
+            [acquire("a"), of("renew", 1), of("expire", 1), acquire("b")],
+            [1, 1, 0, 0],
+            "a",
+        ),  # found by the model
+        ([acquire("a"), of("renew", 1), of("expire", 1, renewed=2), acquire("b")], [1, 1, 0, 4], "b"),
+        ([acquire("a", session="s", number=1)] * 2, [1, 1], "a"),  # came twice: answered alike
+        ([acquire("a", session="s", number=2), of("release", 1, session="s", number=1)], [1, 0], "a"),  # late
+    ],
+)
 def test_a_lease_has_one_holder_and_tokens_grow(commands, answers, holder):
     table = Table()
     assert [table.apply(index, command) for index, command in enumerate(commands, 1)] == answers
@@ -67,11 +74,17 @@
     assert keeper.ended(22.0, table) == [] and keeper.ended(22.03, table) != []
 
 
-@pytest.mark.parametrize(("answers", "now", "holds"), [
-    ([(1.0, 7)], 2.9, True), ([(1.0, 7)], 3.0, False),  # by the sending, less the clocks' rate error
-    ([(1.0, 7), (2.0, 7)], 3.9, True), ([(2.0, 7), (1.0, 7)], 3.9, True), ([(1.0, 7), (2.0, 0)], 2.5, False),
-    ([(0.5, 7)], 1.0, False),  # sent before it was dropped
-])
+@pytest.mark.parametrize(
+    ("answers", "now", "holds"),
+    [
+        ([(1.0, 7)], 2.9, True),
+        ([(1.0, 7)], 3.0, False),  # by the sending, less the clocks' rate error
+        ([(1.0, 7), (2.0, 7)], 3.9, True),
+        ([(2.0, 7), (1.0, 7)], 3.9, True),
+        ([(1.0, 7), (2.0, 0)], 2.5, False),
+        ([(0.5, 7)], 1.0, False),  # sent before it was dropped
+    ],
+)
 def test_a_holder_stops_by_its_own_clock_before_the_log_may_grant_anew(answers, now, holds):
     holder = Holder("l", 2.0)
     holder.drop(0.7)
@@ -97,13 +110,21 @@
     return Raft("a", ("a", "b", "c"), random.Random(1), 0.0, term=2, log=list(LOG), **more)
 
 
-@pytest.mark.parametrize(("vote", "ask", "granted"), [
-    (None, Vote(3, False, 2, 2), True), (None, Vote(2, False, 2, 2), True),
-    ("c", Vote(2, False, 2, 2), False), ("b", Vote(2, False, 2, 2), True),  # one vote a term
-    (None, Vote(1, False, 9, 2), False), (None, Vote(3, False, 1, 2), False),  # an old term, a shorter log
-    (None, Vote(3, False, 9, 1), False), (None, Vote(3, False, 1, 3), True),  # older, newer last entries
-    ("c", Vote(3, True, 2, 2), True), (None, Vote(3, True, 1, 2), False),
-])
+@pytest.mark.parametrize(
+    ("vote", "ask", "granted"),
+    [
+        (None, Vote(3, False, 2, 2), True),
+        (None, Vote(2, False, 2, 2), True),
+        ("c", Vote(2, False, 2, 2), False),
+        ("b", Vote(2, False, 2, 2), True),  # one vote a term
+        (None, Vote(1, False, 9, 2), False),
+        (None, Vote(3, False, 1, 2), False),  # an old term, a shorter log
+        (None, Vote(3, False, 9, 1), False),
+        (None, Vote(3, False, 1, 3), True),  # older, newer last entries
+        ("c", Vote(3, True, 2, 2), True),
+        (None, Vote(3, True, 1, 2), False),
+    ],
+)
 def test_a_vote_goes_to_a_log_as_far_once_a_term_and_is_kept_before_it_is_told(vote, ask, granted):
     raft = voter(vote=vote)
     actions = raft.step(5.0, "b", ask)
@@ -120,12 +141,17 @@
     assert raft.step(5.6, "b", Vote(3, True, 9, 9))[-1].message.granted
 
 
-@pytest.mark.parametrize(("message", "good", "length"), [
-    (Append(2, 2, 2, (Entry(2, "y"),), 3), True, 3), (Append(2, 1, 1, (Entry(2, "x"),), 0), True, 2),
-    (Append(3, 1, 1, (Entry(3, "z"),), 0), True, 2),  # in place of what was never committed
-    (Append(2, 2, 1, (Entry(2, "y"),), 0), False, 2), (Append(2, 5, 2, (), 0), False, 2),
-    (Append(1, 2, 2, (), 0), False, 2),  # an old leader
-])
+@pytest.mark.parametrize(
+    ("message", "good", "length"),
+    [
+        (Append(2, 2, 2, (Entry(2, "y"),), 3), True, 3),
+        (Append(2, 1, 1, (Entry(2, "x"),), 0), True, 2),
+        (Append(3, 1, 1, (Entry(3, "z"),), 0), True, 2),  # in place of what was never committed
+        (Append(2, 2, 1, (Entry(2, "y"),), 0), False, 2),
+        (Append(2, 5, 2, (), 0), False, 2),
+        (Append(1, 2, 2, (), 0), False, 2),  # an old leader
+    ],
+)
 def test_entries_are_taken_where_they_join_the_log(message, good, length):
     raft = voter()
     answer = next(a.message for a in raft.step(1.0, "b", message) if isinstance(a, Send))
@@ -148,8 +174,10 @@
     assert other.step(2.2, "c", Hand(3)) == []  # not from its leader
     third = Raft("c", ("a", "b", "c"), random.Random(1), 0.0, term=3, log=[*LOG, Entry(3)])
     third.step(2.2, "a", Append(3, 3, 3, (), 2))
-    assert [third.step(2.2, "b", each)[-1].message.granted  # though it has just heard its leader
-            for each in (replace(ask, handed=False), ask)] == [False, True]
+    assert [
+        third.step(2.2, "b", each)[-1].message.granted  # though it has just heard its leader
+        for each in (replace(ask, handed=False), ask)
+    ] == [False, True]
 
 
 def test_a_leader_commits_only_entries_of_its_term_and_steps_down_when_it_hears_too_few():
@@ -172,8 +200,10 @@
     assert sum(play[3] for play in plays) > 200  # states were sent to who lacked what was cut off
 
 
-@pytest.mark.parametrize(("bug", "says"), [
-    ("vote", "two leaders"), ("early", "held by"), ("token", "an effect"), ("state", "two states")])
+@pytest.mark.parametrize(
+    ("bug", "says"),
+    [("vote", "two leaders"), ("early", "held by"), ("token", "an effect"), ("state", "two states")],
+)
 def test_a_planted_error_is_found_and_its_seed_replays_it(bug, says):
     found = next(play for seed in range(2000) if (play := lease_model.play(seed, bug))[1])
     assert says in found[1] and lease_model.play(found[0], bug) == found
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -13,13 +13,16 @@
 from tests.test_http_front import GET, GOOD, play
 
 LONG = b"menu" * 100_000
-HEADS = {"length": b"Content-Length: %d\r\n", "chunks": b"Transfer-Encoding: chunked\r\n",
-         "close": b"Connection: close\r\n"}
+HEADS = {
+    "length": b"Content-Length: %d\r\n",
+    "chunks": b"Transfer-Encoding: chunked\r\n",
+    "close": b"Connection: close\r\n",
+}
 
 
 def answer(form: str, body: bytes = LONG) -> list[bytes]:
     """A head, the first half of a body and the second."""
-    parts = [body[:len(body) // 2], body[len(body) // 2:]]
+    parts = [body[: len(body) // 2], body[len(body) // 2 :]]
     if form == "chunks":
         parts = [http.encode_chunk(part) for part in parts]
         parts[1] += http.LAST_CHUNK
@@ -59,7 +62,7 @@
         message = http.Reader(response=True)
         kept = b"HTTP/1.1 "
         while not message.done:
-            kept = kept[message.feed(memoryview(kept)):]
+            kept = kept[message.feed(memoryview(kept)) :]
             got = b"" if message.done else await reader.read(65536)
             kept += got
             if not got and not message.done:
@@ -68,6 +71,7 @@
         engine = world.app.engine
         await world.until(lambda: engine.counts["relayed"] == engine.counts["served"] == 1)
         assert engine.open == 0 and world.app.carrier.allowance.held == 0
+
     play(scene)
 
 
@@ -80,6 +84,7 @@
             writer.write(GET.replace(b"id1", b"id%d" % number))
             assert bytes((await read_message(reader, response=True)).body) == LONG
         assert world.app.carrier.pool.opened == 1
+
     play(scene)
 
 
@@ -103,6 +108,7 @@
                 pass
         assert world.app.engine.counts["broken_off"] == 1
         assert len(world.targets[0].writers) <= 1  # it was not asked again
+
     play(scene)
 
 
@@ -116,6 +122,7 @@
             while await reader.read(65536):
                 pass
         assert world.app.engine.counts["broken_off"] == 1
+
     play(scene)
 
 
@@ -134,6 +141,7 @@
         assert client.transport.get_write_buffer_size() < 100_000
         await world.until(lambda: not world.targets[0].writers)  # nobody wants the rest
         assert not sent
+
     play(scene)
 
 
@@ -151,6 +159,7 @@
             got += len(await reader.read(400_000))
             await asyncio.sleep(0.01)
         assert got == len(body)
+
     play(scene)
 
 
@@ -160,12 +169,17 @@
     async def scene(world, reader, writer):
         raw = http.encode_request("PUT", "/write/9", GOOD, LONG)
         if chunked:
-            raw = (raw.partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked\r\n\r\n"
-                   + http.encode_chunk(LONG) + http.LAST_CHUNK)
+            raw = (
+                raw.partition(b"Content-Length")[0]
+                + b"Transfer-Encoding: chunked\r\n\r\n"
+                + http.encode_chunk(LONG)
+                + http.LAST_CHUNK
+            )
         writer.write(raw)
         assert (await read_message(reader, response=True)).head.status == 200
         assert world.targets[0].ran == [(9, LONG)]
         assert world.app.front.bodies.held == 0
+
     play(scene)
 
 
@@ -177,11 +191,12 @@
     async def scene(world, reader, writer):
         raw = http.encode_request("PUT", "/write/9", GOOD, bytes(80_000))
         for at in range(0, len(raw), 8000):  # 0.5 s
-            writer.write(raw[at:at + 8000])
+            writer.write(raw[at : at + 8000])
             await asyncio.sleep(0.05)
         assert (await read_message(reader, response=True)).head.status == 200
         writer.write(http.encode_request("PUT", "/write/9", {**GOOD, "X-Request-ID": "id2"}, bytes(99))[:-10])
         assert (await asyncio.wait_for(read_message(reader, response=True), 5)).head.status == 408
+
     play(scene)
 
 
@@ -193,6 +208,7 @@
         assert (await read_message(reader, response=True)).head.status == 503
         await world.until(lambda: world.app.front.bodies.held == 0)
         assert world.app.engine.counts["taken"] == 0
+
     play(scene)
 
 
@@ -203,6 +219,7 @@
             writer.write(raw)
             assert (await read_message(reader, response=True)).head.status == status
             assert world.app.front.bodies.held == 0
+
     play(scene)
 
 
@@ -211,6 +228,7 @@
         raw = http.encode_request("PUT", "/write/9", {**GOOD, "Tier": "tin"}, LONG)
         writer.write(raw[:1000])
         assert (await read_message(reader, response=True)).head.status == 400
+
     play(scene)
 
 
@@ -226,12 +244,14 @@
         writer.write(http.encode_request("PUT", "/write/9", GOOD, bytes(12 << 20)))
         assert (await read_message(reader, response=True)).head.status == 200
         assert [tag for tag, _ in world.targets[0].ran] == [9]
+
     play(scene)
 
 
 @pytest.mark.parametrize("head", [b"Transfer-Encoding: chunked\r\n\r\n", b"Content-Length: 100000\r\n\r\n"])
 def test_the_first_bytes_of_an_answer_that_comes_slowly_are_passed_on_early(head):
     """Not before it has shown that it goes on: one that stops short can be tried again."""
+
     async def scene(world, reader, writer):
         async def serve(stream, out):
             await read_message(stream)
@@ -245,4 +265,5 @@
         writer.write(GET)
         assert b"200" in await asyncio.wait_for(reader.readuntil(b"\r\n"), 5)
         assert world.app.engine.counts["relayed"] == 1
+
     play(scene)
--- a/tests/test_nvme_front.py
+++ b/tests/test_nvme_front.py
@@ -17,6 +17,7 @@
         async with World("nvme", **changes) as world:
             await asyncio.wait_for(scene(world, world.client), 20)
             assert world.faults() == []
+
     asyncio.run(whole())
 
 
@@ -38,13 +39,17 @@
     return nvme.parse_term(found)[0]
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (b"\x77" + bytes(7), nvme.BAD_FIELD),
-    (nvme.ic_request(), nvme.BAD_SEQUENCE),
-    (nvme.data_pdu(nvme.H2C_DATA, 3, 3, 0, b"data"), nvme.BAD_SEQUENCE),
-    (read(4) + read(4), nvme.BAD_FIELD),
-    (b"".join(read(cid) for cid in range(1, 17)), nvme.BAD_SEQUENCE),
-], ids=["type", "greeting", "data", "id", "queue"])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"\x77" + bytes(7), nvme.BAD_FIELD),
+        (nvme.ic_request(), nvme.BAD_SEQUENCE),
+        (nvme.data_pdu(nvme.H2C_DATA, 3, 3, 0, b"data"), nvme.BAD_SEQUENCE),
+        (read(4) + read(4), nvme.BAD_FIELD),
+        (b"".join(read(cid) for cid in range(1, 17)), nvme.BAD_SEQUENCE),
+    ],
+    ids=["type", "greeting", "data", "id", "queue"],
+)
 def test_a_malformed_pdu_ends_its_association_alone(raw, status):
     async def scene(world, client):
         world.targets[0].mode = "silent"
@@ -57,6 +62,7 @@
         other.writer.write(read(1, nsid=2))
         assert (await completion(other)).status == nvme.OK
         await world.until(lambda: world.app.engine.open == 0)
+
     play(scene)
 
 
@@ -70,6 +76,7 @@
         io.writer.write(read(1))
         assert (await completion(io)).status == nvme.OK
         writer.close()
+
     play(scene)
 
 
@@ -78,15 +85,19 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", client.port)
         writer.write(read(1))
         assert await terminated(Pdus(reader, writer, nvme.FROM_CONTROLLER)) == nvme.BAD_SEQUENCE
+
     play(scene)
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (read(1, nsid=9), nvme.BAD_NAMESPACE),
-    (read(1, lba=1 << 40), nvme.OUT_OF_LBA),
-    (read(1, blocks=129), nvme.INVALID_FIELD),
-    (nvme.command(0x55, 1, 1), nvme.BAD_OPCODE),
-])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (read(1, nsid=9), nvme.BAD_NAMESPACE),
+        (read(1, lba=1 << 40), nvme.OUT_OF_LBA),
+        (read(1, blocks=129), nvme.INVALID_FIELD),
+        (nvme.command(0x55, 1, 1), nvme.BAD_OPCODE),
+    ],
+)
 def test_a_command_that_can_not_be_is_completed_with_do_not_retry(raw, status):
     async def scene(world, client):
         _, io = await client.associate()
@@ -94,6 +105,7 @@
         done = await completion(io)
         assert (done.cid, done.status, done.no_retry) == (1, status, True)
         assert world.app.engine.counts["taken"] == 0
+
     play(scene)
 
 
@@ -101,12 +113,13 @@
     async def scene(world, client):
         admin, _ = await client.associate()
         for raw, expected in [
-                (nvme.property_get(5, nvme.CSTS), (nvme.OK, nvme.CSTS_READY)),
-                (nvme.property_get(5, nvme.CAP, wide=True), (nvme.OK, nvme.capabilities())),
-                (nvme.property_get(5, 0x9999), (nvme.INVALID_FIELD, 0)),
-                (nvme.command(nvme.KEEP_ALIVE, 5), (nvme.OK, 0)),
-                (nvme.command(0x0C, 5), (nvme.BAD_OPCODE, 0)),
-                (nvme.command(nvme.ABORT, 5, rest=struct.pack("<HH", 1, 99)), (nvme.OK, 1))]:
+            (nvme.property_get(5, nvme.CSTS), (nvme.OK, nvme.CSTS_READY)),
+            (nvme.property_get(5, nvme.CAP, wide=True), (nvme.OK, nvme.capabilities())),
+            (nvme.property_get(5, 0x9999), (nvme.INVALID_FIELD, 0)),
+            (nvme.command(nvme.KEEP_ALIVE, 5), (nvme.OK, 0)),
+            (nvme.command(0x0C, 5), (nvme.BAD_OPCODE, 0)),
+            (nvme.command(nvme.ABORT, 5, rest=struct.pack("<HH", 1, 99)), (nvme.OK, 1)),
+        ]:
             admin.writer.write(raw)
             done = await completion(admin)
             assert (done.status, done.result) == expected
@@ -116,6 +129,7 @@
         admin.writer.write(nvme.command(nvme.IDENTIFY, 7, 0, bytes([nvme.CNS_ACTIVE]), 4096))
         await completion(admin)
         assert struct.unpack_from("<3I", (await admin.next()).data) == (1, 2, 0)
+
     play(scene)
 
 
@@ -132,6 +146,7 @@
         world.targets[0].mode = "serve"
         io.writer.write(read(4))
         assert (await completion(io)).status == nvme.OK
+
     play(scene)
 
 
@@ -151,6 +166,7 @@
         world.targets[0].mode = "serve"
         io.writer.write(read(5))
         assert (await completion(io)).status == nvme.OK
+
     play(scene)
 
 
@@ -166,6 +182,7 @@
         io.writer.write(read(5))
         assert (await completion(io)).cid == 5
         assert [tag for _, tag in world.targets[0].begun] == [1]
+
     play(scene)
 
 
@@ -179,6 +196,7 @@
         assert await io.reader.read() == b""
         await world.until(lambda: world.app.engine.open == 0)
         assert world.app.engine.counts["gone"] == 2 and world.app.front.held.held == 0
+
     play(scene)
 
 
@@ -187,6 +205,7 @@
         admin, _ = await client.queue(0, nvme.DYNAMIC, keep_alive=0.05)
         assert await admin.reader.read() == b""
         assert world.app.front.associations == {}
+
     play(scene)
 
 
@@ -202,6 +221,7 @@
         assert (await world.write()).end == "failed"
         assert any(line["event"] == "bad_answer" for line in world.logged)
         assert world.app.engine.counts["attempts"] == 1
+
     play(scene)
 
 
@@ -210,6 +230,7 @@
         world.targets[0].capsule = 0
         assert (await world.write(tag=3)).end == "served"
         assert [tag for tag, _ in world.targets[0].ran] == [3]
+
     play(scene)
 
 
@@ -228,6 +249,7 @@
         result = await world.read()
         assert result.end == "served"
         assert world.app.engine.counts["attempt_error"] == 1
+
     play(scene)
 
 
@@ -244,4 +266,5 @@
             io.writer.write(read(cid, blocks=128))
         await world.until(lambda: world.app.front.associations == {})
         assert world.app.front.unread.held == 0
+
     play(scene)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -44,17 +44,30 @@
         async with world:
             await asyncio.wait_for(scene(world), 20)
             assert world.faults() == []
+
     asyncio.run(whole())
 
 
-@pytest.mark.parametrize(("text", "body", "status"), [
-    ("GET /_ready", "", 200), ("PUT /_targets/detach", "s-0", 200), ("PUT /_targets/detach", " s-0\n", 200),
-    ("PUT /_targets/attach", "s-0", 200), ("PUT /_targets/detach", "s-9", 404),
-    ("PUT /_targets/attach", "s-9", 404), ("PUT /_targets/detach", "", 404), ("PUT /_ready", "", 405),
-    ("GET /other", "", 404), ("PUT /_targets/detach", "s" * 2000, 413), ("nonsense", "", 400)])
+@pytest.mark.parametrize(
+    ("text", "body", "status"),
+    [
+        ("GET /_ready", "", 200),
+        ("PUT /_targets/detach", "s-0", 200),
+        ("PUT /_targets/detach", " s-0\n", 200),
+        ("PUT /_targets/attach", "s-0", 200),
+        ("PUT /_targets/detach", "s-9", 404),
+        ("PUT /_targets/attach", "s-9", 404),
+        ("PUT /_targets/detach", "", 404),
+        ("PUT /_ready", "", 405),
+        ("GET /other", "", 404),
+        ("PUT /_targets/detach", "s" * 2000, 413),
+        ("nonsense", "", 400),
+    ],
+)
 def test_a_call_gets_a_yes_or_a_no(text, body, status):
     async def scene(world):
         assert await world.call(text, body) == status
+
     on(scene)
 
 
@@ -66,6 +79,7 @@
         assert time.monotonic() - began < 1.0
         for _, writer in silent:
             writer.close()
+
     on(scene)
 
 
@@ -82,6 +96,7 @@
         assert (await world.read(tag=2)).end == "served"
         node = world.app.engine._scheduler.nodes["s-0"]
         assert node.entry.started == pytest.approx(world.app.engine.since(time.time()), abs=5)  # cold
+
     on(scene, kind)
 
 
@@ -94,6 +109,7 @@
         await world.until(lambda: world.app.engine._scheduler.nodes["s-0"].entry.state.value == "draining")
         assert await world.call("PUT /_targets/attach", "s-0") == 200
         assert other.changed() and other.load() == {}
+
     on(scene, folder=str(tmp_path))
 
 
@@ -105,8 +121,14 @@
 
 def test_the_next_process_waits_its_turn_and_takes_over_socket_and_targets(tmp_path):
     def begin(until: str):
-        program = start(PROXY_CONFIG=str(path), PROXY_LISTEN=address, PROXY_INHERITED_FD=str(number),
-                        PROXY_ADMIN="127.0.0.1:0", TMPDIR=str(tmp_path), pass_fds=(number,))
+        program = start(
+            PROXY_CONFIG=str(path),
+            PROXY_LISTEN=address,
+            PROXY_INHERITED_FD=str(number),
+            PROXY_ADMIN="127.0.0.1:0",
+            TMPDIR=str(tmp_path),
+            pass_fds=(number,),
+        )
         events = map(json.loads, program.stdout)
         found = {}
         while until not in found:
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -15,22 +15,25 @@
 
 
 def line_of(text: str, part: str) -> int:
-    return text[:text.index(part)].count("\n") + 1
-
-
-@pytest.mark.parametrize(("text", "old", "new", "path"), [
-    (FLEET, "probe_every_s = 0.5", "probe_evry_s = 0.5", "fleet.probe_evry_s"),  # a typo
-    (FLEET, "probe_every_s = 0.5", "probe_every_s = 0", "fleet.probe_every_s"),
-    (FLEET, 'seeds = ["127.0.0.1:7947"]', 'seeds = ["nowhere"]', "fleet.seeds.0"),
-    (FLEET, "share = true", 'share = "yes"', "fleet.share"),
-    (FLEET, "sockets = 1024", "sockets = -1", "limits.sockets"),
-    (FLEET, "balancers = 1", "balancers = 0", "settings.balancers"),
-    (FLEET, "aim-ns = 300000000", "aim-ns = 0", "settings.classes.1.aim-ns"),
-    (OPERATOR, "[collectd]", "[colectd]", "colectd"),
-    (OPERATOR, "blocks = 1048576", "blocks = 0", "nvme.namespaces.0.blocks"),
-    (OPERATOR, "deadline_ms = 2500", 'deadline_ms = "x"', "nvme.opcodes.write.deadline_ms"),
-    (OPERATOR, 'shard = 1\n', "", "nvme.namespaces.1"),
-])
+    return text[: text.index(part)].count("\n") + 1
+
+
+@pytest.mark.parametrize(
+    ("text", "old", "new", "path"),
+    [
+        (FLEET, "probe_every_s = 0.5", "probe_evry_s = 0.5", "fleet.probe_evry_s"),  # a typo
+        (FLEET, "probe_every_s = 0.5", "probe_every_s = 0", "fleet.probe_every_s"),
+        (FLEET, 'seeds = ["127.0.0.1:7947"]', 'seeds = ["nowhere"]', "fleet.seeds.0"),
+        (FLEET, "share = true", 'share = "yes"', "fleet.share"),
+        (FLEET, "sockets = 1024", "sockets = -1", "limits.sockets"),
+        (FLEET, "balancers = 1", "balancers = 0", "settings.balancers"),
+        (FLEET, "aim-ns = 300000000", "aim-ns = 0", "settings.classes.1.aim-ns"),
+        (OPERATOR, "[collectd]", "[colectd]", "colectd"),
+        (OPERATOR, "blocks = 1048576", "blocks = 0", "nvme.namespaces.0.blocks"),
+        (OPERATOR, "deadline_ms = 2500", 'deadline_ms = "x"', "nvme.opcodes.write.deadline_ms"),
+        (OPERATOR, "shard = 1\n", "", "nvme.namespaces.1"),
+    ],
+)
 def test_a_bad_file_is_refused_with_the_line_named(text, old, new, path, tmp_path):
     file = tmp_path / "operator.toml"
     file.write_text(text.replace(old, new, 1))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -14,14 +14,17 @@
 SETTINGS = settings(
     gateways=4,
     classes=(request_class(name="read"), request_class(name="write", effect=api.Effect.UNSAFE, writes=True)),
-    plans=(plan(name="gold"),), reports_in_answers=True, report_fields=("mean_ms",))
+    plans=(plan(name="gold"),),
+    reports_in_answers=True,
+    report_fields=("mean_ms",),
+)
 
 
 def feed(data: bytes, response: bool, step: int = 1 << 20) -> http.Reader:
     """Feed in pieces as a connection does: what is not taken is shown again with more."""
     reader, kept = http.Reader(response=response), b""
     for at in range(0, len(data), step):
-        kept += data[at:at + step]
+        kept += data[at : at + step]
         while kept and (used := reader.feed(memoryview(kept))):
             kept = kept[used:]
     return reader
@@ -32,16 +35,23 @@
 
 
 @pytest.mark.parametrize("step", [1, 7, 1 << 20])
-@pytest.mark.parametrize(("data", "response", "body"), [
-    (HEAD + b"\r\n", False, b""),
-    (b"\r\n" + HEAD + b"\r\n", False, b""),
-    (HEAD + b"Content-Length: 3\r\n\r\nabc", False, b"abc"),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: v\r\n\r\n", False, b"abc"),
-    (OK + b"Content-Length: 2\r\n\r\nhi", True, b"hi"),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK + b"content-length:  2 \r\n\r\nhi", True, b"hi"),
-    (OK + b"Transfer-Encoding: Chunked\r\n\r\nA\r\n0123456789\r\n0\r\n\r\n", True, b"0123456789"),
-    (b"HTTP/1.1 204 No Content\r\n\r\n", True, b""),
-])
+@pytest.mark.parametrize(
+    ("data", "response", "body"),
+    [
+        (HEAD + b"\r\n", False, b""),
+        (b"\r\n" + HEAD + b"\r\n", False, b""),
+        (HEAD + b"Content-Length: 3\r\n\r\nabc", False, b"abc"),
+        (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: v\r\n\r\n",
+            False,
+            b"abc",
+        ),
+        (OK + b"Content-Length: 2\r\n\r\nhi", True, b"hi"),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + OK + b"content-length:  2 \r\n\r\nhi", True, b"hi"),
+        (OK + b"Transfer-Encoding: Chunked\r\n\r\nA\r\n0123456789\r\n0\r\n\r\n", True, b"0123456789"),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", True, b""),
+    ],
+)
 def test_whole_messages(data, response, body, step):
     reader = feed(data, response, step)
     assert reader.done and bytes(reader.body) == body
@@ -52,45 +62,49 @@
     assert not reader.done and reader.finish() and bytes(reader.body) == b"hal"
 
 
-@pytest.mark.parametrize("data", [OK, OK + b"Content-Length: 5\r\n\r\nabc",
-                                  OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab"])
+@pytest.mark.parametrize(
+    "data", [OK, OK + b"Content-Length: 5\r\n\r\nabc", OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab"]
+)
 def test_a_cut_message_is_not_whole(data):
     reader = feed(data, True)
     assert not reader.finish()
 
 
-@pytest.mark.parametrize(("data", "response", "status"), [
-    (b"GET /\r\n\r\n", False, 400),
-    (b"GET / HTTP/2.0\r\nHost: h\r\n\r\n", False, 400),
-    (b"GET  / HTTP/1.1\r\nHost: h\r\n\r\n", False, 400),
-    (b"GET / HTTP/1.1\r\n\r\n", False, 400),
-    (HEAD + b"Host: again\r\n\r\n", False, 400),
-    (HEAD + b"bad name: 1\r\n\r\n", False, 400),
-    (HEAD + b" folded: 1\r\n\r\n", False, 400),
-    (HEAD + b"no colon\r\n\r\n", False, 400),
-    (HEAD + b"A: \x00\r\n\r\n", False, 400),
-    (HEAD + b"Content-Length: -1\r\n\r\n", False, 400),
-    (HEAD + b"Content-Length: 1, 1\r\n\r\n", False, 400),
-    (HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", False, 400),
-    (HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", False, 400),
-    (HEAD + b"Transfer-Encoding: gzip\r\n\r\n", False, 400),
-    (HEAD + b"Content-Length: 33554433\r\n\r\n", False, 413),
-    (HEAD + b"Content-Length: 99999999999999999999\r\n\r\n", False, 413),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2000001\r\n", False, 413),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", False, 400),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc", False, 400),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1" * 2000, False, 400),
-    (b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", False, 400),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + b"a: b\r\n" * 100, False, 400),
-    (b"HTTP/1.1 20 OK\r\n\r\n", True, 502),
-    (OK + b"\r\nno length", True, 502),
-    (OK + b"A: \n\r\n\r\n", True, 400),
-    (OK + b"Content-Length: \x00\r\n\r\n", True, 400),
-    (OK + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", True, 400),
-    (b"HTTP/1.1 101 Go\r\n\r\n", True, 502),
-    (b"HTTP/1.1 102 Wait\r\n\r\n" * 17, True, 400),
-    (b"ICY 200 OK\r\n\r\n", True, 502),
-])
+@pytest.mark.parametrize(
+    ("data", "response", "status"),
+    [
+        (b"GET /\r\n\r\n", False, 400),
+        (b"GET / HTTP/2.0\r\nHost: h\r\n\r\n", False, 400),
+        (b"GET  / HTTP/1.1\r\nHost: h\r\n\r\n", False, 400),
+        (b"GET / HTTP/1.1\r\n\r\n", False, 400),
+        (HEAD + b"Host: again\r\n\r\n", False, 400),
+        (HEAD + b"bad name: 1\r\n\r\n", False, 400),
+        (HEAD + b" folded: 1\r\n\r\n", False, 400),
+        (HEAD + b"no colon\r\n\r\n", False, 400),
+        (HEAD + b"A: \x00\r\n\r\n", False, 400),
+        (HEAD + b"Content-Length: -1\r\n\r\n", False, 400),
+        (HEAD + b"Content-Length: 1, 1\r\n\r\n", False, 400),
+        (HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", False, 400),
+        (HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", False, 400),
+        (HEAD + b"Transfer-Encoding: gzip\r\n\r\n", False, 400),
+        (HEAD + b"Content-Length: 33554433\r\n\r\n", False, 413),
+        (HEAD + b"Content-Length: 99999999999999999999\r\n\r\n", False, 413),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n2000001\r\n", False, 413),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", False, 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc", False, 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1" * 2000, False, 400),
+        (b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", False, 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + b"a: b\r\n" * 100, False, 400),
+        (b"HTTP/1.1 20 OK\r\n\r\n", True, 502),
+        (OK + b"\r\nno length", True, 502),
+        (OK + b"A: \n\r\n\r\n", True, 400),
+        (OK + b"Content-Length: \x00\r\n\r\n", True, 400),
+        (OK + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", True, 400),
+        (b"HTTP/1.1 101 Go\r\n\r\n", True, 502),
+        (b"HTTP/1.1 102 Wait\r\n\r\n" * 17, True, 400),
+        (b"ICY 200 OK\r\n\r\n", True, 502),
+    ],
+)
 def test_malformed_messages(data, response, status):
     with pytest.raises(http.HttpError) as caught:
         feed(data, response)
@@ -98,20 +112,33 @@
 
 
 def test_an_unreadable_value_in_an_answer_is_left_out_and_interim_answers_are_passed_over():
-    reader = feed(b"HTTP/1.1 103 Hints\r\n\r\n" * 16 + OK
-                  + b"X-Server-Load: \x00\x07\r\nContent-Length: 2\r\n\r\nok", True)
+    reader = feed(
+        b"HTTP/1.1 103 Hints\r\n\r\n" * 16 + OK + b"X-Server-Load: \x00\x07\r\nContent-Length: 2\r\n\r\nok",
+        True,
+    )
     assert reader.done and (reader.head.fields, bytes(reader.body)) == ({"content-length": "2"}, b"ok")
 
 
-@pytest.mark.parametrize(("minor", "connection", "keeps"), [
-    (1, "", True), (1, "close", False), (1, "Keep-Alive, Close", False), (0, "", False),
-    (0, "keep-alive", True)])
+@pytest.mark.parametrize(
+    ("minor", "connection", "keeps"),
+    [
+        (1, "", True),
+        (1, "close", False),
+        (1, "Keep-Alive, Close", False),
+        (0, "", False),
+        (0, "keep-alive", True),
+    ],
+)
 def test_keep_alive(minor, connection, keeps):
     assert http.Head(minor, {"connection": connection}).keeps_alive() is keeps
 
 
-FIELDS = {"tier": "gold", "x-request-id": "9b1f", "x-timeout": "0.480",
-          "io-info": "volume=00000003b4d60021,units=2,shard=5,hosts=3"}
+FIELDS = {
+    "tier": "gold",
+    "x-request-id": "9b1f",
+    "x-timeout": "0.480",
+    "io-info": "volume=00000003b4d60021,units=2,shard=5,hosts=3",
+}
 
 
 def ask(method="GET", target="/read/7f3a", body=b"", **changes):
@@ -125,56 +152,96 @@
     assert ask(**{"io-info": "volume=1, units=1.5, shard=-1, hosts=1"}).shard is None
 
 
-@pytest.mark.parametrize("wrong", [
-    {"method": "PUT"}, {"method": "POST"}, {"target": "/read"}, {"target": "/other/1"},
-    {"target": "/read/xyz"}, {"target": "read/1"}, {"body": b"x"}, {"tier": "tin"}, {"tier": None},
-    {"x-request-id": None}, {"x-request-id": "a b"}, {"x-timeout": None}, {"x-timeout": "nan"},
-    {"x-timeout": "-1"}, {"x-timeout": "1e9"}, {"io-info": None},
-    {"io-info": "volume=1,units=0,shard=1,hosts=1"},
-    {"io-info": "volume=1,units=1,shard=-2,hosts=1"}, {"io-info": "volume=1,units=1,shard=1,hosts=0"},
-    {"io-info": "volume=x,units=1,shard=1,hosts=1"}, {"io-info": "units=1,shard=1,hosts=1"},
-    {"io-info": "volume=1,units=99,shard=1,hosts=1"}, {"io-info": "volume=1,units=1,shard=1,hosts=99"},
-    {"io-info": "volume=1,units=1,shard=9999999,hosts=1"},
-    {"io-info": "volume=1,units=1,shard=1.5,hosts=1"}, {"io-info": "volume=1,units=inf,shard=1,hosts=1"},
-])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"method": "PUT"},
+        {"method": "POST"},
+        {"target": "/read"},
+        {"target": "/other/1"},
+        {"target": "/read/xyz"},
+        {"target": "read/1"},
+        {"body": b"x"},
+        {"tier": "tin"},
+        {"tier": None},
+        {"x-request-id": None},
+        {"x-request-id": "a b"},
+        {"x-timeout": None},
+        {"x-timeout": "nan"},
+        {"x-timeout": "-1"},
+        {"x-timeout": "1e9"},
+        {"io-info": None},
+        {"io-info": "volume=1,units=0,shard=1,hosts=1"},
+        {"io-info": "volume=1,units=1,shard=-2,hosts=1"},
+        {"io-info": "volume=1,units=1,shard=1,hosts=0"},
+        {"io-info": "volume=x,units=1,shard=1,hosts=1"},
+        {"io-info": "units=1,shard=1,hosts=1"},
+        {"io-info": "volume=1,units=99,shard=1,hosts=1"},
+        {"io-info": "volume=1,units=1,shard=1,hosts=99"},
+        {"io-info": "volume=1,units=1,shard=9999999,hosts=1"},
+        {"io-info": "volume=1,units=1,shard=1.5,hosts=1"},
+        {"io-info": "volume=1,units=inf,shard=1,hosts=1"},
+    ],
+)
 def test_wrong_fields(wrong):
     with pytest.raises(platform.FieldError):
         ask(**wrong)
 
 
-@pytest.mark.parametrize(("status", "fields", "told"), [
-    (200, {"other-hosts": "7", "x-server-load": "TEXT inflight=7, mean_ms=2.5"},
-     (api.Status.OK, 7.0, (2.5,))),
-    (200, {"other-hosts": "-7", "x-server-load": "TEXT mean_ms=nan"}, (api.Status.OK, 0.0, ())),
-    (200, {"x-server-load": "JSON {}"}, (api.Status.OK, 0.0, ())),
-    (503, {"x-not-processed": "1"}, (api.Status.FULL, 0.0, ())),
-    (504, {"x-not-processed": "1"}, (api.Status.FULL, 0.0, ())),
-    (500, {"x-not-processed": "1"}, (api.Status.ERROR, 0.0, ())),
-    (503, {}, (api.Status.ERROR, 0.0, ())),
-    (404, {}, (api.Status.ERROR, 0.0, ())),
-])
+@pytest.mark.parametrize(
+    ("status", "fields", "told"),
+    [
+        (
+            200,
+            {"other-hosts": "7", "x-server-load": "TEXT inflight=7, mean_ms=2.5"},
+            (api.Status.OK, 7.0, (2.5,)),
+        ),
+        (200, {"other-hosts": "-7", "x-server-load": "TEXT mean_ms=nan"}, (api.Status.OK, 0.0, ())),
+        (200, {"x-server-load": "JSON {}"}, (api.Status.OK, 0.0, ())),
+        (503, {"x-not-processed": "1"}, (api.Status.FULL, 0.0, ())),
+        (504, {"x-not-processed": "1"}, (api.Status.FULL, 0.0, ())),
+        (500, {"x-not-processed": "1"}, (api.Status.ERROR, 0.0, ())),
+        (503, {}, (api.Status.ERROR, 0.0, ())),
+        (404, {}, (api.Status.ERROR, 0.0, ())),
+    ],
+)
 def test_answers(status, fields, told):
     found = platform.AnswerFields(SETTINGS).parse(http.Head(1, fields, status=status))
     assert found == platform.Answered(*told)
 
 
-LINE = (b'{"name":"s-1","address":"10.1.0.18:3000","zone":"a","type":"m2","group":3,"status":"leaving",'
-        b'"weight":1.5,"since_ms":%d}')
+LINE = (
+    b'{"name":"s-1","address":"10.1.0.18:3000","zone":"a","type":"m2","group":3,"status":"leaving",'
+    b'"weight":1.5,"since_ms":%d}'
+)
 
 
 def test_a_list_of_targets():
     found = discovery.parse_listing(b'{"index":41,"snapshot":true,"endpoints":[%s]}' % (LINE % 2500))
-    assert found == discovery.Listing(41, True, (discovery.Target(
-        "s-1", "10.1.0.18", 3000, "a", "m2", 3, api.NodeState.DRAINING, 1.5, 2.5),))
+    assert found == discovery.Listing(
+        41,
+        True,
+        (discovery.Target("s-1", "10.1.0.18", 3000, "a", "m2", 3, api.NodeState.DRAINING, 1.5, 2.5),),
+    )
     found = discovery.parse_listing(b'{"index":1,"snapshot":false,"endpoints":[%s]}' % (LINE % 0))
     assert found.targets[0].since is None and not found.whole
 
 
-@pytest.mark.parametrize("body", [
-    b"", b"[]", b"null", b"{", b'{"index":1}', b'{"index":"x","snapshot":true,"endpoints":[]}',
-    b'{"index":1,"snapshot":true,"endpoints":[1]}', b'{"index":1,"snapshot":true,"endpoints":[{"name":"a"}]}',
-    b'{"index":1,"snapshot":true,"endpoints":[%s]}' % (LINE % 0).replace(b"leaving", b"dancing"),
-    b'{"index":1,"snapshot":true,"endpoints":[%s]}' % (LINE % 0).replace(b":3000", b":99999")])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"null",
+        b"{",
+        b'{"index":1}',
+        b'{"index":"x","snapshot":true,"endpoints":[]}',
+        b'{"index":1,"snapshot":true,"endpoints":[1]}',
+        b'{"index":1,"snapshot":true,"endpoints":[{"name":"a"}]}',
+        b'{"index":1,"snapshot":true,"endpoints":[%s]}' % (LINE % 0).replace(b"leaving", b"dancing"),
+        b'{"index":1,"snapshot":true,"endpoints":[%s]}' % (LINE % 0).replace(b":3000", b":99999"),
+    ],
+)
 def test_malformed_lists(body):
     with pytest.raises(discovery.DiscoveryError):
         discovery.parse_listing(body)
@@ -184,7 +251,7 @@
 def pdus(data: bytes, step: int, allowed=nvme.FROM_HOST) -> list[nvme.Pdu]:
     reader, kept, found = nvme.PduReader(allowed), b"", []
     for at in range(0, len(data), step):
-        kept += data[at:at + step]
+        kept += data[at : at + step]
         while kept:
             used, one = reader.feed(memoryview(kept))
             kept = kept[used:]
@@ -196,8 +263,14 @@
 
 
 IC = bytes.fromhex("0000800080000000") + bytes(120)
-WRITE = (bytes.fromhex("04004848" "4c000000" "01400500" "03000000") + bytes(16) + bytes(8)
-         + bytes.fromhex("04000000" "00000001" "1100000000000000" "0000") + bytes(14) + b"data")
+WRITE = (
+    bytes.fromhex("04004848" "4c000000" "01400500" "03000000")
+    + bytes(16)
+    + bytes(8)
+    + bytes.fromhex("04000000" "00000001" "1100000000000000" "0000")
+    + bytes(14)
+    + b"data"
+)
 H2C = bytes.fromhex("06041818" "1c000000" "0500" "0900" "08000000" "04000000" "00000000") + b"rest"
 
 
@@ -207,40 +280,56 @@
     assert nvme.parse_ic(ic) == 0
     command = nvme.parse_command(write)
     assert (command.opcode, command.cid, command.nsid, command.lba, command.blocks, write.data) == (
-        nvme.WRITE, 5, 3, 0x11, 1, b"data")
+        nvme.WRITE,
+        5,
+        3,
+        0x11,
+        1,
+        b"data",
+    )
     assert nvme.parse_data(data) == (5, 9, 8, 4) and data.data == b"rest" and data.flags & nvme.LAST
 
 
-@pytest.mark.parametrize(("data", "info"), [
-    (b"\x05" + IC[1:], 0),  # a type that a host does not send
-    (b"\x77" + IC[1:], 0),
-    (b"\x04\x01" + WRITE[2:], 1),  # digests
-    (b"\x04\x00\x49" + WRITE[3:], 2),  # header length
-    (b"\x04\x00\x48\x50" + WRITE[4:], 3),  # data offset
-    (WRITE[:4] + b"\x04\x00\x00\x00", 4),  # shorter than its header
-    (WRITE[:4] + b"\x49\x00\x01\x00", 4),  # 64 KiB and one more byte
-    (IC[:4] + b"\x81\x00\x00\x00", 4),  # data where there can't be any
-])
+@pytest.mark.parametrize(
+    ("data", "info"),
+    [
+        (b"\x05" + IC[1:], 0),  # a type that a host does not send
+        (b"\x77" + IC[1:], 0),
+        (b"\x04\x01" + WRITE[2:], 1),  # digests
+        (b"\x04\x00\x49" + WRITE[3:], 2),  # header length
+        (b"\x04\x00\x48\x50" + WRITE[4:], 3),  # data offset
+        (WRITE[:4] + b"\x04\x00\x00\x00", 4),  # shorter than its header
+        (WRITE[:4] + b"\x49\x00\x01\x00", 4),  # 64 KiB and one more byte
+        (IC[:4] + b"\x81\x00\x00\x00", 4),  # data where there can't be any
+    ],
+)
 def test_malformed_pdus_are_refused_by_their_common_header(data, info):
     with pytest.raises(nvme.PduError) as caught:
         pdus(data[:8], 8)
     assert (caught.value.status, caught.value.info) == (nvme.BAD_FIELD, info)
 
 
-@pytest.mark.parametrize("raw", [
-    WRITE[:9] + b"\x41" + WRITE[10:],  # fused
-    WRITE[:40] + b"\x05" + WRITE[41:],  # descriptor and data differ in length
-    WRITE[:47] + b"\x5a" + WRITE[48:],  # data, but a descriptor for a transfer
-])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        WRITE[:9] + b"\x41" + WRITE[10:],  # fused
+        WRITE[:40] + b"\x05" + WRITE[41:],  # descriptor and data differ in length
+        WRITE[:47] + b"\x5a" + WRITE[48:],  # data, but a descriptor for a transfer
+    ],
+)
 def test_malformed_commands(raw):
     with pytest.raises(nvme.PduError):
         nvme.parse_command(pdus(raw, 1 << 20)[0])
 
 
-@pytest.mark.parametrize(("done", "word"), [
-    (nvme.Completion(7, nvme.NOT_READY, 0, 2), 0x82 << 1 | 2 << 12),
-    (nvme.Completion(7, nvme.INTERNAL, 0, 0, True), 6 << 1 | 1 << 15),
-    (nvme.Completion(7, nvme.BAD_CONNECT, 9, 0, True), 0x182 << 1 | 1 << 15)])
+@pytest.mark.parametrize(
+    ("done", "word"),
+    [
+        (nvme.Completion(7, nvme.NOT_READY, 0, 2), 0x82 << 1 | 2 << 12),
+        (nvme.Completion(7, nvme.INTERNAL, 0, 0, True), 6 << 1 | 1 << 15),
+        (nvme.Completion(7, nvme.BAD_CONNECT, 9, 0, True), 0x182 << 1 | 1 << 15),
+    ],
+)
 def test_completions(done, word):
     raw = nvme.completion(done, 1, 3)
     assert raw == bytes.fromhex("0500180018000000") + struct.pack("<QHHHH", done.result, 3, 1, 7, word)
@@ -270,7 +359,7 @@
     at, now, found = 0, {}, {}
     while at < len(packet):
         kind, length = struct.unpack_from(">HH", packet, at)
-        body = packet[at + 4:at + length]
+        body = packet[at + 4 : at + length]
         if kind == 6:
             count, code = struct.unpack_from(">HB", body)
             assert count == 1 and len(body) == 3 + 8
@@ -289,10 +378,12 @@
     for head, values in map(collectd_decoded, packets):
         assert (head[0], head[2], head[3], head[1], head[7]) == (b"n1", b"stalltiller", b"n1", 1000, 10)
         found |= values
-    assert found == {name: value if name == "figure_7" else math.floor(value)
-                     for name, value in sample.items()}
+    assert found == {
+        name: value if name == "figure_7" else math.floor(value) for name, value in sample.items()
+    }
 
 
 def test_graphite_lines_name_the_instance():
     assert metrics.graphite_lines("n.1 x", {"open": 2, "cpu": 1.5}, 99.9) == (
-        b"stalltiller.n_1_x.open 2 99\nstalltiller.n_1_x.cpu 1.5 99\n")
+        b"stalltiller.n_1_x.open 2 99\nstalltiller.n_1_x.cpu 1.5 99\n"
+    )
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -25,16 +25,31 @@
 
 
 def start(*arguments: str, preexec_fn=None, pass_fds=(), **environment: str) -> subprocess.Popen:
-    return subprocess.Popen([sys.executable, "-m", "stalltiller", *arguments], cwd=ROOT, text=True,
-                            preexec_fn=preexec_fn, pass_fds=pass_fds, stdout=subprocess.PIPE,
-                            stderr=subprocess.PIPE,
-                            env={**os.environ, "PYTHONUNBUFFERED": "1", **environment})
-
-
-@pytest.mark.parametrize("change", [
-    {"settings": None}, {"settings": {}}, {"listen": ""}, {"listen": "nowhere"}, {"discovery": "h:99999"},
-    {"seed": "xyz"}, {"known": {"index": 1}},
-    {"settings": {"classes": [{"aim-ns": "soon"}], "contracts": [{}]}}])
+    return subprocess.Popen(
+        [sys.executable, "-m", "stalltiller", *arguments],
+        cwd=ROOT,
+        text=True,
+        preexec_fn=preexec_fn,
+        pass_fds=pass_fds,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        env={**os.environ, "PYTHONUNBUFFERED": "1", **environment},
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"settings": None},
+        {"settings": {}},
+        {"listen": ""},
+        {"listen": "nowhere"},
+        {"discovery": "h:99999"},
+        {"seed": "xyz"},
+        {"known": {"index": 1}},
+        {"settings": {"classes": [{"aim-ns": "soon"}], "contracts": [{}]}},
+    ],
+)
 def test_a_bad_configuration_ends_with_one_plain_line(change, tmp_path):
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**EXAMPLE, **change}))
@@ -75,12 +90,21 @@
     assert found.graphite.address[0] == found.collectd.address[0] == "127.0.0.1"
 
 
-@pytest.mark.parametrize(("old", "new"), [
-    ('plan = "standard"', 'plan = "tin"'), ('class = "order-read"', 'class = "order-write"'),
-    ("id = 2", "id = 1"), ("block_size = 4096", "block_size = 1000"),
-    ("deadline_ms = 1200", "deadline_ms = -1"), ("interval_s = 10", "interval_s = 0"),
-    ("blocks_per_unit = 2", ""), ('volume = "', 'volume = "xyz'),
-    ("[nvme.opcodes.write]", "[nvme.opcodes.other]"), ("shard = 0", 'shard = "a"')])
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('plan = "standard"', 'plan = "tin"'),
+        ('class = "order-read"', 'class = "order-write"'),
+        ("id = 2", "id = 1"),
+        ("block_size = 4096", "block_size = 1000"),
+        ("deadline_ms = 1200", "deadline_ms = -1"),
+        ("interval_s = 10", "interval_s = 0"),
+        ("blocks_per_unit = 2", ""),
+        ('volume = "', 'volume = "xyz'),
+        ("[nvme.opcodes.write]", "[nvme.opcodes.other]"),
+        ("shard = 0", 'shard = "a"'),
+    ],
+)
 def test_a_bad_operator_s_file_is_refused(old, new, tmp_path):
     assert old in OPERATOR
     path = tmp_path / "operator.toml"
@@ -131,8 +155,10 @@
         program = start(PROXY_CONFIG=str(path), PROXY_LISTEN="127.0.0.1:0", PROXY_DISCOVERY=addresses[0])
         events = (json.loads(line) for line in program.stdout)
         assert call(old).startswith(b"GET /v1/servers HTTP/1.1")
-        for text, expected in (("{", "reload_failed"), (json.dumps({**EXAMPLE, "discovery": addresses[1]}),
-                                                        "reloaded")):
+        for text, expected in (
+            ("{", "reload_failed"),
+            (json.dumps({**EXAMPLE, "discovery": addresses[1]}), "reloaded"),
+        ):
             write(text)
             program.send_signal(signal.SIGHUP)
             assert any(event["event"] == expected for event in events)
@@ -147,8 +173,12 @@
     """The address is bound already: to bind it anew would fail."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
         address, number = listening.getsockname(), listening.fileno()
-        program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), pass_fds=(number,),
-                        PROXY_LISTEN=f"127.0.0.1:{address[1]}", PROXY_INHERITED_FD=str(number))
+        program = start(
+            PROXY_CONFIG=str(ROOT / "examples" / "config.json"),
+            pass_fds=(number,),
+            PROXY_LISTEN=f"127.0.0.1:{address[1]}",
+            PROXY_INHERITED_FD=str(number),
+        )
         with socket.create_connection(address, timeout=20) as client:
             client.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
             assert client.recv(100).startswith(b"HTTP/1.1 ")
@@ -159,15 +189,21 @@
 
 @pytest.mark.parametrize("number", ["three", "2", "99999"])
 def test_a_descriptor_that_does_not_listen_ends_with_one_plain_line(number):
-    program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0",
-                    PROXY_INHERITED_FD=number)
+    program = start(
+        PROXY_CONFIG=str(ROOT / "examples" / "config.json"),
+        PROXY_LISTEN="127.0.0.1:0",
+        PROXY_INHERITED_FD=number,
+    )
     _, err = program.communicate(timeout=20)
     assert (program.returncode, err.count("\n")) == (2, 1) and err.startswith("stalltiller: ")
 
 
 def test_it_lives_through_running_out_of_descriptors():
-    program = start(PROXY_CONFIG=str(ROOT / "examples" / "config.json"), PROXY_LISTEN="127.0.0.1:0",
-                    preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)))
+    program = start(
+        PROXY_CONFIG=str(ROOT / "examples" / "config.json"),
+        PROXY_LISTEN="127.0.0.1:0",
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)),
+    )
     events = map(json.loads, program.stdout)
     host, _, port = next(event for event in events if event["event"] == "started")["listen"].partition(":")
     crowd = [socket.create_connection((host, int(port))) for _ in range(60)]
@@ -196,8 +232,9 @@
 
 class MeteredWorld(World):
     def changed(self, found):
-        return replace(found, graphite=config.Sink(self.graphite, 0.05),
-                       collectd=config.Sink(self.collectd, 0.05))
+        return replace(
+            found, graphite=config.Sink(self.graphite, 0.05), collectd=config.Sink(self.collectd, 0.05)
+        )
 
 
 def test_metrics_arrive_at_graphite_and_collectd():
@@ -211,7 +248,8 @@
 
         server = await asyncio.start_server(plaintext, "127.0.0.1", 0)
         transport, sink = await asyncio.get_running_loop().create_datagram_endpoint(
-            Sink, local_addr=("127.0.0.1", 0))
+            Sink, local_addr=("127.0.0.1", 0)
+        )
         world = MeteredWorld("http")
         world.graphite, world.collectd = server.sockets[0].getsockname(), transport.get_extra_info("sockname")
         async with world:
@@ -225,6 +263,7 @@
         assert (head[0], head[2], head[3], values["served"]) == (b"n0", b"stalltiller", b"n0", 1)
         transport.close()
         server.close()
+
     asyncio.run(whole())
 
 
@@ -240,4 +279,5 @@
             await asyncio.sleep(0.2)
             assert (await world.read()).end == "served"
         server.close()
+
     asyncio.run(whole())
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -22,19 +22,34 @@
 )
 SITES = {
     "everything": settings(
-        classes=CLASSES, plans=(plan(limit=8.0, burst=48.0, slack=4.0), plan(weight=5.0)),
-        rules=rules(order_pause=0.3, budget_free=2.0, budget_share=0.1, budget_window=3.0)),
+        classes=CLASSES,
+        plans=(plan(limit=8.0, burst=48.0, slack=4.0), plan(weight=5.0)),
+        rules=rules(order_pause=0.3, budget_free=2.0, budget_share=0.1, budget_window=3.0),
+    ),
     "asked for, no limits": settings(
-        classes=CLASSES[:1] + CLASSES[4:], list_pushed=False, may_advise=False, max_attempts=5,
-        rules=rules(ask_every=5.0, order_pause=0.2)),
+        classes=CLASSES[:1] + CLASSES[4:],
+        list_pushed=False,
+        may_advise=False,
+        max_attempts=5,
+        rules=rules(ask_every=5.0, order_pause=0.2),
+    ),
     "one unsafe class": settings(classes=CLASSES[3:4], gateways=5, max_attempts=2),
 }
 ARRIVAL = st.tuples(
-    st.integers(0, 60), st.integers(0, 5), st.integers(0, 1), st.integers(1, 5), st.integers(1, 8),
-    st.one_of(st.none(), st.integers(0, 4)), st.integers(0, 3), st.booleans(), st.floats(0.05, 3.0))
+    st.integers(0, 60),
+    st.integers(0, 5),
+    st.integers(0, 1),
+    st.integers(1, 5),
+    st.integers(1, 8),
+    st.one_of(st.none(), st.integers(0, 4)),
+    st.integers(0, 3),
+    st.booleans(),
+    st.floats(0.05, 3.0),
+)
 FATES = st.lists(st.tuples(st.sampled_from(list(api.Status)), st.floats(0.001, 1.5)), min_size=1, max_size=12)
-NEWS = st.lists(st.tuples(st.integers(0, 3000), st.integers(0, 3), st.sampled_from(list(api.NodeState))),
-                max_size=4)
+NEWS = st.lists(
+    st.tuples(st.integers(0, 3000), st.integers(0, 3), st.sampled_from(list(api.NodeState))), max_size=4
+)
 
 
 def play(scheduler: object, site: api.Settings, arrivals: list, fates: list, news: list) -> World:
@@ -44,8 +59,20 @@
     for number, (gap, cls, kind, volume, units, shard, key, leaves, left) in enumerate(arrivals):
         now += gap / 1000
         name = kind % len(site.plans)
-        world.push(now, request(number, cls=cls % len(site.classes), plan=name, volume=volume * 2 + name,
-                                units=float(units), hosts=2, shard=shard, key=key, left=left))
+        world.push(
+            now,
+            request(
+                number,
+                cls=cls % len(site.classes),
+                plan=name,
+                volume=volume * 2 + name,
+                units=float(units),
+                hosts=2,
+                shard=shard,
+                key=key,
+                left=left,
+            ),
+        )
         if leaves:
             world.push(now + 0.5 * left, api.ClientGone(number))
     for at, node, state in news:
@@ -62,8 +89,17 @@
 
 
 def flood(count: int, **changes: object) -> list[tuple]:
-    one = {"gap": 5, "cls": 0, "kind": 0, "volume": 1, "units": 4, "shard": 1, "key": 1, "leaves": False,
-           "left": 2.0} | changes
+    one = {
+        "gap": 5,
+        "cls": 0,
+        "kind": 0,
+        "volume": 1,
+        "units": 4,
+        "shard": 1,
+        "key": 1,
+        "leaves": False,
+        "left": 2.0,
+    } | changes
     return [tuple(one.values())] * count
 
 
@@ -90,18 +126,21 @@
         return actions
 
 
-@pytest.mark.parametrize(("fault", "arrivals", "fate", "news", "says"), [
-    ("silent", flood(1), api.Status.OK, [], "1: not answered"),
-    ("twice", flood(1), api.Status.OK, [], "1: answered twice"),
-    ("refuses", flood(1, cls=3), api.Status.ERROR, [], "2: refused"),
-    ("repeats", flood(1, cls=3), api.Status.ERROR, [], "2: unsafe"),
-    ("repeats", flood(1, cls=1), api.Status.ERROR, [], "2: keyed"),
-    ("drains", flood(900), api.Status.FULL, [(1, 1, api.NodeState.DRAINING)], "3: "),
-    ("cold", flood(20, shard=3), api.Status.FULL, [], "4: "),
-    ("order", flood(2, cls=4), api.Status.OK, [], "5: out of order"),
-    ("repeats", flood(2, left=3.0), api.Status.ERROR, [], "6: "),
-    ("limit", flood(40), api.Status.OK, [], "7: "),
-])
+@pytest.mark.parametrize(
+    ("fault", "arrivals", "fate", "news", "says"),
+    [
+        ("silent", flood(1), api.Status.OK, [], "1: not answered"),
+        ("twice", flood(1), api.Status.OK, [], "1: answered twice"),
+        ("refuses", flood(1, cls=3), api.Status.ERROR, [], "2: refused"),
+        ("repeats", flood(1, cls=3), api.Status.ERROR, [], "2: unsafe"),
+        ("repeats", flood(1, cls=1), api.Status.ERROR, [], "2: keyed"),
+        ("drains", flood(900), api.Status.FULL, [(1, 1, api.NodeState.DRAINING)], "3: "),
+        ("cold", flood(20, shard=3), api.Status.FULL, [], "4: "),
+        ("order", flood(2, cls=4), api.Status.OK, [], "5: out of order"),
+        ("repeats", flood(2, left=3.0), api.Status.ERROR, [], "6: "),
+        ("limit", flood(40), api.Status.OK, [], "7: "),
+    ],
+)
 def test_the_checker_finds_a_broken_scheduler(fault, arrivals, fate, news, says):
     site = SITES["everything"]
     if says == "3: ":
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -22,9 +22,19 @@
 
 
 def get(tag: int, **fields: str) -> bytes:
-    return http.encode_request("GET", f"/read/{tag:x}", {
-        "Host": "h", "X-Request-ID": f"race{tag}", "Tier": "plan", "X-Timeout": str(DEADLINE),
-        "IO-Info": f"volume={VOLUME:x},units=1,shard=0,hosts=1", **fields}, b"")
+    return http.encode_request(
+        "GET",
+        f"/read/{tag:x}",
+        {
+            "Host": "h",
+            "X-Request-ID": f"race{tag}",
+            "Tier": "plan",
+            "X-Timeout": str(DEADLINE),
+            "IO-Info": f"volume={VOLUME:x},units=1,shard=0,hosts=1",
+            **fields,
+        },
+        b"",
+    )
 
 
 def play(scene, kind="http", run=asyncio.run, **changes):
@@ -32,6 +42,7 @@
         async with World(kind, **changes) as world:
             await asyncio.wait_for(scene(world), 20)
             assert world.faults() == []
+
     run(whole())
 
 
@@ -73,6 +84,7 @@
 @pytest.mark.parametrize("draining", [False, True])
 def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_begun(kind, draining):
     """The attempt stayed, and began once its connection was up."""
+
     async def scene(world):
         gate = Gate(world)
         asking = asyncio.create_task(world.read(tag=1))
@@ -82,22 +94,26 @@
         asking.cancel()
         await world.until(lambda: world.app.engine.open == 0)
         await gate.begins_nothing()
+
     play(scene, kind)
 
 
 def test_a_request_whose_client_has_left_before_it_is_read_is_not_sent():
     """The turn that sends comes before the loop reads the connection's end."""
+
     async def scene(world):
         with dial(world) as client:
             client.sendall(get(1))
         assert (await world.read(tag=2)).end == "served"
         assert [tag for _, tag in world.targets[0].begun] == [2]
         assert world.app.engine.counts["gone"] == 1
+
     play(scene)
 
 
 def test_a_client_that_sends_much_ahead_and_leaves_is_seen_to_go():
     """Its connection was not read any more once the buffer was full, so its end was not seen either."""
+
     async def scene(world):
         gate = Gate(world)
         client = dial(world)
@@ -107,6 +123,7 @@
         await world.until(lambda: world.app.engine.open == 0, DEADLINE / 3)
         await gate.begins_nothing()
         assert world.app.engine.counts["gone"] == 1
+
     play(scene)
 
 
@@ -118,11 +135,13 @@
         assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(world.targets[0].content(1, BLOCK))
         client.close()
         await world.until(lambda: len(world.app.listener) == 0)
+
     play(scene)
 
 
 def test_a_host_that_leaves_while_it_is_not_read_from_is_seen_to_go():
     """It leaves completions unread, so no further command is taken from it, and its queue is not read."""
+
     async def scene(world):
         gate = Gate(world)
         _, io = await world.client.associate()
@@ -137,6 +156,7 @@
             stream.writer.transport.abort()
         await world.until(lambda: world.app.engine.open == 0, DEADLINE / 3)
         await gate.begins_nothing()
+
     play(scene, "nvme")
 
 
@@ -152,12 +172,14 @@
         if when == "after":
             act()
         return found
+
     monkeypatch.setattr(http_front.ClientConnection, method, wrapped)
 
 
 @pytest.mark.parametrize("bad", [False, True])
 def test_bytes_that_arrive_as_a_connection_is_closed_take_no_answer_with_them(monkeypatch, bad):
     """They turned the close into a reset."""
+
     async def scene(world):
         client = dial(world)
         arriving(monkeypatch, "_answer", "before", lambda: client.sendall(b"GET /late"))
@@ -167,6 +189,7 @@
         client.close()
         await world.until(lambda: len(world.app.listener) == 0)
         assert [tag for _, tag in world.targets[0].begun] == [1] * (not bad)
+
     play(scene)
 
 
@@ -182,6 +205,7 @@
         assert answer.count(b"HTTP/1.1") == 1 and answer.startswith(b"HTTP/1.1 200")
         assert [tag for _, tag in world.targets[0].begun] == [1]
         client.close()
+
     play(scene)
 
 
@@ -194,6 +218,7 @@
         client.sendall(get(1, Connection="close"))
         assert (await rest_of(client)).count(b"x") == size
         client.close()
+
     play(scene)
 
 
@@ -206,10 +231,12 @@
         def ready():
             client.sendall(b"GET /late")
             return known()
+
         monkeypatch.setattr(world.app, "is_ready", ready)
         client.sendall(b"GET /_ready HTTP/1.1\r\nHost: h\r\n\r\n")
         assert (await rest_of(client)).startswith(b"HTTP/1.1 200")
         client.close()
+
     play(scene)
 
 
@@ -217,6 +244,7 @@
 @pytest.mark.parametrize("accepted", [False, True])
 def test_what_waits_to_be_accepted_as_the_listener_stops_is_served(accepted):
     """One that waits in the kernel, or was accepted and is not up yet, was reset with its request."""
+
     async def scene(world):
         listener = world.app.listener
         client = dial(world)
@@ -224,12 +252,14 @@
         address = listener.address
         if accepted:  # the stop comes between the accept and the turn in which the connection comes up
             asyncio.get_running_loop()._accept_connection(
-                lambda: listener._make(listener), listener._listening, server=listener._server)
+                lambda: listener._make(listener), listener._listening, server=listener._server
+            )
         await listener.stop(take_in=not accepted)
         assert (await rest_of(client)).startswith(b"HTTP/1.1 200")
         with pytest.raises(OSError):
             socket.create_connection(address, timeout=1)
         client.close()
+
     play(scene)
 
 
@@ -247,18 +277,21 @@
         def close_out():
             known()
             client.sendall(b"\r\n")
+
         monkeypatch.setattr(world.app.engine, "close_out", close_out)
         world.app.stop.set()
         assert (await rest_of(client)).startswith(b"HTTP/1.1 503")
         client.close()
         await asyncio.wait_for(world.running, 5)
         assert world.targets[0].begun == []
+
     play(scene)
 
 
 @pytest.mark.parametrize("write", [False, True])
 def test_the_end_lets_no_attempt_begin_and_says_so(write):
     """An attempt whose connection was coming up began after its request was answered; a write was failed."""
+
     async def scene(world):
         gate = Gate(world)
         asking = asyncio.create_task(world.write(tag=1) if write else world.read(tag=1))
@@ -269,6 +302,7 @@
         world.app.engine._over = False
         assert (await world.read(tag=2)).end == "served"
         assert [tag for _, tag in world.targets[0].begun] == [2]
+
     play(scene)
 
 
@@ -282,6 +316,7 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * 300_000)
             await asyncio.get_running_loop().create_future()
+
         world.targets[0].serve = answer
         client = dial(world)
         client.sendall(get(1).replace(b"HTTP/1.1", b"HTTP/1.0"))
@@ -291,6 +326,7 @@
         with pytest.raises(ConnectionResetError):  # by now: what is left open ends in order with the process
             await asyncio.wait_for(rest_of(client), 1)
         client.close()
+
     play(scene)
 
 
@@ -306,10 +342,12 @@
         async def late(host, port):
             await asyncio.sleep(0.2 if world.targets[0].begun else 0.0)
             return await connect(host, port)
+
         pool._connect = late
         assert (await world.read(tag=1)).end != "served"
         await asyncio.sleep(1.0)
         assert len(world.targets[0].begun) == 1
+
     play(scene, run=run_on_jumping_clock, classes=(keyed,))
 
 
@@ -327,14 +365,16 @@
         await heard.open()
         heard.name, heard.shard = "s-0", 0
         world.discovery.set(heard)
-        await world.until(lambda: any(
-            place.port == heard.port for place in world.app.engine._places.values()))
+        await world.until(
+            lambda: any(place.port == heard.port for place in world.app.engine._places.values())
+        )
         client = dial(world)
         client.sendall(get(1, Connection="close", **{"Idempotency-Key": "k-17"}))
         assert (await rest_of(client)).endswith(b"ok")
         assert heads[0]["idempotency-key"] == "k-17"
         client.close()
         heard.close()
+
     play(scene)
 
 
@@ -355,17 +395,19 @@
         else:
             world.discovery.set(target, told)
         heard = len(world.logged)
-        await world.until(lambda: any(line["event"] == "list" for line in world.logged[heard - 1:]))
+        await world.until(lambda: any(line["event"] == "list" for line in world.logged[heard - 1 :]))
         await asyncio.sleep(world.settings.rules.drain_grace + 0.1)  # on the jumping clock
         gate.open.set()
         assert not (await rest_of(client)).startswith(b"HTTP/1.1 200")
         assert target.begun == []
         client.close()
+
     play(scene, run=run_on_jumping_clock, classes=(patient,))
 
 
 def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_request_s(monkeypatch):
     """It crossed a request sent on the connection meanwhile, and was served as that one's answer."""
+
     async def scene(world):
         world.app.carrier.pool._rest = 0.0, 60.0  # the second answer comes within it on any machine
 
@@ -376,22 +418,29 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.write(answer)
             await reader.read()
+
         served, world.targets[0].serve = world.targets[0].serve, twice
         assert (await world.read(tag=1)).data == world.targets[0].content(1, BLOCK)
         world.targets[0].serve = served
         assert (await world.read(tag=2)).data == world.targets[0].content(2, BLOCK)
+
     play(scene)
 
 
 def test_a_connection_that_has_rested_is_used_again_and_one_that_has_not_if_no_other_can_be_had():
     async def scene(world):
         pool = world.app.carrier.pool
-        for most, soonest, longest, opened in ((99, 0.0, 0.0, 1), (99, 0.0, 60.0, 3), (3, 0.0, 60.0, 3),
-                                               (99, 60.0, 90.0, 3)):
+        for most, soonest, longest, opened in (
+            (99, 0.0, 0.0, 1),
+            (99, 0.0, 60.0, 3),
+            (3, 0.0, 60.0, 3),
+            (99, 60.0, 90.0, 3),
+        ):
             pool._most, pool._rest = most, (soonest, longest)
             for _ in range(2):
                 assert (await world.read(tag=1)).end == "served"
             assert pool.opened == opened
+
     play(scene)
 
 
@@ -401,6 +450,7 @@
 @pytest.mark.parametrize("slow", [False, True])
 def test_a_reset_is_no_end_of_an_answer_without_a_length(size, reset, slow):
     """Only the connection's end in order makes such an answer whole, also where its client reads slowly."""
+
     async def scene(world):
         async def answer(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
@@ -412,6 +462,7 @@
             if reset:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.close()
+
         world.targets[0].serve = answer
         client = dial(world)
         if slow:
@@ -420,8 +471,12 @@
         got = b""
         with contextlib.suppress(ConnectionResetError):
             got = await rest_of(client)
-        whole = got.startswith(b"HTTP/1.1 200") and got.count(b"x") == size and (
-            b"chunked" not in got or got.endswith(b"0\r\n\r\n"))
+        whole = (
+            got.startswith(b"HTTP/1.1 200")
+            and got.count(b"x") == size
+            and (b"chunked" not in got or got.endswith(b"0\r\n\r\n"))
+        )
         assert whole is not reset
         client.close()
+
     play(scene)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -30,9 +30,17 @@
 
 NOW, ADDRESS = 1000.0, "127.0.0.1:8500"
 TARGET = discovery.Target("s-1", "127.0.0.1", 3000, "a", "m", 3, api.NodeState.DRAINING, 0.5, 900.25)
-FACTS = Facts("n1", ADDRESS, NOW, True, discovery.Listing(41, True, (TARGET,)), NOW - 5,
-              (Pace("s-1", 900.25, 0.03, 4.0, NOW - 1),), (Level(7, "basic", 2, 9.5, NOW),),
-              Calm(0.97, ((None, 0.5), (3, 4.25)), (("n2", "127.0.0.1", 7946),)))
+FACTS = Facts(
+    "n1",
+    ADDRESS,
+    NOW,
+    True,
+    discovery.Listing(41, True, (TARGET,)),
+    NOW - 5,
+    (Pace("s-1", 900.25, 0.03, 4.0, NOW - 1),),
+    (Level(7, "basic", 2, 9.5, NOW),),
+    Calm(0.97, ((None, 0.5), (3, 4.25)), (("n2", "127.0.0.1", 7946),)),
+)
 
 
 def test_facts_come_back_as_they_were(tmp_path):
@@ -45,12 +53,17 @@
     assert Store(str(tmp_path / "kept")).load("n1", ADDRESS, NOW) == FACTS
 
 
-@pytest.mark.parametrize(("data", "name", "address", "now", "why"), [
-    (encode(FACTS)[:-1], "n1", ADDRESS, NOW, "torn"), (b"", "n1", ADDRESS, NOW, "torn"),
-    (encode(FACTS).replace(b"basic", b"bAsic"), "n1", ADDRESS, NOW, "torn"),
-    (encode(FACTS), "n2", ADDRESS, NOW, "foreign"), (encode(FACTS), "n1", "127.0.0.1:1", NOW, "foreign"),
-    (encode(FACTS), "n1", ADDRESS, NOW - 60, "future"),
-])
+@pytest.mark.parametrize(
+    ("data", "name", "address", "now", "why"),
+    [
+        (encode(FACTS)[:-1], "n1", ADDRESS, NOW, "torn"),
+        (b"", "n1", ADDRESS, NOW, "torn"),
+        (encode(FACTS).replace(b"basic", b"bAsic"), "n1", ADDRESS, NOW, "torn"),
+        (encode(FACTS), "n2", ADDRESS, NOW, "foreign"),
+        (encode(FACTS), "n1", "127.0.0.1:1", NOW, "foreign"),
+        (encode(FACTS), "n1", ADDRESS, NOW - 60, "future"),
+    ],
+)
 def test_state_that_is_not_whole_or_not_its_own_or_to_come_is_refused(data, name, address, now, why):
     with pytest.raises(Refused, match=why):
         decode(data, name, address, now)
@@ -74,17 +87,27 @@
             decode(spoilt, "n1", ADDRESS, NOW)
 
 
-@pytest.mark.parametrize(("age", "closed", "kinds"), [
-    (1.0, True, (True, True, True)), (1.0, False, (True, True, False)), (70.0, True, (True, False, True)),
-    (700.0, False, (False, False, False)), (700.0, True, (False, False, True))])
+@pytest.mark.parametrize(
+    ("age", "closed", "kinds"),
+    [
+        (1.0, True, (True, True, True)),
+        (1.0, False, (True, True, False)),
+        (70.0, True, (True, False, True)),
+        (700.0, False, (False, False, False)),
+        (700.0, True, (False, False, True)),
+    ],
+)
 def test_each_kind_of_fact_has_an_age_past_which_it_is_not_used(age, closed, kinds):
     kept = usable(replace(FACTS, closed=closed), NOW + age)
     assert (kept.listing is not None, kept.paces != (), kept.levels != ()) == kinds
 
 
 LIMITED = plan(name="basic", limit=20.0, burst=40.0)
-lives = st.lists(st.tuples(st.floats(0.01, 5.0), st.floats(0.0, 5.0), st.booleans(), st.floats(0.0, 1.0)),
-                 min_size=1, max_size=8)
+lives = st.lists(
+    st.tuples(st.floats(0.01, 5.0), st.floats(0.0, 5.0), st.booleans(), st.floats(0.0, 1.0)),
+    min_size=1,
+    max_size=8,
+)
 
 
 @given(lives)
@@ -126,8 +149,9 @@
     assert book.listing == discovery.Listing(2, True, (replace(TARGET, name="s-2"),))
 
 
-@pytest.mark.parametrize(("served_from", "before", "full"), [
-    (1.0, None, 2.0), (5.0, None, 6.0), (0.5, 0.5, 1.5)])
+@pytest.mark.parametrize(
+    ("served_from", "before", "full"), [(1.0, None, 2.0), (5.0, None, 6.0), (0.5, 0.5, 1.5)]
+)
 def test_service_is_full_once_what_was_served_before_is_served_for_two_seconds(served_from, before, full):
     """Ten requests answered a second; from a time on all are served, half of them before."""
     phases, served = Phases(0.0, before), 0
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -21,15 +21,20 @@
 KEYED = request_class(name="keyed", effect=api.Effect.KEYED)
 
 
-@pytest.mark.parametrize(("old", "new", "classes"), [
-    ((READ,), (WRITE, READ), ["read safe", "write unsafe"]),
-    ((READ, WRITE), (READ,), ["read safe", "write unsafe"]),
-    ((READ,), (replace(READ, effect=api.Effect.UNSAFE),), ["read unsafe"]),
-    ((replace(READ, effect=api.Effect.UNSAFE), KEYED), (READ,), ["read unsafe", "keyed keyed"]),
-    ((KEYED,), (replace(KEYED, effect=api.Effect.SAFE),), ["keyed keyed"])])
+@pytest.mark.parametrize(
+    ("old", "new", "classes"),
+    [
+        ((READ,), (WRITE, READ), ["read safe", "write unsafe"]),
+        ((READ, WRITE), (READ,), ["read safe", "write unsafe"]),
+        ((READ,), (replace(READ, effect=api.Effect.UNSAFE),), ["read unsafe"]),
+        ((replace(READ, effect=api.Effect.UNSAFE), KEYED), (READ,), ["read unsafe", "keyed keyed"]),
+        ((KEYED,), (replace(KEYED, effect=api.Effect.SAFE),), ["keyed keyed"]),
+    ],
+)
 def test_between_two_settings_both_names_and_the_stricter_rule_hold(old, new, classes):
-    found = between(settings(classes=old, max_attempts=4),
-                    settings(classes=new, max_attempts=2, plans=(plan(name="b"),)))
+    found = between(
+        settings(classes=old, max_attempts=4), settings(classes=new, max_attempts=2, plans=(plan(name="b"),))
+    )
     assert [f"{cls.name} {cls.effect.value}" for cls in found.classes] == classes
     assert (found.max_attempts, [p.name for p in found.plans]) == (2, ["plan", "b"])
 
@@ -40,12 +45,15 @@
         assert between(old, new).plans[0].limit == 5.0
 
 
-@pytest.mark.parametrize(("changes", "held"), [
-    ([{"keep": 6.0}, {"keep": 1.5}], (1.5, api.Scope.ALL)),
-    ([{"keep": 1.5}, {"keep": 6.0}], (1.5, api.Scope.ALL)),  # clients and targets may still go by the old
-    ([{"scope": api.Scope.ZONE}, {"scope": api.Scope.ALL}], (2.0, api.Scope.ZONE)),
-    ([{"scope": api.Scope.ALL}, {"scope": api.Scope.CELL}], (2.0, api.Scope.CELL)),
-])
+@pytest.mark.parametrize(
+    ("changes", "held"),
+    [
+        ([{"keep": 6.0}, {"keep": 1.5}], (1.5, api.Scope.ALL)),
+        ([{"keep": 1.5}, {"keep": 6.0}], (1.5, api.Scope.ALL)),  # clients and targets may still go by the old
+        ([{"scope": api.Scope.ZONE}, {"scope": api.Scope.ALL}], (2.0, api.Scope.ZONE)),
+        ([{"scope": api.Scope.ALL}, {"scope": api.Scope.CELL}], (2.0, api.Scope.CELL)),
+    ],
+)
 def test_between_two_settings_a_repeat_keeps_to_the_shorter_window_and_the_fewer_targets(changes, held):
     old, new = (settings(classes=(replace(KEYED, **change),)) for change in changes)
     (found,) = between(old, new).classes
@@ -61,9 +69,16 @@
             world.targets[0].delay = 0.4
             asking = asyncio.create_task(world.write(tag=1))
             await world.until(lambda: world.targets[0].begun)
-            after = replace(world.settings, max_attempts=1, classes=(
-                request_class(name="next", aim=0.4, deadline=DEADLINE, effect=api.Effect.UNSAFE, writes=True),
-                READ))
+            after = replace(
+                world.settings,
+                max_attempts=1,
+                classes=(
+                    request_class(
+                        name="next", aim=0.4, deadline=DEADLINE, effect=api.Effect.UNSAFE, writes=True
+                    ),
+                    READ,
+                ),
+            )
             world.app.reload(lambda: replace(world.config(), settings=after))
             for answer in ("served", "failed"):  # the old name; later it is refused as unknown
                 result = await world.write(tag=2, shard=1)
@@ -76,6 +91,7 @@
             assert (await world.read(tag=4, shard=1)).end == "refused"
             assert [tag for tag, _ in world.targets[1].ran].count(4) == 1
             assert world.faults() == []
+
     asyncio.run(scene())
 
 
@@ -93,6 +109,7 @@
             world.targets[0].mode = "error"
             assert (await world.write(tag=3)).end == "failed"
             assert [tag for tag, _ in world.targets[0].ran].count(3) == 1
+
     asyncio.run(scene())
 
 
@@ -108,6 +125,7 @@
                 world.app.reload(lambda: replace(world.config(), nvme=mapping))
             await world.until(lambda: 7 in world.app.front.mapping.namespaces, 2.0)
             assert world.app._settling is None
+
     asyncio.run(scene())
 
 
@@ -128,8 +146,11 @@
             fields = world.app.front.fields
             assert [cls["name"] for cls in classes] == ["write", "report-export", "new"]
             assert [fields._methods[fields._classes[name]] for name in ("write", "new")] == [
-                ("PUT",), ("GET", "PUT")]
+                ("PUT",),
+                ("GET", "PUT"),
+            ]
             assert (await world.write(tag=1)).end == "served"
+
     file, nested = tmp_path / "settings.json", copy.deepcopy(EXAMPLE["settings"])
     for cls, name in zip(nested["classes"], ("read", "write"), strict=False):
         cls["name"] = name
@@ -156,13 +177,25 @@
     return data
 
 
-@pytest.mark.parametrize(("path", "value"), [
-    ("settings.classes.1.give-up-ns", -5), ("settings.classes.0.give-up-ns", 0),
-    ("settings.classes.2.give-up-ns", "5"), ("settings.classes.0.aim-ns", True),
-    ("settings.limits.attempts-cap", 0), ("settings.limits.attempts-cap", "many"),
-    ("settings.classes.1.give-up-ns", None), ("settings.classes.0.effect", None), ("discovery", None),
-    ("settings.limits.attempts-cap", None), ("settings.contracts.0.cap", None), ("settings.rules", None),
-    ("settings.classes", []), ("limits.sockets", None)])
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("settings.classes.1.give-up-ns", -5),
+        ("settings.classes.0.give-up-ns", 0),
+        ("settings.classes.2.give-up-ns", "5"),
+        ("settings.classes.0.aim-ns", True),
+        ("settings.limits.attempts-cap", 0),
+        ("settings.limits.attempts-cap", "many"),
+        ("settings.classes.1.give-up-ns", None),
+        ("settings.classes.0.effect", None),
+        ("discovery", None),
+        ("settings.limits.attempts-cap", None),
+        ("settings.contracts.0.cap", None),
+        ("settings.rules", None),
+        ("settings.classes", []),
+        ("limits.sockets", None),
+    ],
+)
 def test_a_file_with_a_wrong_or_missing_key_is_turned_down_whole(path, value, tmp_path):
     async def scene():
         async with World("http") as world:
@@ -173,5 +206,6 @@
             world.app.reload(lambda: config.from_platform({"PROXY_CONFIG": str(file)}))
             assert world.logged[-1]["event"] == "reload_failed"
             assert world.app.engine.settings is before and world.app._config.name == EXAMPLE["name"]
+
     file = tmp_path / "config.json"
     asyncio.run(scene())
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -38,13 +38,22 @@
 
 
 # --- Herd and turns -------------------------------------------------------------------------------
-@pytest.mark.parametrize(("last_size", "killed", "view", "age", "herd"), [
-    (40, True, View(), 0.0, True), (40, True, View(), 60.0, True),  # hears nobody: it may be one of forty
-    (40, False, View(), 0.0, False), (1, True, View(), 0.0, False),  # ended in order; always alone
-    (40, True, View(40, 3, 1), GATHER, False), (40, True, View(40, 3, 7), GATHER, False),  # nobody else
-    (40, True, View(40, 3, 8), GATHER, True), (40, False, View(40, 3, 28), 0.0, True),
-    (40, True, View(12, 3, 1), 0.5 * GATHER, True),  # too soon to say
-    (5, True, View(5, 0, 1), GATHER, False), (5, True, View(5, 0, 2), GATHER, True)])
+@pytest.mark.parametrize(
+    ("last_size", "killed", "view", "age", "herd"),
+    [
+        (40, True, View(), 0.0, True),
+        (40, True, View(), 60.0, True),  # hears nobody: it may be one of forty
+        (40, False, View(), 0.0, False),
+        (1, True, View(), 0.0, False),  # ended in order; always alone
+        (40, True, View(40, 3, 1), GATHER, False),
+        (40, True, View(40, 3, 7), GATHER, False),  # nobody else
+        (40, True, View(40, 3, 8), GATHER, True),
+        (40, False, View(40, 3, 28), 0.0, True),
+        (40, True, View(12, 3, 1), 0.5 * GATHER, True),  # too soon to say
+        (5, True, View(5, 0, 1), GATHER, False),
+        (5, True, View(5, 0, 2), GATHER, True),
+    ],
+)
 def test_who_comes_back_with_many_takes_itself_for_one_of_a_herd(last_size, killed, view, age, herd):
     assert Herd(last_size, killed).verdict(view, age) is herd
     assert Herd(last_size, killed).size(view) == (view.size if view.size > 1 else last_size)
@@ -57,7 +66,8 @@
 
 @given(st.integers(2, 80), st.floats(1.0, 30.0), st.floats(1.7e9, 1.8e9), st.integers(1, 6))
 def test_members_that_see_the_same_fleet_call_no_more_than_half_as_often_again_as_in_the_calm(
-        size, wait, wall, failures):
+    size, wait, wall, failures
+):
     turns = Turns(wait, random.Random(1))
     firsts = sorted(turns.first(wall, View(size, rank)) for rank in range(size))
     assert firsts[0] >= 0.0 and firsts[-1] <= turns.cycle == pytest.approx(wait / PEAK)
@@ -74,8 +84,18 @@
 
 
 # --- The door -------------------------------------------------------------------------------------
-asks = st.lists(st.tuples(st.floats(0.0, 0.3), st.integers(0, 1), st.floats(0.5, 6.0), st.floats(0.0, 1.0),
-                          st.integers(0, 5), st.booleans()), min_size=1, max_size=80)
+asks = st.lists(
+    st.tuples(
+        st.floats(0.0, 0.3),
+        st.integers(0, 1),
+        st.floats(0.5, 6.0),
+        st.floats(0.0, 1.0),
+        st.integers(0, 5),
+        st.booleans(),
+    ),
+    min_size=1,
+    max_size=80,
+)
 
 
 @given(asks, st.floats(0.1, 50.0), st.integers(0, 1000))
@@ -106,15 +126,23 @@
         assert all(sent[where] <= 2.0 + 1.02 * earned[where] + 6.0 for where in sent)
 
 
-@pytest.mark.parametrize(("rates", "at", "rate"), [
-    ({3: 8.0}, 0.0, 8.0), ({3: 8.0}, 1.5, 8.0 * 2 ** 1.5), ({}, 0.0, 0.25), ({}, 1.0, 1.0)])
+@pytest.mark.parametrize(
+    ("rates", "at", "rate"),
+    [({3: 8.0}, 0.0, 8.0), ({3: 8.0}, 1.5, 8.0 * 2**1.5), ({}, 0.0, 0.25), ({}, 1.0, 1.0)],
+)
 def test_a_rate_doubles_from_that_of_before_or_faster_from_a_safe_one(rates, at, rate):
     assert Ramp(0.0, rates, 0.25, 2.0, 0.5, random.Random(1)).rate(at, 3) == pytest.approx(rate)
 
 
-@pytest.mark.parametrize(("rates", "refused_at", "opens"), [
-    ({3: 8.0}, 0.0, RAMP_TIME), ({}, 0.0, BLIND_TIME), ({3: 8.0}, 1.9, 1.9 + QUIET),
-    ({3: 8.0}, LONGEST - 0.1, LONGEST)])
+@pytest.mark.parametrize(
+    ("rates", "refused_at", "opens"),
+    [
+        ({3: 8.0}, 0.0, RAMP_TIME),
+        ({}, 0.0, BLIND_TIME),
+        ({3: 8.0}, 1.9, 1.9 + QUIET),
+        ({3: 8.0}, LONGEST - 0.1, LONGEST),
+    ],
+)
 def test_the_door_opens_once_the_ramp_is_over_and_nobody_was_refused_for_a_while(rates, refused_at, opens):
     ramp = Ramp(0.0, rates, 0.25, 2.0, 0.5, random.Random(1))
     ramp.turn_away(refused_at)
@@ -163,9 +191,18 @@
 
 
 names = st.sampled_from(["s-1", "s-2", "s-3"])
-news = st.lists(st.tuples(st.booleans(), st.lists(
-    st.tuples(names, st.sampled_from([READY, DRAINING, GONE]), st.sampled_from([None, 5.0, 9.0])),
-    max_size=3, unique_by=lambda line: line[0])), min_size=1, max_size=8)
+news = st.lists(
+    st.tuples(
+        st.booleans(),
+        st.lists(
+            st.tuples(names, st.sampled_from([READY, DRAINING, GONE]), st.sampled_from([None, 5.0, 9.0])),
+            max_size=3,
+            unique_by=lambda line: line[0],
+        ),
+    ),
+    min_size=1,
+    max_size=8,
+)
 
 
 @given(news, st.integers(1, 8))
@@ -187,12 +224,20 @@
     assert known == at[len(script)]
 
 
-@pytest.mark.parametrize(("index", "change", "withheld", "starts"), [
-    (9, Change("s-1", DRAINING, None), {"s-1"}, {}), (9, Change("s-1", GONE, None), {"s-1"}, {}),
-    (9, Change("s-1", READY, 500.0), set(), {"s-1": 500.0}),  # it has started anew: it is cold
-    (9, Change("s-1", READY, 90.0), set(), {}), (9, Change("s-1", READY, None), set(), {}),
-    (5, Change("s-1", GONE, None), set(), {}), (4, Change("s-1", GONE, None), set(), {}),  # not newer
-    (9, Change("s-7", READY, 500.0), set(), {}), (9, Change("s-7", GONE, None), set(), {})])  # never named
+@pytest.mark.parametrize(
+    ("index", "change", "withheld", "starts"),
+    [
+        (9, Change("s-1", DRAINING, None), {"s-1"}, {}),
+        (9, Change("s-1", GONE, None), {"s-1"}, {}),
+        (9, Change("s-1", READY, 500.0), set(), {"s-1": 500.0}),  # it has started anew: it is cold
+        (9, Change("s-1", READY, 90.0), set(), {}),
+        (9, Change("s-1", READY, None), set(), {}),
+        (5, Change("s-1", GONE, None), set(), {}),
+        (4, Change("s-1", GONE, None), set(), {}),  # not newer
+        (9, Change("s-7", READY, 500.0), set(), {}),
+        (9, Change("s-7", GONE, None), set(), {}),
+    ],
+)  # never named
 def test_a_word_makes_more_careful_and_never_names_a_target(index, change, withheld, starts):
     caution = Caution(HERE)
     took = caution.took(Word(HERE, index, changes=(change,)), 5, {"s-1": 100.0, "s-2": None})
@@ -204,8 +249,15 @@
     assert (caution.withheld, caution.starts) == (frozenset(), {})
 
 
-WORD = Word(HERE, 41, 39, True, (Change("s-1", GONE, 12.5), Change("s-2", READY, None)),
-            (Pace("s-2", None, 0.03, 4.0, 0.0),), Calm(0.97, ((None, 0.5), (3, 2.0))))
+WORD = Word(
+    HERE,
+    41,
+    39,
+    True,
+    (Change("s-1", GONE, 12.5), Change("s-2", READY, None)),
+    (Pace("s-2", None, 0.03, 4.0, 0.0),),
+    Calm(0.97, ((None, 0.5), (3, 2.0))),
+)
 
 
 @pytest.mark.parametrize("said", [Ask(HERE, 7), WORD, Word(HERE, 3)])
@@ -233,6 +285,7 @@
 
 def test_the_generated_code_is_current(tmp_path):
     from grpc_tools import protoc
+
     made = "stalltiller/recovery/recovery_pb2.py"
     protoc.main(["", "-I.", f"--python_out={tmp_path}", "stalltiller/recovery/recovery.proto"])
     assert (tmp_path / made).read_text() == Path(made).read_text()
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -6,17 +6,25 @@
 
 from stalltiller.trace import follow, summary, trails
 
-LIFE = ['{"time":1.0,"event":"started"}', '{"time":1.1,"event":"taken","id":1,"label":"a"}',
-        '{"time":1.2,"event":"attempt","id":1,"attempt":0,"node":"s-1"}',
-        '{"time":1.3,"event":"attempt_ended","id":1,"attempt":0,"node":"s-1","status":"reset"}',
-        '{"time":1.4,"event":"answered","id":1,"how":"failed"}', "not json", '{"time":"x"}']
-
-
-@pytest.mark.parametrize(("lines", "how", "statuses", "first"), [
-    (LIFE, "failed", ("reset",), 1.1),
-    (["7.5 " + line for line in LIFE], "failed", ("reset",), 7.5),  # a bench's own times go first
-    (LIFE[:3], "open", (), 1.1),
-])
+LIFE = [
+    '{"time":1.0,"event":"started"}',
+    '{"time":1.1,"event":"taken","id":1,"label":"a"}',
+    '{"time":1.2,"event":"attempt","id":1,"attempt":0,"node":"s-1"}',
+    '{"time":1.3,"event":"attempt_ended","id":1,"attempt":0,"node":"s-1","status":"reset"}',
+    '{"time":1.4,"event":"answered","id":1,"how":"failed"}',
+    "not json",
+    '{"time":"x"}',
+]
+
+
+@pytest.mark.parametrize(
+    ("lines", "how", "statuses", "first"),
+    [
+        (LIFE, "failed", ("reset",), 1.1),
+        (["7.5 " + line for line in LIFE], "failed", ("reset",), 7.5),  # a bench's own times go first
+        (LIFE[:3], "open", (), 1.1),
+    ],
+)
 def test_a_trail_keeps_how_a_request_ended(lines, how, statuses, first):
     [trail] = trails("n0", lines)
     assert (trail.how, trail.statuses, trail.taken_at, trail.where) == (how, statuses, first, "n0#1")
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -18,11 +18,18 @@
 LINES, KNOWN = 60, 41
 
 
-@pytest.mark.parametrize(("pace", "failures", "least", "most"), [
-    (Pace(), 1, 0.025, 0.05), (Pace(), 99, 0.05, 0.1),  # an agent of its own: soon again
-    (Pace.asking(10.0), 1, 0.0, 0.5), (Pace.asking(10.0), 2, 0.0, 1.0), (Pace.asking(10.0), 4000, 0.0, 2.0),
-    (Pace.asking(3.0), 1, 0.0, 0.25), (Pace.asking(3.0), 4000, 0.0, 1.0),  # settings that ask for more
-])
+@pytest.mark.parametrize(
+    ("pace", "failures", "least", "most"),
+    [
+        (Pace(), 1, 0.025, 0.05),
+        (Pace(), 99, 0.05, 0.1),  # an agent of its own: soon again
+        (Pace.asking(10.0), 1, 0.0, 0.5),
+        (Pace.asking(10.0), 2, 0.0, 1.0),
+        (Pace.asking(10.0), 4000, 0.0, 2.0),
+        (Pace.asking(3.0), 1, 0.0, 0.25),
+        (Pace.asking(3.0), 4000, 0.0, 1.0),  # settings that ask for more
+    ],
+)
 def test_a_failed_call_is_made_again_within_its_bounds(pace, failures, least, most):
     assert [pace.pause(failures, draw) for draw in (0.0, 1.0)] == pytest.approx([least, most])
 
@@ -52,6 +59,7 @@
 def told_after(pace: Pace, script: list[str], outage: float = 0.0) -> tuple[float, list[str]]:
     """Seconds from when discovery had a change and could be reached until the watch had it, and the calls.
     On the jumping clock, so that no case waits."""
+
     async def scene():
         discovery, told = Scripted(script), asyncio.get_running_loop().create_future()
         await discovery.open()
@@ -62,6 +70,7 @@
         def took(listing):
             if not told.done():
                 told.set_result(asyncio.get_running_loop().time())
+
         # The watch stands already: its call waits for news.
         codec = WatchCodec("d", took, pace.wait, KNOWN, first_waits=True)
         watch = asyncio.create_task(Watch(listening, BufferPool(), codec, pace, lambda _: None).run())
@@ -75,30 +84,42 @@
         await asyncio.gather(watch, return_exceptions=True)
         discovery.close()
         return at - discovery.had_at, discovery.calls
+
     return run_on_jumping_clock(scene())
 
 
 PACES = [Pace(), Pace.asking(10.0), Pace.asking(60.0)]
-WORST = [[], ["silent"], ["silent", "silent"], ["silent", "refuse"], ["silent", "break"],
-         ["refuse", "silent"], ["break", "break", "break"], ["refuse", "refuse", "refuse"]]
+WORST = [
+    [],
+    ["silent"],
+    ["silent", "silent"],
+    ["silent", "refuse"],
+    ["silent", "break"],
+    ["refuse", "silent"],
+    ["break", "break", "break"],
+    ["refuse", "refuse", "refuse"],
+]
 
 
 @pytest.mark.parametrize("pace", PACES, ids=["pushed", "asked", "seldom asked"])
 @pytest.mark.parametrize("script", WORST, ids="+".join)
 @pytest.mark.parametrize("draw", [0.0, 0.999])
 def test_a_change_is_heard_of_before_it_counts_as_told_whatever_became_of_the_calls(
-        monkeypatch, pace, script, draw):
+    monkeypatch, pace, script, draw
+):
     """Where lists are asked for, a silent call and the pause after it took up to 8 s; a pushed watch 6 s."""
     monkeypatch.setattr("random.random", lambda: draw)
     after, calls = told_after(pace, list(script))
     assert after < TOLD_AFTER
-    follow_silence = [after for before, after in zip(["serve", *script], calls, strict=False)
-                      if before == "silent"]
+    follow_silence = [
+        after for before, after in zip(["serve", *script], calls, strict=False) if before == "silent"
+    ]
     assert all(call.endswith("wait_ms=0") for call in follow_silence)  # it shows soon whether that is over
 
 
-@pytest.mark.parametrize(("pace", "most"), [(Pace(), 0.5), (Pace.asking(10.0), TOLD_AFTER)],
-                         ids=["pushed", "asked"])
+@pytest.mark.parametrize(
+    ("pace", "most"), [(Pace(), 0.5), (Pace.asking(10.0), TOLD_AFTER)], ids=["pushed", "asked"]
+)
 @pytest.mark.parametrize("outage", [2.0, 8.0, 31.0])
 def test_after_an_outage_discovery_is_heard_in_time(monkeypatch, pace, most, outage):
     """What an agent gets at discovery's return counts at once, and a drain's grace may be half a second."""
@@ -112,15 +133,20 @@
     codec.finish()
 
 
-@pytest.mark.parametrize(("status", "listing", "follows"), [
-    (200, {"index": 43, "snapshot": False}, "after=43&wait_ms=5000"),
-    (200, {"index": 7, "snapshot": True}, "after=7&wait_ms=5000"),  # whole: its version counts, whichever
-    (503, {}, "after=41&wait_ms=0"),  # overbooked: the version known stays good
-    (410, {}, ""), (404, {}, ""),  # not known there: the whole list
-    (200, {"index": 7, "snapshot": False}, ""),  # changes of another count of versions
-])
+@pytest.mark.parametrize(
+    ("status", "listing", "follows"),
+    [
+        (200, {"index": 43, "snapshot": False}, "after=43&wait_ms=5000"),
+        (200, {"index": 7, "snapshot": True}, "after=7&wait_ms=5000"),  # whole: its version counts, whichever
+        (503, {}, "after=41&wait_ms=0"),  # overbooked: the version known stays good
+        (410, {}, ""),
+        (404, {}, ""),  # not known there: the whole list
+        (200, {"index": 7, "snapshot": False}, ""),  # changes of another count of versions
+    ],
+)
 def test_a_watch_begins_at_the_known_version_and_asks_for_the_whole_list_only_if_that_is_unknown(
-        status, listing, follows):
+    status, listing, follows
+):
     codec = WatchCodec("d", lambda _: None, 5.0, KNOWN)
     assert b"/v1/servers?after=41&wait_ms=0 " in codec.call()
     try:
@@ -154,8 +180,11 @@
             await asyncio.sleep(self.free_at - now)
             if after == self.index and not target.endswith("wait_ms=0"):
                 await self.changed.wait()
-            writer.write(http.encode_response(200, json.dumps(
-                {"index": self.index, "snapshot": not after, "endpoints": []}).encode()))
+            writer.write(
+                http.encode_response(
+                    200, json.dumps({"index": self.index, "snapshot": not after, "endpoints": []}).encode()
+                )
+            )
 
     def change(self) -> None:
         self.index += 1
@@ -168,8 +197,10 @@
     await discovery.open()
     tasks = []
     for number in range(len(seen)):
+
         def took(listing, number=number):
             seen[number] = listing.index
+
         pace = Pace.asking(10.0)
         codec = WatchCodec("d", took, pace.wait, known)
         watch = Watch(("127.0.0.1", discovery.port), BufferPool(), codec, pace, lambda _: None)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -37,27 +37,38 @@
 
 
 def test_outcome_with_a_report():
-    body = (struct.pack("<BIQB", 10, 3, 99, 1) + ADDRESS
-            + struct.pack("<HQBHHB2f", 3, 30_000_000, 1, 86, 3, 2, 14.5, 2.0))
+    body = (
+        struct.pack("<BIQB", 10, 3, 99, 1)
+        + ADDRESS
+        + struct.pack("<HQBHHB2f", 3, 30_000_000, 1, 86, 3, 2, 14.5, 2.0)
+    )
     assert one(body) == (3, api.Outcome(99, 1, NODE, api.Status.TIMEOUT, 0.03, True, 0.85, 3.0, (14.5, 2.0)))
 
 
 def test_outcome_without_figures():
-    body = (struct.pack("<BIQB", 10, 3, 99, 0) + ADDRESS + struct.pack("<HQBHHB", 0, 1, 0, 0, 0, 0))
+    body = struct.pack("<BIQB", 10, 3, 99, 0) + ADDRESS + struct.pack("<HQBHHB", 0, 1, 0, 0, 0, 0)
     event = one(body)[1]
     assert (event.use, event.others, event.report, event.over) == (None, 0.0, (), False)
 
 
-@pytest.mark.parametrize(("body", "event"), [
-    (struct.pack("<BIQ", 4, 3, 99), api.ClientGone(99)),
-    (struct.pack("<BIQ", 9, 3, 77), api.TimerFired(77)),
-    (struct.pack("<BI", 6, 3), wire.Stop()),
-    (struct.pack("<BIIH2s", 3, 3, 5, 2, b"hi"), api.Message(5, b"hi")),
-    (struct.pack("<BIQI3s", 1, 3, 12, 3, b"a=b"), wire.Init(12, "a=b")),
-    (struct.pack("<BIQB", 0, 3, 99, 1) + ADDRESS + struct.pack("<Q", 10**9), api.FirstByte(99, 1, NODE, 1.0)),
-    (struct.pack("<BI", 7, 3) + ADDRESS + struct.pack("<QHB1f", 10**9, 2, 1, 0.5),
-     api.Probed(NODE, 1.0, api.Status.FULL, (0.5,))),
-])
+@pytest.mark.parametrize(
+    ("body", "event"),
+    [
+        (struct.pack("<BIQ", 4, 3, 99), api.ClientGone(99)),
+        (struct.pack("<BIQ", 9, 3, 77), api.TimerFired(77)),
+        (struct.pack("<BI", 6, 3), wire.Stop()),
+        (struct.pack("<BIIH2s", 3, 3, 5, 2, b"hi"), api.Message(5, b"hi")),
+        (struct.pack("<BIQI3s", 1, 3, 12, 3, b"a=b"), wire.Init(12, "a=b")),
+        (
+            struct.pack("<BIQB", 0, 3, 99, 1) + ADDRESS + struct.pack("<Q", 10**9),
+            api.FirstByte(99, 1, NODE, 1.0),
+        ),
+        (
+            struct.pack("<BI", 7, 3) + ADDRESS + struct.pack("<QHB1f", 10**9, 2, 1, 0.5),
+            api.Probed(NODE, 1.0, api.Status.FULL, (0.5,)),
+        ),
+    ],
+)
 def test_other_events(body, event):
     assert one(body) == (3, event)
 
@@ -72,29 +83,33 @@
     found = wire.Reader().events(4, census(6, 2) + news + census(6, 1) + news)
     lists = [wire.node_list(*raw, CLOCK) for _, raw in found]
     assert [item.entries[0].state for item in lists] == [api.NodeState.READY, api.NodeState.DRAINING]
-    assert lists[0] == api.NodeList(api.ListKind.FULL, (
-        api.NodeEntry(NODE, 1, 2, 5, api.NodeState.READY, 1.5, -1.0),))
+    assert lists[0] == api.NodeList(
+        api.ListKind.FULL, (api.NodeEntry(NODE, 1, 2, 5, api.NodeState.READY, 1.5, -1.0),)
+    )
 
 
 def test_a_failed_call_needs_no_list():
     assert one(struct.pack("<BIBIH", 5, 3, 3, 40, 9)) == (3, (api.ListKind.FAILED, ()))
 
 
-@pytest.mark.parametrize(("action", "body"), [
-    (api.Send(99, NODE, 2.0), struct.pack("<BIQQ", 0, 3, 99, CLOCK + 2 * 10**9) + ADDRESS),
-    (api.Send(99, NODE, None), struct.pack("<BIQQ", 0, 3, 99, 0) + ADDRESS),
-    (api.Refuse(99, 0.5), struct.pack("<BIQQ", 1, 3, 99, 500_000_000)),
-    (api.Fail(99), struct.pack("<BIQ", 2, 3, 99)),
-    (api.Cancel(99, 2), struct.pack("<BIQB", 3, 3, 99, 2)),
-    (api.SetTimer(77, 0.5), struct.pack("<BIQQ", 4, 3, 77, 500_000_000)),
-    (api.Probe(NODE), struct.pack("<BI", 5, 3) + ADDRESS),
-    (api.CloseIdle(NODE), struct.pack("<BI", 6, 3) + ADDRESS),
-    (api.Tell(None, b"hi"), struct.pack("<BIHH2s", 7, 3, 0xFFFF, 2, b"hi")),
-    (api.Tell(1, b"hi"), struct.pack("<BIHH2s", 7, 3, 1, 2, b"hi")),
-    (api.Log("hi"), struct.pack("<BIH2s", 8, 3, 2, b"hi")),
-    (api.Watch(True), struct.pack("<BIB", 10, 3, 1)),
-    (api.FetchList(), struct.pack("<BI", 11, 3)),
-])
+@pytest.mark.parametrize(
+    ("action", "body"),
+    [
+        (api.Send(99, NODE, 2.0), struct.pack("<BIQQ", 0, 3, 99, CLOCK + 2 * 10**9) + ADDRESS),
+        (api.Send(99, NODE, None), struct.pack("<BIQQ", 0, 3, 99, 0) + ADDRESS),
+        (api.Refuse(99, 0.5), struct.pack("<BIQQ", 1, 3, 99, 500_000_000)),
+        (api.Fail(99), struct.pack("<BIQ", 2, 3, 99)),
+        (api.Cancel(99, 2), struct.pack("<BIQB", 3, 3, 99, 2)),
+        (api.SetTimer(77, 0.5), struct.pack("<BIQQ", 4, 3, 77, 500_000_000)),
+        (api.Probe(NODE), struct.pack("<BI", 5, 3) + ADDRESS),
+        (api.CloseIdle(NODE), struct.pack("<BI", 6, 3) + ADDRESS),
+        (api.Tell(None, b"hi"), struct.pack("<BIHH2s", 7, 3, 0xFFFF, 2, b"hi")),
+        (api.Tell(1, b"hi"), struct.pack("<BIHH2s", 7, 3, 1, 2, b"hi")),
+        (api.Log("hi"), struct.pack("<BIH2s", 8, 3, 2, b"hi")),
+        (api.Watch(True), struct.pack("<BIB", 10, 3, 1)),
+        (api.FetchList(), struct.pack("<BI", 11, 3)),
+    ],
+)
 def test_actions(action, body):
     assert wire.encode_action(3, action, CLOCK) == body
 
@@ -116,17 +131,21 @@
     assert len(wire.Reader().events(300_000, body)) == 300_000
 
 
-@pytest.mark.parametrize(("data", "says"), [
-    (batch(0, b"")[:10], "inside a batch header"),
-    (batch(1, struct.pack("<BIQ", 9, 3, 77))[:-1], "inside a batch"),
-    (batch(1, bytes([200])), "unknown event code 200"),
-    (batch(1, b"\x09\x00"), "inside a record"),
-    (batch(1, struct.pack("<BIQ", 9, 3, 77) + b"x"), "left over"),
-    (batch(1, struct.pack("<BIBIH", 5, 3, 0, 1, 4)), "never sent"),
-])
+@pytest.mark.parametrize(
+    ("data", "says"),
+    [
+        (batch(0, b"")[:10], "inside a batch header"),
+        (batch(1, struct.pack("<BIQ", 9, 3, 77))[:-1], "inside a batch"),
+        (batch(1, bytes([200])), "unknown event code 200"),
+        (batch(1, b"\x09\x00"), "inside a record"),
+        (batch(1, struct.pack("<BIQ", 9, 3, 77) + b"x"), "left over"),
+        (batch(1, struct.pack("<BIBIH", 5, 3, 0, 1, 4)), "never sent"),
+    ],
+)
 def test_malformed_input_ends_with_a_plain_message(data, says):
-    done = subprocess.run([sys.executable, "-m", "stalltiller.benchlink"], input=data, capture_output=True,
-                          timeout=30)
+    done = subprocess.run(
+        [sys.executable, "-m", "stalltiller.benchlink"], input=data, capture_output=True, timeout=30
+    )
     assert done.returncode == 2
     assert says in done.stderr.decode()
     assert "Traceback" not in done.stderr.decode()
