--- a/tests/decision_world.py
+++ b/tests/decision_world.py
@@ -160,7 +160,7 @@
             volume % len(settings.plans),
             volume,
             1.0 + self._below(int(settings.largest_units)),
-            self.scenario.schedulers,
+            self._hosts(),
             1 + self._below(5) if has_key else 0,
             None if self.random.random() < 0.2 else cells[self._below(len(cells))],
             request_class.effect is not api.Effect.SAFE,
@@ -168,6 +168,10 @@
             left,
         )
 
+    def _hosts(self) -> int:
+        """How many schedulers serve the volume, as the client tells: at first one fewer than later."""
+        return max(1, self.scenario.schedulers - (self.now < 1.0))
+
     # --- Actions ------------------------------------------------------------------------------------
     def _record(self, index: int, action: api.Action) -> None:
         code = CODES[type(action)]
--- a/tests/test_decision_digest.py
+++ b/tests/test_decision_digest.py
@@ -66,7 +66,7 @@
         settings(may_message=True, classes=CLASSES, plans=LIMITED),
         schedulers=3,
         targets=TARGETS,
-        arrivals=((0.0, 6.0, 120.0), (45.0, 48.0, 120.0)),
+        arrivals=((0.0, 6.0, 120.0), (36.5, 39.0, 120.0)),
         skewed=True,
     )
 
@@ -122,6 +122,7 @@
         frozenset({"send", "send again", "cancel", "refuse"}),
         settings(classes=STREAMED),
         targets=TARGETS[:3],
+        arrivals=((0.0, 6.0, 120.0),),
         silent=0.05,
         leaving=0.15,
     )
@@ -131,7 +132,7 @@
     """Settings change: classes and plans come, go, and change places and figures."""
     changed = settings(
         classes=(request_class(name="write", effect=api.Effect.UNSAFE, aim=0.4), *CLASSES[:1]),
-        plans=(plan(name="silver", rate=3.0), *reversed(LIMITED)),
+        plans=(plan(name="silver", rate=3.0), plan(name="gold", limit=20.0, burst=30.0), LIMITED[1]),
         max_attempts=1,
         may_advise=False,
     )
@@ -221,6 +222,58 @@
     )
 
 
+def tokens_among_many() -> Scenario:
+    """More schedulers than one asks at once."""
+    return Scenario(
+        frozenset({"send", "refuse", "ask", "ask all", "grant", "tokens granted"}),
+        settings(may_message=True, classes=CLASSES, plans=LIMITED, largest_units=4.0),
+        schedulers=6,
+        targets=TARGETS,
+        arrivals=((0.0, 5.0, 150.0),),
+        skewed=True,
+    )
+
+
+def congested() -> Scenario:
+    """One slow target has less capacity than volumes ask for: grants are cut by weight and reservation."""
+    plans = (
+        plan(name="gold", rate=80.0, reservation=40.0, weight=3.0, price=3.0),
+        plan(name="silver", rate=60.0, reservation=10.0),
+        plan(name="bronze", rate=40.0, reservation=0.0, weight=0.5),
+    )
+    return Scenario(
+        frozenset({"send", "refuse"}),
+        settings(classes=(*CLASSES, *KEYED[:1]), plans=plans),
+        targets=TARGETS[:1],
+        arrivals=((0.0, 4.0, 120.0), (6.0, 8.0, 20.0), (9.0, 12.0, 250.0)),
+        base_latency=0.05,
+        latency_each=0.02,
+    )
+
+
+def fast() -> Scenario:
+    """Many requests at fast targets: windows grow to their bound."""
+    return Scenario(
+        frozenset({"send", "refuse"}),
+        settings(classes=(*CLASSES, *KEYED[:1])),
+        targets=TARGETS[:2],
+        arrivals=((0.0, 2.0, 600.0),),
+        latency_each=0.0,
+    )
+
+
+def rejecting() -> Scenario:
+    """Targets, some of them cold, reject most attempts."""
+    targets = (entry(1), entry(2, cell=1), entry(3, cell=1, started=-1.0), entry(4, cell=2, started=0.0))
+    return Scenario(
+        frozenset({"send", "send again", "refuse"}),
+        settings(classes=(*CLASSES, *KEYED[:1]), max_attempts=5, cold_units=60.0),
+        targets=targets,
+        arrivals=((0.0, 8.0, 100.0),),
+        failures=((api.Status.FULL, 0.6), (api.Status.CONNECT_FAILED, 0.1)),
+    )
+
+
 SCENARIOS = (
     tokens,
     tokens_handed_over,
@@ -234,6 +287,10 @@
     budgets,
     metered,
     others_told,
+    tokens_among_many,
+    congested,
+    fast,
+    rejecting,
 )
 
 
