--- a/bench/leases.py
+++ b/bench/leases.py
@@ -19,7 +19,7 @@
 from stalltiller.leases import Command, Entry, Keep
 from stalltiller.leases.store import VoterStore, make
 from tests.fleet.rig import TTL, Rig
-from tests.fleet.test_duties import held
+from tests.fleet.test_lease_service import held
 
 COMMITS = 300
 
--- a/bench/coming_back.py
+++ b/bench/mass_restart.py
@@ -1,4 +1,4 @@
-"""Measures coming back: `python -m bench.coming_back [--size 40] [--killed 28] [--down 4] [--series FILE]`.
+"""Measures coming back: `python -m bench.mass_restart [--size 40] [--killed 28] [--down 4] [--series FILE]`.
 
 Processes of the program under a steady load of clients that return when they are told to; most are killed
 with kill -9 at once and started together while discovery is down for some seconds.  One JSON line a way, all
@@ -21,7 +21,7 @@
 from pathlib import Path
 
 from tests.fleet.rig import Rig, patient
-from tests.standins import HttpTarget
+from tests.stand_ins import HttpTarget
 
 CALM, WATCHED = 8.0, 14.0  # s of load before the kill and after the restart
 EACH = 3.0  # reads a second for each member
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -1,4 +1,4 @@
-"""Draws what `bench.coming_back --series FILE` has counted: `python -m bench.plots FILE PICTURE`.
+"""Draws what `bench.mass_restart --series FILE` has counted: `python -m bench.plots FILE PICTURE`.
 
 One column a way, under each other the reads asked for and served in time, the list calls, the new connections
 and the sends to targets, a second each, from 4 s before the restart on.
--- a/bench/return_faults.py
+++ b/bench/recovery_faults.py
@@ -1,4 +1,4 @@
-"""Seeded schedules of faults in a fleet's return: `python -m bench.return_faults [--seeds 50] [--first 1]`.
+"""Seeded schedules of faults in a fleet's return: `python -m bench.recovery_faults [--seeds 50] [--first 1]`.
 
 Six processes under the load of patient clients.  From each seed: how many are killed (or told to end), whose
 state is lost or torn, whether discovery is down meanwhile and for how long, a second wave, a partition of the
--- a/bench/cold.py
+++ b/bench/slow_start.py
@@ -1,7 +1,7 @@
-"""Two hundred instances at one cold target, in one process: `python -m bench.cold [--seeds 8]`.
+"""Two hundred instances at one cold target, in one process: `python -m bench.slow_start [--seeds 8]`.
 
 The real decision modules on a virtual clock, at a target of real capacity whose warm forerunner has left,
-under the uneven load of `tests/test_crowd.py`: once with the fleet's shared budgets (loans by messages of
+under the uneven load of `tests/test_contention.py`: once with the fleet's shared budgets (messages of
 5 ms, looked for every 0.1 s), once with each one's guess of the crowd.  One JSON line a way: units served and
 sent, and the most sent in a second over what the rule allows (twice the capacity of the moment), mean and
 worst of the seeds.
@@ -16,8 +16,8 @@
 import random
 import statistics
 
-from stalltiller.fleet.shares import Ask, Shares
-from tests.test_crowd import GATEWAYS, Herd
+from stalltiller.fleet.budget_lending import Ask, Shares
+from tests.test_contention import GATEWAYS, Herd
 
 LOOK, DELAY = 0.1, 0.005  # s
 NEED_FOR = 3.0  # s for which a need counts after it was told, as in `fleet.commons`
--- a/stalltiller/__init__.py
+++ b/stalltiller/__init__.py
@@ -1,5 +1,5 @@
 """stalltiller: the decisions of a storage gateway that keeps volumes to their plans."""
 
-from stalltiller.logic import Scheduler
+from stalltiller.scheduling.scheduler import Scheduler
 
 __all__ = ["Scheduler"]
--- a/stalltiller/__main__.py
+++ b/stalltiller/__main__.py
@@ -5,8 +5,8 @@
 import os
 import sys
 
-from stalltiller.program.config import from_operator, from_platform
-from stalltiller.program.serve import start
+from stalltiller.daemon.config import from_operator, from_platform
+from stalltiller.daemon.serve import start
 
 COMMANDS = ("serve", "check", "init-voter", "fleet")
 
@@ -14,7 +14,7 @@
 def main() -> int:
     """Serve by the environment or by an operator's file, or do what a command says."""
     if len(sys.argv) > 1 and sys.argv[1] in COMMANDS:
-        from stalltiller.program import cli  # the platform's start does without it
+        from stalltiller.daemon import cli  # the platform's start does without it
 
         return cli.main(prog_name="stalltiller")
     if len(sys.argv) > 2:
--- a/stalltiller/fronts/http.py
+++ b/stalltiller/adapters/http_server.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from stalltiller import interface as api
-from stalltiller.fronts.carrier import ANSWER_STALL, PooledCarrier
-from stalltiller.fronts.relay import Relay
+from stalltiller.adapters.pooled_target_client import ANSWER_STALL, PooledCarrier
+from stalltiller.adapters.response_stream import Relay
 from stalltiller.protocol import http
 from stalltiller.protocol.platform import AnswerFields, FieldError, RequestFields
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Attempt, Ending, Incoming
+from stalltiller.scheduling import Settings, Status
 from stalltiller.transport.buffers import Allowance, BufferPool
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
@@ -341,7 +341,7 @@
         loop: asyncio.AbstractEventLoop,
         engine: Engine,
         buffers: BufferPool,
-        settings: api.Settings,
+        settings: Settings,
         ready: Callable[[], bool],
         unread: int,
         bodies: int,
@@ -353,7 +353,7 @@
         self.stopping = False
         self.retune(settings)
 
-    def retune(self, settings: api.Settings) -> None:
+    def retune(self, settings: Settings) -> None:
         self.fields = RequestFields(settings)
         self.advice = settings.max_advice if settings.may_advise else 0.0
         self.ids.span = max(cls.deadline for cls in settings.classes)
@@ -424,11 +424,11 @@
             used = self._reader.feed(data)
         except http.HttpError as error:
             self._carrier.complain(self._attempt, str(error))
-            self._conclude(Ending(api.Status.ERROR), keep=False)
+            self._conclude(Ending(Status.ERROR), keep=False)
             return len(data)
         if not self._hold(len(self._reader.body)):
             self._carrier.complain(self._attempt, "no memory left for the answer")
-            self._conclude(Ending(api.Status.ERROR), keep=False)
+            self._conclude(Ending(Status.ERROR), keep=False)
             return len(data)
         self._moved_at = self._carrier.loop.time()
         if not begun:
@@ -456,7 +456,7 @@
     def _begin_relay(self) -> None:
         """Pass the answer on from here.  For the engine the attempt is over: the target has done its work."""
         told = self._carrier.fields.parse(self._reader.head)
-        if told.status is not api.Status.OK:
+        if told.status is not Status.OK:
             self._conclude(Ending(told.status), keep=False)  # nobody wants the text of a long error
             return
         attempt, self._attempt = self._attempt, None
@@ -538,7 +538,7 @@
             self._stall = self._carrier.loop.call_later(left, self._check_stall)
             return
         self._carrier.complain(self._attempt, "the answer stopped short")
-        self._conclude(Ending(api.Status.ERROR), keep=False)
+        self._conclude(Ending(Status.ERROR), keep=False)
 
     def _hold(self, size: int) -> bool:
         change, self._held = size - self._held, size
@@ -546,7 +546,7 @@
 
     def overflow(self) -> None:
         self._carrier.complain(self._attempt, "answer head over the limit")
-        self._conclude(Ending(api.Status.ERROR), keep=False)
+        self._conclude(Ending(Status.ERROR), keep=False)
 
     def eof_received(self) -> bool:
         self.abort()  # not close(): that would go on writing to a target that has stopped
@@ -568,12 +568,12 @@
             return
         # Only a break before the last byte was written proves that the target never began.
         never = (not self.flushed or bool(self._out)) and not self._reader.begun
-        self._conclude(Ending(api.Status.CONNECT_FAILED if never else api.Status.RESET), keep=False)
+        self._conclude(Ending(Status.CONNECT_FAILED if never else Status.RESET), keep=False)
 
     def _finish(self) -> None:
         head = self._reader.head
         told = self._carrier.fields.parse(head)
-        answer = bytes(self._reader.body) if told.status is api.Status.OK else None
+        answer = bytes(self._reader.body) if told.status is Status.OK else None
         # An answer that came before the request was out leaves the connection in no known state.
         keep = head.keeps_alive() and self._reader.done and self.flushed and not self._out
         self._conclude(Ending(told.status, answer, told.others, told.report), keep)
@@ -581,7 +581,7 @@
     def _conclude(self, ending: Ending, keep: bool) -> None:
         attempt, self._attempt = self._attempt, None
         self._out = memoryview(b"")
-        self._carrier.pool.used(attempt, ending.status is api.Status.RESET and not self._reader.begun)
+        self._carrier.pool.used(attempt, ending.status is Status.RESET and not self._reader.begun)
         self._reader.reset()
         self._hold(0)
         if keep and not self.closing:
@@ -604,14 +604,14 @@
         idle_limit: float,
         most: int,
         log: Callable[..., None],
-        settings: api.Settings,
+        settings: Settings,
         memory: int,
     ) -> None:
         super().__init__(loop, engine, buffers, connect_timeout, idle_limit, most, log, REST)
         self.allowance = Allowance(memory)
         self.retune(settings)
 
-    def retune(self, settings: api.Settings) -> None:
+    def retune(self, settings: Settings) -> None:
         self.fields = AnswerFields(settings)
 
     async def connect(self, host: str, port: int) -> TargetConnection:
--- a/stalltiller/fronts/nvme_clients.py
+++ b/stalltiller/adapters/nvme_controller.py
@@ -10,11 +10,11 @@
 import math
 from collections.abc import Callable
 
-from stalltiller import interface as api
-from stalltiller.fronts.nvme_mapping import Mapping, Namespace, Payload
+from stalltiller.adapters.nvme_mapping import Mapping, Namespace, Payload
 from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Incoming
+from stalltiller.scheduling import Settings
 from stalltiller.transport.buffers import Allowance, BufferPool
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
@@ -418,7 +418,7 @@
         loop: asyncio.AbstractEventLoop,
         engine: Engine,
         buffers: BufferPool,
-        settings: api.Settings,
+        settings: Settings,
         name: str,
         mapping: Mapping,
         log: Callable[..., None],
@@ -433,7 +433,7 @@
         self._numbers = itertools.cycle(range(1, 0xFFF0))
         self.retune(settings, mapping)
 
-    def retune(self, settings: api.Settings, mapping: Mapping) -> None:
+    def retune(self, settings: Settings, mapping: Mapping) -> None:
         self.mapping = mapping
         longest = max(1, int(settings.max_advice * 10)) if settings.may_advise else 1
         self.delays = (1, max(1, longest // 2), longest)  # units of 100 ms
--- a/stalltiller/fronts/nvme_targets.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -11,12 +11,12 @@
 import os
 from collections.abc import Callable
 
-from stalltiller import interface as api
-from stalltiller.fronts.carrier import ANSWER_STALL, PooledCarrier
-from stalltiller.fronts.nvme_mapping import Mapping, Payload
+from stalltiller.adapters.nvme_mapping import Mapping, Payload
+from stalltiller.adapters.pooled_target_client import ANSWER_STALL, PooledCarrier
 from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Attempt, Ending
+from stalltiller.scheduling import Status
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.connection import Connection
 
@@ -205,23 +205,23 @@
         if attempt is None:
             return
         if completion is None:
-            status = api.Status.RESET
+            status = Status.RESET
         elif completion.status == nvme.OK and len(data) == attempt.payload.size:
-            status = api.Status.OK
+            status = Status.OK
         elif completion.status == nvme.NOT_READY and not completion.no_retry:
-            status = api.Status.FULL
+            status = Status.FULL
         else:
-            status = api.Status.ERROR
+            status = Status.ERROR
         if self._io.error is not None:
-            status = api.Status.ERROR
+            status = Status.ERROR
             self._carrier.complain(attempt, str(self._io.error))
-        self._carrier.pool.used(attempt, status is api.Status.RESET)
+        self._carrier.pool.used(attempt, status is Status.RESET)
         if completion is not None and not self.closing:
             self._carrier.pool.release(attempt, self)
         else:
             attempt.wire = None
             self.close()
-        self._carrier.engine.ended(attempt, Ending(status, data if status is api.Status.OK else None))
+        self._carrier.engine.ended(attempt, Ending(status, data if status is Status.OK else None))
 
     def _keep_alive(self) -> None:
         if self._admin.busy:  # the last one is not answered: the target is gone without a word
--- a/stalltiller/fronts/carrier.py
+++ b/stalltiller/adapters/pooled_target_client.py
@@ -5,9 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-from stalltiller import interface as api
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Attempt, Ending
+from stalltiller.scheduling import NodeId, Status
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.pool import Channel, ChannelPool
 
@@ -46,7 +46,7 @@
     def abandon(self, attempt: Attempt) -> bool:
         return self.pool.abandon(attempt)
 
-    def close_idle(self, node: api.NodeId) -> None:
+    def close_idle(self, node: NodeId) -> None:
         self.pool.close_idle(node)
 
     def complain(self, attempt: Attempt | None, text: str) -> None:
@@ -55,4 +55,4 @@
         self._log("bad_answer", node=attempt.node if attempt else None, text=text)
 
     def _unreachable(self, attempt: Attempt) -> None:
-        self.engine.ended(attempt, Ending(api.Status.CONNECT_FAILED))
+        self.engine.ended(attempt, Ending(Status.CONNECT_FAILED))
--- a/stalltiller/fronts/directory.py
+++ b/stalltiller/adapters/target_directory.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from stalltiller import interface as api
 from stalltiller.protocol import discovery, http
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Place
+from stalltiller.scheduling import ListKind, NodeEntry, NodeState
 
 UNKNOWN_VERSION = (400, 404, 410, 416)  # answers to a call from a version that discovery does not know
 
@@ -33,7 +33,7 @@
         zone = self._zones.index(target.zone) if target.zone in self._zones else len(self._zones)
         kind = self._kinds.index(target.kind) if target.kind in self._kinds else len(self._kinds)
         return Place(
-            api.NodeEntry(
+            NodeEntry(
                 target.name,
                 zone,
                 kind,
@@ -46,12 +46,12 @@
             target.port,
         )
 
-    def listed(self, kind: api.ListKind, listing: discovery.Listing) -> None:
+    def listed(self, kind: ListKind, listing: discovery.Listing) -> None:
         places = [self.place(target) for target in listing.targets]
-        if kind is not api.ListKind.DELTA:
+        if kind is not ListKind.DELTA:
             self._listed.clear()
         for place in places:
-            if place.entry.state is api.NodeState.GONE:
+            if place.entry.state is NodeState.GONE:
                 self._listed.pop(place.entry.node, None)
             else:
                 self._listed[place.entry.node] = place
@@ -60,8 +60,8 @@
 
     def _ours(self, place: Place) -> Place:
         entry = place.entry
-        if (entry.node in self.out or entry.node in self._withheld) and entry.state is api.NodeState.READY:
-            return replace(place, entry=replace(entry, state=api.NodeState.DRAINING))
+        if (entry.node in self.out or entry.node in self._withheld) and entry.state is NodeState.READY:
+            return replace(place, entry=replace(entry, state=NodeState.DRAINING))
         if entry.node in self._starts:
             start = self._engine.since(self._starts[entry.node])
             entry = replace(entry, started=max(start, entry.started or start))
@@ -78,7 +78,7 @@
         self._withheld, self._starts = withheld, starts
         told = [self._ours(self._listed[name]) for name in sorted(changed) if name in self._listed]
         if told:
-            self._engine.listed(api.ListKind.DELTA, told)
+            self._engine.listed(ListKind.DELTA, told)
 
     def knows(self, name: str) -> bool:
         return name in self._listed or name in self.out
@@ -94,7 +94,7 @@
         self.out = out
         told = [self._ours(self._listed[name]) for name in changed if name in self._listed]
         if told:
-            self._engine.listed(api.ListKind.DELTA, told)
+            self._engine.listed(ListKind.DELTA, told)
 
 
 class WatchCodec:
--- a/stalltiller/program/door.py
+++ b/stalltiller/daemon/admission_gate.py
@@ -6,9 +6,9 @@
 import random
 from collections.abc import Callable
 
-from stalltiller import interface as api
 from stalltiller.recovery import Load, Ramp
 from stalltiller.routing.ports import Incoming
+from stalltiller.scheduling import Settings
 
 Cell = int | None
 
@@ -16,7 +16,7 @@
 class Door:
     """Stands open unless a ramp holds; never waits."""
 
-    def __init__(self, settings: Callable[[], api.Settings], targets: Callable[[], int]) -> None:
+    def __init__(self, settings: Callable[[], Settings], targets: Callable[[], int]) -> None:
         """`targets` tells how many are listed: while a ramp holds and there are none, nobody comes in."""
         self._settings, self._targets = settings, targets
         self._loop = asyncio.get_running_loop()
--- a/stalltiller/program/app.py
+++ b/stalltiller/daemon/application.py
@@ -11,31 +11,30 @@
 
 import orjson
 
-from stalltiller import interface as api
-from stalltiller.fronts.admin import admin_listener
-from stalltiller.fronts.directory import Directory, WatchCodec
-from stalltiller.fronts.http import HttpCarrier, HttpFront
-from stalltiller.fronts.nvme_clients import NvmeFront
-from stalltiller.fronts.nvme_mapping import Mapping
-from stalltiller.fronts.nvme_targets import NvmeCarrier
-from stalltiller.interface import ListKind
-from stalltiller.program.config import Config, ConfigError
-from stalltiller.program.handover import Handover
-from stalltiller.program.log import JsonLog
-from stalltiller.program.metrics import Metrics
-from stalltiller.program.reload import SETTLE, between, carried
+from stalltiller.adapters.admin_api import admin_listener
+from stalltiller.adapters.http_server import HttpCarrier, HttpFront
+from stalltiller.adapters.nvme_controller import NvmeFront
+from stalltiller.adapters.nvme_mapping import Mapping
+from stalltiller.adapters.nvme_target_client import NvmeCarrier
+from stalltiller.adapters.target_directory import Directory, WatchCodec
+from stalltiller.daemon.config import Config, ConfigError
+from stalltiller.daemon.log import JsonLog
+from stalltiller.daemon.metrics import Metrics
+from stalltiller.daemon.process_handover import Handover
+from stalltiller.daemon.settings_reload import SETTLE, between, carried
 from stalltiller.protocol.discovery import Listing
 from stalltiller.routing.engine import Engine
+from stalltiller.scheduling import ListKind, Settings
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.listener import Listener
 from stalltiller.transport.watch import Pace, Watch
 
 if TYPE_CHECKING:
-    from stalltiller.fleet.commons import Commons
+    from stalltiller.daemon.lease_service import Duties
+    from stalltiller.daemon.recovery_service import Comeback
     from stalltiller.fleet.config import FleetConfig
-    from stalltiller.fleet.node import Node
-    from stalltiller.program.comeback import Comeback
-    from stalltiller.program.duties import Duties
+    from stalltiller.fleet.membership_agent import Node
+    from stalltiller.fleet.shared_budgets import Commons
 
 TURN_EVERY = 0.01  # s between looks whether the process before still takes clients
 LOOK_EVERY = 0.2  # s between looks whether the other process has taken targets out
@@ -124,7 +123,7 @@
         self._directory.set_out(self._handover.load())
         known = config.known
         if config.recovery is not None:
-            from stalltiller.program.comeback import Comeback  # the platform's start does without it
+            from stalltiller.daemon.recovery_service import Comeback  # the platform's start does without it
 
             self.comeback = Comeback(
                 config.recovery,
@@ -202,8 +201,8 @@
         return True
 
     async def _join_fleet(self, config: FleetConfig) -> None:
-        from stalltiller.fleet.commons import Commons  # the platform's start does without them
-        from stalltiller.fleet.node import Node
+        from stalltiller.fleet.membership_agent import Node
+        from stalltiller.fleet.shared_budgets import Commons  # the platform's start does without them
 
         settings = self.engine.settings
         self.fleet = Node(
@@ -216,7 +215,7 @@
             self.commons = Commons(self.fleet, settings.gateways, settings.rules.tip_time, self.engine.heard)
             self.engine.join(self.commons)
         if self._config.leases is not None:
-            from stalltiller.program.duties import Duties
+            from stalltiller.daemon.lease_service import Duties
 
             self.duties = Duties(self._config.name, self._config.leases, self.fleet, self._log)
 
@@ -306,11 +305,11 @@
                 self._watching.cancel()
                 self._watch()
 
-    def _settled(self, settings: api.Settings, mapping: Mapping | None) -> None:
+    def _settled(self, settings: Settings, mapping: Mapping | None) -> None:
         self._settling = None
         self._retune(settings, mapping)
 
-    def _retune(self, settings: api.Settings, mapping: Mapping | None = None) -> None:
+    def _retune(self, settings: Settings, mapping: Mapping | None = None) -> None:
         self.engine.retune(settings)
         if isinstance(self.front, NvmeFront):
             self.front.retune(settings, mapping or self.front.mapping)
--- a/stalltiller/program/cli.py
+++ b/stalltiller/daemon/cli.py
@@ -9,8 +9,8 @@
 import click
 import orjson
 
-from stalltiller.program.config import ConfigError, from_operator
-from stalltiller.program.serve import start
+from stalltiller.daemon.config import ConfigError, from_operator
+from stalltiller.daemon.serve import start
 from stalltiller.protocol.discovery import parse_address
 
 CALL_TIMEOUT = 5.0  # s
--- a/stalltiller/program/config.py
+++ b/stalltiller/daemon/config.py
@@ -11,15 +11,15 @@
 
 import orjson
 
-from stalltiller import interface as api
-from stalltiller import wire
-from stalltiller.fronts import nvme_mapping
+from stalltiller.adapters import nvme_mapping
 from stalltiller.protocol import discovery, nvme
+from stalltiller.scheduling import Settings
+from stalltiller.simulator import codec
 
 if TYPE_CHECKING:
+    from stalltiller.daemon.lease_service import LeaseConfig
+    from stalltiller.daemon.recovery_service import RecoveryConfig
     from stalltiller.fleet.config import FleetConfig
-    from stalltiller.program.comeback import RecoveryConfig
-    from stalltiller.program.duties import LeaseConfig
 
 MEGABYTE = 1024 * 1024
 PLATFORM_KEYS = ("name", "listen", "discovery", "admin", "seed", "limits", "settings")
@@ -49,7 +49,7 @@
     sockets: int
     memory: int  # bytes
     known: discovery.Listing | None
-    settings: api.Settings
+    settings: Settings
     zones: list[str]
     kinds: list[str]
     connect_timeout: float
@@ -112,12 +112,12 @@
             raise ConfigError(f"settings: {name} is no number above 0: {value!r}")
 
 
-def parse_settings(nested: dict) -> api.Settings:
+def parse_settings(nested: dict) -> Settings:
     """The settings object as the decision module knows it."""
     _check_positive(nested)
     try:
-        settings = wire.settings_of(dict(flatten(nested)))
-    except (wire.WireError, ValueError, OverflowError) as error:
+        settings = codec.settings_of(dict(flatten(nested)))
+    except (codec.WireError, ValueError, OverflowError) as error:
         raise ConfigError(f"settings: {error}") from error
     if not settings.classes or not settings.plans:
         raise ConfigError("settings: no classes or no plans (contracts)")
@@ -232,7 +232,7 @@
 # --- The operator's file ----------------------------------------------------------------------------
 def from_operator(path: str) -> Config:
     """Read an operator's file, which may set up the NVMe/TCP front and metrics."""
-    from stalltiller.program.schema import first_error  # the platform's start does without it
+    from stalltiller.daemon.schema import first_error  # the platform's start does without it
 
     try:
         text = Path(path).read_text()
@@ -278,7 +278,7 @@
 
 
 def _recovery(data: dict) -> RecoveryConfig:
-    from stalltiller.program.comeback import RecoveryConfig
+    from stalltiller.daemon.recovery_service import RecoveryConfig
 
     usual = RecoveryConfig(str(data["folder"]))
     return RecoveryConfig(
@@ -290,7 +290,7 @@
 
 
 def _leases(data: dict, config: Config) -> LeaseConfig:
-    from stalltiller.program.duties import LeaseConfig
+    from stalltiller.daemon.lease_service import LeaseConfig
 
     voters = tuple(map(str, data["voters"]))
     if config.fleet is None or len(voters) not in (3, 5) or len(set(voters)) != len(voters):
@@ -300,7 +300,7 @@
     )
 
 
-def _mapping(data: dict, settings: api.Settings) -> nvme_mapping.Mapping:
+def _mapping(data: dict, settings: Settings) -> nvme_mapping.Mapping:
     plans = {plan.name: i for i, plan in enumerate(settings.plans)}
     classes = {cls.name: i for i, cls in enumerate(settings.classes)}
     spaces: dict[int, nvme_mapping.Namespace] = {}
--- a/stalltiller/program/duties.py
+++ b/stalltiller/daemon/lease_service.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from stalltiller.fleet import Kind, Packet
-from stalltiller.fleet.node import Node
+from stalltiller.fleet.membership_agent import Node
 from stalltiller.leases import codec
 from stalltiller.leases.client import Client
 from stalltiller.leases.store import VoterStore
--- a/stalltiller/program/metrics.py
+++ b/stalltiller/daemon/metrics.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable
 
-from stalltiller.program.config import Config, Sink
+from stalltiller.daemon.config import Config, Sink
 from stalltiller.protocol.metrics import collectd_packets, graphite_lines
 
 GAUGES = frozenset(
--- a/stalltiller/program/peers.py
+++ b/stalltiller/daemon/peer_state_exchange.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from stalltiller.fleet import Kind, Packet
-from stalltiller.fleet.members import Address
-from stalltiller.fleet.node import Node
-from stalltiller.recovery.word import Ask, Malformed, Word, decode, encode
+from stalltiller.fleet.member_table import Address
+from stalltiller.fleet.membership_agent import Node
+from stalltiller.recovery.peer_state import Ask, Malformed, Word, decode, encode
 
 ASK_EVERY = 0.25  # s between asks, while there is something to ask
 ASKED = 2  # peers at a time
--- a/stalltiller/program/returning.py
+++ b/stalltiller/daemon/recovery_coordinator.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from stalltiller.fronts.directory import Directory
-from stalltiller.program.door import Door
+from stalltiller.adapters.target_directory import Directory
+from stalltiller.daemon.admission_gate import Door
 from stalltiller.recovery import (
     Ask,
     Book,
@@ -32,7 +32,7 @@
 from stalltiller.transport.watch import Pace
 
 if TYPE_CHECKING:
-    from stalltiller.fleet.node import Node
+    from stalltiller.fleet.membership_agent import Node
 
 GATHER_EVERY = 0.1  # s between looks whether it is time to judge
 FRESH = 30.0  # s: a kept list older than this is served from once discovery or a peer has confirmed it
--- a/stalltiller/program/comeback.py
+++ b/stalltiller/daemon/recovery_service.py
@@ -9,16 +9,16 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from stalltiller.fronts.directory import Directory
-from stalltiller.program.peers import PeerWord
-from stalltiller.program.returning import ListPace, Returning
+from stalltiller.adapters.target_directory import Directory
+from stalltiller.daemon.peer_state_exchange import PeerWord
+from stalltiller.daemon.recovery_coordinator import ListPace, Returning
 from stalltiller.protocol.discovery import Listing
 from stalltiller.recovery import Book, Calm, Facts, Herd, Phases, Refused, Store, recall, remember, usable
 from stalltiller.routing.engine import Engine
 from stalltiller.transport.watch import Pace, Pacing
 
 if TYPE_CHECKING:
-    from stalltiller.fleet.node import Node
+    from stalltiller.fleet.membership_agent import Node
 
 LOOK_EVERY = 0.1  # s between looks at the counts
 SAVE_GAP = 0.05  # s between savings at the least, however fast the list changes
--- a/stalltiller/program/serve.py
+++ b/stalltiller/daemon/serve.py
@@ -8,9 +8,9 @@
 import sys
 from collections.abc import Callable
 
-from stalltiller.program.app import App
-from stalltiller.program.config import Config, ConfigError
-from stalltiller.program.log import LINES_PER_S, TRACE_LINES_PER_S, JsonLog
+from stalltiller.daemon.application import App
+from stalltiller.daemon.config import Config, ConfigError
+from stalltiller.daemon.log import LINES_PER_S, TRACE_LINES_PER_S, JsonLog
 
 TRACE = "STALLTILLER_TRACE"  # set to 1: each step of each request is a line of the log
 
--- a/stalltiller/program/reload.py
+++ b/stalltiller/daemon/settings_reload.py
@@ -5,14 +5,18 @@
 import math
 from dataclasses import replace
 
-from stalltiller import interface as api
+from stalltiller.scheduling import Effect, Scope, Settings
 
 SETTLE = 1.5  # s after SIGHUP for which clients may still go by the settings before
-WIDTH = (api.Scope.CELL, api.Scope.ZONE, api.Scope.ALL)  # where a repeat is known as one, the narrowest first
-STRICTNESS = (api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE)
+WIDTH = (
+    Scope.CELL,
+    Scope.ZONE,
+    Scope.ALL,
+)  # where a repeat is known as one, the narrowest first
+STRICTNESS = (Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
 
 
-def carried(old: api.Settings, new: api.Settings) -> api.Settings:
+def carried(old: Settings, new: Settings) -> Settings:
     """The new settings, in which a class that goes on is a write if it was one, and of others it is not told.
 
     Guards against settings that tell it by place and keep that list while the classes change theirs: every
@@ -22,7 +26,7 @@
     return replace(new, classes=tuple(replace(cls, writes=writes.get(cls.name)) for cls in new.classes))
 
 
-def between(old: api.Settings, new: api.Settings) -> api.Settings:
+def between(old: Settings, new: Settings) -> Settings:
     """What holds while either may be meant: all classes and plans of both, and the stricter of two rules.
 
     Guards against refusing what the one names and the other does not, and against repeating a request that
--- a/stalltiller/fleet/codec.py
+++ b/stalltiller/fleet/codec.py
@@ -5,9 +5,9 @@
 from google.protobuf.message import DecodeError
 
 from stalltiller.fleet import fleet_pb2 as pb
-from stalltiller.fleet.members import Member, State
+from stalltiller.fleet.budget_lending import Ask, Grant
+from stalltiller.fleet.member_table import Member, State
 from stalltiller.fleet.messages import Exchange, Kind, Packet
-from stalltiller.fleet.shares import Ask, Grant
 
 MOST_DATAGRAM = 1400  # bytes: one frame of Ethernet with its headers
 MOST_EXCHANGE = 512 * 1024  # bytes
--- a/stalltiller/fleet/config.py
+++ b/stalltiller/fleet/config.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from stalltiller.fleet.members import Address
+from stalltiller.fleet.member_table import Address
 from stalltiller.fleet.swim import Settings
 
 TIMES = ("probe_every", "probe_timeout", "gossip_every", "sync_every", "rejoin_every", "forget_after")
--- a/stalltiller/fleet/gossip.py
+++ b/stalltiller/fleet/gossip.py
@@ -5,7 +5,7 @@
 import heapq
 import math
 
-from stalltiller.fleet.members import Member
+from stalltiller.fleet.member_table import Member
 
 
 class Gossip:
--- a/stalltiller/fleet/node.py
+++ b/stalltiller/fleet/membership_agent.py
@@ -13,7 +13,7 @@
 
 from stalltiller.fleet import codec
 from stalltiller.fleet.config import FleetConfig
-from stalltiller.fleet.members import Address, Member
+from stalltiller.fleet.member_table import Address, Member
 from stalltiller.fleet.messages import Action, Exchange, Kind, Notice, Packet, Send, Sync
 from stalltiller.fleet.swim import Swim
 from stalltiller.transport.buffers import BufferPool
--- a/stalltiller/fleet/messages.py
+++ b/stalltiller/fleet/messages.py
@@ -5,8 +5,8 @@
 import enum
 from dataclasses import dataclass
 
-from stalltiller.fleet.members import Address, Member
-from stalltiller.fleet.shares import Ask, Grant
+from stalltiller.fleet.budget_lending import Ask, Grant
+from stalltiller.fleet.member_table import Address, Member
 
 
 class Kind(enum.IntEnum):
--- a/stalltiller/fleet/commons.py
+++ b/stalltiller/fleet/shared_budgets.py
@@ -12,11 +12,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from stalltiller.fleet.budget_lending import Ask, Grant, Shares
 from stalltiller.fleet.codec import MOST_PARTS
-from stalltiller.fleet.members import Member
+from stalltiller.fleet.member_table import Member
+from stalltiller.fleet.membership_agent import Node
 from stalltiller.fleet.messages import Kind, Packet
-from stalltiller.fleet.node import Node
-from stalltiller.fleet.shares import Ask, Grant, Shares
 
 LOOK_EVERY = 0.1  # s between looks at what is short
 NEED_FOR = 3.0  # s for which a need counts after it was told: a thin stream tells of it now and then only
--- a/stalltiller/fleet/swim.py
+++ b/stalltiller/fleet/swim.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, replace
 
 from stalltiller.fleet.gossip import Gossip
-from stalltiller.fleet.health import Health, Suspicion
-from stalltiller.fleet.members import Address, Member, State, Table
+from stalltiller.fleet.local_health import Health, Suspicion
+from stalltiller.fleet.member_table import Address, Member, State, Table
 from stalltiller.fleet.messages import Action, Exchange, Kind, Notice, Packet, Send, Sync
 
 PIGGYBACK = 6  # words in one datagram: what goes in 1400 bytes with the longest names
--- a/stalltiller/leases/client.py
+++ b/stalltiller/leases/client.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from stalltiller.leases.codec import Answer, Ask, NotLeader, Said
-from stalltiller.leases.table import Command, Holder
+from stalltiller.leases.state_machine import Command, Holder
 
 RENEWALS = 4  # in a lease's time
 ASK_EVERY = 0.25  # s between tries to acquire a lease that another holds
--- a/stalltiller/leases/codec.py
+++ b/stalltiller/leases/codec.py
@@ -18,7 +18,7 @@
     Vote,
     Voted,
 )
-from stalltiller.leases.table import Command, Lease, Table
+from stalltiller.leases.state_machine import Command, Lease, Table
 
 MOST_BYTES = 1200  # with the sender they go in one datagram
 MOST_TEXT = 64  # characters of a name
--- a/stalltiller/leases/voter.py
+++ b/stalltiller/leases/voter.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable
 
 from stalltiller.leases.codec import Answer, Ask, NotLeader, Said, decode_table, encode_table
-from stalltiller.leases.log import Raft, Times
 from stalltiller.leases.messages import Action, Apply, Cut, Keep, Restore, Send
+from stalltiller.leases.raft import Raft, Times
+from stalltiller.leases.state_machine import Command, Keeper
 from stalltiller.leases.store import VoterStore
-from stalltiller.leases.table import Command, Keeper
 
 MOST_WAITING = 1000  # messages not yet taken; more are dropped, as the network may
 LOOK_EVERY = 0.05  # s between a leader's looks for leases that have run out
--- a/stalltiller/protocol/discovery.py
+++ b/stalltiller/protocol/discovery.py
@@ -6,10 +6,14 @@
 
 import orjson
 
-from stalltiller import interface as api
+from stalltiller.scheduling import NodeState
 
 PATH = "/v1/servers"
-STATES = {"active": api.NodeState.READY, "leaving": api.NodeState.DRAINING, "left": api.NodeState.GONE}
+STATES = {
+    "active": NodeState.READY,
+    "leaving": NodeState.DRAINING,
+    "left": NodeState.GONE,
+}
 
 
 class DiscoveryError(Exception):
@@ -26,7 +30,7 @@
     zone: str
     kind: str
     cell: int
-    state: api.NodeState
+    state: NodeState
     weight: float
     since: float | None
 
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -6,8 +6,8 @@
 import re
 from dataclasses import dataclass
 
-from stalltiller import interface as api
 from stalltiller.protocol.http import Head
+from stalltiller.scheduling import Settings, Status
 
 HEX = re.compile(r"[0-9A-Fa-f]{1,16}")
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
@@ -61,7 +61,7 @@
     name: a million hosts leave it no part of its limit, a million units fill its demand for a minute.
     """
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: Settings) -> None:
         self._hosts, self._largest = settings.gateways, settings.largest_units or math.inf
         self._deadlines = [cls.deadline for cls in settings.classes]
         self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
@@ -108,7 +108,7 @@
 class Answered:
     """What a target's answer tells beside its body."""
 
-    status: api.Status
+    status: Status
     others: float = 0.0
     report: tuple[float, ...] = ()
 
@@ -116,16 +116,16 @@
 class AnswerFields:
     """Reads targets' answers; what is malformed in a report is passed over."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: Settings) -> None:
         self._report_fields = settings.report_fields if settings.reports_in_answers else ()
 
     def parse(self, head: Head) -> Answered:
         if head.status == 200:
-            status = api.Status.OK
+            status = Status.OK
         elif head.status in NOT_RUN and head.fields.get("x-not-processed") == "1":
-            status = api.Status.FULL
+            status = Status.FULL
         else:
-            status = api.Status.ERROR
+            status = Status.ERROR
         others = head.fields.get("other-hosts", "")
         return Answered(
             status,
--- a/stalltiller/recovery/__init__.py
+++ b/stalltiller/recovery/__init__.py
@@ -5,7 +5,14 @@
 `word` is what peers tell one that comes back, `phases` how far it is.
 """
 
-from stalltiller.recovery.facts import (
+from stalltiller.recovery.mass_restart import Herd, Turns, View
+from stalltiller.recovery.peer_state import Ask, Caution, Change, Word
+from stalltiller.recovery.phases import Phases
+from stalltiller.recovery.recovery_ramp import Ramp
+from stalltiller.recovery.retry_reservations import Returns
+from stalltiller.recovery.scheduler_state import recall, remember
+from stalltiller.recovery.shard_load import Load
+from stalltiller.recovery.snapshot import (
     Book,
     Calm,
     Facts,
@@ -17,14 +24,7 @@
     start_level,
     usable,
 )
-from stalltiller.recovery.herd import Herd, Turns, View
-from stalltiller.recovery.load import Load
-from stalltiller.recovery.memory import recall, remember
-from stalltiller.recovery.phases import Phases
-from stalltiller.recovery.ramp import Ramp
-from stalltiller.recovery.returns import Returns
 from stalltiller.recovery.store import Store
-from stalltiller.recovery.word import Ask, Caution, Change, Word
 
 __all__ = [
     "Ask",
--- a/stalltiller/recovery/ramp.py
+++ b/stalltiller/recovery/recovery_ramp.py
@@ -19,7 +19,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from stalltiller.recovery.returns import Returns
+from stalltiller.recovery.retry_reservations import Returns
 
 RAMP_TIME, BLIND_TIME = 2.0, 4.0  # s after which the door may open, if the rate of before is known, or not
 DOUBLE, BLIND_DOUBLE = 1.0, 0.5  # s in which the rate doubles
--- a/stalltiller/recovery/memory.py
+++ b/stalltiller/recovery/scheduler_state.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from stalltiller.logic import Node, Scheduler, Volume
-from stalltiller.recovery.facts import Facts, Level, Pace, start_level
+from stalltiller.recovery.snapshot import Facts, Level, Pace, start_level
+from stalltiller.scheduling.scheduler import Node, Scheduler, Volume
 
 SAME_START = 0.05  # s by which a target's start may seem to differ: each life reads the clocks anew
 
@@ -24,7 +24,7 @@
     for name, volume in scheduler.volumes.items():
         if volume.plan.limit > 0:
             part = volume.plan.limit / volume.hosts
-            level = volume.limit.fill(now, part, volume.plan.burst / volume.hosts)
+            level = volume.limit.refill(now, part, volume.plan.burst / volume.hosts)
             levels.append(Level(name, volume.plan.name, volume.hosts, level, wall + now))
     return paces, tuple(levels)
 
--- a/stalltiller/recovery/facts.py
+++ b/stalltiller/recovery/snapshot.py
@@ -20,8 +20,8 @@
 
 import orjson
 
-from stalltiller import interface as api
 from stalltiller.protocol import discovery
+from stalltiller.scheduling import NodeState, Plan
 
 VERSION = 2
 MAGIC = b"STL1"
@@ -107,7 +107,7 @@
         """Take an answer of discovery, whole or changes."""
         now = {} if listing.whole else dict(self._targets)
         for target in listing.targets:
-            if target.state is api.NodeState.GONE:
+            if target.state is NodeState.GONE:
                 now.pop(target.name, None)
             else:
                 now[target.name] = target
@@ -115,7 +115,7 @@
             self._since, self._changes = listing.index, {}
         else:
             for name in self._targets.keys() | now.keys():
-                target = now.get(name) or replace(self._targets[name], state=api.NodeState.GONE)
+                target = now.get(name) or replace(self._targets[name], state=NodeState.GONE)
                 if target != self._targets.get(name):
                     self._changes.pop(name, None)
                     self._changes[name] = listing.index, target
@@ -225,7 +225,7 @@
     )
 
 
-def start_level(level: Level, plan: api.Plan, now: float) -> float:
+def start_level(level: Level, plan: Plan, now: float) -> float:
     """What a bucket starts with: the lesser of what was left and what has come in since, within its part.
 
     A restart must mint no burst: of a life that was killed nobody knows what it had spent since it was kept.
--- a/stalltiller/recovery/store.py
+++ b/stalltiller/recovery/store.py
@@ -6,7 +6,7 @@
 
 import lmdb
 
-from stalltiller.recovery.facts import MOST_BYTES, Facts, decode, encode
+from stalltiller.recovery.snapshot import MOST_BYTES, Facts, decode, encode
 
 KEY = b"facts"
 MAP_SIZE = 16 * MOST_BYTES
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -16,11 +16,34 @@
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
-from stalltiller import interface as api
-from stalltiller.interface import Effect, ListKind, NodeState, Status
-from stalltiller.logic import Scheduler
-from stalltiller.routing.entry import NEVER_RAN, Entry
 from stalltiller.routing.ports import Attempt, Carrier, Door, Ending, Incoming, Peers, Place
+from stalltiller.routing.request_state import NEVER_RAN, Entry
+from stalltiller.scheduling import (
+    Action,
+    Cancel,
+    ClientGone,
+    CloseIdle,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    Log,
+    Message,
+    NodeId,
+    NodeList,
+    NodeState,
+    Outcome,
+    Refuse,
+    Request,
+    Retuned,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    Tell,
+    TimerFired,
+)
+from stalltiller.scheduling.scheduler import Scheduler
 
 ANSWER_MARGIN = 0.015  # s by which the scheduler's deadline is before the client's: the way back, a late turn
 BACKSTOP_MARGIN = 0.008  # s before the client's deadline at which the engine itself answers
@@ -38,7 +61,7 @@
 
     def __init__(
         self,
-        settings: api.Settings,
+        settings: Settings,
         seed: int,
         loop: asyncio.AbstractEventLoop,
         log: Logger,
@@ -57,9 +80,9 @@
         self._ids = itertools.count(1)
         self._entries: dict[int, Entry] = {}
         self._open = 0
-        self._places: dict[api.NodeId, Place] = {}
-        self._told: dict[api.NodeId, float] = {}  # when a target was first said to drain
-        self._events: list[api.Event] = []
+        self._places: dict[NodeId, Place] = {}
+        self._told: dict[NodeId, float] = {}  # when a target was first said to drain
+        self._events: list[Event] = []
         self._turn: asyncio.Handle | None = None
         self._timers: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._timer_ids = itertools.count()
@@ -91,7 +114,7 @@
 
     def heard(self, position: int, letter: bytes) -> None:
         """A letter has come from the decisions of another instance."""
-        self._feed(api.Message(position, letter))
+        self._feed(Message(position, letter))
 
     # --- For the fronts ---------------------------------------------------------------------------
     @property
@@ -132,7 +155,7 @@
         self.at(max(deadline - BACKSTOP_MARGIN, now + LEAST_TURN), self._backstop, number)
         left = max(0.0, deadline - ANSWER_MARGIN - now)
         self._feed(
-            api.Request(
+            Request(
                 number,
                 incoming.cls,
                 incoming.plan,
@@ -161,7 +184,7 @@
         entry = self._entries.get(number)
         if entry is not None and not entry.done:
             self._finish(number, entry, "gone")
-            self._feed(api.ClientGone(number))
+            self._feed(ClientGone(number))
 
     def ended(self, attempt: Attempt, ending: Ending) -> None:
         """An attempt is over."""
@@ -187,7 +210,7 @@
                 ms=round(1000 * (self._loop.time() - attempt.sent_at), 1),
             )
         self._feed(
-            api.Outcome(
+            Outcome(
                 attempt.id,
                 attempt.number,
                 attempt.node,
@@ -224,9 +247,9 @@
                 self._told.pop(name, None)
         if leaving:
             self._stop_late_starts(leaving)
-        self._feed(api.NodeList(kind, tuple(place.entry for place in places)))
+        self._feed(NodeList(kind, tuple(place.entry for place in places)))
 
-    def _stop_late_starts(self, leaving: set[api.NodeId]) -> None:
+    def _stop_late_starts(self, leaving: set[NodeId]) -> None:
         """Bound attempts that are out by the drain, too.  Guards against one whose connection comes up so
         late that its first byte would go to the target past the grace."""
         for entry in self._entries.values():
@@ -236,10 +259,10 @@
                 stop = told + self.settings.rules.drain_grace - DRAIN_MARGIN
                 attempt.last_start = stop if attempt.last_start is None else min(stop, attempt.last_start)
 
-    def retune(self, settings: api.Settings) -> None:
+    def retune(self, settings: Settings) -> None:
         """Other settings hold from now on; what is open keeps its class."""
         self.settings = settings
-        self._feed(api.Retuned(settings))
+        self._feed(Retuned(settings))
 
     def close_out(self) -> None:
         """Answer all that is open: the program ends, and what it took must not be lost.  What comes from now
@@ -250,7 +273,7 @@
                 continue
             harmless = entry.refusable(entry.out is not None and self.carrier.begun(entry.out))
             self._finish(number, entry, "refused" if harmless else "failed")
-            self._feed(api.ClientGone(number))  # for the scheduler it is over: it must send no attempt now
+            self._feed(ClientGone(number))  # for the scheduler it is over: it must send no attempt now
             if harmless:
                 entry.incoming.reply.refused(self.settings.max_advice)
             else:
@@ -275,7 +298,7 @@
             self._arm()
 
     # --- Turns ------------------------------------------------------------------------------------
-    def _feed(self, event: api.Event) -> None:
+    def _feed(self, event: Event) -> None:
         """Keep an event for this turn's end: the loop runs what is ready first, then `_run_turn`."""
         self._events.append(event)
         if self._turn is None:
@@ -316,27 +339,27 @@
             self._turn = self._loop.call_soon(self._run_turn)
 
     # --- Actions ----------------------------------------------------------------------------------
-    def _carry_out(self, action: api.Action) -> None:
-        if isinstance(action, api.Send):
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Send):
             self._send(action)
-        elif isinstance(action, api.Refuse):
+        elif isinstance(action, Refuse):
             self._refuse(action)
-        elif isinstance(action, api.Fail):
+        elif isinstance(action, Fail):
             entry = self._unanswered(action.id)
             if entry is not None:
                 self._finish(action.id, entry, "failed")
                 entry.incoming.reply.failed()
-        elif isinstance(action, api.Cancel):
+        elif isinstance(action, Cancel):
             entry = self._entries.get(action.id)
             if entry is not None and entry.out is not None and entry.out.number == action.attempt:
                 self._abandon(entry.out, Status.CANCELLED)
-        elif isinstance(action, api.SetTimer):
-            self.at(self._loop.time() + action.delay, self._feed, api.TimerFired(action.token))
-        elif isinstance(action, api.CloseIdle):
+        elif isinstance(action, SetTimer):
+            self.at(self._loop.time() + action.delay, self._feed, TimerFired(action.token))
+        elif isinstance(action, CloseIdle):
             self.carrier.close_idle(action.node)
-        elif isinstance(action, api.Tell) and self._peers is not None:
+        elif isinstance(action, Tell) and self._peers is not None:
             self._peers.tell(action.gateway, action.data)
-        elif isinstance(action, api.Log):
+        elif isinstance(action, Log):
             self._log("decision", text=action.text)
 
     def _unanswered(self, number: int) -> Entry | None:
@@ -346,7 +369,7 @@
             return None
         return entry
 
-    def _send(self, action: api.Send) -> None:
+    def _send(self, action: Send) -> None:
         entry, place = self._entries.get(action.id), self._places.get(action.node)
         if entry is None or entry.done:
             self._fault("an attempt after the end", id=action.id)
@@ -362,8 +385,8 @@
             stop = forget if stop is None else min(stop, forget)
         if entry.out is None and incoming.reply.left():
             self._finish(action.id, entry, "gone")
-            self._feed(api.ClientGone(action.id))
-            self._feed(api.Outcome(action.id, number, action.node, Status.MOOT, 0.0, True, None, 0.0, ()))
+            self._feed(ClientGone(action.id))
+            self._feed(Outcome(action.id, number, action.node, Status.MOOT, 0.0, True, None, 0.0, ()))
             return
         if entry.out is not None:
             reason = "a second attempt at once"
@@ -405,9 +428,9 @@
             self.carrier.start(attempt)
             return
         self._fault(reason, id=action.id, node=action.node)
-        self._feed(api.Outcome(action.id, number, action.node, Status.MOOT, 0.0, False, None, 0.0, ()))
+        self._feed(Outcome(action.id, number, action.node, Status.MOOT, 0.0, False, None, 0.0, ()))
 
-    def _refuse(self, action: api.Refuse) -> None:
+    def _refuse(self, action: Refuse) -> None:
         entry = self._unanswered(action.id)
         if entry is None:
             return
@@ -446,7 +469,7 @@
             return
         self._fault("the deadline backstop answered", id=number)
         self._finish(number, entry, "failed")
-        self._feed(api.ClientGone(number))  # for the scheduler it is over, as if the client had left
+        self._feed(ClientGone(number))  # for the scheduler it is over, as if the client had left
         entry.incoming.reply.failed()
 
     def _finish(self, number: int, entry: Entry, how: str) -> None:
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from stalltiller import interface as api
+from stalltiller.scheduling import NodeEntry, NodeId, Status
 
 
 class Reply(Protocol):
@@ -69,7 +69,7 @@
 
     id: int
     number: int
-    node: api.NodeId
+    node: NodeId
     host: str
     port: int
     shard: int | None
@@ -85,7 +85,7 @@
 class Ending:
     """How a target ended an attempt; `answer` goes to the client if the status is OK."""
 
-    status: api.Status
+    status: Status
     answer: Any = None
     others: float = 0.0
     report: tuple[float, ...] = ()
@@ -103,7 +103,7 @@
     def abandon(self, attempt: Attempt) -> bool:
         """Give an attempt up for good; whether it may have run."""
 
-    def close_idle(self, node: api.NodeId) -> None:
+    def close_idle(self, node: NodeId) -> None:
         """Close what stands idle to a target."""
 
 
@@ -111,6 +111,6 @@
 class Place:
     """A line of the target list with the address that this machine reaches it by."""
 
-    entry: api.NodeEntry
+    entry: NodeEntry
     host: str
     port: int
--- a/stalltiller/routing/entry.py
+++ b/stalltiller/routing/request_state.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from stalltiller import interface as api
-from stalltiller.interface import Effect, Scope, Status
 from stalltiller.routing.ports import Attempt, Incoming
+from stalltiller.scheduling import Effect, RequestClass, Scope, Status
 
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 
@@ -14,7 +13,7 @@
 
     __slots__ = ("attempts", "cls", "deadline", "done", "first_at", "incoming", "most", "out", "ran")
 
-    def __init__(self, incoming: Incoming, deadline: float, cls: api.RequestClass, most: int) -> None:
+    def __init__(self, incoming: Incoming, deadline: float, cls: RequestClass, most: int) -> None:
         self.incoming, self.deadline = incoming, deadline
         self.cls, self.most = cls, most  # by the settings when it came
         self.first_at = 0.0  # when the first attempt that may have run was sent
--- a/stalltiller/crowd.py
+++ b/stalltiller/scheduling/contention.py
@@ -5,38 +5,23 @@
 import math
 from collections.abc import Container
 
+from stalltiller.common.decaying_mean import DecayingMean
+
 DEMAND_SPAN = 2.0  # s over which demand and the parts of other gateways are averaged
 ALIKE = 2.0  # how alike cells are before any news: the spread of their crowds is 0.7 of the mean
 
 
-class Mean:
-    """An exponentially decayed sum read as a rate."""
-
-    def __init__(self, at: float) -> None:
-        self.total, self.at = 0.0, at
-
-    def add(self, now: float, amount: float) -> None:
-        self.rate(now)
-        self.total += amount
-
-    def rate(self, now: float) -> float:
-        """Amount per second over the last DEMAND_SPAN or so."""
-        self.total *= 0.5 ** ((now - self.at) / DEMAND_SPAN)
-        self.at = now
-        return self.total / (DEMAND_SPAN * 1.4427)
-
-
 class Crowd:
     """Which volumes asked for which cells through this gateway, how often, and through how many others."""
 
     def __init__(self) -> None:
         self.asked: dict[int, float] = {}  # when a request last named the cell
-        self.seen: dict[int, dict[int, tuple[Mean, int]]] = {}  # by cell and volume: requests, hosts
+        self.seen: dict[int, dict[int, tuple[DecayingMean, int]]] = {}  # by cell and volume: requests, hosts
 
     def note(self, now: float, cell: int, volume: int, hosts: int) -> None:
         """Count a request."""
         self.asked[cell] = now
-        mean, _ = self.seen.setdefault(cell, {}).get(volume) or (Mean(now), 0)
+        mean, _ = self.seen.setdefault(cell, {}).get(volume) or (DecayingMean(now, DEMAND_SPAN), 0)
         mean.add(now, 1.0)
         self.seen[cell][volume] = mean, hosts
 
--- a/stalltiller/logic.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -12,9 +12,22 @@
 from collections import deque
 from collections.abc import Callable
 
-from stalltiller import interface as api
-from stalltiller.crowd import DEMAND_SPAN, Crowd, Mean
-from stalltiller.interface import Effect, ListKind, NodeState, Scope, Status
+from stalltiller.common.decaying_mean import DecayingMean
+from stalltiller.common.token_bucket import TokenBucket
+from stalltiller.scheduling.actions import Action, Cancel, Fail, Refuse, Send, SetTimer, Tell, Watch
+from stalltiller.scheduling.contention import DEMAND_SPAN, Crowd
+from stalltiller.scheduling.events import (
+    ClientGone,
+    Event,
+    Message,
+    Outcome,
+    Request,
+    Retuned,
+    Status,
+    TimerFired,
+)
+from stalltiller.scheduling.settings import Effect, Plan, RequestClass, Scope, Settings
+from stalltiller.scheduling.targets import ListKind, NodeEntry, NodeId, NodeList, NodeState
 
 # --- The design's figures -------------------------------------------------------------------------
 RESERVE_SHARE = 0.30  # of capacity: the reserve when whole (the design's start value)
@@ -66,26 +79,16 @@
 IN_RESERVATION, IN_GRANT, BEYOND = 0, 1, 2  # order of service when the window is full
 
 
-class Bucket:
-    """A token bucket in units; it may be drawn below zero, down to what the caller allows."""
-
-    def __init__(self, level: float, at: float) -> None:
-        self.level, self.at = level, at
-
-    def fill(self, now: float, rate: float, depth: float) -> float:
-        """Bring the level to `now` and return it."""
-        self.level, self.at = min(depth, self.level + rate * (now - self.at)), now
-        return self.level
-
-
 class Volume:
     """What a gateway knows of one volume over all nodes."""
 
-    def __init__(self, plan: api.Plan, hosts: int, now: float) -> None:
+    def __init__(self, plan: Plan, hosts: int, now: float) -> None:
         self.plan, self.hosts = plan, hosts
-        self.limit = Bucket(0.0, now)
-        self.reservation = Bucket(0.0, now)
-        self.demand, self.others, self.served = Mean(now), Mean(now), Mean(now)
+        self.limit = TokenBucket(0.0, now)
+        self.reservation = TokenBucket(0.0, now)
+        self.demand = DecayingMean(now, DEMAND_SPAN)
+        self.others = DecayingMean(now, DEMAND_SPAN)
+        self.served = DecayingMean(now, DEMAND_SPAN)
         self.asked_at = now
         self.peers: list[int] = []  # gateways known to serve it too
         self.ask, self.answered = -1, [0]  # number of the last ask for tokens; who granted some
@@ -99,15 +102,15 @@
     def __init__(self, volume: Volume, now: float) -> None:
         self.volume = volume
         self.grant = self.ask = 0.0
-        self.bucket = Bucket(0.0, now)
-        self.demand = Mean(now)
+        self.bucket = TokenBucket(0.0, now)
+        self.demand = DecayingMean(now, DEMAND_SPAN)
         self.busy_at, self.tested_at, self.open = now, -1e9, 0
 
 
 class Node:
     """One node: its list entry, window, latency, reserve, grants and queue."""
 
-    def __init__(self, entry: api.NodeEntry, latency: float, now: float) -> None:
+    def __init__(self, entry: NodeEntry, latency: float, now: float) -> None:
         self.entry = entry
         self.window, self.latency = START_WINDOW, latency
         self.out = 0
@@ -129,7 +132,7 @@
 class Held:
     """A request that this gateway has taken and not yet answered."""
 
-    def __init__(self, r: api.Request, cls: api.RequestClass, volume: Volume, due: float,
+    def __init__(self, r: Request, cls: RequestClass, volume: Volume, due: float,
                  deadline: float, most: int) -> None:
         self.r, self.cls, self.volume, self.due, self.deadline = r, cls, volume, due, deadline
         self.attempts, self.out, self.most = 0, 0, most  # most: attempts, by the settings when it came
@@ -145,10 +148,10 @@
 class Scheduler:
     """The decisions of one gateway: `handle` turns timed events into actions."""
 
-    def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.random = random.Random(seed)
         self.now = now
-        self.nodes: dict[api.NodeId, Node] = {}
+        self.nodes: dict[NodeId, Node] = {}
         self.cells: dict[int, list[Node]] = {}
         self.volumes: dict[int, Volume] = {}
         self.held: dict[int, Held] = {}  # those answered, too, while attempts are out
@@ -162,13 +165,13 @@
         self.slowness: dict[str, float] = {}  # by class: what an attempt takes, over the node's mean latency
         self.full_left: dict[str, float] = {}  # by class
         self._retune(settings)
-        self.queued: dict[api.NodeId, Node] = {}  # nodes with requests in line: the others cost nothing
+        self.queued: dict[NodeId, Node] = {}  # nodes with requests in line: the others cost nothing
         self.polling = False
         self.started = self.swept_at = now
         self.watching, self.filling = False, True  # filling: the buckets of the limits
-        self.actions: list[api.Action] = []
+        self.actions: list[Action] = []
 
-    def _retune(self, settings: api.Settings) -> None:
+    def _retune(self, settings: Settings) -> None:
         """Go by other settings; what is known of a class or plan stays with its name."""
         self.s = settings
         self.mean = max(settings.mean_units, 1e-9)  # units of a usual request
@@ -188,35 +191,35 @@
         self.filling = False  # spend what was saved up: what comes in from now on is another process's
 
     # --- Entry ------------------------------------------------------------------------------------
-    def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
+    def handle(self, now: float, events: list[Event]) -> list[Action]:
         """Take the events of one moment and return what to do about them, in order (probes are not used)."""
         self.now, self.actions = now, []
         if not self.watching and not self.s.list_pushed:
             self.watching = True
-            self.actions.append(api.Watch(True))
+            self.actions.append(Watch(True))
         if now - self.swept_at >= SWEEP_EVERY:
             self._sweep()
-        touched: dict[api.NodeId, Node] = {}
+        touched: dict[NodeId, Node] = {}
         for event in events:
             node = None
-            if isinstance(event, api.Request):
+            if isinstance(event, Request):
                 node = self._take(event)
-            elif isinstance(event, api.Outcome):
+            elif isinstance(event, Outcome):
                 node = self._outcome(event)
-            elif isinstance(event, api.TimerFired):
+            elif isinstance(event, TimerFired):
                 if event.token == TIMER_WATCH:
-                    self.actions.append(api.Watch(True))
+                    self.actions.append(Watch(True))
                 else:
                     self.polling = False
                     touched.update(self.queued)
-            elif isinstance(event, api.Retuned):
+            elif isinstance(event, Retuned):
                 self._retune(event.settings)
-            elif isinstance(event, api.Message) and self.s.may_message:
+            elif isinstance(event, Message) and self.s.may_message:
                 self._message(event)
-            elif isinstance(event, api.NodeList):
+            elif isinstance(event, NodeList):
                 self._list_news(event)
                 touched.update(self.queued)
-            elif isinstance(event, api.ClientGone):
+            elif isinstance(event, ClientGone):
                 held = self.held.get(event.id)
                 if held is not None and not held.over:
                     node = held.node
@@ -233,14 +236,14 @@
             self._poll()
         if not self.polling and (self.waiting or self.queued):
             self.polling = True
-            self.actions.append(api.SetTimer(TIMER_POLL, POLL))
+            self.actions.append(SetTimer(TIMER_POLL, POLL))
         return self.actions
 
     # --- Node list --------------------------------------------------------------------------------
-    def _list_news(self, news: api.NodeList) -> None:
+    def _list_news(self, news: NodeList) -> None:
         """Follow the list; a node that drains or is gone gets nothing more from this moment."""
         if news.kind is ListKind.FAILED:
-            self.actions.append(api.SetTimer(TIMER_WATCH, SUBSCRIBE_AFTER * (1 + self.random.random())))
+            self.actions.append(SetTimer(TIMER_WATCH, SUBSCRIBE_AFTER * (1 + self.random.random())))
             return
         listed = {entry.node: entry for entry in news.entries}
         for entry in news.entries:
@@ -322,7 +325,7 @@
         self.rest_until = {key: at for key, at in self.rest_until.items() if at > self.now}
 
     # --- Taking a request -------------------------------------------------------------------------
-    def _take(self, r: api.Request) -> Node | None:
+    def _take(self, r: Request) -> Node | None:
         cls, plan = self.s.classes[r.cls], self.s.plans[r.plan]
         if self.s.rules.budget_window is not None:
             self.taken.append(self.now)
@@ -343,7 +346,7 @@
             self.orders.setdefault(r.key, deque()).append(held)
         return self._enqueue(held)
 
-    def _due(self, r: api.Request, cls: api.RequestClass) -> float:
+    def _due(self, r: Request, cls: RequestClass) -> float:
         """When the aim ends, from the client's first try on.  A later try has less time left than a first of
         its class; one that ends before its own aim would is a first one, of a client that waits shortly."""
         full = self.full_left[cls.name] = min(max(self.full_left[cls.name], r.left), cls.deadline)
@@ -466,10 +469,10 @@
         will do: asking for all units at once would let a volume's small requests starve its large ones."""
         volume, share = held.volume, node.shares[held.r.volume]
         rate = volume.plan.reservation * self._part(volume)
-        if volume.reservation.fill(self.now, rate, rate * BUCKET_DEPTH + self.s.largest_units) > 0:
+        if volume.reservation.refill(self.now, rate, rate * BUCKET_DEPTH + self.s.largest_units) > 0:
             return IN_RESERVATION
         depth = share.grant * BUCKET_DEPTH + self.s.largest_units
-        return IN_GRANT if share.bucket.fill(self.now, share.grant, depth) > 0 else BEYOND
+        return IN_GRANT if share.bucket.refill(self.now, share.grant, depth) > 0 else BEYOND
 
     def _allowed(self, node: Node, held: Held) -> bool:
         """Whether window, pauses and every rule let a request go now."""
@@ -513,7 +516,7 @@
 
     def _tokens(self, volume: Volume) -> float:
         rate = volume.plan.limit / volume.hosts if self.filling else 0.0
-        return volume.limit.fill(self.now, rate, volume.plan.burst / volume.hosts)
+        return volume.limit.refill(self.now, rate, volume.plan.burst / volume.hosts)
 
     def _borrow(self, name: int, volume: Volume) -> None:
         """Ask other gateways of a volume for tokens: all gateways while some of its own are not known."""
@@ -535,10 +538,10 @@
     def _tell(self, peer: int | None, kind: int, name: int, number: int, units: float) -> float:
         """Send a message and return the units that it carries."""
         parts = min(65535, int(units * LEASE_PARTS))
-        self.actions.append(api.Tell(peer, MESSAGE.pack(kind, name, number, parts)))
+        self.actions.append(Tell(peer, MESSAGE.pack(kind, name, number, parts)))
         return parts / LEASE_PARTS
 
-    def _message(self, message: api.Message) -> None:
+    def _message(self, message: Message) -> None:
         """Lend tokens not needed here, or take those lent.  They leave the lender's bucket before they travel
         and count only for the last ask and once for each lender, so what is lost, doubled, late or meant for
         an earlier life destroys tokens, never mints.  No bucket rises above its part of the burst."""
@@ -596,7 +599,7 @@
         node.flying[r.id], node.sent_at = held, self.now
         # An attempt is given up soon after its aim: its place in the window is worth more than a late answer.
         expires = min(held.deadline, max(held.due, self.now + LONG_SHARE * node.latency) + LATE_PATIENCE)
-        self.actions.append(api.Send(r.id, node.entry.node, expires))
+        self.actions.append(Send(r.id, node.entry.node, expires))
 
     def _shed(self, node: Node) -> None:
         """Give up the least worthy of each request out of reach and those before it (Moore and Hodgson)."""
@@ -639,11 +642,11 @@
                 suspect = True
             elif self.s.may_cancel and held.attempts < min(held.most, self.s.max_attempts):
                 held.cancelled = True
-                self.actions.append(api.Cancel(held.r.id, held.attempts - 1))
+                self.actions.append(Cancel(held.r.id, held.attempts - 1))
         return suspect
 
     # --- Outcomes ---------------------------------------------------------------------------------
-    def _outcome(self, o: api.Outcome) -> Node | None:
+    def _outcome(self, o: Outcome) -> Node | None:
         held, node = self.held.get(o.id), self.nodes.get(o.node)
         if held is None or held.out == 0:
             return None
@@ -669,7 +672,7 @@
             self._again(held, o)
         return node
 
-    def _learn(self, node: Node, held: Held, o: api.Outcome) -> None:
+    def _learn(self, node: Node, held: Held, o: Outcome) -> None:
         """Window and latency from one outcome; volume news from an answer."""
         size = max(1.0, held.r.units / self.mean)
         if o.status is Status.OK:
@@ -714,10 +717,9 @@
                 volume.others.add(self.now, o.others)
         if o.use is not None and not self.s.others_told:
             rate = max(0.0, o.use * volume.plan.rate - volume.served.rate(self.now))
-            volume.others.rate(self.now)
-            volume.others.total = rate * DEMAND_SPAN * 1.4427
+            volume.others.set_rate(self.now, rate)
 
-    def _again(self, held: Held, o: api.Outcome) -> None:
+    def _again(self, held: Held, o: Outcome) -> None:
         """Whether a request whose attempt failed is sent once more or gets its final answer."""
         if o.status in NEVER_RAN:
             # Only a keyed request goes out again after one that may have run; others, turned away, never ran.
@@ -742,9 +744,9 @@
         """The final answer at once: refused with advice where that is harmless, else failed."""
         if self._refusable(held):
             # The longest advice that clients heed: a try after a refusal seldom has its aim in reach.
-            self.actions.append(api.Refuse(held.r.id, self.s.max_advice if self.s.may_advise else 0.0))
+            self.actions.append(Refuse(held.r.id, self.s.max_advice if self.s.may_advise else 0.0))
         else:
-            self.actions.append(api.Fail(held.r.id))
+            self.actions.append(Fail(held.r.id))
         self._close(held)
 
     def _close(self, held: Held) -> None:
--- a/stalltiller/wire.py
+++ b/stalltiller/simulator/codec.py
@@ -7,7 +7,38 @@
 from dataclasses import dataclass
 from typing import BinaryIO
 
-from stalltiller import interface as api
+from stalltiller.scheduling import (
+    Action,
+    Cancel,
+    ClientGone,
+    CloseIdle,
+    Effect,
+    Fail,
+    FetchList,
+    FirstByte,
+    ListKind,
+    Log,
+    Message,
+    NodeEntry,
+    NodeList,
+    NodeState,
+    Outcome,
+    Plan,
+    Probe,
+    Probed,
+    Refuse,
+    Request,
+    RequestClass,
+    Rules,
+    Scope,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    Tell,
+    TimerFired,
+    Watch,
+)
 
 NS = 1_000_000_000
 BATCH_HEADER = struct.Struct("<IIQ")
@@ -31,18 +62,27 @@
     OUTCOME: struct.Struct("<IQBIHHQBHH"),
 }
 STATUSES = (
-    api.Status.OK,
-    api.Status.ERROR,
-    api.Status.FULL,
-    api.Status.TIMEOUT,
-    api.Status.CONNECT_FAILED,
-    api.Status.RESET,
-    api.Status.CANCELLED,
-    api.Status.MOOT,
+    Status.OK,
+    Status.ERROR,
+    Status.FULL,
+    Status.TIMEOUT,
+    Status.CONNECT_FAILED,
+    Status.RESET,
+    Status.CANCELLED,
+    Status.MOOT,
+)
+STATES = (NodeState.GONE, NodeState.DRAINING, NodeState.READY)
+LIST_KINDS = (
+    ListKind.DELTA,
+    ListKind.FULL,
+    ListKind.CACHED,
+    ListKind.FAILED,
 )
-STATES = (api.NodeState.GONE, api.NodeState.DRAINING, api.NodeState.READY)
-LIST_KINDS = (api.ListKind.DELTA, api.ListKind.FULL, api.ListKind.CACHED, api.ListKind.FAILED)
-EFFECTS = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
+EFFECTS = {
+    "repeatable": Effect.SAFE,
+    "by_key": Effect.KEYED,
+    "once": Effect.UNSAFE,
+}
 REPEAT_BIT, WRITE_BIT = 2, 4
 
 
@@ -146,7 +186,7 @@
         try:
             if code == REQUEST:
                 shard = None if v[9] < 0 else int(v[9])
-                return api.Request(
+                return Request(
                     v[1],
                     v[6],
                     v[8],
@@ -161,7 +201,7 @@
                 )
             if code == OUTCOME:
                 use = (v[8] - 1) / 100 if v[8] else None
-                return api.Outcome(
+                return Outcome(
                     v[1],
                     v[2],
                     node_id(v[3], v[4]),
@@ -173,21 +213,21 @@
                     v[10],
                 )
             if code == TIMER:
-                return api.TimerFired(v[1])
+                return TimerFired(v[1])
             if code == FIRST:
-                return api.FirstByte(v[1], v[2], node_id(v[3], v[4]), v[5] / NS)
+                return FirstByte(v[1], v[2], node_id(v[3], v[4]), v[5] / NS)
             if code == GONE:
-                return api.ClientGone(v[1])
+                return ClientGone(v[1])
             if code == PROBED:
-                return api.Probed(node_id(v[1], v[2]), v[3] / NS, STATUSES[v[4]], v[5])
+                return Probed(node_id(v[1], v[2]), v[3] / NS, STATUSES[v[4]], v[5])
             if code == PEER:
-                return api.Message(v[1], v[2])
+                return Message(v[1], v[2])
             if code == INIT:
                 return Init(v[1], v[2].decode("utf-8", "replace"))
             if code == STOP:
                 return Stop()
             kind = LIST_KINDS[v[1]]
-            entries = () if kind is api.ListKind.FAILED else self._lists.get(v[3])
+            entries = () if kind is ListKind.FAILED else self._lists.get(v[3])
             if entries is None:
                 raise WireError(f"node list {v[3]} was never sent")
             return kind, entries
@@ -195,13 +235,13 @@
             raise WireError(f"a value out of range in event {code}") from error
 
 
-def node_list(kind: api.ListKind, rows: tuple[tuple, ...], base: int) -> api.NodeList:
+def node_list(kind: ListKind, rows: tuple[tuple, ...], base: int) -> NodeList:
     """Give a raw node list the clock of the instance that hears of it."""
     try:
-        return api.NodeList(
+        return NodeList(
             kind,
             tuple(
-                api.NodeEntry(
+                NodeEntry(
                     node_id(a, p),
                     zone,
                     hw,
@@ -217,32 +257,32 @@
         raise WireError("a node state out of range") from error
 
 
-def encode_action(instance: int, action: api.Action, base: int) -> bytes:
+def encode_action(instance: int, action: Action, base: int) -> bytes:
     """Encode one action; `base` is the clock at which the instance's own time began."""
     match action:
-        case api.Send(id=request, node=node, expires=expires):
+        case Send(id=request, node=node, expires=expires):
             at = 0 if expires is None else base + max(1, round(expires * NS))
             return struct.pack("<BIQQIH", 0, instance, request, at, node >> 16, node & 0xFFFF)
-        case api.Refuse(id=request, retry_after=delay):
+        case Refuse(id=request, retry_after=delay):
             return struct.pack("<BIQQ", 1, instance, request, round(delay * NS))
-        case api.Fail(id=request):
+        case Fail(id=request):
             return struct.pack("<BIQ", 2, instance, request)
-        case api.Cancel(id=request, attempt=attempt):
+        case Cancel(id=request, attempt=attempt):
             return struct.pack("<BIQB", 3, instance, request, attempt)
-        case api.SetTimer(token=token, delay=delay):
+        case SetTimer(token=token, delay=delay):
             return struct.pack("<BIQQ", 4, instance, token, max(0, math.ceil(delay * NS)))
-        case api.Probe(node=node):
+        case Probe(node=node):
             return struct.pack("<BIIH", 5, instance, node >> 16, node & 0xFFFF)
-        case api.CloseIdle(node=node):
+        case CloseIdle(node=node):
             return struct.pack("<BIIH", 6, instance, node >> 16, node & 0xFFFF)
-        case api.Tell(gateway=gateway, data=data):
+        case Tell(gateway=gateway, data=data):
             peer = ALL_PEERS if gateway is None else gateway
             return struct.pack("<BIHH", 7, instance, peer, len(data)) + data
-        case api.Log(text=text):
+        case Log(text=text):
             return encode_text(8, instance, text)
-        case api.Watch(on=on):
+        case Watch(on=on):
             return struct.pack("<BIB", 10, instance, on)
-        case api.FetchList():
+        case FetchList():
             return struct.pack("<BI", 11, instance)
     raise TypeError(f"not an action: {action!r}")
 
@@ -301,13 +341,13 @@
         return [_Options(self._values, f"{self._prefix}{path}.{i}.") for i in range(count)]
 
 
-def parse_settings(text: str) -> api.Settings:
+def parse_settings(text: str) -> Settings:
     """Parse an instance's options, one path=value a line."""
     pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
     return settings_of({path.strip(): value.strip() for path, _, value in pairs})
 
 
-def settings_of(values: dict[str, str]) -> api.Settings:
+def settings_of(values: dict[str, str]) -> Settings:
     """Read the options by path; those that are not known are passed over."""
     o = _Options(values)
     # By place in the list of classes.  Guards against a list of another length, as files have once classes
@@ -315,14 +355,14 @@
     words = o.words("family-info.changes-data")
     writes = [w == "true" for w in words] if len(words) == o.amount("classes.count") else []
     classes = tuple(
-        api.RequestClass(
+        RequestClass(
             c.text("name") or "",
             c.span("aim"),
             c.span("give-up"),
             c.amount("worth"),
             c.amount("late-share"),
-            EFFECTS.get(c.text("effect") or "", api.Effect.UNSAFE),
-            {"all": api.Scope.ALL, "zone": api.Scope.ZONE}.get(c.text("key-scope") or "", api.Scope.CELL),
+            EFFECTS.get(c.text("effect") or "", Effect.UNSAFE),
+            {"all": Scope.ALL, "zone": Scope.ZONE}.get(c.text("key-scope") or "", Scope.CELL),
             c.span("key-ttl"),
             c.flag("streaming"),
             c.flag("by-arrival"),
@@ -331,7 +371,7 @@
         for i, c in enumerate(o.items("classes"))
     )
     plans = tuple(
-        api.Plan(
+        Plan(
             p.text("name") or "",
             p.amount("nominal"),
             p.amount("guaranteed"),
@@ -343,7 +383,7 @@
         )
         for p in o.items("contracts")
     )
-    rules = api.Rules(
+    rules = Rules(
         o.span("rules.answer-slack"),
         o.span("rules.drain-grace"),
         o.amount("rules.cold-share"),
@@ -357,7 +397,7 @@
         o.seconds("rules.resend-span"),
     )
     attempts = o.number("limits.attempts-cap")
-    return api.Settings(
+    return Settings(
         gateway=int(o.amount("position")),
         gateways=int(o.amount("balancers")) or 1,
         zone=int(o.amount("zone")),
--- a/tests/decision_world.py
+++ b/tests/decision_world.py
@@ -13,29 +13,56 @@
 from collections import Counter
 from collections.abc import Callable
 
-from stalltiller import interface as api
-from stalltiller import logic
-from stalltiller.logic import Scheduler
+from stalltiller.scheduling import (
+    Action,
+    Cancel,
+    ClientGone,
+    CloseIdle,
+    Effect,
+    Event,
+    Fail,
+    FetchList,
+    FirstByte,
+    ListKind,
+    Log,
+    Message,
+    NodeEntry,
+    NodeList,
+    Outcome,
+    Probe,
+    Refuse,
+    Request,
+    Retuned,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    Tell,
+    TimerFired,
+    Watch,
+)
+from stalltiller.scheduling import scheduler as logic
+from stalltiller.scheduling.scheduler import Scheduler
 
 CODES = {
-    api.Send: "send",
-    api.Refuse: "refuse",
-    api.Fail: "fail",
-    api.Cancel: "cancel",
-    api.SetTimer: "timer",
-    api.Probe: "probe",
-    api.CloseIdle: "close-idle",
-    api.Tell: "tell",
-    api.Log: "log",
-    api.Watch: "watch",
-    api.FetchList: "fetch-list",
+    Send: "send",
+    Refuse: "refuse",
+    Fail: "fail",
+    Cancel: "cancel",
+    SetTimer: "timer",
+    Probe: "probe",
+    CloseIdle: "close-idle",
+    Tell: "tell",
+    Log: "log",
+    Watch: "watch",
+    FetchList: "fetch-list",
 }
 MESSAGE_DELAY = 0.004  # s
 LOST_MESSAGES, DOUBLED_MESSAGES = 0.05, 0.05  # shares
 SILENCE = 2.0  # s until an attempt that a target never answers is over
 HASTY = 0.4  # of its class's deadline: the least time that a client gives
 
-MakeEvent = Callable[[], api.Event | None]
+MakeEvent = Callable[[], Event | None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,13 +70,13 @@
     """What is particular about a world.  `expected`: notes that must come up, else it holds nothing."""
 
     expected: frozenset[str]
-    settings: api.Settings
+    settings: Settings
     schedulers: int = 1
-    targets: tuple[api.NodeEntry, ...] = ()
-    changes: tuple[tuple[float, api.NodeList], ...] = ()  # of the list, by time
-    updates: tuple[tuple[float, api.Settings], ...] = ()  # of the settings, by time
+    targets: tuple[NodeEntry, ...] = ()
+    changes: tuple[tuple[float, NodeList], ...] = ()  # of the list, by time
+    updates: tuple[tuple[float, Settings], ...] = ()  # of the settings, by time
     arrivals: tuple[tuple[float, float, float], ...] = ((0.0, 6.0, 60.0),)  # from, to, requests a second
-    failures: tuple[tuple[api.Status, float], ...] = ()  # shares of the attempts
+    failures: tuple[tuple[Status, float], ...] = ()  # shares of the attempts
     skewed: bool = False  # most requests come to the first scheduler
     silent: float = 0.0  # share of the attempts that a target never answers
     leaving: float = 0.05  # share of the clients that leave early
@@ -134,15 +161,15 @@
             scheduler.retire()
 
     # --- Events -------------------------------------------------------------------------------------
-    def _whole_list(self) -> api.NodeList:
-        return api.NodeList(api.ListKind.FULL, self.scenario.targets)
+    def _whole_list(self) -> NodeList:
+        return NodeList(ListKind.FULL, self.scenario.targets)
 
-    def _update(self, index: int, settings: api.Settings) -> api.Retuned:
+    def _update(self, index: int, settings: Settings) -> Retuned:
         gateways = self.settings[index].gateways
         self.settings[index] = dataclasses.replace(settings, gateway=index, gateways=gateways)
-        return api.Retuned(self.settings[index])
+        return Retuned(self.settings[index])
 
-    def _arrive(self, index: int) -> api.Request:
+    def _arrive(self, index: int) -> Request:
         settings = self.settings[index]
         self._next_request += 1
         number = self._next_request
@@ -152,9 +179,9 @@
         cells = sorted({target.cell for target in self.scenario.targets})
         left = request_class.deadline * (HASTY + (1 - HASTY) * self.random.random())
         if self.random.random() < self.scenario.leaving:
-            self._at(self.now + left * self.random.random() / 4, index, lambda: api.ClientGone(number))
-        has_key = request_class.in_order or request_class.effect is api.Effect.KEYED
-        return api.Request(
+            self._at(self.now + left * self.random.random() / 4, index, lambda: ClientGone(number))
+        has_key = request_class.in_order or request_class.effect is Effect.KEYED
+        return Request(
             number,
             class_index,
             volume % len(settings.plans),
@@ -163,7 +190,7 @@
             self._hosts(),
             1 + self._below(5) if has_key else 0,
             None if self.random.random() < 0.2 else cells[self._below(len(cells))],
-            request_class.effect is not api.Effect.SAFE,
+            request_class.effect is not Effect.SAFE,
             self.random.random() < 0.1,
             left,
         )
@@ -173,37 +200,37 @@
         return max(1, self.scenario.schedulers - (self.now < 1.0))
 
     # --- Actions ------------------------------------------------------------------------------------
-    def _record(self, index: int, action: api.Action) -> None:
+    def _record(self, index: int, action: Action) -> None:
         code = CODES[type(action)]
         self._note(code, action)
         fields = " ".join(value_text(value) for value in dataclasses.astuple(action))
         self._digest.update(f"{self.now!r} {index} {code} {fields}\n".encode())
 
-    def _note(self, code: str, action: api.Action) -> None:
+    def _note(self, code: str, action: Action) -> None:
         """Count an action, and what is particular about it."""
         self.notes[code] += 1
-        if isinstance(action, api.Send) and self._attempts[action.id]:
+        if isinstance(action, Send) and self._attempts[action.id]:
             self.notes["send again"] += 1
-        elif isinstance(action, api.SetTimer) and action.token == logic.TIMER_WATCH:
+        elif isinstance(action, SetTimer) and action.token == logic.TIMER_WATCH:
             self.notes["timer to watch"] += 1
-        elif isinstance(action, api.Tell):
+        elif isinstance(action, Tell):
             kind = {logic.ASK: "ask", logic.GRANT: "grant"}[logic.MESSAGE.unpack(action.data)[0]]
             self.notes[kind + (" all" if action.gateway is None else "")] += 1
             self.notes["tokens granted"] += kind == "grant" and logic.MESSAGE.unpack(action.data)[3] > 0
 
-    def _carry_out(self, index: int, action: api.Action) -> None:
-        if isinstance(action, api.Send):
+    def _carry_out(self, index: int, action: Action) -> None:
+        if isinstance(action, Send):
             self._start_attempt(index, action)
-        elif isinstance(action, api.Cancel):
-            self._end(index, action.id, action.attempt, api.Status.CANCELLED, 0.001)
-        elif isinstance(action, api.SetTimer):
-            self._at(self.now + action.delay, index, lambda: api.TimerFired(action.token))
-        elif isinstance(action, api.Watch):
+        elif isinstance(action, Cancel):
+            self._end(index, action.id, action.attempt, Status.CANCELLED, 0.001)
+        elif isinstance(action, SetTimer):
+            self._at(self.now + action.delay, index, lambda: TimerFired(action.token))
+        elif isinstance(action, Watch):
             self._at(self.now + 0.01, index, self._answer_watch)
-        elif isinstance(action, api.Tell):
+        elif isinstance(action, Tell):
             self._deliver(index, action)
 
-    def _start_attempt(self, index: int, action: api.Send) -> None:
+    def _start_attempt(self, index: int, action: Send) -> None:
         attempt = self._attempts[action.id]
         self._attempts[action.id] += 1
         self._running[action.id, attempt] = action.node
@@ -211,26 +238,26 @@
         took = (self.scenario.base_latency + self.scenario.latency_each * out) * (0.5 + self.random.random())
         status = self._draw_status()
         if self.random.random() < self.scenario.silent:
-            status, took = api.Status.TIMEOUT, SILENCE
-        if status in (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT):
+            status, took = Status.TIMEOUT, SILENCE
+        if status in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT):
             took /= 10
-        if status is api.Status.OK:
-            first = api.FirstByte(action.id, attempt, action.node, took / 2)
+        if status is Status.OK:
+            first = FirstByte(action.id, attempt, action.node, took / 2)
             self._at(self.now + took / 2, index, lambda: first)
         if action.expires is not None and self.now + took > action.expires:
-            status, took = api.Status.TIMEOUT, max(0.0, action.expires - self.now)
+            status, took = Status.TIMEOUT, max(0.0, action.expires - self.now)
         self._end(index, action.id, attempt, status, took)
 
-    def _draw_status(self) -> api.Status:
+    def _draw_status(self) -> Status:
         drawn = self.random.random()
         for status, share in self.scenario.failures:
             drawn -= share
             if drawn < 0:
                 return status
-        return api.Status.OK
+        return Status.OK
 
-    def _end(self, index: int, request: int, attempt: int, status: api.Status, took: float) -> None:
-        def make() -> api.Outcome | None:
+    def _end(self, index: int, request: int, attempt: int, status: Status, took: float) -> None:
+        def make() -> Outcome | None:
             target = self._running.pop((request, attempt), None)
             if target is None:  # it was cancelled before
                 return None
@@ -238,32 +265,30 @@
 
         self._at(self.now + took, index, make)
 
-    def _outcome(
-        self, request: int, attempt: int, target: int, status: api.Status, took: float
-    ) -> api.Outcome:
-        over = status in (api.Status.OK, api.Status.ERROR)
+    def _outcome(self, request: int, attempt: int, target: int, status: Status, took: float) -> Outcome:
+        over = status in (Status.OK, Status.ERROR)
         use = None
         others = 0.0
         if self.scenario.metered and self.random.random() < 0.3:
             use = 4 * self.random.random()
         elif self.scenario.metered:
             others = 10 * self.random.random()
-        return api.Outcome(request, attempt, target, status, took, over, use, others, ())
+        return Outcome(request, attempt, target, status, took, over, use, others, ())
 
-    def _answer_watch(self) -> api.NodeList:
+    def _answer_watch(self) -> NodeList:
         """Discovery fails now and then, or tells of half the targets; after a while the connection breaks."""
         drawn = self.random.random()
         if drawn < 0.6:
-            return api.NodeList(api.ListKind.FAILED, ())
-        kind = api.ListKind.CACHED if drawn < 0.8 else api.ListKind.FULL
+            return NodeList(ListKind.FAILED, ())
+        kind = ListKind.CACHED if drawn < 0.8 else ListKind.FULL
         if self.now < 5.0:
-            self._at(self.now + 0.5, 0, lambda: api.NodeList(api.ListKind.FAILED, ()))
-        return api.NodeList(kind, tuple(each for each in self.scenario.targets if self.random.random() < 0.5))
+            self._at(self.now + 0.5, 0, lambda: NodeList(ListKind.FAILED, ()))
+        return NodeList(kind, tuple(each for each in self.scenario.targets if self.random.random() < 0.5))
 
-    def _deliver(self, index: int, action: api.Tell) -> None:
+    def _deliver(self, index: int, action: Tell) -> None:
         """Carry a message; some are lost, some come twice."""
         others = [each for each in range(self.scenario.schedulers) if each != index]
-        message = api.Message(index, action.data)
+        message = Message(index, action.data)
         for receiver in others if action.gateway is None else [action.gateway]:
             drawn = self.random.random()
             if drawn >= LOST_MESSAGES:
--- a/tests/fleet/proxy.py
+++ b/tests/fleet/proxy.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from stalltiller.fleet.codec import decode_exchange
-from stalltiller.fleet.node import LENGTH
+from stalltiller.fleet.membership_agent import LENGTH
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -23,7 +23,7 @@
 from stalltiller.leases.store import make
 from stalltiller.protocol import http
 from tests.fleet.proxy import Proxy
-from tests.standins import Discovery, HttpTarget, read_message
+from tests.stand_ins import Discovery, HttpTarget, read_message
 
 ROOT = Path(__file__).parent.parent.parent
 FILE = (ROOT / "deploy" / "fleet.toml").read_text()
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_budget_lending.py
@@ -9,8 +9,8 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from stalltiller.fleet import shares
-from stalltiller.fleet.shares import Ask, Grant, Shares
+from stalltiller.fleet import budget_lending
+from stalltiller.fleet.budget_lending import Ask, Grant, Shares
 
 SPAN, STEP, KEY = 1.0, 0.05, "s-1"
 
@@ -21,7 +21,7 @@
     def __init__(self, size: int, seed: int, loss: float, double: float, late: float) -> None:
         self.draw, self.loss, self.double, self.late = random.Random(seed), loss, double, late
         self.now, self.count, self.mail = 0.0, 0, []
-        self.rate = [1 + shares.RATE_ERROR * self.draw.choice((-1, 0, 1)) for _ in range(size)]
+        self.rate = [1 + budget_lending.RATE_ERROR * self.draw.choice((-1, 0, 1)) for _ in range(size)]
         self.lives = [0] * size
         self.cut: set[int] = set()
         self.members = [Shares(size, SPAN, random.Random(n), -20.0) for n in range(size)]  # long since whole
--- a/tests/fleet/test_coming_back.py
+++ b/tests/fleet/test_mass_restart.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from stalltiller.program.returning import CONFIRM
+from stalltiller.daemon.recovery_coordinator import CONFIRM
 from stalltiller.recovery import Store
 from tests.fleet.rig import Rig, patient, play, read
 
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -12,7 +12,7 @@
 
 from tests.fleet.proxy import Fault
 from tests.fleet.rig import ROOT, play, read
-from tests.standins import HttpTarget
+from tests.stand_ins import HttpTarget
 
 SIX = [f"m{n}" for n in range(6)]
 
--- a/tests/fleet/test_swim.py
+++ b/tests/fleet/test_swim.py
@@ -25,10 +25,10 @@
     Table,
     codec,
 )
+from stalltiller.fleet.budget_lending import Ask, Grant
 from stalltiller.fleet.config import fleet_config
 from stalltiller.fleet.gossip import Gossip
-from stalltiller.fleet.health import MOST, Health, Suspicion
-from stalltiller.fleet.shares import Ask, Grant
+from stalltiller.fleet.local_health import MOST, Health, Suspicion
 from tests.fleet.virtual import Fleet
 
 ROOT = Path(__file__).parent.parent.parent
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,28 +4,45 @@
 
 from dataclasses import replace
 
-from stalltiller import interface as api
-from stalltiller.logic import Scheduler
-
-
-def request_class(**changes: object) -> api.RequestClass:
-    base = api.RequestClass(
-        "read", 1.0, 3.0, 1.0, 0.1, api.Effect.SAFE, api.Scope.ALL, 2.0, False, False, False
-    )
+from stalltiller.scheduling import (
+    Action,
+    Effect,
+    Event,
+    ListKind,
+    NodeEntry,
+    NodeList,
+    NodeState,
+    Outcome,
+    Plan,
+    Request,
+    RequestClass,
+    Rules,
+    Scope,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    TimerFired,
+)
+from stalltiller.scheduling.scheduler import Scheduler
+
+
+def request_class(**changes: object) -> RequestClass:
+    base = RequestClass("read", 1.0, 3.0, 1.0, 0.1, Effect.SAFE, Scope.ALL, 2.0, False, False, False)
     return replace(base, **changes)
 
 
-def plan(**changes: object) -> api.Plan:
-    return replace(api.Plan("plan", 10.0, 5.0, 1.0, 1.0, 0.0, 0.0, 0.0), **changes)
+def plan(**changes: object) -> Plan:
+    return replace(Plan("plan", 10.0, 5.0, 1.0, 1.0, 0.0, 0.0, 0.0), **changes)
 
 
-def rules(**changes: object) -> api.Rules:
-    base = api.Rules(0.01, 1.0, 0.25, 12.0, 2.0, 2.0, None, None, None, None, None)
+def rules(**changes: object) -> Rules:
+    base = Rules(0.01, 1.0, 0.25, 12.0, 2.0, 2.0, None, None, None, None, None)
     return replace(base, **changes)
 
 
-def settings(**changes: object) -> api.Settings:
-    base = api.Settings(
+def settings(**changes: object) -> Settings:
+    base = Settings(
         gateway=0,
         gateways=2,
         zone=0,
@@ -55,36 +72,36 @@
     return replace(base, **changes)
 
 
-def entry(node: int, **changes: object) -> api.NodeEntry:
-    base = api.NodeEntry(node, 0, 0, node, api.NodeState.READY, 1.0, None)
+def entry(node: int, **changes: object) -> NodeEntry:
+    base = NodeEntry(node, 0, 0, node, NodeState.READY, 1.0, None)
     return replace(base, **changes)
 
 
-def request(number: int, **changes: object) -> api.Request:
-    base = api.Request(number, 0, 0, 1, 2.0, 1, 0, 1, False, False, 3.0)
+def request(number: int, **changes: object) -> Request:
+    base = Request(number, 0, 0, 1, 2.0, 1, 0, 1, False, False, 3.0)
     return replace(base, **changes)
 
 
-def outcome(number: int, node: int = 1, status: api.Status = api.Status.OK, **changes: object) -> api.Outcome:
-    base = api.Outcome(number, 0, node, status, 0.05, status is api.Status.OK, None, 0.0, ())
+def outcome(number: int, node: int = 1, status: Status = Status.OK, **changes: object) -> Outcome:
+    base = Outcome(number, 0, node, status, 0.05, status is Status.OK, None, 0.0, ())
     return replace(base, **changes)
 
 
 class Gateway:
     """A scheduler with a list of ready nodes, and short ways to feed it."""
 
-    def __init__(self, nodes: tuple[api.NodeEntry, ...] = (entry(1),), **changes: object) -> None:
+    def __init__(self, nodes: tuple[NodeEntry, ...] = (entry(1),), **changes: object) -> None:
         self.scheduler = Scheduler(settings(**changes), 7, 0.0)
-        self.feed(0.0, api.NodeList(api.ListKind.CACHED, nodes))
+        self.feed(0.0, NodeList(ListKind.CACHED, nodes))
 
-    def feed(self, now: float, *events: api.Event) -> list[api.Action]:
+    def feed(self, now: float, *events: Event) -> list[Action]:
         """All actions but the timers."""
         actions = self.scheduler.handle(now, list(events))
-        return [action for action in actions if not isinstance(action, api.SetTimer)]
+        return [action for action in actions if not isinstance(action, SetTimer)]
 
-    def poll(self, now: float) -> list[api.Action]:
+    def poll(self, now: float) -> list[Action]:
         """Let the scheduler look at what waits."""
-        return self.feed(now, api.TimerFired(1))
+        return self.feed(now, TimerFired(1))
 
-    def sends(self, now: float, *events: api.Event) -> list[int]:
-        return [a.id for a in self.feed(now, *events) if isinstance(a, api.Send)]
+    def sends(self, now: float, *events: Event) -> list[int]:
+        return [a.id for a in self.feed(now, *events) if isinstance(a, Send)]
--- a/tests/checker.py
+++ b/tests/rule_checker.py
@@ -5,11 +5,30 @@
 import heapq
 from collections import defaultdict
 
-from stalltiller import interface as api
+from stalltiller.scheduling import (
+    Action,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    NodeEntry,
+    NodeList,
+    NodeState,
+    Outcome,
+    Refuse,
+    Request,
+    Scope,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    TimerFired,
+)
 from tests.helpers import entry
 
-NEVER_RAN = (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT)
-UNSURE_END = (api.Status.TIMEOUT, api.Status.RESET, api.Status.CANCELLED)
+NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
+UNSURE_END = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 SLACK = 1e-6
 
 
@@ -25,13 +44,13 @@
 class Checker:
     """Follows one life of a gateway and raises at the first broken rule."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: Settings) -> None:
         self.s = settings
-        self.open: dict[int, tuple[float, api.Request]] = {}  # id -> deadline, request
-        self.seen: dict[int, api.Request] = {}
+        self.open: dict[int, tuple[float, Request]] = {}  # id -> deadline, request
+        self.seen: dict[int, Request] = {}
         self.attempts: dict[int, list[dict]] = defaultdict(list)
         self.told: dict[int, float] = {}  # node -> when told that it drains or is gone
-        self.entries: dict[int, api.NodeEntry] = {}
+        self.entries: dict[int, NodeEntry] = {}
         self.drawn: dict[int, float] = defaultdict(float)
         self.cold_sent: dict[int, list[tuple[float, float]]] = defaultdict(list)
         self.cold_served: dict[int, list[tuple[float, float]]] = defaultdict(list)
@@ -40,15 +59,15 @@
         self.taken: list[float] = []
         self.extra: list[float] = []
 
-    def on_list(self, now: float, news: api.NodeList) -> None:
+    def on_list(self, now: float, news: NodeList) -> None:
         for line in news.entries:
             self.entries[line.node] = line
-            if line.state is api.NodeState.READY:
+            if line.state is NodeState.READY:
                 self.told.pop(line.node, None)
             else:
                 self.told.setdefault(line.node, now)
 
-    def on_request(self, now: float, r: api.Request) -> None:
+    def on_request(self, now: float, r: Request) -> None:
         self.open[r.id] = (now + r.left, r)
         self.seen[r.id] = r
         self.taken.append(now)
@@ -60,47 +79,45 @@
         deadline, _ = self.open.pop(number)
         must(now <= deadline + self.s.rules.answer_slack + SLACK, "1: answered too late")
 
-    def on_outcome(self, now: float, o: api.Outcome) -> None:
+    def on_outcome(self, now: float, o: Outcome) -> None:
         r = self.seen[o.id]
         self.attempts[o.id][o.attempt]["status"] = o.status
         if o.status in UNSURE_END and self.s.classes[r.cls].in_order and r.key:
             self.rest[r.key] = now + (self.s.rules.order_pause or 0.0)
-        if o.status is api.Status.OK:
+        if o.status is Status.OK:
             self.cold_served[o.node].append((now, r.units))
 
     def maybe_ran(self, number: int) -> list[dict]:
         return [a for a in self.attempts[number] if a["status"] not in NEVER_RAN]
 
-    def on_action(self, now: float, action: api.Action) -> None:
-        if isinstance(action, api.Refuse):
+    def on_action(self, now: float, action: Action) -> None:
+        if isinstance(action, Refuse):
             must(action.id in self.open, "1: answered twice")
             self._refusal(action.id)
             self.on_end(now, action.id)
-        elif isinstance(action, api.Fail):
+        elif isinstance(action, Fail):
             must(action.id in self.open, "1: answered twice")
             self.on_end(now, action.id)
-        elif isinstance(action, api.Send):
+        elif isinstance(action, Send):
             must(action.id in self.open, "1: sent after its end")
             self._send(now, action)
 
     def _refusal(self, number: int) -> None:
         cls = self.s.classes[self.seen[number].cls]
-        harmless = cls.effect is api.Effect.SAFE or (
-            cls.effect is api.Effect.KEYED and cls.scope is api.Scope.ALL
-        )
+        harmless = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.scope is Scope.ALL)
         must(harmless or not self.maybe_ran(number), "2: refused though it may have run")
 
-    def _send(self, now: float, send: api.Send) -> None:
+    def _send(self, now: float, send: Send) -> None:
         r = self.seen[send.id]
         cls, rules = self.s.classes[r.cls], self.s.rules
         before = self.maybe_ran(send.id)
-        if before and cls.effect is not api.Effect.SAFE:
-            must(cls.effect is api.Effect.KEYED, "2: unsafe sent again")
+        if before and cls.effect is not Effect.SAFE:
+            must(cls.effect is Effect.KEYED, "2: unsafe sent again")
             must(now <= before[0]["at"] + cls.keep, "2: keyed sent after its repeats are forgotten")
             here, first = self.entries[send.node], self.entries[before[0]["node"]]
             must(
-                cls.scope is api.Scope.ALL
-                or (cls.scope is api.Scope.ZONE and here.zone == first.zone)
+                cls.scope is Scope.ALL
+                or (cls.scope is Scope.ZONE and here.zone == first.zone)
                 or here.cell == first.cell,
                 "2: keyed left its group",
             )
@@ -145,19 +162,19 @@
 class World:
     """Feeds a scheduler arrivals and fates; attempts end as the fates say, at their expiry at the latest."""
 
-    def __init__(self, scheduler: object, settings: api.Settings) -> None:
+    def __init__(self, scheduler: object, settings: Settings) -> None:
         self.scheduler, self.s = scheduler, settings
         self.checker = Checker(settings)
         self.heap: list[tuple[float, int, object]] = []
         self.count = 0
-        self.fates: list[tuple[api.Status, float]] = []
+        self.fates: list[tuple[Status, float]] = []
         self.streams: set[int] = set()
 
     def push(self, at: float, item: object) -> None:
         self.count += 1
         heapq.heappush(self.heap, (at, self.count, item))
 
-    def run(self, fates: list[tuple[api.Status, float]]) -> Checker:
+    def run(self, fates: list[tuple[Status, float]]) -> Checker:
         self.fates = fates
         while self.heap:
             now, _, item = heapq.heappop(self.heap)
@@ -168,19 +185,19 @@
         self.checker.on_clock(1e9)
         return self.checker
 
-    def _events(self, now: float, item: object) -> list[api.Event]:
-        if isinstance(item, api.Request):
+    def _events(self, now: float, item: object) -> list[Event]:
+        if isinstance(item, Request):
             self.checker.on_request(now, item)
-        elif isinstance(item, api.NodeList):
+        elif isinstance(item, NodeList):
             self.checker.on_list(now, item)
-        elif isinstance(item, api.ClientGone):
+        elif isinstance(item, ClientGone):
             if item.id not in self.checker.open:
                 return []
             self.checker.on_end(now, item.id)
-        elif isinstance(item, api.Outcome):
+        elif isinstance(item, Outcome):
             is_open = item.id in self.checker.open
-            over = not is_open or item.status is api.Status.OK
-            item = api.Outcome(
+            over = not is_open or item.status is Status.OK
+            item = Outcome(
                 item.id,
                 item.attempt,
                 item.node,
@@ -196,27 +213,28 @@
                 self.checker.on_end(now, item.id)
         return [item]
 
-    def _act(self, now: float, action: api.Action) -> None:
-        if isinstance(action, api.SetTimer):
-            self.push(now + action.delay, api.TimerFired(action.token))
-        elif isinstance(action, api.Send):
+    def _act(self, now: float, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self.push(now + action.delay, TimerFired(action.token))
+        elif isinstance(action, Send):
             attempt = len(self.checker.attempts[action.id])
             deadline = self.checker.open[action.id][0] if action.id in self.checker.open else now
             self.checker.on_action(now, action)
             expiry = min(deadline, deadline if action.expires is None else action.expires)
             status, took = self.fates[(action.id * 7 + attempt) % len(self.fates)]
             if now + took > expiry:
-                status, took = api.Status.TIMEOUT, max(0.0, expiry - now)
+                status, took = Status.TIMEOUT, max(0.0, expiry - now)
             self.push(
-                now + took, api.Outcome(action.id, attempt, action.node, status, took, False, None, 1.0, ())
+                now + took,
+                Outcome(action.id, attempt, action.node, status, took, False, None, 1.0, ()),
             )
         else:
             self.checker.on_action(now, action)
 
 
-def nodes(count: int, cold: int, now: float) -> api.NodeList:
+def nodes(count: int, cold: int, now: float) -> NodeList:
     """Nodes in two zones; the last few have just started."""
-    return api.NodeList(
-        api.ListKind.CACHED,
+    return NodeList(
+        ListKind.CACHED,
         tuple(entry(i, zone=i % 2, cell=i, started=now if i >= count - cold else None) for i in range(count)),
     )
--- a/tests/standins.py
+++ b/tests/stand_ins.py
@@ -9,11 +9,11 @@
 import time
 from dataclasses import dataclass, replace
 
-from stalltiller import interface as api
-from stalltiller.fronts.nvme_mapping import Mapping, Namespace
-from stalltiller.program.app import App
-from stalltiller.program.config import Config
+from stalltiller.adapters.nvme_mapping import Mapping, Namespace
+from stalltiller.daemon.application import App
+from stalltiller.daemon.config import Config
 from stalltiller.protocol import http, nvme
+from stalltiller.scheduling import Effect
 from tests.helpers import plan, request_class, rules, settings
 
 BLOCK, PER_UNIT, VOLUME = 512, 32, 0xA1
@@ -22,7 +22,7 @@
 MAX_ADVICE = 0.5
 CLASSES = (
     request_class(name="read", aim=0.4, deadline=DEADLINE),
-    request_class(name="write", aim=0.4, deadline=DEADLINE, effect=api.Effect.UNSAFE, writes=True),
+    request_class(name="write", aim=0.4, deadline=DEADLINE, effect=Effect.UNSAFE, writes=True),
 )
 
 
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from stalltiller.fronts.http import ClientConnection, TargetConnection
+from stalltiller.adapters.http_server import ClientConnection, TargetConnection
 from stalltiller.protocol.platform import FieldError
 from stalltiller.transport.buffers import Allowance, BufferPool
 from stalltiller.transport.connection import Connection
--- a/tests/test_crowd.py
+++ b/tests/test_contention.py
@@ -9,9 +9,8 @@
 
 import pytest
 
-from stalltiller import interface as api
-from stalltiller import logic
-from stalltiller.crowd import Crowd
+from stalltiller.scheduling import Event, ListKind, NodeList, Send, Status, scheduler
+from stalltiller.scheduling.contention import Crowd
 from tests.helpers import entry, outcome, request, request_class, rules, settings
 
 GATEWAYS, CELLS = 200, 200
@@ -65,9 +64,9 @@
             classes=(request_class(aim=0.2, deadline=1.2),),
             rules=rules(cold_time=WARM_AFTER, cold_share=SHARE, tip_time=1.0),
         )
-        self.made = [logic.Scheduler(site, seed * 1000 + n, 0.0) for n in range(GATEWAYS)]
+        self.made = [scheduler.Scheduler(site, seed * 1000 + n, 0.0) for n in range(GATEWAYS)]
         for gateway in self.made:
-            gateway.handle(0.0, [api.NodeList(api.ListKind.CACHED, nodes)])
+            gateway.handle(0.0, [NodeList(ListKind.CACHED, nodes)])
         self.free, self.number, self.ends, self.sent, self.served = COLD_FROM, 0, [], [], 0
         volumes = [
             (
@@ -86,17 +85,17 @@
         """Units per second."""
         return 12.0 * (SHARE + (1 - SHARE) * min(1.0, (now - COLD_FROM) / WARM_AFTER))
 
-    def act(self, now: float, index: int, event: api.Event) -> None:
+    def act(self, now: float, index: int, event: Event) -> None:
         for action in self.made[index].handle(now, [event]):
-            if isinstance(action, api.Send):
+            if isinstance(action, Send):
                 units = float(action.id % 3 + 1)
                 self.sent.append((now, units))
                 begin, size = max(self.free, now), units / self.capacity(now)
                 if begin - now > 1.0:
-                    heapq.heappush(self.ends, (now + 0.002, index, action.id, 0.002, api.Status.FULL))
+                    heapq.heappush(self.ends, (now + 0.002, index, action.id, 0.002, Status.FULL))
                 else:
                     self.free = begin + size
-                    heapq.heappush(self.ends, (self.free, index, action.id, self.free - now, api.Status.OK))
+                    heapq.heappush(self.ends, (self.free, index, action.id, self.free - now, Status.OK))
 
     def run(self, seconds: float) -> float:
         """The most sent in a second, over what may be: twice the capacity of the moment."""
@@ -106,7 +105,7 @@
             now += self.draw.expovariate(6.0 * CELLS)
             while self.ends and self.ends[0][0] <= now:
                 at, index, number, took, status = heapq.heappop(self.ends)
-                self.served += (number % 3 + 1) * (status is api.Status.OK)
+                self.served += (number % 3 + 1) * (status is Status.OK)
                 if number in self.made[index].held:
                     self.act(at, index, outcome(number, status=status, took=took))
             place = self.draw.choices(range(len(sums)), cum_weights=sums)[0]
@@ -157,15 +156,20 @@
         return others + (others * (1 - chance)) ** 0.5
 
     monkeypatch.setattr(Crowd, "others", asked)
-    monkeypatch.setattr(logic, "COLD_LEAST", 1.0)
+    monkeypatch.setattr(scheduler, "COLD_LEAST", 1.0)
     assert plays()[0] > 1.1
 
 
 def test_a_full_or_slow_cold_node_gets_a_smaller_part_until_it_answers_in_time():
-    gateway = logic.Scheduler(settings(gateways=1, rules=rules(cold_time=100.0)), 1, 0.0)
-    gateway.handle(0.0, [api.NodeList(api.ListKind.FULL, (entry(1, started=0.0),))])
+    gateway = scheduler.Scheduler(settings(gateways=1, rules=rules(cold_time=100.0)), 1, 0.0)
+    gateway.handle(0.0, [NodeList(ListKind.FULL, (entry(1, started=0.0),))])
     eases = []
-    answers = [(api.Status.OK, 0.9), (api.Status.OK, 0.05), (api.Status.OK, 0.05), (api.Status.FULL, 0.001)]
+    answers = [
+        (Status.OK, 0.9),
+        (Status.OK, 0.05),
+        (Status.OK, 0.05),
+        (Status.FULL, 0.001),
+    ]
     for number, (status, took) in enumerate(answers):
         now = 10.0 + number
         gateway.handle(now, [request(number)])
--- a/tests/test_decision_digest.py
+++ b/tests/test_decision_digest.py
@@ -13,21 +13,21 @@
 
 import pytest
 
-from stalltiller import interface as api
+from stalltiller.scheduling import Effect, ListKind, NodeEntry, NodeList, NodeState, Scope, Status
 from tests.decision_world import Scenario, World
 from tests.helpers import entry, plan, request_class, rules, settings
 
 DIGESTS = Path(__file__).parent / "fixtures" / "decision_digests.json"
 SEEDS = (1, 2, 3)
-READY, DRAINING, GONE = api.NodeState.READY, api.NodeState.DRAINING, api.NodeState.GONE
+READY, DRAINING, GONE = NodeState.READY, NodeState.DRAINING, NodeState.GONE
 TARGETS = tuple(entry(number, cell=number % 3, zone=number % 2) for number in range(1, 7))
 FAILURES = (
-    (api.Status.FULL, 0.08),
-    (api.Status.CONNECT_FAILED, 0.04),
-    (api.Status.RESET, 0.06),
-    (api.Status.TIMEOUT, 0.06),
-    (api.Status.MOOT, 0.03),
-    (api.Status.ERROR, 0.03),
+    (Status.FULL, 0.08),
+    (Status.CONNECT_FAILED, 0.04),
+    (Status.RESET, 0.06),
+    (Status.TIMEOUT, 0.06),
+    (Status.MOOT, 0.03),
+    (Status.ERROR, 0.03),
 )
 LIMITED = (
     plan(name="gold", limit=90.0, burst=90.0, price=4.0),
@@ -36,27 +36,27 @@
 CLASSES = (
     request_class(name="read", worth=2.0),
     request_class(name="list", aim=0.3, deadline=1.0, worth=0.5),
-    request_class(name="write", effect=api.Effect.UNSAFE, writes=True),
+    request_class(name="write", effect=Effect.UNSAFE, writes=True),
 )
 KEYED = tuple(
-    request_class(name=scope.value, effect=api.Effect.KEYED, scope=scope, keep=keep, writes=True)
+    request_class(name=scope.value, effect=Effect.KEYED, scope=scope, keep=keep, writes=True)
     for scope, keep in (
-        (api.Scope.ALL, 2.0),
-        (api.Scope.ZONE, 2.0),
-        (api.Scope.CELL, 2.0),
-        (api.Scope.ALL, 0.1),
+        (Scope.ALL, 2.0),
+        (Scope.ZONE, 2.0),
+        (Scope.CELL, 2.0),
+        (Scope.ALL, 0.1),
     )
 )
 ORDERED = (
-    request_class(name="append", effect=api.Effect.KEYED, in_order=True, writes=True),
-    request_class(name="log", effect=api.Effect.UNSAFE, in_order=True, writes=True),
+    request_class(name="append", effect=Effect.KEYED, in_order=True, writes=True),
+    request_class(name="log", effect=Effect.UNSAFE, in_order=True, writes=True),
     request_class(name="scan", in_order=True),
 )
 STREAMED = (request_class(name="stream", streaming=True), request_class(name="read", aim=0.4))
 
 
-def listed(kind: api.ListKind, *entries: api.NodeEntry) -> api.NodeList:
-    return api.NodeList(kind, entries)
+def listed(kind: ListKind, *entries: NodeEntry) -> NodeList:
+    return NodeList(kind, entries)
 
 
 def tokens() -> Scenario:
@@ -101,7 +101,7 @@
         settings(classes=(*KEYED, *CLASSES), max_attempts=4),
         targets=TARGETS,
         failures=FAILURES,
-        changes=((3.0, listed(api.ListKind.DELTA, entry(3, cell=0, zone=1, state=DRAINING))),),
+        changes=((3.0, listed(ListKind.DELTA, entry(3, cell=0, zone=1, state=DRAINING))),),
     )
 
 
@@ -131,7 +131,7 @@
 def updated() -> Scenario:
     """Settings change: classes and plans come, go, and change places and figures."""
     changed = settings(
-        classes=(request_class(name="write", effect=api.Effect.UNSAFE, aim=0.4), *CLASSES[:1]),
+        classes=(request_class(name="write", effect=Effect.UNSAFE, aim=0.4), *CLASSES[:1]),
         plans=(plan(name="silver", rate=3.0), plan(name="gold", limit=20.0, burst=30.0), LIMITED[1]),
         max_attempts=1,
         may_advise=False,
@@ -157,10 +157,10 @@
         failures=FAILURES,
         arrivals=((0.0, 8.0, 120.0),),
         changes=(
-            (2.0, listed(api.ListKind.DELTA, entry(1, cell=1, state=DRAINING))),
-            (3.0, listed(api.ListKind.DELTA, entry(4, cell=1, state=GONE), entry(9, cell=2, started=3.0))),
-            (4.0, listed(api.ListKind.FULL, *started[1:], entry(1, cell=1, started=4.0))),
-            (5.0, listed(api.ListKind.CACHED, *started, entry(9, cell=2, started=5.0))),
+            (2.0, listed(ListKind.DELTA, entry(1, cell=1, state=DRAINING))),
+            (3.0, listed(ListKind.DELTA, entry(4, cell=1, state=GONE), entry(9, cell=2, started=3.0))),
+            (4.0, listed(ListKind.FULL, *started[1:], entry(1, cell=1, started=4.0))),
+            (5.0, listed(ListKind.CACHED, *started, entry(9, cell=2, started=5.0))),
         ),
     )
 
@@ -270,7 +270,7 @@
         settings(classes=(*CLASSES, *KEYED[:1]), max_attempts=5, cold_units=60.0),
         targets=targets,
         arrivals=((0.0, 8.0, 100.0),),
-        failures=((api.Status.FULL, 0.6), (api.Status.CONNECT_FAILED, 0.1)),
+        failures=((Status.FULL, 0.6), (Status.CONNECT_FAILED, 0.1)),
     )
 
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,7 +12,7 @@
 import pytest
 
 from stalltiller.protocol import http
-from tests.standins import BLOCK, Discovery, HttpTarget, read_message
+from tests.stand_ins import BLOCK, Discovery, HttpTarget, read_message
 from tests.test_program import EXAMPLE, start
 
 CROWD, CALLERS = 300, 40
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -6,10 +6,21 @@
 
 import pytest
 
-from stalltiller import interface as api
-from stalltiller.interface import ListKind, Status
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Ending, Incoming, Place
+from stalltiller.scheduling import (
+    ClientGone,
+    Effect,
+    Fail,
+    ListKind,
+    NodeState,
+    Outcome,
+    Refuse,
+    Request,
+    Scope,
+    Send,
+    Status,
+)
 from tests.helpers import Gateway, entry, outcome, request, request_class, rules, settings
 
 
@@ -57,7 +68,7 @@
         return [action for event in events for action in self.act(event)]
 
 
-def play(scene, act=None, effect=api.Effect.UNSAFE):
+def play(scene, act=None, effect=Effect.UNSAFE):
     async def whole():
         engine = Engine(
             settings(classes=(request_class(effect=effect),), rules=rules(drain_grace=0.3)),
@@ -79,18 +90,18 @@
 
 
 def on_request(*actions):
-    return lambda event: actions if isinstance(event, api.Request) else ()
+    return lambda event: actions if isinstance(event, Request) else ()
 
 
 def again_after(status):
     return (
         lambda event: (SEND,)
-        if isinstance(event, api.Request) or (isinstance(event, api.Outcome) and event.status is status)
+        if isinstance(event, Request) or (isinstance(event, Outcome) and event.status is status)
         else ()
     )
 
 
-SEND = api.Send(1, 1, None)
+SEND = Send(1, 1, None)
 
 
 async def turn():
@@ -101,12 +112,16 @@
 @pytest.mark.parametrize(
     ("actions", "answers", "started"),
     [
-        ((api.Fail(1), api.Refuse(1, 0.0)), [("failed",)], 0),
-        ((api.Refuse(1, 99.0), api.Fail(1)), [("refused", 1.5)], 0),  # advice within the settings' maximum
-        ((api.Fail(1), SEND), [("failed",)], 0),
+        ((Fail(1), Refuse(1, 0.0)), [("failed",)], 0),
+        (
+            (Refuse(1, 99.0), Fail(1)),
+            [("refused", 1.5)],
+            0,
+        ),  # advice within the settings' maximum
+        ((Fail(1), SEND), [("failed",)], 0),
         ((SEND, SEND), [], 1),  # a second attempt at once
-        ((SEND, api.Refuse(1, 0.0)), [("failed",)], 1),  # the attempt may be running
-        ((api.Send(1, 9, None),), [], 0),  # a target that was never listed
+        ((SEND, Refuse(1, 0.0)), [("failed",)], 1),  # the attempt may be running
+        ((Send(1, 9, None),), [], 0),  # a target that was never listed
     ],
 )
 def test_a_decision_against_the_rules_is_a_fault_and_not_carried_out(actions, answers, started):
@@ -132,12 +147,12 @@
     play(scene, again_after(Status.RESET))
 
 
-@pytest.mark.parametrize(("scope", "end"), [(api.Scope.ALL, "refused"), (api.Scope.CELL, "failed")])
+@pytest.mark.parametrize(("scope", "end"), [(Scope.ALL, "refused"), (Scope.CELL, "failed")])
 def test_a_keyed_request_that_may_have_run_is_refused_only_where_every_target_knows_a_repeat(scope, end):
     """It was failed, and the decision taken for a fault, also where the settings allow the refusal."""
 
     async def scene(engine, carrier):
-        engine.settings = settings(classes=(request_class(effect=api.Effect.KEYED, scope=scope),))
+        engine.settings = settings(classes=(request_class(effect=Effect.KEYED, scope=scope),))
         reply = Reply()
         engine.take(incoming(reply))
         await asyncio.sleep(0.01)
@@ -149,16 +164,16 @@
     play(
         scene,
         lambda event: (SEND,)
-        if isinstance(event, api.Request)
-        else (api.Refuse(1, 0.0),)
-        if isinstance(event, api.Outcome)
+        if isinstance(event, Request)
+        else (Refuse(1, 0.0),)
+        if isinstance(event, Outcome)
         else (),
     )
 
 
 def test_nothing_starts_at_a_target_past_its_drain_time():
     async def scene(engine, carrier):
-        engine.listed(ListKind.DELTA, [Place(entry(1, state=api.NodeState.DRAINING), "h", 1)])
+        engine.listed(ListKind.DELTA, [Place(entry(1, state=NodeState.DRAINING), "h", 1)])
         engine.take(incoming(Reply()))
         await turn()
         (attempt,) = carrier.started
@@ -181,7 +196,7 @@
         engine.close_out()
         await turn()
         assert reply.answers == [("refused", 1.5)] and engine.counts["faults"] == 0
-        assert api.ClientGone(number) in engine._scheduler.events
+        assert ClientGone(number) in engine._scheduler.events
 
     play(scene, lambda event: ())
 
@@ -197,7 +212,7 @@
             await asyncio.sleep(0.001)
         assert asyncio.get_running_loop().time() - began < 0.1
         assert reply.answers == [("failed",)] and engine.open == 0
-        assert any(isinstance(event, api.ClientGone) for event in engine._scheduler.events)
+        assert any(isinstance(event, ClientGone) for event in engine._scheduler.events)
 
     play(scene, lambda event: ())
 
@@ -221,12 +236,12 @@
         carrier.ran = False
         reply = Reply()
         engine.take(incoming(reply))
-        while not any(isinstance(event, api.Outcome) for event in engine._scheduler.events):
+        while not any(isinstance(event, Outcome) for event in engine._scheduler.events):
             await asyncio.sleep(0.005)
         assert engine._scheduler.events[-1].status is Status.CONNECT_FAILED
         assert carrier.abandoned == carrier.started
 
-    play(scene, on_request(api.Send(1, 1, 0.05)))
+    play(scene, on_request(Send(1, 1, 0.05)))
 
 
 def test_the_events_of_a_turn_reach_the_scheduler_in_one_call():
@@ -275,20 +290,20 @@
 @pytest.mark.parametrize("times", [1, 2, 3, 4])
 def test_an_unsafe_write_that_never_ran_is_refused_however_often_it_was_turned_away(times):
     """It was failed from the second time on, although its client could safely have tried again."""
-    gateway = Gateway(classes=(request_class(effect=api.Effect.UNSAFE),), max_attempts=times)
+    gateway = Gateway(classes=(request_class(effect=Effect.UNSAFE),), max_attempts=times)
     gateway.feed(0.0, request(1))
     actions = []
     for attempt in range(times):
         actions = gateway.feed(0.2 * attempt + 0.1, outcome(1, status=Status.FULL, attempt=attempt))
         actions += gateway.poll(0.2 * attempt + 0.25)
-    assert [type(action) for action in actions] == [api.Refuse]
+    assert [type(action) for action in actions] == [Refuse]
 
 
 def fail_after(event):
     """Send a request once, and fail it when the attempt has ended."""
-    if isinstance(event, api.Request):
+    if isinstance(event, Request):
         return (SEND,)
-    return (api.Fail(1),) if isinstance(event, api.Outcome) else ()
+    return (Fail(1),) if isinstance(event, Outcome) else ()
 
 
 @pytest.mark.parametrize(
@@ -347,4 +362,4 @@
         await asyncio.sleep(0.05)
         assert reply.answers == [("refused", 0.1)]
 
-    play(scene, on_request(api.Refuse(1, 0.2)))
+    play(scene, on_request(Refuse(1, 0.2)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,21 +6,30 @@
 
 import pytest
 
-from stalltiller import interface as api
-from stalltiller import logic
+from stalltiller.scheduling import (
+    Event,
+    ListKind,
+    Message,
+    NodeEntry,
+    NodeList,
+    Outcome,
+    Send,
+    Tell,
+    TimerFired,
+)
+from stalltiller.scheduling.scheduler import ASK, GRANT, MESSAGE, Scheduler
 from tests.helpers import entry, outcome, plan, request, rules, settings
 
 NODES = 12
 
 
-def fleet(gateways: int, nodes: tuple[api.NodeEntry, ...], **changes: object) -> list[logic.Scheduler]:
+def fleet(gateways: int, nodes: tuple[NodeEntry, ...], **changes: object) -> list[Scheduler]:
     """That many gateways with seeds of their own, told of the same nodes."""
     made = [
-        logic.Scheduler(settings(gateway=n, gateways=gateways, **changes), 100 + n, 0.0)
-        for n in range(gateways)
+        Scheduler(settings(gateway=n, gateways=gateways, **changes), 100 + n, 0.0) for n in range(gateways)
     ]
     for scheduler in made:
-        scheduler.handle(0.0, [api.NodeList(api.ListKind.CACHED, nodes)])
+        scheduler.handle(0.0, [NodeList(ListKind.CACHED, nodes)])
     return made
 
 
@@ -65,7 +74,7 @@
     def broken(self, node, units):
         return not any(at > self.now - 2.0 for at, _ in node.cold)
 
-    monkeypatch.setattr(logic.Scheduler, "_cold_room", broken)
+    monkeypatch.setattr(Scheduler, "_cold_room", broken)
     assert most_in_a_span(ask_of_cold_node(150, 4, 8.0)) > 60.0
 
 
@@ -82,31 +91,31 @@
         self.draw = random.Random(seed)
         self.loss, self.double, self.crash_every = loss, double, crash_every
         self.sent: list[tuple[float, float]] = []
-        self.letters: list[tuple[float, int, api.Message]] = []
-        self.answers: list[tuple[float, int, api.Outcome]] = []
+        self.letters: list[tuple[float, int, Message]] = []
+        self.answers: list[tuple[float, int, Outcome]] = []
         self.number = 0
 
-    def act(self, now: float, index: int, events: list[api.Event]) -> None:
+    def act(self, now: float, index: int, events: list[Event]) -> None:
         for action in self.made[index].handle(now, events):
-            if isinstance(action, api.Send):
+            if isinstance(action, Send):
                 self.sent.append((now, float(action.id % 4 + 1)))
                 self.answers.append((now + 0.02, index, outcome(action.id, action.node)))
-            elif isinstance(action, api.Tell):
+            elif isinstance(action, Tell):
                 others = [g for g in range(HOSTS) if g != index]
                 for peer in others if action.gateway is None else [action.gateway]:
                     copies = 0 if self.draw.random() < self.loss else 1 + (self.draw.random() < self.double)
                     for _ in range(copies):
                         delay = 0.002 + 0.03 * self.draw.random()
-                        self.letters.append((now + delay, peer, api.Message(index, action.data)))
+                        self.letters.append((now + delay, peer, Message(index, action.data)))
 
     def run(self, seconds: float) -> None:
         for step in range(int(seconds / 0.01)):
             now = step * 0.01
             if self.crash_every and step % self.crash_every == self.crash_every - 1:
                 dead = self.draw.randrange(HOSTS)
-                self.made[dead] = logic.Scheduler(self.made[dead].s, step, now)
+                self.made[dead] = Scheduler(self.made[dead].s, step, now)
                 self.answers = [a for a in self.answers if a[1] != dead]
-                self.act(now, dead, [api.NodeList(api.ListKind.CACHED, self.nodes)])
+                self.act(now, dead, [NodeList(ListKind.CACHED, self.nodes)])
             for mail, box in ((self.letters, 0), (self.answers, 1)):
                 due = [m for m in mail if m[0] <= now]
                 mail[:] = [m for m in mail if m[0] > now]
@@ -115,7 +124,7 @@
                         self.act(now, index, [event])
             lead = int(now / 6) % HOSTS  # passes to another gateway at one stroke
             for index in range(HOSTS):
-                events: list[api.Event] = [api.TimerFired(1)]
+                events: list[Event] = [TimerFired(1)]
                 if self.draw.random() < (0.2 if index == lead else 0.001):
                     self.number += 1
                     events.append(
@@ -150,7 +159,7 @@
     """An even part alone leaves seven eighths of the limit with gateways that do not ask for it."""
     talk = Talk(3)
     talk.run(18.0)
-    monkeypatch.setattr(logic.Scheduler, "_borrow", lambda self, name, volume: None)
+    monkeypatch.setattr(Scheduler, "_borrow", lambda self, name, volume: None)
     mute = Talk(3)
     mute.run(18.0)
     served, alone = sum(u for _, u in talk.sent), sum(u for _, u in mute.sent)
@@ -159,8 +168,8 @@
 
 
 def test_a_lender_that_keeps_what_it_lends_would_be_seen(monkeypatch):
-    tell = logic.Scheduler._tell
-    monkeypatch.setattr(logic.Scheduler, "_tell", lambda self, *message: 0.0 * tell(self, *message))
+    tell = Scheduler._tell
+    monkeypatch.setattr(Scheduler, "_tell", lambda self, *message: 0.0 * tell(self, *message))
     talk = Talk(3)
     talk.run(18.0)
     assert talk.lowest() < 0.0
@@ -171,7 +180,7 @@
     gateway.s = settings(gateway=0, gateways=HOSTS, plans=(LIMITED,), may_message=True)
     gateway.handle(0.1, [request(1, units=8.0, hosts=HOSTS)])
     volume = gateway.volumes[1]
-    grant = logic.MESSAGE.pack(logic.GRANT, 1, volume.ask, 64)
+    grant = MESSAGE.pack(GRANT, 1, volume.ask, 64)
     level = volume.limit.level
     for sender, data in [
         (3, b""),
@@ -180,13 +189,13 @@
         (99, grant),
         (0, grant),
         (-1, grant),
-        (3, logic.MESSAGE.pack(9, 1, volume.ask, 64)),
-        (3, logic.MESSAGE.pack(logic.GRANT, 77, volume.ask, 64)),
-        (3, logic.MESSAGE.pack(logic.GRANT, 1, volume.ask ^ 1, 64)),
+        (3, MESSAGE.pack(9, 1, volume.ask, 64)),
+        (3, MESSAGE.pack(GRANT, 77, volume.ask, 64)),
+        (3, MESSAGE.pack(GRANT, 1, volume.ask ^ 1, 64)),
     ]:
-        assert gateway.handle(0.1, [api.Message(sender, data)]) == []
+        assert gateway.handle(0.1, [Message(sender, data)]) == []
         assert volume.limit.level == level
-    gateway.handle(0.1, [api.Message(3, grant), api.Message(3, grant)])
+    gateway.handle(0.1, [Message(3, grant), Message(3, grant)])
     assert volume.limit.level == pytest.approx(level + 4.0)  # once
 
 
@@ -194,4 +203,4 @@
     (gateway,) = fleet(1, (entry(1),), plans=(LIMITED,))
     gateway.s = settings(gateway=0, gateways=HOSTS, plans=(LIMITED,))
     gateway.handle(0.1, [request(1, units=8.0, hosts=HOSTS)])
-    assert gateway.handle(9.0, [api.Message(3, logic.MESSAGE.pack(logic.ASK, 1, 5, 64))]) == []
+    assert gateway.handle(9.0, [Message(3, MESSAGE.pack(ASK, 1, 5, 64))]) == []
--- a/tests/test_both_fronts.py
+++ b/tests/test_http_and_nvme.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.helpers import plan
-from tests.standins import BLOCK, DEADLINE, MAX_ADVICE, PER_UNIT, Target, World
+from tests.stand_ins import BLOCK, DEADLINE, MAX_ADVICE, PER_UNIT, Target, World
 
 
 @pytest.fixture(params=["http", "nvme"])
--- a/tests/test_http_front.py
+++ b/tests/test_http_server.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from stalltiller.fronts.http import RecentIds
+from stalltiller.adapters.http_server import RecentIds
 from stalltiller.protocol import http
 from stalltiller.transport.watch import Pace
 from tests.helpers import request_class
-from tests.standins import DEADLINE, VOLUME, World, read_message
+from tests.stand_ins import DEADLINE, VOLUME, World, read_message
 
 GOOD = {
     "Host": "h",
@@ -90,7 +90,7 @@
 
 
 def test_a_request_that_is_begun_and_not_ended_is_given_up(monkeypatch):
-    monkeypatch.setattr("stalltiller.fronts.http.STALL_LIMIT", 0.05)
+    monkeypatch.setattr("stalltiller.adapters.http_server.STALL_LIMIT", 0.05)
 
     async def scene(world, reader, writer):
         writer.write(GET[:-2])
@@ -241,7 +241,7 @@
 
 
 def test_a_silent_discovery_is_called_anew_and_service_goes_on_with_the_last_list(monkeypatch):
-    monkeypatch.setattr("stalltiller.program.app.Pace", lambda: Pace(wait=0.1, answer=0.1))
+    monkeypatch.setattr("stalltiller.daemon.application.Pace", lambda: Pace(wait=0.1, answer=0.1))
 
     async def scene(world, reader, writer):
         world.discovery.silent = True
@@ -295,8 +295,8 @@
 
 def test_after_sigterm_open_connections_are_served_on_and_in_the_end_all_is_answered(monkeypatch):
     """Closing at once left the clients without their one initiator until its next start."""
-    monkeypatch.setattr("stalltiller.program.app.STILL_LISTENING", 0.05)
-    monkeypatch.setattr("stalltiller.program.app.CLOSING_TIME", 0.1)
+    monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.05)
+    monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.1)
     monkeypatch.setattr("stalltiller.transport.listener.IDLE_LIMIT", 0.01)
     monkeypatch.setattr("stalltiller.transport.listener.SWEEP_EVERY", 0.01)
 
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from stalltiller.fronts import http as front
+from stalltiller.adapters import http_server
 from stalltiller.protocol import http
-from tests.standins import read_message
-from tests.test_http_front import GET, GOOD, play
+from tests.stand_ins import read_message
+from tests.test_http_server import GET, GOOD, play
 
 LONG = b"menu" * 100_000
 HEADS = {
@@ -113,7 +113,7 @@
 
 
 def test_a_target_that_stands_still_in_a_long_answer_is_given_up(monkeypatch):
-    monkeypatch.setattr(front, "RELAY_STALL", 0.1)
+    monkeypatch.setattr(http_server, "RELAY_STALL", 0.1)
 
     async def scene(world, reader, writer):
         serving(world, answer("length"), asyncio.Event(), False)
@@ -127,7 +127,7 @@
 
 
 def test_a_client_that_does_not_read_holds_the_target_back_and_is_cut_off(monkeypatch):
-    monkeypatch.setattr(front, "UNREAD_LIMIT", 0.3)
+    monkeypatch.setattr(http_server, "UNREAD_LIMIT", 0.3)
 
     async def scene(world, reader, writer):
         go_on = asyncio.Event()
@@ -146,7 +146,7 @@
 
 
 def test_a_client_that_reads_slowly_gets_the_whole_of_a_long_answer(monkeypatch):
-    monkeypatch.setattr(front, "UNREAD_LIMIT", 0.2)
+    monkeypatch.setattr(http_server, "UNREAD_LIMIT", 0.2)
 
     async def scene(world, reader, writer):
         go_on = asyncio.Event()
@@ -184,8 +184,8 @@
 
 
 def test_a_slow_body_has_its_time_and_one_that_stands_still_has_not(monkeypatch):
-    monkeypatch.setattr(front, "STALL_LIMIT", 0.1)
-    monkeypatch.setattr(front, "SLOWEST", 20_000)
+    monkeypatch.setattr(http_server, "STALL_LIMIT", 0.1)
+    monkeypatch.setattr(http_server, "SLOWEST", 20_000)
     monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.2)
 
     async def scene(world, reader, writer):
--- a/tests/test_nvme_front.py
+++ b/tests/test_nvme_controller.py
@@ -9,7 +9,7 @@
 import pytest
 
 from stalltiller.protocol import nvme
-from tests.standins import BLOCK, Pdus, World
+from tests.stand_ins import BLOCK, Pdus, World
 
 
 def play(scene, **changes):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from stalltiller.program.handover import Handover
+from stalltiller.daemon.process_handover import Handover
 from tests.helpers import Gateway, outcome, plan, request
-from tests.standins import World
+from tests.stand_ins import World
 from tests.test_program import EXAMPLE, start
 
 
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -7,8 +7,8 @@
 import pytest
 from click.testing import CliRunner
 
-from stalltiller.program import cli, config
-from stalltiller.program.schema import lines_of
+from stalltiller.daemon import cli, config
+from stalltiller.daemon.schema import lines_of
 
 DEPLOY = Path(__file__).parent.parent / "deploy"
 FLEET, OPERATOR = ((DEPLOY / name).read_text() for name in ("fleet.toml", "operator.toml"))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -7,13 +7,16 @@
 
 import pytest
 
-from stalltiller import interface as api
 from stalltiller.protocol import discovery, http, metrics, nvme, platform
+from stalltiller.scheduling import Effect, NodeState, Status
 from tests.helpers import plan, request_class, settings
 
 SETTINGS = settings(
     gateways=4,
-    classes=(request_class(name="read"), request_class(name="write", effect=api.Effect.UNSAFE, writes=True)),
+    classes=(
+        request_class(name="read"),
+        request_class(name="write", effect=Effect.UNSAFE, writes=True),
+    ),
     plans=(plan(name="gold"),),
     reports_in_answers=True,
     report_fields=("mean_ms",),
@@ -194,15 +197,15 @@
         (
             200,
             {"other-hosts": "7", "x-server-load": "TEXT inflight=7, mean_ms=2.5"},
-            (api.Status.OK, 7.0, (2.5,)),
+            (Status.OK, 7.0, (2.5,)),
         ),
-        (200, {"other-hosts": "-7", "x-server-load": "TEXT mean_ms=nan"}, (api.Status.OK, 0.0, ())),
-        (200, {"x-server-load": "JSON {}"}, (api.Status.OK, 0.0, ())),
-        (503, {"x-not-processed": "1"}, (api.Status.FULL, 0.0, ())),
-        (504, {"x-not-processed": "1"}, (api.Status.FULL, 0.0, ())),
-        (500, {"x-not-processed": "1"}, (api.Status.ERROR, 0.0, ())),
-        (503, {}, (api.Status.ERROR, 0.0, ())),
-        (404, {}, (api.Status.ERROR, 0.0, ())),
+        (200, {"other-hosts": "-7", "x-server-load": "TEXT mean_ms=nan"}, (Status.OK, 0.0, ())),
+        (200, {"x-server-load": "JSON {}"}, (Status.OK, 0.0, ())),
+        (503, {"x-not-processed": "1"}, (Status.FULL, 0.0, ())),
+        (504, {"x-not-processed": "1"}, (Status.FULL, 0.0, ())),
+        (500, {"x-not-processed": "1"}, (Status.ERROR, 0.0, ())),
+        (503, {}, (Status.ERROR, 0.0, ())),
+        (404, {}, (Status.ERROR, 0.0, ())),
     ],
 )
 def test_answers(status, fields, told):
@@ -221,7 +224,7 @@
     assert found == discovery.Listing(
         41,
         True,
-        (discovery.Target("s-1", "10.1.0.18", 3000, "a", "m2", 3, api.NodeState.DRAINING, 1.5, 2.5),),
+        (discovery.Target("s-1", "10.1.0.18", 3000, "a", "m2", 3, NodeState.DRAINING, 1.5, 2.5),),
     )
     found = discovery.parse_listing(b'{"index":1,"snapshot":false,"endpoints":[%s]}' % (LINE % 0))
     assert found.targets[0].since is None and not found.whole
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,8 +16,8 @@
 
 import pytest
 
-from stalltiller.program import config
-from tests.standins import World
+from stalltiller.daemon import config
+from tests.stand_ins import World
 from tests.test_parsers import collectd_decoded
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -7,18 +7,34 @@
 from hypothesis import settings as budget
 from hypothesis import strategies as st
 
-from stalltiller import interface as api
-from stalltiller.logic import Scheduler
-from tests.checker import RuleBroken, World, nodes
+from stalltiller.scheduling import (
+    Action,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    NodeList,
+    NodeState,
+    Outcome,
+    Refuse,
+    Request,
+    Scope,
+    Send,
+    Settings,
+    Status,
+)
+from stalltiller.scheduling.scheduler import Scheduler
 from tests.helpers import entry, plan, request, request_class, rules, settings
+from tests.rule_checker import RuleBroken, World, nodes
 
 CLASSES = (
     request_class(aim=0.2, deadline=1.0),
-    request_class(aim=0.4, effect=api.Effect.KEYED, scope=api.Scope.CELL, keep=0.6),
-    request_class(aim=0.4, effect=api.Effect.KEYED, scope=api.Scope.ZONE, keep=5.0),
-    request_class(aim=0.3, effect=api.Effect.UNSAFE, writes=True),
+    request_class(aim=0.4, effect=Effect.KEYED, scope=Scope.CELL, keep=0.6),
+    request_class(aim=0.4, effect=Effect.KEYED, scope=Scope.ZONE, keep=5.0),
+    request_class(aim=0.3, effect=Effect.UNSAFE, writes=True),
     request_class(aim=0.5, in_order=True),
-    request_class(aim=0.5, effect=api.Effect.KEYED, scope=api.Scope.ALL, in_order=True),
+    request_class(aim=0.5, effect=Effect.KEYED, scope=Scope.ALL, in_order=True),
 )
 SITES = {
     "everything": settings(
@@ -46,13 +62,14 @@
     st.booleans(),
     st.floats(0.05, 3.0),
 )
-FATES = st.lists(st.tuples(st.sampled_from(list(api.Status)), st.floats(0.001, 1.5)), min_size=1, max_size=12)
+FATES = st.lists(st.tuples(st.sampled_from(list(Status)), st.floats(0.001, 1.5)), min_size=1, max_size=12)
 NEWS = st.lists(
-    st.tuples(st.integers(0, 3000), st.integers(0, 3), st.sampled_from(list(api.NodeState))), max_size=4
+    st.tuples(st.integers(0, 3000), st.integers(0, 3), st.sampled_from(list(NodeState))),
+    max_size=4,
 )
 
 
-def play(scheduler: object, site: api.Settings, arrivals: list, fates: list, news: list) -> World:
+def play(scheduler: object, site: Settings, arrivals: list, fates: list, news: list) -> World:
     world = World(scheduler, site)
     world.push(0.0, nodes(4, 1, 0.0))
     now = 0.0
@@ -74,9 +91,12 @@
             ),
         )
         if leaves:
-            world.push(now + 0.5 * left, api.ClientGone(number))
+            world.push(now + 0.5 * left, ClientGone(number))
     for at, node, state in news:
-        world.push(at / 1000, api.NodeList(api.ListKind.DELTA, (entry(node, zone=node % 2, state=state),)))
+        world.push(
+            at / 1000,
+            NodeList(ListKind.DELTA, (entry(node, zone=node % 2, state=state),)),
+        )
     world.run(fates)
     return world
 
@@ -109,36 +129,36 @@
     def __init__(self, fault: str) -> None:
         self.fault = fault
 
-    def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
-        actions: list[api.Action] = []
+    def handle(self, now: float, events: list[Event]) -> list[Action]:
+        actions: list[Action] = []
         for event in events:
-            if isinstance(event, api.Request) and self.fault != "silent":
-                actions.append(api.Send(event.id, event.shard, None))
-            elif isinstance(event, api.Outcome) and not event.over:
+            if isinstance(event, Request) and self.fault != "silent":
+                actions.append(Send(event.id, event.shard, None))
+            elif isinstance(event, Outcome) and not event.over:
                 if self.fault == "refuses":
-                    actions.append(api.Refuse(event.id, 0.0))
+                    actions.append(Refuse(event.id, 0.0))
                 elif self.fault == "repeats":
-                    actions.append(api.Send(event.id, event.node, None))
+                    actions.append(Send(event.id, event.node, None))
                 else:
-                    actions.append(api.Fail(event.id))
-            elif isinstance(event, api.Outcome) and self.fault == "twice":
-                actions.append(api.Fail(event.id))
+                    actions.append(Fail(event.id))
+            elif isinstance(event, Outcome) and self.fault == "twice":
+                actions.append(Fail(event.id))
         return actions
 
 
 @pytest.mark.parametrize(
     ("fault", "arrivals", "fate", "news", "says"),
     [
-        ("silent", flood(1), api.Status.OK, [], "1: not answered"),
-        ("twice", flood(1), api.Status.OK, [], "1: answered twice"),
-        ("refuses", flood(1, cls=3), api.Status.ERROR, [], "2: refused"),
-        ("repeats", flood(1, cls=3), api.Status.ERROR, [], "2: unsafe"),
-        ("repeats", flood(1, cls=1), api.Status.ERROR, [], "2: keyed"),
-        ("drains", flood(900), api.Status.FULL, [(1, 1, api.NodeState.DRAINING)], "3: "),
-        ("cold", flood(20, shard=3), api.Status.FULL, [], "4: "),
-        ("order", flood(2, cls=4), api.Status.OK, [], "5: out of order"),
-        ("repeats", flood(2, left=3.0), api.Status.ERROR, [], "6: "),
-        ("limit", flood(40), api.Status.OK, [], "7: "),
+        ("silent", flood(1), Status.OK, [], "1: not answered"),
+        ("twice", flood(1), Status.OK, [], "1: answered twice"),
+        ("refuses", flood(1, cls=3), Status.ERROR, [], "2: refused"),
+        ("repeats", flood(1, cls=3), Status.ERROR, [], "2: unsafe"),
+        ("repeats", flood(1, cls=1), Status.ERROR, [], "2: keyed"),
+        ("drains", flood(900), Status.FULL, [(1, 1, NodeState.DRAINING)], "3: "),
+        ("cold", flood(20, shard=3), Status.FULL, [], "4: "),
+        ("order", flood(2, cls=4), Status.OK, [], "5: out of order"),
+        ("repeats", flood(2, left=3.0), Status.ERROR, [], "6: "),
+        ("limit", flood(40), Status.OK, [], "7: "),
     ],
 )
 def test_the_checker_finds_a_broken_scheduler(fault, arrivals, fate, news, says):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -13,12 +13,12 @@
 
 import pytest
 
-from stalltiller import interface as api
-from stalltiller.fronts import http as http_front
+from stalltiller.adapters import http_server as http_front
 from stalltiller.protocol import http, nvme
+from stalltiller.scheduling import Effect
 from tests.helpers import request_class
-from tests.jumping import run_on_jumping_clock
-from tests.standins import BLOCK, DEADLINE, PER_UNIT, VOLUME, Standin, World, read_message
+from tests.simulated_clock import run_on_jumping_clock
+from tests.stand_ins import BLOCK, DEADLINE, PER_UNIT, VOLUME, Standin, World, read_message
 
 
 def get(tag: int, **fields: str) -> bytes:
@@ -265,8 +265,8 @@
 
 def test_what_comes_whole_after_the_last_answers_is_refused_not_dropped(monkeypatch):
     """The program ended with a request read and not answered."""
-    monkeypatch.setattr("stalltiller.program.app.STILL_LISTENING", 0.01)
-    monkeypatch.setattr("stalltiller.program.app.CLOSING_TIME", 0.01)
+    monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.01)
+    monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.01)
 
     async def scene(world):
         client = dial(world)
@@ -309,7 +309,7 @@
 def test_a_long_answer_that_the_end_cuts_off_does_not_look_whole(monkeypatch):
     """To a client of HTTP/1.0 an answer without a length ends with its connection."""
     for name in ("STILL_LISTENING", "CLOSING_TIME", "LAST_WORDS"):
-        monkeypatch.setattr(f"stalltiller.program.app.{name}", 0.01, raising=False)
+        monkeypatch.setattr(f"stalltiller.daemon.application.{name}", 0.01, raising=False)
 
     async def scene(world):
         async def answer(reader, writer):
@@ -333,7 +333,7 @@
 # --- Repeats and drains ----------------------------------------------------------------------------
 def test_a_keyed_repeat_does_not_begin_once_targets_may_have_forgotten_the_first():
     """It was sent in time, and began when its connection came up, past the window for repeats."""
-    keyed = request_class(name="read", aim=0.4, deadline=DEADLINE, effect=api.Effect.KEYED, keep=0.1)
+    keyed = request_class(name="read", aim=0.4, deadline=DEADLINE, effect=Effect.KEYED, keep=0.1)
 
     async def scene(world):
         world.targets[0].mode = "break"
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,7 +8,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stalltiller import interface as api
 from stalltiller.protocol import discovery
 from stalltiller.recovery import (
     Book,
@@ -26,10 +25,11 @@
     start_level,
     usable,
 )
+from stalltiller.scheduling import NodeState
 from tests.helpers import Gateway, entry, outcome, plan, request
 
 NOW, ADDRESS = 1000.0, "127.0.0.1:8500"
-TARGET = discovery.Target("s-1", "127.0.0.1", 3000, "a", "m", 3, api.NodeState.DRAINING, 0.5, 900.25)
+TARGET = discovery.Target("s-1", "127.0.0.1", 3000, "a", "m", 3, NodeState.DRAINING, 0.5, 900.25)
 FACTS = Facts(
     "n1",
     ADDRESS,
@@ -70,7 +70,7 @@
 
 
 def test_another_form_is_refused(monkeypatch):
-    monkeypatch.setattr("stalltiller.recovery.facts.VERSION", 99)
+    monkeypatch.setattr("stalltiller.recovery.snapshot.VERSION", 99)
     data = encode(FACTS)
     monkeypatch.undo()
     with pytest.raises(Refused, match="version"):
@@ -145,7 +145,7 @@
     book = Book()
     assert book.listing is None
     book.took(discovery.Listing(1, True, (TARGET, replace(TARGET, name="s-2"))))
-    book.took(discovery.Listing(2, False, (replace(TARGET, state=api.NodeState.GONE),)))
+    book.took(discovery.Listing(2, False, (replace(TARGET, state=NodeState.GONE),)))
     assert book.listing == discovery.Listing(2, True, (replace(TARGET, name="s-2"),))
 
 
--- a/tests/test_returning.py
+++ b/tests/test_recovery_coordinator.py
@@ -11,7 +11,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stalltiller import interface as api
 from stalltiller.protocol import discovery
 from stalltiller.recovery import (
     Ask,
@@ -28,12 +27,13 @@
     View,
     Word,
 )
-from stalltiller.recovery.herd import GATHER, PEAK
-from stalltiller.recovery.ramp import BLIND_TIME, LONGEST, QUIET, RAMP_TIME
-from stalltiller.recovery.returns import LATE, MOST
-from stalltiller.recovery.word import Malformed, decode, encode
+from stalltiller.recovery.mass_restart import GATHER, PEAK
+from stalltiller.recovery.peer_state import Malformed, decode, encode
+from stalltiller.recovery.recovery_ramp import BLIND_TIME, LONGEST, QUIET, RAMP_TIME
+from stalltiller.recovery.retry_reservations import LATE, MOST
+from stalltiller.scheduling import NodeState
 
-READY, DRAINING, GONE = api.NodeState.READY, api.NodeState.DRAINING, api.NodeState.GONE
+READY, DRAINING, GONE = NodeState.READY, NodeState.DRAINING, NodeState.GONE
 HERE = "127.0.0.1:8500"
 
 
@@ -186,7 +186,7 @@
 
 
 # --- Word of peers --------------------------------------------------------------------------------
-def target(name: str, state: api.NodeState = READY, since: float | None = None) -> discovery.Target:
+def target(name: str, state: NodeState = READY, since: float | None = None) -> discovery.Target:
     return discovery.Target(name, "127.0.0.1", 3000, "a", "m", 3, state, 1.0, since)
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -9,16 +9,16 @@
 
 import pytest
 
-from stalltiller import interface as api
-from stalltiller.program import app as program
-from stalltiller.program import config
-from stalltiller.program.reload import between
+from stalltiller.daemon import application as program
+from stalltiller.daemon import config
+from stalltiller.daemon.settings_reload import between
+from stalltiller.scheduling import Effect, Scope
 from tests.helpers import plan, request_class, settings
-from tests.standins import CLASSES, DEADLINE, World
+from tests.stand_ins import CLASSES, DEADLINE, World
 from tests.test_program import EXAMPLE
 
 READ, WRITE = CLASSES
-KEYED = request_class(name="keyed", effect=api.Effect.KEYED)
+KEYED = request_class(name="keyed", effect=Effect.KEYED)
 
 
 @pytest.mark.parametrize(
@@ -26,9 +26,9 @@
     [
         ((READ,), (WRITE, READ), ["read safe", "write unsafe"]),
         ((READ, WRITE), (READ,), ["read safe", "write unsafe"]),
-        ((READ,), (replace(READ, effect=api.Effect.UNSAFE),), ["read unsafe"]),
-        ((replace(READ, effect=api.Effect.UNSAFE), KEYED), (READ,), ["read unsafe", "keyed keyed"]),
-        ((KEYED,), (replace(KEYED, effect=api.Effect.SAFE),), ["keyed keyed"]),
+        ((READ,), (replace(READ, effect=Effect.UNSAFE),), ["read unsafe"]),
+        ((replace(READ, effect=Effect.UNSAFE), KEYED), (READ,), ["read unsafe", "keyed keyed"]),
+        ((KEYED,), (replace(KEYED, effect=Effect.SAFE),), ["keyed keyed"]),
     ],
 )
 def test_between_two_settings_both_names_and_the_stricter_rule_hold(old, new, classes):
@@ -48,10 +48,13 @@
 @pytest.mark.parametrize(
     ("changes", "held"),
     [
-        ([{"keep": 6.0}, {"keep": 1.5}], (1.5, api.Scope.ALL)),
-        ([{"keep": 1.5}, {"keep": 6.0}], (1.5, api.Scope.ALL)),  # clients and targets may still go by the old
-        ([{"scope": api.Scope.ZONE}, {"scope": api.Scope.ALL}], (2.0, api.Scope.ZONE)),
-        ([{"scope": api.Scope.ALL}, {"scope": api.Scope.CELL}], (2.0, api.Scope.CELL)),
+        ([{"keep": 6.0}, {"keep": 1.5}], (1.5, Scope.ALL)),
+        (
+            [{"keep": 1.5}, {"keep": 6.0}],
+            (1.5, Scope.ALL),
+        ),  # clients and targets may still go by the old
+        ([{"scope": Scope.ZONE}, {"scope": Scope.ALL}], (2.0, Scope.ZONE)),
+        ([{"scope": Scope.ALL}, {"scope": Scope.CELL}], (2.0, Scope.CELL)),
     ],
 )
 def test_between_two_settings_a_repeat_keeps_to_the_shorter_window_and_the_fewer_targets(changes, held):
@@ -73,9 +76,7 @@
                 world.settings,
                 max_attempts=1,
                 classes=(
-                    request_class(
-                        name="next", aim=0.4, deadline=DEADLINE, effect=api.Effect.UNSAFE, writes=True
-                    ),
+                    request_class(name="next", aim=0.4, deadline=DEADLINE, effect=Effect.UNSAFE, writes=True),
                     READ,
                 ),
             )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,15 +4,36 @@
 
 import pytest
 
-from stalltiller import interface as api
-from stalltiller import logic
+from stalltiller.scheduling import (
+    Action,
+    ClientGone,
+    Effect,
+    Fail,
+    FirstByte,
+    ListKind,
+    NodeList,
+    NodeState,
+    Refuse,
+    Scope,
+    Send,
+    SetTimer,
+    Status,
+    TimerFired,
+    Watch,
+    scheduler,
+)
 from tests.helpers import Gateway, entry, outcome, plan, request, request_class, rules
 
-TIMEOUT, RESET, ERROR, FULL = api.Status.TIMEOUT, api.Status.RESET, api.Status.ERROR, api.Status.FULL
-FINAL = (api.Refuse, api.Fail)
+TIMEOUT, RESET, ERROR, FULL = (
+    Status.TIMEOUT,
+    Status.RESET,
+    Status.ERROR,
+    Status.FULL,
+)
+FINAL = (Refuse, Fail)
 
 
-def finals(actions: list[api.Action]) -> list[int]:
+def finals(actions: list[Action]) -> list[int]:
     return [a.id for a in actions if isinstance(a, FINAL)]
 
 
@@ -43,67 +64,67 @@
     gateway = Gateway()
     gateway.scheduler.nodes[1].window = 1.0
     gateway.feed(0.0, request(1), request(2))
-    assert gateway.feed(0.1, api.ClientGone(2)) == []
+    assert gateway.feed(0.1, ClientGone(2)) == []
     assert gateway.feed(0.2, outcome(1)) == []
 
 
 def test_an_unknown_id_is_passed_over():
-    assert Gateway().feed(0.0, outcome(9), api.ClientGone(9), api.FirstByte(9, 0, 1, 0.1)) == []
+    assert Gateway().feed(0.0, outcome(9), ClientGone(9), FirstByte(9, 0, 1, 0.1)) == []
 
 
 def test_a_stream_that_has_begun_gets_no_answer_of_ours():
     gateway = Gateway(classes=(request_class(streaming=True),))
     gateway.feed(0.0, request(1))
-    gateway.feed(0.1, api.FirstByte(1, 0, 1, 0.1))
+    gateway.feed(0.1, FirstByte(1, 0, 1, 0.1))
     assert gateway.poll(4.0) == []
     assert gateway.feed(9.0, outcome(1, status=RESET, over=True)) == []
 
 
 # 2. No duplicated effect.
-@pytest.mark.parametrize("status", list(api.Status))
+@pytest.mark.parametrize("status", list(Status))
 def test_unsafe_is_repeated_or_refused_only_if_it_never_ran(status):
-    gateway = Gateway(classes=(request_class(effect=api.Effect.UNSAFE),))
+    gateway = Gateway(classes=(request_class(effect=Effect.UNSAFE),))
     gateway.feed(0.0, request(1))
     actions = gateway.feed(0.1, outcome(1, status=status))
     actions += [a for step in range(1, 100) for a in gateway.poll(0.1 + step * 0.01)]
-    if status is api.Status.OK:
+    if status is Status.OK:
         assert actions == []
-    elif status in logic.NEVER_RAN:
-        assert isinstance(actions[0], api.Send)
+    elif status in scheduler.NEVER_RAN:
+        assert isinstance(actions[0], Send)
     else:
-        assert actions == [api.Fail(1)]
+        assert actions == [Fail(1)]
 
 
 def test_keyed_that_may_have_run_stays_in_its_cell_and_is_failed_not_refused():
-    cls = request_class(effect=api.Effect.KEYED, scope=api.Scope.CELL, keep=0.5)
+    cls = request_class(effect=Effect.KEYED, scope=Scope.CELL, keep=0.5)
     gateway = Gateway(nodes=(entry(1), entry(2)), classes=(cls,))
     (send,) = gateway.feed(0.0, request(1, shard=None))
     (again,) = gateway.feed(0.1, outcome(1, node=send.node, status=ERROR))
     assert again.node == send.node
     # past the time for which repeats are dropped
-    assert gateway.feed(0.6, outcome(1, node=send.node, status=ERROR, attempt=1)) == [api.Fail(1)]
+    assert gateway.feed(0.6, outcome(1, node=send.node, status=ERROR, attempt=1)) == [Fail(1)]
 
 
 def test_keyed_stays_unsure_after_a_second_attempt_that_never_ran():
-    cls = request_class(effect=api.Effect.KEYED, scope=api.Scope.CELL)
+    cls = request_class(effect=Effect.KEYED, scope=Scope.CELL)
     gateway = Gateway(classes=(cls,), max_attempts=2)
     gateway.feed(0.0, request(1))
     (again,) = gateway.feed(0.1, outcome(1, status=ERROR))
-    assert isinstance(again, api.Send)
-    assert gateway.feed(0.2, outcome(1, status=FULL, attempt=1)) == [api.Fail(1)]
+    assert isinstance(again, Send)
+    assert gateway.feed(0.2, outcome(1, status=FULL, attempt=1)) == [Fail(1)]
 
 
 def test_safe_is_repeated_after_an_error():
     gateway = Gateway()
     gateway.feed(0.0, request(1))
-    assert isinstance(gateway.feed(0.1, outcome(1, status=ERROR))[0], api.Send)
+    assert isinstance(gateway.feed(0.1, outcome(1, status=ERROR))[0], Send)
 
 
 # 3. Safe drain.
-@pytest.mark.parametrize("state", [api.NodeState.DRAINING, api.NodeState.GONE])
+@pytest.mark.parametrize("state", [NodeState.DRAINING, NodeState.GONE])
 def test_nothing_goes_to_a_node_that_drains_or_is_gone(state):
     gateway = Gateway()
-    gateway.feed(0.0, api.NodeList(api.ListKind.DELTA, (entry(1, state=state),)))
+    gateway.feed(0.0, NodeList(ListKind.DELTA, (entry(1, state=state),)))
     assert gateway.sends(0.0, request(1)) == []
 
 
@@ -111,7 +132,7 @@
     gateway = Gateway()
     gateway.scheduler.nodes[1].window = 1.0
     gateway.feed(0.0, request(1), request(2))
-    news = api.NodeList(api.ListKind.FULL, (entry(3, cell=1),))
+    news = NodeList(ListKind.FULL, (entry(3, cell=1),))
     (send,) = gateway.feed(0.1, news)
     assert (send.id, send.node) == (2, 3)
 
@@ -119,16 +140,16 @@
 def test_an_asked_for_list_is_watched_and_watched_again_after_a_failure():
     gateway = Gateway(list_pushed=False)
     scheduler = gateway.scheduler
-    actions = scheduler.handle(1.0, [api.NodeList(api.ListKind.FAILED, ())])
-    (timer,) = [a for a in actions if isinstance(a, api.SetTimer)]
-    assert scheduler.handle(3.0, [api.TimerFired(timer.token)])[0] == api.Watch(True)
+    actions = scheduler.handle(1.0, [NodeList(ListKind.FAILED, ())])
+    (timer,) = [a for a in actions if isinstance(a, SetTimer)]
+    assert scheduler.handle(3.0, [TimerFired(timer.token)])[0] == Watch(True)
     assert scheduler.nodes  # the old list stands
 
 
 # 4. Cold nodes.
 def test_a_cold_node_gets_no_more_than_this_gateways_part_of_the_budget():
     gateway = Gateway(nodes=(entry(1, started=0.0),), gateways=4)
-    gateway.scheduler.nodes[1].window = logic.CEILING
+    gateway.scheduler.nodes[1].window = scheduler.CEILING
     sent = gateway.sends(0.0, *[request(i, units=2.0) for i in range(40)])
     assert 0 < len(sent) * 2.0 <= 40.0 / 4
     # refused work counts in: it makes no room
@@ -157,7 +178,7 @@
 def test_a_key_waits_for_the_attempt_of_a_request_that_is_over():
     gateway = ordered()
     gateway.feed(0.0, request(1, key=8), request(2, key=8))
-    assert gateway.feed(0.1, api.ClientGone(1)) == []
+    assert gateway.feed(0.1, ClientGone(1)) == []
     assert gateway.poll(0.2) == []
     assert gateway.sends(0.3, outcome(1)) == [2]
 
@@ -205,5 +226,5 @@
     gateway = Gateway(plans=(LIMITED,))
     gateway.feed(2.0, request(1, units=8.0))
     before = gateway.scheduler.volumes[1].limit.level
-    gateway.feed(2.0, outcome(1, status=api.Status.MOOT))
+    gateway.feed(2.0, outcome(1, status=Status.MOOT))
     assert gateway.scheduler.volumes[1].limit.level == before  # given back, and drawn again by the next send
--- a/tests/test_design.py
+++ b/tests/test_scheduler.py
@@ -4,9 +4,8 @@
 
 import pytest
 
-from stalltiller import interface as api
-from stalltiller import logic
-from stalltiller.logic import Share, Volume
+from stalltiller.scheduling import Action, Refuse, Status, TimerFired, scheduler
+from stalltiller.scheduling.scheduler import Share, Volume
 from tests.helpers import Gateway, entry, outcome, plan, request, request_class
 
 
@@ -21,7 +20,7 @@
 def node_of(gateway: Gateway, capacity: float):
     """Node 1 with a latency that makes its capacity the given units per second."""
     node = gateway.scheduler.nodes[1]
-    node.latency = logic.CEILING * gateway.scheduler.s.mean_units / capacity
+    node.latency = scheduler.CEILING * gateway.scheduler.s.mean_units / capacity
     assert gateway.scheduler._capacity(node) == pytest.approx(capacity)
     return node
 
@@ -66,7 +65,7 @@
     idle = volume_share(gateway, 1, 9.0, 9.0)
     idle.open = 0
     half, tenth = volume_share(gateway, 2, 10.0, 20.0), volume_share(gateway, 3, 18.0, 20.0)
-    gateway.scheduler.now = logic.IDLE_AFTER + 0.1
+    gateway.scheduler.now = scheduler.IDLE_AFTER + 0.1
     gateway.scheduler._idle(node)
     # remaining ratios 0.5 and 0.1: nine units go 7.5 to 1.5
     assert (half.grant, tenth.grant) == (pytest.approx(17.5), pytest.approx(19.5))
@@ -76,7 +75,7 @@
 def test_each_quiet_spell_releases_a_tenth_of_the_reserve_and_congestion_restores_it():
     gateway = Gateway()
     node = node_of(gateway, 100.0)
-    gateway.scheduler.now = 2.5 * logic.RELEASE_EVERY  # two spells
+    gateway.scheduler.now = 2.5 * scheduler.RELEASE_EVERY  # two spells
     grant_test(gateway, 3)
     assert node.reserve == pytest.approx(0.30 * 0.8)
     volume_share(gateway, 1, 90.0, 90.0)
@@ -100,18 +99,18 @@
     gateway.feed(1.0, *[request(i) for i in range(size)])
     gateway.feed(1.1, *[outcome(i) for i in range(1)])
     assert node.window == pytest.approx(size + 1 / size)
-    gateway.feed(2.0, outcome(1, status=api.Status.FULL), outcome(2, status=api.Status.FULL))
+    gateway.feed(2.0, outcome(1, status=Status.FULL), outcome(2, status=Status.FULL))
     assert node.window == pytest.approx(1.5)  # half of the three that were out
 
 
 def test_window_stops_at_its_ceiling():
     gateway = Gateway()
     node = gateway.scheduler.nodes[1]
-    node.window = logic.CEILING
+    node.window = scheduler.CEILING
     gateway.feed(0.0, *[request(i) for i in range(30)])
-    assert node.out == logic.CEILING
+    assert node.out == scheduler.CEILING
     gateway.feed(0.1, outcome(0))
-    assert node.window == logic.CEILING
+    assert node.window == scheduler.CEILING
 
 
 def test_earliest_due_goes_first_and_grants_go_before_what_lies_beyond():
@@ -140,7 +139,7 @@
     gateway.feed(0.0, request(1))
     assert gateway.feed(0.0, request(2)) == []
     actions = gateway.feed(0.0, *[request(i) for i in range(3, 8)])
-    assert actions and all(isinstance(a, api.Refuse) and a.retry_after == 1.5 for a in actions)
+    assert actions and all(isinstance(a, Refuse) and a.retry_after == 1.5 for a in actions)
     assert all(r.id != 2 for r in actions)
 
 
@@ -152,7 +151,7 @@
 
 
 def test_the_same_events_give_the_same_actions():
-    def play() -> list[api.Action]:
+    def play() -> list[Action]:
         gateway = Gateway(nodes=(entry(1), entry(2)))
         actions = gateway.feed(0.0, *[request(i, shard=None, volume=i % 3) for i in range(40)])
         return actions + gateway.feed(0.3, *[outcome(i) for i in range(40)]) + gateway.poll(0.9)
@@ -166,7 +165,7 @@
     node = gateway.scheduler.nodes[1]
     gateway.scheduler._cold_room(node, 2.0)
     node.cold_luck = 1.0  # no more than the whole part
-    part = 40.0 * logic.COLD_SAFETY / 2
+    part = 40.0 * scheduler.COLD_SAFETY / 2
     assert gateway.sends(0.0, request(1, units=part)) == [1]
     assert not gateway.scheduler._cold_room(node, 2.0)
     gateway.feed(0.1, outcome(1))
@@ -187,9 +186,9 @@
     """Requests used up their attempts on a node that was down, all at once."""
     gateway = Gateway()
     gateway.feed(0.0, request(1), request(2))
-    down = api.Status.CONNECT_FAILED
+    down = Status.CONNECT_FAILED
     assert gateway.feed(0.01, outcome(1, status=down), outcome(2, status=down)) == []
-    assert [a.id for a in gateway.poll(0.011 + logic.PAUSE_FIRST)] == [1, 2]
+    assert [a.id for a in gateway.poll(0.011 + scheduler.PAUSE_FIRST)] == [1, 2]
 
 
 def test_an_attempt_ends_soon_after_its_aim():
@@ -202,8 +201,8 @@
     gateway = Gateway()
     gateway.feed(0.0, request(1))
     size = gateway.scheduler.nodes[1].window
-    gateway.feed(0.6, outcome(1, status=api.Status.TIMEOUT, took=0.6))
-    assert size == logic.START_WINDOW and gateway.scheduler.nodes[1].window == 0.5  # half of the one in use
+    gateway.feed(0.6, outcome(1, status=Status.TIMEOUT, took=0.6))
+    assert size == scheduler.START_WINDOW and gateway.scheduler.nodes[1].window == 0.5  # half of that in use
 
 
 def test_below_one_the_window_paces_what_lies_beyond_the_reservation():
@@ -213,7 +212,7 @@
     node.window, node.latency = 0.1, 0.05
     gateway.feed(0.0, request(1))  # the next may go after latency / window, 0.25 to 0.75 s with the draw
     gateway.scheduler.volumes[1].reservation.level = -100.0
-    gateway.feed(0.3, outcome(1, status=api.Status.ERROR, over=True))
+    gateway.feed(0.3, outcome(1, status=Status.ERROR, over=True))
     node.paced_until = 0.5
     assert gateway.sends(0.31, request(2)) == []
     assert [a.id for a in gateway.poll(0.51)] == [2]
@@ -232,7 +231,7 @@
 def test_below_one_only_a_deep_queue_cuts_the_window_and_good_answers_double_it():
     gateway = Gateway()
     node = gateway.scheduler.nodes[1]
-    least = logic.FLOOR
+    least = scheduler.FLOOR
     for number, took, before, after in [(1, 0.3, 0.4, 0.8), (2, 0.5, 0.4, 0.2), (3, 0.5, least, least)]:
         now = number * 5.0
         gateway.feed(now, request(number))
@@ -249,7 +248,7 @@
     first = gateway.sends(0.0, request(1, key=5), request(2, key=6), request(3, key=5))
     node.shares[1].bucket.level = 9.0  # within its grant
     assert first + [a.id for a in gateway.poll(0.01)] == [1, 3]
-    assert gateway.sends(logic.RUN_SPAN + 0.001, request(4, key=5)) == []
+    assert gateway.sends(scheduler.RUN_SPAN + 0.001, request(4, key=5)) == []
 
 
 def test_requests_without_a_key_are_no_run():
@@ -265,7 +264,7 @@
     assert gateway.sends(1.0, request(1, cls=1)) == []  # 10 tokens
     assert gateway.sends(1.1, request(2)) == [2]
     assert gateway.sends(1.2, outcome(2)) == []
-    assert gateway.sends(3.0, api.TimerFired(1)) == [1]  # full: what comes in would be lost
+    assert gateway.sends(3.0, TimerFired(1)) == [1]  # full: what comes in would be lost
 
 
 def test_a_part_that_holds_one_request_serves_every_class():
--- a/tests/test_wire.py
+++ b/tests/test_simulator_codec.py
@@ -9,16 +9,42 @@
 
 import pytest
 
-from stalltiller import benchlink, wire
-from stalltiller import interface as api
+from stalltiller.scheduling import (
+    Cancel,
+    ClientGone,
+    CloseIdle,
+    Effect,
+    Fail,
+    FetchList,
+    FirstByte,
+    ListKind,
+    Log,
+    Message,
+    NodeEntry,
+    NodeList,
+    NodeState,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Request,
+    Scope,
+    Send,
+    SetTimer,
+    Status,
+    Tell,
+    TimerFired,
+    Watch,
+)
+from stalltiller.simulator import adapter, codec
 
 CLOCK = 8_418_541_456
 ADDRESS = bytes.fromhex("0b164208") + struct.pack("<H", 7001)
-NODE = wire.node_id(int.from_bytes(ADDRESS[:4], "little"), 7001)
+NODE = codec.node_id(int.from_bytes(ADDRESS[:4], "little"), 7001)
 
 
 def one(body: bytes) -> tuple[int, object]:
-    (found,) = wire.Reader().events(1, body)
+    (found,) = codec.Reader().events(1, body)
     return found
 
 
@@ -28,7 +54,7 @@
 
 def test_request():
     body = struct.pack("<BIQffHQHQIfQ", 8, 3, 99, 2.0, 3.0, 6, 77, 1, 55, 2, 4.0, 250_000_000)
-    assert one(body) == (3, api.Request(99, 1, 2, 55, 2.0, 3, 77, 4, True, True, 0.25))
+    assert one(body) == (3, Request(99, 1, 2, 55, 2.0, 3, 77, 4, True, True, 0.25))
 
 
 def test_request_for_a_new_object_has_no_shard():
@@ -42,7 +68,10 @@
         + ADDRESS
         + struct.pack("<HQBHHB2f", 3, 30_000_000, 1, 86, 3, 2, 14.5, 2.0)
     )
-    assert one(body) == (3, api.Outcome(99, 1, NODE, api.Status.TIMEOUT, 0.03, True, 0.85, 3.0, (14.5, 2.0)))
+    assert one(body) == (
+        3,
+        Outcome(99, 1, NODE, Status.TIMEOUT, 0.03, True, 0.85, 3.0, (14.5, 2.0)),
+    )
 
 
 def test_outcome_without_figures():
@@ -54,18 +83,18 @@
 @pytest.mark.parametrize(
     ("body", "event"),
     [
-        (struct.pack("<BIQ", 4, 3, 99), api.ClientGone(99)),
-        (struct.pack("<BIQ", 9, 3, 77), api.TimerFired(77)),
-        (struct.pack("<BI", 6, 3), wire.Stop()),
-        (struct.pack("<BIIH2s", 3, 3, 5, 2, b"hi"), api.Message(5, b"hi")),
-        (struct.pack("<BIQI3s", 1, 3, 12, 3, b"a=b"), wire.Init(12, "a=b")),
+        (struct.pack("<BIQ", 4, 3, 99), ClientGone(99)),
+        (struct.pack("<BIQ", 9, 3, 77), TimerFired(77)),
+        (struct.pack("<BI", 6, 3), codec.Stop()),
+        (struct.pack("<BIIH2s", 3, 3, 5, 2, b"hi"), Message(5, b"hi")),
+        (struct.pack("<BIQI3s", 1, 3, 12, 3, b"a=b"), codec.Init(12, "a=b")),
         (
             struct.pack("<BIQB", 0, 3, 99, 1) + ADDRESS + struct.pack("<Q", 10**9),
-            api.FirstByte(99, 1, NODE, 1.0),
+            FirstByte(99, 1, NODE, 1.0),
         ),
         (
             struct.pack("<BI", 7, 3) + ADDRESS + struct.pack("<QHB1f", 10**9, 2, 1, 0.5),
-            api.Probed(NODE, 1.0, api.Status.FULL, (0.5,)),
+            Probed(NODE, 1.0, Status.FULL, (0.5,)),
         ),
     ],
 )
@@ -80,55 +109,59 @@
 
 def test_lists_resolve_by_order_even_when_a_number_is_reused():
     news = struct.pack("<BIBIH", 5, 3, 1, 40, 6)
-    found = wire.Reader().events(4, census(6, 2) + news + census(6, 1) + news)
-    lists = [wire.node_list(*raw, CLOCK) for _, raw in found]
-    assert [item.entries[0].state for item in lists] == [api.NodeState.READY, api.NodeState.DRAINING]
-    assert lists[0] == api.NodeList(
-        api.ListKind.FULL, (api.NodeEntry(NODE, 1, 2, 5, api.NodeState.READY, 1.5, -1.0),)
+    found = codec.Reader().events(4, census(6, 2) + news + census(6, 1) + news)
+    lists = [codec.node_list(*raw, CLOCK) for _, raw in found]
+    assert [item.entries[0].state for item in lists] == [
+        NodeState.READY,
+        NodeState.DRAINING,
+    ]
+    assert lists[0] == NodeList(
+        ListKind.FULL,
+        (NodeEntry(NODE, 1, 2, 5, NodeState.READY, 1.5, -1.0),),
     )
 
 
 def test_a_failed_call_needs_no_list():
-    assert one(struct.pack("<BIBIH", 5, 3, 3, 40, 9)) == (3, (api.ListKind.FAILED, ()))
+    assert one(struct.pack("<BIBIH", 5, 3, 3, 40, 9)) == (3, (ListKind.FAILED, ()))
 
 
 @pytest.mark.parametrize(
     ("action", "body"),
     [
-        (api.Send(99, NODE, 2.0), struct.pack("<BIQQ", 0, 3, 99, CLOCK + 2 * 10**9) + ADDRESS),
-        (api.Send(99, NODE, None), struct.pack("<BIQQ", 0, 3, 99, 0) + ADDRESS),
-        (api.Refuse(99, 0.5), struct.pack("<BIQQ", 1, 3, 99, 500_000_000)),
-        (api.Fail(99), struct.pack("<BIQ", 2, 3, 99)),
-        (api.Cancel(99, 2), struct.pack("<BIQB", 3, 3, 99, 2)),
-        (api.SetTimer(77, 0.5), struct.pack("<BIQQ", 4, 3, 77, 500_000_000)),
-        (api.Probe(NODE), struct.pack("<BI", 5, 3) + ADDRESS),
-        (api.CloseIdle(NODE), struct.pack("<BI", 6, 3) + ADDRESS),
-        (api.Tell(None, b"hi"), struct.pack("<BIHH2s", 7, 3, 0xFFFF, 2, b"hi")),
-        (api.Tell(1, b"hi"), struct.pack("<BIHH2s", 7, 3, 1, 2, b"hi")),
-        (api.Log("hi"), struct.pack("<BIH2s", 8, 3, 2, b"hi")),
-        (api.Watch(True), struct.pack("<BIB", 10, 3, 1)),
-        (api.FetchList(), struct.pack("<BI", 11, 3)),
+        (Send(99, NODE, 2.0), struct.pack("<BIQQ", 0, 3, 99, CLOCK + 2 * 10**9) + ADDRESS),
+        (Send(99, NODE, None), struct.pack("<BIQQ", 0, 3, 99, 0) + ADDRESS),
+        (Refuse(99, 0.5), struct.pack("<BIQQ", 1, 3, 99, 500_000_000)),
+        (Fail(99), struct.pack("<BIQ", 2, 3, 99)),
+        (Cancel(99, 2), struct.pack("<BIQB", 3, 3, 99, 2)),
+        (SetTimer(77, 0.5), struct.pack("<BIQQ", 4, 3, 77, 500_000_000)),
+        (Probe(NODE), struct.pack("<BI", 5, 3) + ADDRESS),
+        (CloseIdle(NODE), struct.pack("<BI", 6, 3) + ADDRESS),
+        (Tell(None, b"hi"), struct.pack("<BIHH2s", 7, 3, 0xFFFF, 2, b"hi")),
+        (Tell(1, b"hi"), struct.pack("<BIHH2s", 7, 3, 1, 2, b"hi")),
+        (Log("hi"), struct.pack("<BIH2s", 8, 3, 2, b"hi")),
+        (Watch(True), struct.pack("<BIB", 10, 3, 1)),
+        (FetchList(), struct.pack("<BI", 11, 3)),
     ],
 )
 def test_actions(action, body):
-    assert wire.encode_action(3, action, CLOCK) == body
+    assert codec.encode_action(3, action, CLOCK) == body
 
 
 def test_fault_and_reply():
-    fault = wire.encode_fault(3, "no")
+    fault = codec.encode_fault(3, "no")
     assert fault == struct.pack("<BIH2s", 9, 3, 2, b"no")
-    assert wire.encode_reply([fault]) == struct.pack("<II", 4 + len(fault), 1) + fault
+    assert codec.encode_reply([fault]) == struct.pack("<II", 4 + len(fault), 1) + fault
 
 
 def test_empty_batch():
     sink = io.BytesIO()
-    benchlink.run(io.BytesIO(batch(0, b"")), sink)
+    adapter.run(io.BytesIO(batch(0, b"")), sink)
     assert sink.getvalue() == bytes.fromhex("0400000000000000")
 
 
 def test_very_large_batch():
     body = struct.pack("<BIQ", 9, 3, 77) * 300_000
-    assert len(wire.Reader().events(300_000, body)) == 300_000
+    assert len(codec.Reader().events(300_000, body)) == 300_000
 
 
 @pytest.mark.parametrize(
@@ -144,7 +177,7 @@
 )
 def test_malformed_input_ends_with_a_plain_message(data, says):
     done = subprocess.run(
-        [sys.executable, "-m", "stalltiller.benchlink"], input=data, capture_output=True, timeout=30
+        [sys.executable, "-m", "stalltiller.simulator.adapter"], input=data, capture_output=True, timeout=30
     )
     assert done.returncode == 2
     assert says in done.stderr.decode()
@@ -176,9 +209,14 @@
 
 
 def test_options():
-    found = wire.parse_settings(OPTIONS)
+    found = codec.parse_settings(OPTIONS)
     (cls,), (plan,) = found.classes, found.plans
-    assert (cls.aim, cls.deadline, cls.effect, cls.scope) == (0.25, 2.0, api.Effect.KEYED, api.Scope.CELL)
+    assert (cls.aim, cls.deadline, cls.effect, cls.scope) == (
+        0.25,
+        2.0,
+        Effect.KEYED,
+        Scope.CELL,
+    )
     assert cls.in_order and cls.writes and cls.keep == 4.0
     assert (plan.limit, plan.burst, plan.reservation, plan.weight) == (31.0, 41.0, 2.5, 3.0)
     assert not found.list_pushed and found.gateways == 4 and found.max_attempts == 4
@@ -187,13 +225,13 @@
 
 
 def test_absent_options_are_no_error():
-    found = wire.parse_settings("")
+    found = codec.parse_settings("")
     assert found.classes == () and found.plans == () and found.list_pushed and found.rules.ask_every is None
 
 
 def test_an_option_that_is_no_number_is_named():
-    with pytest.raises(wire.WireError, match="balancers"):
-        wire.parse_settings("balancers=many")
+    with pytest.raises(codec.WireError, match="balancers"):
+        codec.parse_settings("balancers=many")
 
 
 def init(number: int) -> bytes:
@@ -205,17 +243,17 @@
     def crash(*_args):
         raise RuntimeError("broken on purpose")
 
-    monkeypatch.setattr("stalltiller.logic.Scheduler.handle", crash)
+    monkeypatch.setattr("stalltiller.scheduling.scheduler.Scheduler.handle", crash)
     sink = io.BytesIO()
-    benchlink.run(io.BytesIO(batch(2, init(3) + struct.pack("<BIQ", 9, 3, 1))), sink)
-    assert wire.encode_fault(3, "RuntimeError: broken on purpose") in sink.getvalue()
+    adapter.run(io.BytesIO(batch(2, init(3) + struct.pack("<BIQ", 9, 3, 1))), sink)
+    assert codec.encode_fault(3, "RuntimeError: broken on purpose") in sink.getvalue()
 
 
 def test_a_restart_in_one_batch_starts_anew_and_dead_instances_stay_silent():
-    instances: dict[int, benchlink.Instance] = {}
-    benchlink.answer(instances, [(3, wire.Init(5, OPTIONS))], CLOCK)
+    instances: dict[int, adapter.Instance] = {}
+    adapter.answer(instances, [(3, codec.Init(5, OPTIONS))], CLOCK)
     before = instances[3]
-    benchlink.answer(instances, [(3, wire.Stop()), (3, wire.Init(6, OPTIONS))], CLOCK + 1)
+    adapter.answer(instances, [(3, codec.Stop()), (3, codec.Init(6, OPTIONS))], CLOCK + 1)
     assert instances[3] is not before
-    benchlink.answer(instances, [(3, wire.Stop())], CLOCK + 2)
-    assert benchlink.answer(instances, [(3, api.TimerFired(1))], CLOCK + 3) == []
+    adapter.answer(instances, [(3, codec.Stop())], CLOCK + 2)
+    assert adapter.answer(instances, [(3, TimerFired(1))], CLOCK + 3) == []
--- a/tests/test_cold_fleets.py
+++ b/tests/test_slow_start_fleets.py
@@ -10,10 +10,9 @@
 
 import pytest
 
-from stalltiller import interface as api
-from stalltiller import logic
+from stalltiller.scheduling import ListKind, NodeList, scheduler
 from tests.helpers import entry, outcome, request, request_class, rules, settings
-from tests.test_crowd import Herd
+from tests.test_contention import Herd
 
 COLD_FROM, COLD_TIME, SHARE, MEAN = 3.0, 17.0, 0.15, 2.0
 CELL = 1  # the busy one, whose warm target leaves at COLD_FROM
@@ -55,7 +54,7 @@
                 cells[0] = CELL
         self.begins = self.restarts()
 
-    def fresh(self, now: float) -> logic.Scheduler:
+    def fresh(self, now: float) -> scheduler.Scheduler:
         """A process that has just come up with the list as it is."""
         site = settings(
             gateways=self.case.gateways,
@@ -64,8 +63,8 @@
             classes=(request_class(aim=0.2, deadline=1.2),),
             rules=rules(cold_time=COLD_TIME, cold_share=SHARE, tip_time=1.0, tip_multiple=2.0),
         )
-        made = logic.Scheduler(site, self.draw.getrandbits(32), now)
-        made.handle(now, [api.NodeList(api.ListKind.CACHED, self.nodes)])
+        made = scheduler.Scheduler(site, self.draw.getrandbits(32), now)
+        made.handle(now, [NodeList(ListKind.CACHED, self.nodes)])
         return made
 
     def restarts(self) -> list[tuple[float, int]]:
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -10,19 +10,19 @@
 import orjson
 import pytest
 
-from stalltiller import interface as api
-from stalltiller import logic
+from stalltiller.daemon.process_handover import Handover
+from stalltiller.fleet import budget_lending as shares
 from stalltiller.fleet import codec as fleet_codec
-from stalltiller.fleet import shares
-from stalltiller.fleet.members import State
+from stalltiller.fleet.member_table import State
 from stalltiller.fleet.messages import Kind
 from stalltiller.leases import codec as lease_codec
 from stalltiller.leases import leases_pb2
 from stalltiller.leases.store import VoterStore, make
-from stalltiller.program.handover import Handover
 from stalltiller.protocol import nvme
-from stalltiller.recovery import word
+from stalltiller.recovery import peer_state as word
 from stalltiller.recovery.store import Store
+from stalltiller.scheduling import Message, NodeState, Tell
+from stalltiller.scheduling import scheduler as logic
 from tests.fixtures import samples
 from tests.helpers import Gateway, plan, request
 
@@ -61,7 +61,7 @@
 
 
 def test_the_recovery_store_holds_each_state_of_a_target():
-    assert {target.state for target in samples.TARGETS} == set(api.NodeState)
+    assert {target.state for target in samples.TARGETS} == set(NodeState)
 
 
 # --- Voter's store ------------------------------------------------------------------------------------
@@ -193,7 +193,7 @@
     assert DATAGRAMS["recovery"].keys() == samples.RECOVERY_MESSAGES.keys()
     known = set(typing.get_args(typing.get_type_hints(word.decode)["return"]))
     assert {type(each) for each in samples.RECOVERY_MESSAGES.values()} == known
-    assert {change.state for change in samples.CHANGES} == set(api.NodeState)
+    assert {change.state for change in samples.CHANGES} == set(NodeState)
 
 
 # --- Tokens among schedulers --------------------------------------------------------------------------
@@ -212,8 +212,8 @@
 def test_a_scheduler_answers_the_ask_with_the_grant():
     gateway = Gateway(may_message=True, plans=(plan(limit=100.0, burst=50.0),))
     gateway.feed(10.0, request(1, volume=17, hosts=2))
-    told = gateway.feed(10.1, api.Message(1, fixture_bytes("tokens", "ask")))
-    assert told == [api.Tell(1, fixture_bytes("tokens", "grant"))]
+    told = gateway.feed(10.1, Message(1, fixture_bytes("tokens", "ask")))
+    assert told == [Tell(1, fixture_bytes("tokens", "grant"))]
 
 
 # --- NVMe PDUs ----------------------------------------------------------------------------------------
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from stalltiller.fronts.directory import WatchCodec
+from stalltiller.adapters.target_directory import WatchCodec
 from stalltiller.protocol import http
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.watch import TOLD_AFTER, Pace, Watch
-from tests.jumping import run_on_jumping_clock
-from tests.standins import Standin, read_message
+from tests.simulated_clock import run_on_jumping_clock
+from tests.stand_ins import Standin, read_message
 
 LINES, KNOWN = 60, 41
 
