--- a/bench/slow_start.py
+++ b/bench/slow_start.py
@@ -16,7 +16,7 @@
 import random
 import statistics
 
-from stalltiller.fleet.budget_lending import Ask, Shares
+from stalltiller.fleet.budget_lending import BudgetLedger, BudgetRequest
 from tests.test_contention import GATEWAYS, Herd
 
 LOOK, DELAY = 0.1, 0.005  # s
@@ -29,10 +29,12 @@
     def __init__(self, seed: int, busier: float) -> None:
         super().__init__(seed, busier)
         self.now, self.looked, self.mail, self.letters = 0.0, 0.0, [], itertools.count()
-        self.shares = [Shares(GATEWAYS, 1.0, random.Random(seed * 1000 + n), -60.0) for n in range(GATEWAYS)]
+        self.shares = [
+            BudgetLedger(GATEWAYS, 1.0, random.Random(seed * 1000 + n), -60.0) for n in range(GATEWAYS)
+        ]
         self.told: list[dict[str, float]] = [{} for _ in range(GATEWAYS)]
         for n, gateway in enumerate(self.made):
-            gateway.parts = lambda key, need, n=n: self.part(n, key, need)
+            gateway.budget_fraction = lambda key, need, n=n: self.part(n, key, need)
 
     def part(self, n: int, key: str, need: float) -> float:
         self.told[n][key] = self.now
@@ -66,8 +68,8 @@
     def deliver(self, now: float) -> None:
         while self.mail and self.mail[0][0] <= now:
             at, _, one, other, what = heapq.heappop(self.mail)
-            if isinstance(what, Ask):
-                grant = self.shares[other].asked(at, str(one), what)
+            if isinstance(what, BudgetRequest):
+                grant = self.shares[other].requested_at(at, str(one), what)
                 if grant is not None:
                     heapq.heappush(self.mail, (at + DELAY, next(self.letters), other, one, grant))
             else:
@@ -83,7 +85,7 @@
         herds = [kind(seed, options.busier) for seed in range(options.seeds)]
         worst = [herd.run(18.0) for herd in herds]
         sent = [sum(units for _, units in herd.sent) for herd in herds]
-        served = statistics.mean(herd.served for herd in herds)
+        served = statistics.mean(herd.complete for herd in herds)
         print(
             json.dumps(
                 {
--- a/stalltiller/adapters/admin_api.py
+++ b/stalltiller/adapters/admin_api.py
@@ -25,13 +25,13 @@
         self._reader = http.Reader(response=False, limit=MAX_CALL)
         self._answered = False
 
-    def opened(self) -> None:
-        self._listener.arrived(self)
+    def on_connected(self) -> None:
+        self._listener.add(self)
 
-    def ended(self, error: Exception | None) -> None:
-        self._listener.left(self)
+    def on_disconnected(self, error: Exception | None) -> None:
+        self._listener.remove(self)
 
-    def received(self, data: memoryview) -> int:
+    def on_data(self, data: memoryview) -> int:
         if self._answered:
             return len(data)
         try:
@@ -43,9 +43,9 @@
             self._answer(*self._act(self._reader.head, bytes(self._reader.body)))
         return used
 
-    def overflow(self) -> None:
+    def on_buffer_full(self) -> None:
         self._answer(431)
-        self.discard()
+        self.discard_unread()
 
     def _act(self, head: http.Head, body: bytes) -> tuple[int, bytes]:
         path = head.target.partition("?")[0]
@@ -65,21 +65,21 @@
     def _answer(self, status: int, body: bytes = b"") -> None:
         self._answered = True
         self.write(http.encode_response(status, body, close=True))
-        if not self.closing:
-            self._listener.lingering(self)
+        if not self.is_closing:
+            self._listener.closing_gracefully(self)
             self.close_gracefully()
 
     # --- The listener's side ---
     def close_if_idle(self) -> bool:
         return False
 
-    def overdue(self) -> None:
+    def on_request_timeout(self) -> None:
         self.abort()
 
-    def turn_away(self) -> None:
+    def reject_requests(self) -> None:
         self.abort()
 
-    def cut_off(self) -> None:
+    def abort_partial_responses(self) -> None:
         self.abort()
 
 
--- a/stalltiller/adapters/http_server.py
+++ b/stalltiller/adapters/http_server.py
@@ -6,14 +6,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from stalltiller.adapters.pooled_target_client import ANSWER_STALL, PooledCarrier
-from stalltiller.adapters.response_stream import Relay
+from stalltiller.adapters.pooled_target_client import ANSWER_STALL, PooledTargetClient
+from stalltiller.adapters.response_stream import ResponseStream
 from stalltiller.protocol import http
 from stalltiller.protocol.platform import AnswerFields, FieldError, RequestFields
 from stalltiller.routing.engine import Engine
-from stalltiller.routing.ports import Attempt, Ending, Incoming
-from stalltiller.scheduling import Settings, Status
-from stalltiller.transport.buffers import Allowance, BufferPool
+from stalltiller.routing.ports import Attempt, AttemptResult, ClientRequest
+from stalltiller.scheduling import AttemptStatus, Settings
+from stalltiller.transport.buffers import BufferPool, MemoryBudget
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
 
@@ -70,7 +70,7 @@
 class ClientConnection(Connection):
     """One client's connection: a request at a time, each answered once."""
 
-    def __init__(self, front: HttpFront, listener: Listener) -> None:
+    def __init__(self, front: HttpServer, listener: Listener) -> None:
         super().__init__(front.buffers)
         self._front, self._listener = front, listener
         self._reader = http.Reader(response=False)
@@ -81,14 +81,14 @@
         self._stall: asyncio.TimerHandle | None = None
         self._began = 0.0  # when the request that is coming in did
         self._unread_bytes = self._body_bytes = 0  # counted in the front's allowances
-        self._relay: Relay | None = None  # the answer that is being passed on
+        self._relay: ResponseStream | None = None  # the answer that is being passed on
         self._chunked = False
         self._minor = 1
 
-    def opened(self) -> None:
-        self._listener.arrived(self)
+    def on_connected(self) -> None:
+        self._listener.add(self)
 
-    def received(self, data: memoryview) -> int:
+    def on_data(self, data: memoryview) -> int:
         if self._overrun:
             return len(data)
         if self._busy:
@@ -101,14 +101,14 @@
             return len(data)
         if self._reader.done:
             self._stalled(False)
-            self._listener.used(self)
+            self._listener.request_finished(self)
             self._handle()
         else:
             self._stalled(True)
-            self._listener.spoke(self)
+            self._listener.request_started(self)
             if self._reader.begun and not (begun or self._wanted()):
                 return len(data)
-            if not self._hold_body(self._reader.length or self._reader.received):
+            if not self._hold_body(self._reader.length or self._reader.bytes_received):
                 self._reject(503, "no memory left for the body")
                 return len(data)
         return used
@@ -131,68 +131,68 @@
         """Count a body that is coming in, or is held for its request; small ones are not counted."""
         size = size if size > SMALL else 0
         change, self._body_bytes = size - self._body_bytes, size
-        return self._front.bodies.change(change)
+        return self._front.bodies.adjust(change)
 
     @property
     def _busy(self) -> bool:
         return self._request is not None or self._relay is not None or not self.flushed
 
-    def overflow(self) -> None:
+    def on_buffer_full(self) -> None:
         """Guard against one that sends much ahead and leaves: if reading stopped, nobody would see it go, and
         what it asked for would be sent on."""
         if self._busy:
             self._overrun, self._keep = True, False
-            self.discard()
+            self.discard_unread()
         else:
             self._reject(431, "request head over the limit")
-            self.discard()
+            self.discard_unread()
 
     def resume_writing(self) -> None:
         self._forget_unread()
         super().resume_writing()
         if self._relay is not None:
-            self._relay.source.go_on()
+            self._relay.source.resume_stream()
         elif self._overrun and self._request is None:
             self.close_gracefully()
 
-    def ended(self, error: Exception | None) -> None:
-        self._listener.left(self)
+    def on_disconnected(self, error: Exception | None) -> None:
+        self._listener.remove(self)
         self._stalled(False)
         self._forget_unread()
         self._hold_body(0)
         if self._relay is not None:
-            self._relay.source.cut()
+            self._relay.source.abort_stream()
             self._relay = None
         if self._request is not None:
             number, self._request = self._request, None
-            self._front.engine.gone(number)
+            self._front.engine.cancel(number)
 
     def close_if_idle(self) -> bool:
         busy = self._request is not None or self._relay is not None or self._reader.begun or not self.flushed
-        if busy or self.half_closed or not self.quiet():  # a request may wait in the kernel's buffer
+        if busy or self.half_closed or not self.is_clean():  # a request may wait in the kernel's buffer
             return False
         self.close_gracefully()
         return True
 
     def close_gracefully(self) -> None:
-        if self.closing or self.half_closed:
+        if self.is_closing or self.half_closed:
             return
         self._stalled(False)
         self._reader.reset()
         self._hold_body(0)
-        self._listener.lingering(self)
+        self._listener.closing_gracefully(self)
         super().close_gracefully()
 
-    def left(self) -> bool:
-        return self.peer_closed()
+    def is_disconnected(self) -> bool:
+        return self.is_peer_closed()
 
-    def overdue(self) -> None:
-        if self.half_closed or self.closing or self._reader.begun:
+    def on_request_timeout(self) -> None:
+        if self.half_closed or self.is_closing or self._reader.begun:
             return  # a body has its own time
         if not self.close_if_idle():
             self._reject(408, "request not ended")
 
-    def turn_away(self) -> None:
+    def reject_requests(self) -> None:
         self._away = True
 
     def _handle(self) -> None:
@@ -204,7 +204,7 @@
             self._answer(200 if self._front.ready() else 503)
         elif self._away:
             self._keep = False
-            self.refused(self._front.advice)
+            self.reject(self._front.advice)
         else:
             try:
                 ask = self._front.fields.parse(head, body)
@@ -222,17 +222,17 @@
                 body,
                 head.fields.get("idempotency-key"),
             )
-            self._request = self._front.engine.take(
-                Incoming(
-                    ask.cls,
-                    ask.plan,
+            self._request = self._front.engine.submit(
+                ClientRequest(
+                    ask.class_index,
+                    ask.plan_index,
                     ask.volume,
                     ask.units,
-                    ask.hosts,
-                    ask.key,
+                    ask.volume_initiator_count,
+                    ask.idempotency_key,
                     ask.shard,
                     head.method == "PUT",
-                    ask.repeat,
+                    ask.is_retry,
                     ask.timeout,
                     payload,
                     self,
@@ -241,8 +241,8 @@
             )
 
     # --- The engine's answers ---
-    def served(self, answer: bytes | Relay) -> None:
-        if not isinstance(answer, Relay):
+    def complete(self, answer: bytes | ResponseStream) -> None:
+        if not isinstance(answer, ResponseStream):
             self._final(200, answer)
             return
         self._request, self._relay, answer.sink = None, answer, self
@@ -250,45 +250,45 @@
         self._chunked = answer.length is None and self._minor == 1
         self._keep = self._keep and not self._front.stopping and (answer.length is not None or self._chunked)
         self.write(http.response_head(200, answer.length, None, not self._keep, self._chunked))
-        self.part(answer.first)
+        self.write_part(answer.first)
 
-    def part(self, data: bytes) -> None:
+    def write_part(self, data: bytes) -> None:
         self.write(http.encode_chunk(data) if self._chunked else data)
-        self.expect_reading(UNREAD_LIMIT)
+        self.abort_if_unread(UNREAD_LIMIT)
 
-    def whole(self) -> None:
+    def finish_stream(self) -> None:
         self._relay = None
         if self._chunked:
             self.write(http.LAST_CHUNK)
         if not self._keep or self._front.stopping:
             self.close_gracefully()
             return
-        self._listener.used(self)
-        self.resume()
+        self._listener.request_finished(self)
+        self.resume_processing()
 
-    def broken(self) -> None:
+    def fail_stream(self) -> None:
         self._relay = None
         self.reset()
 
-    def cut_off(self) -> None:
+    def abort_partial_responses(self) -> None:
         """Guard against an answer that only the connection's end would tell to be whole."""
         if self._relay is not None:
             relay, self._relay = self._relay, None
-            relay.source.cut()
+            relay.source.abort_stream()
             self.reset()
 
-    def refused(self, retry_after: float) -> None:
+    def reject(self, retry_after: float) -> None:
         self._final(503, b"", {"Retry-After": f"{retry_after:.3f}"} if retry_after > 0 else None)
 
-    def failed(self) -> None:
+    def fail(self) -> None:
         self._final(504)
 
     def _final(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
         self._request = None
         self._hold_body(0)
-        self._listener.used(self)
+        self._listener.request_finished(self)
         self._answer(status, body, fields)
-        self.resume()
+        self.resume_processing()
 
     def _bad(self, status: int, text: str) -> None:
         """A request that was read and is not taken."""
@@ -299,17 +299,17 @@
     def _answer(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
         close = not self._keep or self._front.stopping
         self.write(http.encode_response(status, body, fields, close))
-        if not self.flushed and not self.closing:
-            self.expect_reading(UNREAD_LIMIT)
+        if not self.flushed and not self.is_closing:
+            self.abort_if_unread(UNREAD_LIMIT)
             self._unread_bytes = self.transport.get_write_buffer_size()
-            if not self._front.unread.change(self._unread_bytes):
+            if not self._front.unread.adjust(self._unread_bytes):
                 self.abort()
         if close:
             self.close_gracefully()
 
     def _forget_unread(self) -> None:
         size, self._unread_bytes = self._unread_bytes, 0
-        self._front.unread.change(-size)
+        self._front.unread.adjust(-size)
 
     def _reject(self, status: int, text: str) -> None:
         self._front.engine.counts["bad_requests"] += 1
@@ -326,14 +326,14 @@
             self._stall = None
 
     def _check_stall(self) -> None:
-        left = self._began + STALL_LIMIT + self._reader.received / SLOWEST - self._front.loop.time()
+        left = self._began + STALL_LIMIT + self._reader.bytes_received / SLOWEST - self._front.loop.time()
         if left <= 0:
             self._reject(408, "request not ended")
         else:
             self._stall = self._front.loop.call_later(max(left, 0.05), self._check_stall)
 
 
-class HttpFront:
+class HttpServer:
     """Clients over HTTP/1.1."""
 
     def __init__(
@@ -346,16 +346,16 @@
         unread: int,
         bodies: int,
     ) -> None:
-        self.unread = Allowance(unread)  # bytes of answers that clients do not read
-        self.bodies = Allowance(bodies)  # bytes of long bodies, as they come and until they are answered
+        self.unread = MemoryBudget(unread)  # bytes of answers that clients do not read
+        self.bodies = MemoryBudget(bodies)  # bytes of long bodies, as they come and until they are answered
         self.loop, self.engine, self.buffers, self.ready = loop, engine, buffers, ready
         self.ids = RecentIds(0.0)
         self.stopping = False
-        self.retune(settings)
+        self.update_settings(settings)
 
-    def retune(self, settings: Settings) -> None:
+    def update_settings(self, settings: Settings) -> None:
         self.fields = RequestFields(settings)
-        self.advice = settings.max_advice if settings.may_advise else 0.0
+        self.advice = settings.max_retry_after if settings.may_send_retry_after else 0.0
         self.ids.span = max(cls.deadline for cls in settings.classes)
 
     def connection(self, listener: Listener) -> ClientConnection:
@@ -366,22 +366,22 @@
 class TargetConnection(Connection):
     """A connection to a target that carries one attempt at a time."""
 
-    def __init__(self, carrier: HttpCarrier) -> None:
+    def __init__(self, carrier: HttpTargetClient) -> None:
         super().__init__(carrier.buffers)
         self._carrier = carrier
         self._reader = http.Reader(response=True)
         self._out = memoryview(b"")  # what of a long body is not written yet
-        self._relay: Relay | None = None
+        self._relay: ResponseStream | None = None
         self._answered: Attempt | None = None  # whose answer is being passed on
         self._held = 0  # bytes counted in the carrier's allowance
         self._begun_at = self._moved_at = 0.0  # when the answer's head came, and its last bytes
         self._stall: asyncio.TimerHandle | None = None
         self._attempt: Attempt | None = None
 
-    def carry(self, attempt: Attempt) -> None:
+    def start_exchange(self, attempt: Attempt) -> None:
         self._attempt = attempt
         payload: Payload = attempt.payload
-        left = max(0.001, attempt.expires - self._carrier.loop.time())
+        left = max(0.001, attempt.expires_at - self._carrier.loop.time())
         fields = {"Host": payload.host, "X-Request-ID": payload.request_id, "X-Timeout": f"{left:.3f}"}
         if payload.repeat_key is not None:
             fields["Idempotency-Key"] = payload.repeat_key
@@ -395,25 +395,25 @@
 
     def _write_on(self) -> None:
         """Write as much of a long body as the target takes.  Guards against a second copy of all of it."""
-        while self._out and self.flushed and not self.closing:
+        while self._out and self.flushed and not self.is_closing:
             part, self._out = self._out[:PIECE], self._out[PIECE:]
             self.write(part)
 
     def resume_writing(self) -> None:
         self.flushed = True
         self._write_on()
-        self.resume()
+        self.resume_processing()
 
-    def begun(self) -> bool:
+    def is_fully_sent(self) -> bool:
         return self.flushed and not self._out
 
-    def give_up(self) -> bool:
+    def abandon(self) -> bool:
         """What was given up in the middle of its transfer counts as run: only a break proves otherwise."""
         self._attempt, self._out = None, memoryview(b"")
         self.abort()
         return True
 
-    def received(self, data: memoryview) -> int:
+    def on_data(self, data: memoryview) -> int:
         if self._relay is not None:
             return self._pass_on(data)
         if self._attempt is None:
@@ -423,12 +423,12 @@
         try:
             used = self._reader.feed(data)
         except http.HttpError as error:
-            self._carrier.complain(self._attempt, str(error))
-            self._conclude(Ending(Status.ERROR), keep=False)
+            self._carrier.log_bad_response(self._attempt, str(error))
+            self._conclude(AttemptResult(AttemptStatus.ERROR), keep=False)
             return len(data)
         if not self._hold(len(self._reader.body)):
-            self._carrier.complain(self._attempt, "no memory left for the answer")
-            self._conclude(Ending(Status.ERROR), keep=False)
+            self._carrier.log_bad_response(self._attempt, "no memory left for the answer")
+            self._conclude(AttemptResult(AttemptStatus.ERROR), keep=False)
             return len(data)
         self._moved_at = self._carrier.loop.time()
         if not begun:
@@ -451,23 +451,25 @@
             return False
         enough = SMALL if self._reader.length is None else RELAY_FROM
         slow = self._moved_at - self._begun_at >= RELAY_AFTER
-        return self._reader.received > enough or (slow and self._reader.received > 0)
+        return self._reader.bytes_received > enough or (slow and self._reader.bytes_received > 0)
 
     def _begin_relay(self) -> None:
         """Pass the answer on from here.  For the engine the attempt is over: the target has done its work."""
         told = self._carrier.fields.parse(self._reader.head)
-        if told.status is not Status.OK:
-            self._conclude(Ending(told.status), keep=False)  # nobody wants the text of a long error
+        if told.status is not AttemptStatus.OK:
+            self._conclude(AttemptResult(told.status), keep=False)  # nobody wants the text of a long error
             return
         attempt, self._attempt = self._attempt, None
         self._answered, self._moved_at = attempt, self._carrier.loop.time()
-        relay = self._relay = Relay(self, self._reader.length, self._reader.drain())
+        relay = self._relay = ResponseStream(self, self._reader.length, self._reader.drain())
         self._hold(0)
-        self._carrier.pool.used(attempt, False)
+        self._carrier.pool.record_use(attempt, False)
         self._carrier.engine.counts["relayed"] += 1
-        self._carrier.engine.ended(attempt, Ending(told.status, relay, told.others, told.report))
+        self._carrier.engine.attempt_finished(
+            attempt, AttemptResult(told.status, relay, told.other_units, told.report)
+        )
         if relay.sink is None:  # its client had left
-            self.cut()
+            self.abort_stream()
         elif not relay.wants_more:
             self._pause()
         self._watch_relay()
@@ -482,12 +484,12 @@
         try:
             used = self._reader.feed(data)
         except http.HttpError as error:
-            self._carrier.complain(self._answered, str(error))
+            self._carrier.log_bad_response(self._answered, str(error))
             self._break_off()
             return len(data)
         part, done = self._reader.drain(), self._reader.done
         if part:
-            self._relay.sink.part(part)
+            self._relay.sink.write_part(part)
         if done:
             self._end_relay(self._reader.head.keeps_alive() and self.flushed and not self._out)
         elif self._relay is not None and not self._relay.wants_more:
@@ -498,25 +500,25 @@
         relay, self._relay = self._relay, None
         attempt, self._answered = self._answered, None
         self._reader.reset()
-        if keep and not self.closing:
+        if keep and not self.is_closing:
             self._carrier.pool.release(attempt, self)
         else:
             self.abort()
         if relay is not None:
-            relay.sink.whole()
+            relay.sink.finish_stream()
 
     def _break_off(self) -> None:
         """The rest of an answer that was begun will not come."""
         relay, self._relay = self._relay, None
         self._carrier.engine.counts["broken_off"] += 1
         self.abort()
-        relay.sink.broken()
+        relay.sink.fail_stream()
 
-    def go_on(self) -> None:
+    def resume_stream(self) -> None:
         self._moved_at = self._carrier.loop.time()
-        self.resume()
+        self.resume_processing()
 
-    def cut(self) -> None:
+    def abort_stream(self) -> None:
         self._relay = None
         self.abort()
 
@@ -526,7 +528,7 @@
         if self._relay is not None:
             waits = self._relay.wants_more and self._carrier.loop.time() - self._moved_at >= RELAY_STALL
             if waits:
-                self._carrier.complain(self._answered, "the answer stopped short")
+                self._carrier.log_bad_response(self._answered, "the answer stopped short")
                 self._break_off()
             else:
                 self._watch_relay()
@@ -537,22 +539,22 @@
         if left > 0:
             self._stall = self._carrier.loop.call_later(left, self._check_stall)
             return
-        self._carrier.complain(self._attempt, "the answer stopped short")
-        self._conclude(Ending(Status.ERROR), keep=False)
+        self._carrier.log_bad_response(self._attempt, "the answer stopped short")
+        self._conclude(AttemptResult(AttemptStatus.ERROR), keep=False)
 
     def _hold(self, size: int) -> bool:
         change, self._held = size - self._held, size
-        return self._carrier.allowance.change(change)
+        return self._carrier.allowance.adjust(change)
 
-    def overflow(self) -> None:
-        self._carrier.complain(self._attempt, "answer head over the limit")
-        self._conclude(Ending(Status.ERROR), keep=False)
+    def on_buffer_full(self) -> None:
+        self._carrier.log_bad_response(self._attempt, "answer head over the limit")
+        self._conclude(AttemptResult(AttemptStatus.ERROR), keep=False)
 
     def eof_received(self) -> bool:
         self.abort()  # not close(): that would go on writing to a target that has stopped
         return False
 
-    def ended(self, error: Exception | None) -> None:
+    def on_disconnected(self, error: Exception | None) -> None:
         whole = error is None and self._reader.begun and self._reader.finish()  # a reset ends nothing well
         if self._relay is not None:
             if whole:
@@ -568,31 +570,35 @@
             return
         # Only a break before the last byte was written proves that the target never began.
         never = (not self.flushed or bool(self._out)) and not self._reader.begun
-        self._conclude(Ending(Status.CONNECT_FAILED if never else Status.RESET), keep=False)
+        self._conclude(
+            AttemptResult(AttemptStatus.CONNECT_FAILED if never else AttemptStatus.RESET), keep=False
+        )
 
     def _finish(self) -> None:
         head = self._reader.head
         told = self._carrier.fields.parse(head)
-        answer = bytes(self._reader.body) if told.status is Status.OK else None
+        answer = bytes(self._reader.body) if told.status is AttemptStatus.OK else None
         # An answer that came before the request was out leaves the connection in no known state.
         keep = head.keeps_alive() and self._reader.done and self.flushed and not self._out
-        self._conclude(Ending(told.status, answer, told.others, told.report), keep)
+        self._conclude(AttemptResult(told.status, answer, told.other_units, told.report), keep)
 
-    def _conclude(self, ending: Ending, keep: bool) -> None:
+    def _conclude(self, ending: AttemptResult, keep: bool) -> None:
         attempt, self._attempt = self._attempt, None
         self._out = memoryview(b"")
-        self._carrier.pool.used(attempt, ending.status is Status.RESET and not self._reader.begun)
+        self._carrier.pool.record_use(
+            attempt, ending.status is AttemptStatus.RESET and not self._reader.begun
+        )
         self._reader.reset()
         self._hold(0)
-        if keep and not self.closing:
+        if keep and not self.is_closing:
             self._carrier.pool.release(attempt, self)
         else:
-            attempt.wire = None
+            attempt.channel = None
             self.abort()
-        self._carrier.engine.ended(attempt, ending)
+        self._carrier.engine.attempt_finished(attempt, ending)
 
 
-class HttpCarrier(PooledCarrier):
+class HttpTargetClient(PooledTargetClient):
     """Carries attempts to targets over HTTP/1.1."""
 
     def __init__(
@@ -608,10 +614,10 @@
         memory: int,
     ) -> None:
         super().__init__(loop, engine, buffers, connect_timeout, idle_limit, most, log, REST)
-        self.allowance = Allowance(memory)
-        self.retune(settings)
+        self.allowance = MemoryBudget(memory)
+        self.update_settings(settings)
 
-    def retune(self, settings: Settings) -> None:
+    def update_settings(self, settings: Settings) -> None:
         self.fields = AnswerFields(settings)
 
     async def connect(self, host: str, port: int) -> TargetConnection:
--- a/stalltiller/adapters/nvme_controller.py
+++ b/stalltiller/adapters/nvme_controller.py
@@ -13,9 +13,9 @@
 from stalltiller.adapters.nvme_mapping import Mapping, Namespace, Payload
 from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
-from stalltiller.routing.ports import Incoming
+from stalltiller.routing.ports import ClientRequest
 from stalltiller.scheduling import Settings
-from stalltiller.transport.buffers import Allowance, BufferPool
+from stalltiller.transport.buffers import BufferPool, MemoryBudget
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
 
@@ -40,29 +40,29 @@
     def write(self) -> bool:
         return self.command.opcode == nvme.WRITE
 
-    def served(self, answer: bytes) -> None:
+    def complete(self, answer: bytes) -> None:
         if answer:
             self.queue.write(nvme.data_pdu(nvme.C2H_DATA, self.command.cid, 0, 0, answer))
-        self.complete()
+        self.send_completion()
 
-    def refused(self, retry_after: float) -> None:
+    def reject(self, retry_after: float) -> None:
         """Retryable, with the delay nearest above the advice; nothing of the command was done."""
-        self.complete(nvme.NOT_READY, delay=self.queue.front.delay_index(retry_after))
+        self.send_completion(nvme.NOT_READY, delay=self.queue.front.delay_index(retry_after))
 
-    def failed(self) -> None:
+    def fail(self) -> None:
         """A write may have run: the host must not repeat it on its own."""
-        self.complete(nvme.INTERNAL, no_retry=self.write)
+        self.send_completion(nvme.INTERNAL, no_retry=self.write)
 
-    def left(self) -> bool:
-        return self.queue.peer_closed()
+    def is_disconnected(self) -> bool:
+        return self.queue.is_peer_closed()
 
-    def complete(self, status: int = nvme.OK, delay: int = 0, no_retry: bool = False) -> None:
+    def send_completion(self, status: int = nvme.OK, delay: int = 0, no_retry: bool = False) -> None:
         self.forget()
         self.queue.complete(nvme.Completion(self.command.cid, status, 0, delay, no_retry))
 
     def forget(self) -> None:
         if self.queue.commands.pop(self.command.cid, None) is not None:
-            self.queue.front.held.change(-self.size)
+            self.queue.front.held.adjust(-self.size)
         if self.stall is not None:
             self.stall.cancel()
 
@@ -72,13 +72,13 @@
         if self.stall is not None and self.number is None:
             self.queue.orphans[self.command.cid] = self.size - len(self.data)
         if self.number is not None:
-            self.queue.front.engine.gone(self.number)
+            self.queue.front.engine.cancel(self.number)
 
 
 class Association:
     """A client's controller: its queues, its properties and its keep alive time."""
 
-    def __init__(self, front: NvmeFront, number: int, keep_alive: float) -> None:
+    def __init__(self, front: NvmeController, number: int, keep_alive: float) -> None:
         self.front, self.number, self.keep_alive = front, number, keep_alive
         self.queues: dict[int, HostQueue] = {}
         self.enabled = self.shut = False
@@ -123,7 +123,7 @@
 class HostQueue(Connection):
     """One of a client's connections: a queue of its association once Connect has named it."""
 
-    def __init__(self, front: NvmeFront, listener: Listener) -> None:
+    def __init__(self, front: NvmeController, listener: Listener) -> None:
         super().__init__(front.buffers)
         self.front, self._listener = front, listener
         self._reader = nvme.PduReader(nvme.FROM_HOST)
@@ -136,12 +136,12 @@
         self.orphans: dict[int, int] = {}  # bytes still to come for aborted writes, by command id
 
     # --- Connection ---
-    def opened(self) -> None:
-        self._listener.arrived(self)
+    def on_connected(self) -> None:
+        self._listener.add(self)
 
-    def ended(self, error: Exception | None) -> None:
+    def on_disconnected(self, error: Exception | None) -> None:
         self._count_unread(0)
-        self._listener.left(self)
+        self._listener.remove(self)
         if self.association is not None:
             self.association.end()
 
@@ -153,37 +153,37 @@
         return True
 
     def close_gracefully(self) -> None:
-        if not self.closing and not self.half_closed:
-            self._listener.lingering(self)
+        if not self.is_closing and not self.half_closed:
+            self._listener.closing_gracefully(self)
             super().close_gracefully()
 
-    def overflow(self) -> None:
+    def on_buffer_full(self) -> None:
         """Wait until its completions are read.  Guards against a host that leaves meanwhile: it is not seen
         to go by reading, and its commands would be sent on."""
         super().overflow()
         self._look_for_end()
 
     def _look_for_end(self) -> None:
-        if self._paused and not self.closing:
-            if self.peer_closed():
+        if self._paused and not self.is_closing:
+            if self.is_peer_closed():
                 self.abort()
             else:
                 self.front.loop.call_later(END_LOOK, self._look_for_end)
 
-    def cut_off(self) -> None: ...  # a command's end is told by its completion alone
+    def abort_partial_responses(self) -> None: ...  # a command's end is told by its completion alone
 
-    def overdue(self) -> None:
+    def on_request_timeout(self) -> None:
         self.abort()  # its Connect did not come in time
 
-    def turn_away(self) -> None:
+    def reject_requests(self) -> None:
         self.abort()
 
-    def received(self, data: memoryview) -> int:
+    def on_data(self, data: memoryview) -> int:
         if not self.flushed:
             return 0  # a host that does not read its completions gets no further commands taken
         try:
             used, found = self._reader.feed(data)
-            self._listener.spoke(self)
+            self._listener.request_started(self)
             if found is not None:
                 self._take(found)
         except nvme.PduError as error:
@@ -193,11 +193,11 @@
 
     def pause_writing(self) -> None:
         super().pause_writing()
-        self.expect_reading(UNREAD_LIMIT)
+        self.abort_if_unread(UNREAD_LIMIT)
 
     def _count_unread(self, size: int) -> bool:
         change, self._unread_bytes = size - self._unread_bytes, size
-        return self.front.unread.change(change)
+        return self.front.unread.adjust(change)
 
     def resume_writing(self) -> None:
         self._count_unread(0)
@@ -212,7 +212,7 @@
         self.write(nvme.completion(done, self.number, self._head))
         if (
             not self.flushed
-            and not self.closing
+            and not self.is_closing
             and not self._count_unread(self.transport.get_write_buffer_size())
         ):
             self.abort()
@@ -286,7 +286,7 @@
                 or not 2 <= entries <= nvme.IO_ENTRIES
             ):
                 return nvme.BAD_CONNECT, 0
-        self._listener.used(self)
+        self._listener.request_finished(self)
         self.association, self.number, self.entries = association, number, entries
         association.queues[number] = self
         self.complete(nvme.Completion(command.cid, result=association.number))
@@ -374,8 +374,8 @@
             self.complete(nvme.Completion(command.cid, status, no_retry=True))
             return
         io = IoCommand(self, command, space, self.front.loop.time())
-        if not self.front.held.change(io.size) or self.front.engine.open >= MAX_COMMANDS:
-            self.front.held.change(-io.size)
+        if not self.front.held.adjust(io.size) or self.front.engine.open_request_count >= MAX_COMMANDS:
+            self.front.held.adjust(-io.size)
             self.complete(nvme.Completion(command.cid, nvme.NOT_READY, delay=3))
             return
         self.commands[command.cid] = io
@@ -410,7 +410,7 @@
         self.association.end()
 
 
-class NvmeFront:
+class NvmeController:
     """Clients over NVMe/TCP."""
 
     def __init__(
@@ -427,15 +427,15 @@
         self.loop, self.engine, self.buffers, self.log = loop, engine, buffers, log
         self.name = name
         self.stopping = False
-        self.held = Allowance(memory)  # data of the commands under way; past it commands are refused
-        self.unread = Allowance(memory)  # what hosts leave unread; past it their connections end
+        self.held = MemoryBudget(memory)  # data of the commands under way; past it commands are refused
+        self.unread = MemoryBudget(memory)  # what hosts leave unread; past it their connections end
         self.associations: dict[int, Association] = {}
         self._numbers = itertools.cycle(range(1, 0xFFF0))
-        self.retune(settings, mapping)
+        self.update_settings(settings, mapping)
 
-    def retune(self, settings: Settings, mapping: Mapping) -> None:
+    def update_settings(self, settings: Settings, mapping: Mapping) -> None:
         self.mapping = mapping
-        longest = max(1, int(settings.max_advice * 10)) if settings.may_advise else 1
+        longest = max(1, int(settings.max_retry_after * 10)) if settings.may_send_retry_after else 1
         self.delays = (1, max(1, longest // 2), longest)  # units of 100 ms
 
     def connection(self, listener: Listener) -> HostQueue:
@@ -464,8 +464,8 @@
             bytes(io.data),
             0 if io.write else io.size,
         )
-        io.number = self.engine.take(
-            Incoming(
+        io.number = self.engine.submit(
+            ClientRequest(
                 cls,
                 space.plan,
                 space.volume,
--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -12,11 +12,11 @@
 from collections.abc import Callable
 
 from stalltiller.adapters.nvme_mapping import Mapping, Payload
-from stalltiller.adapters.pooled_target_client import ANSWER_STALL, PooledCarrier
+from stalltiller.adapters.pooled_target_client import ANSWER_STALL, PooledTargetClient
 from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
-from stalltiller.routing.ports import Attempt, Ending
-from stalltiller.scheduling import Status
+from stalltiller.routing.ports import Attempt, AttemptResult
+from stalltiller.scheduling import AttemptStatus
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.connection import Connection
 
@@ -75,7 +75,7 @@
         self._done, self._out, self._in, self._size = done, data, bytearray(), size
         self.write(encode(self._cid))
 
-    def received(self, data: memoryview) -> int:
+    def on_data(self, data: memoryview) -> int:
         try:
             used, found = self._reader.feed(data)
             if found is not None:
@@ -109,7 +109,7 @@
         self.abort()
         return False
 
-    def ended(self, error: Exception | None) -> None:
+    def on_disconnected(self, error: Exception | None) -> None:
         if self._greeting is not None and not self._greeting.done():
             self._greeting.set_exception(ConnectionResetError("the target closed the queue"))
         self._finish(None)
@@ -162,20 +162,22 @@
 class TargetAssociation:
     """A pool's channel: an association with a target, its admin queue and one I/O queue."""
 
-    def __init__(self, carrier: NvmeCarrier, admin: TargetQueue, io: TargetQueue, capsule: int) -> None:
+    def __init__(self, carrier: NvmeTargetClient, admin: TargetQueue, io: TargetQueue, capsule: int) -> None:
         self._carrier, self._admin, self._io, self._capsule = carrier, admin, io, capsule
         self._attempt: Attempt | None = None
         admin.on_end = io.on_end = self.close
         self._beat = carrier.loop.call_later(KEEP_ALIVE / 2, self._keep_alive)
 
     @property
-    def closing(self) -> bool:
-        return self._admin.closing or self._io.closing
+    def is_closing(self) -> bool:
+        return self._admin.is_closing or self._io.is_closing
 
-    def quiet(self) -> bool:
-        return not self._admin.closing and self._io.quiet()  # the admin queue may have a keep alive answered
+    def is_clean(self) -> bool:
+        return (
+            not self._admin.is_closing and self._io.is_clean()
+        )  # the admin queue may have a keep alive answered
 
-    def carry(self, attempt: Attempt) -> None:
+    def start_exchange(self, attempt: Attempt) -> None:
         self._attempt = attempt
         p: Payload = attempt.payload
         size, inside = len(p.data) or p.size, p.data if len(p.data) <= self._capsule else b""
@@ -186,10 +188,10 @@
             p.size,
         )
 
-    def begun(self) -> bool:
+    def is_fully_sent(self) -> bool:
         return True  # a capsule is enough to make a target begin
 
-    def give_up(self) -> bool:
+    def abandon(self) -> bool:
         """Any byte of a capsule sent may have made a target run it, whatever of its data has followed."""
         self._attempt = None
         self.close()
@@ -205,33 +207,35 @@
         if attempt is None:
             return
         if completion is None:
-            status = Status.RESET
+            status = AttemptStatus.RESET
         elif completion.status == nvme.OK and len(data) == attempt.payload.size:
-            status = Status.OK
+            status = AttemptStatus.OK
         elif completion.status == nvme.NOT_READY and not completion.no_retry:
-            status = Status.FULL
+            status = AttemptStatus.REJECTED
         else:
-            status = Status.ERROR
+            status = AttemptStatus.ERROR
         if self._io.error is not None:
-            status = Status.ERROR
-            self._carrier.complain(attempt, str(self._io.error))
-        self._carrier.pool.used(attempt, status is Status.RESET)
-        if completion is not None and not self.closing:
+            status = AttemptStatus.ERROR
+            self._carrier.log_bad_response(attempt, str(self._io.error))
+        self._carrier.pool.record_use(attempt, status is AttemptStatus.RESET)
+        if completion is not None and not self.is_closing:
             self._carrier.pool.release(attempt, self)
         else:
-            attempt.wire = None
+            attempt.channel = None
             self.close()
-        self._carrier.engine.ended(attempt, Ending(status, data if status is Status.OK else None))
+        self._carrier.engine.attempt_finished(
+            attempt, AttemptResult(status, data if status is AttemptStatus.OK else None)
+        )
 
     def _keep_alive(self) -> None:
         if self._admin.busy:  # the last one is not answered: the target is gone without a word
             self.close()
-        elif not self.closing:
+        elif not self.is_closing:
             self._admin.run(lambda cid: nvme.command(nvme.KEEP_ALIVE, cid), lambda done, data: None)
             self._beat = self._carrier.loop.call_later(KEEP_ALIVE / 2, self._keep_alive)
 
 
-class NvmeCarrier(PooledCarrier):
+class NvmeTargetClient(PooledTargetClient):
     """Carries attempts to targets over NVMe/TCP."""
 
     def __init__(
--- a/stalltiller/adapters/pooled_target_client.py
+++ b/stalltiller/adapters/pooled_target_client.py
@@ -6,15 +6,15 @@
 from collections.abc import Callable
 
 from stalltiller.routing.engine import Engine
-from stalltiller.routing.ports import Attempt, Ending
-from stalltiller.scheduling import NodeId, Status
+from stalltiller.routing.ports import Attempt, AttemptResult
+from stalltiller.scheduling import AttemptStatus, TargetId
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.pool import Channel, ChannelPool
 
 ANSWER_STALL = 0.1  # s that an answer may stand still once it has begun: then a read can be sent again
 
 
-class PooledCarrier:
+class PooledTargetClient:
     """Subclasses make the channels."""
 
     def __init__(
@@ -40,19 +40,19 @@
     def start(self, attempt: Attempt) -> None:
         self.pool.start(attempt)
 
-    def begun(self, attempt: Attempt) -> bool:
-        return self.pool.begun(attempt)
+    def is_fully_sent(self, attempt: Attempt) -> bool:
+        return self.pool.is_fully_sent(attempt)
 
     def abandon(self, attempt: Attempt) -> bool:
         return self.pool.abandon(attempt)
 
-    def close_idle(self, node: NodeId) -> None:
+    def close_idle(self, node: TargetId) -> None:
         self.pool.close_idle(node)
 
-    def complain(self, attempt: Attempt | None, text: str) -> None:
+    def log_bad_response(self, attempt: Attempt | None, text: str) -> None:
         """Note an answer that makes no sense: an event, and the end of that attempt alone."""
         self.engine.counts["bad_answers"] += 1
-        self._log("bad_answer", node=attempt.node if attempt else None, text=text)
+        self._log("bad_answer", node=attempt.target_id if attempt else None, text=text)
 
     def _unreachable(self, attempt: Attempt) -> None:
-        self.engine.ended(attempt, Ending(Status.CONNECT_FAILED))
+        self.engine.attempt_finished(attempt, AttemptResult(AttemptStatus.CONNECT_FAILED))
--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -12,29 +12,29 @@
 import orjson
 
 from stalltiller.adapters.admin_api import admin_listener
-from stalltiller.adapters.http_server import HttpCarrier, HttpFront
-from stalltiller.adapters.nvme_controller import NvmeFront
+from stalltiller.adapters.http_server import HttpServer, HttpTargetClient
+from stalltiller.adapters.nvme_controller import NvmeController
 from stalltiller.adapters.nvme_mapping import Mapping
-from stalltiller.adapters.nvme_target_client import NvmeCarrier
-from stalltiller.adapters.target_directory import Directory, WatchCodec
+from stalltiller.adapters.nvme_target_client import NvmeTargetClient
+from stalltiller.adapters.target_directory import TargetDirectory, WatchCodec
 from stalltiller.daemon.config import Config, ConfigError
 from stalltiller.daemon.log import JsonLog
 from stalltiller.daemon.metrics import Metrics
-from stalltiller.daemon.process_handover import Handover
-from stalltiller.daemon.settings_reload import SETTLE, between, carried
-from stalltiller.protocol.discovery import Listing
+from stalltiller.daemon.process_handover import ProcessHandover
+from stalltiller.daemon.settings_reload import SETTLE_SECONDS, merge_settings, transitional_settings
+from stalltiller.protocol.discovery import TargetList
 from stalltiller.routing.engine import Engine
-from stalltiller.scheduling import ListKind, Settings
+from stalltiller.scheduling import Settings, TargetListKind
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.listener import Listener
-from stalltiller.transport.watch import Pace, Watch
+from stalltiller.transport.watch import BackoffPollPolicy, Watch
 
 if TYPE_CHECKING:
-    from stalltiller.daemon.lease_service import Duties
-    from stalltiller.daemon.recovery_service import Comeback
+    from stalltiller.daemon.lease_service import LeaseService
+    from stalltiller.daemon.recovery_service import RecoveryService
     from stalltiller.fleet.config import FleetConfig
-    from stalltiller.fleet.membership_agent import Node
-    from stalltiller.fleet.shared_budgets import Commons
+    from stalltiller.fleet.membership_agent import MembershipAgent
+    from stalltiller.fleet.shared_budgets import SharedBudgets
 
 TURN_EVERY = 0.01  # s between looks whether the process before still takes clients
 LOOK_EVERY = 0.2  # s between looks whether the other process has taken targets out
@@ -60,7 +60,7 @@
     return f"{host}:{port}"
 
 
-class App:
+class Application:
     """One initiator on the platform."""
 
     def __init__(
@@ -79,14 +79,14 @@
             for share in (ANSWER_SHARE, BODY_SHARE, NVME_SHARE)
         )
         if config.nvme is None:
-            self.front = HttpFront(*common, config.settings, self.is_ready, answers, bodies)
-            self.carrier = HttpCarrier(*common, *channels, config.settings, answers)
+            self.server = HttpServer(*common, config.settings, self.is_ready, answers, bodies)
+            self.target_client = HttpTargetClient(*common, *channels, config.settings, answers)
         else:
-            self.front = NvmeFront(*common, config.settings, config.name, config.nvme, log, commands)
-            self.carrier = NvmeCarrier(*common, *channels, config.name, config.nvme)
-        self.engine.carrier = self.carrier
-        self._directory = Directory(self.engine, config.zones, config.kinds)
-        self._handover = Handover(config.folder, config.name)
+            self.server = NvmeController(*common, config.settings, config.name, config.nvme, log, commands)
+            self.target_client = NvmeTargetClient(*common, *channels, config.name, config.nvme)
+        self.engine.target_client = self.target_client
+        self._directory = TargetDirectory(self.engine, config.zones, config.kinds)
+        self._handover = ProcessHandover(config.folder, config.name)
         self.admin = admin_listener(
             self.buffers,
             {
@@ -95,20 +95,21 @@
                 ("PUT", "/_targets/attach"): lambda name: self._take_out(name, False),
                 ("GET", "/_fleet/status"): lambda _: self.fleet
                 and orjson.dumps(
-                    {**self.fleet.status(), **(self.comeback.status() if self.comeback else {})}
+                    {**self.fleet.status(), **(self.recovery.status() if self.recovery else {})}
                 ),
                 ("GET", "/_fleet/members"): lambda _: self.fleet and orjson.dumps(self.fleet.members()),
-                ("GET", "/_fleet/leases"): lambda _: self.duties and orjson.dumps(self.duties.status()),
+                ("GET", "/_fleet/leases"): lambda _: self.lease_service
+                and orjson.dumps(self.lease_service.status()),
                 ("PUT", "/_fleet/leave"): self._leave_fleet,
             },
         )
-        self.fleet: Node | None = None
-        self.commons: Commons | None = None
-        self.comeback: Comeback | None = None
-        self.duties: Duties | None = None
+        self.fleet: MembershipAgent | None = None
+        self.shared_budgets: SharedBudgets | None = None
+        self.recovery: RecoveryService | None = None
+        self.lease_service: LeaseService | None = None
         self._leaving: asyncio.Task | None = None
         usual = descriptors // USUAL_SHARE
-        self.listener = Listener(self.front.connection, max(16, sockets - targets), usual)
+        self.listener = Listener(self.server.connection, max(16, sockets - targets), usual)
         self._ready_at = loop.time() + READY_AFTER
         self._listed = False
         self._discovery = config.discovery
@@ -120,12 +121,14 @@
     async def run(self) -> None:
         """Serve until `stop` is set, then until all is answered."""
         config = self._config
-        self._directory.set_out(self._handover.load())
+        self._directory.set_detached(self._handover.load())
         known = config.known
         if config.recovery is not None:
-            from stalltiller.daemon.recovery_service import Comeback  # the platform's start does without it
+            from stalltiller.daemon.recovery_service import (
+                RecoveryService,
+            )  # the platform's start does without it
 
-            self.comeback = Comeback(
+            self.recovery = RecoveryService(
                 config.recovery,
                 config.name,
                 join(*config.discovery),
@@ -134,14 +137,14 @@
                 config.fleet is not None,
                 self._log,
             )
-            known = self.comeback.known(known)
+            known = self.recovery.known(known)
         if known is not None:
-            self._directory.listed(ListKind.CACHED, known)
+            self._directory.update(TargetListKind.CACHED, known)
         if config.admin is not None:
             await self.admin.open(*config.admin)
             self._log("admin", listen=join(*self.admin.address))
         moved = self._discovery != config.discovery  # by a SIGHUP meanwhile: other versions count there
-        self._watch(None if known is None or moved else known.index)
+        self._watch(None if known is None or moved else known.version)
         if config.inherited is not None:
             await self._own_turn()
         await self.listener.open(*config.listen, config.inherited)
@@ -150,14 +153,14 @@
         tasks = [self._loop.create_task(work) for work in (self._report(), self._follow())]
         metrics = Metrics(config, self.sample, self._loop)
         metrics.start()
-        if self.comeback is not None:
+        if self.recovery is not None:
             await asyncio.sleep(0)  # a turn of the loop, in which the decisions hear of the list
-            self.comeback.begin(self.is_ready)
+            self.recovery.begin(self.is_ready)
         self._log("started", listen=join(*self.listener.address))
         self.started.set()
         try:
             await self.stop.wait()
-            self._log("stopping", open=self.engine.open)
+            self._log("stopping", open=self.engine.open_request_count)
             self._leave_fleet()
             await self._drain()
         finally:
@@ -166,15 +169,15 @@
             self.admin.close()
             for task in (self._watching, *tasks):
                 task.cancel()
-            self.carrier.pool.close()
-            if self.duties is not None:
-                await self.duties.close()
-            if self.commons is not None:
-                self.commons.close()
+            self.target_client.pool.close()
+            if self.lease_service is not None:
+                await self.lease_service.close()
+            if self.shared_budgets is not None:
+                self.shared_budgets.close()
             if self.fleet is not None:
                 self.fleet.close()
-        if self.comeback is not None:
-            await self.comeback.end()
+        if self.recovery is not None:
+            await self.recovery.end()
         self._log("stopped", **self.engine.counts)
 
     async def _own_turn(self) -> None:
@@ -182,50 +185,60 @@
 
         Guards against two processes that each spend the whole of this initiator's part of the limits.
         """
-        while not self._handover.take_turn() and not self.stop.is_set():
+        while not self._handover.acquire_lock() and not self.stop.is_set():
             await asyncio.sleep(TURN_EVERY)
-        self.engine.begin()
+        self.engine.activate()
 
     def _take_out(self, name: str, out: bool) -> bool:
         """Take a target out or put it back; whether it is known.  OSError: it can't be kept, so not done."""
-        if not self._directory.knows(name):
+        if not self._directory.has_target(name):
             return False
-        now = self._handover.load() if self._handover.changed() else dict(self._directory.out)
+        now = self._handover.load() if self._handover.has_changed() else dict(self._directory.detached)
         if out:
             now.setdefault(name, time.time())
         else:
             now.pop(name, None)
         self._handover.save(now)
-        self._directory.set_out(now)
+        self._directory.set_detached(now)
         self._log("taken_out" if out else "put_back", target=name)
         return True
 
     async def _join_fleet(self, config: FleetConfig) -> None:
-        from stalltiller.fleet.membership_agent import Node
-        from stalltiller.fleet.shared_budgets import Commons  # the platform's start does without them
+        from stalltiller.fleet.membership_agent import MembershipAgent
+        from stalltiller.fleet.shared_budgets import SharedBudgets  # the platform's start does without them
 
         settings = self.engine.settings
-        self.fleet = Node(
-            self._config.name, config, self.buffers, self._log, lambda: self.engine.open, settings.gateway
+        self.fleet = MembershipAgent(
+            self._config.name,
+            config,
+            self.buffers,
+            self._log,
+            lambda: self.engine.open_request_count,
+            settings.initiator_index,
         )
         await self.fleet.open()
-        if self.comeback is not None:
-            self.comeback.joined(self.fleet)
+        if self.recovery is not None:
+            self.recovery.joined(self.fleet)
         if config.share:
-            self.commons = Commons(self.fleet, settings.gateways, settings.rules.tip_time, self.engine.heard)
-            self.engine.join(self.commons)
+            self.shared_budgets = SharedBudgets(
+                self.fleet,
+                settings.initiator_count,
+                settings.rules.overload_window,
+                self.engine.handle_peer_message,
+            )
+            self.engine.set_peer_network(self.shared_budgets)
         if self._config.leases is not None:
-            from stalltiller.daemon.lease_service import Duties
+            from stalltiller.daemon.lease_service import LeaseService
 
-            self.duties = Duties(self._config.name, self._config.leases, self.fleet, self._log)
+            self.lease_service = LeaseService(self._config.name, self._config.leases, self.fleet, self._log)
 
     def _leave_fleet(self, _: str = "") -> bool:
         """Have the others know that this one leaves; it serves on meanwhile."""
         if self.fleet is None:
             return False
         if self._leaving is None:
-            if self.duties is not None:
-                self.duties.release()
+            if self.lease_service is not None:
+                self.lease_service.release()
             self._leaving = self._loop.create_task(self.fleet.leave())
         return True
 
@@ -233,8 +246,8 @@
         """Do as the other process of this initiator was told, while there are two."""
         while True:
             await asyncio.sleep(LOOK_EVERY)
-            if self._handover.changed():
-                self._directory.set_out(self._handover.load())
+            if self._handover.has_changed():
+                self._directory.set_detached(self._handover.load())
 
     async def _drain(self) -> None:
         """Serve on, then close connection by connection, and end when nothing is left or time is up.
@@ -248,27 +261,27 @@
         if self._config.inherited is not None:
             # Whoever holds the socket next serves what comes on new connections; here each answer ends one.
             await self.listener.stop(take_in=False)
-            self.front.stopping = True
-            self.engine.retire()
-            self._handover.end_turn()
+            self.server.stopping = True
+            self.engine.deactivate()
+            self._handover.release_lock()
         await asyncio.sleep(STILL_LISTENING)
         while self._loop.time() < end - CLOSING_TIME and self._in_use():
             await asyncio.sleep(0.02)
         # What waits to be accepted now is served too.
         await self.listener.stop(take_in=self._config.inherited is None)
-        self.front.stopping = True  # from now on each answer ends its connection
+        self.server.stopping = True  # from now on each answer ends its connection
         while self._loop.time() < end and self._in_use():
             self.listener.close_idle()
             await asyncio.sleep(0.02)
-        self.engine.close_out()
+        self.engine.finish_all()
         while self._loop.time() < end + LAST_WORDS and len(self.listener):
             self.listener.close_idle()
             await asyncio.sleep(0.01)
-        self.listener.cut_off()
+        self.listener.abort_partial_responses()
         await asyncio.sleep(0)
 
     def _in_use(self) -> bool:
-        return self.engine.open > 0 or len(self.listener) > 0
+        return self.engine.open_request_count > 0 or len(self.listener) > 0
 
     def reload(self, read: Callable[[], Config]) -> None:
         """Read the configuration anew; a new address of discovery is watched at once, from its whole list on.
@@ -287,20 +300,22 @@
             return
         if (self._config.nvme is None) != (config.nvme is None):
             config = replace(config, nvme=self._config.nvme)  # another wire waits for the next start
-        config = replace(config, settings=carried(self.engine.settings, config.settings))
+        config = replace(config, settings=merge_settings(self.engine.settings, config.settings))
         address = config.discovery
         self._log("reloaded", discovery=join(*address), classes=[cls.name for cls in config.settings.classes])
         settling = self._settling is not None  # what the file before brought does not hold in full yet
         if settling:
             self._settling.cancel()
         if settling or config.settings != self.engine.settings or config.nvme != self._config.nvme:
-            self._retune(between(self.engine.settings, config.settings))
-            self._settling = self._loop.call_later(SETTLE, self._settled, config.settings, config.nvme)
+            self._retune(transitional_settings(self.engine.settings, config.settings))
+            self._settling = self._loop.call_later(
+                SETTLE_SECONDS, self._settled, config.settings, config.nvme
+            )
         self._config = config
         if address != self._discovery:
             self._discovery = address
-            if self.comeback is not None:
-                self.comeback.moved(join(*address))
+            if self.recovery is not None:
+                self.recovery.moved(join(*address))
             if self._watching is not None:
                 self._watching.cancel()
                 self._watch()
@@ -310,45 +325,49 @@
         self._retune(settings, mapping)
 
     def _retune(self, settings: Settings, mapping: Mapping | None = None) -> None:
-        self.engine.retune(settings)
-        if isinstance(self.front, NvmeFront):
-            self.front.retune(settings, mapping or self.front.mapping)
+        self.engine.update_settings(settings)
+        if isinstance(self.server, NvmeController):
+            self.server.update_settings(settings, mapping or self.server.mapping)
         else:
-            self.front.retune(settings)
-            self.carrier.retune(settings)
+            self.server.update_settings(settings)
+            self.target_client.update_settings(settings)
 
     def _watch(self, index: int | None = None) -> None:
         """Watch discovery from a version of its list on; versions of one address mean nothing to another."""
         settings = self.engine.settings
-        limit = settings.rules.ask_every
-        pace = Pace() if settings.list_pushed or not limit else Pace.asking(limit)
+        limit = settings.rules.list_poll_interval
+        pace = (
+            BackoffPollPolicy()
+            if settings.list_pushed or not limit
+            else BackoffPollPolicy.for_remote_discovery(limit)
+        )
         codec = WatchCodec(
             join(*self._discovery),
             self._took_list,
-            pace.wait,
+            pace.poll_wait,
             index,
-            self.comeback is not None and self.comeback.first_waits,
+            self.recovery is not None and self.recovery.first_waits,
         )
-        pacing = pace if self.comeback is None else self.comeback.pace(pace)
+        pacing = pace if self.recovery is None else self.recovery.pace(pace)
         watch = Watch(self._discovery, self.buffers, codec, pacing, self._watch_failed)
         self._watching = self._loop.create_task(watch.run())
 
     def is_ready(self) -> bool:
         ready = self._listed or self._loop.time() >= self._ready_at
-        return ready and (self.comeback is None or self.comeback.is_ready())
+        return ready and (self.recovery is None or self.recovery.is_ready())
 
-    def _took_list(self, listing: Listing) -> None:
+    def _took_list(self, listing: TargetList) -> None:
         self._listed = True
-        if self.comeback is not None:
-            self.comeback.took(listing)
-        if listing.targets or listing.whole:
+        if self.recovery is not None:
+            self.recovery.took(listing)
+        if listing.targets or listing.is_full:
             self._log(
                 "list",
-                index=listing.index,
-                whole=listing.whole,
-                targets={target.name: target.state.value for target in listing.targets},
+                index=listing.version,
+                whole=listing.is_full,
+                targets={target.name: target.status.value for target in listing.targets},
             )
-            self._directory.listed(ListKind.FULL if listing.whole else ListKind.DELTA, listing)
+            self._directory.update(TargetListKind.FULL if listing.is_full else TargetListKind.DELTA, listing)
 
     def _watch_failed(self, error: Exception) -> None:
         self.engine.counts["watch_failures"] += 1
@@ -363,14 +382,14 @@
         """All figures: gauges as in GAUGES, the others only ever rise."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return {
-            "open": self.engine.open,
+            "open": self.engine.open_request_count,
             "clients": len(self.listener),
-            "shed": self.listener.shed,
-            "connections": self.carrier.pool.opened,
+            "shed": self.listener.shed_count,
+            "connections": self.target_client.pool.opened_count,
             "memory_kb": usage.ru_maxrss,
             "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000),
             "log_dropped": self._log.dropped,
-            **(self.comeback.figures() if self.comeback is not None else {}),
-            **(self.duties.totals() if self.duties is not None else {}),
+            **(self.recovery.figures() if self.recovery is not None else {}),
+            **(self.lease_service.totals() if self.lease_service is not None else {}),
             **self.engine.counts,
         }
--- a/stalltiller/daemon/config.py
+++ b/stalltiller/daemon/config.py
@@ -48,7 +48,7 @@
     seed: int
     sockets: int
     memory: int  # bytes
-    known: discovery.Listing | None
+    known: discovery.TargetList | None
     settings: Settings
     zones: list[str]
     kinds: list[str]
@@ -187,7 +187,7 @@
     if data.get("admin"):
         more["admin"] = _address(data["admin"], "admin")
     try:
-        known = discovery.listing(data["known"]) if data.get("known") else None
+        known = discovery.parse_target_list_value(data["known"]) if data.get("known") else None
     except discovery.DiscoveryError as error:
         raise ConfigError(f"known: {error}") from error
     limits, most = nested.get("limits"), data.get("limits")
@@ -330,7 +330,7 @@
         if line["class"] not in classes:
             raise ConfigError(f"opcode {name}: class not known: {line['class']}")
         cls = classes[line["class"]]
-        if settings.classes[cls].writes is (not write):
+        if settings.classes[cls].is_write is (not write):
             raise ConfigError(f"opcode {name}: class {line['class']} does not go with it")
         if not line["deadline_ms"] > 0:
             raise ConfigError(f"opcode {name}: deadline_ms must be above zero")
--- a/stalltiller/daemon/lease_service.py
+++ b/stalltiller/daemon/lease_service.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from stalltiller.fleet import Kind, Packet
-from stalltiller.fleet.membership_agent import Node
+from stalltiller.fleet import Packet, PacketKind
+from stalltiller.fleet.membership_agent import MembershipAgent
 from stalltiller.leases import codec
 from stalltiller.leases.client import Client
 from stalltiller.leases.store import VoterStore
@@ -28,10 +28,10 @@
     most_log: int = 2000  # entries of the log applied after which a state is put in their place
 
 
-class Duties:
+class LeaseService:
     """This instance's part: a voter, if it is one, and a client that tries to hold each duty."""
 
-    def __init__(self, name: str, config: LeaseConfig, node: Node, log: Log) -> None:
+    def __init__(self, name: str, config: LeaseConfig, node: MembershipAgent, log: Log) -> None:
         """Begin; raises OSError if this is a voter whose store is missing or another's."""
         self._name, self._node, self._loop = name, node, asyncio.get_running_loop()
         self.voter: Voter | None = None
@@ -44,8 +44,10 @@
                 log,
                 most_log=config.most_log,
             )
-        node.takes[Kind.LEASES] = self._heard
-        self.client = Client(name, node.swim.me.start, config.voters, {TOTALS: config.ttl}, self._send, log)
+        node.handlers[PacketKind.LEASES] = self._heard
+        self.client = Client(
+            name, node.swim.me.start_time_ms, config.voters, {TOTALS: config.ttl}, self._send, log
+        )
 
     def totals(self) -> dict[str, float]:
         """The fleet's totals, if it is this one's duty to tell them."""
@@ -69,7 +71,7 @@
             self.voter.go()
 
     async def close(self) -> None:
-        self._node.takes.pop(Kind.LEASES, None)
+        self._node.handlers.pop(PacketKind.LEASES, None)
         if self.voter is not None:
             await self.voter.close()
 
@@ -79,7 +81,9 @@
             return
         member = self._node.swim.table.known.get(to)
         if member is not None:  # dead or not: it may be back before it is known
-            self._node.send(member.address, Packet(Kind.LEASES, self._node.swim.me, body=codec.encode(said)))
+            self._node.send(
+                member.address, Packet(PacketKind.LEASES, self._node.swim.me, body=codec.encode(said))
+            )
 
     def _heard(self, packet: Packet) -> None:
         try:
--- a/stalltiller/daemon/peer_state_exchange.py
+++ b/stalltiller/daemon/peer_state_exchange.py
@@ -6,9 +6,9 @@
 import random
 from collections.abc import Callable
 
-from stalltiller.fleet import Kind, Packet
+from stalltiller.fleet import Packet, PacketKind
 from stalltiller.fleet.member_table import Address
-from stalltiller.fleet.membership_agent import Node
+from stalltiller.fleet.membership_agent import MembershipAgent
 from stalltiller.recovery.peer_state import Ask, Malformed, Word, decode, encode
 
 ASK_EVERY = 0.25  # s between asks, while there is something to ask
@@ -16,7 +16,7 @@
 ANSWERS_PER_S = 100  # given; more asks are lost
 
 
-class PeerWord:
+class PeerStateExchange:
     """Asks some peers as long as `ask` gives a question, answers theirs with `answer`, hands on to `heard`.
 
     `kept` are addresses of peers from before, asked while no member is known to run.
@@ -24,7 +24,7 @@
 
     def __init__(
         self,
-        node: Node,
+        node: MembershipAgent,
         kept: list[Address],
         ask: Callable[[], Ask | None],
         answer: Callable[[Ask], Word | None],
@@ -34,12 +34,12 @@
         self._ask, self._answer, self._heard = ask, answer, heard
         self._loop = asyncio.get_running_loop()
         self._second, self._answers = 0, 0
-        node.takes[Kind.RECOVERY] = self._received
+        node.handlers[PacketKind.RECOVERY] = self._received
         self._timer = self._loop.call_soon(self._look)
 
     def close(self) -> None:
         self._timer.cancel()
-        self._node.takes.pop(Kind.RECOVERY, None)
+        self._node.handlers.pop(PacketKind.RECOVERY, None)
 
     def _look(self) -> None:
         self._timer = self._loop.call_later(ASK_EVERY, self._look)
@@ -52,7 +52,7 @@
 
     def _send(self, address: Address, said: Ask | Word) -> None:
         for body in encode(said):
-            self._node.send(address, Packet(Kind.RECOVERY, self._node.swim.me, body=body))
+            self._node.send(address, Packet(PacketKind.RECOVERY, self._node.swim.me, body=body))
 
     def _received(self, packet: Packet) -> None:
         try:
--- a/stalltiller/daemon/process_handover.py
+++ b/stalltiller/daemon/process_handover.py
@@ -10,7 +10,7 @@
 import orjson
 
 
-class Handover:
+class ProcessHandover:
     """Two files in a folder that the processes of one initiator share; without a folder nothing is kept."""
 
     def __init__(self, folder: str | None, name: str) -> None:
@@ -21,7 +21,7 @@
         self._held: int | None = None  # descriptor of the lock
 
     # --- Targets taken out --------------------------------------------------------------------------
-    def changed(self) -> bool:
+    def has_changed(self) -> bool:
         """Whether the other process has written the file since this one last looked."""
         return self._stamp() != self._seen
 
@@ -52,7 +52,7 @@
         return None if found is None else (found.st_mtime_ns, found.st_ino)
 
     # --- The turn to take clients -------------------------------------------------------------------
-    def take_turn(self) -> bool:
+    def acquire_lock(self) -> bool:
         """Whether this process is the one to take clients; the lock ends with the process that holds it."""
         if self._lock is None or self._held is not None:
             return True
@@ -68,7 +68,7 @@
         self._held = descriptor
         return True
 
-    def end_turn(self) -> None:
+    def release_lock(self) -> None:
         if self._held is not None:
             os.close(self._held)
             self._held = None
--- a/stalltiller/daemon/recovery_coordinator.py
+++ b/stalltiller/daemon/recovery_coordinator.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from stalltiller.adapters.target_directory import Directory
-from stalltiller.daemon.admission_gate import Door
+from stalltiller.adapters.target_directory import TargetDirectory
+from stalltiller.daemon.admission_gate import RecoveryAdmissionGate
 from stalltiller.recovery import (
     Ask,
     Book,
@@ -29,10 +29,10 @@
     remember,
 )
 from stalltiller.routing.engine import Engine
-from stalltiller.transport.watch import Pace
+from stalltiller.transport.watch import BackoffPollPolicy
 
 if TYPE_CHECKING:
-    from stalltiller.fleet.membership_agent import Node
+    from stalltiller.fleet.membership_agent import MembershipAgent
 
 GATHER_EVERY = 0.1  # s between looks whether it is time to judge
 FRESH = 30.0  # s: a kept list older than this is served from once discovery or a peer has confirmed it
@@ -42,27 +42,27 @@
 Log = Callable[..., None]
 
 
-class ListPace:
+class ListPollPolicy:
     """The pace of list calls in a fleet: the first and failed ones are made in turns while many come back."""
 
-    def __init__(self, alone: Pace, returning: Returning) -> None:
+    def __init__(self, alone: BackoffPollPolicy, returning: RecoveryCoordinator) -> None:
         self._alone, self._returning = alone, returning
-        self._turns = Turns(alone.wait, random.Random())
+        self._turns = Turns(alone.poll_wait, random.Random())
 
     def timeout(self, waits: bool) -> float:
         return self._alone.timeout(waits)
 
-    def hold(self) -> float:
+    def initial_delay(self) -> float:
         return self._returning.hold(self._turns)
 
-    def pause(self, failures: int, draw: float) -> float:
+    def backoff(self, failures: int, jitter_fraction: float) -> float:
         view = self._returning.failed()
         if view.size == 1 and self._returning.herd.last_size == 1:
-            return self._alone.pause(failures, draw)
+            return self._alone.backoff(failures, jitter_fraction)
         return self._turns.again(time.time(), view, failures)
 
 
-class Returning:
+class RecoveryCoordinator:
     """One life's return.  `calm` is what was kept of before, `paces` the targets whose pace was kept."""
 
     def __init__(
@@ -70,7 +70,7 @@
         name: str,
         address: str,
         engine: Engine,
-        directory: Directory,
+        directory: TargetDirectory,
         book: Book,
         calm: Calm,
         herd: Herd,
@@ -82,14 +82,14 @@
         self._directory, self._book, self.calm, self.herd = directory, book, calm, herd
         self._loop = asyncio.get_running_loop()
         self._began = self._loop.time()
-        self._node: Node | None = None
+        self._node: MembershipAgent | None = None
         self._caution = Caution(address)
         self.taught: set[str] = set()  # targets whose pace is known from before or from a peer
         self._turned = False  # the turn of the first list call has been told
         self._confirmed = False  # by discovery: the list known is its newest
         self._told = False  # by a peer
-        self.door = Door(lambda: engine.settings, lambda: engine.targets)
-        engine.guard(self.door)
+        self.door = RecoveryAdmissionGate(lambda: engine.settings, lambda: engine.target_count)
+        engine.set_admission_gate(self.door)
 
     @property
     def age(self) -> float:
@@ -101,7 +101,7 @@
         if self._node is None:
             return View()
         members = [self._node.swim.me, *self._node.swim.table.others]
-        return View.of(self._name, {member.name: member.start / 1000 for member in members})
+        return View.of(self._name, {member.name: member.start_time_ms / 1000 for member in members})
 
     @property
     def peers(self) -> tuple[tuple[str, str, int], ...]:
@@ -109,7 +109,7 @@
         others = [] if self._node is None else self._node.swim.table.others
         return tuple((member.name, *member.address) for member in others) or self.calm.peers
 
-    def joined(self, node: Node) -> None:
+    def joined(self, node: MembershipAgent) -> None:
         """This instance is in a fleet now."""
         self._node = node
 
@@ -185,14 +185,14 @@
         if listing is None or ask.discovery != self._address:
             return None
         newer = self._book.newer(ask.index)
-        changes = [target for target in listing.targets if target.since] if newer is None else newer
-        paces, _ = self._engine.consult(remember)
+        changes = [target for target in listing.targets if target.started_at] if newer is None else newer
+        paces, _ = self._engine.inspect_scheduler(remember)
         return Word(
             self._address,
-            listing.index,
+            listing.version,
             ask.index,
             self._confirmed and newer is not None,
-            tuple(Change(target.name, target.state, target.since) for target in changes),
+            tuple(Change(target.name, target.status, target.started_at) for target in changes),
             paces,
             self.calm,
         )
@@ -202,8 +202,10 @@
         listing = self._book.listing
         if listing is None or word.discovery != self._address:
             return
-        self._told = self._told or self._caution.confirms(word, listing.index)
-        if self._caution.took(word, listing.index, {each.name: each.since for each in listing.targets}):
+        self._told = self._told or self._caution.confirms(word, listing.version)
+        if self._caution.took(
+            word, listing.version, {each.name: each.started_at for each in listing.targets}
+        ):
             self._heed()
         self.phases.learn(word.calm.share)
         if self.door.ramp is not None:
@@ -212,12 +214,12 @@
         if new and self.age < TEACH:
             self.taught |= {pace.target for pace in new}
             facts = Facts(self._name, self._address, time.time(), paces=new)
-            self._engine.consult(lambda scheduler, now, wall: recall(scheduler, facts, now, wall))
+            self._engine.inspect_scheduler(lambda scheduler, now, wall: recall(scheduler, facts, now, wall))
 
     def _heed(self) -> None:
         withheld, starts = self._caution.withheld, self._caution.starts
         self._log("recovery_heeded", withheld=sorted(withheld), started=sorted(starts))
-        self._directory.heed(withheld, starts)
+        self._directory.apply_peer_state(withheld, starts)
 
     def status(self) -> dict[str, object]:
         """What an operator may want to know."""
--- a/stalltiller/daemon/recovery_service.py
+++ b/stalltiller/daemon/recovery_service.py
@@ -9,16 +9,16 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from stalltiller.adapters.target_directory import Directory
-from stalltiller.daemon.peer_state_exchange import PeerWord
-from stalltiller.daemon.recovery_coordinator import ListPace, Returning
-from stalltiller.protocol.discovery import Listing
+from stalltiller.adapters.target_directory import TargetDirectory
+from stalltiller.daemon.peer_state_exchange import PeerStateExchange
+from stalltiller.daemon.recovery_coordinator import ListPollPolicy, RecoveryCoordinator
+from stalltiller.protocol.discovery import TargetList
 from stalltiller.recovery import Book, Calm, Facts, Herd, Phases, Refused, Store, recall, remember, usable
 from stalltiller.routing.engine import Engine
-from stalltiller.transport.watch import Pace, Pacing
+from stalltiller.transport.watch import BackoffPollPolicy, PollPolicy
 
 if TYPE_CHECKING:
-    from stalltiller.fleet.membership_agent import Node
+    from stalltiller.fleet.membership_agent import MembershipAgent
 
 LOOK_EVERY = 0.1  # s between looks at the counts
 SAVE_GAP = 0.05  # s between savings at the least, however fast the list changes
@@ -37,7 +37,7 @@
     ask_peers: float = 0.0  # for which readiness waits for word of a peer
 
 
-class Comeback:
+class RecoveryService:
     """One instance's kept state.  Saving blocks a thread of its own, never the loop."""
 
     def __init__(
@@ -46,7 +46,7 @@
         name: str,
         address: str,
         engine: Engine,
-        directory: Directory,
+        directory: TargetDirectory,
         in_fleet: bool,
         log: Log,
     ) -> None:
@@ -60,9 +60,11 @@
         self.phases = Phases(self._loop.time(), calm.share)
         paced = in_fleet and config.ramp
         # No peers are kept if it was saved before it met any.
-        size = len(calm.peers) + 1 if calm.peers else engine.settings.gateways
+        size = len(calm.peers) + 1 if calm.peers else engine.settings.initiator_count
         herd = Herd(size if paced else 1, killed=kept is None or not kept.closed)
-        self.returning = Returning(name, address, engine, directory, self._book, calm, herd, self.phases, log)
+        self.returning = RecoveryCoordinator(
+            name, address, engine, directory, self._book, calm, herd, self.phases, log
+        )
         self._paced, self._peers = paced, None
         if paced:
             self.returning.narrow()
@@ -85,28 +87,28 @@
             "recovery_loaded",
             age_s=round(now - found.saved_at, 3),
             closed=found.closed,
-            listing=None if kept.listing is None else kept.listing.index,
+            listing=None if kept.listing is None else kept.listing.version,
             paces=len(kept.paces),
             levels=len(kept.levels),
             peers=len(kept.calm.peers),
         )
         return kept
 
-    def known(self, configured: Listing | None) -> Listing | None:
+    def known(self, configured: TargetList | None) -> TargetList | None:
         """The newer of the list kept and the one that the configuration brought.
 
         Only this instance's own lists count: a target that none of them has named gets nothing.
         """
         kept = None if self._kept is None else self._kept.listing
-        if kept is not None and (configured is None or configured.index < kept.index):
+        if kept is not None and (configured is None or configured.version < kept.version):
             configured, self._heard_at = kept, self._kept.heard_at
         if configured is not None:
-            self._book.took(replace(configured, whole=True))
+            self._book.took(replace(configured, is_full=True))
         return configured
 
-    def pace(self, alone: Pace) -> Pacing:
+    def pace(self, alone: BackoffPollPolicy) -> PollPolicy:
         """The pace of list calls, from the one that an instance alone keeps."""
-        return ListPace(alone, self.returning) if self._paced else alone
+        return ListPollPolicy(alone, self.returning) if self._paced else alone
 
     @property
     def first_waits(self) -> bool:
@@ -114,11 +116,13 @@
         one call more from each that comes back would double what discovery gets."""
         return self._paced
 
-    def joined(self, node: Node) -> None:
+    def joined(self, node: MembershipAgent) -> None:
         """This instance is in a fleet: peers may be asked, and ask."""
         self.returning.joined(node)
         kept = [(host, port) for _, host, port in self.returning.calm.peers]
-        self._peers = PeerWord(node, kept, self.returning.ask, self.returning.answer, self.returning.heard)
+        self._peers = PeerStateExchange(
+            node, kept, self.returning.ask, self.returning.answer, self.returning.heard
+        )
 
     def begin(self, is_ready: Callable[[], bool]) -> None:
         """Once the decisions know the targets: give them their facts, keep new ones from now on, and look
@@ -129,19 +133,21 @@
             self.returning.taught = {pace.target for pace in kept.paces}
             self._log(
                 "recovery_recalled",
-                **self._engine.consult(lambda scheduler, now, wall: recall(scheduler, kept, now, wall)),
+                **self._engine.inspect_scheduler(
+                    lambda scheduler, now, wall: recall(scheduler, kept, now, wall)
+                ),
             )
         self._saving = self._loop.create_task(self._save_for_ever())
         self._look()
 
-    def took(self, listing: Listing) -> None:
+    def took(self, listing: TargetList) -> None:
         """Discovery has answered, if only that nothing is new."""
         self._heard_at = time.time()
-        if listing.targets or listing.whole:
+        if listing.targets or listing.is_full:
             self._news.set()  # a target told to drain stays told, should this life end now
         first = not self._book.index
         self._book.took(listing)
-        self.returning.took(listing.index, first)
+        self.returning.took(listing.version, first)
 
     def moved(self, address: str) -> None:
         """Another discovery is watched from now on: versions of the one before mean nothing to it."""
@@ -151,7 +157,7 @@
 
     def is_ready(self) -> bool:
         """Whether the list known is good enough to serve from."""
-        if not self._engine.targets or not self.returning.trusts(self._heard_at, self._config.ask_peers):
+        if not self._engine.target_count or not self.returning.trusts(self._heard_at, self._config.ask_peers):
             return False  # without a list it could only refuse
         if self.phases.ready(self._loop.time()):
             self._log("recovery_phase", phase="ramping", after_s=round(self.returning.age, 3))
@@ -214,7 +220,7 @@
         return Calm(known + SHARE_GAIN * (share - known), rates, self.returning.peers)
 
     async def _save(self, closed: bool) -> None:
-        paces, levels = self._engine.consult(remember)
+        paces, levels = self._engine.inspect_scheduler(remember)
         self.returning.calm = self._calm()
         facts = Facts(
             self._name,
--- a/stalltiller/daemon/serve.py
+++ b/stalltiller/daemon/serve.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Callable
 
-from stalltiller.daemon.application import App
+from stalltiller.daemon.application import Application
 from stalltiller.daemon.config import Config, ConfigError
 from stalltiller.daemon.log import LINES_PER_S, TRACE_LINES_PER_S, JsonLog
 
@@ -27,7 +27,7 @@
             "loop_error", message=context.get("message"), error=repr(context.get("exception"))
         )
     )
-    app = App(config, log, loop, trace)
+    app = Application(config, log, loop, trace)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, app.stop.set)
     loop.add_signal_handler(signal.SIGHUP, app.reload, reread)
--- a/stalltiller/daemon/settings_reload.py
+++ b/stalltiller/daemon/settings_reload.py
@@ -5,28 +5,28 @@
 import math
 from dataclasses import replace
 
-from stalltiller.scheduling import Effect, Scope, Settings
+from stalltiller.scheduling import DeduplicationScope, Idempotency, Settings
 
-SETTLE = 1.5  # s after SIGHUP for which clients may still go by the settings before
+SETTLE_SECONDS = 1.5  # s after SIGHUP for which clients may still go by the settings before
 WIDTH = (
-    Scope.CELL,
-    Scope.ZONE,
-    Scope.ALL,
+    DeduplicationScope.SHARD,
+    DeduplicationScope.ZONE,
+    DeduplicationScope.ALL,
 )  # where a repeat is known as one, the narrowest first
-STRICTNESS = (Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
+STRICTNESS = (Idempotency.SAFE, Idempotency.IDEMPOTENCY_KEY, Idempotency.UNSAFE)
 
 
-def carried(old: Settings, new: Settings) -> Settings:
+def merge_settings(old: Settings, new: Settings) -> Settings:
     """The new settings, in which a class that goes on is a write if it was one, and of others it is not told.
 
     Guards against settings that tell it by place and keep that list while the classes change theirs: every
     write was taken for a read, and answered 400.
     """
-    writes = {cls.name: cls.writes for cls in old.classes}
-    return replace(new, classes=tuple(replace(cls, writes=writes.get(cls.name)) for cls in new.classes))
+    writes = {cls.name: cls.is_write for cls in old.classes}
+    return replace(new, classes=tuple(replace(cls, is_write=writes.get(cls.name)) for cls in new.classes))
 
 
-def between(old: Settings, new: Settings) -> Settings:
+def transitional_settings(old: Settings, new: Settings) -> Settings:
     """What holds while either may be meant: all classes and plans of both, and the stricter of two rules.
 
     Guards against refusing what the one names and the other does not, and against repeating a request that
@@ -39,9 +39,9 @@
         classes.append(
             replace(
                 same,
-                effect=max(cls.effect, same.effect, key=STRICTNESS.index),
-                scope=min(cls.scope, same.scope, key=WIDTH.index),
-                keep=min(cls.keep, same.keep),
+                idempotency=max(cls.idempotency, same.idempotency, key=STRICTNESS.index),
+                deduplication_scope=min(cls.deduplication_scope, same.deduplication_scope, key=WIDTH.index),
+                deduplication_window=min(cls.deduplication_window, same.deduplication_window),
             )
         )
     plans = {plan.name: plan for plan in old.plans}
--- a/stalltiller/fleet/__init__.py
+++ b/stalltiller/fleet/__init__.py
@@ -3,20 +3,20 @@
 `Swim` is the membership without I/O, `node.Node` runs it on sockets.  No request waits for either.
 """
 
-from stalltiller.fleet.member_table import Member, State, Table
-from stalltiller.fleet.messages import Exchange, Kind, Notice, Packet, Send, Sync
+from stalltiller.fleet.member_table import Member, MemberTable, State
+from stalltiller.fleet.messages import MemberEvent, Packet, PacketKind, PushPullSync, Send, Sync
 from stalltiller.fleet.swim import Settings, Swim
 
 __all__ = [
-    "Exchange",
-    "Kind",
     "Member",
-    "Notice",
+    "MemberEvent",
+    "MemberTable",
     "Packet",
+    "PacketKind",
+    "PushPullSync",
     "Send",
     "Settings",
     "State",
     "Swim",
     "Sync",
-    "Table",
 ]
--- a/stalltiller/fleet/budget_lending.py
+++ b/stalltiller/fleet/budget_lending.py
@@ -33,7 +33,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Ask:
+class BudgetRequest:
     """A member asks for a part of a budget (both in parts of the whole, 0 to 1)."""
 
     key: str
@@ -43,7 +43,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Grant:
+class BudgetGrant:
     """The answer to an ask: how large a part is lent."""
 
     key: str
@@ -64,7 +64,7 @@
     )
 
 
-class Shares:
+class BudgetLedger:
     """One member's parts of all budgets.  Every method takes the time of this member's clock.
 
     `size` members own a home part each; `span` is the longest time over which a rule sums up use, in seconds.
@@ -99,9 +99,9 @@
         """How large a part this member could use; 0 forgets the budget once nothing of it is out."""
         self._budgets.setdefault(key, _Budget()).need = max(0.0, min(1.0, need))
 
-    def asks(self, now: float, peers: list[str]) -> list[tuple[str, Ask]]:
+    def asks(self, now: float, peers: list[str]) -> list[tuple[str, BudgetRequest]]:
         """Whom to ask for what, if anything is short.  Called often; paces itself."""
-        found: list[tuple[str, Ask]] = []
+        found: list[tuple[str, BudgetRequest]] = []
         chosen: list[str] = []  # the same for all budgets: their asks share datagrams
         for key, budget in list(self._budgets.items()):
             self._tidy(now, key, budget)
@@ -119,20 +119,20 @@
             found += [(peer, ask) for peer in chosen]
         return found
 
-    def _ask(self, now: float, key: str, budget: _Budget, want: float, loan: int = 0) -> Ask:
+    def _ask(self, now: float, key: str, budget: _Budget, want: float, loan: int = 0) -> BudgetRequest:
         budget.asked_at = now
         number = 1 + self._draw.getrandbits(32)
         budget.asks[number] = now, set(), loan
-        return Ask(key, number, want, loan)
+        return BudgetRequest(key, number, want, loan)
 
-    def asked(self, now: float, borrower: str, ask: Ask) -> Grant | None:
+    def asked(self, now: float, borrower: str, ask: BudgetRequest) -> BudgetGrant | None:
         """Lend what is not needed here, or for longer; None if that is too little."""
         if ask.key in self._budgets:
             self._tidy(now, ask.key, self._budgets[ask.key])
         budget = self._budgets.setdefault(ask.key, _Budget())
         same = budget.lent.get((borrower, ask.number))
         if same is not None:  # the ask came twice: the borrower takes one answer only
-            return Grant(ask.key, ask.number, same[0])
+            return BudgetGrant(ask.key, ask.number, same[0])
         spare = min(LENT_MOST * self.home, self.home - KEEP * budget.need) - self._lent(now, budget)
         old = budget.lent.get((borrower, ask.loan), (0.0, 0.0))[0]
         part = old if old and spare >= 0 else min(ask.want, spare)
@@ -140,9 +140,9 @@
             return None
         until = now + LOAN * (1 + RATE_ERROR) + self.span
         budget.lent[borrower, ask.loan if old else ask.number] = part, until
-        return Grant(ask.key, ask.number, part)
+        return BudgetGrant(ask.key, ask.number, part)
 
-    def granted(self, now: float, lender: str, grant: Grant) -> bool:
+    def granted(self, now: float, lender: str, grant: BudgetGrant) -> bool:
         """Take a loan; whether it counts."""
         budget = self._budgets.get(grant.key)
         when, answered, loan = (budget and budget.asks.get(grant.number)) or (0.0, {lender}, 0)
--- a/stalltiller/fleet/codec.py
+++ b/stalltiller/fleet/codec.py
@@ -5,9 +5,9 @@
 from google.protobuf.message import DecodeError
 
 from stalltiller.fleet import fleet_pb2 as pb
-from stalltiller.fleet.budget_lending import Ask, Grant
+from stalltiller.fleet.budget_lending import BudgetGrant, BudgetRequest
 from stalltiller.fleet.member_table import Member, State
-from stalltiller.fleet.messages import Exchange, Kind, Packet
+from stalltiller.fleet.messages import Packet, PacketKind, PushPullSync
 
 MOST_DATAGRAM = 1400  # bytes: one frame of Ethernet with its headers
 MOST_EXCHANGE = 512 * 1024  # bytes
@@ -26,13 +26,13 @@
         host=member.address[0],
         port=member.address[1],
         zone=member.zone,
-        start_ms=member.start,
+        start_ms=member.start_time_ms,
         incarnation=member.incarnation,
         state=member.state,
         protocol=member.protocol,
         load=member.load,
         by=member.by,
-        position=member.position + 1,
+        position=member.initiator_index + 1,
     )
 
 
@@ -55,18 +55,18 @@
     )
 
 
-def _part_to_pb(part: Ask | Grant) -> pb.Part:
-    if isinstance(part, Ask):
+def _part_to_pb(part: BudgetRequest | BudgetGrant) -> pb.Part:
+    if isinstance(part, BudgetRequest):
         return pb.Part(key=part.key, number=part.number, part=part.want, loan=part.loan)
     return pb.Part(key=part.key, number=part.number, part=part.part, granted=True)
 
 
-def _part_from_pb(found: pb.Part) -> Ask | Grant:
+def _part_from_pb(found: pb.Part) -> BudgetRequest | BudgetGrant:
     if not 0 < len(found.key) <= MOST_KEY or not 0.0 <= found.part <= 1.0:  # NaN neither
         raise Malformed("part")
     if found.granted:
-        return Grant(found.key, found.number, found.part)
-    return Ask(found.key, found.number, found.part, found.loan)
+        return BudgetGrant(found.key, found.number, found.part)
+    return BudgetRequest(found.key, found.number, found.part, found.loan)
 
 
 def _parse(message: pb.Packet | pb.Exchange, data: bytes, fleet: str) -> None:
@@ -89,10 +89,10 @@
         host=packet.address[0],
         port=packet.address[1],
         parts=map(_part_to_pb, packet.parts[:MOST_PARTS]),
-        letter=packet.letter[:MOST_LETTER],
+        letter=packet.peer_message[:MOST_LETTER],
         body=packet.body,
     )
-    for word in packet.news:
+    for word in packet.updates:
         message.news.append(_to_pb(word))
         if message.ByteSize() > MOST_DATAGRAM:
             del message.news[-1]
@@ -107,7 +107,7 @@
     message = pb.Packet()
     _parse(message, data, fleet)
     try:
-        kind = Kind(message.kind)
+        kind = PacketKind(message.kind)
     except ValueError as error:
         raise Malformed("kind") from error
     if len(message.target) > MOST_NAME or len(message.host) > MOST_HOST or message.port > 65535:
@@ -127,14 +127,14 @@
     )
 
 
-def encode_exchange(fleet: str, exchange: Exchange) -> bytes:
+def encode_exchange(fleet: str, exchange: PushPullSync) -> bytes:
     return pb.Exchange(
         fleet=fleet, sender=_to_pb(exchange.sender), members=map(_to_pb, exchange.members)
     ).SerializeToString()
 
 
-def decode_exchange(fleet: str, data: bytes) -> Exchange:
+def decode_exchange(fleet: str, data: bytes) -> PushPullSync:
     """Read an exchange; raises Malformed."""
     message = pb.Exchange()
     _parse(message, data, fleet)
-    return Exchange(_from_pb(message.sender), tuple(map(_from_pb, message.members)))
+    return PushPullSync(_from_pb(message.sender), tuple(map(_from_pb, message.members)))
--- a/stalltiller/fleet/local_health.py
+++ b/stalltiller/fleet/local_health.py
@@ -10,7 +10,7 @@
 MOST = 8  # the score's highest value
 
 
-class Health:
+class LocalHealth:
     """The local health score: 0 is well; each step makes probes wait longer and come more seldom."""
 
     def __init__(self) -> None:
--- a/stalltiller/fleet/member_table.py
+++ b/stalltiller/fleet/member_table.py
@@ -25,18 +25,18 @@
     name: str
     address: Address
     zone: str = ""
-    start: int = 0
+    start_time_ms: int = 0
     incarnation: int = 0
     state: State = State.ALIVE
     protocol: int = 1
     load: int = 0  # requests open there, for information: no part of the order
     by: str = ""  # who suspects it or took it for dead
-    position: int = -1  # its number among the decision modules; -1: not told
+    initiator_index: int = -1  # its number among the decision modules; -1: not told
 
     @property
     def order(self) -> tuple[int, int, State]:
         """What is said of a name is ordered by this alone, so members that hear the same agree."""
-        return self.start, self.incarnation, self.state
+        return self.start_time_ms, self.incarnation, self.state
 
     @property
     def running(self) -> bool:
@@ -46,7 +46,7 @@
         return replace(self, state=state, by=by)
 
 
-class Table:
+class MemberTable:
     """What one member knows of all others and of itself; bounded.
 
     A join semilattice: `put` keeps the higher of two words on a name, so the order in which news come, and
@@ -74,7 +74,7 @@
             if len(self.known) >= self._most:
                 self.refused += 1
                 return False
-        if old is None or old.state is not word.state or old.start != word.start:
+        if old is None or old.state is not word.state or old.start_time_ms != word.start_time_ms:
             self.since[word.name] = now
         self.known[word.name], self._running = word, None
         return True
@@ -89,7 +89,7 @@
     def load(self, name: str, start: int, load: int) -> None:
         """A member's load, from itself."""
         known = self.known.get(name)
-        if known is not None and known.start == start and known.load != load:
+        if known is not None and known.start_time_ms == start and known.load != load:
             self.known[name], self._running = replace(known, load=load), None
 
     @property
--- a/stalltiller/fleet/membership_agent.py
+++ b/stalltiller/fleet/membership_agent.py
@@ -14,7 +14,7 @@
 from stalltiller.fleet import codec
 from stalltiller.fleet.config import FleetConfig
 from stalltiller.fleet.member_table import Address, Member
-from stalltiller.fleet.messages import Action, Exchange, Kind, Notice, Packet, Send, Sync
+from stalltiller.fleet.messages import Action, MemberEvent, Packet, PacketKind, PushPullSync, Send, Sync
 from stalltiller.fleet.swim import Swim
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.connection import Connection
@@ -34,27 +34,27 @@
     def status(self) -> dict[str, object]:
         """What an operator may want to know."""
 
-    def received(self, packet: Packet) -> None:
+    def on_data(self, packet: Packet) -> None:
         """One has come."""
 
 
-class _Exchanging(Connection):
+class PushPullConnection(Connection):
     """One exchange: the one who connects tells first, and both close after the answer."""
 
-    def __init__(self, node: Node, ours: bytes | None) -> None:
+    def __init__(self, node: MembershipAgent, ours: bytes | None) -> None:
         super().__init__(node.buffers)
         self._node, self._ours = node, ours
         self._got = bytearray()
         self._deadline: asyncio.TimerHandle | None = None
 
-    def opened(self) -> None:
+    def on_connected(self) -> None:
         self._deadline = asyncio.get_running_loop().call_later(EXCHANGE_TIME, self.abort)
         if self._ours is not None:
             self.write(self._ours)
         elif not self._node.arrived(self):
             self.abort()
 
-    def received(self, data: memoryview) -> int:
+    def on_data(self, data: memoryview) -> int:
         self._got += data
         if len(self._got) >= LENGTH.size:
             size = LENGTH.unpack_from(self._got)[0]
@@ -68,13 +68,13 @@
                 self.close()
         return len(data)
 
-    def ended(self, error: Exception | None) -> None:
+    def on_disconnected(self, error: Exception | None) -> None:
         if self._deadline is not None:
             self._deadline.cancel()
         self._node.done(self)
 
 
-class Node(asyncio.DatagramProtocol):
+class MembershipAgent(asyncio.DatagramProtocol):
     """Runs a `Swim` on sockets.  Nothing it does is waited for by the request path.
 
     `load` tells how many requests are open here.
@@ -91,33 +91,37 @@
     ) -> None:
         self.config, self.buffers, self._log, self._load = config, buffers, log, load
         life = int((time.time() + config.clock_offset) * 1000)
-        me = Member(name, config.advertise, config.zone, start=life, position=position)
+        me = Member(name, config.advertise, config.zone, start_time_ms=life, initiator_index=position)
         self._loop = asyncio.get_running_loop()
         self.swim = Swim(config.settings, me, random.Random(), self._loop.time())
         self.dropped: Counter[str] = Counter()  # messages, by reason
         self.sent_bytes = self.sent_packets = 0
-        self.commons: Sharing | None = None
-        self.takes: dict[Kind, Callable[[Packet], None]] = {}  # what other parts say to each other, by kind
+        self.shared_budgets: Sharing | None = None
+        self.handlers: dict[
+            PacketKind, Callable[[Packet], None]
+        ] = {}  # what other parts say to each other, by kind
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
-        self._taken: set[_Exchanging] = set()
+        self._taken: set[PushPullConnection] = set()
         self._made: set[asyncio.Task] = set()
         self._second, self._packets = 0, 0
 
     async def open(self) -> None:
         """Listen and begin; raises OSError if the address can't be had."""
         host, port = self.config.listen
-        self._server = await self._loop.create_server(lambda: _Exchanging(self, None), host, port)
+        self._server = await self._loop.create_server(lambda: PushPullConnection(self, None), host, port)
         self._transport, _ = await self._loop.create_datagram_endpoint(lambda: self, (host, port))
-        self._log("fleet_started", fleet=self.config.fleet, listen=f"{host}:{port}", life=self.swim.me.start)
+        self._log(
+            "fleet_started", fleet=self.config.fleet, listen=f"{host}:{port}", life=self.swim.me.start_time_ms
+        )
         self._wake()
 
     async def leave(self) -> None:
         """Tell the others that this one leaves, and give the word time to spread."""
         if not self.swim.left:
             self._act(self.swim.leave(self._loop.time()))
-            self._log("fleet_left", life=self.swim.me.start)
+            self._log("fleet_left", life=self.swim.me.start_time_ms)
             await asyncio.sleep(LEAVE_TIME)
 
     def close(self) -> None:
@@ -139,7 +143,7 @@
         return {
             "fleet": self.config.fleet,
             "name": table.me.name,
-            "life": table.me.start,
+            "life": table.me.start_time_ms,
             "incarnation": table.me.incarnation,
             "state": table.me.state.name.lower(),
             "members": table.size,
@@ -149,7 +153,7 @@
             "dropped": dict(self.dropped),
             "sent_packets": self.sent_packets,
             "sent_bytes": self.sent_bytes,
-            "commons": self.commons.status() if self.commons else None,
+            "commons": self.shared_budgets.status() if self.shared_budgets else None,
         }
 
     def members(self) -> list[dict[str, object]]:
@@ -160,7 +164,7 @@
                 "name": m.name,
                 "address": "{}:{}".format(*m.address),
                 "zone": m.zone,
-                "life": m.start,
+                "life": m.start_time_ms,
                 "incarnation": m.incarnation,
                 "state": m.state.name.lower(),
                 "protocol": m.protocol,
@@ -187,11 +191,11 @@
                 task = self._loop.create_task(self._exchange(action.address))
                 self._made.add(task)
                 task.add_done_callback(self._made.discard)
-            elif isinstance(action, Notice):
+            elif isinstance(action, MemberEvent):
                 self._log(
                     "fleet_" + action.event,
                     member=action.member.name,
-                    life=action.member.start,
+                    life=action.member.start_time_ms,
                     incarnation=action.member.incarnation,
                     by=action.member.by,
                 )
@@ -209,9 +213,9 @@
         ours = self._framed(self.swim.all_known())
         with contextlib.suppress(OSError):  # TimeoutError is one
             async with asyncio.timeout(EXCHANGE_TIME):
-                await self._loop.create_connection(lambda: _Exchanging(self, ours), *address)
+                await self._loop.create_connection(lambda: PushPullConnection(self, ours), *address)
 
-    def _framed(self, exchange: Exchange) -> bytes:
+    def _framed(self, exchange: PushPullSync) -> bytes:
         data = codec.encode_exchange(self.config.fleet, exchange)
         return LENGTH.pack(len(data)) + data
 
@@ -229,15 +233,15 @@
             self.dropped[str(error)] += 1
             return
         self._act(self.swim.packet(self._loop.time(), packet))
-        if packet.kind is Kind.COMMONS and self.commons is not None:
-            self.commons.received(packet)
-        elif packet.kind in self.takes:
-            self.takes[packet.kind](packet)
+        if packet.kind is PacketKind.SHARED_BUDGETS and self.shared_budgets is not None:
+            self.shared_budgets.on_data(packet)
+        elif packet.kind in self.handlers:
+            self.handlers[packet.kind](packet)
 
     def error_received(self, error: OSError) -> None:
         """A port that nobody listens at: the probe will tell."""
 
-    def arrived(self, connection: _Exchanging) -> bool:
+    def arrived(self, connection: PushPullConnection) -> bool:
         """Whether one more exchange may be taken."""
         if len(self._taken) >= MOST_EXCHANGES:
             self.dropped["exchanges"] += 1
@@ -245,7 +249,7 @@
         self._taken.add(connection)
         return True
 
-    def done(self, connection: _Exchanging) -> None:
+    def done(self, connection: PushPullConnection) -> None:
         self._taken.discard(connection)
 
     def exchanged(self, data: bytes) -> bytes | None:
--- a/stalltiller/fleet/messages.py
+++ b/stalltiller/fleet/messages.py
@@ -5,12 +5,12 @@
 import enum
 from dataclasses import dataclass
 
-from stalltiller.fleet.budget_lending import Ask, Grant
+from stalltiller.fleet.budget_lending import BudgetGrant, BudgetRequest
 from stalltiller.fleet.member_table import Address, Member
 
 
-class Kind(enum.IntEnum):
-    PING, REQUEST, ACK, NACK, GOSSIP, COMMONS, LEASES, RECOVERY = range(1, 9)
+class PacketKind(enum.IntEnum):
+    PING, REQUEST, ACK, NACK, GOSSIP, SHARED_BUDGETS, LEASES, RECOVERY = range(1, 9)
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,19 +20,19 @@
     `parts` and `letter` are for what members share beside their membership (kind COMMONS).
     """
 
-    kind: Kind
+    kind: PacketKind
     sender: Member
     number: int = 0
     target: str = ""
     address: Address = ("", 0)
-    news: tuple[Member, ...] = ()
-    parts: tuple[Ask | Grant, ...] = ()
-    letter: bytes = b""
+    updates: tuple[Member, ...] = ()
+    parts: tuple[BudgetRequest | BudgetGrant, ...] = ()
+    peer_message: bytes = b""
     body: bytes = b""  # of kinds LEASES and RECOVERY, each in its own form
 
 
 @dataclass(slots=True, frozen=True)
-class Exchange:
+class PushPullSync:
     """All that one member knows, for another: sent and answered once on a connection (push and pull)."""
 
     sender: Member
@@ -56,11 +56,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Notice:
+class MemberEvent:
     """What operators may want to know: joined, suspect, alive, dead, left, refuted, conflict or stalled."""
 
     event: str
     member: Member
 
 
-Action = Send | Sync | Notice
+Action = Send | Sync | MemberEvent
--- a/stalltiller/fleet/swim.py
+++ b/stalltiller/fleet/swim.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, replace
 
 from stalltiller.fleet.gossip import Gossip
-from stalltiller.fleet.local_health import Health, Suspicion
-from stalltiller.fleet.member_table import Address, Member, State, Table
-from stalltiller.fleet.messages import Action, Exchange, Kind, Notice, Packet, Send, Sync
+from stalltiller.fleet.local_health import LocalHealth, Suspicion
+from stalltiller.fleet.member_table import Address, Member, MemberTable, State
+from stalltiller.fleet.messages import Action, MemberEvent, Packet, PacketKind, PushPullSync, Send, Sync
 
 PIGGYBACK = 6  # words in one datagram: what goes in 1400 bytes with the longest names
 NACK_SHARE = 0.8  # of a probe's timeout after which a helper says that it has heard nothing either
@@ -64,8 +64,8 @@
 
     def __init__(self, settings: Settings, me: Member, draw: random.Random, now: float) -> None:
         self.settings, self._draw, self._now = settings, draw, now
-        self.table = Table(me, settings.most_members)
-        self.health = Health()
+        self.table = MemberTable(me, settings.most_members)
+        self.health = LocalHealth()
         self._gossip = Gossip(settings.repeat)
         self._suspicions: dict[str, Suspicion] = {}
         self._round: list[str] = []  # names still to be probed in this round
@@ -103,20 +103,20 @@
         """A datagram of another member of this fleet has come; it is answered at the address it tells."""
         self._begin(now)
         self._word(packet.sender)
-        self.table.load(packet.sender.name, packet.sender.start, packet.sender.load)
-        for word in packet.news:
+        self.table.load(packet.sender.name, packet.sender.start_time_ms, packet.sender.load)
+        for word in packet.updates:
             self._word(word)
-        if packet.kind is Kind.PING and packet.target == self.me.name:
-            self._send(packet.sender.address, Kind.ACK, packet.number, about=packet.sender.name)
-        elif packet.kind is Kind.REQUEST:
+        if packet.kind is PacketKind.PING and packet.target == self.me.name:
+            self._send(packet.sender.address, PacketKind.ACK, packet.number, about=packet.sender.name)
+        elif packet.kind is PacketKind.REQUEST:
             self._help(packet.sender.address, packet)
-        elif packet.kind is Kind.ACK:
+        elif packet.kind is PacketKind.ACK:
             self._acked(packet.number)
-        elif packet.kind is Kind.NACK and packet.number in self._probes:
+        elif packet.kind is PacketKind.NACK and packet.number in self._probes:
             self._probes[packet.number].nacks += 1
         return self._end()
 
-    def exchange(self, now: float, theirs: Exchange) -> list[Action]:
+    def exchange(self, now: float, theirs: PushPullSync) -> list[Action]:
         """All that another member knows has come.  Its word of a death counts as a suspicion only."""
         self._begin(now)
         self._word(theirs.sender)
@@ -125,9 +125,9 @@
             self._word(word.now(State.SUSPECT, theirs.sender.name) if dead else word)
         return self._end()
 
-    def all_known(self) -> Exchange:
+    def all_known(self) -> PushPullSync:
         """All that this member knows, for another."""
-        return Exchange(
+        return PushPullSync(
             self.me,
             tuple(self.table.known[name] for name in sorted(self.table.known) if name != self.me.name),
         )
@@ -138,7 +138,7 @@
         self.left = True
         self._me(replace(self.me, state=State.LEFT))
         for member in self._some(2 * self.settings.fanout):
-            self._send(member.address, Kind.GOSSIP, about=self.me.name)
+            self._send(member.address, PacketKind.GOSSIP, about=self.me.name)
         return self._end()
 
     def set_load(self, load: int) -> None:
@@ -167,12 +167,12 @@
         heapq.heappush(self._timers, (self._now + wait, self._timer_number, act))
 
     def _notice(self, event: str, member: Member) -> None:
-        self._actions.append(Notice(event, member))
+        self._actions.append(MemberEvent(event, member))
 
     def _send(
         self,
         to: Address,
-        kind: Kind,
+        kind: PacketKind,
         number: int = 0,
         target: str = "",
         address: Address = ("", 0),
@@ -201,7 +201,7 @@
         self._number += 1
         number, probe = self._number, Probe(target)
         self._probes[number] = probe
-        self._send(target.address, Kind.PING, number, target.name, about=target.name)
+        self._send(target.address, PacketKind.PING, number, target.name, about=target.name)
         patience = self.settings.probe_timeout * self.health.factor
         self._after(patience, lambda: self._ask_helpers(number, probe))
         self._after(interval, lambda: self._probe_over(number, probe))
@@ -222,7 +222,7 @@
         helpers = self._some(self.settings.helpers, probe.target.name)
         probe.asked = len(helpers)
         for helper in helpers:
-            self._send(helper.address, Kind.REQUEST, number, probe.target.name, probe.target.address)
+            self._send(helper.address, PacketKind.REQUEST, number, probe.target.name, probe.target.address)
 
     def _probe_over(self, number: int, probe: Probe) -> None:
         """End a probe: helpers not heard at all speak against this member, not against its target."""
@@ -232,7 +232,7 @@
         else:
             self.health.change(probe.asked - probe.nacks if probe.asked else 1)
             known = self.table.known.get(probe.target.name)
-            if known is not None and known.running and known.start == probe.target.start:
+            if known is not None and known.running and known.start_time_ms == probe.target.start_time_ms:
                 self._word(known.now(State.SUSPECT, self.me.name))
         self._probe()
 
@@ -241,7 +241,7 @@
             self._probes[number].answered = True
         elif number in self._helped:
             asker, theirs = self._helped.pop(number)
-            self._send(asker, Kind.ACK, theirs)
+            self._send(asker, PacketKind.ACK, theirs)
 
     def _help(self, source: Address, packet: Packet) -> None:
         """Probe a member for another one, and say so if it is not heard in time."""
@@ -250,11 +250,11 @@
         self._number += 1
         number = self._number
         self._helped[number] = source, packet.number
-        self._send(packet.address, Kind.PING, number, packet.target, about=packet.target)
+        self._send(packet.address, PacketKind.PING, number, packet.target, about=packet.target)
 
         def unheard() -> None:
             if self._helped.get(number) is not None:
-                self._send(source, Kind.NACK, packet.number)
+                self._send(source, PacketKind.NACK, packet.number)
 
         self._after(NACK_SHARE * self.settings.probe_timeout, unheard)
         self._after(self.settings.probe_every, lambda: self._helped.pop(number, None))
@@ -273,7 +273,7 @@
         suspicion = self._suspicions.pop(word.name, None)
         if word.state is State.SUSPECT:
             self._suspect(word)
-        if old is None or (old.start != word.start and word.running):
+        if old is None or (old.start_time_ms != word.start_time_ms and word.running):
             self._notice("joined", word)
         elif old.state is not word.state and (word.state is not State.ALIVE or suspicion or not old.running):
             self._notice(word.state.name.lower(), word)
@@ -282,11 +282,11 @@
         """Refute what is wrong.  A later life that is dead was this one's forerunner with a clock ahead."""
         if self.left:
             return
-        if word.start > self.me.start:
+        if word.start_time_ms > self.me.start_time_ms:
             if word.address != self.me.address and word.running:
                 self._notice("conflict", word)  # two processes of one name: the operator's to settle
                 return
-            self._me(replace(self.me, start=word.start + 1, incarnation=0))
+            self._me(replace(self.me, start_time_ms=word.start_time_ms + 1, incarnation=0))
         elif word.order >= self.me.order and word.state is not State.ALIVE:
             self._me(replace(self.me, incarnation=word.incarnation + 1))
             self.health.change(1)
@@ -326,7 +326,7 @@
     def _spread(self) -> None:
         for member in self._some(self.settings.fanout):
             if len(self._gossip):
-                self._send(member.address, Kind.GOSSIP)
+                self._send(member.address, PacketKind.GOSSIP)
         self._after(self.settings.gossip_every, self._spread)
 
     def _sync(self) -> None:
--- a/stalltiller/protocol/discovery.py
+++ b/stalltiller/protocol/discovery.py
@@ -6,13 +6,13 @@
 
 import orjson
 
-from stalltiller.scheduling import NodeState
+from stalltiller.scheduling import TargetStatus
 
 PATH = "/v1/servers"
 STATES = {
-    "active": NodeState.READY,
-    "leaving": NodeState.DRAINING,
-    "left": NodeState.GONE,
+    "active": TargetStatus.READY,
+    "leaving": TargetStatus.DRAINING,
+    "left": TargetStatus.REMOVED,
 }
 
 
@@ -21,7 +21,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Target:
+class TargetRecord:
     """One line of the list; `since` is the Unix time of its start in seconds, None for long ago."""
 
     name: str
@@ -29,19 +29,19 @@
     port: int
     zone: str
     kind: str
-    cell: int
-    state: NodeState
+    shard: int
+    status: TargetStatus
     weight: float
-    since: float | None
+    started_at: float | None
 
 
 @dataclass(slots=True, frozen=True)
-class Listing:
+class TargetList:
     """The whole list of a version, or the lines that changed up to it."""
 
-    index: int
-    whole: bool
-    targets: tuple[Target, ...]
+    version: int
+    is_full: bool
+    targets: tuple[TargetRecord, ...]
 
 
 def list_path(after: int | None, wait_ms: int) -> str:
@@ -57,10 +57,10 @@
     return host, int(port)
 
 
-def _target(line: dict) -> Target:
+def _target(line: dict) -> TargetRecord:
     host, port = parse_address(line["address"])
     since = float(line.get("since_ms") or 0)
-    return Target(
+    return TargetRecord(
         str(line["name"]),
         host,
         port,
@@ -73,10 +73,10 @@
     )
 
 
-def listing(value: object) -> Listing:
+def parse_target_list_value(value: object) -> TargetList:
     """Read a list that is parsed JSON already."""
     try:
-        return Listing(
+        return TargetList(
             int(value["index"]),
             value["snapshot"] is True,
             tuple(_target(line) for line in value["endpoints"]),
@@ -85,9 +85,9 @@
         raise DiscoveryError(f"not a list of targets: {type(error).__name__}: {error}") from error
 
 
-def parse_listing(body: bytes) -> Listing:
+def parse_target_list(body: bytes) -> TargetList:
     """Read an answer's body."""
     try:
-        return listing(orjson.loads(body))
+        return parse_target_list_value(orjson.loads(body))
     except orjson.JSONDecodeError as error:
         raise DiscoveryError(f"not JSON: {error}") from error
--- a/stalltiller/protocol/http.py
+++ b/stalltiller/protocol/http.py
@@ -119,14 +119,14 @@
     body: bytearray = field(default_factory=bytearray)
     done: bool = False
     length: int | None = None  # of the body, where the head tells it
-    received: int = 0  # bytes of the body so far
+    bytes_received: int = 0  # bytes of the body so far
     _left: int = 0  # bytes of the body, or of the chunk, still to come
     _stage: str = "head"
     _lines: int = 0  # interim answers or trailer lines so far
 
     def reset(self) -> None:
         self.head, self.body, self.done, self._left, self._stage = None, bytearray(), False, 0, "head"
-        self._lines = self.received = 0
+        self._lines = self.bytes_received = 0
         self.length = None
 
     def drain(self) -> bytes:
@@ -201,7 +201,7 @@
     def _take(self, data: memoryview) -> int:
         part = data[: self._left]
         self.body += part
-        self.received += len(part)
+        self.bytes_received += len(part)
         self._left -= len(part)
         return len(part)
 
@@ -211,8 +211,8 @@
         return used
 
     def _rest(self, data: memoryview) -> int:
-        self.received += len(data)
-        if self.received > self.limit:
+        self.bytes_received += len(data)
+        if self.bytes_received > self.limit:
             raise HttpError(413, "body over the limit")
         self.body += data
         return len(data)
@@ -232,7 +232,7 @@
         if not re.fullmatch(rb"[0-9A-Fa-f]{1,8}", size):
             raise HttpError(400, "malformed chunk size")
         self._left = int(size, 16)
-        if self.received + self._left > self.limit:
+        if self.bytes_received + self._left > self.limit:
             raise HttpError(413, "body over the limit")
         self._stage = "chunk" if self._left else "trailer"
         return len(line) + 2
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from stalltiller.protocol.http import Head
-from stalltiller.scheduling import Settings, Status
+from stalltiller.scheduling import AttemptStatus, Settings
 
 HEX = re.compile(r"[0-9A-Fa-f]{1,16}")
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
@@ -22,17 +22,17 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Ask:
+class RequestInfo:
     """What a request says of itself; `timeout` is in seconds from when the client sent it."""
 
-    cls: int
-    plan: int
+    class_index: int
+    plan_index: int
     volume: int
     units: float
-    hosts: int
-    key: int
+    volume_initiator_count: int
+    idempotency_key: int
     shard: int | None
-    repeat: bool
+    is_retry: bool
     timeout: float
 
 
@@ -62,14 +62,14 @@
     """
 
     def __init__(self, settings: Settings) -> None:
-        self._hosts, self._largest = settings.gateways, settings.largest_units or math.inf
+        self._hosts, self._largest = settings.initiator_count, settings.max_units or math.inf
         self._deadlines = [cls.deadline for cls in settings.classes]
         self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
         self._plans = {plan.name: i for i, plan in enumerate(settings.plans)}
         methods = {True: ("PUT",), False: ("GET",), None: ("GET", "PUT")}
-        self._methods = [methods[cls.writes] for cls in settings.classes]
+        self._methods = [methods[cls.is_write] for cls in settings.classes]
 
-    def parse(self, head: Head, body: bytes) -> Ask:
+    def parse(self, head: Head, body: bytes) -> RequestInfo:
         path = head.target.partition("?")[0]
         parts = path.split("/")
         if len(parts) < 3 or parts[0]:
@@ -91,7 +91,7 @@
         if not 0 < units <= self._largest:
             raise FieldError("units must be above zero and no more than the largest request")
         shard = _whole(info.get("shard"), "shard", -1, MAX_SHARD)
-        return Ask(
+        return RequestInfo(
             cls,
             plan,
             _hex(info.get("volume"), "volume"),
@@ -105,11 +105,11 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Answered:
+class AnswerInfo:
     """What a target's answer tells beside its body."""
 
-    status: Status
-    others: float = 0.0
+    status: AttemptStatus
+    other_units: float = 0.0
     report: tuple[float, ...] = ()
 
 
@@ -119,15 +119,15 @@
     def __init__(self, settings: Settings) -> None:
         self._report_fields = settings.report_fields if settings.reports_in_answers else ()
 
-    def parse(self, head: Head) -> Answered:
+    def parse(self, head: Head) -> AnswerInfo:
         if head.status == 200:
-            status = Status.OK
+            status = AttemptStatus.OK
         elif head.status in NOT_RUN and head.fields.get("x-not-processed") == "1":
-            status = Status.FULL
+            status = AttemptStatus.REJECTED
         else:
-            status = Status.ERROR
+            status = AttemptStatus.ERROR
         others = head.fields.get("other-hosts", "")
-        return Answered(
+        return AnswerInfo(
             status,
             float(others) if NUMBER.fullmatch(others) else 0.0,
             self._report(head.fields.get("x-server-load", "")),
--- a/stalltiller/recovery/peer_state.py
+++ b/stalltiller/recovery/peer_state.py
@@ -14,12 +14,12 @@
 
 from stalltiller.recovery import recovery_pb2 as pb
 from stalltiller.recovery.snapshot import UNKNOWN, Calm, Pace
-from stalltiller.scheduling import NodeState
+from stalltiller.scheduling import TargetStatus
 
 MOST_BYTES = 1100  # of a part: with its sender it goes in one datagram
 MOST_NAME = 128  # characters of a target's name or an address
 MOST_PARTS = 8  # of one answer
-STATES = NodeState.READY, NodeState.DRAINING, NodeState.GONE
+STATES = TargetStatus.READY, TargetStatus.DRAINING, TargetStatus.REMOVED
 
 
 class Malformed(ValueError):
@@ -31,7 +31,7 @@
     """A target's state in the version that the peer knows; `since` is the Unix time of its start."""
 
     target: str
-    state: NodeState
+    state: TargetStatus
     since: float | None
 
 
@@ -140,7 +140,7 @@
             old = self._heeded.get(change.target)
             if change.target not in listed or (old is not None and old[0] >= word.index):
                 continue
-            careful = change.state is not NodeState.READY or (change.since or 0.0) > (
+            careful = change.state is not TargetStatus.READY or (change.since or 0.0) > (
                 listed[change.target] or 0.0
             )
             if careful and (old is None or old[1] != change):
@@ -163,7 +163,7 @@
     def withheld(self) -> frozenset[str]:
         """Targets that get nothing new."""
         return frozenset(
-            name for name, (_, change) in self._heeded.items() if change.state is not NodeState.READY
+            name for name, (_, change) in self._heeded.items() if change.state is not TargetStatus.READY
         )
 
     @property
@@ -172,5 +172,5 @@
         return {
             name: change.since
             for name, (_, change) in self._heeded.items()
-            if change.state is NodeState.READY and change.since is not None
+            if change.state is TargetStatus.READY and change.since is not None
         }
--- a/stalltiller/recovery/snapshot.py
+++ b/stalltiller/recovery/snapshot.py
@@ -21,7 +21,7 @@
 import orjson
 
 from stalltiller.protocol import discovery
-from stalltiller.scheduling import NodeState, Plan
+from stalltiller.scheduling import Plan, TargetStatus
 
 VERSION = 2
 MAGIC = b"STL1"
@@ -83,7 +83,7 @@
     discovery: str  # its address: versions of one discovery mean nothing to another
     saved_at: float
     closed: bool = False
-    listing: discovery.Listing | None = None
+    listing: discovery.TargetList | None = None
     heard_at: float = 0.0  # when discovery last confirmed the list
     paces: tuple[Pace, ...] = ()
     levels: tuple[Level, ...] = ()
@@ -96,62 +96,64 @@
     def __init__(self) -> None:
         self._index, self._targets = 0, {}
         self._since = 0  # the version from which on changes are known
-        self._changes: dict[str, tuple[int, discovery.Target]] = {}  # by name: in which version, the last
+        self._changes: dict[
+            str, tuple[int, discovery.TargetRecord]
+        ] = {}  # by name: in which version, the last
 
     @property
     def index(self) -> int:
         """The version known; 0 before any."""
         return self._index
 
-    def took(self, listing: discovery.Listing) -> None:
+    def took(self, listing: discovery.TargetList) -> None:
         """Take an answer of discovery, whole or changes."""
-        now = {} if listing.whole else dict(self._targets)
+        now = {} if listing.is_full else dict(self._targets)
         for target in listing.targets:
-            if target.state is NodeState.GONE:
+            if target.status is TargetStatus.REMOVED:
                 now.pop(target.name, None)
             else:
                 now[target.name] = target
-        if not self._index or listing.index < self._index:  # the first, or another count of versions
-            self._since, self._changes = listing.index, {}
+        if not self._index or listing.version < self._index:  # the first, or another count of versions
+            self._since, self._changes = listing.version, {}
         else:
             for name in self._targets.keys() | now.keys():
-                target = now.get(name) or replace(self._targets[name], state=NodeState.GONE)
+                target = now.get(name) or replace(self._targets[name], status=TargetStatus.REMOVED)
                 if target != self._targets.get(name):
                     self._changes.pop(name, None)
-                    self._changes[name] = listing.index, target
+                    self._changes[name] = listing.version, target
         while len(self._changes) > MOST_CHANGES:
             self._since = max(self._since, self._changes.pop(next(iter(self._changes)))[0])
-        self._index, self._targets = listing.index, now
+        self._index, self._targets = listing.version, now
 
     def clear(self) -> None:
         """Forget all: another discovery counts its own versions."""
         self._index, self._since, self._targets, self._changes = 0, 0, {}, {}
 
-    def newer(self, index: int) -> list[discovery.Target] | None:
+    def newer(self, index: int) -> list[discovery.TargetRecord] | None:
         """What has changed since a version, in its last state; None if that is not known."""
         if not 0 < self._since <= index <= self._index:
             return None
         return [target for at, target in self._changes.values() if at > index]
 
     @property
-    def listing(self) -> discovery.Listing | None:
+    def listing(self) -> discovery.TargetList | None:
         """The whole list; None before any."""
         if not self._index:
             return None
         targets = tuple(self._targets[name] for name in sorted(self._targets))
-        return discovery.Listing(self._index, True, targets)
+        return discovery.TargetList(self._index, True, targets)
 
 
-def _line(target: discovery.Target) -> dict[str, object]:
+def _line(target: discovery.TargetRecord) -> dict[str, object]:
     return {
         "name": target.name,
         "address": f"{target.host}:{target.port}",
         "zone": target.zone,
         "type": target.kind,
-        "group": target.cell,
-        "status": STATES[target.state],
+        "group": target.shard,
+        "status": STATES[target.status],
         "weight": target.weight,
-        "since_ms": 0 if target.since is None else target.since * 1000,
+        "since_ms": 0 if target.started_at is None else target.started_at * 1000,
     }
 
 
@@ -169,7 +171,7 @@
             "listing": None
             if listing is None
             else {
-                "index": listing.index,
+                "index": listing.version,
                 "snapshot": True,
                 "endpoints": [_line(target) for target in listing.targets],
             },
@@ -200,7 +202,7 @@
             address,
             float(found["saved_at"]),
             found["closed"] is True,
-            None if found["listing"] is None else discovery.listing(found["listing"]),
+            None if found["listing"] is None else discovery.parse_target_list_value(found["listing"]),
             float(found["heard_at"]),
             tuple(Pace(*each) for each in found["paces"]),
             tuple(Level(*each) for each in found["levels"]),
--- a/stalltiller/scheduling/actions.py
+++ b/stalltiller/scheduling/actions.py
@@ -4,23 +4,23 @@
 
 from dataclasses import dataclass
 
-from stalltiller.scheduling.targets import NodeId
+from stalltiller.scheduling.targets import TargetId
 
 
 @dataclass(slots=True, frozen=True)
-class Send:
+class StartAttempt:
     """Pass a request to a node; `expires` is the clock time to give the attempt up (None: the client's)."""
 
-    id: int
-    node: NodeId
-    expires: float | None
+    request_id: int
+    target_id: TargetId
+    expires_at: float | None
 
 
 @dataclass(slots=True, frozen=True)
-class Refuse:
+class Reject:
     """Final answer: turned away, trying again is harmless, best after `retry_after` seconds (0: any time)."""
 
-    id: int
+    request_id: int
     retry_after: float
 
 
@@ -28,15 +28,15 @@
 class Fail:
     """Final answer: failed, with no promise about the effect."""
 
-    id: int
+    request_id: int
 
 
 @dataclass(slots=True, frozen=True)
-class Cancel:
+class CancelAttempt:
     """Stop waiting for one attempt."""
 
-    id: int
-    attempt: int
+    request_id: int
+    attempt_number: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,44 +48,56 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Probe:
+class ProbeTarget:
     """Send a health check to a node."""
 
-    node: NodeId
+    target_id: TargetId
 
 
 @dataclass(slots=True, frozen=True)
-class CloseIdle:
+class CloseIdleConnections:
     """Close this gateway's idle connections to a node."""
 
-    node: NodeId
+    target_id: TargetId
 
 
 @dataclass(slots=True, frozen=True)
-class Tell:
+class SendPeerMessage:
     """Send bytes to one gateway, or to all (None)."""
 
-    gateway: int | None
+    initiator_index: int | None
     data: bytes
 
 
 @dataclass(slots=True, frozen=True)
-class Log:
+class LogMessage:
     """A line for the operators."""
 
     text: str
 
 
 @dataclass(slots=True, frozen=True)
-class Watch:
+class WatchTargetList:
     """Open or close the standing subscription to the node list."""
 
-    on: bool
+    enabled: bool
 
 
 @dataclass(slots=True, frozen=True)
-class FetchList:
+class FetchTargetList:
     """Ask once for the whole node list."""
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Log | Watch | FetchList
+Action = (
+    StartAttempt
+    | Reject
+    | Fail
+    | CancelAttempt
+    | SetTimer
+    | ProbeTarget
+    | CloseIdleConnections
+    | SendPeerMessage
+    | LogMessage
+    | WatchTargetList
+    | FetchTargetList
+)
--- a/stalltiller/scheduling/contention.py
+++ b/stalltiller/scheduling/contention.py
@@ -11,33 +11,45 @@
 ALIKE = 2.0  # how alike cells are before any news: the spread of their crowds is 0.7 of the mean
 
 
-class Crowd:
+class ContentionEstimator:
     """Which volumes asked for which cells through this gateway, how often, and through how many others."""
 
     def __init__(self) -> None:
-        self.asked: dict[int, float] = {}  # when a request last named the cell
-        self.seen: dict[int, dict[int, tuple[DecayingMean, int]]] = {}  # by cell and volume: requests, hosts
+        self.requested_at: dict[int, float] = {}  # when a request last named the cell
+        self.volumes_by_shard: dict[
+            int, dict[int, tuple[DecayingMean, int]]
+        ] = {}  # by cell and volume: requests, hosts
 
-    def note(self, now: float, cell: int, volume: int, hosts: int) -> None:
+    def record(self, now: float, shard: int, volume: int, volume_initiator_count: int) -> None:
         """Count a request."""
-        self.asked[cell] = now
-        mean, _ = self.seen.setdefault(cell, {}).get(volume) or (DecayingMean(now, DEMAND_SPAN), 0)
+        self.requested_at[shard] = now
+        mean, _ = self.volumes_by_shard.setdefault(shard, {}).get(volume) or (
+            DecayingMean(now, DEMAND_SPAN),
+            0,
+        )
         mean.add(now, 1.0)
-        self.seen[cell][volume] = mean, hosts
+        self.volumes_by_shard[shard][volume] = mean, volume_initiator_count
 
     def forget(self, since: float, known: Container[int]) -> None:
         """Forget cells not asked for since then, and volumes that are not known any more."""
-        self.asked = {cell: at for cell, at in self.asked.items() if at > since}
-        self.seen = {cell: {name: seen for name, seen in self.seen[cell].items() if name in known}
-                     for cell in self.asked}
-
-    def others(self, now: float, cell: int, gateways: int, cells: int, span: float) -> float:
+        self.requested_at = {shard: at for shard, at in self.requested_at.items() if at > since}
+        self.volumes_by_shard = {
+            shard: {name: seen for name, seen in self.volumes_by_shard[shard].items() if name in known}
+            for shard in self.requested_at
+        }
+
+    def other_initiators(
+        self, now: float, shard: int, initiator_count: int, shard_count: int, span: float
+    ) -> float:
         """How many other gateways ask for a cell in a span of that many seconds: as many as for a usual cell
         if others ask as this one does, times how much busier it is by the volumes seen there (a gamma prior
         of shape ALIKE), and the other hosts of those, by their own chance."""
-        here = self.seen.get(cell, {})
-        asked = sum(at > now - span for at in self.asked.values()) / max(1, cells)
-        usual = sum(map(len, self.seen.values())) / max(1, cells)
+        here = self.volumes_by_shard.get(shard, {})
+        asked = sum(at > now - span for at in self.requested_at.values()) / max(1, shard_count)
+        usual = sum(map(len, self.volumes_by_shard.values())) / max(1, shard_count)
         plain = min(1.0, asked * (ALIKE + len(here)) / (ALIKE + usual))
-        own = sum((hosts - 1) * (1.0 - math.exp(-mean.rate(now) * span)) for mean, hosts in here.values())
-        return min(gateways - 1.0, (gateways - 1) * plain + own)
+        own = sum(
+            (volume_initiator_count - 1) * (1.0 - math.exp(-mean.rate(now) * span))
+            for mean, volume_initiator_count in here.values()
+        )
+        return min(initiator_count - 1.0, (initiator_count - 1) * plain + own)
--- a/stalltiller/scheduling/events.py
+++ b/stalltiller/scheduling/events.py
@@ -9,69 +9,69 @@
 from enum import Enum
 
 from stalltiller.scheduling.settings import Settings
-from stalltiller.scheduling.targets import NodeId, NodeList
+from stalltiller.scheduling.targets import TargetId, TargetListUpdate
 
 
-class Status(Enum):
+class AttemptStatus(Enum):
     """How an attempt ended."""
 
     OK = "ok"
     ERROR = "error"
-    FULL = "full"
+    REJECTED = "full"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    MOOT = "moot"
+    NOT_STARTED = "moot"
 
 
 @dataclass(slots=True, frozen=True)
 class Request:
     """A request taken from a client; `shard` is None for a new object, `key` is 0 for none."""
 
-    id: int
-    cls: int
-    plan: int
+    request_id: int
+    class_index: int
+    plan_index: int
     volume: int
     units: float
-    hosts: int
-    key: int
+    volume_initiator_count: int
+    idempotency_key: int
     shard: int | None
-    write: bool
-    repeat: bool
-    left: float
+    is_write: bool
+    is_retry: bool
+    time_remaining: float
 
 
 @dataclass(slots=True, frozen=True)
 class FirstByte:
     """A streamed answer has begun: the attempt is the client's now."""
 
-    id: int
-    attempt: int
-    node: NodeId
-    took: float
+    request_id: int
+    attempt_number: int
+    target_id: TargetId
+    latency: float
 
 
 @dataclass(slots=True, frozen=True)
-class Outcome:
+class AttemptFinished:
     """An attempt is over.  `use` is the volume's late metered use as a multiple of its plan's rate."""
 
-    id: int
-    attempt: int
-    node: NodeId
-    status: Status
-    took: float
-    over: bool
-    use: float | None
-    others: float
+    request_id: int
+    attempt_number: int
+    target_id: TargetId
+    status: AttemptStatus
+    latency: float
+    request_done: bool
+    volume_usage: float | None
+    other_units: float
     report: tuple[float, ...]
 
 
 @dataclass(slots=True, frozen=True)
-class ClientGone:
+class ClientDisconnected:
     """The client left: nothing more is owed."""
 
-    id: int
+    request_id: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,28 +82,38 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Retuned:
+class SettingsChanged:
     """Other settings hold from now on; `Request`s after it count classes and plans by them."""
 
     settings: Settings
 
 
 @dataclass(slots=True, frozen=True)
-class Probed:
+class ProbeFinished:
     """The result of a probe."""
 
-    node: NodeId
-    took: float
-    status: Status
+    target_id: TargetId
+    latency: float
+    status: AttemptStatus
     report: tuple[float, ...]
 
 
 @dataclass(slots=True, frozen=True)
-class Message:
+class PeerMessage:
     """Bytes from another gateway."""
 
-    sender: int
+    sender_index: int
     data: bytes
 
 
-Event = NodeList | Request | FirstByte | Outcome | ClientGone | TimerFired | Retuned | Probed | Message
+Event = (
+    TargetListUpdate
+    | Request
+    | FirstByte
+    | AttemptFinished
+    | ClientDisconnected
+    | TimerFired
+    | SettingsChanged
+    | ProbeFinished
+    | PeerMessage
+)
