--- a/stalltiller/scheduling/scheduler.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -14,20 +14,29 @@
 
 from stalltiller.common.decaying_mean import DecayingMean
 from stalltiller.common.token_bucket import TokenBucket
-from stalltiller.scheduling.actions import Action, Cancel, Fail, Refuse, Send, SetTimer, Tell, Watch
-from stalltiller.scheduling.contention import DEMAND_SPAN, Crowd
+from stalltiller.scheduling.actions import (
+    Action,
+    CancelAttempt,
+    Fail,
+    Reject,
+    SendPeerMessage,
+    SetTimer,
+    StartAttempt,
+    WatchTargetList,
+)
+from stalltiller.scheduling.contention import DEMAND_SPAN, ContentionEstimator
 from stalltiller.scheduling.events import (
-    ClientGone,
+    AttemptFinished,
+    AttemptStatus,
+    ClientDisconnected,
     Event,
-    Message,
-    Outcome,
+    PeerMessage,
     Request,
-    Retuned,
-    Status,
+    SettingsChanged,
     TimerFired,
 )
-from stalltiller.scheduling.settings import Effect, Plan, RequestClass, Scope, Settings
-from stalltiller.scheduling.targets import ListKind, NodeEntry, NodeId, NodeList, NodeState
+from stalltiller.scheduling.settings import DeduplicationScope, Idempotency, Plan, RequestClass, Settings
+from stalltiller.scheduling.targets import Target, TargetId, TargetListKind, TargetListUpdate, TargetStatus
 
 # --- The design's figures -------------------------------------------------------------------------
 RESERVE_SHARE = 0.30  # of capacity: the reserve when whole (the design's start value)
@@ -74,8 +83,8 @@
 SUBSCRIBE_AFTER = 0.5  # s (and up to twice that) until a failed subscription is opened again
 PAUSE_FIRST, PAUSE_LONGEST = 0.03, 0.15  # s without sends to a node that refused unseen; doubles up to this
 TIMER_POLL, TIMER_WATCH = 1, 2  # timer tokens
-NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
-UNSURE_END = (Status.TIMEOUT, Status.RESET, Status.CANCELLED)
+NEVER_EXECUTED = (AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_STARTED)
+UNSURE_END = (AttemptStatus.TIMEOUT, AttemptStatus.RESET, AttemptStatus.CANCELLED)
 IN_RESERVATION, IN_GRANT, BEYOND = 0, 1, 2  # order of service when the window is full
 
 
@@ -83,7 +92,7 @@
     """What a gateway knows of one volume over all nodes."""
 
     def __init__(self, plan: Plan, hosts: int, now: float) -> None:
-        self.plan, self.hosts = plan, hosts
+        self.plan, self.initiator_count = plan, hosts
         self.limit = TokenBucket(0.0, now)
         self.reservation = TokenBucket(0.0, now)
         self.demand = DecayingMean(now, DEMAND_SPAN)
@@ -96,7 +105,7 @@
         self.ask_gap = self.cry_gap = LEASE_EVERY
 
 
-class Share:
+class VolumeAllocation:
     """A volume's standing at one node: the grant and what was drawn from it."""
 
     def __init__(self, volume: Volume, now: float) -> None:
@@ -107,20 +116,20 @@
         self.busy_at, self.tested_at, self.open = now, -1e9, 0
 
 
-class Node:
+class TargetState:
     """One node: its list entry, window, latency, reserve, grants and queue."""
 
-    def __init__(self, entry: NodeEntry, latency: float, now: float) -> None:
-        self.entry = entry
-        self.window, self.latency = START_WINDOW, latency
-        self.out = 0
+    def __init__(self, entry: Target, latency: float, now: float) -> None:
+        self.target = entry
+        self.concurrency_limit, self.latency = START_WINDOW, latency
+        self.in_flight_count = 0
         self.sent_at = now  # last
         self.cut_at = now
-        self.shares: dict[int, Share] = {}
+        self.allocations: dict[int, VolumeAllocation] = {}
         self.reserve = RESERVE_SHARE  # as a share of capacity
         self.quiet_at = now
-        self.queue: list[Held] = []
-        self.flying: dict[int, Held] = {}  # attempts that are out, in the order of their sends
+        self.queue: list[PendingRequest] = []
+        self.in_flight: dict[int, PendingRequest] = {}  # attempts that are out, in the order of their sends
         self.cold: deque[tuple[float, float]] = deque()  # (time, units) while cold; served ones below 0
         self.cold_net = 0.0  # units of the above within the rule's span
         self.cold_until = self.cold_part = self.cold_luck = 0.0  # this gateway's turn: end, part, draw
@@ -129,20 +138,21 @@
         self.run_key, self.run_until = 0, 0.0  # the data last asked for, and until when it may be again
 
 
-class Held:
+class PendingRequest:
     """A request that this gateway has taken and not yet answered."""
 
-    def __init__(self, r: Request, cls: RequestClass, volume: Volume, due: float,
-                 deadline: float, most: int) -> None:
+    def __init__(
+        self, r: Request, cls: RequestClass, volume: Volume, due: float, deadline: float, most: int
+    ) -> None:
         self.r, self.cls, self.volume, self.due, self.deadline = r, cls, volume, due, deadline
         self.attempts, self.out, self.most = 0, 0, most  # most: attempts, by the settings when it came
-        self.node: Node | None = None  # where it waits or runs
+        self.node: TargetState | None = None  # where it waits or runs
         self.unsure_at: float | None = None  # send time of the first attempt that may have run
-        self.unsure_node: Node | None = None
+        self.unsure_node: TargetState | None = None
         self.over = self.drawn = self.landed = False  # landed: an attempt went whole to a node
         self.sent_at, self.passed = 0.0, 0  # of the last attempt; answers to later sends that came first
         self.cancelled, self.place = False, IN_RESERVATION
-        self.half = deadline - HALF * r.left
+        self.half = deadline - HALF * r.time_remaining
 
 
 class Scheduler:
@@ -151,21 +161,23 @@
     def __init__(self, settings: Settings, seed: int, now: float) -> None:
         self.random = random.Random(seed)
         self.now = now
-        self.nodes: dict[NodeId, Node] = {}
-        self.cells: dict[int, list[Node]] = {}
+        self.targets: dict[TargetId, TargetState] = {}
+        self.shards: dict[int, list[TargetState]] = {}
         self.volumes: dict[int, Volume] = {}
-        self.held: dict[int, Held] = {}  # those answered, too, while attempts are out
-        self.crowd = Crowd()
-        self.parts: Callable[[str, float], float] | None = None  # a fleet's: part of a budget, by part needed
-        self.waiting: list[Held] = []  # no node holds their shard now
-        self.orders: dict[int, deque[Held]] = {}
+        self.pending: dict[int, PendingRequest] = {}  # those answered, too, while attempts are out
+        self.contention = ContentionEstimator()
+        self.budget_fraction: Callable[[str, float], float] | None = (
+            None  # a fleet's: part of a budget, by part needed
+        )
+        self.waiting: list[PendingRequest] = []  # no node holds their shard now
+        self.orders: dict[int, deque[PendingRequest]] = {}
         self.rest_until: dict[int, float] = {}
         self.extra: deque[float] = deque()
         self.taken: deque[float] = deque()
         self.slowness: dict[str, float] = {}  # by class: what an attempt takes, over the node's mean latency
         self.full_left: dict[str, float] = {}  # by class
         self._retune(settings)
-        self.queued: dict[NodeId, Node] = {}  # nodes with requests in line: the others cost nothing
+        self.queued: dict[TargetId, TargetState] = {}  # nodes with requests in line: the others cost nothing
         self.polling = False
         self.started = self.swept_at = now
         self.watching, self.filling = False, True  # filling: the buckets of the limits
@@ -173,59 +185,61 @@
 
     def _retune(self, settings: Settings) -> None:
         """Go by other settings; what is known of a class or plan stays with its name."""
-        self.s = settings
+        self.settings = settings
         self.mean = max(settings.mean_units, 1e-9)  # units of a usual request
-        self.best = max(c.worth for c in settings.classes)
-        self.tightest = min((c.aim for c in settings.classes if c.aim > 0), default=1.0)
+        self.best = max(c.priority_weight for c in settings.classes)
+        self.tightest = min(
+            (c.latency_objective for c in settings.classes if c.latency_objective > 0), default=1.0
+        )
         self.slowness = {c.name: self.slowness.get(c.name, 1.0) for c in settings.classes}
         self.full_left = {c.name: self.full_left.get(c.name, 0.0) for c in settings.classes}
         plans = {plan.name: plan for plan in settings.plans}
         for volume in self.volumes.values():
             volume.plan = plans.get(volume.plan.name, volume.plan)
 
-    def begin(self, now: float) -> None:
+    def activate(self, now: float) -> None:
         """Count tokens from now on.  Guards against spending what the process before has spent already."""
         self.started = now
 
-    def retire(self) -> None:
+    def deactivate(self) -> None:
         self.filling = False  # spend what was saved up: what comes in from now on is another process's
 
     # --- Entry ------------------------------------------------------------------------------------
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         """Take the events of one moment and return what to do about them, in order (probes are not used)."""
         self.now, self.actions = now, []
-        if not self.watching and not self.s.list_pushed:
+        if not self.watching and not self.settings.list_pushed:
             self.watching = True
-            self.actions.append(Watch(True))
+            self.actions.append(WatchTargetList(True))
         if now - self.swept_at >= SWEEP_EVERY:
             self._sweep()
-        touched: dict[NodeId, Node] = {}
+        touched: dict[TargetId, TargetState] = {}
         for event in events:
             node = None
             if isinstance(event, Request):
                 node = self._take(event)
-            elif isinstance(event, Outcome):
+            elif isinstance(event, AttemptFinished):
                 node = self._outcome(event)
             elif isinstance(event, TimerFired):
                 if event.token == TIMER_WATCH:
-                    self.actions.append(Watch(True))
+                    self.actions.append(WatchTargetList(True))
                 else:
                     self.polling = False
                     touched.update(self.queued)
-            elif isinstance(event, Retuned):
+            elif isinstance(event, SettingsChanged):
                 self._retune(event.settings)
-            elif isinstance(event, Message) and self.s.may_message:
+            elif isinstance(event, PeerMessage) and self.settings.may_message:
                 self._message(event)
-            elif isinstance(event, NodeList):
+            elif isinstance(event, TargetListUpdate):
                 self._list_news(event)
                 touched.update(self.queued)
-            elif isinstance(event, ClientGone):
-                held = self.held.get(event.id)
+            elif isinstance(event, ClientDisconnected):
+                held = self.pending.get(event.request_id)
                 if held is not None and not held.over:
                     node = held.node
                     self._close(held)
             if node is not None:
-                touched[node.entry.node] = node
+                touched[node.target.target_id] = node
         for name, node in touched.items():
             self._serve(node)
             if self._drop_lost(node) or node.queue:
@@ -240,72 +254,97 @@
         return self.actions
 
     # --- Node list --------------------------------------------------------------------------------
-    def _list_news(self, news: NodeList) -> None:
+    def _list_news(self, news: TargetListUpdate) -> None:
         """Follow the list; a node that drains or is gone gets nothing more from this moment."""
-        if news.kind is ListKind.FAILED:
+        if news.kind is TargetListKind.FAILED:
             self.actions.append(SetTimer(TIMER_WATCH, SUBSCRIBE_AFTER * (1 + self.random.random())))
             return
-        listed = {entry.node: entry for entry in news.entries}
-        for entry in news.entries:
-            node = self.nodes.get(entry.node)
-            if node is None and entry.state is not NodeState.GONE:
-                self.nodes[entry.node] = Node(entry, LATE_SHARE * self.tightest, self.now)
+        listed = {entry.target_id: entry for entry in news.targets}
+        for entry in news.targets:
+            node = self.targets.get(entry.target_id)
+            if node is None and entry.status is not TargetStatus.REMOVED:
+                self.targets[entry.target_id] = TargetState(entry, LATE_SHARE * self.tightest, self.now)
             elif node is not None:
-                if entry.started != node.entry.started:
-                    node.window = START_WINDOW
-                node.entry = entry
-        for name, node in list(self.nodes.items()):
+                if entry.started_at != node.target.started_at:
+                    node.concurrency_limit = START_WINDOW
+                node.target = entry
+        for name, node in list(self.targets.items()):
             entry = listed.get(name)
-            missing = entry is None and news.kind is not ListKind.DELTA
-            if missing or (entry is not None and entry.state is NodeState.GONE):
-                del self.nodes[name]
+            missing = entry is None and news.kind is not TargetListKind.DELTA
+            if missing or (entry is not None and entry.status is TargetStatus.REMOVED):
+                del self.targets[name]
                 self._strand(node)
-            elif node.entry.state is NodeState.DRAINING:
+            elif node.target.status is TargetStatus.DRAINING:
                 self._strand(node)
-        self.cells = {}
-        for node in self.nodes.values():
-            if node.entry.state is NodeState.READY:
-                self.cells.setdefault(node.entry.cell, []).append(node)
+        self.shards = {}
+        for node in self.targets.values():
+            if node.target.status is TargetStatus.READY:
+                self.shards.setdefault(node.target.shard, []).append(node)
         again, self.waiting = self.waiting, []
         for held in again:
             self._enqueue(held)
 
-    def _strand(self, node: Node) -> None:
+    def _strand(self, node: TargetState) -> None:
         for held in node.queue:
-            node.shares[held.r.volume].open -= 1
+            node.allocations[held.r.volume].open -= 1
         self.waiting += node.queue
         node.queue = []
-        self.queued.pop(node.entry.node, None)
+        self.queued.pop(node.target.target_id, None)
 
-    def _cold(self, node: Node) -> bool:
-        started = node.entry.started
-        return started is not None and self.now - started < self.s.rules.cold_time
+    def _cold(self, node: TargetState) -> bool:
+        started = node.target.started_at
+        return started is not None and self.now - started < self.settings.rules.slow_start_duration
 
-    def _cold_room(self, node: Node, units: float) -> bool:
+    def _cold_room(self, node: TargetState, units: float) -> bool:
         """Whether that many units may go to a cold node within the rule's span.  All share what is borne in
         any case, growing with the slowest warming allowed; a part under one request is a chance of one, drawn
         once a span.  What the node served within the span is allowed again on top."""
         if not self._cold(node):
             return True
-        rules = self.s.rules
-        while node.cold and node.cold[0][0] <= self.now - rules.tip_time:
+        rules = self.settings.rules
+        while node.cold and node.cold[0][0] <= self.now - rules.overload_window:
             node.cold_net -= node.cold.popleft()[1]
         if self.now >= node.cold_until:
             first = node.cold_until == 0.0  # the first turn has a random part of a span, so turns are spread
-            node.cold_until = self.now + rules.tip_time * (self.random.random() if first else 1.0)
+            node.cold_until = self.now + rules.overload_window * (self.random.random() if first else 1.0)
             node.cold_luck = self.random.random()
-            node.cold_part = node.ease / self.s.gateways  # before this gateway has lived for a span
-            if self.now - rules.tip_time > self.started:
-                node.cold_part = node.ease / (1.0 + self.crowd.others(
-                    self.now, node.entry.cell, self.s.gateways, len(self.cells), rules.tip_time))
-        age = max(0.0, self.now - rules.tip_time - (node.entry.started or 0.0))
-        share = rules.cold_share + (1 - rules.cold_share) * min(1.0, age / max(rules.cold_time, 1e-9))
-        budget = self.s.cold_units * share / max(rules.cold_share, 1e-9) * COLD_SAFETY
-        part = node.cold_part if self.parts is None else self.parts(str(node.entry.node), sum(
-            share.demand.rate(self.now) for share in node.shares.values()) * rules.tip_time / budget)
+            node.cold_part = (
+                node.ease / self.settings.initiator_count
+            )  # before this gateway has lived for a span
+            if self.now - rules.overload_window > self.started:
+                node.cold_part = node.ease / (
+                    1.0
+                    + self.contention.other_initiators(
+                        self.now,
+                        node.target.shard,
+                        self.settings.initiator_count,
+                        len(self.shards),
+                        rules.overload_window,
+                    )
+                )
+        age = max(0.0, self.now - rules.overload_window - (node.target.started_at or 0.0))
+        share = rules.slow_start_initial_fraction + (1 - rules.slow_start_initial_fraction) * min(
+            1.0, age / max(rules.slow_start_duration, 1e-9)
+        )
+        budget = (
+            self.settings.slow_start_units
+            * share
+            / max(rules.slow_start_initial_fraction, 1e-9)
+            * COLD_SAFETY
+        )
+        part = (
+            node.cold_part
+            if self.budget_fraction is None
+            else self.budget_fraction(
+                str(node.target.target_id),
+                sum(share.demand.rate(self.now) for share in node.allocations.values())
+                * rules.overload_window
+                / budget,
+            )
+        )
         return part * budget - node.cold_net >= units * node.cold_luck
 
-    def _cold_count(self, node: Node, units: float) -> None:
+    def _cold_count(self, node: TargetState, units: float) -> None:
         """Count units sent to a node, or served by it if negative, while it is cold."""
         if self._cold(node):
             node.cold.append((self.now, units))
@@ -314,95 +353,118 @@
     def _sweep(self) -> None:
         """Forget what nobody asks for any more; a volume not until its limit's bucket is full again."""
         self.swept_at = self.now
-        for node in self.nodes.values():
+        for node in self.targets.values():
             self._idle(node)
         for name, volume in list(self.volumes.items()):
             quiet, plan = self.now - volume.asked_at, volume.plan
             if quiet > FORGET_AFTER and (plan.limit <= 0 or quiet * plan.limit >= plan.burst):
                 del self.volumes[name]
-        since = self.now - max(FORGET_AFTER, self.s.rules.tip_time)
-        self.crowd.forget(since, self.volumes)
+        since = self.now - max(FORGET_AFTER, self.settings.rules.overload_window)
+        self.contention.forget(since, self.volumes)
         self.rest_until = {key: at for key, at in self.rest_until.items() if at > self.now}
 
     # --- Taking a request -------------------------------------------------------------------------
-    def _take(self, r: Request) -> Node | None:
-        cls, plan = self.s.classes[r.cls], self.s.plans[r.plan]
-        if self.s.rules.budget_window is not None:
+    def _take(self, r: Request) -> TargetState | None:
+        cls, plan = self.settings.classes[r.class_index], self.settings.plans[r.plan_index]
+        if self.settings.rules.retry_budget_window is not None:
             self.taken.append(self.now)
         volume = self.volumes.get(r.volume)
         if volume is None:
-            volume = self.volumes[r.volume] = Volume(plan, r.hosts, self.started)
-        if r.hosts > volume.hosts:
-            volume.limit.level *= volume.hosts / r.hosts
-            volume.hosts = r.hosts
-        due, deadline = self._due(r, cls), self.now + r.left
-        held = self.held[r.id] = Held(r, cls, volume, min(due, deadline - ANSWER_MARGIN), deadline,
-                                     self.s.max_attempts)
+            volume = self.volumes[r.volume] = Volume(plan, r.volume_initiator_count, self.started)
+        if r.volume_initiator_count > volume.initiator_count:
+            volume.limit.level *= volume.initiator_count / r.volume_initiator_count
+            volume.initiator_count = r.volume_initiator_count
+        due, deadline = self._due(r, cls), self.now + r.time_remaining
+        held = self.pending[r.request_id] = PendingRequest(
+            r, cls, volume, min(due, deadline - ANSWER_MARGIN), deadline, self.settings.max_attempts
+        )
         volume.demand.add(self.now, r.units)
         volume.asked_at = self.now
         if r.shard is not None:
-            self.crowd.note(self.now, r.shard, r.volume, r.hosts)
-        if cls.in_order and r.key:
-            self.orders.setdefault(r.key, deque()).append(held)
+            self.contention.record(self.now, r.shard, r.volume, r.volume_initiator_count)
+        if cls.in_order and r.idempotency_key:
+            self.orders.setdefault(r.idempotency_key, deque()).append(held)
         return self._enqueue(held)
 
     def _due(self, r: Request, cls: RequestClass) -> float:
         """When the aim ends, from the client's first try on.  A later try has less time left than a first of
         its class; one that ends before its own aim would is a first one, of a client that waits shortly."""
-        full = self.full_left[cls.name] = min(max(self.full_left[cls.name], r.left), cls.deadline)
-        return self.now + cls.aim - (max(0.0, full - r.left) if r.left >= cls.aim else 0.0)
-
-    def _enqueue(self, held: Held) -> Node | None:
+        full = self.full_left[cls.name] = min(max(self.full_left[cls.name], r.time_remaining), cls.deadline)
+        return (
+            self.now
+            + cls.latency_objective
+            - (max(0.0, full - r.time_remaining) if r.time_remaining >= cls.latency_objective else 0.0)
+        )
+
+    def _enqueue(self, held: PendingRequest) -> TargetState | None:
         """Put a request in line at the node that can serve it."""
         node = held.node = self._choose(held)
         if node is None:
             self.waiting.append(held)
             return None
         name = held.r.volume
-        share = node.shares.get(name)
+        share = node.allocations.get(name)
         if share is None:
-            share = node.shares[name] = Share(held.volume, self.now)
+            share = node.allocations[name] = VolumeAllocation(held.volume, self.now)
         share.demand.add(self.now, held.r.units)
         share.busy_at = self.now
         share.open += 1
         self._test(node, name, share)
         node.queue.append(held)
-        self.queued[node.entry.node] = node
+        self.queued[node.target.target_id] = node
         return node
 
-    def _choose(self, held: Held) -> Node | None:
+    def _choose(self, held: PendingRequest) -> TargetState | None:
         r = held.r
-        nodes = (self.cells.get(r.shard, []) if r.shard is not None
-                 else [n for n in self.nodes.values() if n.entry.state is NodeState.READY])
+        nodes = (
+            self.shards.get(r.shard, [])
+            if r.shard is not None
+            else [n for n in self.targets.values() if n.target.status is TargetStatus.READY]
+        )
         if held.unsure_at is not None:
             nodes = [n for n in nodes if self._may_repeat(held, n)]
         warm = [n for n in nodes if not self._cold(n)] or nodes
-        return min(warm, key=lambda n: ((n.out + len(n.queue) + 1) * n.latency / n.window, n.entry.node),
-                   default=None)
-
-    def _may_repeat(self, held: Held, node: Node) -> bool:
+        return min(
+            warm,
+            key=lambda n: (
+                (n.in_flight_count + len(n.queue) + 1) * n.latency / n.concurrency_limit,
+                n.target.target_id,
+            ),
+            default=None,
+        )
+
+    def _may_repeat(self, held: PendingRequest, node: TargetState) -> bool:
         """Whether a request that may have run may go to a node (rule: no duplicated effect)."""
         cls, first = held.cls, held.unsure_node
-        if cls.effect is Effect.SAFE or held.unsure_at is None or first is None:
+        if cls.idempotency is Idempotency.SAFE or held.unsure_at is None or first is None:
             return True
-        if cls.effect is Effect.UNSAFE or self.now > held.unsure_at + cls.keep - ANSWER_MARGIN:
+        if (
+            cls.idempotency is Idempotency.UNSAFE
+            or self.now > held.unsure_at + cls.deduplication_window - ANSWER_MARGIN
+        ):
             return False
-        return (cls.scope is Scope.ALL or node.entry.node == first.entry.node
-                or (cls.scope is Scope.ZONE and node.entry.zone == first.entry.zone)
-                or (cls.scope is Scope.CELL and node.entry.cell == first.entry.cell))
+        return (
+            cls.deduplication_scope is DeduplicationScope.ALL
+            or node.target.target_id == first.target.target_id
+            or (cls.deduplication_scope is DeduplicationScope.ZONE and node.target.zone == first.target.zone)
+            or (
+                cls.deduplication_scope is DeduplicationScope.SHARD
+                and node.target.shard == first.target.shard
+            )
+        )
 
     # --- Grants (RAC) -----------------------------------------------------------------------------
-    def _capacity(self, node: Node) -> float:
+    def _capacity(self, node: TargetState) -> float:
         """Units per second that the window's ceiling carries at the node's mean latency."""
         return CEILING * self.mean / node.latency
 
     def _part(self, volume: Volume) -> float:
         """This gateway's part of a volume's traffic; the even split until there is news of others."""
-        prior = PRIOR_UNITS * max(self.s.mean_units, 1.0) / DEMAND_SPAN
+        prior = PRIOR_UNITS * max(self.settings.mean_units, 1.0) / DEMAND_SPAN
         own, others = volume.demand.rate(self.now), volume.others.rate(self.now)
-        return (own + prior / volume.hosts) / (own + others + prior)
+        return (own + prior / volume.initiator_count) / (own + others + prior)
 
-    def _slices(self, node: Node, share: Share) -> tuple[float, float]:
+    def _slices(self, node: TargetState, share: VolumeAllocation) -> tuple[float, float]:
         """The ask and the reservation slice of a volume at a node, in units per second."""
         volume, plan = share.volume, share.volume.plan
         here = share.demand.rate(self.now)
@@ -410,17 +472,17 @@
         part = self._part(volume)
         ask = max(plan.rate * part * spread, here)
         if plan.limit > 0:
-            ask = min(ask, plan.limit / volume.hosts)
+            ask = min(ask, plan.limit / volume.initiator_count)
         return ask, plan.reservation * part * spread
 
-    def _test(self, node: Node, name: int, share: Share) -> None:
+    def _test(self, node: TargetState, name: int, share: VolumeAllocation) -> None:
         """The congested test: a full ask, or psi by weight, never under the reservation slice."""
         if self.now - share.tested_at < RETEST_EVERY:
             return
         share.tested_at = self.now
         self._idle(node)
         capacity = self._capacity(node)
-        used = sum(s.grant for s in node.shares.values()) - share.grant
+        used = sum(s.grant for s in node.allocations.values()) - share.grant
         ask, slice_ = self._slices(node, share)
         share.ask = ask
         quiet = int((self.now - node.quiet_at) / RELEASE_EVERY)  # spells: each releases a part of the reserve
@@ -434,125 +496,138 @@
         reserve = node.reserve * capacity
         free = max(0.0, min(reserve, capacity - used))
         psi = free / K1 ** ((used - reserve) * K2_SHARE / capacity)
-        mean = sum(s.volume.plan.weight for s in node.shares.values()) / len(node.shares)
+        mean = sum(s.volume.plan.weight for s in node.allocations.values()) / len(node.allocations)
         share.grant = max(min(psi * share.volume.plan.weight / max(mean, 1e-9), ask), min(slice_, ask))
 
-    def _idle(self, node: Node) -> None:
+    def _idle(self, node: TargetState) -> None:
         """Idle volumes hand their grants back to degraded ones by remaining ratio (RWR)."""
-        idle = [n for n, s in node.shares.items() if not s.open and self.now - s.busy_at > IDLE_AFTER]
-        freed = sum(node.shares.pop(name).grant for name in idle)
-        degraded = [s for s in node.shares.values() if s.grant < s.ask]
+        idle = [n for n, s in node.allocations.items() if not s.open and self.now - s.busy_at > IDLE_AFTER]
+        freed = sum(node.allocations.pop(name).grant for name in idle)
+        degraded = [s for s in node.allocations.values() if s.grant < s.ask]
         total = sum(1 - s.grant / s.ask for s in degraded)
         for s in degraded:
             s.grant = min(s.ask, s.grant + freed * (1 - s.grant / s.ask) / total)
 
     # --- Serving a node ---------------------------------------------------------------------------
-    def _serve(self, node: Node) -> None:
+    def _serve(self, node: TargetState) -> None:
         """Send what the window allows, then give up what is out of reach."""
-        if node.entry.state is not NodeState.READY or node.entry.node not in self.nodes:
+        if node.target.status is not TargetStatus.READY or node.target.target_id not in self.targets:
             return
-        if not node.out and self.now - node.sent_at >= UNTRIED:
+        if not node.in_flight_count and self.now - node.sent_at >= UNTRIED:
             # Guards against a node avoided for good: never tried again, it is never seen to have recovered.
             node.latency = min(node.latency, LATE_SHARE * self.tightest)
         while True:
             for held in node.queue:
                 held.place = self._rank(node, held)
-            node.queue.sort(key=lambda h: (h.place, h.due, h.r.id))
+            node.queue.sort(key=lambda h: (h.place, h.due, h.r.request_id))
             first = next((held for held in node.queue if self._allowed(node, held)), None)
             if first is None:
                 break
             self._send(node, first)
         self._shed(node)
 
-    def _rank(self, node: Node, held: Held) -> int:
+    def _rank(self, node: TargetState, held: PendingRequest) -> int:
         """Whether a request lies within its reservation slice, its grant or beyond.  Any level above zero
         will do: asking for all units at once would let a volume's small requests starve its large ones."""
-        volume, share = held.volume, node.shares[held.r.volume]
+        volume, share = held.volume, node.allocations[held.r.volume]
         rate = volume.plan.reservation * self._part(volume)
-        if volume.reservation.refill(self.now, rate, rate * BUCKET_DEPTH + self.s.largest_units) > 0:
+        if volume.reservation.refill(self.now, rate, rate * BUCKET_DEPTH + self.settings.max_units) > 0:
             return IN_RESERVATION
-        depth = share.grant * BUCKET_DEPTH + self.s.largest_units
+        depth = share.grant * BUCKET_DEPTH + self.settings.max_units
         return IN_GRANT if share.bucket.refill(self.now, share.grant, depth) > 0 else BEYOND
 
-    def _allowed(self, node: Node, held: Held) -> bool:
+    def _allowed(self, node: TargetState, held: PendingRequest) -> bool:
         """Whether window, pauses and every rule let a request go now."""
-        if self.now < node.paused_until or node.out >= CEILING:
+        if self.now < node.paused_until or node.in_flight_count >= CEILING:
             return False
         # What a node has just taken is cheap for it to take again, but not after others' requests.
-        if held.attempts or held.place is BEYOND or held.r.key != node.run_key or self.now >= node.run_until:
-            if node.out >= max(1, int(node.window)):
+        if (
+            held.attempts
+            or held.place is BEYOND
+            or held.r.idempotency_key != node.run_key
+            or self.now >= node.run_until
+        ):
+            if node.in_flight_count >= max(1, int(node.concurrency_limit)):
                 return False
-            if node.window < 1 and held.place is not IN_RESERVATION and self.now < node.paced_until:
+            if (
+                node.concurrency_limit < 1
+                and held.place is not IN_RESERVATION
+                and self.now < node.paced_until
+            ):
                 return False
         if self._hopeless(node, held):
             return False
         if held.attempts and not (self._may_repeat(held, node) and self._budget_room()):
             return False
-        if held.cls.in_order and held.r.key:
-            line = self.orders[held.r.key]
-            if line[0] is not held or self.rest_until.get(held.r.key, self.now) > self.now:
+        if held.cls.in_order and held.r.idempotency_key:
+            line = self.orders[held.r.idempotency_key]
+            if line[0] is not held or self.rest_until.get(held.r.idempotency_key, self.now) > self.now:
                 return False
         return (held.drawn or self._limit_room(held)) and self._cold_room(node, held.r.units)
 
-    def _hopeless(self, node: Node, held: Held) -> bool:
+    def _hopeless(self, node: TargetState, held: PendingRequest) -> bool:
         """Whether the client will have left before the node answers: such work serves nobody.  Guards against
         clients that give up early and repeat at once; spares a slow node."""
         size = max(1.0, held.r.units / self.mean)
         return self.now + WAIT_SHARE * node.latency * size >= held.deadline - ANSWER_MARGIN
 
-    def _limit_room(self, held: Held) -> bool:
+    def _limit_room(self, held: PendingRequest) -> bool:
         """Whether this gateway's part of the limit has the units: limit and burst over the host count, empty
         at first, as a restart must not mint a burst.  Most of it is kept for the classes worth most: a class
         that can wait for units would spend what those that can't wait earn more with."""
         volume, plan = held.volume, held.volume.plan
         if plan.limit <= 0:
             return True
-        keep = KEEP_SHARE * max(0.0, plan.burst / volume.hosts - self.s.largest_units)
-        if self._tokens(volume) >= held.r.units + keep * (held.cls.worth < self.best):
+        keep = KEEP_SHARE * max(0.0, plan.burst / volume.initiator_count - self.settings.max_units)
+        if self._tokens(volume) >= held.r.units + keep * (held.cls.priority_weight < self.best):
             return True
-        if self.s.may_message:
+        if self.settings.may_message:
             self._borrow(held.r.volume, volume)
         return False
 
     def _tokens(self, volume: Volume) -> float:
-        rate = volume.plan.limit / volume.hosts if self.filling else 0.0
-        return volume.limit.refill(self.now, rate, volume.plan.burst / volume.hosts)
+        rate = volume.plan.limit / volume.initiator_count if self.filling else 0.0
+        return volume.limit.refill(self.now, rate, volume.plan.burst / volume.initiator_count)
 
     def _borrow(self, name: int, volume: Volume) -> None:
         """Ask other gateways of a volume for tokens: all gateways while some of its own are not known."""
-        if self.now < volume.ask_at or volume.hosts < 2:
+        if self.now < volume.ask_at or volume.initiator_count < 2:
             return
         volume.ask_gap = LEASE_EVERY if volume.answered else min(2 * volume.ask_gap, LEASE_SLOWEST)
         volume.ask_at = self.now + volume.ask_gap * (0.75 + 0.5 * self.random.random())
         volume.ask, volume.answered = self.random.getrandbits(32), []
-        short = volume.plan.burst / volume.hosts - volume.limit.level
+        short = volume.plan.burst / volume.initiator_count - volume.limit.level
         asked: list[int | None] = self.random.sample(volume.peers, min(LEASE_ASKS, len(volume.peers)))
         each = short / max(1, len(asked))
-        if len(volume.peers) < volume.hosts - 1 and self.now >= volume.cry_at:
+        if len(volume.peers) < volume.initiator_count - 1 and self.now >= volume.cry_at:
             volume.cry_gap *= 4  # dear: every gateway hears it
             volume.cry_at = self.now + volume.cry_gap
-            asked, each = [None], short / (volume.hosts - 1)
+            asked, each = [None], short / (volume.initiator_count - 1)
         for peer in asked:
             self._tell(peer, ASK, name, volume.ask, each)
 
     def _tell(self, peer: int | None, kind: int, name: int, number: int, units: float) -> float:
         """Send a message and return the units that it carries."""
         parts = min(65535, int(units * LEASE_PARTS))
-        self.actions.append(Tell(peer, MESSAGE.pack(kind, name, number, parts)))
+        self.actions.append(SendPeerMessage(peer, MESSAGE.pack(kind, name, number, parts)))
         return parts / LEASE_PARTS
 
-    def _message(self, message: Message) -> None:
+    def _message(self, message: PeerMessage) -> None:
         """Lend tokens not needed here, or take those lent.  They leave the lender's bucket before they travel
         and count only for the last ask and once for each lender, so what is lost, doubled, late or meant for
         an earlier life destroys tokens, never mints.  No bucket rises above its part of the burst."""
-        sender, volume = message.sender, None
-        if len(message.data) == MESSAGE.size and 0 <= sender < self.s.gateways and sender != self.s.gateway:
+        sender, volume = message.sender_index, None
+        if (
+            len(message.data) == MESSAGE.size
+            and 0 <= sender < self.settings.initiator_count
+            and sender != self.settings.initiator_index
+        ):
             kind, name, number, parts = MESSAGE.unpack(message.data)
             volume = self.volumes.get(name)
         if volume is None or volume.plan.limit <= 0 or kind not in (ASK, GRANT):
             return
         known = sender in volume.peers
-        if not known and len(volume.peers) < volume.hosts - 1:
+        if not known and len(volume.peers) < volume.initiator_count - 1:
             volume.peers.append(sender)
         level = self._tokens(volume)
         if kind == ASK:
@@ -562,23 +637,27 @@
         elif number == volume.ask and sender not in volume.answered:
             if parts:
                 volume.answered.append(sender)
-            volume.limit.level = min(volume.plan.burst / volume.hosts, level + parts / LEASE_PARTS)
+            volume.limit.level = min(volume.plan.burst / volume.initiator_count, level + parts / LEASE_PARTS)
 
     def _budget_room(self) -> bool:
         """Whether the site's budget for further attempts, if it states one, has room for one more."""
-        rules = self.s.rules
-        if rules.budget_window is None or (rules.budget_free is None and rules.budget_share is None):
+        rules = self.settings.rules
+        if rules.retry_budget_window is None or (
+            rules.retry_budget_base is None and rules.retry_budget_fraction is None
+        ):
             return True
-        start = self.now - rules.budget_window
+        start = self.now - rules.retry_budget_window
         for times in (self.extra, self.taken):
             while times and times[0] <= start:
                 times.popleft()
-        return len(self.extra) + 1 <= (rules.budget_free or 0) + (rules.budget_share or 0) * len(self.taken)
+        return len(self.extra) + 1 <= (rules.retry_budget_base or 0) + (
+            rules.retry_budget_fraction or 0
+        ) * len(self.taken)
 
-    def _send(self, node: Node, held: Held) -> None:
+    def _send(self, node: TargetState, held: PendingRequest) -> None:
         node.queue.remove(held)
-        r, volume, share = held.r, held.volume, node.shares[held.r.volume]
-        if held.attempts and self.s.rules.budget_window is not None:
+        r, volume, share = held.r, held.volume, node.allocations[held.r.volume]
+        if held.attempts and self.settings.rules.retry_budget_window is not None:
             self.extra.append(self.now)
         if not held.drawn:
             held.drawn = True
@@ -589,28 +668,34 @@
         self._cold_count(node, r.units)
         if held.unsure_at is None:
             held.unsure_at, held.unsure_node = self.now, node
-        if r.key and (r.key != node.run_key or self.now >= node.run_until):
-            node.run_key, node.run_until = r.key, self.now + RUN_SPAN
-        node.paced_until = self.now + node.latency / node.window * (0.5 + self.random.random())
+        if r.idempotency_key and (r.idempotency_key != node.run_key or self.now >= node.run_until):
+            node.run_key, node.run_until = r.idempotency_key, self.now + RUN_SPAN
+        node.paced_until = self.now + node.latency / node.concurrency_limit * (0.5 + self.random.random())
         held.attempts += 1
         held.out += 1
         held.sent_at, held.passed, held.cancelled = self.now, 0, False
-        node.out += 1
-        node.flying[r.id], node.sent_at = held, self.now
+        node.in_flight_count += 1
+        node.in_flight[r.request_id], node.sent_at = held, self.now
         # An attempt is given up soon after its aim: its place in the window is worth more than a late answer.
         expires = min(held.deadline, max(held.due, self.now + LONG_SHARE * node.latency) + LATE_PATIENCE)
-        self.actions.append(Send(r.id, node.entry.node, expires))
+        self.actions.append(StartAttempt(r.request_id, node.target.target_id, expires))
 
-    def _shed(self, node: Node) -> None:
+    def _shed(self, node: TargetState) -> None:
         """Give up the least worthy of each request out of reach and those before it (Moore and Hodgson)."""
-        ahead, width = float(node.out >= max(1, int(node.window))), max(1.0, node.window)
+        ahead, width = (
+            float(node.in_flight_count >= max(1, int(node.concurrency_limit))),
+            max(1.0, node.concurrency_limit),
+        )
         kept, lost = [], []
         for held in node.queue:
             kept.append(held)
-            alone = (self.now + node.latency * REACH_SHARE > held.due or self._late(held)
-                     or self._hopeless(node, held))
+            alone = (
+                self.now + node.latency * REACH_SHARE > held.due
+                or self._late(held)
+                or self._hopeless(node, held)
+            )
             start = self.now + ahead / width * node.latency
-            if node.window < 1 and held.place is not IN_RESERVATION:
+            if node.concurrency_limit < 1 and held.place is not IN_RESERVATION:
                 start = max(start, node.paced_until)
             ahead += held.r.units / self.mean
             if alone or start + REACH_SHARE * node.latency > held.due:
@@ -621,114 +706,127 @@
         for held in lost:
             self._give_up(held)
 
-    def _late(self, held: Held) -> bool:
+    def _late(self, held: PendingRequest) -> bool:
         """Whether half of a client's time is over, or will be by the next look, and no node had it."""
         return not held.landed and self.now + POLL >= held.half
 
-    def _worth(self, held: Held) -> float:
+    def _worth(self, held: PendingRequest) -> float:
         """What a unit of a request earns, as far as this gateway can tell."""
-        due = (1.0, self.s.share_worth, self.s.spare_worth)[held.place]
-        return due * held.cls.worth * held.volume.plan.price
+        due = (1.0, self.settings.within_share_weight, self.settings.beyond_share_weight)[held.place]
+        return due * held.cls.priority_weight * held.volume.plan.price_weight
 
-    def _drop_lost(self, node: Node) -> bool:
+    def _drop_lost(self, node: TargetState) -> bool:
         """Give up attempts that a node's later answers have passed; whether some may become lost.  Guards
         against connections that fall silent while the node answers what was sent after, in turn."""
         suspect = False
-        for held in node.flying.values():
-            if held.passed < PASSED or held.over or held.cancelled or held.cls.effect is not Effect.SAFE:
+        for held in node.in_flight.values():
+            if (
+                held.passed < PASSED
+                or held.over
+                or held.cancelled
+                or held.cls.idempotency is not Idempotency.SAFE
+            ):
                 continue
             usual = node.latency * self.slowness.get(held.cls.name, 1.0) * max(1.0, held.r.units / self.mean)
             if self.now - held.sent_at < LOST_SHARE * usual + LOST_MARGIN:
                 suspect = True
-            elif self.s.may_cancel and held.attempts < min(held.most, self.s.max_attempts):
+            elif self.settings.may_cancel and held.attempts < min(held.most, self.settings.max_attempts):
                 held.cancelled = True
-                self.actions.append(Cancel(held.r.id, held.attempts - 1))
+                self.actions.append(CancelAttempt(held.r.request_id, held.attempts - 1))
         return suspect
 
     # --- Outcomes ---------------------------------------------------------------------------------
-    def _outcome(self, o: Outcome) -> Node | None:
-        held, node = self.held.get(o.id), self.nodes.get(o.node)
+    def _outcome(self, o: AttemptFinished) -> TargetState | None:
+        held, node = self.pending.get(o.request_id), self.targets.get(o.target_id)
         if held is None or held.out == 0:
             return None
         held.out -= 1
-        held.landed |= o.status not in (Status.CONNECT_FAILED, Status.MOOT)
+        held.landed |= o.status not in (AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_STARTED)
         at = held.node
         if at is not None:
-            at.out -= 1
-            at.flying.pop(o.id, None)
-            share = at.shares.get(held.r.volume)
+            at.in_flight_count -= 1
+            at.in_flight.pop(o.request_id, None)
+            share = at.allocations.get(held.r.volume)
             if share is not None:
                 share.open -= 1
                 share.busy_at = self.now
             self._learn(at, held, o)
-        if o.status in UNSURE_END and held.cls.in_order and held.r.key:
-            pause = self.s.rules.order_pause or 0.0
-            self.rest_until[held.r.key] = max(self.rest_until.get(held.r.key, 0.0), self.now + pause)
+        if o.status in UNSURE_END and held.cls.in_order and held.r.idempotency_key:
+            pause = self.settings.rules.ordering_pause or 0.0
+            self.rest_until[held.r.idempotency_key] = max(
+                self.rest_until.get(held.r.idempotency_key, 0.0), self.now + pause
+            )
         if held.over:
             self._forget(held)
-        elif o.over:
+        elif o.request_done:
             self._close(held)
         else:
             self._again(held, o)
         return node
 
-    def _learn(self, node: Node, held: Held, o: Outcome) -> None:
+    def _learn(self, node: TargetState, held: PendingRequest, o: AttemptFinished) -> None:
         """Window and latency from one outcome; volume news from an answer."""
         size = max(1.0, held.r.units / self.mean)
-        if o.status is Status.OK:
-            slow = o.took / size / node.latency
+        if o.status is AttemptStatus.OK:
+            slow = o.latency / size / node.latency
             known = self.slowness.get(held.cls.name, 1.0)
             self.slowness[held.cls.name] = known + SLOW_GAIN * (min(slow, 10.0) - known)
-            for other in node.flying.values():
+            for other in node.in_flight.values():
                 if other.sent_at >= held.sent_at:
                     break
                 other.passed += 1
-        elif o.status is Status.RESET or (held.passed >= PASSED and o.status in UNSURE_END):
+        elif o.status is AttemptStatus.RESET or (held.passed >= PASSED and o.status in UNSURE_END):
             node.paused = 0.0  # a connection was lost; the node answers others and is no fuller for it
             return
-        deep = o.took > DEEP_SHARE * self.tightest * size
-        if o.status is Status.FULL or deep:  # more ask than this gateway can see
+        deep = o.latency > DEEP_SHARE * self.tightest * size
+        if o.status is AttemptStatus.REJECTED or deep:  # more ask than this gateway can see
             node.ease = max(COLD_LEAST, node.ease / 2)
-        elif o.status is Status.OK:
+        elif o.status is AttemptStatus.OK:
             node.ease = min(1.0, node.ease * COLD_EASE)
-        late = deep or (node.window > 1 and o.took > LATE_SHARE * self.tightest * size)
-        if o.status is Status.OK or (o.status is Status.TIMEOUT and o.took > node.latency):
-            node.latency += MEAN_GAIN * (o.took / size - node.latency)
+        late = deep or (node.concurrency_limit > 1 and o.latency > LATE_SHARE * self.tightest * size)
+        if o.status is AttemptStatus.OK or (o.status is AttemptStatus.TIMEOUT and o.latency > node.latency):
+            node.latency += MEAN_GAIN * (o.latency / size - node.latency)
         # A time-out counts by its length: a hasty client's says no more than an answer as slow would.
-        if o.status in (Status.FULL, Status.CONNECT_FAILED, Status.RESET) or late:
+        if o.status in (AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.RESET) or late:
             if self.now - node.cut_at >= node.latency:  # once a round trip
                 node.cut_at = self.now
-                used = min(node.window, node.out + 1)  # a wide window says nothing of one who seldom sends
-                node.window = max(FLOOR if deep else min(1.0, node.window), used / 2)
-        elif o.status is Status.OK and node.out + 1 >= int(node.window):
-            node.window = min(CEILING, node.window + min(node.window, 1 / node.window))
+                used = min(
+                    node.concurrency_limit, node.in_flight_count + 1
+                )  # a wide window says nothing of one who seldom sends
+                node.concurrency_limit = max(FLOOR if deep else min(1.0, node.concurrency_limit), used / 2)
+        elif o.status is AttemptStatus.OK and node.in_flight_count + 1 >= int(node.concurrency_limit):
+            node.concurrency_limit = min(
+                CEILING, node.concurrency_limit + min(node.concurrency_limit, 1 / node.concurrency_limit)
+            )
         # A node that is down, full or unreachable fails at once and would use up the attempts of what waits.
-        if o.status in (Status.FULL, Status.CONNECT_FAILED):
+        if o.status in (AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED):
             if self.now >= node.paused_until:
                 node.paused = min(PAUSE_LONGEST, max(PAUSE_FIRST, 2 * node.paused))
                 node.paused_until = self.now + node.paused
-        elif o.status is not Status.MOOT:
+        elif o.status is not AttemptStatus.NOT_STARTED:
             node.paused = 0.0
         volume = held.volume
-        if o.status is Status.OK:
+        if o.status is AttemptStatus.OK:
             self._cold_count(node, -held.r.units)
             volume.served.add(self.now, held.r.units)
-            if o.others > 0:
-                volume.others.add(self.now, o.others)
-        if o.use is not None and not self.s.others_told:
-            rate = max(0.0, o.use * volume.plan.rate - volume.served.rate(self.now))
+            if o.other_units > 0:
+                volume.others.add(self.now, o.other_units)
+        if o.volume_usage is not None and not self.settings.other_usage_reported:
+            rate = max(0.0, o.volume_usage * volume.plan.rate - volume.served.rate(self.now))
             volume.others.set_rate(self.now, rate)
 
-    def _again(self, held: Held, o: Outcome) -> None:
+    def _again(self, held: PendingRequest, o: AttemptFinished) -> None:
         """Whether a request whose attempt failed is sent once more or gets its final answer."""
-        if o.status in NEVER_RAN:
+        if o.status in NEVER_EXECUTED:
             # Only a keyed request goes out again after one that may have run; others, turned away, never ran.
-            if held.attempts == 1 or held.cls.effect is not Effect.KEYED:
+            if held.attempts == 1 or held.cls.idempotency is not Idempotency.IDEMPOTENCY_KEY:
                 held.unsure_at = held.unsure_node = None
-            if o.status is Status.MOOT and held.attempts == 1:
+            if o.status is AttemptStatus.NOT_STARTED and held.attempts == 1:
                 held.volume.limit.level += held.r.units
                 held.drawn = False
-        more = held.attempts < min(held.most, self.s.max_attempts) and self.now + ANSWER_MARGIN < held.due
+        more = (
+            held.attempts < min(held.most, self.settings.max_attempts) and self.now + ANSWER_MARGIN < held.due
+        )
         bound = held.unsure_at is not None and self._choose(held) is None
         if not more or bound or not self._budget_room():
             self._give_up(held)
@@ -736,37 +834,50 @@
             self._enqueue(held)
 
     # --- Final answers ----------------------------------------------------------------------------
-    def _refusable(self, held: Held) -> bool:
-        return (held.unsure_at is None or held.cls.effect is Effect.SAFE
-                or (held.cls.effect is Effect.KEYED and held.cls.scope is Scope.ALL))
-
-    def _give_up(self, held: Held) -> None:
+    def _refusable(self, held: PendingRequest) -> bool:
+        return (
+            held.unsure_at is None
+            or held.cls.idempotency is Idempotency.SAFE
+            or (
+                held.cls.idempotency is Idempotency.IDEMPOTENCY_KEY
+                and held.cls.deduplication_scope is DeduplicationScope.ALL
+            )
+        )
+
+    def _give_up(self, held: PendingRequest) -> None:
         """The final answer at once: refused with advice where that is harmless, else failed."""
         if self._refusable(held):
             # The longest advice that clients heed: a try after a refusal seldom has its aim in reach.
-            self.actions.append(Refuse(held.r.id, self.s.max_advice if self.s.may_advise else 0.0))
+            self.actions.append(
+                Reject(
+                    held.r.request_id,
+                    self.settings.max_retry_after if self.settings.may_send_retry_after else 0.0,
+                )
+            )
         else:
-            self.actions.append(Fail(held.r.id))
+            self.actions.append(Fail(held.r.request_id))
         self._close(held)
 
-    def _close(self, held: Held) -> None:
+    def _close(self, held: PendingRequest) -> None:
         held.over = True
         if held.node is not None and held in held.node.queue:
             held.node.queue.remove(held)
-            held.node.shares[held.r.volume].open -= 1
+            held.node.allocations[held.r.volume].open -= 1
         if held in self.waiting:
             self.waiting.remove(held)
         self._forget(held)
 
-    def _forget(self, held: Held) -> None:
+    def _forget(self, held: PendingRequest) -> None:
         if held.out:
             return
-        del self.held[held.r.id]
-        line = self.orders.get(held.r.key) if held.cls.in_order and held.r.key else None
+        del self.pending[held.r.request_id]
+        line = (
+            self.orders.get(held.r.idempotency_key) if held.cls.in_order and held.r.idempotency_key else None
+        )
         if line is not None and held in line:
             line.remove(held)
             if not line:
-                del self.orders[held.r.key]
+                del self.orders[held.r.idempotency_key]
 
     def _poll(self) -> None:
         """Requests that no node can serve are given up once their aim is out of reach."""
--- a/stalltiller/scheduling/settings.py
+++ b/stalltiller/scheduling/settings.py
@@ -10,20 +10,20 @@
 from enum import Enum
 
 
-class Effect(Enum):
+class Idempotency(Enum):
     """What repeating a request of a class does."""
 
     SAFE = "safe"
-    KEYED = "keyed"
+    IDEMPOTENCY_KEY = "keyed"
     UNSAFE = "unsafe"
 
 
-class Scope(Enum):
+class DeduplicationScope(Enum):
     """Which nodes drop a repeat of a keyed request."""
 
     ALL = "all"
     ZONE = "zone"
-    CELL = "cell"
+    SHARD = "cell"
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,16 +34,16 @@
     """
 
     name: str
-    aim: float
+    latency_objective: float
     deadline: float
-    worth: float
-    late_share: float
-    effect: Effect
-    scope: Scope
-    keep: float
+    priority_weight: float
+    late_value_fraction: float
+    idempotency: Idempotency
+    deduplication_scope: DeduplicationScope
+    deduplication_window: float
     streaming: bool
     in_order: bool
-    writes: bool | None
+    is_write: bool | None
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,7 +54,7 @@
     rate: float
     reservation: float
     weight: float
-    price: float
+    price_weight: float
     limit: float
     burst: float
     slack: float
@@ -66,43 +66,43 @@
 
     answer_slack: float
     drain_grace: float
-    cold_share: float
-    cold_time: float
-    tip_multiple: float
-    tip_time: float
-    ask_every: float | None
-    order_pause: float | None
-    budget_free: float | None
-    budget_share: float | None
-    budget_window: float | None
+    slow_start_initial_fraction: float
+    slow_start_duration: float
+    overload_factor: float
+    overload_window: float
+    list_poll_interval: float | None
+    ordering_pause: float | None
+    retry_budget_base: float | None
+    retry_budget_fraction: float | None
+    retry_budget_window: float | None
 
 
 @dataclass(slots=True, frozen=True)
 class Settings:
     """All that a gateway is told when it starts."""
 
-    gateway: int
-    gateways: int
+    initiator_index: int
+    initiator_count: int
     zone: int
     tick: float
     classes: tuple[RequestClass, ...]
     plans: tuple[Plan, ...]
     rules: Rules
     mean_units: float
-    largest_units: float
-    cold_units: float
-    share_worth: float
-    spare_worth: float
+    max_units: float
+    slow_start_units: float
+    within_share_weight: float
+    beyond_share_weight: float
     meter_period: float
-    others_told: bool
+    other_usage_reported: bool
     list_pushed: bool
     report_fields: tuple[str, ...]
     reports_in_answers: bool
     may_probe: bool
     may_message: bool
     may_cancel: bool
-    may_copy: bool
-    may_advise: bool
-    max_advice: float
+    may_hedge: bool
+    may_send_retry_after: bool
+    max_retry_after: float
     max_attempts: int
     retries_marked: bool
--- a/stalltiller/scheduling/targets.py
+++ b/stalltiller/scheduling/targets.py
@@ -5,18 +5,18 @@
 from dataclasses import dataclass
 from enum import Enum
 
-NodeId = int
+TargetId = int
 
 
-class NodeState(Enum):
+class TargetStatus(Enum):
     """What the node list says of a node."""
 
     READY = "ready"
     DRAINING = "draining"
-    GONE = "gone"
+    REMOVED = "gone"
 
 
-class ListKind(Enum):
+class TargetListKind(Enum):
     """What a piece of node-list news is."""
 
     DELTA = "delta"
@@ -26,21 +26,21 @@
 
 
 @dataclass(slots=True, frozen=True)
-class NodeEntry:
+class Target:
     """One line of the node list; `started` is None for a node that has long been up."""
 
-    node: NodeId
+    target_id: TargetId
     zone: int
     kind: int
-    cell: int
-    state: NodeState
+    shard: int
+    status: TargetStatus
     weight: float
-    started: float | None
+    started_at: float | None
 
 
 @dataclass(slots=True, frozen=True)
-class NodeList:
+class TargetListUpdate:
     """News of the node list."""
 
-    kind: ListKind
-    entries: tuple[NodeEntry, ...]
+    kind: TargetListKind
+    targets: tuple[Target, ...]
--- a/stalltiller/simulator/codec.py
+++ b/stalltiller/simulator/codec.py
@@ -9,35 +9,35 @@
 
 from stalltiller.scheduling import (
     Action,
-    Cancel,
-    ClientGone,
-    CloseIdle,
-    Effect,
+    AttemptFinished,
+    AttemptStatus,
+    CancelAttempt,
+    ClientDisconnected,
+    CloseIdleConnections,
+    DeduplicationScope,
     Fail,
-    FetchList,
+    FetchTargetList,
     FirstByte,
-    ListKind,
-    Log,
-    Message,
-    NodeEntry,
-    NodeList,
-    NodeState,
-    Outcome,
+    Idempotency,
+    LogMessage,
+    PeerMessage,
     Plan,
-    Probe,
-    Probed,
-    Refuse,
+    ProbeFinished,
+    ProbeTarget,
+    Reject,
     Request,
     RequestClass,
     Rules,
-    Scope,
-    Send,
+    SendPeerMessage,
     SetTimer,
     Settings,
-    Status,
-    Tell,
+    StartAttempt,
+    Target,
+    TargetListKind,
+    TargetListUpdate,
+    TargetStatus,
     TimerFired,
-    Watch,
+    WatchTargetList,
 )
 
 NS = 1_000_000_000
@@ -62,26 +62,26 @@
     OUTCOME: struct.Struct("<IQBIHHQBHH"),
 }
 STATUSES = (
-    Status.OK,
-    Status.ERROR,
-    Status.FULL,
-    Status.TIMEOUT,
-    Status.CONNECT_FAILED,
-    Status.RESET,
-    Status.CANCELLED,
-    Status.MOOT,
+    AttemptStatus.OK,
+    AttemptStatus.ERROR,
+    AttemptStatus.REJECTED,
+    AttemptStatus.TIMEOUT,
+    AttemptStatus.CONNECT_FAILED,
+    AttemptStatus.RESET,
+    AttemptStatus.CANCELLED,
+    AttemptStatus.NOT_STARTED,
 )
-STATES = (NodeState.GONE, NodeState.DRAINING, NodeState.READY)
+STATES = (TargetStatus.REMOVED, TargetStatus.DRAINING, TargetStatus.READY)
 LIST_KINDS = (
-    ListKind.DELTA,
-    ListKind.FULL,
-    ListKind.CACHED,
-    ListKind.FAILED,
+    TargetListKind.DELTA,
+    TargetListKind.FULL,
+    TargetListKind.CACHED,
+    TargetListKind.FAILED,
 )
 EFFECTS = {
-    "repeatable": Effect.SAFE,
-    "by_key": Effect.KEYED,
-    "once": Effect.UNSAFE,
+    "repeatable": Idempotency.SAFE,
+    "by_key": Idempotency.IDEMPOTENCY_KEY,
+    "once": Idempotency.UNSAFE,
 }
 REPEAT_BIT, WRITE_BIT = 2, 4
 
@@ -201,7 +201,7 @@
                 )
             if code == OUTCOME:
                 use = (v[8] - 1) / 100 if v[8] else None
-                return Outcome(
+                return AttemptFinished(
                     v[1],
                     v[2],
                     node_id(v[3], v[4]),
@@ -217,17 +217,17 @@
             if code == FIRST:
                 return FirstByte(v[1], v[2], node_id(v[3], v[4]), v[5] / NS)
             if code == GONE:
-                return ClientGone(v[1])
+                return ClientDisconnected(v[1])
             if code == PROBED:
-                return Probed(node_id(v[1], v[2]), v[3] / NS, STATUSES[v[4]], v[5])
+                return ProbeFinished(node_id(v[1], v[2]), v[3] / NS, STATUSES[v[4]], v[5])
             if code == PEER:
-                return Message(v[1], v[2])
+                return PeerMessage(v[1], v[2])
             if code == INIT:
                 return Init(v[1], v[2].decode("utf-8", "replace"))
             if code == STOP:
                 return Stop()
             kind = LIST_KINDS[v[1]]
-            entries = () if kind is ListKind.FAILED else self._lists.get(v[3])
+            entries = () if kind is TargetListKind.FAILED else self._lists.get(v[3])
             if entries is None:
                 raise WireError(f"node list {v[3]} was never sent")
             return kind, entries
@@ -235,13 +235,13 @@
             raise WireError(f"a value out of range in event {code}") from error
 
 
-def node_list(kind: ListKind, rows: tuple[tuple, ...], base: int) -> NodeList:
+def node_list(kind: TargetListKind, rows: tuple[tuple, ...], base: int) -> TargetListUpdate:
     """Give a raw node list the clock of the instance that hears of it."""
     try:
-        return NodeList(
+        return TargetListUpdate(
             kind,
             tuple(
-                NodeEntry(
+                Target(
                     node_id(a, p),
                     zone,
                     hw,
@@ -260,29 +260,29 @@
 def encode_action(instance: int, action: Action, base: int) -> bytes:
     """Encode one action; `base` is the clock at which the instance's own time began."""
     match action:
-        case Send(id=request, node=node, expires=expires):
+        case StartAttempt(request_id=request, target_id=node, expires_at=expires):
             at = 0 if expires is None else base + max(1, round(expires * NS))
             return struct.pack("<BIQQIH", 0, instance, request, at, node >> 16, node & 0xFFFF)
-        case Refuse(id=request, retry_after=delay):
+        case Reject(request_id=request, retry_after=delay):
             return struct.pack("<BIQQ", 1, instance, request, round(delay * NS))
-        case Fail(id=request):
+        case Fail(request_id=request):
             return struct.pack("<BIQ", 2, instance, request)
-        case Cancel(id=request, attempt=attempt):
+        case CancelAttempt(request_id=request, attempt_number=attempt):
             return struct.pack("<BIQB", 3, instance, request, attempt)
         case SetTimer(token=token, delay=delay):
             return struct.pack("<BIQQ", 4, instance, token, max(0, math.ceil(delay * NS)))
-        case Probe(node=node):
+        case ProbeTarget(target_id=node):
             return struct.pack("<BIIH", 5, instance, node >> 16, node & 0xFFFF)
-        case CloseIdle(node=node):
+        case CloseIdleConnections(target_id=node):
             return struct.pack("<BIIH", 6, instance, node >> 16, node & 0xFFFF)
-        case Tell(gateway=gateway, data=data):
+        case SendPeerMessage(initiator_index=gateway, data=data):
             peer = ALL_PEERS if gateway is None else gateway
             return struct.pack("<BIHH", 7, instance, peer, len(data)) + data
-        case Log(text=text):
+        case LogMessage(text=text):
             return encode_text(8, instance, text)
-        case Watch(on=on):
+        case WatchTargetList(enabled=on):
             return struct.pack("<BIB", 10, instance, on)
-        case FetchList():
+        case FetchTargetList():
             return struct.pack("<BI", 11, instance)
     raise TypeError(f"not an action: {action!r}")
 
@@ -361,8 +361,10 @@
             c.span("give-up"),
             c.amount("worth"),
             c.amount("late-share"),
-            EFFECTS.get(c.text("effect") or "", Effect.UNSAFE),
-            {"all": Scope.ALL, "zone": Scope.ZONE}.get(c.text("key-scope") or "", Scope.CELL),
+            EFFECTS.get(c.text("effect") or "", Idempotency.UNSAFE),
+            {"all": DeduplicationScope.ALL, "zone": DeduplicationScope.ZONE}.get(
+                c.text("key-scope") or "", DeduplicationScope.SHARD
+            ),
             c.span("key-ttl"),
             c.flag("streaming"),
             c.flag("by-arrival"),
@@ -398,29 +400,29 @@
     )
     attempts = o.number("limits.attempts-cap")
     return Settings(
-        gateway=int(o.amount("position")),
-        gateways=int(o.amount("balancers")) or 1,
+        initiator_index=int(o.amount("position")),
+        initiator_count=int(o.amount("balancers")) or 1,
         zone=int(o.amount("zone")),
         tick=o.span("tick"),
         classes=classes,
         plans=plans,
         rules=rules,
         mean_units=o.amount("family-info.usual-units"),
-        largest_units=o.amount("family-info.largest"),
-        cold_units=o.amount("family-info.young-limit"),
-        share_worth=o.amount("family-info.share-worth"),
-        spare_worth=o.amount("family-info.spare-worth"),
+        max_units=o.amount("family-info.largest"),
+        slow_start_units=o.amount("family-info.young-limit"),
+        within_share_weight=o.amount("family-info.share-worth"),
+        beyond_share_weight=o.amount("family-info.spare-worth"),
         meter_period=o.span("family-info.metering"),
-        others_told=o.flag("family-info.tells-elsewhere"),
+        other_usage_reported=o.flag("family-info.tells-elsewhere"),
         list_pushed=o.text("membership-mode") != "ask",
         report_fields=tuple(o.words("feedback.fields")),
         reports_in_answers=o.text("feedback.how") == "piggyback",
         may_probe=o.flag("limits.probes"),
         may_message=o.flag("limits.peers"),
         may_cancel=o.flag("limits.cancel"),
-        may_copy=o.flag("limits.parallel-tries"),
-        may_advise=o.flag("limits.retry-after"),
-        max_advice=o.span("limits.max-retry-after"),
+        may_hedge=o.flag("limits.parallel-tries"),
+        may_send_retry_after=o.flag("limits.retry-after"),
+        max_retry_after=o.span("limits.max-retry-after"),
         max_attempts=1 if attempts is None else int(attempts),
         retries_marked=o.flag("clients.marks-retry"),
     )
--- a/stalltiller/transport/buffers.py
+++ b/stalltiller/transport/buffers.py
@@ -11,21 +11,21 @@
     def __init__(self, spare: int = 64, size: int = SIZE) -> None:
         self.size, self._spare, self._free = size, spare, []
 
-    def take(self) -> bytearray:
+    def acquire(self) -> bytearray:
         return self._free.pop() if self._free else bytearray(self.size)
 
-    def give(self, buffer: bytearray) -> None:
+    def release(self, buffer: bytearray) -> None:
         if len(self._free) < self._spare:
             self._free.append(buffer)
 
 
-class Allowance:
+class MemoryBudget:
     """Bytes that may be held at once by all who share it."""
 
     def __init__(self, most: int) -> None:
-        self._most, self.held = most, 0
+        self._most, self.reserved = most, 0
 
-    def change(self, by: int) -> bool:
+    def adjust(self, by: int) -> bool:
         """Count bytes in, or out if negative; whether all are within the allowance."""
-        self.held += by
-        return self.held <= self._most
+        self.reserved += by
+        return self.reserved <= self._most
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -10,8 +10,10 @@
 
 from stalltiller.transport.buffers import BufferPool
 
-LINGER = 3.0  # s for which a connection that was shut down still reads, if the other side does not close it
-GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+LINGER_TIMEOUT = (
+    3.0  # s for which a connection that was shut down still reads, if the other side does not close it
+)
+PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -34,52 +36,52 @@
         self.transport: asyncio.Transport | None = None
 
     # --- For subclasses ---------------------------------------------------------------------------
-    def received(self, data: memoryview) -> int:
+    def on_data(self, data: memoryview) -> int:
         """Take bytes and return how many are done with; the rest is kept and shown again with more."""
         raise NotImplementedError
 
-    def opened(self) -> None:
+    def on_connected(self) -> None:
         """The connection is up."""
 
-    def overflow(self) -> None:
+    def on_buffer_full(self) -> None:
         """The buffer is full of bytes that `received` does not take; by default wait until it does."""
         self._pause()
 
-    def ended(self, error: Exception | None) -> None:
+    def on_disconnected(self, error: Exception | None) -> None:
         """The connection is gone."""
 
     # --- For owners -------------------------------------------------------------------------------
     @property
-    def closing(self) -> bool:
+    def is_closing(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
     @property
-    def waiting(self) -> bool:
+    def has_unread_data(self) -> bool:
         """Whether bytes were received that are not done with."""
         return self._fill > self._read_at
 
-    def quiet(self) -> bool:
+    def is_clean(self) -> bool:
         """Whether nothing has come that nobody read, bytes or an end, in the kernel's buffer neither.
 
         Guards against an answer's surplus that the loop has not seen yet: it would pass for the next answer.
         """
-        if self.closing or self.waiting:
+        if self.is_closing or self.has_unread_data:
             return False
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
         return not poll.poll(0)
 
-    def peer_closed(self) -> bool:
+    def is_peer_closed(self) -> bool:
         """Whether the other side has ended or reset the connection, also where bytes wait before its end or
         the loop has not come to see it."""
-        if self.closing:
+        if self.is_closing:
             return True
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
-        return any(found & GONE for _, found in poll.poll(0))
+        return any(found & PEER_CLOSED_EVENTS for _, found in poll.poll(0))
 
     def write(self, data: bytes | memoryview) -> None:
-        if self.closing or self.half_closed:
+        if self.is_closing or self.half_closed:
             self.flushed = False
             return
         self._written += len(data)
@@ -87,7 +89,7 @@
         if self.transport.is_closing():  # the kernel took nothing: the other side was gone already
             self.flushed = False
 
-    def expect_reading(self, limit: float) -> None:
+    def abort_if_unread(self, limit: float) -> None:
         """Abort if for so long the kernel takes nothing of what it has not taken by now.
 
         Guards against a side that asks and does not read; one that reads slowly has its time.
@@ -103,7 +105,7 @@
         if self._written - self.transport.get_write_buffer_size() == before:
             self.abort()
         else:
-            self.expect_reading(limit)
+            self.abort_if_unread(limit)
 
     def close_gracefully(self) -> None:
         """Close so that all that was written arrives: shut down sending, drop what still comes, and close
@@ -112,7 +114,7 @@
         Guards against a close over bytes that nobody read, or that come right after it: it resets the
         connection, and what the other side has not read yet is lost to it.
         """
-        if self.closing or self.half_closed:
+        if self.is_closing or self.half_closed:
             return
         self.half_closed = True
         self._release()
@@ -124,17 +126,17 @@
         if self._paused:
             self._paused = False
             self.transport.resume_reading()
-        self.expect_reading(LINGER)
+        self.abort_if_unread(LINGER_TIMEOUT)
         self._linger()
 
     def _linger(self) -> None:
-        self._lingering = asyncio.get_running_loop().call_later(LINGER, self._linger_over)
+        self._lingering = asyncio.get_running_loop().call_later(LINGER_TIMEOUT, self._linger_over)
 
     def _linger_over(self) -> None:
         if self.flushed:
             self.abort()
         else:  # it reads slowly: `expect_reading` ends it if it reads nothing
-            self.expect_reading(LINGER)
+            self.abort_if_unread(LINGER_TIMEOUT)
             self._linger()
 
     def close(self) -> None:
@@ -162,14 +164,14 @@
                 )
             self.transport.abort()
 
-    def resume(self) -> None:
+    def resume_processing(self) -> None:
         """Look again at kept bytes, and go on reading."""
         self._digest()
-        if self._paused and not self.closing and self._fill - self._read_at < self._buffers.size:
+        if self._paused and not self.is_closing and self._fill - self._read_at < self._buffers.size:
             self._paused = False
             self.transport.resume_reading()
 
-    def discard(self) -> None:
+    def discard_unread(self) -> None:
         """Drop the kept bytes."""
         self._read_at = self._fill = 0
 
@@ -177,11 +179,11 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # so that `pause_writing` tells of any byte left over
-        self.opened()
+        self.on_connected()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         if self._buffer is None:
-            self._buffer = self._buffers.take()
+            self._buffer = self._buffers.acquire()
         return memoryview(self._buffer)[self._fill :]
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -193,7 +195,7 @@
 
     def resume_writing(self) -> None:
         self.flushed = True
-        self.resume()  # for those that take nothing more until what they wrote has gone out
+        self.resume_processing()  # for those that take nothing more until what they wrote has gone out
 
     def eof_received(self) -> bool:
         return False
@@ -203,20 +205,20 @@
             if timer is not None:
                 timer.cancel()
         self._release()
-        self.ended(error)
+        self.on_disconnected(error)
 
     def _digest(self) -> None:
         if self.half_closed:
             self._release()
             return
-        while self._buffer is not None and self._fill > self._read_at and not self.closing:
-            used = self.received(memoryview(self._buffer)[self._read_at : self._fill])
+        while self._buffer is not None and self._fill > self._read_at and not self.is_closing:
+            used = self.on_data(memoryview(self._buffer)[self._read_at : self._fill])
             self._read_at += used
             if used == 0:
                 break
         if self._buffer is None:
             return
-        if self._read_at == self._fill or self.closing:
+        if self._read_at == self._fill or self.is_closing:
             self._release()
         elif self._fill == len(self._buffer):
             if self._read_at:
@@ -224,15 +226,15 @@
                 self._buffer[:left] = self._buffer[self._read_at : self._fill]
                 self._read_at, self._fill = 0, left
             else:
-                self.overflow()
+                self.on_buffer_full()
 
     def _pause(self) -> None:
-        if not self._paused and not self.closing:
+        if not self._paused and not self.is_closing:
             self._paused = True
             self.transport.pause_reading()
 
     def _release(self) -> None:
         if self._buffer is not None:
-            self._buffers.give(self._buffer)
+            self._buffers.release(self._buffer)
             self._buffer = None
         self._read_at = self._fill = 0
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -21,25 +21,25 @@
 CROWDED_LIMIT = 0.3  # s, while there are more than `usual`
 
 
-class Guest(Protocol):
+class ManagedConnection(Protocol):
     """A client's connection."""
 
     def close_if_idle(self) -> bool:
         """Close between requests; whether it was idle."""
 
-    def overdue(self) -> None:
+    def on_request_timeout(self) -> None:
         """No whole request has come in time: say so or close, unless its head has come."""
 
-    def turn_away(self) -> None:
+    def reject_requests(self) -> None:
         """Answer whatever comes with a refusal and close."""
 
     @property
-    def closing(self) -> bool: ...
+    def is_closing(self) -> bool: ...
 
     def abort(self) -> None:
         """Close now."""
 
-    def cut_off(self) -> None:
+    def abort_partial_responses(self) -> None:
         """The program ends: have the other side see what is not whole."""
 
 
@@ -65,13 +65,19 @@
         self._hello = HELLO_LIMIT if hello is None else hello
         self._server: asyncio.Server | None = None
         self._listening: socket.socket | None = None
-        self._strangers: dict[Guest, float] = {}  # no whole request yet: when each arrived, in order
-        self._spoke: dict[Guest, float] = {}  # strangers that have begun one: when some came last, in order
-        self._guests: dict[Guest, float] = {}  # when each was last used, in order
-        self._lingering: dict[Guest, float] = {}  # shut down and not closed yet: since when, in order
+        self._strangers: dict[
+            ManagedConnection, float
+        ] = {}  # no whole request yet: when each arrived, in order
+        self._spoke: dict[
+            ManagedConnection, float
+        ] = {}  # strangers that have begun one: when some came last, in order
+        self._guests: dict[ManagedConnection, float] = {}  # when each was last used, in order
+        self._lingering: dict[
+            ManagedConnection, float
+        ] = {}  # shut down and not closed yet: since when, in order
         self._sweep: asyncio.TimerHandle | None = None
         self.keep_idle = False  # while it stops, clients have no other connections than those they hold
-        self.shed = 0
+        self.shed_count = 0
 
     @property
     def address(self) -> tuple[str, int]:
@@ -106,17 +112,17 @@
         listening.listen(BACKLOG)
         self._sweep_later()
 
-    def arrived(self, guest: Guest) -> None:
+    def add(self, guest: ManagedConnection) -> None:
         self._strangers[guest] = time.monotonic()
         over = len(self) - self._most
         if over <= 0:
             return
-        self.shed += 1
+        self.shed_count += 1
         now = time.monotonic()
         for other, since in self._strangers.items():
             if now - since < SPEAK_LIMIT:
                 break
-            if other not in self._spoke and not other.closing:
+            if other not in self._spoke and not other.is_closing:
                 other.abort()
                 return
         if over > self._away and self._lingering:
@@ -125,33 +131,33 @@
         if any(other.close_if_idle() for other in self._guests):
             return
         for other in (*self._spoke, *self._strangers):
-            if other is not guest and not other.closing:
+            if other is not guest and not other.is_closing:
                 other.abort()
                 return
         if over > self._away:
             guest.abort()
         else:
-            guest.turn_away()
+            guest.reject_requests()
 
-    def spoke(self, guest: Guest) -> None:
+    def request_started(self, guest: ManagedConnection) -> None:
         """A part of a request has come."""
         if guest in self._strangers:
             self._spoke.pop(guest, None)
             self._spoke[guest] = time.monotonic()
 
-    def used(self, guest: Guest) -> None:
+    def request_finished(self, guest: ManagedConnection) -> None:
         """A whole request has come, or was answered: the connection makes room last."""
         self._strangers.pop(guest, None)
         self._spoke.pop(guest, None)
         self._guests.pop(guest, None)
         self._guests[guest] = time.monotonic()
 
-    def lingering(self, guest: Guest) -> None:
+    def closing_gracefully(self, guest: ManagedConnection) -> None:
         """Its connection was shut down: it takes no more requests, and closes soon."""
-        self.left(guest)
+        self.remove(guest)
         self._lingering[guest] = time.monotonic()
 
-    def left(self, guest: Guest) -> None:
+    def remove(self, guest: ManagedConnection) -> None:
         for kind in (self._strangers, self._spoke, self._guests, self._lingering):
             kind.pop(guest, None)
 
@@ -159,9 +165,9 @@
         for guest in (*self._strangers, *self._guests):
             guest.close_if_idle()
 
-    def cut_off(self) -> None:
+    def abort_partial_responses(self) -> None:
         for guest in (*self._strangers, *self._guests, *self._lingering):
-            guest.cut_off()
+            guest.abort_partial_responses()
 
     def _sweep_later(self) -> None:
         self._sweep = asyncio.get_running_loop().call_later(SWEEP_EVERY, self._close_old)
@@ -175,7 +181,7 @@
         for guest, since in list(self._strangers.items()):
             if now - since < self._hello:
                 break
-            guest.overdue()
+            guest.on_request_timeout()
         over = len(self) - self._most
         for guest, since in list(self._lingering.items())[: max(0, over)]:
             if now - since >= SWEEP_EVERY:
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -12,35 +12,35 @@
 WARY = 20.0  # s for which that holds
 
 
-class Job(Protocol):
-    """What is to be carried to a target; `wire` is where the pool notes what carries it.
+class Exchange(Protocol):
+    """What is to be carried to a target; `channel` is where the pool notes what carries it.
 
-    `idle_for` says for how long that had stood idle, None if it is new.
+    `channel_idle_time` says for how long that had stood idle, None if it is new.
     """
 
-    node: Any
+    target_id: Any
     host: str
     port: int
-    last_start: float | None
-    wire: Any
-    idle_for: float | None
+    latest_start: float | None
+    channel: Any
+    channel_idle_time: float | None
 
 
 class Channel(Protocol):
     """A connection that is up, ready for one exchange at a time."""
 
     @property
-    def closing(self) -> bool: ...
+    def is_closing(self) -> bool: ...
 
-    def quiet(self) -> bool:
+    def is_clean(self) -> bool:
         """Whether it is open and nothing has come on it unasked."""
 
-    def carry(self, job: Any) -> None: ...
+    def start_exchange(self, job: Any) -> None: ...
 
-    def begun(self) -> bool:
+    def is_fully_sent(self) -> bool:
         """Whether the target may have the whole of what is carried."""
 
-    def give_up(self) -> bool:
+    def abandon(self) -> bool:
         """Close at once; whether the target may have run what was under way."""
 
     def close(self) -> None: ...
@@ -75,11 +75,11 @@
         self._lost = {True: 0.0, False: 0.0}  # share of uses lost, of fresh channels and of the others
         self._wary_until = 0.0
         self._sweep: asyncio.TimerHandle | None = None
-        self.opened = 0
+        self.opened_count = 0
 
-    def start(self, job: Job) -> None:
+    def start(self, job: Exchange) -> None:
         """Carry a job by the idle channel used last of those that need not rest, or by a new one."""
-        idle = self._idle.get((job.node, job.host, job.port), [])
+        idle = self._idle.get((job.target_id, job.host, job.port), [])
         now = self._loop.time()
         oldest = now - FRESH if now < self._wary_until else 0.0
         soonest, longest = self._rest
@@ -89,48 +89,48 @@
         while rested:
             rested -= 1
             since, channel = idle.pop(rested)
-            if channel.quiet() and since >= oldest:
-                job.wire, job.idle_for = channel, now - since
-                channel.carry(job)
+            if channel.is_clean() and since >= oldest:
+                job.channel, job.channel_idle_time = channel, now - since
+                channel.start_exchange(job)
                 return
             channel.close()
-        job.wire = self._loop.create_task(self._open(job))
+        job.channel = self._loop.create_task(self._open(job))
 
     def _may_open(self) -> bool:
         """Whether one more channel fits without closing another."""
         if len(self._channels) + self._connecting >= self._most:
-            self._channels = {channel for channel in self._channels if not channel.closing}
+            self._channels = {channel for channel in self._channels if not channel.is_closing}
         return len(self._channels) + self._connecting < self._most
 
-    def begun(self, job: Job) -> bool:
+    def is_fully_sent(self, job: Exchange) -> bool:
         """Whether the target may have the whole of a job."""
-        return not isinstance(job.wire, asyncio.Task | None) and job.wire.begun()
+        return not isinstance(job.channel, asyncio.Task | None) and job.channel.is_fully_sent()
 
-    def abandon(self, job: Job) -> bool:
+    def abandon(self, job: Exchange) -> bool:
         """Give a job up; whether it may have run."""
-        wire, job.wire = job.wire, None
-        if isinstance(wire, asyncio.Task):
-            wire.cancel()
+        channel, job.channel = job.channel, None
+        if isinstance(channel, asyncio.Task):
+            channel.cancel()
             return False
-        return wire is not None and wire.give_up()
+        return channel is not None and channel.abandon()
 
-    def used(self, job: Job, lost: bool) -> None:
+    def record_use(self, job: Exchange, lost: bool) -> None:
         """How the use of a channel ended.
 
         Guards against targets, and what lies between, that forget idle connections sooner than the settings
         say: each use of one is an attempt that may have run.  They show in losses that grow with idle time.
         """
-        if job.idle_for is None:
+        if job.channel_idle_time is None:
             return
-        fresh = job.idle_for <= FRESH
+        fresh = job.channel_idle_time <= FRESH
         self._lost[fresh] += STALE_GAIN * (lost - self._lost[fresh])
         if lost and not fresh and self._lost[False] > STALE_SHARE + 2 * self._lost[True]:
             self._wary_until = self._loop.time() + WARY
 
-    def release(self, job: Job, channel: Channel) -> None:
+    def release(self, job: Exchange, channel: Channel) -> None:
         """An exchange is over and its channel may be used again."""
-        job.wire = None
-        self._keep((job.node, job.host, job.port), channel)
+        job.channel = None
+        self._keep((job.target_id, job.host, job.port), channel)
 
     def close_idle(self, node: Any) -> None:
         for address in [address for address in self._idle if address[0] == node]:
@@ -145,7 +145,7 @@
         for node in {address[0] for address in self._idle}:
             self.close_idle(node)
 
-    async def _open(self, job: Job) -> None:
+    async def _open(self, job: Exchange) -> None:
         self._connecting += 1
         try:
             if not self._room():
@@ -153,26 +153,26 @@
             async with asyncio.timeout(self._connect_timeout):
                 channel = await self._connect(job.host, job.port)
         except (OSError, EOFError, ValueError):  # TimeoutError is an OSError
-            job.wire = None
+            job.channel = None
             self._unreachable(job)
             return
         finally:
             self._connecting -= 1
-        self.opened += 1
+        self.opened_count += 1
         self._channels.add(channel)
-        if job.last_start is not None and self._loop.time() >= job.last_start:
+        if job.latest_start is not None and self._loop.time() >= job.latest_start:
             # The target began to drain while the connection came up: nothing may start there any more.
             self.release(job, channel)
             self._unreachable(job)
             return
-        job.wire = channel
-        channel.carry(job)
+        job.channel = channel
+        channel.start_exchange(job)
 
     def _room(self) -> bool:
         """Whether one more channel may come up; an idle one is closed for it if need be."""
         if len(self._channels) + self._connecting <= self._most:
             return True
-        self._channels = {channel for channel in self._channels if not channel.closing}
+        self._channels = {channel for channel in self._channels if not channel.is_closing}
         if len(self._channels) + self._connecting <= self._most:
             return True
         waiting = [idle for idle in self._idle.values() if idle]
@@ -194,7 +194,7 @@
         for address, idle in list(self._idle.items()):
             kept = []
             for since, channel in idle:
-                if channel.closing:
+                if channel.is_closing:
                     continue
                 if since <= oldest:
                     channel.close()
@@ -204,6 +204,6 @@
                 self._idle[address] = kept
             else:
                 del self._idle[address]
-        self._channels = {channel for channel in self._channels if not channel.closing}
+        self._channels = {channel for channel in self._channels if not channel.is_closing}
         if self._idle:
             self._sweep = self._loop.call_later(self._idle_limit / 4, self._close_old)
--- a/stalltiller/transport/watch.py
+++ b/stalltiller/transport/watch.py
@@ -12,7 +12,9 @@
 from stalltiller.transport.connection import Connection
 
 CONNECT_TIMEOUT = 1.0  # s: an address that says nothing must not take the time of a whole call
-TOLD_AFTER = 6.0  # s after which a change that discovery has counts as told, whatever became of our calls
+NOTIFICATION_DEADLINE = (
+    6.0  # s after which a change that discovery has counts as told, whatever became of our calls
+)
 AGENT_WAIT = 2.0  # s that a call to an agent may wait: a watch that has fallen silent shows soon after
 AGENT_ANSWER = 0.35  # s past a call's wait that the agent on the own machine may take
 AGENT_PAUSES = 0.05, 0.1  # s: first and longest bound of the pause after a failed call to it
@@ -22,7 +24,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Pace:
+class BackoffPollPolicy:
     """How a watch calls, in seconds: a call's wait, its answer's time, the first and longest pause's bound.
 
     A change counts as told TOLD_AFTER seconds after discovery had it, also where a watch fell silent or calls
@@ -36,43 +38,43 @@
     pause drawn from nothing up to a bound that doubles (full jitter).
     """
 
-    wait: float = AGENT_WAIT
-    answer: float = AGENT_ANSWER
-    first: float = AGENT_PAUSES[0]
-    longest: float = AGENT_PAUSES[1]
+    poll_wait: float = AGENT_WAIT
+    response_timeout: float = AGENT_ANSWER
+    initial_backoff: float = AGENT_PAUSES[0]
+    max_backoff: float = AGENT_PAUSES[1]
     jitter: float = 0.5  # the part of a pause that is drawn
 
     @classmethod
-    def asking(cls, age_limit: float) -> Pace:
+    def for_remote_discovery(cls, age_limit: float) -> BackoffPollPolicy:
         """The pace where discovery has to be asked and a list may be `age_limit` seconds old."""
-        told = min(age_limit, TOLD_AFTER)
+        told = min(age_limit, NOTIFICATION_DEADLINE)
         return cls(
             ASKED_WAIT * told, ASKED_ANSWER * told, *(share * told for share in ASKED_PAUSES), jitter=1.0
         )
 
     def timeout(self, waits: bool) -> float:
         """For a call that may wait for news, or may not, and its answer."""
-        return self.answer + (self.wait if waits else 0.0)
+        return self.response_timeout + (self.poll_wait if waits else 0.0)
 
-    def hold(self) -> float:
+    def initial_delay(self) -> float:
         return 0.0  # alone: the first call is made at once
 
-    def pause(self, failures: int, draw: float) -> float:
+    def backoff(self, failures: int, jitter_fraction: float) -> float:
         """The pause after so many failed calls in a row (1 or more); `draw` lies between 0 and 1."""
-        bound = min(self.longest, self.first * 2 ** min(failures - 1, 30))
-        return bound * (1 - self.jitter + self.jitter * draw)
+        bound = min(self.max_backoff, self.initial_backoff * 2 ** min(failures - 1, 30))
+        return bound * (1 - self.jitter + self.jitter * jitter_fraction)
 
 
-class Pacing(Protocol):
+class PollPolicy(Protocol):
     """When a watch calls; times in seconds."""
 
     def timeout(self, waits: bool) -> float:
         """For a call that may wait for news, or may not, and its answer."""
 
-    def hold(self) -> float:
+    def initial_delay(self) -> float:
         """After which to ask again whether the first call may be made; 0: it may be made now."""
 
-    def pause(self, failures: int, draw: float) -> float:
+    def backoff(self, failures: int, jitter_fraction: float) -> float:
         """After so many failed calls in a row (1 or more); `draw` lies between 0 and 1."""
 
 
@@ -97,7 +99,7 @@
         self._codec = codec
         self.answer: asyncio.Future[bool] | None = None
 
-    def received(self, data: memoryview) -> int:
+    def on_data(self, data: memoryview) -> int:
         if self.answer is None or self.answer.done():
             self.abort()  # discovery speaks only when asked
             return len(data)
@@ -112,10 +114,10 @@
             self.answer.set_result(stays)
         return used
 
-    def overflow(self) -> None:
+    def on_buffer_full(self) -> None:
         self.abort()
 
-    def ended(self, error: Exception | None) -> None:
+    def on_disconnected(self, error: Exception | None) -> None:
         if self.answer is not None and not self.answer.done():
             self.answer.set_exception(ConnectionResetError("discovery closed the connection"))
 
@@ -128,7 +130,7 @@
         address: tuple[str, int],
         buffers: BufferPool,
         codec: Codec,
-        pace: Pacing,
+        pace: PollPolicy,
         failed: Callable[[Exception], None],
     ) -> None:
         self._address, self._buffers, self._codec = address, buffers, codec
@@ -137,12 +139,12 @@
     async def run(self) -> None:
         refused, silent = 0, False  # calls refused or broken in a row; whether the last one fell silent
         call: _Call | None = None
-        while rest := self._pace.hold():
+        while rest := self._pace.initial_delay():
             await asyncio.sleep(rest)
         try:
             while True:
                 try:
-                    if call is None or call.closing:
+                    if call is None or call.is_closing:
                         async with asyncio.timeout(min(CONNECT_TIMEOUT, self._pace.timeout(False))):
                             call = await self._open()
                     async with asyncio.timeout(self._pace.timeout(not silent)):
@@ -158,7 +160,7 @@
                     self._failed(error)
                     silent = isinstance(error, TimeoutError)  # nothing says that discovery is overbooked
                     refused = 0 if silent else refused + 1
-                    await asyncio.sleep(self._pace.pause(1 + refused, random.random()))
+                    await asyncio.sleep(self._pace.backoff(1 + refused, random.random()))
         finally:  # a watch that is ended must not be answered any more
             if call is not None:
                 call.abort()
--- a/tests/decision_world.py
+++ b/tests/decision_world.py
@@ -15,47 +15,47 @@
 
 from stalltiller.scheduling import (
     Action,
-    Cancel,
-    ClientGone,
-    CloseIdle,
-    Effect,
+    AttemptFinished,
+    AttemptStatus,
+    CancelAttempt,
+    ClientDisconnected,
+    CloseIdleConnections,
     Event,
     Fail,
-    FetchList,
+    FetchTargetList,
     FirstByte,
-    ListKind,
-    Log,
-    Message,
-    NodeEntry,
-    NodeList,
-    Outcome,
-    Probe,
-    Refuse,
+    Idempotency,
+    LogMessage,
+    PeerMessage,
+    ProbeTarget,
+    Reject,
     Request,
-    Retuned,
-    Send,
+    SendPeerMessage,
     SetTimer,
     Settings,
-    Status,
-    Tell,
+    SettingsChanged,
+    StartAttempt,
+    Target,
+    TargetListKind,
+    TargetListUpdate,
     TimerFired,
-    Watch,
+    WatchTargetList,
 )
 from stalltiller.scheduling import scheduler as logic
 from stalltiller.scheduling.scheduler import Scheduler
 
 CODES = {
-    Send: "send",
-    Refuse: "refuse",
+    StartAttempt: "send",
+    Reject: "refuse",
     Fail: "fail",
-    Cancel: "cancel",
+    CancelAttempt: "cancel",
     SetTimer: "timer",
-    Probe: "probe",
-    CloseIdle: "close-idle",
-    Tell: "tell",
-    Log: "log",
-    Watch: "watch",
-    FetchList: "fetch-list",
+    ProbeTarget: "probe",
+    CloseIdleConnections: "close-idle",
+    SendPeerMessage: "tell",
+    LogMessage: "log",
+    WatchTargetList: "watch",
+    FetchTargetList: "fetch-list",
 }
 MESSAGE_DELAY = 0.004  # s
 LOST_MESSAGES, DOUBLED_MESSAGES = 0.05, 0.05  # shares
@@ -72,11 +72,11 @@
     expected: frozenset[str]
     settings: Settings
     schedulers: int = 1
-    targets: tuple[NodeEntry, ...] = ()
-    changes: tuple[tuple[float, NodeList], ...] = ()  # of the list, by time
+    targets: tuple[Target, ...] = ()
+    changes: tuple[tuple[float, TargetListUpdate], ...] = ()  # of the list, by time
     updates: tuple[tuple[float, Settings], ...] = ()  # of the settings, by time
     arrivals: tuple[tuple[float, float, float], ...] = ((0.0, 6.0, 60.0),)  # from, to, requests a second
-    failures: tuple[tuple[Status, float], ...] = ()  # shares of the attempts
+    failures: tuple[tuple[AttemptStatus, float], ...] = ()  # shares of the attempts
     skewed: bool = False  # most requests come to the first scheduler
     silent: float = 0.0  # share of the attempts that a target never answers
     leaving: float = 0.05  # share of the clients that leave early
@@ -104,12 +104,14 @@
         self._running: dict[tuple[int, int], int] = {}  # target of each attempt that is out
         self._first_bytes: Counter[int] = Counter()
         self.settings = [
-            dataclasses.replace(scenario.settings, gateway=index, gateways=max(2, scenario.schedulers))
+            dataclasses.replace(
+                scenario.settings, initiator_index=index, initiator_count=max(2, scenario.schedulers)
+            )
             for index in range(scenario.schedulers)
         ]
         self.schedulers = [Scheduler(each, seed + index, 0.0) for index, each in enumerate(self.settings)]
         for scheduler in self.schedulers:
-            scheduler.parts = scenario.parts
+            scheduler.budget_fraction = scenario.parts
         self._fill_queue()
 
     def play(self) -> str:
@@ -131,6 +133,7 @@
         for index in range(self.scenario.schedulers):
             if self.scenario.settings.list_pushed:
                 self._at(0.0, index, self._whole_list)
+            self._at(1.0, index, lambda: self._outcome(0, 0, 1, AttemptStatus.OK, 0.1))  # of no known request
             for at, change in self.scenario.changes:
                 self._at(at + 0.01 * index, index, lambda change=change: change)
             for at, settings in self.scenario.updates:
@@ -156,18 +159,18 @@
         """Begin or retire a scheduler, as a process does that takes over from another."""
         scenario, scheduler = self.scenario, self.schedulers[index]
         if scenario.begin_at is not None and self.now >= scenario.begin_at > scheduler.started:
-            scheduler.begin(self.now)
+            scheduler.activate(self.now)
         if scenario.retire_at is not None and self.now >= scenario.retire_at:
-            scheduler.retire()
+            scheduler.deactivate()
 
     # --- Events -------------------------------------------------------------------------------------
-    def _whole_list(self) -> NodeList:
-        return NodeList(ListKind.FULL, self.scenario.targets)
+    def _whole_list(self) -> TargetListUpdate:
+        return TargetListUpdate(TargetListKind.FULL, self.scenario.targets)
 
-    def _update(self, index: int, settings: Settings) -> Retuned:
-        gateways = self.settings[index].gateways
-        self.settings[index] = dataclasses.replace(settings, gateway=index, gateways=gateways)
-        return Retuned(self.settings[index])
+    def _update(self, index: int, settings: Settings) -> SettingsChanged:
+        gateways = self.settings[index].initiator_count
+        self.settings[index] = dataclasses.replace(settings, initiator_index=index, initiator_count=gateways)
+        return SettingsChanged(self.settings[index])
 
     def _arrive(self, index: int) -> Request:
         settings = self.settings[index]
@@ -176,21 +179,21 @@
         class_index = self._below(len(settings.classes))
         request_class = settings.classes[class_index]
         volume = self._below(2 * len(settings.plans))
-        cells = sorted({target.cell for target in self.scenario.targets})
+        cells = sorted({target.shard for target in self.scenario.targets})
         left = request_class.deadline * (HASTY + (1 - HASTY) * self.random.random())
         if self.random.random() < self.scenario.leaving:
-            self._at(self.now + left * self.random.random() / 4, index, lambda: ClientGone(number))
-        has_key = request_class.in_order or request_class.effect is Effect.KEYED
+            self._at(self.now + left * self.random.random() / 4, index, lambda: ClientDisconnected(number))
+        has_key = request_class.in_order or request_class.idempotency is Idempotency.IDEMPOTENCY_KEY
         return Request(
             number,
             class_index,
             volume % len(settings.plans),
             volume,
-            1.0 + self._below(int(settings.largest_units)),
+            1.0 + self._below(int(settings.max_units)),
             self._hosts(),
             1 + self._below(5) if has_key else 0,
             None if self.random.random() < 0.2 else cells[self._below(len(cells))],
-            request_class.effect is not Effect.SAFE,
+            request_class.idempotency is not Idempotency.SAFE,
             self.random.random() < 0.1,
             left,
         )
@@ -209,55 +212,55 @@
     def _note(self, code: str, action: Action) -> None:
         """Count an action, and what is particular about it."""
         self.notes[code] += 1
-        if isinstance(action, Send) and self._attempts[action.id]:
+        if isinstance(action, StartAttempt) and self._attempts[action.request_id]:
             self.notes["send again"] += 1
         elif isinstance(action, SetTimer) and action.token == logic.TIMER_WATCH:
             self.notes["timer to watch"] += 1
-        elif isinstance(action, Tell):
+        elif isinstance(action, SendPeerMessage):
             kind = {logic.ASK: "ask", logic.GRANT: "grant"}[logic.MESSAGE.unpack(action.data)[0]]
-            self.notes[kind + (" all" if action.gateway is None else "")] += 1
+            self.notes[kind + (" all" if action.initiator_index is None else "")] += 1
             self.notes["tokens granted"] += kind == "grant" and logic.MESSAGE.unpack(action.data)[3] > 0
 
     def _carry_out(self, index: int, action: Action) -> None:
-        if isinstance(action, Send):
+        if isinstance(action, StartAttempt):
             self._start_attempt(index, action)
-        elif isinstance(action, Cancel):
-            self._end(index, action.id, action.attempt, Status.CANCELLED, 0.001)
+        elif isinstance(action, CancelAttempt):
+            self._end(index, action.request_id, action.attempt_number, AttemptStatus.CANCELLED, 0.001)
         elif isinstance(action, SetTimer):
             self._at(self.now + action.delay, index, lambda: TimerFired(action.token))
-        elif isinstance(action, Watch):
+        elif isinstance(action, WatchTargetList):
             self._at(self.now + 0.01, index, self._answer_watch)
-        elif isinstance(action, Tell):
+        elif isinstance(action, SendPeerMessage):
             self._deliver(index, action)
 
-    def _start_attempt(self, index: int, action: Send) -> None:
-        attempt = self._attempts[action.id]
-        self._attempts[action.id] += 1
-        self._running[action.id, attempt] = action.node
-        out = sum(node == action.node for node in self._running.values())
+    def _start_attempt(self, index: int, action: StartAttempt) -> None:
+        attempt = self._attempts[action.request_id]
+        self._attempts[action.request_id] += 1
+        self._running[action.request_id, attempt] = action.target_id
+        out = sum(node == action.target_id for node in self._running.values())
         took = (self.scenario.base_latency + self.scenario.latency_each * out) * (0.5 + self.random.random())
         status = self._draw_status()
         if self.random.random() < self.scenario.silent:
-            status, took = Status.TIMEOUT, SILENCE
-        if status in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT):
+            status, took = AttemptStatus.TIMEOUT, SILENCE
+        if status in (AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_STARTED):
             took /= 10
-        if status is Status.OK:
-            first = FirstByte(action.id, attempt, action.node, took / 2)
+        if status is AttemptStatus.OK:
+            first = FirstByte(action.request_id, attempt, action.target_id, took / 2)
             self._at(self.now + took / 2, index, lambda: first)
-        if action.expires is not None and self.now + took > action.expires:
-            status, took = Status.TIMEOUT, max(0.0, action.expires - self.now)
-        self._end(index, action.id, attempt, status, took)
+        if action.expires_at is not None and self.now + took > action.expires_at:
+            status, took = AttemptStatus.TIMEOUT, max(0.0, action.expires_at - self.now)
+        self._end(index, action.request_id, attempt, status, took)
 
-    def _draw_status(self) -> Status:
+    def _draw_status(self) -> AttemptStatus:
         drawn = self.random.random()
         for status, share in self.scenario.failures:
             drawn -= share
             if drawn < 0:
                 return status
-        return Status.OK
+        return AttemptStatus.OK
 
-    def _end(self, index: int, request: int, attempt: int, status: Status, took: float) -> None:
-        def make() -> Outcome | None:
+    def _end(self, index: int, request: int, attempt: int, status: AttemptStatus, took: float) -> None:
+        def make() -> AttemptFinished | None:
             target = self._running.pop((request, attempt), None)
             if target is None:  # it was cancelled before
                 return None
@@ -265,31 +268,35 @@
 
         self._at(self.now + took, index, make)
 
-    def _outcome(self, request: int, attempt: int, target: int, status: Status, took: float) -> Outcome:
-        over = status in (Status.OK, Status.ERROR)
+    def _outcome(
+        self, request: int, attempt: int, target: int, status: AttemptStatus, took: float
+    ) -> AttemptFinished:
+        over = status in (AttemptStatus.OK, AttemptStatus.ERROR)
         use = None
         others = 0.0
         if self.scenario.metered and self.random.random() < 0.3:
             use = 4 * self.random.random()
         elif self.scenario.metered:
             others = 10 * self.random.random()
-        return Outcome(request, attempt, target, status, took, over, use, others, ())
+        return AttemptFinished(request, attempt, target, status, took, over, use, others, ())
 
-    def _answer_watch(self) -> NodeList:
+    def _answer_watch(self) -> TargetListUpdate:
         """Discovery fails now and then, or tells of half the targets; after a while the connection breaks."""
         drawn = self.random.random()
         if drawn < 0.6:
-            return NodeList(ListKind.FAILED, ())
-        kind = ListKind.CACHED if drawn < 0.8 else ListKind.FULL
+            return TargetListUpdate(TargetListKind.FAILED, ())
+        kind = TargetListKind.CACHED if drawn < 0.8 else TargetListKind.FULL
         if self.now < 5.0:
-            self._at(self.now + 0.5, 0, lambda: NodeList(ListKind.FAILED, ()))
-        return NodeList(kind, tuple(each for each in self.scenario.targets if self.random.random() < 0.5))
+            self._at(self.now + 0.5, 0, lambda: TargetListUpdate(TargetListKind.FAILED, ()))
+        return TargetListUpdate(
+            kind, tuple(each for each in self.scenario.targets if self.random.random() < 0.5)
+        )
 
-    def _deliver(self, index: int, action: Tell) -> None:
+    def _deliver(self, index: int, action: SendPeerMessage) -> None:
         """Carry a message; some are lost, some come twice."""
         others = [each for each in range(self.scenario.schedulers) if each != index]
-        message = Message(index, action.data)
-        for receiver in others if action.gateway is None else [action.gateway]:
+        message = PeerMessage(index, action.data)
+        for receiver in others if action.initiator_index is None else [action.initiator_index]:
             drawn = self.random.random()
             if drawn >= LOST_MESSAGES:
                 self._at(self.now + MESSAGE_DELAY * (1 + drawn), receiver, lambda: message)
--- a/tests/fleet/proxy.py
+++ b/tests/fleet/proxy.py
@@ -92,7 +92,7 @@
         self.gates.append(Gate(self, name, own))
         await self.gates[-1].open(port)
 
-    def cut(self, ones: set[str], others: set[str], both: bool = True) -> None:
+    def abort_stream(self, ones: set[str], others: set[str], both: bool = True) -> None:
         """Cut the way from each of the ones to each of the others, and back."""
         for one in ones:
             for other in others - {one}:
--- a/tests/fleet/test_budget_lending.py
+++ b/tests/fleet/test_budget_lending.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from stalltiller.fleet import budget_lending
-from stalltiller.fleet.budget_lending import Ask, Grant, Shares
+from stalltiller.fleet.budget_lending import BudgetGrant, BudgetLedger, BudgetRequest
 
 SPAN, STEP, KEY = 1.0, 0.05, "s-1"
 
@@ -23,8 +23,10 @@
         self.now, self.count, self.mail = 0.0, 0, []
         self.rate = [1 + budget_lending.RATE_ERROR * self.draw.choice((-1, 0, 1)) for _ in range(size)]
         self.lives = [0] * size
-        self.cut: set[int] = set()
-        self.members = [Shares(size, SPAN, random.Random(n), -20.0) for n in range(size)]  # long since whole
+        self.abort_stream: set[int] = set()
+        self.members = [
+            BudgetLedger(size, SPAN, random.Random(n), -20.0) for n in range(size)
+        ]  # long since whole
         self.needs = [0.0] * size
         self.recent: list[list[tuple[float, float]]] = [[] for _ in range(size)]  # when, what it might use
         self.used = [0.0] * size
@@ -35,11 +37,11 @@
     def restart(self, n: int) -> None:
         self.lives[n] += 1
         draw = random.Random(n + 100 * self.lives[n])
-        self.members[n] = Shares(len(self.members), SPAN, draw, self.clock(n))
+        self.members[n] = BudgetLedger(len(self.members), SPAN, draw, self.clock(n))
 
     def post(self, one: int, other: int, what: object) -> None:
         for _ in range(1 + (self.draw.random() < self.double)):
-            if self.draw.random() >= self.loss and (one in self.cut) == (other in self.cut):
+            if self.draw.random() >= self.loss and (one in self.abort_stream) == (other in self.abort_stream):
                 self.count += 1
                 arrives = self.now + 0.001 + self.late * self.draw.random()
                 heapq.heappush(self.mail, (arrives, self.count, one, other, what))
@@ -49,8 +51,8 @@
         self.now += STEP
         while self.mail and self.mail[0][0] <= self.now:
             _, _, one, other, what = heapq.heappop(self.mail)
-            if isinstance(what, Ask):
-                grant = self.members[other].asked(self.clock(other), str(one), what)
+            if isinstance(what, BudgetRequest):
+                grant = self.members[other].requested_at(self.clock(other), str(one), what)
                 if grant is not None:
                     self.post(other, one, grant)
             else:  # one for an earlier life too: it must not count
@@ -89,9 +91,9 @@
         elif what == "restart":
             market.restart(n)
         elif what == "cut":
-            market.cut = set(range(n))
+            market.abort_stream = set(range(n))
         elif what == "heal":
-            market.cut = set()
+            market.abort_stream = set()
         largest = max([largest, *(market.step() for _ in range(steps))])
     return largest
 
@@ -117,20 +119,20 @@
 @pytest.mark.parametrize(
     ("name", "broken"),
     [
-        ("lent", lambda s: setattr(s, "asked", lambda now, who, ask: Grant(ask.key, ask.number, 0.1))),
+        ("lent", lambda s: setattr(s, "asked", lambda now, who, ask: BudgetGrant(ask.key, ask.number, 0.1))),
         ("restart", lambda s: setattr(s, "_whole_from", 0.0) or setattr(s, "_rest_from", 0.0)),
         ("no rest", lambda s: setattr(s, "span", 0.0)),
     ],
 )
 def test_a_broken_rule_of_lending_would_be_seen(name, broken, monkeypatch):
-    made = Shares.__init__
+    made = BudgetLedger.__init__
 
     def init(self, *arguments):
         made(self, *arguments)
         broken(self)
 
     assert max(most(SCRIPT, seed, 0.0, 0.3, 0.01) for seed in range(3)) <= 1 + 1e-9
-    monkeypatch.setattr(Shares, "__init__", init)
+    monkeypatch.setattr(BudgetLedger, "__init__", init)
     assert max(most(SCRIPT, seed, 0.0, 0.3, 0.01) for seed in range(3)) > 1.05
 
 
@@ -140,25 +142,25 @@
     for _ in range(200):
         market.step()
     assert market.members[0].part(market.clock(0), KEY) > 0.45
-    market.cut = {0}
+    market.abort_stream = {0}
     for _ in range(120):
         market.step()
     assert market.members[0].part(market.clock(0), KEY) == pytest.approx(0.2)
 
 
 def test_a_grant_counts_once_and_only_for_the_ask_it_answers():
-    member = Shares(4, SPAN, random.Random(1), 0.0)
+    member = BudgetLedger(4, SPAN, random.Random(1), 0.0)
     member.set_need(KEY, 1.0)
     asks = member.asks(10.0, ["a", "b"])
-    grant = Grant(KEY, asks[0][1].number, 0.1)
+    grant = BudgetGrant(KEY, asks[0][1].number, 0.1)
     assert [
         member.granted(10.1, lender, g)
         for lender, g in [
             ("a", grant),
             ("a", grant),
-            ("b", Grant(KEY, grant.number ^ 1, 0.1)),
-            ("b", Grant("other", 1, 0.1)),
-            ("b", Grant(KEY, grant.number, 9.0)),
+            ("b", BudgetGrant(KEY, grant.number ^ 1, 0.1)),
+            ("b", BudgetGrant("other", 1, 0.1)),
+            ("b", BudgetGrant(KEY, grant.number, 9.0)),
         ]
     ] == [True, False, False, False, False]
     assert [member.part(now, KEY) for now in (11.0, 11.2, 15.0)] == pytest.approx([0.25, 0.35, 0.25])
--- a/tests/fleet/test_swim.py
+++ b/tests/fleet/test_swim.py
@@ -13,22 +13,22 @@
 from hypothesis import strategies as st
 
 from stalltiller.fleet import (
-    Exchange,
-    Kind,
     Member,
-    Notice,
+    MemberEvent,
+    MemberTable,
     Packet,
+    PacketKind,
+    PushPullSync,
     Send,
     Settings,
     State,
     Swim,
-    Table,
     codec,
 )
-from stalltiller.fleet.budget_lending import Ask, Grant
+from stalltiller.fleet.budget_lending import BudgetGrant, BudgetRequest
 from stalltiller.fleet.config import fleet_config
 from stalltiller.fleet.gossip import Gossip
-from stalltiller.fleet.local_health import MOST, Health, Suspicion
+from stalltiller.fleet.local_health import MOST, LocalHealth, Suspicion
 from tests.fleet.virtual import Fleet
 
 ROOT = Path(__file__).parent.parent.parent
@@ -61,7 +61,7 @@
     ],
 )
 def test_the_higher_word_holds_and_a_later_life_is_above_all_of_an_earlier_one(old, new, news):
-    table = Table(member("me"), 8)
+    table = MemberTable(member("me"), 8)
     for known in [(0, 0, A), old] if old else []:
         table.put(0.0, member("x", *known))
     assert table.put(1.0, member("x", *new)) is news
@@ -75,7 +75,7 @@
 @given(st.lists(words, max_size=12), st.randoms())
 def test_the_order_in_which_words_come_makes_no_difference(heard, draw):
     """But for names that nobody knew to run: what has ended is not taken in as new."""
-    tables = [Table(member("me"), 99), Table(member("me"), 99)]
+    tables = [MemberTable(member("me"), 99), MemberTable(member("me"), 99)]
     for table in tables:
         for name in "xyz":
             table.put(0.0, member(name, 0))
@@ -87,7 +87,7 @@
 
 
 def test_a_full_table_takes_in_no_more_names_and_counts_them():
-    table = Table(member("me"), 3)
+    table = MemberTable(member("me"), 3)
     assert [table.put(0.0, member(name)) for name in "abc"] == [True, True, False]
     assert table.refused == 1 and table.put(0.0, member("a", 6)) and table.size == 3
 
@@ -115,7 +115,7 @@
     ("changes", "score"), [([1, 1, -1], 1), ([-1], 0), ([99], MOST), ([99, -1], MOST - 1)]
 )
 def test_the_health_score_stays_within_its_bounds(changes, score):
-    health = Health()
+    health = LocalHealth()
     for change in changes:
         health.change(change)
     assert (health.score, health.factor) == (score, score + 1)
@@ -139,50 +139,50 @@
 )
 def test_a_member_refutes_what_is_wrong_of_itself(word, start, incarnation, events):
     swim = one()
-    actions = swim.packet(0.0, Packet(Kind.GOSSIP, member("x"), news=(word,)))
-    assert (swim.me.start, swim.me.incarnation) == (start, incarnation)
-    assert [a.event for a in actions if isinstance(a, Notice) and a.member.name == "me"] == events
+    actions = swim.packet(0.0, Packet(PacketKind.GOSSIP, member("x"), updates=(word,)))
+    assert (swim.me.start_time_ms, swim.me.incarnation) == (start, incarnation)
+    assert [a.event for a in actions if isinstance(a, MemberEvent) and a.member.name == "me"] == events
 
 
 def test_who_left_refutes_nothing_and_tells_it():
     swim = one()
-    swim.packet(0.0, Packet(Kind.GOSSIP, member("x")))
+    swim.packet(0.0, Packet(PacketKind.GOSSIP, member("x")))
     sends = [a for a in swim.leave(0.0) if isinstance(a, Send)]
     assert sends and all(send.packet.sender.state is L for send in sends)
-    swim.packet(0.0, Packet(Kind.GOSSIP, member("x"), news=(member("me", 5, 0, S),)))
+    swim.packet(0.0, Packet(PacketKind.GOSSIP, member("x"), updates=(member("me", 5, 0, S),)))
     assert swim.me.state is L
 
 
 def test_a_ping_for_another_name_at_this_address_is_not_answered():
     swim = one()
     for target, acks in (("me", 1), ("old", 0)):
-        actions = swim.packet(0.0, Packet(Kind.PING, member("x"), 7, target))
-        assert sum(isinstance(a, Send) and a.packet.kind is Kind.ACK for a in actions) == acks
+        actions = swim.packet(0.0, Packet(PacketKind.PING, member("x"), 7, target))
+        assert sum(isinstance(a, Send) and a.packet.kind is PacketKind.ACK for a in actions) == acks
 
 
 def test_an_exchange_tells_of_a_death_as_a_suspicion_only():
     swim = one()
-    swim.packet(0.0, Packet(Kind.GOSSIP, member("y")))
-    swim.exchange(0.0, Exchange(member("x"), (member("y", state=D), member("z", state=L))))
+    swim.packet(0.0, Packet(PacketKind.GOSSIP, member("y")))
+    swim.exchange(0.0, PushPullSync(member("x"), (member("y", state=D), member("z", state=L))))
     assert swim.table.known["y"].state is S and "z" not in swim.table.known
 
 
 # --- The wire -----------------------------------------------------------------------------------------
 PACKET = Packet(
-    Kind.REQUEST,
+    PacketKind.REQUEST,
     member("x", load=3, position=4),
     7,
     "y",
     ("10.0.0.9", 80),
     (member("z", 2, 1, D, by="w"),),
-    (Ask("s-1", 8, 0.25, 6), Grant("s-1", 8, 0.5)),
+    (BudgetRequest("s-1", 8, 0.25, 6), BudgetGrant("s-1", 8, 0.5)),
     b"letter",
 )
 
 
 def test_messages_come_back_as_they_were():
     assert codec.decode_packet("f", codec.encode_packet("f", PACKET)) == PACKET
-    exchange = Exchange(member("x"), (member("y", state=S),))
+    exchange = PushPullSync(member("x"), (member("y", state=S),))
     assert codec.decode_exchange("f", codec.encode_exchange("f", exchange)) == exchange
 
 
@@ -193,18 +193,18 @@
         (b"", "foreign"),
         (codec.encode_packet("g", PACKET), "foreign"),
         (codec.encode_packet("f", PACKET) + b"\0" * 1400, "oversized"),
-        (codec.encode_packet("f", Packet(Kind.PING, member("n" * 49))), "name"),
-        (codec.encode_packet("f", Packet(Kind.PING, Member("x", ("h", 0)))), "member"),
-        (codec.encode_packet("f", Packet(Kind.PING, member(), target="t" * 49)), "target"),
+        (codec.encode_packet("f", Packet(PacketKind.PING, member("n" * 49))), "name"),
+        (codec.encode_packet("f", Packet(PacketKind.PING, Member("x", ("h", 0)))), "member"),
+        (codec.encode_packet("f", Packet(PacketKind.PING, member(), target="t" * 49)), "target"),
         (codec.encode_packet("f", Packet(9, member())), "kind"),
         *(
-            (codec.encode_packet("f", Packet(Kind.COMMONS, member(), parts=(part,))), "part")
+            (codec.encode_packet("f", Packet(PacketKind.SHARED_BUDGETS, member(), parts=(part,))), "part")
             for part in (
-                Ask("", 1, 0.5),
-                Ask("k" * 65, 1, 0.5),
-                Ask("k", 1, 1.5),
-                Grant("k", 1, -0.1),
-                Grant("k", 1, float("nan")),
+                BudgetRequest("", 1, 0.5),
+                BudgetRequest("k" * 65, 1, 0.5),
+                BudgetRequest("k", 1, 1.5),
+                BudgetGrant("k", 1, -0.1),
+                BudgetGrant("k", 1, float("nan")),
             )
         ),
     ],
@@ -225,8 +225,8 @@
 
 def test_a_datagram_holds_as_much_news_as_goes_in():
     news = tuple(member(f"{'n' * 40}{number}", by="b" * 48) for number in range(40))
-    data = codec.encode_packet("f", Packet(Kind.GOSSIP, member(), news=news))
-    assert len(data) <= codec.MOST_DATAGRAM and len(codec.decode_packet("f", data).news) >= 6
+    data = codec.encode_packet("f", Packet(PacketKind.GOSSIP, member(), updates=news))
+    assert len(data) <= codec.MOST_DATAGRAM and len(codec.decode_packet("f", data).updates) >= 6
 
 
 def test_the_generated_code_is_current(tmp_path):
@@ -302,17 +302,17 @@
         elif what == "stop" and name in fleet.members and name not in fleet.stopped:
             fleet.stop(name)
         elif what == "go on" and name in fleet.stopped:
-            fleet.go_on(name)
+            fleet.resume_stream(name)
         elif what == "cut":
-            fleet.cut = lambda a, b, n=number: (int(a[1:]) <= n) != (int(b[1:]) <= n)
+            fleet.abort_stream = lambda a, b, n=number: (int(a[1:]) <= n) != (int(b[1:]) <= n)
         elif what == "one way":
-            fleet.cut = lambda a, b, n=name: a == n
+            fleet.abort_stream = lambda a, b, n=name: a == n
         elif what == "heal":
-            fleet.cut = lambda a, b: False
+            fleet.abort_stream = lambda a, b: False
         fleet.run(wait)
     for name in list(fleet.stopped):
-        fleet.go_on(name)
-    fleet.cut, fleet.loss, fleet.double = (lambda a, b: False), 0.0, 0.0
+        fleet.resume_stream(name)
+    fleet.abort_stream, fleet.loss, fleet.double = (lambda a, b: False), 0.0, 0.0
     for name in ("m0", "m1"):  # the seeds: two that know nobody else find each other through them
         if name not in fleet.members:
             fleet.start(name)
@@ -326,7 +326,7 @@
         fleet.run(5.0)
         fleet.stop("m3")
         fleet.run(8.0)
-        fleet.go_on("m3")
+        fleet.resume_stream("m3")
         fleet.run(5.0)
         runs.append((fleet.notices, fleet.bytes))
     assert runs[0] == runs[1] and runs[0][0]
@@ -338,7 +338,7 @@
     fleet.stop("m4")
     fleet.run(15.0)
     assert fleet.state("m0", "m4") is D
-    fleet.go_on("m4")
+    fleet.resume_stream("m4")
     fleet.run(20.0, fleet.agreed)
     assert fleet.agreed() and fleet.said("refuted") and [n for n in fleet.said("dead") if n[1] == "m4"] == []
 
@@ -348,7 +348,7 @@
     """Found by hand: between real processes refuting alone keeps such a member alive, helpers or not."""
     fleet = Fleet(6, 5, settings=Settings(helpers=helpers))
     fleet.run(20.0, fleet.agreed)
-    fleet.cut = lambda a, b: (a, b) == ("m1", "m2")
+    fleet.abort_stream = lambda a, b: (a, b) == ("m1", "m2")
     began = fleet.now
     fleet.run(20.0)
     assert bool(fleet.said("suspect", began)) is suspected
--- a/tests/fleet/virtual.py
+++ b/tests/fleet/virtual.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from stalltiller.fleet import Member, Notice, Send, Settings, State, Swim, Sync
+from stalltiller.fleet import Member, MemberEvent, Send, Settings, State, Swim, Sync
 from stalltiller.fleet.codec import decode_packet, encode_packet
 
 SYNC_TIME = 0.005  # s for an exchange
@@ -32,7 +32,7 @@
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.members: dict[str, Swim] = {}
         self.stopped: dict[str, list] = {}  # those that stand still: what came meanwhile
-        self.cut: Callable[[str, str], bool] = lambda a, b: False
+        self.abort_stream: Callable[[str, str], bool] = lambda a, b: False
         self.notices: list[tuple[float, str, str, str]] = []  # when, who says it, what, of whom
         self.bytes: Counter[str] = Counter()
         self.wakes: dict[str, float] = {}
@@ -51,7 +51,7 @@
                 "seeds": (self.address("m0"), self.address("m1")),
             }
         )
-        me = Member(name, self.address(name), "ab"[int(name[1:]) % 2], start=1 + int(self.now * 1000))
+        me = Member(name, self.address(name), "ab"[int(name[1:]) % 2], start_time_ms=1 + int(self.now * 1000))
         self.members[name] = Swim(settings, me, random.Random(self.draw.getrandbits(64)), self.now)
         self.wake(name)
 
@@ -63,7 +63,7 @@
         """SIGSTOP."""
         self.stopped[name] = []
 
-    def go_on(self, name: str) -> None:
+    def resume_stream(self, name: str) -> None:
         """SIGCONT: what came meanwhile is there at once."""
         for data in self.stopped.pop(name):
             self.deliver(name, data)
@@ -88,21 +88,21 @@
 
     def act(self, name: str, actions: list) -> None:
         for action in actions:
-            if isinstance(action, Notice):
+            if isinstance(action, MemberEvent):
                 self.notices.append((self.now, name, action.event, action.member.name))
             elif isinstance(action, Send):
                 data = encode_packet("f", action.packet)
                 self.bytes[name] += len(data)
                 to = f"m{action.address[1] - 1000}"
                 for _ in range(1 + (self.draw.random() < self.double)):
-                    if not self.cut(name, to) and self.draw.random() >= self.loss:
+                    if not self.abort_stream(name, to) and self.draw.random() >= self.loss:
                         self.at(
                             self.now + self.delay * (0.5 + self.draw.random()),
                             lambda to=to, data=data: self.deliver(to, data),
                         )
             elif isinstance(action, Sync):
                 to = f"m{action.address[1] - 1000}"
-                if not self.cut(name, to) and not self.cut(to, name):
+                if not self.abort_stream(name, to) and not self.abort_stream(to, name):
                     self.at(self.now + SYNC_TIME, lambda to=to: self.sync(name, to))
         if name in self.members:
             self.wake(name)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,29 +6,31 @@
 
 from stalltiller.scheduling import (
     Action,
-    Effect,
+    AttemptFinished,
+    AttemptStatus,
+    DeduplicationScope,
     Event,
-    ListKind,
-    NodeEntry,
-    NodeList,
-    NodeState,
-    Outcome,
+    Idempotency,
     Plan,
     Request,
     RequestClass,
     Rules,
-    Scope,
-    Send,
     SetTimer,
     Settings,
-    Status,
+    StartAttempt,
+    Target,
+    TargetListKind,
+    TargetListUpdate,
+    TargetStatus,
     TimerFired,
 )
 from stalltiller.scheduling.scheduler import Scheduler
 
 
 def request_class(**changes: object) -> RequestClass:
-    base = RequestClass("read", 1.0, 3.0, 1.0, 0.1, Effect.SAFE, Scope.ALL, 2.0, False, False, False)
+    base = RequestClass(
+        "read", 1.0, 3.0, 1.0, 0.1, Idempotency.SAFE, DeduplicationScope.ALL, 2.0, False, False, False
+    )
     return replace(base, **changes)
 
 
@@ -43,37 +45,37 @@
 
 def settings(**changes: object) -> Settings:
     base = Settings(
-        gateway=0,
-        gateways=2,
+        initiator_index=0,
+        initiator_count=2,
         zone=0,
         tick=0.001,
         classes=(request_class(),),
         plans=(plan(),),
         rules=rules(),
         mean_units=2.0,
-        largest_units=8.0,
-        cold_units=40.0,
-        share_worth=0.5,
-        spare_worth=0.1,
+        max_units=8.0,
+        slow_start_units=40.0,
+        within_share_weight=0.5,
+        beyond_share_weight=0.1,
         meter_period=0.0,
-        others_told=False,
+        other_usage_reported=False,
         list_pushed=True,
         report_fields=(),
         reports_in_answers=False,
         may_probe=False,
         may_message=False,
         may_cancel=True,
-        may_copy=False,
-        may_advise=True,
-        max_advice=1.5,
+        may_hedge=False,
+        may_send_retry_after=True,
+        max_retry_after=1.5,
         max_attempts=3,
         retries_marked=False,
     )
     return replace(base, **changes)
 
 
-def entry(node: int, **changes: object) -> NodeEntry:
-    base = NodeEntry(node, 0, 0, node, NodeState.READY, 1.0, None)
+def entry(target_id: int, **changes: object) -> Target:
+    base = Target(target_id, 0, 0, target_id, TargetStatus.READY, 1.0, None)
     return replace(base, **changes)
 
 
@@ -82,17 +84,19 @@
     return replace(base, **changes)
 
 
-def outcome(number: int, node: int = 1, status: Status = Status.OK, **changes: object) -> Outcome:
-    base = Outcome(number, 0, node, status, 0.05, status is Status.OK, None, 0.0, ())
+def outcome(
+    number: int, target_id: int = 1, status: AttemptStatus = AttemptStatus.OK, **changes: object
+) -> AttemptFinished:
+    base = AttemptFinished(number, 0, target_id, status, 0.05, status is AttemptStatus.OK, None, 0.0, ())
     return replace(base, **changes)
 
 
 class Gateway:
     """A scheduler with a list of ready nodes, and short ways to feed it."""
 
-    def __init__(self, nodes: tuple[NodeEntry, ...] = (entry(1),), **changes: object) -> None:
+    def __init__(self, nodes: tuple[Target, ...] = (entry(1),), **changes: object) -> None:
         self.scheduler = Scheduler(settings(**changes), 7, 0.0)
-        self.feed(0.0, NodeList(ListKind.CACHED, nodes))
+        self.feed(0.0, TargetListUpdate(TargetListKind.CACHED, nodes))
 
     def feed(self, now: float, *events: Event) -> list[Action]:
         """All actions but the timers."""
@@ -104,4 +108,4 @@
         return self.feed(now, TimerFired(1))
 
     def sends(self, now: float, *events: Event) -> list[int]:
-        return [a.id for a in self.feed(now, *events) if isinstance(a, Send)]
+        return [a.request_id for a in self.feed(now, *events) if isinstance(a, StartAttempt)]
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass, replace
 
 from stalltiller.adapters.nvme_mapping import Mapping, Namespace
-from stalltiller.daemon.application import App
+from stalltiller.daemon.application import Application
 from stalltiller.daemon.config import Config
 from stalltiller.protocol import http, nvme
-from stalltiller.scheduling import Effect
+from stalltiller.scheduling import Idempotency
 from tests.helpers import plan, request_class, rules, settings
 
 BLOCK, PER_UNIT, VOLUME = 512, 32, 0xA1
@@ -21,8 +21,10 @@
 DEADLINE = 0.6
 MAX_ADVICE = 0.5
 CLASSES = (
-    request_class(name="read", aim=0.4, deadline=DEADLINE),
-    request_class(name="write", aim=0.4, deadline=DEADLINE, effect=Effect.UNSAFE, writes=True),
+    request_class(name="read", latency_objective=0.4, deadline=DEADLINE),
+    request_class(
+        name="write", latency_objective=0.4, deadline=DEADLINE, idempotency=Idempotency.UNSAFE, is_write=True
+    ),
 )
 
 
@@ -360,7 +362,7 @@
             "classes": CLASSES,
             "plans": (plan(rate=500.0, reservation=500.0),),
             "max_attempts": 4,
-            "max_advice": MAX_ADVICE,
+            "max_retry_after": MAX_ADVICE,
             "rules": rules(drain_grace=0.5),
             **changes,
         }
@@ -397,7 +399,7 @@
             await target.open()
             self.discovery.set(target)
         await self.discovery.open()
-        self.app = App(self.changed(self.config()), self.log, asyncio.get_running_loop())
+        self.app = Application(self.changed(self.config()), self.log, asyncio.get_running_loop())
         self.running = asyncio.create_task(self.app.run())
         await self.app.started.wait()
         await self.until(lambda: self.app.is_ready())
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -11,7 +11,7 @@
 
 from stalltiller.adapters.http_server import ClientConnection, TargetConnection
 from stalltiller.protocol.platform import FieldError
-from stalltiller.transport.buffers import Allowance, BufferPool
+from stalltiller.transport.buffers import BufferPool, MemoryBudget
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
 
@@ -43,7 +43,7 @@
         self.lines = []
         self.connection_made(Transport())
 
-    def received(self, data):
+    def on_data(self, data):
         end = bytes(data).find(b"\n") + 1
         if end:
             self.lines.append(bytes(data[:end]))
@@ -75,7 +75,7 @@
     lines.arrive(b"hij")
     assert lines.transport.paused
     lines._read_at = lines._fill  # someone took it
-    lines.resume()
+    lines.resume_processing()
     assert not lines.transport.paused
 
 
@@ -96,7 +96,7 @@
         _, lines = await asyncio.get_running_loop().create_connection(
             lambda: TargetConnection(SimpleNamespace(buffers=BufferPool())), sock=ours
         )
-        lines.give_up()
+        lines.abandon()
         assert theirs.recv(1) == b""  # at once: the loop has not run since
         theirs.close()
 
@@ -115,8 +115,8 @@
         stopping=False,
         engine=SimpleNamespace(counts=Counter()),
         fields=SimpleNamespace(parse=refuse_fields),
-        unread=Allowance(99),
-        bodies=Allowance(99),
+        unread=MemoryBudget(99),
+        bodies=MemoryBudget(99),
     )
     connection = ClientConnection(front, Listener(None, 9, 9))
     connection.connection_made(Transport())
@@ -140,12 +140,12 @@
         with theirs:
             theirs.setblocking(False)
             ours.write(bytes(40 << 20))
-            ours.expect_reading(0.2)
+            ours.abort_if_unread(0.2)
             for _ in range(25):
                 await asyncio.sleep(0.02)
                 if reads:
                     await loop.sock_recv(theirs, 300_000)
-            assert ours.closing is not stays
+            assert ours.is_closing is not stays
         ours.abort()
         await asyncio.sleep(0)
 
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -9,20 +9,27 @@
 
 import pytest
 
-from stalltiller.scheduling import Event, ListKind, NodeList, Send, Status, scheduler
-from stalltiller.scheduling.contention import Crowd
+from stalltiller.scheduling import (
+    AttemptStatus,
+    Event,
+    StartAttempt,
+    TargetListKind,
+    TargetListUpdate,
+    scheduler,
+)
+from stalltiller.scheduling.contention import ContentionEstimator
 from tests.helpers import entry, outcome, request, request_class, rules, settings
 
 GATEWAYS, CELLS = 200, 200
 COLD_FROM, WARM_AFTER, SHARE, UNITS = 3.0, 17.0, 0.15, 1.0
 
 
-def crowd(*asks: tuple[int, int, int]) -> Crowd:
+def crowd(*asks: tuple[int, int, int]) -> ContentionEstimator:
     """One that saw each (cell, volume, hosts) asked ten times within a second."""
-    made = Crowd()
+    made = ContentionEstimator()
     for number in range(10):
         for cell, volume, hosts in asks:
-            made.note(number / 10, cell, volume, hosts)
+            made.record(number / 10, cell, volume, hosts)
     return made
 
 
@@ -39,14 +46,14 @@
     ],
 )
 def test_the_crowd_grows_with_volumes_and_hosts_seen_up_to_all_others(asks, least, most):
-    assert least <= crowd(*asks).others(0.95, 1, GATEWAYS, CELLS, 1.0) <= most
+    assert least <= crowd(*asks).other_initiators(0.95, 1, GATEWAYS, CELLS, 1.0) <= most
 
 
 def test_what_is_not_asked_for_or_known_any_more_leaves_the_crowd():
     made = crowd((1, 1, 3), (1, 2, 3), (2, 1, 1))
-    made.note(5.0, 1, 1, 3)
+    made.record(5.0, 1, 1, 3)
     made.forget(2.0, {1})
-    assert set(made.asked) == {1} and set(made.seen[1]) == {1}
+    assert set(made.requested_at) == {1} and set(made.volumes_by_shard[1]) == {1}
 
 
 class Herd:
@@ -57,17 +64,19 @@
 
     def __init__(self, seed: int, busier: float) -> None:
         self.draw = random.Random(seed)
-        nodes = tuple(entry(n, started=COLD_FROM if n == 1 else None) for n in range(1, CELLS + 1))
+        nodes = tuple(entry(n, started_at=COLD_FROM if n == 1 else None) for n in range(1, CELLS + 1))
         site = settings(
-            gateways=GATEWAYS,
-            cold_units=UNITS,
-            classes=(request_class(aim=0.2, deadline=1.2),),
-            rules=rules(cold_time=WARM_AFTER, cold_share=SHARE, tip_time=1.0),
+            initiator_count=GATEWAYS,
+            slow_start_units=UNITS,
+            classes=(request_class(latency_objective=0.2, deadline=1.2),),
+            rules=rules(
+                slow_start_duration=WARM_AFTER, slow_start_initial_fraction=SHARE, overload_window=1.0
+            ),
         )
         self.made = [scheduler.Scheduler(site, seed * 1000 + n, 0.0) for n in range(GATEWAYS)]
         for gateway in self.made:
-            gateway.handle(0.0, [NodeList(ListKind.CACHED, nodes)])
-        self.free, self.number, self.ends, self.sent, self.served = COLD_FROM, 0, [], [], 0
+            gateway.handle(0.0, [TargetListUpdate(TargetListKind.CACHED, nodes)])
+        self.free, self.number, self.ends, self.sent, self.complete = COLD_FROM, 0, [], [], 0
         volumes = [
             (
                 self.draw.sample(range(1, CELLS + 1), self.draw.randint(1, 4)),
@@ -87,15 +96,19 @@
 
     def act(self, now: float, index: int, event: Event) -> None:
         for action in self.made[index].handle(now, [event]):
-            if isinstance(action, Send):
-                units = float(action.id % 3 + 1)
+            if isinstance(action, StartAttempt):
+                units = float(action.request_id % 3 + 1)
                 self.sent.append((now, units))
                 begin, size = max(self.free, now), units / self.capacity(now)
                 if begin - now > 1.0:
-                    heapq.heappush(self.ends, (now + 0.002, index, action.id, 0.002, Status.FULL))
+                    heapq.heappush(
+                        self.ends, (now + 0.002, index, action.request_id, 0.002, AttemptStatus.REJECTED)
+                    )
                 else:
                     self.free = begin + size
-                    heapq.heappush(self.ends, (self.free, index, action.id, self.free - now, Status.OK))
+                    heapq.heappush(
+                        self.ends, (self.free, index, action.request_id, self.free - now, AttemptStatus.OK)
+                    )
 
     def run(self, seconds: float) -> float:
         """The most sent in a second, over what may be: twice the capacity of the moment."""
@@ -105,9 +118,9 @@
             now += self.draw.expovariate(6.0 * CELLS)
             while self.ends and self.ends[0][0] <= now:
                 at, index, number, took, status = heapq.heappop(self.ends)
-                self.served += (number % 3 + 1) * (status is Status.OK)
-                if number in self.made[index].held:
-                    self.act(at, index, outcome(number, status=status, took=took))
+                self.complete += (number % 3 + 1) * (status is AttemptStatus.OK)
+                if number in self.made[index].pending:
+                    self.act(at, index, outcome(number, status=status, latency=took))
             place = self.draw.choices(range(len(sums)), cum_weights=sums)[0]
             cells, hosts, _ = self.volumes[place]
             cell, index = self.draw.choice(cells), self.draw.choice(hosts)
@@ -120,12 +133,12 @@
                         self.number,
                         volume=place,
                         units=float(self.number % 3 + 1),
-                        hosts=len(hosts),
-                        left=1.2,
+                        volume_initiator_count=len(hosts),
+                        time_remaining=1.2,
                     ),
                 )
             else:
-                self.made[index].crowd.note(now, cell, place, len(hosts))
+                self.made[index].contention.record(now, cell, place, len(hosts))
         worst, total, span = 0.0, 0.0, deque()
         for at, units in self.sent:
             span.append((at, units))
@@ -151,28 +164,28 @@
 
 def test_a_crowd_told_only_by_how_many_cells_are_asked_pushes_it_over(monkeypatch):
     def asked(self, now, cell, gateways, cells, span):
-        chance = sum(at > now - span for at in self.asked.values()) / cells
+        chance = sum(at > now - span for at in self.requested_at.values()) / cells
         others = (gateways - 1) * chance
         return others + (others * (1 - chance)) ** 0.5
 
-    monkeypatch.setattr(Crowd, "others", asked)
+    monkeypatch.setattr(ContentionEstimator, "other_initiators", asked)
     monkeypatch.setattr(scheduler, "COLD_LEAST", 1.0)
     assert plays()[0] > 1.1
 
 
 def test_a_full_or_slow_cold_node_gets_a_smaller_part_until_it_answers_in_time():
-    gateway = scheduler.Scheduler(settings(gateways=1, rules=rules(cold_time=100.0)), 1, 0.0)
-    gateway.handle(0.0, [NodeList(ListKind.FULL, (entry(1, started=0.0),))])
+    gateway = scheduler.Scheduler(settings(initiator_count=1, rules=rules(slow_start_duration=100.0)), 1, 0.0)
+    gateway.handle(0.0, [TargetListUpdate(TargetListKind.FULL, (entry(1, started_at=0.0),))])
     eases = []
     answers = [
-        (Status.OK, 0.9),
-        (Status.OK, 0.05),
-        (Status.OK, 0.05),
-        (Status.FULL, 0.001),
+        (AttemptStatus.OK, 0.9),
+        (AttemptStatus.OK, 0.05),
+        (AttemptStatus.OK, 0.05),
+        (AttemptStatus.REJECTED, 0.001),
     ]
     for number, (status, took) in enumerate(answers):
         now = 10.0 + number
         gateway.handle(now, [request(number)])
-        gateway.handle(now + took, [outcome(number, status=status, took=took)])
-        eases.append(gateway.nodes[1].ease)
+        gateway.handle(now + took, [outcome(number, status=status, latency=took)])
+        eases.append(gateway.targets[1].ease)
     assert eases == [0.5, 0.75, 1.0, 0.5]
--- a/tests/test_decision_digest.py
+++ b/tests/test_decision_digest.py
@@ -13,50 +13,64 @@
 
 import pytest
 
-from stalltiller.scheduling import Effect, ListKind, NodeEntry, NodeList, NodeState, Scope, Status
+from stalltiller.scheduling import (
+    AttemptStatus,
+    DeduplicationScope,
+    Idempotency,
+    Target,
+    TargetListKind,
+    TargetListUpdate,
+    TargetStatus,
+)
 from tests.decision_world import Scenario, World
 from tests.helpers import entry, plan, request_class, rules, settings
 
 DIGESTS = Path(__file__).parent / "fixtures" / "decision_digests.json"
 SEEDS = (1, 2, 3)
-READY, DRAINING, GONE = NodeState.READY, NodeState.DRAINING, NodeState.GONE
-TARGETS = tuple(entry(number, cell=number % 3, zone=number % 2) for number in range(1, 7))
+READY, DRAINING, GONE = TargetStatus.READY, TargetStatus.DRAINING, TargetStatus.REMOVED
+TARGETS = tuple(entry(number, shard=number % 3, zone=number % 2) for number in range(1, 7))
 FAILURES = (
-    (Status.FULL, 0.08),
-    (Status.CONNECT_FAILED, 0.04),
-    (Status.RESET, 0.06),
-    (Status.TIMEOUT, 0.06),
-    (Status.MOOT, 0.03),
-    (Status.ERROR, 0.03),
+    (AttemptStatus.REJECTED, 0.08),
+    (AttemptStatus.CONNECT_FAILED, 0.04),
+    (AttemptStatus.RESET, 0.06),
+    (AttemptStatus.TIMEOUT, 0.06),
+    (AttemptStatus.NOT_STARTED, 0.03),
+    (AttemptStatus.ERROR, 0.03),
 )
 LIMITED = (
-    plan(name="gold", limit=90.0, burst=90.0, price=4.0),
+    plan(name="gold", limit=90.0, burst=90.0, price_weight=4.0),
     plan(name="bronze", limit=60.0, burst=60.0, weight=0.5),
 )
 CLASSES = (
-    request_class(name="read", worth=2.0),
-    request_class(name="list", aim=0.3, deadline=1.0, worth=0.5),
-    request_class(name="write", effect=Effect.UNSAFE, writes=True),
+    request_class(name="read", priority_weight=2.0),
+    request_class(name="list", latency_objective=0.3, deadline=1.0, priority_weight=0.5),
+    request_class(name="write", idempotency=Idempotency.UNSAFE, is_write=True),
 )
 KEYED = tuple(
-    request_class(name=scope.value, effect=Effect.KEYED, scope=scope, keep=keep, writes=True)
+    request_class(
+        name=scope.value,
+        idempotency=Idempotency.IDEMPOTENCY_KEY,
+        deduplication_scope=scope,
+        deduplication_window=keep,
+        is_write=True,
+    )
     for scope, keep in (
-        (Scope.ALL, 2.0),
-        (Scope.ZONE, 2.0),
-        (Scope.CELL, 2.0),
-        (Scope.ALL, 0.1),
+        (DeduplicationScope.ALL, 2.0),
+        (DeduplicationScope.ZONE, 2.0),
+        (DeduplicationScope.SHARD, 2.0),
+        (DeduplicationScope.ALL, 0.1),
     )
 )
 ORDERED = (
-    request_class(name="append", effect=Effect.KEYED, in_order=True, writes=True),
-    request_class(name="log", effect=Effect.UNSAFE, in_order=True, writes=True),
+    request_class(name="append", idempotency=Idempotency.IDEMPOTENCY_KEY, in_order=True, is_write=True),
+    request_class(name="log", idempotency=Idempotency.UNSAFE, in_order=True, is_write=True),
     request_class(name="scan", in_order=True),
 )
-STREAMED = (request_class(name="stream", streaming=True), request_class(name="read", aim=0.4))
+STREAMED = (request_class(name="stream", streaming=True), request_class(name="read", latency_objective=0.4))
 
 
-def listed(kind: ListKind, *entries: NodeEntry) -> NodeList:
-    return NodeList(kind, entries)
+def listed(kind: TargetListKind, *entries: Target) -> TargetListUpdate:
+    return TargetListUpdate(kind, entries)
 
 
 def tokens() -> Scenario:
@@ -89,7 +103,7 @@
     """The list must be asked for, and discovery fails often."""
     return Scenario(
         frozenset({"watch", "timer to watch", "send", "refuse"}),
-        settings(list_pushed=False, rules=rules(ask_every=0.5), classes=CLASSES),
+        settings(list_pushed=False, rules=rules(list_poll_interval=0.5), classes=CLASSES),
         targets=TARGETS,
     )
 
@@ -101,7 +115,7 @@
         settings(classes=(*KEYED, *CLASSES), max_attempts=4),
         targets=TARGETS,
         failures=FAILURES,
-        changes=((3.0, listed(ListKind.DELTA, entry(3, cell=0, zone=1, state=DRAINING))),),
+        changes=((3.0, listed(TargetListKind.DELTA, entry(3, shard=0, zone=1, status=DRAINING))),),
     )
 
 
@@ -109,7 +123,7 @@
     """Requests of one key go one after the other, with a pause after one that may have run."""
     return Scenario(
         frozenset({"send", "send again", "refuse", "fail", "timer"}),
-        settings(classes=ORDERED, rules=rules(order_pause=0.2)),
+        settings(classes=ORDERED, rules=rules(ordering_pause=0.2)),
         targets=TARGETS,
         failures=FAILURES,
         arrivals=((0.0, 6.0, 40.0),),
@@ -131,12 +145,15 @@
 def updated() -> Scenario:
     """Settings change: classes and plans come, go, and change places and figures."""
     changed = settings(
-        classes=(request_class(name="write", effect=Effect.UNSAFE, aim=0.4), *CLASSES[:1]),
+        classes=(
+            request_class(name="write", idempotency=Idempotency.UNSAFE, latency_objective=0.4),
+            *CLASSES[:1],
+        ),
         plans=(plan(name="silver", rate=3.0), plan(name="gold", limit=20.0, burst=30.0), LIMITED[1]),
         max_attempts=1,
-        may_advise=False,
+        may_send_retry_after=False,
     )
-    last = settings(classes=KEYED[:2], plans=LIMITED[:1], max_attempts=5, mean_units=5.0, largest_units=6.0)
+    last = settings(classes=KEYED[:2], plans=LIMITED[:1], max_attempts=5, mean_units=5.0, max_units=6.0)
     return Scenario(
         frozenset({"send", "send again", "refuse", "fail"}),
         settings(classes=CLASSES, plans=LIMITED),
@@ -148,19 +165,24 @@
 
 def cold() -> Scenario:
     """Targets that have just started, drain, go, come back anew."""
-    started = tuple(entry(number, cell=number % 3, started=0.4 * number - 1.0) for number in range(4, 7))
+    started = tuple(entry(number, shard=number % 3, started_at=0.4 * number - 1.0) for number in range(4, 7))
     return Scenario(
         frozenset({"send", "send again", "refuse"}),
-        settings(classes=CLASSES, cold_units=20.0),
+        settings(classes=CLASSES, slow_start_units=20.0),
         schedulers=3,
         targets=(*TARGETS[:1], *started),
         failures=FAILURES,
         arrivals=((0.0, 8.0, 120.0),),
         changes=(
-            (2.0, listed(ListKind.DELTA, entry(1, cell=1, state=DRAINING))),
-            (3.0, listed(ListKind.DELTA, entry(4, cell=1, state=GONE), entry(9, cell=2, started=3.0))),
-            (4.0, listed(ListKind.FULL, *started[1:], entry(1, cell=1, started=4.0))),
-            (5.0, listed(ListKind.CACHED, *started, entry(9, cell=2, started=5.0))),
+            (2.0, listed(TargetListKind.DELTA, entry(1, shard=1, status=DRAINING))),
+            (
+                3.0,
+                listed(
+                    TargetListKind.DELTA, entry(4, shard=1, status=GONE), entry(9, shard=2, started_at=3.0)
+                ),
+            ),
+            (4.0, listed(TargetListKind.FULL, *started[1:], entry(1, shard=1, started_at=4.0))),
+            (5.0, listed(TargetListKind.CACHED, *started, entry(9, shard=2, started_at=5.0))),
         ),
     )
 
@@ -172,10 +194,10 @@
 
 def cold_in_fleet() -> Scenario:
     """Cold targets whose budgets a fleet shares out."""
-    targets = tuple(entry(number, cell=number % 2, started=-0.5 * number) for number in range(1, 5))
+    targets = tuple(entry(number, shard=number % 2, started_at=-0.5 * number) for number in range(1, 5))
     return Scenario(
         frozenset({"send", "refuse"}),
-        settings(classes=CLASSES, cold_units=20.0),
+        settings(classes=CLASSES, slow_start_units=20.0),
         schedulers=2,
         targets=targets,
         parts=cold_part,
@@ -186,7 +208,10 @@
     """Further attempts are bounded by a free number and a share of the requests taken."""
     return Scenario(
         frozenset({"send", "send again", "refuse", "fail"}),
-        settings(classes=CLASSES, rules=rules(budget_free=2.0, budget_share=0.05, budget_window=1.0)),
+        settings(
+            classes=CLASSES,
+            rules=rules(retry_budget_base=2.0, retry_budget_fraction=0.05, retry_budget_window=1.0),
+        ),
         targets=TARGETS,
         failures=FAILURES,
     )
@@ -194,10 +219,13 @@
 
 def metered() -> Scenario:
     """Outcomes tell a volume's use while targets are overloaded, so grants and reservations decide."""
-    plans = (plan(name="gold", rate=60.0, reservation=30.0, weight=3.0, price=3.0), plan(name="bronze"))
+    plans = (
+        plan(name="gold", rate=60.0, reservation=30.0, weight=3.0, price_weight=3.0),
+        plan(name="bronze"),
+    )
     return Scenario(
         frozenset({"send", "refuse"}),
-        settings(classes=CLASSES, plans=plans, others_told=False),
+        settings(classes=CLASSES, plans=plans, other_usage_reported=False),
         schedulers=2,
         targets=TARGETS[:3],
         arrivals=((0.0, 8.0, 150.0),),
@@ -212,7 +240,7 @@
     base = metered()
     return Scenario(
         base.expected,
-        settings(classes=CLASSES, plans=base.settings.plans, others_told=True),
+        settings(classes=CLASSES, plans=base.settings.plans, other_usage_reported=True),
         schedulers=2,
         targets=base.targets,
         arrivals=base.arrivals,
@@ -226,7 +254,7 @@
     """More schedulers than one asks at once."""
     return Scenario(
         frozenset({"send", "refuse", "ask", "ask all", "grant", "tokens granted"}),
-        settings(may_message=True, classes=CLASSES, plans=LIMITED, largest_units=4.0),
+        settings(may_message=True, classes=CLASSES, plans=LIMITED, max_units=4.0),
         schedulers=6,
         targets=TARGETS,
         arrivals=((0.0, 5.0, 150.0),),
@@ -235,19 +263,19 @@
 
 
 def congested() -> Scenario:
-    """One slow target has less capacity than volumes ask for: grants are cut by weight and reservation."""
+    """Slow targets have less capacity than volumes ask for: grants are cut by weight and reservation."""
     plans = (
-        plan(name="gold", rate=80.0, reservation=40.0, weight=3.0, price=3.0),
+        plan(name="gold", rate=80.0, reservation=40.0, weight=3.0, price_weight=3.0),
         plan(name="silver", rate=60.0, reservation=10.0),
         plan(name="bronze", rate=40.0, reservation=0.0, weight=0.5),
     )
     return Scenario(
         frozenset({"send", "refuse"}),
-        settings(classes=(*CLASSES, *KEYED[:1]), plans=plans),
-        targets=TARGETS[:1],
-        arrivals=((0.0, 4.0, 120.0), (6.0, 8.0, 20.0), (9.0, 12.0, 250.0)),
-        base_latency=0.05,
-        latency_each=0.02,
+        settings(classes=(*CLASSES, *KEYED[:1]), plans=plans, mean_units=0.5, max_units=2.0),
+        targets=TARGETS[:2],
+        arrivals=((0.0, 4.0, 120.0), (6.0, 8.0, 20.0), (9.0, 12.0, 250.0), (15.0, 18.0, 200.0)),
+        base_latency=0.06,
+        latency_each=0.004,
     )
 
 
@@ -264,13 +292,18 @@
 
 def rejecting() -> Scenario:
     """Targets, some of them cold, reject most attempts."""
-    targets = (entry(1), entry(2, cell=1), entry(3, cell=1, started=-1.0), entry(4, cell=2, started=0.0))
+    targets = (
+        entry(1),
+        entry(2, shard=1),
+        entry(3, shard=1, started_at=-1.0),
+        entry(4, shard=2, started_at=0.0),
+    )
     return Scenario(
         frozenset({"send", "send again", "refuse"}),
-        settings(classes=(*CLASSES, *KEYED[:1]), max_attempts=5, cold_units=60.0),
+        settings(classes=(*CLASSES, *KEYED[:1]), max_attempts=5, slow_start_units=60.0),
         targets=targets,
         arrivals=((0.0, 8.0, 100.0),),
-        failures=((Status.FULL, 0.6), (Status.CONNECT_FAILED, 0.1)),
+        failures=((AttemptStatus.REJECTED, 0.6), (AttemptStatus.CONNECT_FAILED, 0.1)),
     )
 
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -7,19 +7,19 @@
 import pytest
 
 from stalltiller.routing.engine import Engine
-from stalltiller.routing.ports import Ending, Incoming, Place
+from stalltiller.routing.ports import AttemptResult, ClientRequest, TargetEndpoint
 from stalltiller.scheduling import (
-    ClientGone,
-    Effect,
+    AttemptFinished,
+    AttemptStatus,
+    ClientDisconnected,
+    DeduplicationScope,
     Fail,
-    ListKind,
-    NodeState,
-    Outcome,
-    Refuse,
+    Idempotency,
+    Reject,
     Request,
-    Scope,
-    Send,
-    Status,
+    StartAttempt,
+    TargetListKind,
+    TargetStatus,
 )
 from tests.helpers import Gateway, entry, outcome, request, request_class, rules, settings
 
@@ -28,16 +28,16 @@
     def __init__(self):
         self.answers = []
 
-    def served(self, answer):
+    def complete(self, answer):
         self.answers.append(("served", answer))
 
-    def refused(self, retry_after):
+    def reject(self, retry_after):
         self.answers.append(("refused", retry_after))
 
-    def failed(self):
+    def fail(self):
         self.answers.append(("failed",))
 
-    def left(self):
+    def is_disconnected(self):
         return False
 
 
@@ -48,7 +48,7 @@
     def start(self, attempt):
         self.started.append(attempt)
 
-    def begun(self, attempt):
+    def is_fully_sent(self, attempt):
         return self.ran
 
     def abandon(self, attempt):
@@ -68,25 +68,25 @@
         return [action for event in events for action in self.act(event)]
 
 
-def play(scene, act=None, effect=Effect.UNSAFE):
+def play(scene, act=None, effect=Idempotency.UNSAFE):
     async def whole():
         engine = Engine(
-            settings(classes=(request_class(effect=effect),), rules=rules(drain_grace=0.3)),
+            settings(classes=(request_class(idempotency=effect),), rules=rules(drain_grace=0.3)),
             1,
             asyncio.get_running_loop(),
             lambda event, **details: None,
         )
-        engine.carrier = Carrier()
+        engine.target_client = Carrier()
         if act is not None:
             engine._scheduler = Script(act)
-        engine.listed(ListKind.FULL, [Place(entry(1), "h", 1)])
-        await scene(engine, engine.carrier)
+        engine.update_targets(TargetListKind.FULL, [TargetEndpoint(entry(1), "h", 1)])
+        await scene(engine, engine.target_client)
 
     asyncio.run(whole())
 
 
 def incoming(reply, timeout=1.0):
-    return Incoming(0, 0, 1, 1.0, 1, 0, 1, True, False, timeout, "payload", reply)
+    return ClientRequest(0, 0, 1, 1.0, 1, 0, 1, True, False, timeout, "payload", reply)
 
 
 def on_request(*actions):
@@ -96,12 +96,12 @@
 def again_after(status):
     return (
         lambda event: (SEND,)
-        if isinstance(event, Request) or (isinstance(event, Outcome) and event.status is status)
+        if isinstance(event, Request) or (isinstance(event, AttemptFinished) and event.status is status)
         else ()
     )
 
 
-SEND = Send(1, 1, None)
+SEND = StartAttempt(1, 1, None)
 
 
 async def turn():
@@ -112,22 +112,22 @@
 @pytest.mark.parametrize(
     ("actions", "answers", "started"),
     [
-        ((Fail(1), Refuse(1, 0.0)), [("failed",)], 0),
+        ((Fail(1), Reject(1, 0.0)), [("failed",)], 0),
         (
-            (Refuse(1, 99.0), Fail(1)),
+            (Reject(1, 99.0), Fail(1)),
             [("refused", 1.5)],
             0,
         ),  # advice within the settings' maximum
         ((Fail(1), SEND), [("failed",)], 0),
         ((SEND, SEND), [], 1),  # a second attempt at once
-        ((SEND, Refuse(1, 0.0)), [("failed",)], 1),  # the attempt may be running
-        ((Send(1, 9, None),), [], 0),  # a target that was never listed
+        ((SEND, Reject(1, 0.0)), [("failed",)], 1),  # the attempt may be running
+        ((StartAttempt(1, 9, None),), [], 0),  # a target that was never listed
     ],
 )
 def test_a_decision_against_the_rules_is_a_fault_and_not_carried_out(actions, answers, started):
     async def scene(engine, carrier):
         reply = Reply()
-        engine.take(incoming(reply))
+        engine.submit(incoming(reply))
         await turn()
         assert reply.answers == answers and len(carrier.started) == started
         assert engine.counts["faults"] == (0 if len(actions) == 1 and answers else 1)
@@ -137,26 +137,30 @@
 
 def test_what_may_have_run_is_not_sent_again_whatever_the_decision():
     async def scene(engine, carrier):
-        engine.take(incoming(Reply()))
+        engine.submit(incoming(Reply()))
         await turn()
-        engine.ended(carrier.started[0], Ending(Status.RESET))
+        engine.attempt_finished(carrier.started[0], AttemptResult(AttemptStatus.RESET))
         await turn()
         assert len(carrier.started) == 1 and engine.counts["faults"] == 1
-        assert engine._scheduler.events[-1].status is Status.MOOT
+        assert engine._scheduler.events[-1].status is AttemptStatus.NOT_STARTED
 
-    play(scene, again_after(Status.RESET))
+    play(scene, again_after(AttemptStatus.RESET))
 
 
-@pytest.mark.parametrize(("scope", "end"), [(Scope.ALL, "refused"), (Scope.CELL, "failed")])
+@pytest.mark.parametrize(
+    ("scope", "end"), [(DeduplicationScope.ALL, "refused"), (DeduplicationScope.SHARD, "failed")]
+)
 def test_a_keyed_request_that_may_have_run_is_refused_only_where_every_target_knows_a_repeat(scope, end):
     """It was failed, and the decision taken for a fault, also where the settings allow the refusal."""
 
     async def scene(engine, carrier):
-        engine.settings = settings(classes=(request_class(effect=Effect.KEYED, scope=scope),))
+        engine.settings = settings(
+            classes=(request_class(idempotency=Idempotency.IDEMPOTENCY_KEY, deduplication_scope=scope),)
+        )
         reply = Reply()
-        engine.take(incoming(reply))
+        engine.submit(incoming(reply))
         await asyncio.sleep(0.01)
-        engine.ended(carrier.started[0], Ending(Status.RESET))
+        engine.attempt_finished(carrier.started[0], AttemptResult(AttemptStatus.RESET))
         await asyncio.sleep(0.01)
         assert reply.answers[0][0] == end
         assert engine.counts["faults"] == (end == "failed")
@@ -165,25 +169,27 @@
         scene,
         lambda event: (SEND,)
         if isinstance(event, Request)
-        else (Refuse(1, 0.0),)
-        if isinstance(event, Outcome)
+        else (Reject(1, 0.0),)
+        if isinstance(event, AttemptFinished)
         else (),
     )
 
 
 def test_nothing_starts_at_a_target_past_its_drain_time():
     async def scene(engine, carrier):
-        engine.listed(ListKind.DELTA, [Place(entry(1, state=NodeState.DRAINING), "h", 1)])
-        engine.take(incoming(Reply()))
+        engine.update_targets(
+            TargetListKind.DELTA, [TargetEndpoint(entry(1, status=TargetStatus.DRAINING), "h", 1)]
+        )
+        engine.submit(incoming(Reply()))
         await turn()
         (attempt,) = carrier.started
-        assert attempt.last_start == pytest.approx(attempt.sent_at + 0.2, abs=0.1)
+        assert attempt.latest_start == pytest.approx(attempt.sent_at + 0.2, abs=0.1)
         engine._told[1] -= 0.3
-        engine.ended(attempt, Ending(Status.FULL))
+        engine.attempt_finished(attempt, AttemptResult(AttemptStatus.REJECTED))
         await turn()
         assert len(carrier.started) == 1 and engine.counts["faults"] == 1
 
-    play(scene, again_after(Status.FULL))
+    play(scene, again_after(AttemptStatus.REJECTED))
 
 
 def test_what_the_end_answers_is_over_for_the_scheduler_too():
@@ -191,12 +197,12 @@
 
     async def scene(engine, carrier):
         reply = Reply()
-        number = engine.take(incoming(reply))
+        number = engine.submit(incoming(reply))
         await turn()
-        engine.close_out()
+        engine.finish_all()
         await turn()
         assert reply.answers == [("refused", 1.5)] and engine.counts["faults"] == 0
-        assert ClientGone(number) in engine._scheduler.events
+        assert ClientDisconnected(number) in engine._scheduler.events
 
     play(scene, lambda event: ())
 
@@ -205,14 +211,14 @@
     async def scene(engine, carrier):
         reply = Reply()
         began = asyncio.get_running_loop().time()
-        engine.take(incoming(reply, 0.1))
+        engine.submit(incoming(reply, 0.1))
         await turn()
         carrier.ran = True
         while not reply.answers:
             await asyncio.sleep(0.001)
         assert asyncio.get_running_loop().time() - began < 0.1
-        assert reply.answers == [("failed",)] and engine.open == 0
-        assert any(isinstance(event, ClientGone) for event in engine._scheduler.events)
+        assert reply.answers == [("failed",)] and engine.open_request_count == 0
+        assert any(isinstance(event, ClientDisconnected) for event in engine._scheduler.events)
 
     play(scene, lambda event: ())
 
@@ -222,7 +228,7 @@
 
     async def scene(engine, carrier):
         reply = Reply()
-        engine.take(incoming(reply, 0.001))
+        engine.submit(incoming(reply, 0.001))
         await turn()
         assert reply.answers == [("refused", 1.5)] and engine.counts["faults"] == 0
 
@@ -235,13 +241,13 @@
     async def scene(engine, carrier):
         carrier.ran = False
         reply = Reply()
-        engine.take(incoming(reply))
-        while not any(isinstance(event, Outcome) for event in engine._scheduler.events):
+        engine.submit(incoming(reply))
+        while not any(isinstance(event, AttemptFinished) for event in engine._scheduler.events):
             await asyncio.sleep(0.005)
-        assert engine._scheduler.events[-1].status is Status.CONNECT_FAILED
+        assert engine._scheduler.events[-1].status is AttemptStatus.CONNECT_FAILED
         assert carrier.abandoned == carrier.started
 
-    play(scene, on_request(Send(1, 1, 0.05)))
+    play(scene, on_request(StartAttempt(1, 1, 0.05)))
 
 
 def test_the_events_of_a_turn_reach_the_scheduler_in_one_call():
@@ -249,10 +255,10 @@
         await turn()
         before = engine._scheduler.turns
         for _ in range(5):
-            engine.take(incoming(Reply()))
+            engine.submit(incoming(Reply()))
         await turn()
         assert engine._scheduler.turns == before + 1
-        assert [event.id for event in engine._scheduler.events[-5:]] == [1, 2, 3, 4, 5]
+        assert [event.request_id for event in engine._scheduler.events[-5:]] == [1, 2, 3, 4, 5]
 
     play(scene, lambda event: ())
 
@@ -260,7 +266,7 @@
 def test_a_crash_of_the_decisions_is_a_fault_and_every_request_is_still_answered():
     async def scene(engine, carrier):
         reply = Reply()
-        engine.take(incoming(reply, 0.05))
+        engine.submit(incoming(reply, 0.05))
         while not reply.answers:
             await asyncio.sleep(0.005)
         assert reply.answers == [("failed",)] and engine.counts["faults"] >= 1
@@ -274,14 +280,14 @@
 def test_the_table_is_empty_when_all_is_over():
     async def scene(engine, carrier):
         reply = Reply()
-        number = engine.take(incoming(reply))
+        number = engine.submit(incoming(reply))
         await turn()
-        engine.gone(number)
+        engine.cancel(number)
         await turn()
-        assert engine.open == 0 and len(engine._entries) == 1  # the attempt is still out
-        engine.ended(carrier.started[0], Ending(Status.OK, "late"))
+        assert engine.open_request_count == 0 and len(engine._entries) == 1  # the attempt is still out
+        engine.attempt_finished(carrier.started[0], AttemptResult(AttemptStatus.OK, "late"))
         await turn()
-        assert reply.answers == [] and engine._entries == {} and engine._scheduler.held == {}
+        assert reply.answers == [] and engine._entries == {} and engine._scheduler.pending == {}
 
     play(scene)
 
@@ -290,27 +296,33 @@
 @pytest.mark.parametrize("times", [1, 2, 3, 4])
 def test_an_unsafe_write_that_never_ran_is_refused_however_often_it_was_turned_away(times):
     """It was failed from the second time on, although its client could safely have tried again."""
-    gateway = Gateway(classes=(request_class(effect=Effect.UNSAFE),), max_attempts=times)
+    gateway = Gateway(classes=(request_class(idempotency=Idempotency.UNSAFE),), max_attempts=times)
     gateway.feed(0.0, request(1))
     actions = []
     for attempt in range(times):
-        actions = gateway.feed(0.2 * attempt + 0.1, outcome(1, status=Status.FULL, attempt=attempt))
+        actions = gateway.feed(
+            0.2 * attempt + 0.1, outcome(1, status=AttemptStatus.REJECTED, attempt_number=attempt)
+        )
         actions += gateway.poll(0.2 * attempt + 0.25)
-    assert [type(action) for action in actions] == [Refuse]
+    assert [type(action) for action in actions] == [Reject]
 
 
 def fail_after(event):
     """Send a request once, and fail it when the attempt has ended."""
     if isinstance(event, Request):
         return (SEND,)
-    return (Fail(1),) if isinstance(event, Outcome) else ()
+    return (Fail(1),) if isinstance(event, AttemptFinished) else ()
 
 
 @pytest.mark.parametrize(
     ("status", "act", "steps"),
     [
-        (Status.OK, on_request(SEND), ["taken", "attempt", "answered", "attempt_ended"]),  # answered at once
-        (Status.ERROR, fail_after, ["taken", "attempt", "attempt_ended", "answered"]),
+        (
+            AttemptStatus.OK,
+            on_request(SEND),
+            ["taken", "attempt", "answered", "attempt_ended"],
+        ),  # answered at once
+        (AttemptStatus.ERROR, fail_after, ["taken", "attempt", "attempt_ended", "answered"]),
     ],
 )
 def test_a_trace_tells_each_step_of_a_request_under_its_clients_name(status, act, steps):
@@ -318,9 +330,9 @@
 
     async def scene(engine, carrier):
         engine._trace = lambda event, **details: lines.append((event, details))
-        engine.take(Incoming(0, 0, 1, 1.0, 1, 0, 1, True, False, 1.0, "payload", Reply(), "9b1f03aa"))
+        engine.submit(ClientRequest(0, 0, 1, 1.0, 1, 0, 1, True, False, 1.0, "payload", Reply(), "9b1f03aa"))
         await turn()
-        engine.ended(carrier.started[0], Ending(status, "answer"))
+        engine.attempt_finished(carrier.started[0], AttemptResult(status, "answer"))
         await turn()
 
     play(scene, act)
@@ -328,27 +340,31 @@
 
 
 class Shut:
-    """A door that lets nothing in, and spreads what others are told."""
+    """An admission gate that admits nothing and halves the delays of other rejections."""
 
     def admit(self, incoming):
         return 0.2
 
-    def advise(self, advice):
-        return advice / 2
+    def retry_after(self, delay):
+        return delay / 2
 
 
 @pytest.mark.parametrize("leaves", [False, True])
 def test_what_the_door_turns_back_is_answered_once_in_a_later_turn_and_never_sent(leaves):
     async def scene(engine, carrier):
-        engine.guard(Shut())
+        engine.set_admission_gate(Shut())
         reply = Reply()
-        number = engine.take(incoming(reply))
-        assert reply.answers == [] and engine.open == 1
+        number = engine.submit(incoming(reply))
+        assert reply.answers == [] and engine.open_request_count == 1
         if leaves:
-            engine.gone(number)
+            engine.cancel(number)
         await asyncio.sleep(0.05)
         assert reply.answers == ([] if leaves else [("refused", 0.2)])
-        assert (engine.open, engine.counts["turned_back"], carrier.started) == (0, int(not leaves), [])
+        assert (engine.open_request_count, engine.counts["turned_back"], carrier.started) == (
+            0,
+            int(not leaves),
+            [],
+        )
 
     play(scene)
 
@@ -356,10 +372,10 @@
 def test_a_door_spreads_the_advice_of_the_decisions():
     async def scene(engine, carrier):
         reply = Reply()
-        engine.guard(Shut())
+        engine.set_admission_gate(Shut())
         engine._door.admit = lambda incoming: 0.0
-        engine.take(incoming(reply))
+        engine.submit(incoming(reply))
         await asyncio.sleep(0.05)
         assert reply.answers == [("refused", 0.1)]
 
-    play(scene, on_request(Refuse(1, 0.2)))
+    play(scene, on_request(Reject(1, 0.2)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,14 +7,14 @@
 import pytest
 
 from stalltiller.scheduling import (
+    AttemptFinished,
     Event,
-    ListKind,
-    Message,
-    NodeEntry,
-    NodeList,
-    Outcome,
-    Send,
-    Tell,
+    PeerMessage,
+    SendPeerMessage,
+    StartAttempt,
+    Target,
+    TargetListKind,
+    TargetListUpdate,
     TimerFired,
 )
 from stalltiller.scheduling.scheduler import ASK, GRANT, MESSAGE, Scheduler
@@ -23,13 +23,14 @@
 NODES = 12
 
 
-def fleet(gateways: int, nodes: tuple[NodeEntry, ...], **changes: object) -> list[Scheduler]:
+def fleet(initiator_count: int, nodes: tuple[Target, ...], **changes: object) -> list[Scheduler]:
     """That many gateways with seeds of their own, told of the same nodes."""
     made = [
-        Scheduler(settings(gateway=n, gateways=gateways, **changes), 100 + n, 0.0) for n in range(gateways)
+        Scheduler(settings(initiator_index=n, initiator_count=initiator_count, **changes), 100 + n, 0.0)
+        for n in range(initiator_count)
     ]
     for scheduler in made:
-        scheduler.handle(0.0, [NodeList(ListKind.CACHED, nodes)])
+        scheduler.handle(0.0, [TargetListUpdate(TargetListKind.CACHED, nodes)])
     return made
 
 
@@ -38,8 +39,8 @@
 
     Each gateway has steady traffic to `reach` nodes of its own.
     """
-    nodes = tuple(entry(n, started=3.0 if n == 1 else None) for n in range(1, NODES + 1))
-    made = fleet(gateways, nodes, rules=rules(cold_time=1000.0), cold_units=60.0)
+    nodes = tuple(entry(n, started_at=3.0 if n == 1 else None) for n in range(1, NODES + 1))
+    made = fleet(gateways, nodes, rules=rules(slow_start_duration=1000.0), slow_start_units=60.0)
     draw = random.Random(5)
     own = [draw.sample(range(1, NODES + 1), reach) for _ in made]
     sent = []
@@ -49,8 +50,8 @@
                 continue
             scheduler.now = step * 0.05
             shard = draw.choice(mine)
-            scheduler.crowd.note(scheduler.now, shard, shard, 1)
-            node = scheduler.nodes[shard]
+            scheduler.contention.record(scheduler.now, shard, shard, 1)
+            node = scheduler.targets[shard]
             if shard == 1 and scheduler.now >= 3.0 and scheduler._cold_room(node, 2.0):
                 scheduler._cold_count(node, 2.0)
                 sent.append((scheduler.now, 2.0))
@@ -58,7 +59,7 @@
 
 
 def most_in_a_span(sent: list[tuple[float, float]]) -> float:
-    span = rules().tip_time
+    span = rules().overload_window
     return max((sum(u for at, u in sent if start <= at < start + span) for start, _ in sent), default=0.0)
 
 
@@ -66,7 +67,7 @@
 def test_all_gateways_together_use_a_cold_node_and_stay_within_what_it_bears(gateways, reach):
     """A part below one request used to send nothing at all; rounded up, it would be many times the budget."""
     sent = ask_of_cold_node(gateways, reach, 20.0)
-    assert sent[0][0] < 3.0 + 2 * rules().tip_time
+    assert sent[0][0] < 3.0 + 2 * rules().overload_window
     assert 6.0 < most_in_a_span(sent) <= 1.1 * 60.0  # a tenth for chance: parts are chances of a request
 
 
@@ -91,36 +92,36 @@
         self.draw = random.Random(seed)
         self.loss, self.double, self.crash_every = loss, double, crash_every
         self.sent: list[tuple[float, float]] = []
-        self.letters: list[tuple[float, int, Message]] = []
-        self.answers: list[tuple[float, int, Outcome]] = []
+        self.letters: list[tuple[float, int, PeerMessage]] = []
+        self.answers: list[tuple[float, int, AttemptFinished]] = []
         self.number = 0
 
     def act(self, now: float, index: int, events: list[Event]) -> None:
         for action in self.made[index].handle(now, events):
-            if isinstance(action, Send):
-                self.sent.append((now, float(action.id % 4 + 1)))
-                self.answers.append((now + 0.02, index, outcome(action.id, action.node)))
-            elif isinstance(action, Tell):
+            if isinstance(action, StartAttempt):
+                self.sent.append((now, float(action.request_id % 4 + 1)))
+                self.answers.append((now + 0.02, index, outcome(action.request_id, action.target_id)))
+            elif isinstance(action, SendPeerMessage):
                 others = [g for g in range(HOSTS) if g != index]
-                for peer in others if action.gateway is None else [action.gateway]:
+                for peer in others if action.initiator_index is None else [action.initiator_index]:
                     copies = 0 if self.draw.random() < self.loss else 1 + (self.draw.random() < self.double)
                     for _ in range(copies):
                         delay = 0.002 + 0.03 * self.draw.random()
-                        self.letters.append((now + delay, peer, Message(index, action.data)))
+                        self.letters.append((now + delay, peer, PeerMessage(index, action.data)))
 
     def run(self, seconds: float) -> None:
         for step in range(int(seconds / 0.01)):
             now = step * 0.01
             if self.crash_every and step % self.crash_every == self.crash_every - 1:
                 dead = self.draw.randrange(HOSTS)
-                self.made[dead] = Scheduler(self.made[dead].s, step, now)
+                self.made[dead] = Scheduler(self.made[dead].settings, step, now)
                 self.answers = [a for a in self.answers if a[1] != dead]
-                self.act(now, dead, [NodeList(ListKind.CACHED, self.nodes)])
+                self.act(now, dead, [TargetListUpdate(TargetListKind.CACHED, self.nodes)])
             for mail, box in ((self.letters, 0), (self.answers, 1)):
                 due = [m for m in mail if m[0] <= now]
                 mail[:] = [m for m in mail if m[0] > now]
                 for _, index, event in due:
-                    if box == 0 or event.id in self.made[index].held:
+                    if box == 0 or event.request_id in self.made[index].pending:
                         self.act(now, index, [event])
             lead = int(now / 6) % HOSTS  # passes to another gateway at one stroke
             for index in range(HOSTS):
@@ -131,7 +132,7 @@
                         request(
                             self.number,
                             units=float(self.number % 4 + 1),
-                            hosts=HOSTS,
+                            volume_initiator_count=HOSTS,
                             shard=1 + self.number % 4,
                         )
                     )
@@ -177,8 +178,8 @@
 
 def test_messages_that_are_malformed_or_not_meant_are_passed_over():
     (gateway,) = fleet(1, (entry(1),), plans=(LIMITED,), may_message=True)
-    gateway.s = settings(gateway=0, gateways=HOSTS, plans=(LIMITED,), may_message=True)
-    gateway.handle(0.1, [request(1, units=8.0, hosts=HOSTS)])
+    gateway.settings = settings(initiator_index=0, initiator_count=HOSTS, plans=(LIMITED,), may_message=True)
+    gateway.handle(0.1, [request(1, units=8.0, volume_initiator_count=HOSTS)])
     volume = gateway.volumes[1]
     grant = MESSAGE.pack(GRANT, 1, volume.ask, 64)
     level = volume.limit.level
@@ -193,14 +194,14 @@
         (3, MESSAGE.pack(GRANT, 77, volume.ask, 64)),
         (3, MESSAGE.pack(GRANT, 1, volume.ask ^ 1, 64)),
     ]:
-        assert gateway.handle(0.1, [Message(sender, data)]) == []
+        assert gateway.handle(0.1, [PeerMessage(sender, data)]) == []
         assert volume.limit.level == level
-    gateway.handle(0.1, [Message(3, grant), Message(3, grant)])
+    gateway.handle(0.1, [PeerMessage(3, grant), PeerMessage(3, grant)])
     assert volume.limit.level == pytest.approx(level + 4.0)  # once
 
 
 def test_a_message_where_none_may_be_sent_is_not_answered():
     (gateway,) = fleet(1, (entry(1),), plans=(LIMITED,))
-    gateway.s = settings(gateway=0, gateways=HOSTS, plans=(LIMITED,))
-    gateway.handle(0.1, [request(1, units=8.0, hosts=HOSTS)])
-    assert gateway.handle(9.0, [Message(3, MESSAGE.pack(ASK, 1, 5, 64))]) == []
+    gateway.settings = settings(initiator_index=0, initiator_count=HOSTS, plans=(LIMITED,))
+    gateway.handle(0.1, [request(1, units=8.0, volume_initiator_count=HOSTS)])
+    assert gateway.handle(9.0, [PeerMessage(3, MESSAGE.pack(ASK, 1, 5, 64))]) == []
--- a/tests/test_http_and_nvme.py
+++ b/tests/test_http_and_nvme.py
@@ -152,7 +152,7 @@
         asking = asyncio.create_task(world.write(tag=2))
         await world.until(lambda: target.begun)
         asking.cancel()
-        await world.until(lambda: world.app.engine.open == 0)
+        await world.until(lambda: world.app.engine.open_request_count == 0)
         target.mode = "serve"
         assert (await world.read(tag=3)).end == "served"
         assert [tag for _, tag in target.begun] == [2, 3]
@@ -194,7 +194,7 @@
         await world.until(lambda: world.targets[0].begun)
         assert (await asking).end in ("refused", "failed")
         await asyncio.wait_for(asyncio.shield(world.running), 10)
-        assert world.app.engine.open == 0
+        assert world.app.engine.open_request_count == 0
 
     on(scene)
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,7 @@
 
 from stalltiller.adapters.http_server import RecentIds
 from stalltiller.protocol import http
-from stalltiller.transport.watch import Pace
+from stalltiller.transport.watch import BackoffPollPolicy
 from tests.helpers import request_class
 from tests.stand_ins import DEADLINE, VOLUME, World, read_message
 
@@ -241,7 +241,10 @@
 
 
 def test_a_silent_discovery_is_called_anew_and_service_goes_on_with_the_last_list(monkeypatch):
-    monkeypatch.setattr("stalltiller.daemon.application.Pace", lambda: Pace(wait=0.1, answer=0.1))
+    monkeypatch.setattr(
+        "stalltiller.daemon.application.BackoffPollPolicy",
+        lambda: BackoffPollPolicy(poll_wait=0.1, response_timeout=0.1),
+    )
 
     async def scene(world, reader, writer):
         world.discovery.silent = True
@@ -263,7 +266,7 @@
     async def scene(world, reader, writer):
         world.app.listener._most = 4
         idle = [await asyncio.open_connection("127.0.0.1", world.app.listener.address[1]) for _ in range(8)]
-        await world.until(lambda: world.app.listener.shed >= 4)
+        await world.until(lambda: world.app.listener.shed_count >= 4)
         await world.until(lambda: len(world.app.listener) <= 4)
         reader, writer = idle[-1]
         writer.write(GET)
@@ -314,11 +317,11 @@
             writer.write(request.replace(b"id1", number))
             world.targets[0].mode = {b"id2": "serve", b"id3": "silent"}[number]
         await asyncio.wait_for(asyncio.shield(world.running), 10)
-        assert world.app.engine.open == 0
+        assert world.app.engine.open_request_count == 0
         answer = await read_message(reader, response=True)
         assert answer.head.status in (503, 504) and not answer.head.keeps_alive()
 
-    play(scene, classes=(request_class(name="read", aim=5.0, deadline=2.0),))
+    play(scene, classes=(request_class(name="read", latency_objective=5.0, deadline=2.0),))
 
 
 @pytest.mark.parametrize("limit", [0.0, 9.0])
@@ -330,7 +333,7 @@
         assert (await read_message(reader, response=True)).head.status == 200
         world.app.listener._most = 4
         crowd = [await asyncio.open_connection("127.0.0.1", world.app.listener.address[1]) for _ in range(20)]
-        await world.until(lambda: world.app.listener.shed >= 17 and len(world.app.listener) <= 4)
+        await world.until(lambda: world.app.listener.shed_count >= 17 and len(world.app.listener) <= 4)
         if limit:
             assert await reader.read() == b""
             reader, writer = crowd[-1]
@@ -344,7 +347,7 @@
 
 def test_channels_to_targets_are_held_to_a_number_and_an_idle_one_makes_room():
     async def scene(world, reader, writer):
-        world.app.carrier.pool._most = 2
+        world.app.target_client.pool._most = 2
         world.targets[0].delay = 0.05
         answers = await asyncio.gather(*(world.read(tag, 0) for tag in range(1, 6)))
         assert [answer.end for answer in answers] == ["served"] * 5
@@ -358,20 +361,20 @@
     """A write on each of them is an attempt that may have run: failed, with nothing wrong at the target."""
 
     async def scene(world, reader, writer):
-        pool, job = world.app.carrier.pool, SimpleNamespace(idle_for=0.2)
+        pool, job = world.app.target_client.pool, SimpleNamespace(channel_idle_time=0.2)
         pool._rest = 0.0, 0.0  # the rest after an answer is another matter (test_races.py)
         assert (await world.read()).end == "served"
         await asyncio.sleep(0.12)
-        assert (await world.read()).end == "served" and pool.opened == 1
+        assert (await world.read()).end == "served" and pool.opened_count == 1
         for lost in (True, False, True, True):
-            pool.used(job, lost)
+            pool.record_use(job, lost)
         await asyncio.sleep(0.12)
-        assert (await world.read()).end == "served" and pool.opened == 2
-        assert (await world.read()).end == "served" and pool.opened == 2  # a fresh one is used again
+        assert (await world.read()).end == "served" and pool.opened_count == 2
+        assert (await world.read()).end == "served" and pool.opened_count == 2  # a fresh one is used again
         pool._wary_until = 0.0
         for lost in (True, False, True, True):  # where fresh ones are lost as often, age is not the cause
-            pool.used(SimpleNamespace(idle_for=0.01), lost)
-            pool.used(job, lost)
+            pool.record_use(SimpleNamespace(channel_idle_time=0.01), lost)
+            pool.record_use(job, lost)
         assert pool._wary_until == 0.0
 
     play(scene)
@@ -415,7 +418,7 @@
             crowd.append(half)
             await asyncio.sleep(0.02)
         assert asking.result().head.status == 200
-        assert world.app.listener.shed > 4 and len(world.app.listener._spoke) <= 8
+        assert world.app.listener.shed_count > 4 and len(world.app.listener._spoke) <= 8
         for half in crowd:
             half.transport.abort()
         await world.until(lambda: not world.app.listener._spoke)
@@ -431,7 +434,7 @@
                 out.write(http.encode_response(200, bytes(1_000_000)))
 
         world.targets[0].serve = serve
-        world.app.front.unread._most = 100_000
+        world.app.server.unread._most = 100_000
         client, asking = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
         await world.until(lambda: len(world.app.listener) == 2)
         for ours in world.app.listener._strangers:
@@ -440,7 +443,7 @@
         asking.transport.pause_reading()
         asking.write(GET)
         await world.until(lambda: world.app.engine.counts["served"] == 1)
-        await world.until(lambda: len(world.app.listener) <= 1 and world.app.front.unread.held == 0)
+        await world.until(lambda: len(world.app.listener) <= 1 and world.app.server.unread.reserved == 0)
         asking.transport.abort()
 
     play(scene)
@@ -452,11 +455,11 @@
     async def scene(world, reader, writer):
         writer.write(GET)
         assert (await read_message(reader, response=True)).head.status == 200
-        ((_, channel),) = next(iter(world.app.carrier.pool._idle.values()))
+        ((_, channel),) = next(iter(world.app.target_client.pool._idle.values()))
         (stale,) = world.targets[0].writers
-        assert channel.quiet()
+        assert channel.is_clean()
         stale.write(http.encode_response(200, b"a copy"))  # goes out at once, the loop has not run since
-        assert not channel.quiet()
+        assert not channel.is_clean()
         writer.write(GET.replace(b"id1", b"id2"))
         assert bytes((await read_message(reader, response=True)).body) != b"a copy"
 
@@ -465,7 +468,7 @@
 
 def test_idle_target_connections_are_closed_before_the_target_does():
     async def scene(world, reader, writer):
-        world.app.carrier.pool._idle_limit = 0.2
+        world.app.target_client.pool._idle_limit = 0.2
         writer.write(GET)
         assert (await read_message(reader, response=True)).head.status == 200
         assert len(world.targets[0].writers) == 1
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -70,7 +70,7 @@
         assert bytes(message.body) == LONG
         engine = world.app.engine
         await world.until(lambda: engine.counts["relayed"] == engine.counts["served"] == 1)
-        assert engine.open == 0 and world.app.carrier.allowance.held == 0
+        assert engine.open_request_count == 0 and world.app.target_client.allowance.reserved == 0
 
     play(scene)
 
@@ -83,7 +83,7 @@
         for number in range(3):
             writer.write(GET.replace(b"id1", b"id%d" % number))
             assert bytes((await read_message(reader, response=True)).body) == LONG
-        assert world.app.carrier.pool.opened == 1
+        assert world.app.target_client.pool.opened_count == 1
 
     play(scene)
 
@@ -178,7 +178,7 @@
         writer.write(raw)
         assert (await read_message(reader, response=True)).head.status == 200
         assert world.targets[0].ran == [(9, LONG)]
-        assert world.app.front.bodies.held == 0
+        assert world.app.server.bodies.reserved == 0
 
     play(scene)
 
@@ -202,11 +202,11 @@
 
 def test_bodies_are_held_to_an_allowance_and_given_back():
     async def scene(world, reader, writer):
-        world.app.front.bodies._most = 300_000
+        world.app.server.bodies._most = 300_000
         raw = http.encode_request("PUT", "/write/9", GOOD, LONG)
         writer.write(raw)
         assert (await read_message(reader, response=True)).head.status == 503
-        await world.until(lambda: world.app.front.bodies.held == 0)
+        await world.until(lambda: world.app.server.bodies.reserved == 0)
         assert world.app.engine.counts["taken"] == 0
 
     play(scene)
@@ -218,7 +218,7 @@
         for status in (200, 409):  # the second time its id is not new
             writer.write(raw)
             assert (await read_message(reader, response=True)).head.status == status
-            assert world.app.front.bodies.held == 0
+            assert world.app.server.bodies.reserved == 0
 
     play(scene)
 
--- a/tests/test_nvme_controller.py
+++ b/tests/test_nvme_controller.py
@@ -61,7 +61,7 @@
         world.targets[0].mode = "serve"
         other.writer.write(read(1, nsid=2))
         assert (await completion(other)).status == nvme.OK
-        await world.until(lambda: world.app.engine.open == 0)
+        await world.until(lambda: world.app.engine.open_request_count == 0)
 
     play(scene)
 
@@ -158,10 +158,10 @@
         await world.until(lambda: world.targets[0].begun)
         admin.writer.write(nvme.property_set(5, nvme.CC, 0))
         assert (await completion(admin)).status == nvme.OK
-        assert await io.reader.read() == b"" and world.app.engine.open == 0
+        assert await io.reader.read() == b"" and world.app.engine.open_request_count == 0
         admin.writer.write(nvme.property_set(5, nvme.CC, nvme.CC_ENABLE))
         assert (await completion(admin)).status == nvme.OK
-        (number,) = world.app.front.associations
+        (number,) = world.app.server.associations
         io, _ = await client.queue(1, number)
         world.targets[0].mode = "serve"
         io.writer.write(read(5))
@@ -194,8 +194,8 @@
         await world.until(lambda: len(world.targets[0].begun) == 2)
         admin.writer.transport.abort()
         assert await io.reader.read() == b""
-        await world.until(lambda: world.app.engine.open == 0)
-        assert world.app.engine.counts["gone"] == 2 and world.app.front.held.held == 0
+        await world.until(lambda: world.app.engine.open_request_count == 0)
+        assert world.app.engine.counts["gone"] == 2 and world.app.server.held.reserved == 0
 
     play(scene)
 
@@ -204,7 +204,7 @@
     async def scene(world, client):
         admin, _ = await client.queue(0, nvme.DYNAMIC, keep_alive=0.05)
         assert await admin.reader.read() == b""
-        assert world.app.front.associations == {}
+        assert world.app.server.associations == {}
 
     play(scene)
 
@@ -256,15 +256,15 @@
 def test_completions_that_a_host_does_not_read_are_held_to_an_allowance():
     async def scene(world, client):
         admin, io = await client.associate()
-        world.app.front.unread._most = 50_000
-        (association,) = world.app.front.associations.values()
+        world.app.server.unread._most = 50_000
+        (association,) = world.app.server.associations.values()
         ours = association.queues[1].transport
         for end, option in ((ours, socket.SO_SNDBUF), (io.writer, socket.SO_RCVBUF)):
             end.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, 4096)
         io.writer.transport.pause_reading()
         for cid in range(1, 16):
             io.writer.write(read(cid, blocks=128))
-        await world.until(lambda: world.app.front.associations == {})
-        assert world.app.front.unread.held == 0
+        await world.until(lambda: world.app.server.associations == {})
+        assert world.app.server.unread.reserved == 0
 
     play(scene)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from stalltiller.daemon.process_handover import Handover
+from stalltiller.daemon.process_handover import ProcessHandover
 from tests.helpers import Gateway, outcome, plan, request
 from tests.stand_ins import World
 from tests.test_program import EXAMPLE, start
@@ -94,21 +94,23 @@
         assert (await world.read(tag=1)).end == "refused" and target.begun == []
         assert await world.call("PUT /_targets/attach", "s-0") == 200  # one call undoes both
         assert (await world.read(tag=2)).end == "served"
-        node = world.app.engine._scheduler.nodes["s-0"]
-        assert node.entry.started == pytest.approx(world.app.engine.since(time.time()), abs=5)  # cold
+        node = world.app.engine._scheduler.targets["s-0"]
+        assert node.target.started_at == pytest.approx(
+            world.app.engine.to_scheduler_time(time.time()), abs=5
+        )  # cold
 
     on(scene, kind)
 
 
 def test_another_process_of_the_initiator_follows_suit(tmp_path):
     async def scene(world):
-        other = Handover(str(tmp_path), "n0")
+        other = ProcessHandover(str(tmp_path), "n0")
         other.save({"s-0": time.time()})
-        state = world.app.engine._scheduler.nodes["s-0"].entry
-        assert state.state.value == "ready"
-        await world.until(lambda: world.app.engine._scheduler.nodes["s-0"].entry.state.value == "draining")
+        target = world.app.engine._scheduler.targets["s-0"]
+        assert target.target.status.value == "ready"
+        await world.until(lambda: target.target.status.value == "draining")
         assert await world.call("PUT /_targets/attach", "s-0") == 200
-        assert other.changed() and other.load() == {}
+        assert other.has_changed() and other.load() == {}
 
     on(scene, folder=str(tmp_path))
 
@@ -116,7 +118,7 @@
 @pytest.mark.parametrize("text", ["", "[1]", '{"s-0": "x"}'])
 def test_a_file_of_targets_that_can_not_be_read_counts_as_none(text, tmp_path):
     (tmp_path / "stalltiller-n0.out").write_text(text)
-    assert Handover(str(tmp_path), "n0").load() == {}
+    assert ProcessHandover(str(tmp_path), "n0").load() == {}
 
 
 def test_the_next_process_waits_its_turn_and_takes_over_socket_and_targets(tmp_path):
@@ -171,11 +173,11 @@
 def test_no_token_is_spent_by_two_processes():
     """The next process starts with none; the one before goes on with what it has, and gets no more."""
     new = Gateway(**LIMITED)
-    new.scheduler.begin(5.0)
+    new.scheduler.activate(5.0)
     assert new.sends(5.0, request(1)) == []
     old = Gateway(**LIMITED)
     assert old.sends(1.0, request(1)) == [1]  # 10 tokens by then
-    old.scheduler.retire()
+    old.scheduler.deactivate()
     spent = 2.0
     for number in range(2, 20):
         now = 1.0 + number / 10
