--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -8,14 +8,14 @@
 import pytest
 
 from stalltiller.protocol import discovery, http, metrics, nvme, platform
-from stalltiller.scheduling import Effect, NodeState, Status
+from stalltiller.scheduling import AttemptStatus, Idempotency, TargetStatus
 from tests.helpers import plan, request_class, settings
 
 SETTINGS = settings(
-    gateways=4,
+    initiator_count=4,
     classes=(
         request_class(name="read"),
-        request_class(name="write", effect=Effect.UNSAFE, writes=True),
+        request_class(name="write", idempotency=Idempotency.UNSAFE, is_write=True),
     ),
     plans=(plan(name="gold"),),
     reports_in_answers=True,
@@ -150,8 +150,8 @@
 
 
 def test_a_request_s_fields():
-    assert ask() == platform.Ask(0, 0, 0x3B4D60021, 2.0, 3, 0x7F3A, 5, False, 0.48)
-    assert ask("PUT", "/write/a/b/1f?q=1", b"x", **{"x-retried": "1"}).repeat
+    assert ask() == platform.RequestInfo(0, 0, 0x3B4D60021, 2.0, 3, 0x7F3A, 5, False, 0.48)
+    assert ask("PUT", "/write/a/b/1f?q=1", b"x", **{"x-retried": "1"}).is_retry
     assert ask(**{"io-info": "volume=1, units=1.5, shard=-1, hosts=1"}).shard is None
 
 
@@ -197,20 +197,20 @@
         (
             200,
             {"other-hosts": "7", "x-server-load": "TEXT inflight=7, mean_ms=2.5"},
-            (Status.OK, 7.0, (2.5,)),
+            (AttemptStatus.OK, 7.0, (2.5,)),
         ),
-        (200, {"other-hosts": "-7", "x-server-load": "TEXT mean_ms=nan"}, (Status.OK, 0.0, ())),
-        (200, {"x-server-load": "JSON {}"}, (Status.OK, 0.0, ())),
-        (503, {"x-not-processed": "1"}, (Status.FULL, 0.0, ())),
-        (504, {"x-not-processed": "1"}, (Status.FULL, 0.0, ())),
-        (500, {"x-not-processed": "1"}, (Status.ERROR, 0.0, ())),
-        (503, {}, (Status.ERROR, 0.0, ())),
-        (404, {}, (Status.ERROR, 0.0, ())),
+        (200, {"other-hosts": "-7", "x-server-load": "TEXT mean_ms=nan"}, (AttemptStatus.OK, 0.0, ())),
+        (200, {"x-server-load": "JSON {}"}, (AttemptStatus.OK, 0.0, ())),
+        (503, {"x-not-processed": "1"}, (AttemptStatus.REJECTED, 0.0, ())),
+        (504, {"x-not-processed": "1"}, (AttemptStatus.REJECTED, 0.0, ())),
+        (500, {"x-not-processed": "1"}, (AttemptStatus.ERROR, 0.0, ())),
+        (503, {}, (AttemptStatus.ERROR, 0.0, ())),
+        (404, {}, (AttemptStatus.ERROR, 0.0, ())),
     ],
 )
 def test_answers(status, fields, told):
     found = platform.AnswerFields(SETTINGS).parse(http.Head(1, fields, status=status))
-    assert found == platform.Answered(*told)
+    assert found == platform.AnswerInfo(*told)
 
 
 LINE = (
@@ -220,14 +220,14 @@
 
 
 def test_a_list_of_targets():
-    found = discovery.parse_listing(b'{"index":41,"snapshot":true,"endpoints":[%s]}' % (LINE % 2500))
-    assert found == discovery.Listing(
+    found = discovery.parse_target_list(b'{"index":41,"snapshot":true,"endpoints":[%s]}' % (LINE % 2500))
+    assert found == discovery.TargetList(
         41,
         True,
-        (discovery.Target("s-1", "10.1.0.18", 3000, "a", "m2", 3, NodeState.DRAINING, 1.5, 2.5),),
+        (discovery.TargetRecord("s-1", "10.1.0.18", 3000, "a", "m2", 3, TargetStatus.DRAINING, 1.5, 2.5),),
     )
-    found = discovery.parse_listing(b'{"index":1,"snapshot":false,"endpoints":[%s]}' % (LINE % 0))
-    assert found.targets[0].since is None and not found.whole
+    found = discovery.parse_target_list(b'{"index":1,"snapshot":false,"endpoints":[%s]}' % (LINE % 0))
+    assert found.targets[0].started_at is None and not found.is_full
 
 
 @pytest.mark.parametrize(
@@ -247,7 +247,7 @@
 )
 def test_malformed_lists(body):
     with pytest.raises(discovery.DiscoveryError):
-        discovery.parse_listing(body)
+        discovery.parse_target_list(body)
 
 
 # --- NVMe/TCP -------------------------------------------------------------------------------------
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -72,9 +72,9 @@
     nested = {**EXAMPLE["settings"], "no-such-key": {"a": [1, {"b": None}]}}
     settings = config.parse_settings(nested)
     assert [cls.name for cls in settings.classes] == ["order-read", "order-write", "report-export"]
-    assert (settings.classes[0].aim, settings.classes[1].writes) == (0.2, True)
+    assert (settings.classes[0].latency_objective, settings.classes[1].is_write) == (0.2, True)
     assert settings.rules.drain_grace == 2.0
-    assert settings.plans[0].limit == nested["contracts"][0]["cap"] and settings.others_told
+    assert settings.plans[0].limit == nested["contracts"][0]["cap"] and settings.other_usage_reported
 
 
 OPERATOR = (ROOT / "deploy" / "operator.toml").read_text()
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -9,47 +9,64 @@
 
 from stalltiller.scheduling import (
     Action,
-    ClientGone,
-    Effect,
+    AttemptFinished,
+    AttemptStatus,
+    ClientDisconnected,
+    DeduplicationScope,
     Event,
     Fail,
-    ListKind,
-    NodeList,
-    NodeState,
-    Outcome,
-    Refuse,
+    Idempotency,
+    Reject,
     Request,
-    Scope,
-    Send,
     Settings,
-    Status,
+    StartAttempt,
+    TargetListKind,
+    TargetListUpdate,
+    TargetStatus,
 )
 from stalltiller.scheduling.scheduler import Scheduler
 from tests.helpers import entry, plan, request, request_class, rules, settings
 from tests.rule_checker import RuleBroken, World, nodes
 
 CLASSES = (
-    request_class(aim=0.2, deadline=1.0),
-    request_class(aim=0.4, effect=Effect.KEYED, scope=Scope.CELL, keep=0.6),
-    request_class(aim=0.4, effect=Effect.KEYED, scope=Scope.ZONE, keep=5.0),
-    request_class(aim=0.3, effect=Effect.UNSAFE, writes=True),
-    request_class(aim=0.5, in_order=True),
-    request_class(aim=0.5, effect=Effect.KEYED, scope=Scope.ALL, in_order=True),
+    request_class(latency_objective=0.2, deadline=1.0),
+    request_class(
+        latency_objective=0.4,
+        idempotency=Idempotency.IDEMPOTENCY_KEY,
+        deduplication_scope=DeduplicationScope.SHARD,
+        deduplication_window=0.6,
+    ),
+    request_class(
+        latency_objective=0.4,
+        idempotency=Idempotency.IDEMPOTENCY_KEY,
+        deduplication_scope=DeduplicationScope.ZONE,
+        deduplication_window=5.0,
+    ),
+    request_class(latency_objective=0.3, idempotency=Idempotency.UNSAFE, is_write=True),
+    request_class(latency_objective=0.5, in_order=True),
+    request_class(
+        latency_objective=0.5,
+        idempotency=Idempotency.IDEMPOTENCY_KEY,
+        deduplication_scope=DeduplicationScope.ALL,
+        in_order=True,
+    ),
 )
 SITES = {
     "everything": settings(
         classes=CLASSES,
         plans=(plan(limit=8.0, burst=48.0, slack=4.0), plan(weight=5.0)),
-        rules=rules(order_pause=0.3, budget_free=2.0, budget_share=0.1, budget_window=3.0),
+        rules=rules(
+            ordering_pause=0.3, retry_budget_base=2.0, retry_budget_fraction=0.1, retry_budget_window=3.0
+        ),
     ),
     "asked for, no limits": settings(
         classes=CLASSES[:1] + CLASSES[4:],
         list_pushed=False,
-        may_advise=False,
+        may_send_retry_after=False,
         max_attempts=5,
-        rules=rules(ask_every=5.0, order_pause=0.2),
+        rules=rules(list_poll_interval=5.0, ordering_pause=0.2),
     ),
-    "one unsafe class": settings(classes=CLASSES[3:4], gateways=5, max_attempts=2),
+    "one unsafe class": settings(classes=CLASSES[3:4], initiator_count=5, max_attempts=2),
 }
 ARRIVAL = st.tuples(
     st.integers(0, 60),
@@ -62,9 +79,11 @@
     st.booleans(),
     st.floats(0.05, 3.0),
 )
-FATES = st.lists(st.tuples(st.sampled_from(list(Status)), st.floats(0.001, 1.5)), min_size=1, max_size=12)
+FATES = st.lists(
+    st.tuples(st.sampled_from(list(AttemptStatus)), st.floats(0.001, 1.5)), min_size=1, max_size=12
+)
 NEWS = st.lists(
-    st.tuples(st.integers(0, 3000), st.integers(0, 3), st.sampled_from(list(NodeState))),
+    st.tuples(st.integers(0, 3000), st.integers(0, 3), st.sampled_from(list(TargetStatus))),
     max_size=4,
 )
 
@@ -80,22 +99,22 @@
             now,
             request(
                 number,
-                cls=cls % len(site.classes),
-                plan=name,
+                class_index=cls % len(site.classes),
+                plan_index=name,
                 volume=volume * 2 + name,
                 units=float(units),
-                hosts=2,
+                volume_initiator_count=2,
                 shard=shard,
-                key=key,
-                left=left,
+                idempotency_key=key,
+                time_remaining=left,
             ),
         )
         if leaves:
-            world.push(now + 0.5 * left, ClientGone(number))
+            world.push(now + 0.5 * left, ClientDisconnected(number))
     for at, node, state in news:
         world.push(
             at / 1000,
-            NodeList(ListKind.DELTA, (entry(node, zone=node % 2, state=state),)),
+            TargetListUpdate(TargetListKind.DELTA, (entry(node, zone=node % 2, status=state),)),
         )
     world.run(fates)
     return world
@@ -133,32 +152,32 @@
         actions: list[Action] = []
         for event in events:
             if isinstance(event, Request) and self.fault != "silent":
-                actions.append(Send(event.id, event.shard, None))
-            elif isinstance(event, Outcome) and not event.over:
+                actions.append(StartAttempt(event.request_id, event.shard, None))
+            elif isinstance(event, AttemptFinished) and not event.request_done:
                 if self.fault == "refuses":
-                    actions.append(Refuse(event.id, 0.0))
+                    actions.append(Reject(event.request_id, 0.0))
                 elif self.fault == "repeats":
-                    actions.append(Send(event.id, event.node, None))
+                    actions.append(StartAttempt(event.request_id, event.target_id, None))
                 else:
-                    actions.append(Fail(event.id))
-            elif isinstance(event, Outcome) and self.fault == "twice":
-                actions.append(Fail(event.id))
+                    actions.append(Fail(event.request_id))
+            elif isinstance(event, AttemptFinished) and self.fault == "twice":
+                actions.append(Fail(event.request_id))
         return actions
 
 
 @pytest.mark.parametrize(
     ("fault", "arrivals", "fate", "news", "says"),
     [
-        ("silent", flood(1), Status.OK, [], "1: not answered"),
-        ("twice", flood(1), Status.OK, [], "1: answered twice"),
-        ("refuses", flood(1, cls=3), Status.ERROR, [], "2: refused"),
-        ("repeats", flood(1, cls=3), Status.ERROR, [], "2: unsafe"),
-        ("repeats", flood(1, cls=1), Status.ERROR, [], "2: keyed"),
-        ("drains", flood(900), Status.FULL, [(1, 1, NodeState.DRAINING)], "3: "),
-        ("cold", flood(20, shard=3), Status.FULL, [], "4: "),
-        ("order", flood(2, cls=4), Status.OK, [], "5: out of order"),
-        ("repeats", flood(2, left=3.0), Status.ERROR, [], "6: "),
-        ("limit", flood(40), Status.OK, [], "7: "),
+        ("silent", flood(1), AttemptStatus.OK, [], "1: not answered"),
+        ("twice", flood(1), AttemptStatus.OK, [], "1: answered twice"),
+        ("refuses", flood(1, cls=3), AttemptStatus.ERROR, [], "2: refused"),
+        ("repeats", flood(1, cls=3), AttemptStatus.ERROR, [], "2: unsafe"),
+        ("repeats", flood(1, cls=1), AttemptStatus.ERROR, [], "2: keyed"),
+        ("drains", flood(900), AttemptStatus.REJECTED, [(1, 1, TargetStatus.DRAINING)], "3: "),
+        ("cold", flood(20, shard=3), AttemptStatus.REJECTED, [], "4: "),
+        ("order", flood(2, cls=4), AttemptStatus.OK, [], "5: out of order"),
+        ("repeats", flood(2, left=3.0), AttemptStatus.ERROR, [], "6: "),
+        ("limit", flood(40), AttemptStatus.OK, [], "7: "),
     ],
 )
 def test_the_checker_finds_a_broken_scheduler(fault, arrivals, fate, news, says):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -15,7 +15,7 @@
 
 from stalltiller.adapters import http_server as http_front
 from stalltiller.protocol import http, nvme
-from stalltiller.scheduling import Effect
+from stalltiller.scheduling import Idempotency
 from tests.helpers import request_class
 from tests.simulated_clock import run_on_jumping_clock
 from tests.stand_ins import BLOCK, DEADLINE, PER_UNIT, VOLUME, Standin, World, read_message
@@ -63,7 +63,7 @@
     """Holds connections to targets while they come up."""
 
     def __init__(self, world) -> None:
-        pool = world.app.carrier.pool
+        pool = world.app.target_client.pool
         self._connect, pool._connect = pool._connect, self.connect
         self.world, self.held, self.open = world, 0, asyncio.Event()
 
@@ -92,7 +92,7 @@
         if draining:
             world.app.stop.set()
         asking.cancel()
-        await world.until(lambda: world.app.engine.open == 0)
+        await world.until(lambda: world.app.engine.open_request_count == 0)
         await gate.begins_nothing()
 
     play(scene, kind)
@@ -120,7 +120,7 @@
         client.sendall(get(1) + bytes(200_000))
         await world.until(lambda: gate.held == 1)
         client.close()
-        await world.until(lambda: world.app.engine.open == 0, DEADLINE / 3)
+        await world.until(lambda: world.app.engine.open_request_count == 0, DEADLINE / 3)
         await gate.begins_nothing()
         assert world.app.engine.counts["gone"] == 1
 
@@ -148,13 +148,13 @@
         size = BLOCK * PER_UNIT
         io.writer.write(nvme.io_command(nvme.READ, 9, 1, 1, size // BLOCK, size, b""))
         await world.until(lambda: gate.held == 1)
-        queue = next(iter(world.app.front.associations.values())).queues[1]
+        queue = next(iter(world.app.server.associations.values())).queues[1]
         queue.pause_writing()  # as when the kernel takes no more of what it does not read
         io.writer.write(b"".join(nvme.command(nvme.KEEP_ALIVE, 9) for _ in range(400)))
         await world.until(lambda: queue._paused)
         for stream in world.client.streams:  # its machine is gone: every connection of it
             stream.writer.transport.abort()
-        await world.until(lambda: world.app.engine.open == 0, DEADLINE / 3)
+        await world.until(lambda: world.app.engine.open_request_count == 0, DEADLINE / 3)
         await gate.begins_nothing()
 
     play(scene, "nvme")
@@ -272,7 +272,7 @@
         client = dial(world)
         client.sendall(get(1)[:-2])  # half a head keeps the connection open
         await world.until(lambda: len(world.app.listener) == 1)
-        known = world.app.engine.close_out
+        known = world.app.engine.finish_all
 
         def close_out():
             known()
@@ -296,7 +296,7 @@
         gate = Gate(world)
         asking = asyncio.create_task(world.write(tag=1) if write else world.read(tag=1))
         await world.until(lambda: gate.held == 1)
-        world.app.engine.close_out()
+        world.app.engine.finish_all()
         gate.open.set()
         assert (await asking).end == "refused"
         world.app.engine._over = False
@@ -333,11 +333,17 @@
 # --- Repeats and drains ----------------------------------------------------------------------------
 def test_a_keyed_repeat_does_not_begin_once_targets_may_have_forgotten_the_first():
     """It was sent in time, and began when its connection came up, past the window for repeats."""
-    keyed = request_class(name="read", aim=0.4, deadline=DEADLINE, effect=Effect.KEYED, keep=0.1)
+    keyed = request_class(
+        name="read",
+        latency_objective=0.4,
+        deadline=DEADLINE,
+        idempotency=Idempotency.IDEMPOTENCY_KEY,
+        deduplication_window=0.1,
+    )
 
     async def scene(world):
         world.targets[0].mode = "break"
-        pool, connect = world.app.carrier.pool, world.app.carrier.connect
+        pool, connect = world.app.target_client.pool, world.app.target_client.connect
 
         async def late(host, port):
             await asyncio.sleep(0.2 if world.targets[0].begun else 0.0)
@@ -381,11 +387,11 @@
 @pytest.mark.parametrize("told", ["leaving", "left", "missing"])
 def test_nothing_begins_past_a_drain_that_was_told_while_the_connection_came_up(told):
     """An attempt knew of a drain only if that was told before it was sent."""
-    patient = request_class(name="read", aim=4.0, deadline=5.0)
+    patient = request_class(name="read", latency_objective=4.0, deadline=5.0)
 
     async def scene(world):
         target, gate = world.targets[0], Gate(world)
-        world.app.carrier.pool._connect_timeout = 9.0
+        world.app.target_client.pool._connect_timeout = 9.0
         client = dial(world)
         client.sendall(get(1, Connection="close", **{"X-Timeout": "5.0"}))
         await world.until(lambda: gate.held == 1)
@@ -409,7 +415,7 @@
     """It crossed a request sent on the connection meanwhile, and was served as that one's answer."""
 
     async def scene(world):
-        world.app.carrier.pool._rest = 0.0, 60.0  # the second answer comes within it on any machine
+        world.app.target_client.pool._rest = 0.0, 60.0  # the second answer comes within it on any machine
 
         async def twice(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
@@ -429,7 +435,7 @@
 
 def test_a_connection_that_has_rested_is_used_again_and_one_that_has_not_if_no_other_can_be_had():
     async def scene(world):
-        pool = world.app.carrier.pool
+        pool = world.app.target_client.pool
         for most, soonest, longest, opened in (
             (99, 0.0, 0.0, 1),
             (99, 0.0, 60.0, 3),
@@ -439,7 +445,7 @@
             pool._most, pool._rest = most, (soonest, longest)
             for _ in range(2):
                 assert (await world.read(tag=1)).end == "served"
-            assert pool.opened == opened
+            assert pool.opened_count == opened
 
     play(scene)
 
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -10,4 +10,6 @@
     text = (Path(__file__).parent.parent / "README.md").read_text()
     (code,) = re.findall(r"```python\n(.*?)```", text, re.S)
     exec(compile(code, "README.md", "exec"), {})
-    assert re.search(r"^Send\(id=1, node=7, expires=0\.6\d*\)$", capsys.readouterr().out, re.M)
+    assert re.search(
+        r"^StartAttempt\(request_id=1, target_id=7, expires_at=0\.6\d*\)$", capsys.readouterr().out, re.M
+    )
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -25,17 +25,17 @@
     start_level,
     usable,
 )
-from stalltiller.scheduling import NodeState
+from stalltiller.scheduling import TargetStatus
 from tests.helpers import Gateway, entry, outcome, plan, request
 
 NOW, ADDRESS = 1000.0, "127.0.0.1:8500"
-TARGET = discovery.Target("s-1", "127.0.0.1", 3000, "a", "m", 3, NodeState.DRAINING, 0.5, 900.25)
+TARGET = discovery.TargetRecord("s-1", "127.0.0.1", 3000, "a", "m", 3, TargetStatus.DRAINING, 0.5, 900.25)
 FACTS = Facts(
     "n1",
     ADDRESS,
     NOW,
     True,
-    discovery.Listing(41, True, (TARGET,)),
+    discovery.TargetList(41, True, (TARGET,)),
     NOW - 5,
     (Pace("s-1", 900.25, 0.03, 4.0, NOW - 1),),
     (Level(7, "basic", 2, 9.5, NOW),),
@@ -127,26 +127,26 @@
 
 
 def test_paces_and_levels_go_from_one_life_to_the_next():
-    old, new = (Gateway((entry(1, started=5.0), entry(2)), plans=(LIMITED,)) for _ in range(2))
+    old, new = (Gateway((entry(1, started_at=5.0), entry(2)), plans=(LIMITED,)) for _ in range(2))
     old.feed(20.0, request(1, units=4.0))
-    old.feed(20.1, outcome(1, took=0.1))
+    old.feed(20.1, outcome(1, latency=0.1))
     paces, levels = remember(old.scheduler, 20.1, NOW)
     assert [(p.target, p.since) for p in paces] == [("1", NOW + 5.0), ("2", None)] and levels[0].units > 0
-    new.scheduler.nodes = {str(name): node for name, node in new.scheduler.nodes.items()}
+    new.scheduler.targets = {str(name): node for name, node in new.scheduler.targets.items()}
     moved = (replace(paces[0], since=NOW), paces[1])  # the first target has started anew meanwhile
-    before = new.scheduler.nodes["1"].latency
+    before = new.scheduler.targets["1"].latency
     taken = recall(new.scheduler, replace(FACTS, paces=moved, levels=levels), 22.1, NOW)
     assert taken == {"paces": 1, "levels": 1}
-    assert new.scheduler.nodes["1"].latency == before
+    assert new.scheduler.targets["1"].latency == before
     assert new.scheduler.volumes[1].limit.level == pytest.approx(min(levels[0].units, 40.0))
 
 
 def test_the_book_is_the_list_as_last_told():
     book = Book()
     assert book.listing is None
-    book.took(discovery.Listing(1, True, (TARGET, replace(TARGET, name="s-2"))))
-    book.took(discovery.Listing(2, False, (replace(TARGET, state=NodeState.GONE),)))
-    assert book.listing == discovery.Listing(2, True, (replace(TARGET, name="s-2"),))
+    book.took(discovery.TargetList(1, True, (TARGET, replace(TARGET, name="s-2"))))
+    book.took(discovery.TargetList(2, False, (replace(TARGET, status=TargetStatus.REMOVED),)))
+    assert book.listing == discovery.TargetList(2, True, (replace(TARGET, name="s-2"),))
 
 
 @pytest.mark.parametrize(
--- a/tests/test_recovery_coordinator.py
+++ b/tests/test_recovery_coordinator.py
@@ -31,9 +31,9 @@
 from stalltiller.recovery.peer_state import Malformed, decode, encode
 from stalltiller.recovery.recovery_ramp import BLIND_TIME, LONGEST, QUIET, RAMP_TIME
 from stalltiller.recovery.retry_reservations import LATE, MOST
-from stalltiller.scheduling import NodeState
+from stalltiller.scheduling import TargetStatus
 
-READY, DRAINING, GONE = NodeState.READY, NodeState.DRAINING, NodeState.GONE
+READY, DRAINING, GONE = TargetStatus.READY, TargetStatus.DRAINING, TargetStatus.REMOVED
 HERE = "127.0.0.1:8500"
 
 
@@ -186,8 +186,8 @@
 
 
 # --- Word of peers --------------------------------------------------------------------------------
-def target(name: str, state: NodeState = READY, since: float | None = None) -> discovery.Target:
-    return discovery.Target(name, "127.0.0.1", 3000, "a", "m", 3, state, 1.0, since)
+def target(name: str, state: TargetStatus = READY, since: float | None = None) -> discovery.TargetRecord:
+    return discovery.TargetRecord(name, "127.0.0.1", 3000, "a", "m", 3, state, 1.0, since)
 
 
 names = st.sampled_from(["s-1", "s-2", "s-3"])
@@ -210,7 +210,7 @@
     book, at = Book(), {}
     for index, (whole, lines) in enumerate(script, 1):
         targets = tuple(target(*line) for line in lines if not (whole and line[1] is GONE))
-        book.took(discovery.Listing(index, whole or index == 1, targets))
+        book.took(discovery.TargetList(index, whole or index == 1, targets))
         at[index] = {each.name: each for each in book.listing.targets}
     newer = book.newer(asked)
     if asked > len(script):
@@ -219,7 +219,7 @@
     known = dict(at[asked])
     for each in newer:
         known.pop(each.name, None)
-        if each.state is not GONE:
+        if each.status is not GONE:
             known[each.name] = each
     assert known == at[len(script)]
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -11,14 +11,14 @@
 
 from stalltiller.daemon import application as program
 from stalltiller.daemon import config
-from stalltiller.daemon.settings_reload import between
-from stalltiller.scheduling import Effect, Scope
+from stalltiller.daemon.settings_reload import transitional_settings
+from stalltiller.scheduling import DeduplicationScope, Idempotency
 from tests.helpers import plan, request_class, settings
 from tests.stand_ins import CLASSES, DEADLINE, World
 from tests.test_program import EXAMPLE
 
 READ, WRITE = CLASSES
-KEYED = request_class(name="keyed", effect=Effect.KEYED)
+KEYED = request_class(name="keyed", idempotency=Idempotency.IDEMPOTENCY_KEY)
 
 
 @pytest.mark.parametrize(
@@ -26,46 +26,58 @@
     [
         ((READ,), (WRITE, READ), ["read safe", "write unsafe"]),
         ((READ, WRITE), (READ,), ["read safe", "write unsafe"]),
-        ((READ,), (replace(READ, effect=Effect.UNSAFE),), ["read unsafe"]),
-        ((replace(READ, effect=Effect.UNSAFE), KEYED), (READ,), ["read unsafe", "keyed keyed"]),
-        ((KEYED,), (replace(KEYED, effect=Effect.SAFE),), ["keyed keyed"]),
+        ((READ,), (replace(READ, idempotency=Idempotency.UNSAFE),), ["read unsafe"]),
+        ((replace(READ, idempotency=Idempotency.UNSAFE), KEYED), (READ,), ["read unsafe", "keyed keyed"]),
+        ((KEYED,), (replace(KEYED, idempotency=Idempotency.SAFE),), ["keyed keyed"]),
     ],
 )
 def test_between_two_settings_both_names_and_the_stricter_rule_hold(old, new, classes):
-    found = between(
+    found = transitional_settings(
         settings(classes=old, max_attempts=4), settings(classes=new, max_attempts=2, plans=(plan(name="b"),))
     )
-    assert [f"{cls.name} {cls.effect.value}" for cls in found.classes] == classes
+    assert [f"{cls.name} {cls.idempotency.value}" for cls in found.classes] == classes
     assert (found.max_attempts, [p.name for p in found.plans]) == (2, ["plan", "b"])
 
 
 def test_between_two_settings_the_smaller_limit_holds():
     for limits in ((10.0, 5.0), (5.0, 10.0), (5.0, 0.0), (0.0, 5.0)):
         old, new = (settings(plans=(plan(limit=limit),)) for limit in limits)
-        assert between(old, new).plans[0].limit == 5.0
+        assert transitional_settings(old, new).plans[0].limit == 5.0
 
 
 @pytest.mark.parametrize(
     ("changes", "held"),
     [
-        ([{"keep": 6.0}, {"keep": 1.5}], (1.5, Scope.ALL)),
+        ([{"deduplication_window": 6.0}, {"deduplication_window": 1.5}], (1.5, DeduplicationScope.ALL)),
         (
-            [{"keep": 1.5}, {"keep": 6.0}],
-            (1.5, Scope.ALL),
+            [{"deduplication_window": 1.5}, {"deduplication_window": 6.0}],
+            (1.5, DeduplicationScope.ALL),
         ),  # clients and targets may still go by the old
-        ([{"scope": Scope.ZONE}, {"scope": Scope.ALL}], (2.0, Scope.ZONE)),
-        ([{"scope": Scope.ALL}, {"scope": Scope.CELL}], (2.0, Scope.CELL)),
+        (
+            [
+                {"deduplication_scope": DeduplicationScope.ZONE},
+                {"deduplication_scope": DeduplicationScope.ALL},
+            ],
+            (2.0, DeduplicationScope.ZONE),
+        ),
+        (
+            [
+                {"deduplication_scope": DeduplicationScope.ALL},
+                {"deduplication_scope": DeduplicationScope.SHARD},
+            ],
+            (2.0, DeduplicationScope.SHARD),
+        ),
     ],
 )
 def test_between_two_settings_a_repeat_keeps_to_the_shorter_window_and_the_fewer_targets(changes, held):
     old, new = (settings(classes=(replace(KEYED, **change),)) for change in changes)
-    (found,) = between(old, new).classes
-    assert (found.keep, found.scope) == held
+    (found,) = transitional_settings(old, new).classes
+    assert (found.deduplication_window, found.deduplication_scope) == held
 
 
 def test_new_settings_hold_at_once_where_stricter_and_in_full_later(monkeypatch):
     """The open write keeps its class, though that is gone when its attempt ends; no class is mixed up."""
-    monkeypatch.setattr(program, "SETTLE", 60.0)
+    monkeypatch.setattr(program, "SETTLE_SECONDS", 60.0)
 
     async def scene():
         async with World("http") as world:
@@ -76,7 +88,13 @@
                 world.settings,
                 max_attempts=1,
                 classes=(
-                    request_class(name="next", aim=0.4, deadline=DEADLINE, effect=Effect.UNSAFE, writes=True),
+                    request_class(
+                        name="next",
+                        latency_objective=0.4,
+                        deadline=DEADLINE,
+                        idempotency=Idempotency.UNSAFE,
+                        is_write=True,
+                    ),
                     READ,
                 ),
             )
@@ -84,7 +102,7 @@
             for answer in ("served", "failed"):  # the old name; later it is refused as unknown
                 result = await world.write(tag=2, shard=1)
                 assert result.end == answer
-                world.app._retune(after)  # what SETTLE brings
+                world.app._retune(after)  # what SETTLE_SECONDS brings
             assert world.app.engine.counts["bad_requests"] == 1
             assert (await asking).end == "served"
             assert (await world.read(tag=3, shard=1)).end == "served"
@@ -97,7 +115,7 @@
 
 
 def test_the_nvme_front_keeps_its_classes_while_their_order_changes(monkeypatch):
-    monkeypatch.setattr(program, "SETTLE", 0.1)
+    monkeypatch.setattr(program, "SETTLE_SECONDS", 0.1)
 
     async def scene():
         async with World("nvme") as world:
@@ -116,7 +134,7 @@
 
 def test_a_second_reload_while_the_first_settles_loses_none_of_it(monkeypatch):
     """It cancelled the first one's second step, and took the file for known: the new mapping never held."""
-    monkeypatch.setattr(program, "SETTLE", 0.1)
+    monkeypatch.setattr(program, "SETTLE_SECONDS", 0.1)
 
     async def scene():
         async with World("nvme") as world:
@@ -124,7 +142,7 @@
             mapping = replace(mapping, namespaces={**mapping.namespaces, 7: mapping.namespaces[1]})
             for _ in range(2):
                 world.app.reload(lambda: replace(world.config(), nvme=mapping))
-            await world.until(lambda: 7 in world.app.front.mapping.namespaces, 2.0)
+            await world.until(lambda: 7 in world.app.server.mapping.namespaces, 2.0)
             assert world.app._settling is None
 
     asyncio.run(scene())
@@ -132,7 +150,7 @@
 
 def test_classes_that_change_places_stay_reads_and_writes(monkeypatch, tmp_path):
     """The list of those that write kept its places, so every write was answered 400."""
-    monkeypatch.setattr(program, "SETTLE", 0.0)
+    monkeypatch.setattr(program, "SETTLE_SECONDS", 0.0)
 
     def read_file():
         world_settings = config.parse_settings(json.loads(file.read_text()))
@@ -144,7 +162,7 @@
             file.write_text(json.dumps(nested))
             world.app.reload(read_file)
             await asyncio.sleep(0.05)
-            fields = world.app.front.fields
+            fields = world.app.server.fields
             assert [cls["name"] for cls in classes] == ["write", "report-export", "new"]
             assert [fields._methods[fields._classes[name]] for name in ("write", "new")] == [
                 ("PUT",),
@@ -162,7 +180,7 @@
 def test_a_list_of_writes_of_another_length_says_nothing():
     nested = copy.deepcopy(EXAMPLE["settings"])
     nested["classes"].append({**nested["classes"][0], "name": "new"})
-    assert {cls.writes for cls in config.parse_settings(nested).classes} == {None}
+    assert {cls.is_write for cls in config.parse_settings(nested).classes} == {None}
 
 
 def changed(path: str, value: object) -> dict:
--- a/tests/test_simulator_codec.py
+++ b/tests/test_simulator_codec.py
@@ -10,31 +10,31 @@
 import pytest
 
 from stalltiller.scheduling import (
-    Cancel,
-    ClientGone,
-    CloseIdle,
-    Effect,
+    AttemptFinished,
+    AttemptStatus,
+    CancelAttempt,
+    ClientDisconnected,
+    CloseIdleConnections,
+    DeduplicationScope,
     Fail,
-    FetchList,
+    FetchTargetList,
     FirstByte,
-    ListKind,
-    Log,
-    Message,
-    NodeEntry,
-    NodeList,
-    NodeState,
-    Outcome,
-    Probe,
-    Probed,
-    Refuse,
+    Idempotency,
+    LogMessage,
+    PeerMessage,
+    ProbeFinished,
+    ProbeTarget,
+    Reject,
     Request,
-    Scope,
-    Send,
+    SendPeerMessage,
     SetTimer,
-    Status,
-    Tell,
+    StartAttempt,
+    Target,
+    TargetListKind,
+    TargetListUpdate,
+    TargetStatus,
     TimerFired,
-    Watch,
+    WatchTargetList,
 )
 from stalltiller.simulator import adapter, codec
 
@@ -70,23 +70,23 @@
     )
     assert one(body) == (
         3,
-        Outcome(99, 1, NODE, Status.TIMEOUT, 0.03, True, 0.85, 3.0, (14.5, 2.0)),
+        AttemptFinished(99, 1, NODE, AttemptStatus.TIMEOUT, 0.03, True, 0.85, 3.0, (14.5, 2.0)),
     )
 
 
 def test_outcome_without_figures():
     body = struct.pack("<BIQB", 10, 3, 99, 0) + ADDRESS + struct.pack("<HQBHHB", 0, 1, 0, 0, 0, 0)
     event = one(body)[1]
-    assert (event.use, event.others, event.report, event.over) == (None, 0.0, (), False)
+    assert (event.volume_usage, event.other_units, event.report, event.request_done) == (None, 0.0, (), False)
 
 
 @pytest.mark.parametrize(
     ("body", "event"),
     [
-        (struct.pack("<BIQ", 4, 3, 99), ClientGone(99)),
+        (struct.pack("<BIQ", 4, 3, 99), ClientDisconnected(99)),
         (struct.pack("<BIQ", 9, 3, 77), TimerFired(77)),
         (struct.pack("<BI", 6, 3), codec.Stop()),
-        (struct.pack("<BIIH2s", 3, 3, 5, 2, b"hi"), Message(5, b"hi")),
+        (struct.pack("<BIIH2s", 3, 3, 5, 2, b"hi"), PeerMessage(5, b"hi")),
         (struct.pack("<BIQI3s", 1, 3, 12, 3, b"a=b"), codec.Init(12, "a=b")),
         (
             struct.pack("<BIQB", 0, 3, 99, 1) + ADDRESS + struct.pack("<Q", 10**9),
@@ -94,7 +94,7 @@
         ),
         (
             struct.pack("<BI", 7, 3) + ADDRESS + struct.pack("<QHB1f", 10**9, 2, 1, 0.5),
-            Probed(NODE, 1.0, Status.FULL, (0.5,)),
+            ProbeFinished(NODE, 1.0, AttemptStatus.REJECTED, (0.5,)),
         ),
     ],
 )
@@ -111,36 +111,36 @@
     news = struct.pack("<BIBIH", 5, 3, 1, 40, 6)
     found = codec.Reader().events(4, census(6, 2) + news + census(6, 1) + news)
     lists = [codec.node_list(*raw, CLOCK) for _, raw in found]
-    assert [item.entries[0].state for item in lists] == [
-        NodeState.READY,
-        NodeState.DRAINING,
+    assert [item.targets[0].status for item in lists] == [
+        TargetStatus.READY,
+        TargetStatus.DRAINING,
     ]
-    assert lists[0] == NodeList(
-        ListKind.FULL,
-        (NodeEntry(NODE, 1, 2, 5, NodeState.READY, 1.5, -1.0),),
+    assert lists[0] == TargetListUpdate(
+        TargetListKind.FULL,
+        (Target(NODE, 1, 2, 5, TargetStatus.READY, 1.5, -1.0),),
     )
 
 
 def test_a_failed_call_needs_no_list():
-    assert one(struct.pack("<BIBIH", 5, 3, 3, 40, 9)) == (3, (ListKind.FAILED, ()))
+    assert one(struct.pack("<BIBIH", 5, 3, 3, 40, 9)) == (3, (TargetListKind.FAILED, ()))
 
 
 @pytest.mark.parametrize(
     ("action", "body"),
     [
-        (Send(99, NODE, 2.0), struct.pack("<BIQQ", 0, 3, 99, CLOCK + 2 * 10**9) + ADDRESS),
-        (Send(99, NODE, None), struct.pack("<BIQQ", 0, 3, 99, 0) + ADDRESS),
-        (Refuse(99, 0.5), struct.pack("<BIQQ", 1, 3, 99, 500_000_000)),
+        (StartAttempt(99, NODE, 2.0), struct.pack("<BIQQ", 0, 3, 99, CLOCK + 2 * 10**9) + ADDRESS),
+        (StartAttempt(99, NODE, None), struct.pack("<BIQQ", 0, 3, 99, 0) + ADDRESS),
+        (Reject(99, 0.5), struct.pack("<BIQQ", 1, 3, 99, 500_000_000)),
         (Fail(99), struct.pack("<BIQ", 2, 3, 99)),
-        (Cancel(99, 2), struct.pack("<BIQB", 3, 3, 99, 2)),
+        (CancelAttempt(99, 2), struct.pack("<BIQB", 3, 3, 99, 2)),
         (SetTimer(77, 0.5), struct.pack("<BIQQ", 4, 3, 77, 500_000_000)),
-        (Probe(NODE), struct.pack("<BI", 5, 3) + ADDRESS),
-        (CloseIdle(NODE), struct.pack("<BI", 6, 3) + ADDRESS),
-        (Tell(None, b"hi"), struct.pack("<BIHH2s", 7, 3, 0xFFFF, 2, b"hi")),
-        (Tell(1, b"hi"), struct.pack("<BIHH2s", 7, 3, 1, 2, b"hi")),
-        (Log("hi"), struct.pack("<BIH2s", 8, 3, 2, b"hi")),
-        (Watch(True), struct.pack("<BIB", 10, 3, 1)),
-        (FetchList(), struct.pack("<BI", 11, 3)),
+        (ProbeTarget(NODE), struct.pack("<BI", 5, 3) + ADDRESS),
+        (CloseIdleConnections(NODE), struct.pack("<BI", 6, 3) + ADDRESS),
+        (SendPeerMessage(None, b"hi"), struct.pack("<BIHH2s", 7, 3, 0xFFFF, 2, b"hi")),
+        (SendPeerMessage(1, b"hi"), struct.pack("<BIHH2s", 7, 3, 1, 2, b"hi")),
+        (LogMessage("hi"), struct.pack("<BIH2s", 8, 3, 2, b"hi")),
+        (WatchTargetList(True), struct.pack("<BIB", 10, 3, 1)),
+        (FetchTargetList(), struct.pack("<BI", 11, 3)),
     ],
 )
 def test_actions(action, body):
@@ -211,22 +211,31 @@
 def test_options():
     found = codec.parse_settings(OPTIONS)
     (cls,), (plan,) = found.classes, found.plans
-    assert (cls.aim, cls.deadline, cls.effect, cls.scope) == (
+    assert (cls.latency_objective, cls.deadline, cls.idempotency, cls.deduplication_scope) == (
         0.25,
         2.0,
-        Effect.KEYED,
-        Scope.CELL,
+        Idempotency.IDEMPOTENCY_KEY,
+        DeduplicationScope.SHARD,
     )
-    assert cls.in_order and cls.writes and cls.keep == 4.0
+    assert cls.in_order and cls.is_write and cls.deduplication_window == 4.0
     assert (plan.limit, plan.burst, plan.reservation, plan.weight) == (31.0, 41.0, 2.5, 3.0)
-    assert not found.list_pushed and found.gateways == 4 and found.max_attempts == 4
-    assert (found.rules.budget_free, found.rules.budget_share, found.rules.budget_window) == (3.0, 0.1, 9.0)
-    assert found.rules.order_pause is None
+    assert not found.list_pushed and found.initiator_count == 4 and found.max_attempts == 4
+    assert (
+        found.rules.retry_budget_base,
+        found.rules.retry_budget_fraction,
+        found.rules.retry_budget_window,
+    ) == (3.0, 0.1, 9.0)
+    assert found.rules.ordering_pause is None
 
 
 def test_absent_options_are_no_error():
     found = codec.parse_settings("")
-    assert found.classes == () and found.plans == () and found.list_pushed and found.rules.ask_every is None
+    assert (
+        found.classes == ()
+        and found.plans == ()
+        and found.list_pushed
+        and found.rules.list_poll_interval is None
+    )
 
 
 def test_an_option_that_is_no_number_is_named():
--- a/tests/test_slow_start_fleets.py
+++ b/tests/test_slow_start_fleets.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from stalltiller.scheduling import ListKind, NodeList, scheduler
+from stalltiller.scheduling import TargetListKind, TargetListUpdate, scheduler
 from tests.helpers import entry, outcome, request, request_class, rules, settings
 from tests.test_contention import Herd
 
@@ -37,7 +37,7 @@
     def __init__(self, case: Case, seed: int) -> None:
         self.case, self.draw = case, random.Random(seed)
         self.nodes = tuple(
-            entry(n, started=COLD_FROM if n == CELL else None) for n in range(1, case.cells + 1)
+            entry(n, started_at=COLD_FROM if n == CELL else None) for n in range(1, case.cells + 1)
         )
         self.made = [self.fresh(0.0) for _ in range(case.gateways)]
         self.free, self.number, self.ends, self.sent = COLD_FROM, 0, [], []
@@ -57,14 +57,19 @@
     def fresh(self, now: float) -> scheduler.Scheduler:
         """A process that has just come up with the list as it is."""
         site = settings(
-            gateways=self.case.gateways,
-            cold_units=self.case.units,
+            initiator_count=self.case.gateways,
+            slow_start_units=self.case.units,
             mean_units=MEAN,
-            classes=(request_class(aim=0.2, deadline=1.2),),
-            rules=rules(cold_time=COLD_TIME, cold_share=SHARE, tip_time=1.0, tip_multiple=2.0),
+            classes=(request_class(latency_objective=0.2, deadline=1.2),),
+            rules=rules(
+                slow_start_duration=COLD_TIME,
+                slow_start_initial_fraction=SHARE,
+                overload_window=1.0,
+                overload_factor=2.0,
+            ),
         )
         made = scheduler.Scheduler(site, self.draw.getrandbits(32), now)
-        made.handle(now, [NodeList(ListKind.CACHED, self.nodes)])
+        made.handle(now, [TargetListUpdate(TargetListKind.CACHED, self.nodes)])
         return made
 
     def restarts(self) -> list[tuple[float, int]]:
@@ -97,8 +102,8 @@
                 self.made[index] = self.fresh(at)
             while self.ends and self.ends[0][0] <= now:
                 at, index, number, took, status = heapq.heappop(self.ends)
-                if number in self.made[index].held:
-                    self.act(at, index, outcome(number, node=CELL, status=status, took=took))
+                if number in self.made[index].pending:
+                    self.act(at, index, outcome(number, target_id=CELL, status=status, latency=took))
             place = self.draw.choices(range(len(sums)), cum_weights=sums)[0]
             cells, hosts, _ = self.volumes[place]
             cell, index = self.draw.choice(cells), self.draw.choice(hosts)
@@ -111,12 +116,12 @@
                         self.number,
                         volume=place,
                         units=float(self.number % 3 + 1),
-                        hosts=len(hosts),
-                        left=1.2,
+                        volume_initiator_count=len(hosts),
+                        time_remaining=1.2,
                     ),
                 )
             else:
-                self.made[index].crowd.note(now, cell, place, len(hosts))
+                self.made[index].contention.record(now, cell, place, len(hosts))
         return self.worst()
 
     def worst(self) -> float:
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -10,18 +10,18 @@
 import orjson
 import pytest
 
-from stalltiller.daemon.process_handover import Handover
+from stalltiller.daemon.process_handover import ProcessHandover
 from stalltiller.fleet import budget_lending as shares
 from stalltiller.fleet import codec as fleet_codec
 from stalltiller.fleet.member_table import State
-from stalltiller.fleet.messages import Kind
+from stalltiller.fleet.messages import PacketKind
 from stalltiller.leases import codec as lease_codec
 from stalltiller.leases import leases_pb2
 from stalltiller.leases.store import VoterStore, make
 from stalltiller.protocol import nvme
 from stalltiller.recovery import peer_state as word
 from stalltiller.recovery.store import Store
-from stalltiller.scheduling import Message, NodeState, Tell
+from stalltiller.scheduling import PeerMessage, SendPeerMessage, TargetStatus
 from stalltiller.scheduling import scheduler as logic
 from tests.fixtures import samples
 from tests.helpers import Gateway, plan, request
@@ -61,7 +61,7 @@
 
 
 def test_the_recovery_store_holds_each_state_of_a_target():
-    assert {target.state for target in samples.TARGETS} == set(NodeState)
+    assert {target.status for target in samples.TARGETS} == set(TargetStatus)
 
 
 # --- Voter's store ------------------------------------------------------------------------------------
@@ -99,7 +99,7 @@
     expected = samples.HANDOVER.read_bytes()
     copy = tmp_path / samples.HANDOVER.name
     copy.write_bytes(expected)
-    handover = Handover(str(tmp_path), samples.NAME)
+    handover = ProcessHandover(str(tmp_path), samples.NAME)
     assert handover.load() == samples.TAKEN_OUT
     copy.unlink()
     handover.save(samples.TAKEN_OUT)
@@ -107,9 +107,9 @@
 
 
 def test_the_lock_file_keeps_its_name(tmp_path):
-    handover = Handover(str(tmp_path), samples.NAME)
-    assert handover.take_turn()
-    handover.end_turn()
+    handover = ProcessHandover(str(tmp_path), samples.NAME)
+    assert handover.acquire_lock()
+    handover.release_lock()
     assert [path.name for path in tmp_path.iterdir()] == ["stalltiller-w_1.lock"]
 
 
@@ -129,10 +129,10 @@
 
 def test_the_packets_are_of_all_kinds():
     assert DATAGRAMS["fleet packets"].keys() == samples.PACKETS.keys()
-    assert sorted(packet.kind for packet in samples.PACKETS.values()) == sorted(Kind)
-    assert [int(kind) for kind in Kind] == list(range(1, 9))
+    assert sorted(packet.kind for packet in samples.PACKETS.values()) == sorted(PacketKind)
+    assert [int(kind) for kind in PacketKind] == list(range(1, 9))
     assert {member.state for member in samples.MEMBERS} == set(State)
-    assert {type(part) for part in samples.PARTS} == {shares.Ask, shares.Grant}
+    assert {type(part) for part in samples.PARTS} == {shares.BudgetRequest, shares.BudgetGrant}
 
 
 # --- Messages of leases -------------------------------------------------------------------------------
@@ -193,7 +193,7 @@
     assert DATAGRAMS["recovery"].keys() == samples.RECOVERY_MESSAGES.keys()
     known = set(typing.get_args(typing.get_type_hints(word.decode)["return"]))
     assert {type(each) for each in samples.RECOVERY_MESSAGES.values()} == known
-    assert {change.state for change in samples.CHANGES} == set(NodeState)
+    assert {change.state for change in samples.CHANGES} == set(TargetStatus)
 
 
 # --- Tokens among schedulers --------------------------------------------------------------------------
@@ -211,9 +211,9 @@
 
 def test_a_scheduler_answers_the_ask_with_the_grant():
     gateway = Gateway(may_message=True, plans=(plan(limit=100.0, burst=50.0),))
-    gateway.feed(10.0, request(1, volume=17, hosts=2))
-    told = gateway.feed(10.1, Message(1, fixture_bytes("tokens", "ask")))
-    assert told == [Tell(1, fixture_bytes("tokens", "grant"))]
+    gateway.feed(10.0, request(1, volume=17, volume_initiator_count=2))
+    told = gateway.feed(10.1, PeerMessage(1, fixture_bytes("tokens", "ask")))
+    assert told == [SendPeerMessage(1, fixture_bytes("tokens", "grant"))]
 
 
 # --- NVMe PDUs ----------------------------------------------------------------------------------------
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -11,7 +11,7 @@
 from stalltiller.adapters.target_directory import WatchCodec
 from stalltiller.protocol import http
 from stalltiller.transport.buffers import BufferPool
-from stalltiller.transport.watch import TOLD_AFTER, Pace, Watch
+from stalltiller.transport.watch import NOTIFICATION_DEADLINE, BackoffPollPolicy, Watch
 from tests.simulated_clock import run_on_jumping_clock
 from tests.stand_ins import Standin, read_message
 
@@ -21,17 +21,17 @@
 @pytest.mark.parametrize(
     ("pace", "failures", "least", "most"),
     [
-        (Pace(), 1, 0.025, 0.05),
-        (Pace(), 99, 0.05, 0.1),  # an agent of its own: soon again
-        (Pace.asking(10.0), 1, 0.0, 0.5),
-        (Pace.asking(10.0), 2, 0.0, 1.0),
-        (Pace.asking(10.0), 4000, 0.0, 2.0),
-        (Pace.asking(3.0), 1, 0.0, 0.25),
-        (Pace.asking(3.0), 4000, 0.0, 1.0),  # settings that ask for more
+        (BackoffPollPolicy(), 1, 0.025, 0.05),
+        (BackoffPollPolicy(), 99, 0.05, 0.1),  # an agent of its own: soon again
+        (BackoffPollPolicy.for_remote_discovery(10.0), 1, 0.0, 0.5),
+        (BackoffPollPolicy.for_remote_discovery(10.0), 2, 0.0, 1.0),
+        (BackoffPollPolicy.for_remote_discovery(10.0), 4000, 0.0, 2.0),
+        (BackoffPollPolicy.for_remote_discovery(3.0), 1, 0.0, 0.25),
+        (BackoffPollPolicy.for_remote_discovery(3.0), 4000, 0.0, 1.0),  # settings that ask for more
     ],
 )
 def test_a_failed_call_is_made_again_within_its_bounds(pace, failures, least, most):
-    assert [pace.pause(failures, draw) for draw in (0.0, 1.0)] == pytest.approx([least, most])
+    assert [pace.backoff(failures, draw) for draw in (0.0, 1.0)] == pytest.approx([least, most])
 
 
 class Scripted(Standin):
@@ -56,7 +56,7 @@
             writer.write(http.encode_response(*((503,) if act == "refuse" else (200, body))))
 
 
-def told_after(pace: Pace, script: list[str], outage: float = 0.0) -> tuple[float, list[str]]:
+def told_after(pace: BackoffPollPolicy, script: list[str], outage: float = 0.0) -> tuple[float, list[str]]:
     """Seconds from when discovery had a change and could be reached until the watch had it, and the calls.
     On the jumping clock, so that no case waits."""
 
@@ -72,7 +72,7 @@
                 told.set_result(asyncio.get_running_loop().time())
 
         # The watch stands already: its call waits for news.
-        codec = WatchCodec("d", took, pace.wait, KNOWN, first_waits=True)
+        codec = WatchCodec("d", took, pace.poll_wait, KNOWN, first_waits=True)
         watch = asyncio.create_task(Watch(listening, BufferPool(), codec, pace, lambda _: None).run())
         if outage:
             await asyncio.sleep(outage)
@@ -88,7 +88,11 @@
     return run_on_jumping_clock(scene())
 
 
-PACES = [Pace(), Pace.asking(10.0), Pace.asking(60.0)]
+PACES = [
+    BackoffPollPolicy(),
+    BackoffPollPolicy.for_remote_discovery(10.0),
+    BackoffPollPolicy.for_remote_discovery(60.0),
+]
 WORST = [
     [],
     ["silent"],
@@ -110,7 +114,7 @@
     """Where lists are asked for, a silent call and the pause after it took up to 8 s; a pushed watch 6 s."""
     monkeypatch.setattr("random.random", lambda: draw)
     after, calls = told_after(pace, list(script))
-    assert after < TOLD_AFTER
+    assert after < NOTIFICATION_DEADLINE
     follow_silence = [
         after for before, after in zip(["serve", *script], calls, strict=False) if before == "silent"
     ]
@@ -118,7 +122,9 @@
 
 
 @pytest.mark.parametrize(
-    ("pace", "most"), [(Pace(), 0.5), (Pace.asking(10.0), TOLD_AFTER)], ids=["pushed", "asked"]
+    ("pace", "most"),
+    [(BackoffPollPolicy(), 0.5), (BackoffPollPolicy.for_remote_discovery(10.0), NOTIFICATION_DEADLINE)],
+    ids=["pushed", "asked"],
 )
 @pytest.mark.parametrize("outage", [2.0, 8.0, 31.0])
 def test_after_an_outage_discovery_is_heard_in_time(monkeypatch, pace, most, outage):
@@ -164,7 +170,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.index, self.free_at, self.failed, self.changed = KNOWN, 0.0, 0, asyncio.Event()
+        self.index, self.free_at, self.fail, self.changed = KNOWN, 0.0, 0, asyncio.Event()
 
     async def serve(self, reader, writer) -> None:
         while True:
@@ -172,7 +178,7 @@
             after = int(target.partition("after=")[2].partition("&")[0] or 0)
             now = time.monotonic()
             if self.free_at - now > self.PATIENCE:
-                self.failed += 1
+                self.fail += 1
                 writer.write(http.encode_response(503, b""))
                 continue
             lines = LINES if not after else 1
@@ -199,17 +205,17 @@
     for number in range(len(seen)):
 
         def took(listing, number=number):
-            seen[number] = listing.index
+            seen[number] = listing.version
 
-        pace = Pace.asking(10.0)
-        codec = WatchCodec("d", took, pace.wait, known)
+        pace = BackoffPollPolicy.for_remote_discovery(10.0)
+        codec = WatchCodec("d", took, pace.poll_wait, known)
         watch = Watch(("127.0.0.1", discovery.port), BufferPool(), codec, pace, lambda _: None)
         tasks.append(asyncio.create_task(watch.run()))
     try:
         end = time.monotonic() + 1.5
         while not all(seen) and time.monotonic() < end:
             await asyncio.sleep(0.01)
-        failed = discovery.failed
+        failed = discovery.fail
         discovery.change()
         while sum(index > KNOWN for index in seen) < len(seen) and time.monotonic() < end:
             await asyncio.sleep(0.01)
