--- a/bench/slow_start.py
+++ b/bench/slow_start.py
@@ -69,7 +69,7 @@
         while self.mail and self.mail[0][0] <= now:
             at, _, one, other, what = heapq.heappop(self.mail)
             if isinstance(what, BudgetRequest):
-                grant = self.shares[other].requested_at(at, str(one), what)
+                grant = self.shares[other].asked(at, str(one), what)
                 if grant is not None:
                     heapq.heappush(self.mail, (at + DELAY, next(self.letters), other, one, grant))
             else:
--- a/stalltiller/adapters/nvme_controller.py
+++ b/stalltiller/adapters/nvme_controller.py
@@ -160,7 +160,7 @@
     def on_buffer_full(self) -> None:
         """Wait until its completions are read.  Guards against a host that leaves meanwhile: it is not seen
         to go by reading, and its commands would be sent on."""
-        super().overflow()
+        super().on_buffer_full()
         self._look_for_end()
 
     def _look_for_end(self) -> None:
--- a/tests/fleet/test_budget_lending.py
+++ b/tests/fleet/test_budget_lending.py
@@ -52,7 +52,7 @@
         while self.mail and self.mail[0][0] <= self.now:
             _, _, one, other, what = heapq.heappop(self.mail)
             if isinstance(what, BudgetRequest):
-                grant = self.members[other].requested_at(self.clock(other), str(one), what)
+                grant = self.members[other].asked(self.clock(other), str(one), what)
                 if grant is not None:
                     self.post(other, one, grant)
             else:  # one for an earlier life too: it must not count
--- a/tests/fleet/test_swim.py
+++ b/tests/fleet/test_swim.py
@@ -170,7 +170,7 @@
 # --- The wire -----------------------------------------------------------------------------------------
 PACKET = Packet(
     PacketKind.REQUEST,
-    member("x", load=3, position=4),
+    member("x", load=3, initiator_index=4),
     7,
     "y",
     ("10.0.0.9", 80),
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from stalltiller.adapters import http_server as http_front
+from stalltiller.adapters import http_server as http_server
 from stalltiller.protocol import http, nvme
 from stalltiller.scheduling import Idempotency
 from tests.helpers import request_class
@@ -163,7 +163,7 @@
 # --- Closes ------------------------------------------------------------------------------------------
 def arriving(monkeypatch, method: str, when: str, act) -> None:
     """Have something arrive in the moment before or after a method of a client's connection."""
-    known = getattr(http_front.ClientConnection, method)
+    known = getattr(http_server.ClientConnection, method)
 
     def wrapped(self, *args, **kwargs):
         if when == "before":
@@ -173,7 +173,7 @@
             act()
         return found
 
-    monkeypatch.setattr(http_front.ClientConnection, method, wrapped)
+    monkeypatch.setattr(http_server.ClientConnection, method, wrapped)
 
 
 @pytest.mark.parametrize("bad", [False, True])
@@ -200,7 +200,7 @@
     async def scene(world):
         client = dial(world)
         client.sendall(get(1))
-        arriving(monkeypatch, "quiet", "after", lambda: client.sendall(get(2)))
+        arriving(monkeypatch, "is_clean", "after", lambda: client.sendall(get(2)))
         answer = await rest_of(client)
         assert answer.count(b"HTTP/1.1") == 1 and answer.startswith(b"HTTP/1.1 200")
         assert [tag for _, tag in world.targets[0].begun] == [1]
@@ -214,7 +214,7 @@
         size = 300_000
         monkeypatch.setattr(world.targets[0], "content", lambda tag, _: b"x" * size)
         client = dial(world)
-        arriving(monkeypatch, "whole", "before", lambda: client.sendall(b"GET /late"))
+        arriving(monkeypatch, "finish_stream", "before", lambda: client.sendall(b"GET /late"))
         client.sendall(get(1, Connection="close"))
         assert (await rest_of(client)).count(b"x") == size
         client.close()
@@ -274,11 +274,11 @@
         await world.until(lambda: len(world.app.listener) == 1)
         known = world.app.engine.finish_all
 
-        def close_out():
+        def finish_all():
             known()
             client.sendall(b"\r\n")
 
-        monkeypatch.setattr(world.app.engine, "close_out", close_out)
+        monkeypatch.setattr(world.app.engine, "finish_all", finish_all)
         world.app.stop.set()
         assert (await rest_of(client)).startswith(b"HTTP/1.1 503")
         client.close()
