--- a/tests/fleet/test_mass_restart.py
+++ b/tests/fleet/test_mass_restart.py
@@ -25,7 +25,7 @@
         try:
             facts = store.load(name, f"127.0.0.1:{rig.discovery.port}", time.time())
             listing = facts and facts.listing
-            return listing is not None and listing.index == rig.discovery.index
+            return listing is not None and listing.version == rig.discovery.index
         finally:
             store.close()
 
