--- a/bench/lease_model.py
+++ b/bench/lease_model.py
@@ -1,12 +1,16 @@
-"""Leases in a seeded world: `python -m bench.lease_model [--seeds 10000] [--bug vote|early|token|state]`.
-
-Three or five voters and three clients on one virtual clock, each with a clock of its own rate; messages are
-lost, late, doubled and cut; voters are killed and come back with their disks, put a state in the place of the
-log every few entries and send it to who lacks them; clients stand still in the middle of an effect.  After
-each step: one leader a term, the same entry at a place of the log wherever it was applied, the same state
-wherever the log was cut, one holder by true time, no effect taken from an older grant.  A violation is told
-with its seed, which replays it.  `--bug` plants one: a vote not durable, a lease kept past its time, a token
-not checked, a state that is sent and not taken.
+"""Simulates leases under faults: `python -m bench.lease_model [--seeds 10000] [--bug BUG]`.
+
+Three or five voters and three clients share one virtual clock, each reading it at a rate of its own.
+Messages are lost, delayed, duplicated and cut off by partitions; voters are killed and restart with their
+disks, compact their logs every few entries and send snapshots to voters that lack them; clients are suspended
+in the middle of an effect.
+
+After each step these invariants must hold: one leader in a term; the same entry at an index wherever it was
+applied; the same state wherever the log was compacted; one holder by true time; no effect accepted from an
+earlier grant.  A violation is printed with its seed, which replays it.
+
+`--bug` plants one: `vote`, a vote that is not durable; `early`, a lease held past its duration; `token`, a
+token that is not checked; `state`, a snapshot that is not restored.
 """
 
 from __future__ import annotations
@@ -19,274 +23,436 @@
 import random
 import time
 from functools import partial
+from typing import NamedTuple
 
 from stalltiller.leases import (
-    RATE_ERROR,
-    Apply,
+    CLOCK_RATE_ERROR_FRACTION,
+    Action,
+    ApplyEntry,
     Command,
-    Cut,
-    Entry,
-    Gate,
-    Holder,
-    Keep,
-    Keeper,
+    CommandKind,
+    FencingTokenGuard,
+    LeaseExpiryTracker,
+    LeaseHolder,
+    LogEntry,
+    PersistentState,
+    PersistSnapshot,
+    PersistState,
     Raft,
-    Restore,
-    Send,
+    RaftMessage,
+    RestoreSnapshot,
+    Role,
+    SendMessage,
+    Snapshot,
 )
-from stalltiller.leases.codec import decode_table, encode_table
+from stalltiller.leases.codec import decode_state_machine, encode_state_machine
 
-STEP, LENGTH, TTL, LEASE = 0.02, 25.0, 1.5, "allot"
-PIECE = 40  # bytes of a state in one message: most take several
-LOG = 8  # entries applied after which a voter cuts its log
+STEP_SECONDS = 0.02
+RUN_SECONDS = 25.0
+TTL_SECONDS = 1.5
+LEASE = "allot"
+CLIENT_COUNT = 3
+SNAPSHOT_CHUNK_BYTES = 40  # small, so most snapshots need several messages
+MAX_LOG_ENTRIES = 8  # small, so logs are compacted often
 BUGS = ("vote", "early", "token", "state")
+EARLY_BUG_TTL_FACTOR = 1.6
+EFFECT_RECEIVER = "gate"  # the receiver of effects, which checks their tokens
+MAX_PRINTED_VIOLATIONS = 5
+
+# Probabilities of faults: of a step for each voter or the network, or of an event.
+KILL_PROBABILITY = 0.004
+TRANSFER_PROBABILITY = 0.004
+PARTITION_PROBABILITY = 0.004
+KILL_AFTER_VOTE_PROBABILITY = 0.3
+DUPLICATE_PROBABILITY = 0.03
+LONG_DELAY_PROBABILITY = 0.1
+RELEASE_PROBABILITY = 0.02
+SUSPEND_PROBABILITY = 0.05
+
+
+class InvariantViolationError(AssertionError):
+    """An invariant does not hold."""
+
+
+class ClientMessage(NamedTuple):
+    """A command from a client to a voter, and back with the token that answers it."""
+
+    command: Command
+    sent_at: float  # on the client's clock
+    token: int | None
+
+
+class Delivery(NamedTuple):
+    """A message on its way; the sequence number orders those that are due at the same time."""
+
+    due_at: float
+    sequence: int
+    sender: str
+    receiver: str
+    content: RaftMessage | ClientMessage | int  # an int is the token of an effect
+
+
+class PendingCommand(NamedTuple):
+    """A command on a voter's log whose client awaits the response."""
+
+    term: int
+    client: Client
+    sent_at: float
+    command: Command
+
 
+class Result(NamedTuple):
+    """How the schedule of one seed went."""
 
-class Violation(AssertionError):
-    """A rule does not hold."""
+    seed: int
+    violation: str | None
+    executed_effects: int
+    installed_snapshots: int
 
 
 class Voter:
-    """A voter's process and its disk."""
+    """A voter's process and its disk; the process is down while `raft` is None."""
 
-    def __init__(self, name: str, names: tuple[str, ...], rate: float) -> None:
-        self.name, self.names, self.rate = name, names, rate
-        self.disk: tuple[int, str | None, list[Entry]] = (0, None, [])
-        self.cut: tuple[int, int, bytes] = (0, 0, b"")  # the state on the disk: its index, its term
+    def __init__(self, name: str, names: tuple[str, ...], clock_rate: float) -> None:
+        self.name = name
+        self.names = names
+        self.clock_rate = clock_rate
+        self.disk = PersistentState()
+        self.disk_snapshot = Snapshot()
         self.down_until = 0.0
         self.raft: Raft | None = None
 
     def start(self, now: float, seed: int, bug: str | None) -> None:
-        term, vote, log = self.disk
+        """Start the process from its disk."""
+        state = self.disk._replace(voted_for=None) if bug == "vote" else self.disk
         self.raft = Raft(
             self.name,
             self.names,
             random.Random(seed),
-            now * self.rate,
-            term=term,
-            vote=None if bug == "vote" else vote,
-            log=list(log),
-            base=self.cut[0],
-            base_term=self.cut[1],
-            state=self.cut[2],
-            piece=PIECE,
+            now * self.clock_rate,
+            state,
+            self.disk_snapshot,
+            snapshot_chunk_bytes=SNAPSHOT_CHUNK_BYTES,
         )
-        self.table, self.keeper, self.led = decode_table(self.cut[2]), Keeper(), False
-        self.waiting: dict[int, tuple[int, Client, float, Command]] = {}
+        self.state_machine = decode_state_machine(self.disk_snapshot.state)
+        self.expiry_tracker = LeaseExpiryTracker()
+        self.is_leading = False
+        self.pending: dict[int, PendingCommand] = {}  # by log index
+
+    def kill(self, down_until: float) -> None:
+        """End the process; its disk stays."""
+        self.raft = None
+        self.down_until = down_until
+
+    def persist_state(self, action: PersistState) -> None:
+        """Write the term, the vote and the log to the disk."""
+        retained = action.last_retained_index - self.disk_snapshot.last_index
+        entries = [*self.disk.entries[:retained], *action.entries]
+        self.disk = PersistentState(action.term, action.voted_for, entries)
+
+    def persist_snapshot(self, action: PersistSnapshot) -> None:
+        """Write a snapshot to the disk in place of its entries."""
+        entries = (
+            [] if action.discard_log else self.disk.entries[action.index - self.disk_snapshot.last_index :]
+        )
+        self.disk = self.disk._replace(entries=entries)
+        self.disk_snapshot = Snapshot(action.index, action.term, action.state)
 
 
 class Client:
-    """One that wants to hold the lease and acts under it."""
+    """A client that wants to hold the lease and executes effects under it."""
 
-    def __init__(self, name: str, rate: float, bug: str | None) -> None:
-        self.name, self.rate, self.numbers = name, rate, itertools.count(1)
-        self.holder = Holder(LEASE, TTL * (1.6 if bug == "early" else 1.0))
-        self.stopped_until = self.next_at = 0.0
+    def __init__(self, name: str, clock_rate: float, bug: str | None) -> None:
+        self.name = name
+        self.clock_rate = clock_rate
+        self.command_numbers = itertools.count(1)
+        self.holder = LeaseHolder(LEASE, TTL_SECONDS * (EARLY_BUG_TTL_FACTOR if bug == "early" else 1.0))
+        self.suspended_until = 0.0
+        self.next_turn_at = 0.0
 
 
-class World:
+class Simulation:
+    """Voters, clients and the network between them; all random choices come from the seed."""
+
     def __init__(self, seed: int, bug: str | None = None) -> None:
-        self.draw, self.bug, self.now, self.count = random.Random(seed), bug, 0.0, itertools.count()
-        names = tuple(f"v{n}" for n in range(self.draw.choice((3, 3, 5))))
-        rates = (1 - RATE_ERROR / 2, 1.0, 1 + RATE_ERROR / 2)
-        self.voters = {name: Voter(name, names, self.draw.choice(rates)) for name in names}
-        self.clients = [Client(f"c{n}", self.draw.choice(rates), bug) for n in range(3)]
-        self.mail: list[tuple] = []
-        self.cut: set[str] = set()
-        self.cut_until = 0.0
-        self.loss = self.draw.choice((0.0, 0.05, 0.2))
-        self.leaders: dict[int, str] = {}
-        self.applied: dict[int, Entry] = {}
-        self.gate, self.newest, self.taken, self.restored = Gate(), 0, 0, 0
-        self.states: dict[int, bytes] = {}  # at the indexes where a voter cut its log
+        self.rng = random.Random(seed)
+        self.bug = bug
+        self.now = 0.0
+        self.sequence_numbers = itertools.count()
+        names = tuple(f"v{n}" for n in range(self.rng.choice((3, 3, 5))))
+        clock_rates = (1 - CLOCK_RATE_ERROR_FRACTION / 2, 1.0, 1 + CLOCK_RATE_ERROR_FRACTION / 2)
+        self.voters = {name: Voter(name, names, self.rng.choice(clock_rates)) for name in names}
+        self.clients = [Client(f"c{n}", self.rng.choice(clock_rates), bug) for n in range(CLIENT_COUNT)]
+        self.network: list[Delivery] = []  # a heap
+        self.partition: set[str] = set()  # cut off from all others
+        self.partitioned_until = 0.0
+        self.loss_probability = self.rng.choice((0.0, 0.05, 0.2))
+        self.leaders: dict[int, str] = {}  # by term
+        self.applied: dict[int, LogEntry] = {}  # by index
+        self.snapshots: dict[int, bytes] = {}  # by the index up to which a voter compacted its log
+        self.guard = FencingTokenGuard()
+        self.newest_effect_token = 0
+        self.executed_effects = 0
+        self.installed_snapshots = 0
+        for voter in self.voters.values():
+            voter.start(0.0, self.rng.getrandbits(32), bug)
+
+    def step(self) -> None:
+        """Advance the clock by one step and do all that is due."""
+        self.now += STEP_SECONDS
+        self.inject_faults()
+        while self.network and self.network[0].due_at <= self.now:
+            self.deliver(heapq.heappop(self.network))
         for voter in self.voters.values():
-            voter.start(0.0, self.draw.getrandbits(32), bug)
+            self.run_timers(voter)
+        for client in self.clients:
+            if self.now >= max(client.next_turn_at, client.suspended_until):
+                self.run_client(client)
+        self.check_holders()
+
+    def check_holders(self) -> None:
+        """At most one client may hold the lease."""
+        holders = [
+            client.name for client in self.clients if client.holder.is_valid(self.now * client.clock_rate)
+        ]
+        if len(holders) > 1:
+            raise InvariantViolationError(f"held by {holders}")
 
-    def post(self, one: str, other: str, what: object) -> None:
-        if self.draw.random() < self.loss or (one in self.cut) != (other in self.cut):
+    # --- The network ------------------------------------------------------------------------------------
+    def send(self, sender: str, receiver: str, content: RaftMessage | ClientMessage) -> None:
+        """Send a message, which may be lost, delayed or duplicated."""
+        if self.rng.random() < self.loss_probability:
             return
-        for _ in range(1 + (self.draw.random() < 0.03)):
-            late = self.draw.choice((0.005, 0.01, 0.03, 0.4 if self.draw.random() < 0.1 else 0.02))
-            heapq.heappush(
-                self.mail, (self.now + late * (0.5 + self.draw.random()), next(self.count), one, other, what)
-            )
+        if (sender in self.partition) != (receiver in self.partition):
+            return
+        for _ in range(1 + (self.rng.random() < DUPLICATE_PROBABILITY)):
+            fourth_delay = 0.4 if self.rng.random() < LONG_DELAY_PROBABILITY else 0.02
+            delay = self.rng.choice((0.005, 0.01, 0.03, fourth_delay))
+            due_at = self.now + delay * (0.5 + self.rng.random())
+            self.schedule(due_at, sender, receiver, content)
+
+    def schedule(
+        self, due_at: float, sender: str, receiver: str, content: RaftMessage | ClientMessage | int
+    ) -> None:
+        """Have something delivered at a time."""
+        delivery = Delivery(due_at, next(self.sequence_numbers), sender, receiver, content)
+        heapq.heappush(self.network, delivery)
+
+    def deliver(self, delivery: Delivery) -> None:
+        """Hand a message to its receiver."""
+        if isinstance(delivery.content, int):
+            self.execute_effect(delivery.content)
+        elif delivery.receiver in self.voters:
+            self.deliver_to_voter(self.voters[delivery.receiver], delivery.sender, delivery.content)
+        elif isinstance(delivery.content, ClientMessage):
+            self.deliver_to_client(self.client(delivery.receiver), delivery, delivery.content)
+
+    def client(self, name: str) -> Client:
+        """The client of a name."""
+        return self.clients[int(name[1:])]
 
-    def act(self, voter: Voter, actions: list) -> None:
-        voted = False
+    def deliver_to_client(self, client: Client, delivery: Delivery, response: ClientMessage) -> None:
+        """Hand a response to a client; a suspended one reads it when it goes on."""
+        if self.now < client.suspended_until:
+            self.schedule(client.suspended_until, delivery.sender, delivery.receiver, response)
+        elif response.command.kind != CommandKind.RELEASE:
+            client.holder.handle_response(response.sent_at, response.token or 0)
+
+    def deliver_to_voter(self, voter: Voter, sender: str, content: RaftMessage | ClientMessage) -> None:
+        """Hand a message to a voter, unless it is down; only a leader accepts commands."""
+        if voter.raft is None:
+            return
+        voter_time = self.now * voter.clock_rate
+        if not isinstance(content, ClientMessage):
+            self.execute(voter, voter.raft.step(voter_time, sender, content))
+            return
+        index, actions = voter.raft.propose(voter_time, content.command)
+        if index is not None:
+            client = self.client(sender)
+            voter.pending[index] = PendingCommand(voter.raft.term, client, content.sent_at, content.command)
+        self.execute(voter, actions)
+
+    # --- Voters -----------------------------------------------------------------------------------------
+    def run_timers(self, voter: Voter) -> None:
+        """Do what is due at a voter, and as the leader expire leases."""
+        voter_time = self.now * voter.clock_rate
+        if voter.raft is not None and voter_time >= voter.raft.timer_at:
+            self.execute(voter, voter.raft.tick(voter_time))
+        if voter.raft is not None and voter.is_leading:
+            for command in voter.expiry_tracker.expiry_commands(voter_time, voter.state_machine):
+                self.execute(voter, voter.raft.propose(voter_time, command)[1])
+
+    def execute(self, voter: Voter, actions: list[Action]) -> None:
+        """Execute a voter's actions, compact its log and check that it is its term's only leader."""
+        has_voted = False
         for action in actions:
-            if isinstance(action, Keep):
-                length = action.length - voter.cut[0]
-                voter.disk = action.term, action.vote, [*voter.disk[2][:length], *action.entries]
-                voted |= action.vote not in (None, voter.name) and not action.entries
-            elif isinstance(action, Send):
-                self.post(voter.name, action.to, action.message)
-            elif isinstance(action, Apply):
-                self.apply(voter, action)
-            elif isinstance(action, Cut):
-                log = [] if action.whole else voter.disk[2][action.index - voter.cut[0] :]
-                voter.disk = *voter.disk[:2], log
-                voter.cut = action.index, action.term, action.state
-            elif isinstance(action, Restore):
-                if self.bug != "state":
-                    voter.table = decode_table(action.state)
-                self.restored += 1
+            self.execute_one(voter, action)
+            if isinstance(action, PersistState):
+                has_voted |= action.voted_for not in (None, voter.name) and not action.entries
         raft = voter.raft
-        if raft.commit - raft.base >= LOG:
-            state = encode_table(voter.table)
-            if self.states.setdefault(raft.commit, state) != state:
-                raise Violation(f"two states at {raft.commit}")
-            self.act(voter, raft.compact(self.now * voter.rate, raft.commit, state))
-        if voted and self.draw.random() < 0.3:  # killed right after it has given its vote
-            voter.raft, voter.down_until = None, self.now + STEP
-        elif raft.role == "leader":
-            if self.leaders.setdefault(raft.term, voter.name) != voter.name:
-                raise Violation(f"two leaders in term {raft.term}")
-            if not voter.led:
-                voter.led = True
-                voter.keeper.begin(self.now * voter.rate, voter.table)
+        if raft.commit_index - raft.snapshot_index >= MAX_LOG_ENTRIES:
+            self.compact(voter)
+        if has_voted and self.rng.random() < KILL_AFTER_VOTE_PROBABILITY:
+            voter.kill(self.now + STEP_SECONDS)
+        elif raft.role is Role.LEADER:
+            self.observe_leader(voter, raft.term)
         else:
-            voter.led = False
+            voter.is_leading = False
+
+    def execute_one(self, voter: Voter, action: Action) -> None:
+        """Execute one action."""
+        if isinstance(action, PersistState):
+            voter.persist_state(action)
+        elif isinstance(action, SendMessage):
+            self.send(voter.name, action.to, action.message)
+        elif isinstance(action, ApplyEntry):
+            self.apply(voter, action)
+        elif isinstance(action, PersistSnapshot):
+            voter.persist_snapshot(action)
+        elif isinstance(action, RestoreSnapshot):
+            if self.bug != "state":
+                voter.state_machine = decode_state_machine(action.state)
+            self.installed_snapshots += 1
+
+    def compact(self, voter: Voter) -> None:
+        """Compact a voter's log; the state must be the same as any other voter's there."""
+        index = voter.raft.commit_index
+        state = encode_state_machine(voter.state_machine)
+        if self.snapshots.setdefault(index, state) != state:
+            raise InvariantViolationError(f"two states at {index}")
+        self.execute(voter, voter.raft.compact(self.now * voter.clock_rate, index, state))
 
-    def apply(self, voter: Voter, action: Apply) -> None:
+    def observe_leader(self, voter: Voter, term: int) -> None:
+        """A voter leads; no other may have led in its term."""
+        if self.leaders.setdefault(term, voter.name) != voter.name:
+            raise InvariantViolationError(f"two leaders in term {term}")
+        if not voter.is_leading:
+            voter.is_leading = True
+            voter.expiry_tracker.start(self.now * voter.clock_rate, voter.state_machine)
+
+    def apply(self, voter: Voter, action: ApplyEntry) -> None:
+        """Apply an entry at a voter; all voters must apply the same one at its index."""
         if self.applied.setdefault(action.index, action.entry) != action.entry:
-            raise Violation(f"two entries at {action.index}")
+            raise InvariantViolationError(f"two entries at {action.index}")
         command = action.entry.command
         if command is None:
             return
-        answer = voter.table.apply(action.index, command)
-        voter.keeper.applied(self.now * voter.rate, voter.table, command)
-        term, client, sent_at, asked = voter.waiting.pop(action.index, (0, None, 0.0, None))
-        if client is not None and term == action.entry.term and asked == command:
-            self.post(voter.name, client.name, (command, sent_at, answer))
-
-    def ask(self, client: Client, what: str) -> None:
-        """Send a command to a voter drawn at random; one that does not lead drops it."""
-        token = client.holder.drop(self.now * client.rate) if what == "release" else client.holder.token
-        command = Command(
-            what, LEASE, client.name, TTL, token, session=client.name, number=next(client.numbers)
-        )
-        self.post(client.name, self.draw.choice(list(self.voters)), (command, self.now * client.rate, None))
-
-    def step(self) -> None:
-        self.now += STEP
-        self.faults()
-        while self.mail and self.mail[0][0] <= self.now:
-            _, _, one, other, what = heapq.heappop(self.mail)
-            if other == "gate":
-                self.effect(what)
-            elif other in self.voters:
-                self.voter_gets(self.voters[other], one, what)
-            else:
-                client = self.clients[int(other[1:])]
-                if self.now < client.stopped_until:  # it reads it when it goes on
-                    heapq.heappush(self.mail, (client.stopped_until, next(self.count), one, other, what))
-                elif what[0].what != "release":
-                    client.holder.answered(what[1], what[2])
-        for voter in self.voters.values():
-            if voter.raft is not None and self.now * voter.rate >= voter.raft.wake_at:
-                self.act(voter, voter.raft.tick(self.now * voter.rate))
-            if voter.raft is not None and voter.led:
-                for command in voter.keeper.ended(self.now * voter.rate, voter.table):
-                    self.act(voter, voter.raft.propose(self.now * voter.rate, command)[1])
-        for client in self.clients:
-            if self.now >= max(client.next_at, client.stopped_until):
-                self.client_turn(client)
-        holders = [client.name for client in self.clients if client.holder.holds(self.now * client.rate)]
-        if len(holders) > 1:
-            raise Violation(f"held by {holders}")
+        token = voter.state_machine.apply(action.index, command)
+        voter.expiry_tracker.observe(self.now * voter.clock_rate, voter.state_machine, command)
+        pending = voter.pending.pop(action.index, None)
+        if pending is not None and pending.term == action.entry.term and pending.command == command:
+            response = ClientMessage(command, pending.sent_at, token)
+            self.send(voter.name, pending.client.name, response)
 
-    def voter_gets(self, voter: Voter, sender: str, what: object) -> None:
-        if voter.raft is None:
+    # --- Clients ----------------------------------------------------------------------------------------
+    def run_client(self, client: Client) -> None:
+        """Let a client acquire, renew or release the lease, and execute an effect while it holds it."""
+        client_time = self.now * client.clock_rate
+        client.next_turn_at = self.now + 0.1 + 0.2 * self.rng.random()
+        if not client.holder.is_valid(client_time):
+            client.holder.release(client_time - 1e-9)  # so that the response to this acquire counts
+            self.send_command(client, CommandKind.ACQUIRE)
             return
-        clock = self.now * voter.rate
-        if isinstance(what, tuple):
-            command, sent_at, _ = what
-            index, actions = voter.raft.propose(clock, command)
-            if index is not None:
-                client = self.clients[int(sender[1:])]
-                voter.waiting[index] = voter.raft.term, client, sent_at, command
-            self.act(voter, actions)
-        else:
-            self.act(voter, voter.raft.step(clock, sender, what))
-
-    def client_turn(self, client: Client) -> None:
-        clock = self.now * client.rate
-        client.next_at = self.now + 0.1 + 0.2 * self.draw.random()
-        if not client.holder.holds(clock):
-            client.holder.drop(clock - 1e-9)
-            self.ask(client, "acquire")
+        if self.rng.random() < RELEASE_PROBABILITY:
+            self.send_command(client, CommandKind.RELEASE)
             return
-        if self.draw.random() < 0.02:
-            self.ask(client, "release")
+        self.send_command(client, CommandKind.RENEW)
+        if self.rng.random() < SUSPEND_PROBABILITY:  # between its check of the lease and the effect
+            client.suspended_until = self.now + 4.0 * self.rng.random()
+        effect_at = max(self.now, client.suspended_until) + 0.02 * self.rng.random()
+        self.schedule(effect_at, client.name, EFFECT_RECEIVER, client.holder.token)
+
+    def send_command(self, client: Client, kind: CommandKind) -> None:
+        """Send a command to a random voter."""
+        client_time = self.now * client.clock_rate
+        is_release = kind is CommandKind.RELEASE
+        token = client.holder.release(client_time) if is_release else client.holder.token
+        number = next(client.command_numbers)
+        command = Command(kind, LEASE, client.name, TTL_SECONDS, token, session=client.name, number=number)
+        voter = self.rng.choice(list(self.voters))
+        self.send(client.name, voter, ClientMessage(command, client_time, None))
+
+    def execute_effect(self, token: int) -> None:
+        """Execute an effect if the guard accepts its token; none of an earlier grant may get through."""
+        if not self.guard.accept(token) and self.bug != "token":
             return
-        self.ask(client, "renew")
-        if self.draw.random() < 0.05:  # stopped between the look and the effect
-            client.stopped_until = self.now + 4.0 * self.draw.random()
-        at = max(self.now, client.stopped_until) + 0.02 * self.draw.random()
-        heapq.heappush(self.mail, (at, next(self.count), client.name, "gate", client.holder.token))
-
-    def effect(self, token: int) -> None:
-        if self.gate.takes(token) or self.bug == "token":
-            self.taken += 1
-            if token < self.newest:
-                raise Violation(f"an effect of grant {token} after one of {self.newest}")
-            self.newest = token
-
-    def faults(self) -> None:
+        self.executed_effects += 1
+        if token < self.newest_effect_token:
+            raise InvariantViolationError(
+                f"an effect of grant {token} after one of {self.newest_effect_token}"
+            )
+        self.newest_effect_token = token
+
+    # --- Faults -----------------------------------------------------------------------------------------
+    def inject_faults(self) -> None:
+        """Transfer leaderships, kill and restart voters, begin and end a partition."""
         for voter in self.voters.values():
-            if voter.raft is not None and voter.led and self.draw.random() < 0.004:
-                self.act(voter, voter.raft.hand_over(self.now * voter.rate))
-            if voter.raft is None and self.now >= voter.down_until:
-                voter.start(self.now, self.draw.getrandbits(32), self.bug)
-            elif voter.raft is not None and self.draw.random() < 0.004:
-                voter.raft, voter.down_until = None, self.now + self.draw.choice((0.05, 0.3, 2.0))
-        if self.now >= self.cut_until and self.draw.random() < 0.004:
-            everyone = [*self.voters, *(client.name for client in self.clients)]
-            self.cut = set(self.draw.sample(everyone, self.draw.randint(1, len(everyone) - 1)))
-            self.cut_until = self.now + 3.0 * self.draw.random()
-        elif self.now >= self.cut_until:
-            self.cut = set()
-
-
-def play(seed: int, bug: str | None = None) -> tuple[int, str | None, int, int]:
-    """One schedule: its seed, what was violated, how many effects were taken, and states from others."""
-    world = World(seed, bug)
+            self.disturb_voter(voter)
+        if self.now < self.partitioned_until:
+            return
+        if self.rng.random() < PARTITION_PROBABILITY:
+            names = [*self.voters, *(client.name for client in self.clients)]
+            self.partition = set(self.rng.sample(names, self.rng.randint(1, len(names) - 1)))
+            self.partitioned_until = self.now + 3.0 * self.rng.random()
+        else:
+            self.partition = set()
+
+    def disturb_voter(self, voter: Voter) -> None:
+        """Transfer a leader's leadership, restart a voter that is down or kill one that is up."""
+        if voter.raft is not None and voter.is_leading and self.rng.random() < TRANSFER_PROBABILITY:
+            self.execute(voter, voter.raft.transfer_leadership(self.now * voter.clock_rate))
+        if voter.raft is None and self.now >= voter.down_until:
+            voter.start(self.now, self.rng.getrandbits(32), self.bug)
+        elif voter.raft is not None and self.rng.random() < KILL_PROBABILITY:
+            voter.kill(self.now + self.rng.choice((0.05, 0.3, 2.0)))
+
+
+def simulate(seed: int, bug: str | None = None) -> Result:
+    """Run the schedule of one seed until its end or its first violation."""
+    simulation = Simulation(seed, bug)
+    violation = None
     try:
-        while world.now < LENGTH:
-            world.step()
-    except Violation as violation:
-        return seed, f"{violation} at {world.now:.2f} s", world.taken, world.restored
-    return seed, None, world.taken, world.restored
+        while simulation.now < RUN_SECONDS:
+            simulation.step()
+    except InvariantViolationError as error:
+        violation = f"{error} at {simulation.now:.2f} s"
+    return Result(seed, violation, simulation.executed_effects, simulation.installed_snapshots)
+
+
+def run(seeds: range, bug: str | None) -> dict[str, object]:
+    """Simulate all seeds; print the first violations and return the figures."""
+    started_at = time.monotonic()
+    violating_seeds = []
+    executed_effects = 0
+    installed_snapshots = 0
+    with concurrent.futures.ProcessPoolExecutor() as pool:
+        for result in pool.map(partial(simulate, bug=bug), seeds, chunksize=20):
+            executed_effects += result.executed_effects
+            installed_snapshots += result.installed_snapshots
+            if result.violation is None:
+                continue
+            violating_seeds.append(result.seed)
+            if len(violating_seeds) <= MAX_PRINTED_VIOLATIONS:
+                print(json.dumps({"seed": result.seed, "violation": result.violation}), flush=True)
+    return {
+        "bug": bug,
+        "seeds": len(seeds),
+        "violations": len(violating_seeds),
+        "first": violating_seeds[0] if violating_seeds else None,
+        "effects": executed_effects,
+        "states": installed_snapshots,
+        "took_s": round(time.monotonic() - started_at, 1),
+    }
 
 
 def main() -> None:
+    """Run from the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=10000)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--bug", choices=BUGS)
     options = parser.parse_args()
-    began, found, taken, restored = time.monotonic(), [], 0, 0
-    seeds = range(options.first, options.first + options.seeds)
-    with concurrent.futures.ProcessPoolExecutor() as pool:
-        for seed, wrong, effects, states in pool.map(partial(play, bug=options.bug), seeds, chunksize=20):
-            taken, restored = taken + effects, restored + states
-            if wrong is not None:
-                found.append(seed)
-                if len(found) <= 5:
-                    print(json.dumps({"seed": seed, "violation": wrong}), flush=True)
-    print(
-        json.dumps(
-            {
-                "bug": options.bug,
-                "seeds": options.seeds,
-                "violations": len(found),
-                "first": found[0] if found else None,
-                "effects": taken,
-                "states": restored,
-                "took_s": round(time.monotonic() - began, 1),
-            }
-        )
-    )
+    print(json.dumps(run(range(options.first, options.first + options.seeds), options.bug)))
 
 
 if __name__ == "__main__":
--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -390,6 +390,6 @@
             "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000),
             "log_dropped": self._log.dropped,
             **(self.recovery.figures() if self.recovery is not None else {}),
-            **(self.lease_service.totals() if self.lease_service is not None else {}),
+            **(self.lease_service.fleet_totals() if self.lease_service is not None else {}),
             **self.engine.counts,
         }
--- a/stalltiller/daemon/cli.py
+++ b/stalltiller/daemon/cli.py
@@ -55,13 +55,13 @@
 @click.argument("file", type=click.Path())
 def init_voter(file: str) -> None:
     """Make the store of the voter that an operator's FILE names: once in its life, not after a lost disk."""
-    from stalltiller.leases.store import make
+    from stalltiller.leases.store import create_voter_store
 
     try:
         config = from_operator(file)
         if config.leases is None or config.name not in config.leases.voters:
             raise Failed(f"{file}: {config.name} is no voter")
-        make(config.leases.folder, config.name)
+        create_voter_store(config.leases.folder, config.name)
     except (ConfigError, OSError) as error:
         raise Failed(str(error)) from error
     click.echo(f"made {config.leases.folder}")
--- a/stalltiller/daemon/lease_service.py
+++ b/stalltiller/daemon/lease_service.py
@@ -1,4 +1,7 @@
-"""Duties that one instance of a fleet holds at a time, by leases on a log that some members vote on."""
+"""The roles that one initiator of a fleet holds at a time, by leases that some members vote on.
+
+Carries the messages of the voters and clients in the fleet's datagrams.
+"""
 
 from __future__ import annotations
 
@@ -9,31 +12,53 @@
 from stalltiller.fleet import Packet, PacketKind
 from stalltiller.fleet.membership_agent import MembershipAgent
 from stalltiller.leases import codec
-from stalltiller.leases.client import Client
+from stalltiller.leases.client import LeaseClient
 from stalltiller.leases.store import VoterStore
-from stalltiller.leases.voter import Voter
+from stalltiller.leases.voter import DEFAULT_MAX_LOG_ENTRIES, Voter, VoterStatus
 
-TOTALS = "totals"  # whoever holds it adds the fleet's totals to its metrics, so they come from one instance
+# The lease whose holder adds the fleet's totals to its metrics, so that they come from one initiator.
+FLEET_TOTALS_LEASE = "totals"
 
 Log = Callable[..., None]
 
 
 @dataclass(slots=True, frozen=True)
 class LeaseConfig:
-    """The [leases] section of an operator's file."""
+    """The [leases] section of an operator's file.
+
+    `voters` are the names of 3 or 5 members, `folder` holds this voter's store (created by `init-voter`),
+    `ttl` is in seconds, and after `max_log_entries` applied entries a voter takes a snapshot.
+    """
+
+    voters: tuple[str, ...]
+    folder: str
+    ttl: float
+    max_log_entries: int = DEFAULT_MAX_LOG_ENTRIES
+
+
+@dataclass(slots=True, frozen=True)
+class LeaseServiceStatus:
+    """What this initiator holds, tokens by lease, and its voter's state if it votes."""
 
-    voters: tuple[str, ...]  # names of 3 or 5 members
-    folder: str  # of this voter's store; made with `init-voter`
-    ttl: float  # s
-    most_log: int = 2000  # entries of the log applied after which a state is put in their place
+    valid_leases: dict[str, int]
+    voter: VoterStatus | None
+
+    def to_json(self) -> dict[str, object]:
+        """The form in `GET /_fleet/leases`; its keys are fixed."""
+        return {
+            "held": self.valid_leases,
+            "voter": None if self.voter is None else self.voter.to_json(),
+        }
 
 
 class LeaseService:
-    """This instance's part: a voter, if it is one, and a client that tries to hold each duty."""
+    """This initiator's voter, if it is one, and the client that tries to hold each lease."""
 
-    def __init__(self, name: str, config: LeaseConfig, node: MembershipAgent, log: Log) -> None:
-        """Begin; raises OSError if this is a voter whose store is missing or another's."""
-        self._name, self._node, self._loop = name, node, asyncio.get_running_loop()
+    def __init__(self, name: str, config: LeaseConfig, membership: MembershipAgent, log: Log) -> None:
+        """Start; raises VoterStoreError if this is a voter whose store is missing or another voter's."""
+        self._name = name
+        self._membership = membership
+        self._loop = asyncio.get_running_loop()
         self.voter: Voter | None = None
         if name in config.voters:
             self.voter = Voter(
@@ -42,19 +67,24 @@
                 VoterStore(config.folder, name),
                 self._send,
                 log,
-                most_log=config.most_log,
+                max_log_entries=config.max_log_entries,
             )
-        node.handlers[PacketKind.LEASES] = self._heard
-        self.client = Client(
-            name, node.swim.me.start_time_ms, config.voters, {TOTALS: config.ttl}, self._send, log
+        membership.handlers[PacketKind.LEASES] = self._handle_packet
+        self.client = LeaseClient(
+            name,
+            membership.swim.me.start_time_ms,
+            config.voters,
+            {FLEET_TOTALS_LEASE: config.ttl},
+            self._send,
+            log,
         )
 
-    def totals(self) -> dict[str, float]:
-        """The fleet's totals, if it is this one's duty to tell them."""
-        token = self.client.holds(TOTALS)
+    def fleet_totals(self) -> dict[str, float]:
+        """The fleet's totals by metric name, if this initiator holds their lease."""
+        token = self.client.fencing_token(FLEET_TOTALS_LEASE)
         if not token:
             return {}
-        members = [self._node.swim.me, *self._node.swim.table.others]
+        members = [self._membership.swim.me, *self._membership.swim.table.others]
         return {
             "fleet_members": len(members),
             "fleet_open": sum(member.load for member in members),
@@ -62,39 +92,41 @@
         }
 
     def status(self) -> dict[str, object]:
-        return {"held": self.client.status(), "voter": None if self.voter is None else self.voter.status()}
+        """The answer to `GET /_fleet/leases`."""
+        voter = None if self.voter is None else self.voter.status()
+        return LeaseServiceStatus(self.client.valid_leases(), voter).to_json()
 
     def release(self) -> None:
-        """Give back what is held: this instance ends or leaves."""
+        """This initiator stops or leaves: release its leases and transfer its voter's leadership."""
         self.client.release()
         if self.voter is not None:
-            self.voter.go()
+            self.voter.transfer_leadership()
 
     async def close(self) -> None:
-        self._node.handlers.pop(PacketKind.LEASES, None)
+        """Stop the voter and handle no more packets."""
+        self._membership.handlers.pop(PacketKind.LEASES, None)
         if self.voter is not None:
             await self.voter.close()
 
-    def _send(self, to: str, said: codec.Said) -> None:
-        if to == self._name:
-            self._loop.call_soon(self._said, to, said)
+    def _send(self, receiver: str, message: codec.Message) -> None:
+        if receiver == self._name:
+            self._loop.call_soon(self._dispatch, receiver, message)
             return
-        member = self._node.swim.table.known.get(to)
-        if member is not None:  # dead or not: it may be back before it is known
-            self._node.send(
-                member.address, Packet(PacketKind.LEASES, self._node.swim.me, body=codec.encode(said))
-            )
+        member = self._membership.swim.table.known.get(receiver)
+        if member is not None:  # also one considered dead: it may have restarted already
+            packet = Packet(PacketKind.LEASES, self._membership.swim.me, body=codec.encode(message))
+            self._membership.send(member.address, packet)
 
-    def _heard(self, packet: Packet) -> None:
+    def _handle_packet(self, packet: Packet) -> None:
         try:
-            said = codec.decode(packet.body)
-        except codec.Malformed:
-            self._node.dropped["lease"] += 1
+            message = codec.decode(packet.body)
+        except codec.MalformedMessageError:
+            self._membership.dropped["lease"] += 1
             return
-        self._said(packet.sender.name, said)
+        self._dispatch(packet.sender.name, message)
 
-    def _said(self, sender: str, said: codec.Said) -> None:
-        if isinstance(said, codec.Answer | codec.NotLeader):
-            self.client.heard(said)
+    def _dispatch(self, sender: str, message: codec.Message) -> None:
+        if isinstance(message, codec.CommandResponse | codec.NotLeader):
+            self.client.handle_message(message)
         elif self.voter is not None:
-            self.voter.heard(sender, said)
+            self.voter.handle_message(sender, message)
--- a/stalltiller/leases/__init__.py
+++ b/stalltiller/leases/__init__.py
@@ -1,27 +1,65 @@
-"""Leases: duties that one instance holds at a time.  Decisions only: a log by consensus, leases on it."""
+"""Leases: roles that one initiator of a fleet holds at a time.
 
-from stalltiller.leases.messages import Append, Apply, Cut, Entry, Install, Keep, Message, Restore, Send, Vote
-from stalltiller.leases.raft import Raft, Times
-from stalltiller.leases.state_machine import RATE_ERROR, Command, Gate, Holder, Keeper, Lease, Table
+The package replicates a log of lease commands among some members by Raft and applies it to a state machine.
+`Raft`, `LeaseStateMachine`, `LeaseExpiryTracker`, `LeaseHolder` and `FencingTokenGuard` decide without I/O;
+`voter`, `store` and `client` run them on the event loop and the disk.
+"""
+
+from stalltiller.leases.actions import (
+    Action,
+    ApplyEntry,
+    PersistSnapshot,
+    PersistState,
+    RestoreSnapshot,
+    SendMessage,
+)
+from stalltiller.leases.clock_rate import CLOCK_RATE_ERROR_FRACTION
+from stalltiller.leases.expiry import LeaseExpiryTracker
+from stalltiller.leases.fencing import FencingTokenGuard
+from stalltiller.leases.holder import LeaseHolder
+from stalltiller.leases.messages import (
+    AppendEntries,
+    AppendEntriesResponse,
+    InstallSnapshot,
+    InstallSnapshotResponse,
+    LogEntry,
+    RaftMessage,
+    RequestVote,
+    RequestVoteResponse,
+    TimeoutNow,
+)
+from stalltiller.leases.raft import Raft
+from stalltiller.leases.raft_state import PersistentState, RaftTimeouts, Role, Snapshot
+from stalltiller.leases.state_machine import Command, CommandKind, Lease, LeaseStateMachine, SessionResult
 
 __all__ = [
-    "RATE_ERROR",
-    "Append",
-    "Apply",
+    "CLOCK_RATE_ERROR_FRACTION",
+    "Action",
+    "AppendEntries",
+    "AppendEntriesResponse",
+    "ApplyEntry",
     "Command",
-    "Cut",
-    "Entry",
-    "Gate",
-    "Holder",
-    "Install",
-    "Keep",
-    "Keeper",
+    "CommandKind",
+    "FencingTokenGuard",
+    "InstallSnapshot",
+    "InstallSnapshotResponse",
     "Lease",
-    "Message",
+    "LeaseExpiryTracker",
+    "LeaseHolder",
+    "LeaseStateMachine",
+    "LogEntry",
+    "PersistSnapshot",
+    "PersistState",
+    "PersistentState",
     "Raft",
-    "Restore",
-    "Send",
-    "Table",
-    "Times",
-    "Vote",
+    "RaftMessage",
+    "RaftTimeouts",
+    "RequestVote",
+    "RequestVoteResponse",
+    "RestoreSnapshot",
+    "Role",
+    "SendMessage",
+    "SessionResult",
+    "Snapshot",
+    "TimeoutNow",
 ]
--- /dev/null
+++ b/stalltiller/leases/actions.py
@@ -0,0 +1,63 @@
+"""What the Raft implementation asks its voter to do, in this order: immutable values without behaviour.
+
+An action that follows a `PersistState` or a `PersistSnapshot` may be executed only once that is durable.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from stalltiller.leases.messages import LogEntry, RaftMessage
+
+
+@dataclass(slots=True, frozen=True)
+class PersistState:
+    """Persist the term, the vote and the log.
+
+    Entries after `last_retained_index` are deleted, then `entries` are appended.
+    """
+
+    term: int
+    voted_for: str | None
+    last_retained_index: int
+    entries: tuple[LogEntry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class PersistSnapshot:
+    """Persist a snapshot in place of all entries up to `index`.
+
+    `term` is the term of the entry at `index`.  With `discard_log` the entries after it are deleted, too.
+    """
+
+    index: int
+    term: int
+    state: bytes
+    discard_log: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class RestoreSnapshot:
+    """Replace the state machine's state by that of a snapshot, which includes all entries up to `index`."""
+
+    index: int
+    state: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class SendMessage:
+    """Send a message to another voter."""
+
+    to: str
+    message: RaftMessage
+
+
+@dataclass(slots=True, frozen=True)
+class ApplyEntry:
+    """Apply the entry at `index` to the state machine: it is committed."""
+
+    index: int
+    entry: LogEntry
+
+
+Action = PersistState | PersistSnapshot | RestoreSnapshot | SendMessage | ApplyEntry
--- a/stalltiller/leases/client.py
+++ b/stalltiller/leases/client.py
@@ -1,4 +1,4 @@
-"""One instance that wants to hold leases: asks the voters, renews, knows by its own clock what it holds."""
+"""A client of the leases: acquires and renews them, and knows by its own clock which of them it holds."""
 
 from __future__ import annotations
 
@@ -6,109 +6,156 @@
 import itertools
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
-from stalltiller.leases.codec import Answer, Ask, NotLeader, Said
-from stalltiller.leases.state_machine import Command, Holder
+from stalltiller.leases.codec import CommandRequest, CommandResponse, Message, NotLeader
+from stalltiller.leases.holder import LeaseHolder
+from stalltiller.leases.state_machine import NO_TOKEN, Command, CommandKind
 
-RENEWALS = 4  # in a lease's time
-ASK_EVERY = 0.25  # s between tries to acquire a lease that another holds
-TRIES = 3  # voters asked one after another when told that one does not lead
-SILENCE = 0.3  # s without an answer after which another voter is asked
-MOST_OPEN = 64  # commands not yet answered
+RENEWALS_PER_TTL = 4  # three may be lost before the lease runs out
+MEAN_ACQUIRE_INTERVAL_SECONDS = 0.25  # between tries to acquire a lease that another client holds
+ACQUIRE_JITTER_FRACTION = 0.25  # each way, so that the clients don't try at the same time
+MAX_REDIRECTS = 3  # of one command to the leader that a voter names
+RESPONSE_TIMEOUT_SECONDS = 0.3  # after it another voter is tried
+MAX_PENDING_COMMANDS = 64
 
 Log = Callable[..., None]
 
 
-class Client:
-    """Tries to hold the leases named, as long as it runs.
+class _PendingCommand(NamedTuple):
+    """A command without a response: when it was first sent, and how often it was redirected."""
 
-    Ask `holds` right before each effect and send the token with it: the process may have stood still.
+    command: Command
+    sent_at: float
+    redirects: int
+
+
+class LeaseClient:
+    """Tries to hold the named leases until `release`, which must be called once.
+
+    Call `fencing_token` right before each effect and send the token with it: the process may have been
+    suspended since the last call.
     """
 
     def __init__(
         self,
         name: str,
-        life: int,
+        incarnation: int,
         voters: tuple[str, ...],
         leases: dict[str, float],
-        send: Callable[[str, Said], None],
+        send: Callable[[str, Message], None],
         log: Log,
     ) -> None:
-        self._name, self._session, self._voters = name, f"{name}/{life}", voters
-        self._send, self._log = send, log
+        """`leases` maps each lease's name to its duration in seconds; `incarnation` grows with each start."""
+        self._name = name
+        self._session = f"{name}/{incarnation}"
+        self._voters = voters
+        self._send = send
+        self._log = log
         self._loop = asyncio.get_running_loop()
-        self._holders = {lease: Holder(lease, ttl) for lease, ttl in leases.items()}
-        self._held: set[str] = set()
-        self._open: dict[int, tuple[Command, float, int]] = {}  # by number: what, when sent, tries
-        self._numbers = itertools.count(1)
-        self._newest = 0  # number of the newest answer: an older one is out of date
+        self._holders = {lease: LeaseHolder(lease, ttl) for lease, ttl in leases.items()}
+        self._acquired_leases: set[str] = set()
+        self._pending: dict[int, _PendingCommand] = {}  # by the command's number
+        self._command_numbers = itertools.count(1)
+        self._newest_response = 0  # the number of its command; older responses are out of date
         self._leader = ""
-        self._tasks = [self._loop.create_task(self._keep(holder)) for holder in self._holders.values()]
+        self._tasks = [self._loop.create_task(self._maintain(holder)) for holder in self._holders.values()]
 
-    def holds(self, lease: str) -> int:
-        """The token under which this instance may act now; 0 if it may not."""
+    def fencing_token(self, lease: str) -> int:
+        """The token under which this initiator may act now; 0 if it may not."""
         holder = self._holders[lease]
-        return holder.token if holder.holds(self._loop.time()) else 0
-
-    def heard(self, said: Said) -> None:
-        """A voter has answered."""
-        if isinstance(said, Answer | NotLeader) and said.session == self._session:
-            command, sent_at, tries = self._open.pop(said.number, (None, 0.0, 0))
-            if command is None:
-                return
-            if isinstance(said, Answer):
-                if command.what != "release" and said.number > self._newest:
-                    self._newest = said.number
-                    self._holders[command.lease].answered(sent_at, said.token)
-                    self._note(command.lease)
-                return
-            self._leader = said.leader
-            if tries < TRIES:  # the same command and the time it was first sent: voters do it once
-                self._put(command, sent_at, tries + 1)
-
-    def status(self) -> dict[str, int]:
-        """The tokens of the leases held now."""
-        return {lease: token for lease in self._holders if (token := self.holds(lease))}
+        return holder.token if holder.is_valid(self._loop.time()) else NO_TOKEN
+
+    def valid_leases(self) -> dict[str, int]:
+        """The tokens of the leases held now, by name."""
+        return {lease: token for lease in self._holders if (token := self.fencing_token(lease))}
+
+    def handle_message(self, message: Message) -> None:
+        """Handle a voter's response."""
+        if not isinstance(message, CommandResponse | NotLeader) or message.session != self._session:
+            return
+        pending = self._pending.pop(message.number, None)
+        if pending is None:
+            return
+        if isinstance(message, CommandResponse):
+            self._handle_response(pending, message)
+        else:
+            self._handle_redirect(pending, message)
 
     def release(self) -> None:
-        """Stop, and give back what is held, so that another may hold it at once."""
+        """Stop, and release what is held, so that another client can acquire it at once."""
         for task in self._tasks:
             task.cancel()
         for lease, holder in self._holders.items():
-            token = holder.drop(self._loop.time())
+            token = holder.release(self._loop.time())
             if token:
-                self._put(self._command("release", lease, token), self._loop.time(), 0)
-            self._note(lease)
-
-    def _note(self, lease: str) -> None:
-        """Log what has changed."""
-        token = self.holds(lease)
-        if bool(token) is not (lease in self._held):
-            self._held ^= {lease}
-            self._log("lease_held" if token else "lease_lost", lease=lease, token=token)
-
-    async def _keep(self, holder: Holder) -> None:
+                self._submit(self._command(CommandKind.RELEASE, lease, token), self._loop.time())
+            self._log_change(lease)
+
+    def _handle_response(self, pending: _PendingCommand, response: CommandResponse) -> None:
+        command = pending.command
+        if command.kind == CommandKind.RELEASE or response.number <= self._newest_response:
+            return
+        self._newest_response = response.number
+        self._holders[command.lease].handle_response(pending.sent_at, response.token)
+        self._log_change(command.lease)
+
+    def _handle_redirect(self, pending: _PendingCommand, response: NotLeader) -> None:
+        """Send the same command to the leader: if it arrives twice, the voters execute it once.
+
+        It keeps the time when it was first sent, since its lease may count from then.
+        """
+        self._leader = response.leader
+        if pending.redirects < MAX_REDIRECTS:
+            self._submit(pending.command, pending.sent_at, pending.redirects + 1)
+
+    def _log_change(self, lease: str) -> None:
+        """Log that a lease is held or lost since the last call."""
+        token = self.fencing_token(lease)
+        if bool(token) is not (lease in self._acquired_leases):
+            self._acquired_leases ^= {lease}
+            self._log("lease_acquired" if token else "lease_lost", lease=lease, token=token)
+
+    async def _maintain(self, holder: LeaseHolder) -> None:
+        """Acquire a lease, and renew it while it is held."""
         while True:
             now = self._loop.time()
-            self._note(holder.lease)
-            if holder.holds(now):
-                self._put(self._command("renew", holder.lease, holder.token, holder.ttl), now, 0)
-                await asyncio.sleep(holder.ttl / RENEWALS)
+            self._log_change(holder.lease)
+            if holder.is_valid(now):
+                command = self._command(CommandKind.RENEW, holder.lease, holder.token, holder.ttl)
+                self._submit(command, now)
+                await asyncio.sleep(holder.ttl / RENEWALS_PER_TTL)
             else:
-                self._put(self._command("acquire", holder.lease, 0, holder.ttl), now, 0)
-                await asyncio.sleep(ASK_EVERY * (0.75 + 0.5 * random.random()))
-
-    def _command(self, what: str, lease: str, token: int, ttl: float = 0.0) -> Command:
-        return Command(what, lease, self._name, ttl, token, session=self._session, number=next(self._numbers))
-
-    def _put(self, command: Command, sent_at: float, tries: int) -> None:
-        while len(self._open) >= MOST_OPEN:
-            del self._open[next(iter(self._open))]
-        now = self._loop.time()
-        if any(sent < now - SILENCE for _, sent, _ in self._open.values()):
-            self._leader = ""  # it does not answer
-            self._open = {n: each for n, each in self._open.items() if each[1] >= now - SILENCE}
+                self._submit(self._command(CommandKind.ACQUIRE, holder.lease, NO_TOKEN, holder.ttl), now)
+                await asyncio.sleep(_acquire_delay())
+
+    def _command(self, kind: CommandKind, lease: str, token: int, ttl: float = 0.0) -> Command:
+        number = next(self._command_numbers)
+        return Command(kind, lease, self._name, ttl, token, session=self._session, number=number)
+
+    def _submit(self, command: Command, sent_at: float, redirects: int = 0) -> None:
+        """Send a command to the leader, or to a random voter if no leader is known to answer."""
+        while len(self._pending) >= MAX_PENDING_COMMANDS:
+            del self._pending[next(iter(self._pending))]
+        self._drop_unanswered()
         if self._leader not in self._voters:
             self._leader = random.choice(self._voters)
-        self._open[command.number] = command, sent_at, tries
-        self._send(self._leader, Ask(command))
+        self._pending[command.number] = _PendingCommand(command, sent_at, redirects)
+        self._send(self._leader, CommandRequest(command))
+
+    def _drop_unanswered(self) -> None:
+        """Forget the commands whose response is overdue, and the leader that did not answer them."""
+        oldest_allowed = self._loop.time() - RESPONSE_TIMEOUT_SECONDS
+        if any(pending.sent_at < oldest_allowed for pending in self._pending.values()):
+            self._leader = ""
+            self._pending = {
+                number: pending
+                for number, pending in self._pending.items()
+                if pending.sent_at >= oldest_allowed
+            }
+
+
+def _acquire_delay() -> float:
+    """A random time in seconds until the next try to acquire a lease."""
+    jitter = 1 - ACQUIRE_JITTER_FRACTION + 2 * ACQUIRE_JITTER_FRACTION * random.random()
+    return MEAN_ACQUIRE_INTERVAL_SECONDS * jitter
--- a/stalltiller/leases/codec.py
+++ b/stalltiller/leases/codec.py
@@ -1,39 +1,45 @@
-"""The form of what voters and clients of leases say to each other: protobuf, held to bounds.  No I/O."""
+"""The encoding of the messages between voters and clients of leases, and of a voter's stored state.
+
+Protocol buffers, each message within one datagram; what is decoded is checked against bounds.  No I/O.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from enum import IntEnum
 
 from google.protobuf.message import DecodeError
 
 from stalltiller.leases import leases_pb2 as pb
 from stalltiller.leases.messages import (
-    Append,
-    Appended,
-    Entry,
-    Hand,
-    Install,
-    Installed,
-    Message,
-    Vote,
-    Voted,
+    AppendEntries,
+    AppendEntriesResponse,
+    InstallSnapshot,
+    InstallSnapshotResponse,
+    LogEntry,
+    RaftMessage,
+    RequestVote,
+    RequestVoteResponse,
+    TimeoutNow,
 )
-from stalltiller.leases.state_machine import Command, Lease, Table
+from stalltiller.leases.state_machine import Command, CommandKind, Lease, LeaseStateMachine, SessionResult
 
-MOST_BYTES = 1200  # with the sender they go in one datagram
-MOST_TEXT = 64  # characters of a name
+MAX_MESSAGE_BYTES = 1200  # fits in one datagram together with the fleet's header
+MAX_NAME_CHARACTERS = 64
+MAX_TTL_SECONDS = 86400.0
 
 
 @dataclass(slots=True, frozen=True)
-class Ask:
-    """A client's command, to a voter."""
+class CommandRequest:
+    """A client's command, sent to a voter."""
 
     command: Command
 
 
 @dataclass(slots=True, frozen=True)
-class Answer:
-    """The token that the client holds now, 0 for none."""
+class CommandResponse:
+    """The token that the client holds after its command, 0 if it holds none."""
 
     session: str
     number: int
@@ -42,153 +48,296 @@
 
 @dataclass(slots=True, frozen=True)
 class NotLeader:
-    """The voter that was asked does not lead; who does, as far as it knows."""
+    """The voter that received a command does not lead; `leader` may, empty if the voter knows of none."""
 
     session: str
     number: int
     leader: str
 
 
-Said = Message | Ask | Answer | NotLeader
+Message = RaftMessage | CommandRequest | CommandResponse | NotLeader
+
+
+class MessageKind(IntEnum):
+    """The kinds of messages on the wire."""
+
+    REQUEST_VOTE = 1
+    REQUEST_VOTE_RESPONSE = 2
+    APPEND_ENTRIES = 3
+    APPEND_ENTRIES_RESPONSE = 4
+    COMMAND_REQUEST = 5
+    COMMAND_RESPONSE = 6
+    NOT_LEADER = 7
+    INSTALL_SNAPSHOT = 8
+    INSTALL_SNAPSHOT_RESPONSE = 9
+    TIMEOUT_NOW = 10
+
+
+class MalformedMessageError(ValueError):
+    """Received or stored bytes are no valid message; `reason` names the part that is not."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
 
 
-class Malformed(ValueError):
-    """What came is none of these."""
+# --- Log entries and the state machine --------------------------------------------------------------------
+def encode_entry(entry: LogEntry) -> bytes:
+    """A log entry as a voter stores it."""
+    return _entry_to_pb(entry).SerializeToString()
 
 
-def command_to_pb(command: Command) -> pb.Command:
+def decode_entry(data: bytes) -> LogEntry:
+    """A stored log entry; raises MalformedMessageError if its command is out of bounds."""
+    return _entry_from_pb(pb.LogEntry.FromString(data))
+
+
+def encode_state_machine(state_machine: LeaseStateMachine) -> bytes:
+    """The whole state, as a snapshot contains it."""
+    state = pb.State()
+    for name, lease in state_machine.leases.items():
+        state.leases.add(
+            name=name,
+            holder=lease.holder,
+            token=lease.token,
+            ttl=lease.ttl,
+            renewal_index=lease.renewal_index,
+        )
+    for name, result in state_machine.sessions.items():
+        state.sessions.add(name=name, number=result.number, token=result.token)
+    return state.SerializeToString()
+
+
+def decode_state_machine(data: bytes) -> LeaseStateMachine:
+    """The state in a snapshot, the empty state if there is none; raises MalformedMessageError."""
+    state = pb.State()
+    try:
+        state.ParseFromString(data)
+    except DecodeError as error:
+        raise MalformedMessageError("state") from error
+    return LeaseStateMachine(
+        {
+            lease.name: Lease(lease.holder, lease.token, lease.ttl, lease.renewal_index)
+            for lease in state.leases
+        },
+        {session.name: SessionResult(session.number, session.token) for session in state.sessions},
+    )
+
+
+def _command_to_pb(command: Command) -> pb.Command:
     return pb.Command(
-        what=command.what,
+        kind=command.kind,
         lease=command.lease,
         holder=command.holder,
         ttl=command.ttl,
         token=command.token,
-        renewed=command.renewed,
+        renewal_index=command.renewal_index,
         session=command.session,
         number=command.number,
     )
 
 
-def command_from_pb(found: pb.Command) -> Command:
-    texts = found.what, found.lease, found.holder, found.session
-    if max(map(len, texts)) > MOST_TEXT or not 0.0 <= found.ttl <= 86400.0:
-        raise Malformed("command")
+def _command_from_pb(command: pb.Command) -> Command:
+    _check_names("command", (command.kind, command.lease, command.holder, command.session))
+    if not 0.0 <= command.ttl <= MAX_TTL_SECONDS:
+        raise MalformedMessageError("command")
     return Command(
-        found.what,
-        found.lease,
-        found.holder,
-        found.ttl,
-        found.token,
-        found.renewed,
-        found.session,
-        found.number,
+        _command_kind(command.kind),
+        command.lease,
+        command.holder,
+        command.ttl,
+        command.token,
+        command.renewal_index,
+        command.session,
+        command.number,
     )
 
 
-def _entry(entry: Entry) -> pb.Entry:
-    made = pb.Entry(term=entry.term)
-    if entry.command is not None:
-        made.command.CopyFrom(command_to_pb(entry.command))
-    return made
+def _command_kind(kind: str) -> CommandKind | str:
+    """The kind; one that this version does not know stays text, so the log is the same on every voter."""
+    return CommandKind(kind) if kind in _COMMAND_KINDS else kind
 
 
-def encode_table(table: Table) -> bytes:
-    """A lease table whole, as the state that stands for the entries that made it."""
-    made = pb.State()
-    for name, lease in table.leases.items():
-        made.leases.add(
-            name=name, holder=lease.holder, token=lease.token, ttl=lease.ttl, renewed=lease.renewed
-        )
-    for name, (number, answer) in table.answers.items():
-        made.sessions.add(name=name, number=number, answer=answer)
-    return made.SerializeToString()
+_COMMAND_KINDS = frozenset(kind.value for kind in CommandKind)
+
+
+def _entry_to_pb(entry: LogEntry) -> pb.LogEntry:
+    encoded = pb.LogEntry(term=entry.term)
+    if entry.command is None:
+        return encoded
+    if not isinstance(entry.command, Command):
+        raise TypeError(f"not a lease command: {entry.command!r}")
+    encoded.command.CopyFrom(_command_to_pb(entry.command))
+    return encoded
+
 
+def _entry_from_pb(entry: pb.LogEntry) -> LogEntry:
+    command = _command_from_pb(entry.command) if entry.HasField("command") else None
+    return LogEntry(entry.term, command)
 
-def decode_table(state: bytes) -> Table:
-    """The table of a state; empty before any.  Raises Malformed."""
-    found = pb.State()
+
+def _check_names(reason: str, names: Iterable[str]) -> None:
+    if max(map(len, names)) > MAX_NAME_CHARACTERS:
+        raise MalformedMessageError(reason)
+
+
+# --- Messages ---------------------------------------------------------------------------------------------
+def encode(message: Message) -> bytes:
+    """One message; of the entries to append as many as fit into `MAX_MESSAGE_BYTES`."""
+    encoder: Callable[[Message], pb.Message] = _ENCODERS[type(message)]
+    return encoder(message).SerializeToString()
+
+
+def decode(data: bytes) -> Message:
+    """Decode a message; raises MalformedMessageError."""
+    encoded = pb.Message()
     try:
-        found.ParseFromString(state)
+        encoded.ParseFromString(data)
     except DecodeError as error:
-        raise Malformed("state") from error
-    return Table(
-        {each.name: Lease(each.holder, each.token, each.ttl, each.renewed) for each in found.leases},
-        {each.name: (each.number, each.answer) for each in found.sessions},
+        raise MalformedMessageError("malformed") from error
+    _check_names("text", (encoded.session, encoded.leader))
+    entries = tuple(_entry_from_pb(entry) for entry in encoded.entries)
+    match encoded.kind:
+        case MessageKind.APPEND_ENTRIES:
+            return AppendEntries(
+                encoded.term, encoded.index, encoded.index_term, entries, encoded.commit_index
+            )
+        case MessageKind.COMMAND_REQUEST:
+            return CommandRequest(_command_from_pb(encoded.command))
+        case MessageKind.COMMAND_RESPONSE:
+            return CommandResponse(encoded.session, encoded.number, encoded.token)
+        case MessageKind.NOT_LEADER:
+            return NotLeader(encoded.session, encoded.number, encoded.leader)
+    return _decode_raft_message(encoded)
+
+
+def _decode_raft_message(encoded: pb.Message) -> RaftMessage:
+    """Decode a Raft message that carries no entries."""
+    term = encoded.term
+    match encoded.kind:
+        case MessageKind.REQUEST_VOTE:
+            return RequestVote(term, encoded.is_pre_vote, encoded.index, encoded.index_term, encoded.flag)
+        case MessageKind.REQUEST_VOTE_RESPONSE:
+            return RequestVoteResponse(term, encoded.is_pre_vote, encoded.flag)
+        case MessageKind.APPEND_ENTRIES_RESPONSE:
+            return AppendEntriesResponse(term, encoded.flag, encoded.index)
+        case MessageKind.INSTALL_SNAPSHOT:
+            return InstallSnapshot(
+                term,
+                encoded.index,
+                encoded.index_term,
+                encoded.offset,
+                encoded.total_bytes,
+                encoded.data,
+            )
+        case MessageKind.INSTALL_SNAPSHOT_RESPONSE:
+            return InstallSnapshotResponse(term, encoded.index, encoded.offset)
+        case MessageKind.TIMEOUT_NOW:
+            return TimeoutNow(term)
+    raise MalformedMessageError("kind")
+
+
+def _encode_request_vote(message: RequestVote) -> pb.Message:
+    return pb.Message(
+        kind=MessageKind.REQUEST_VOTE,
+        term=message.term,
+        is_pre_vote=message.is_pre_vote,
+        index=message.last_log_index,
+        index_term=message.last_log_term,
+        flag=message.is_leadership_transfer,
     )
 
 
-def encode(said: Said) -> bytes:
-    """One message; of the entries of an append as many as go in."""
-    if isinstance(said, Vote):
-        made = pb.Said(
-            kind=1,
-            term=said.term,
-            pre=said.pre,
-            index=said.last_index,
-            index_term=said.last_term,
-            good=said.handed,
-        )
-    elif isinstance(said, Voted):
-        made = pb.Said(kind=2, term=said.term, pre=said.pre, good=said.granted)
-    elif isinstance(said, Append):
-        made = pb.Said(
-            kind=3, term=said.term, index=said.index, index_term=said.index_term, commit=said.commit
-        )
-        for entry in said.entries:
-            made.entries.append(_entry(entry))
-            if made.ByteSize() > MOST_BYTES:
-                del made.entries[-1]
-                break
-    elif isinstance(said, Appended):
-        made = pb.Said(kind=4, term=said.term, good=said.good, index=said.match)
-    elif isinstance(said, Install):
-        made = pb.Said(
-            kind=8,
-            term=said.term,
-            index=said.index,
-            index_term=said.index_term,
-            offset=said.offset,
-            total=said.total,
-            data=said.data,
-        )
-    elif isinstance(said, Installed):
-        made = pb.Said(kind=9, term=said.term, index=said.index, offset=said.have)
-    elif isinstance(said, Hand):
-        made = pb.Said(kind=10, term=said.term)
-    elif isinstance(said, Ask):
-        made = pb.Said(kind=5, command=command_to_pb(said.command))
-    elif isinstance(said, Answer):
-        made = pb.Said(kind=6, session=said.session, number=said.number, token=said.token)
-    else:
-        made = pb.Said(kind=7, session=said.session, number=said.number, leader=said.leader)
-    return made.SerializeToString()
-
-
-def decode(data: bytes) -> Said:
-    """Read a message; raises Malformed."""
-    found = pb.Said()
-    try:
-        found.ParseFromString(data)
-    except DecodeError as error:
-        raise Malformed("malformed") from error
-    if max(len(found.session), len(found.leader)) > MOST_TEXT:
-        raise Malformed("text")
-    entries = tuple(
-        Entry(entry.term, command_from_pb(entry.command) if entry.HasField("command") else None)
-        for entry in found.entries
+def _encode_request_vote_response(message: RequestVoteResponse) -> pb.Message:
+    return pb.Message(
+        kind=MessageKind.REQUEST_VOTE_RESPONSE,
+        term=message.term,
+        is_pre_vote=message.is_pre_vote,
+        flag=message.is_granted,
+    )
+
+
+def _encode_append_entries(message: AppendEntries) -> pb.Message:
+    encoded = pb.Message(
+        kind=MessageKind.APPEND_ENTRIES,
+        term=message.term,
+        index=message.previous_index,
+        index_term=message.previous_term,
+        commit_index=message.commit_index,
+    )
+    for entry in message.entries:
+        encoded.entries.append(_entry_to_pb(entry))
+        if encoded.ByteSize() > MAX_MESSAGE_BYTES:
+            del encoded.entries[-1]
+            break
+    return encoded
+
+
+def _encode_append_entries_response(message: AppendEntriesResponse) -> pb.Message:
+    return pb.Message(
+        kind=MessageKind.APPEND_ENTRIES_RESPONSE,
+        term=message.term,
+        flag=message.is_success,
+        index=message.match_index,
+    )
+
+
+def _encode_install_snapshot(message: InstallSnapshot) -> pb.Message:
+    return pb.Message(
+        kind=MessageKind.INSTALL_SNAPSHOT,
+        term=message.term,
+        index=message.snapshot_index,
+        index_term=message.snapshot_term,
+        offset=message.offset,
+        total_bytes=message.total_bytes,
+        data=message.data,
+    )
+
+
+def _encode_install_snapshot_response(message: InstallSnapshotResponse) -> pb.Message:
+    return pb.Message(
+        kind=MessageKind.INSTALL_SNAPSHOT_RESPONSE,
+        term=message.term,
+        index=message.snapshot_index,
+        offset=message.bytes_received,
     )
-    made = {
-        1: lambda: Vote(found.term, found.pre, found.index, found.index_term, found.good),
-        2: lambda: Voted(found.term, found.pre, found.good),
-        3: lambda: Append(found.term, found.index, found.index_term, entries, found.commit),
-        4: lambda: Appended(found.term, found.good, found.index),
-        5: lambda: Ask(command_from_pb(found.command)),
-        6: lambda: Answer(found.session, found.number, found.token),
-        7: lambda: NotLeader(found.session, found.number, found.leader),
-        8: lambda: Install(found.term, found.index, found.index_term, found.offset, found.total, found.data),
-        10: lambda: Hand(found.term),
-        9: lambda: Installed(found.term, found.index, found.offset),
-    }.get(found.kind)
-    if made is None:
-        raise Malformed("kind")
-    return made()
+
+
+def _encode_timeout_now(message: TimeoutNow) -> pb.Message:
+    return pb.Message(kind=MessageKind.TIMEOUT_NOW, term=message.term)
+
+
+def _encode_command_request(message: CommandRequest) -> pb.Message:
+    return pb.Message(kind=MessageKind.COMMAND_REQUEST, command=_command_to_pb(message.command))
+
+
+def _encode_command_response(message: CommandResponse) -> pb.Message:
+    return pb.Message(
+        kind=MessageKind.COMMAND_RESPONSE,
+        session=message.session,
+        number=message.number,
+        token=message.token,
+    )
+
+
+def _encode_not_leader(message: NotLeader) -> pb.Message:
+    return pb.Message(
+        kind=MessageKind.NOT_LEADER,
+        session=message.session,
+        number=message.number,
+        leader=message.leader,
+    )
+
+
+_ENCODERS: dict[type, Callable] = {
+    RequestVote: _encode_request_vote,
+    RequestVoteResponse: _encode_request_vote_response,
+    AppendEntries: _encode_append_entries,
+    AppendEntriesResponse: _encode_append_entries_response,
+    InstallSnapshot: _encode_install_snapshot,
+    InstallSnapshotResponse: _encode_install_snapshot_response,
+    TimeoutNow: _encode_timeout_now,
+    CommandRequest: _encode_command_request,
+    CommandResponse: _encode_command_response,
+    NotLeader: _encode_not_leader,
+}
--- a/stalltiller/leases/messages.py
+++ b/stalltiller/leases/messages.py
@@ -1,4 +1,7 @@
-"""What the consensus says to other voters, and what it has its voter do.  Plain values."""
+"""The log entries and the messages that Raft voters exchange: immutable values without behaviour.
+
+The names are those of the Raft papers; `codec` gives them their form on the wire.
+"""
 
 from __future__ import annotations
 
@@ -6,130 +9,100 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Entry:
-    """One place of the log; a leader's first entry has no command."""
+class LogEntry:
+    """One entry of the replicated log; the entry that begins a leader's term has no command."""
 
     term: int
     command: object = None
 
 
-# --- Messages -----------------------------------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
-class Vote:
-    """Asks for a vote; `pre`: whether one would be given, before the term is raised.
+class RequestVote:
+    """Asks for a vote in the election of `term`.
 
-    `handed`: the leader has asked for this election, so that it was heard just now is no reason to refuse.
+    With `is_pre_vote` it asks whether the vote would be granted; nobody's term changes.  With
+    `is_leadership_transfer` the leader itself has asked for the election, so a voter that has just heard from
+    that leader grants its vote nevertheless.
     """
 
     term: int
-    pre: bool
-    last_index: int
-    last_term: int
-    handed: bool = False
+    is_pre_vote: bool
+    last_log_index: int
+    last_log_term: int
+    is_leadership_transfer: bool = False
 
 
 @dataclass(slots=True, frozen=True)
-class Voted:
-    term: int
-    pre: bool
-    granted: bool
-
-
-@dataclass(slots=True, frozen=True)
-class Append:
-    """The leader's entries after `index`, and how far all is committed; with no entries a heartbeat."""
+class RequestVoteResponse:
+    """Whether the vote, or the pre-vote, is granted."""
 
     term: int
-    index: int
-    index_term: int
-    entries: tuple[Entry, ...]
-    commit: int
+    is_pre_vote: bool
+    is_granted: bool
 
 
 @dataclass(slots=True, frozen=True)
-class Appended:
-    """`match`: how far the log agrees with the leader's; if not `good`, from where to try again."""
+class AppendEntries:
+    """The leader's entries after `previous_index`, and its commit index; without entries a heartbeat."""
 
     term: int
-    good: bool
-    match: int
+    previous_index: int
+    previous_term: int
+    entries: tuple[LogEntry, ...]
+    commit_index: int
 
 
 @dataclass(slots=True, frozen=True)
-class Install:
-    """A piece of the state that stands for all entries up to `index`, for who lacks entries that are cut off.
+class AppendEntriesResponse:
+    """Whether the entries were appended.
 
-    `total` is the size of the whole in bytes, `offset` where `data` belongs in it.
+    `match_index` is the last index at which the follower's log is known to agree with the leader's; after a
+    failure it is the index from which the leader may try again.
     """
 
     term: int
-    index: int
-    index_term: int
-    offset: int
-    total: int
-    data: bytes
+    is_success: bool
+    match_index: int
 
 
 @dataclass(slots=True, frozen=True)
-class Hand:
-    """The leader wants to go: whoever gets this has its whole log, and stands for election at once."""
+class InstallSnapshot:
+    """A chunk of the snapshot that replaces all entries up to `snapshot_index`.
 
-    term: int
-
-
-@dataclass(slots=True, frozen=True)
-class Installed:
-    """So many bytes of the state up to `index` are here."""
+    A leader sends it to a follower whose next entry it has already compacted.  `offset` is the position of
+    `data` in the snapshot and `total_bytes` the snapshot's size, both in bytes.
+    """
 
     term: int
-    index: int
-    have: int
-
-
-Message = Vote | Voted | Append | Appended | Install | Installed | Hand
+    snapshot_index: int
+    snapshot_term: int
+    offset: int
+    total_bytes: int
+    data: bytes
 
 
-# --- Actions ------------------------------------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
-class Keep:
-    """Make durable: term, vote, and the log cut to `length` entries with `entries` behind them."""
+class InstallSnapshotResponse:
+    """How many bytes of the snapshot up to `snapshot_index` the follower has received."""
 
     term: int
-    vote: str | None
-    length: int
-    entries: tuple[Entry, ...]
+    snapshot_index: int
+    bytes_received: int
 
 
 @dataclass(slots=True, frozen=True)
-class Cut:
-    """Make durable: a state in the place of all entries up to `index`; `whole`: those after it go, too."""
+class TimeoutNow:
+    """The leader transfers its leadership: the receiver has its whole log and starts an election at once."""
 
-    index: int
     term: int
-    state: bytes
-    whole: bool = False
-
-
-@dataclass(slots=True, frozen=True)
-class Restore:
-    """The state machine is to be as in a state that stands for all entries up to `index`."""
-
-    index: int
-    state: bytes
-
-
-@dataclass(slots=True, frozen=True)
-class Send:
-    to: str
-    message: Message
-
-
-@dataclass(slots=True, frozen=True)
-class Apply:
-    """Entry `index` is committed: it will stand there on every voter."""
-
-    index: int
-    entry: Entry
 
 
-Action = Keep | Cut | Restore | Send | Apply
+RaftMessage = (
+    RequestVote
+    | RequestVoteResponse
+    | AppendEntries
+    | AppendEntriesResponse
+    | InstallSnapshot
+    | InstallSnapshotResponse
+    | TimeoutNow
+)
--- a/stalltiller/leases/state_machine.py
+++ b/stalltiller/leases/state_machine.py
@@ -1,154 +1,110 @@
-"""Leases on top of the log: who holds what, told by the log alone.  Pure.
+"""The replicated state machine: who holds which lease, decided by the log alone.
 
-No clock is in the log, so all voters come to the same table.  Time enters at two ends: a holder stops by its
-own clock before the time is over (`Holder`), and the leader has a lease ended on the log only after it is
-(`Keeper`).  Each grant has a token that grows: whatever takes an effect refuses an older one (`Gate`).
+No clock enters it, so all voters come to the same state.  Time matters in two other places: the holder stops
+by its own clock before the lease's duration is over (`holder`), and the leader has a lease expired by a
+command on the log only after it is (`expiry`).  A lease's token is the log index of its grant, so tokens grow
+and whatever executes an effect can reject those of an earlier holder (`fencing`).
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
+from typing import NamedTuple
 
-RATE_ERROR = 0.01  # by which a second of a machine's clock may be longer or shorter than a true one
-MOST_SESSIONS = 10000
+MAX_SESSIONS = 10000  # bounds a voter's memory and its snapshot; the least recently used are forgotten
+NO_TOKEN = 0  # the response to a client that does not hold the lease
+
+
+class CommandKind(StrEnum):
+    """What a command does; the values are stored in the log and sent."""
+
+    ACQUIRE = "acquire"
+    RENEW = "renew"
+    RELEASE = "release"
+    EXPIRE = "expire"  # of the leader alone
 
 
 @dataclass(slots=True, frozen=True)
 class Command:
-    """What a client asks: acquire, renew, release or (the leader's) expire.
+    """A change of one lease that a client, or for an expiry the leader, proposes.
 
-    A client numbers its commands by session: one that comes twice is answered as before and done once.
+    `ttl` is the lease's duration in seconds, of an acquire and a renewal.  `token` names the grant that is
+    renewed, released or expired.  `renewal_index` of an expiry is the last renewal that the leader knew of.
+    A client numbers its commands by session: a duplicate is not executed but answered alike.
+    A kind that this version does not know stays as it is, so that the entry is the same on every voter.
     """
 
-    what: str
+    kind: CommandKind | str
     lease: str
     holder: str = ""
-    ttl: float = 0.0  # s, of acquire
-    token: int = 0  # of renew, release and expire
-    renewed: int = 0  # of expire: the last renewal that the leader knew of
+    ttl: float = 0.0
+    token: int = NO_TOKEN
+    renewal_index: int = 0
     session: str = ""
     number: int = 0
 
 
 @dataclass(slots=True, frozen=True)
 class Lease:
-    holder: str
-    token: int  # the log's index of its grant
-    ttl: float
-    renewed: int = 0  # the log's index of its last renewal
-
-
-@dataclass(slots=True)
-class Table:
-    """The state machine: `apply` is called with each committed command, in order, on every voter."""
-
-    leases: dict[str, Lease] = field(default_factory=dict)
-    answers: dict[str, tuple[int, int]] = field(default_factory=dict)  # by session: last number, its answer
-
-    def apply(self, index: int, command: Command) -> int:
-        """Do a command; the token that its client holds now, 0 for none."""
-        if command.session:
-            number, answer = self.answers.get(command.session, (-1, 0))
-            if command.number <= number:
-                return answer if command.number == number else 0
-        answer = self._do(index, command)
-        if command.session:
-            self.answers.pop(command.session, None)  # the newest last
-            self.answers[command.session] = command.number, answer
-            while len(self.answers) > MOST_SESSIONS:
-                del self.answers[next(iter(self.answers))]
-        return answer
-
-    def _do(self, index: int, command: Command) -> int:
-        held = self.leases.get(command.lease)
-        if command.what == "acquire":
-            if held is None and command.ttl > 0:
-                self.leases[command.lease] = Lease(command.holder, index, command.ttl)
-                return index
-            return 0
-        if held is None or held.token != command.token:
-            return 0
-        if command.what == "renew":
-            self.leases[command.lease] = replace(held, renewed=index)
-            return held.token
-        # A renewal may have come on the log before this end of it: its holder is told yes, so it holds on.
-        if command.what == "release" or held.renewed == command.renewed:
-            del self.leases[command.lease]
-        return 0
-
+    """A granted lease: `token` is the log index of its grant, `renewal_index` that of its last renewal.
 
-@dataclass(slots=True)
-class Keeper:
-    """The leader's watch over leases: which have run out.
-
-    A new leader knows nothing of renewals before it led, so for it each lease begins anew.  A renewal counts
-    from when it was applied here, which is after its holder sent it.
+    `ttl` is the duration in seconds for which it stays without a renewal.
     """
 
-    seen: dict[str, tuple[Lease, float]] = field(default_factory=dict)  # and since when it stands as it is
+    holder: str
+    token: int
+    ttl: float
+    renewal_index: int = 0
 
-    def begin(self, now: float, table: Table) -> None:
-        """This voter leads from now on."""
-        self.seen = {name: (lease, now) for name, lease in table.leases.items()}
 
-    def applied(self, now: float, table: Table, command: Command) -> None:
-        """A command was done."""
-        lease = table.leases.get(command.lease)
-        if lease is None:
-            self.seen.pop(command.lease, None)
-        elif self.seen.get(command.lease, (None, 0.0))[0] != lease:
-            self.seen[command.lease] = lease, now
+class SessionResult(NamedTuple):
+    """The last command of a client's session and the token that answered it."""
 
-    def ended(self, now: float, table: Table) -> list[Command]:
-        """Commands that end what has run out."""
-        found = []
-        for name, lease in table.leases.items():
-            known, since = self.seen.setdefault(name, (lease, now))
-            if known == lease and now - since > lease.ttl * (1 + RATE_ERROR):
-                found.append(Command("expire", name, token=lease.token, renewed=lease.renewed))
-        return found
+    number: int
+    token: int
 
 
 @dataclass(slots=True)
-class Holder:
-    """One lease as its holder knows it, by its own clock."""
+class LeaseStateMachine:
+    """All leases and the last results by session; the session used last stands at the end."""
 
-    lease: str
-    ttl: float
-    token: int = 0
-    until: float = float("-inf")
-    dropped_at: float = float("-inf")
-
-    def holds(self, now: float) -> bool:
-        """Whether it may act now.  Ask right before each effect: it may have stood still meanwhile."""
-        return self.token > 0 and now < self.until
+    leases: dict[str, Lease] = field(default_factory=dict)
+    sessions: dict[str, SessionResult] = field(default_factory=dict)
 
-    def answered(self, sent_at: float, token: int) -> None:
-        """An acquire or renew sent at a time was answered; the lease lasts from that time on.
+    def apply(self, index: int, command: Command) -> int:
+        """Execute a committed command; called in the log's order on every voter.
 
-        What was sent before it was dropped counts no more: a renewal's late answer would bring back what has
-        been released meanwhile.
+        Returns the token that the command's client holds now, `NO_TOKEN` if it holds none.
         """
-        if sent_at <= self.dropped_at:
-            return
-        end = sent_at + self.ttl * (1 - RATE_ERROR)
-        self.until = max(end, self.until) if token == self.token else end
-        self.token = token
-
-    def drop(self, now: float) -> int:
-        """Hold it no more; its token, to release it with.  It must be dropped before the release is sent."""
-        token, self.token, self.until, self.dropped_at = self.token, 0, float("-inf"), now
+        if not command.session:
+            return self._execute(index, command)
+        last = self.sessions.get(command.session)
+        if last is not None and command.number <= last.number:
+            return last.token if command.number == last.number else NO_TOKEN
+        token = self._execute(index, command)
+        self._record_result(command, token)
         return token
 
+    def _record_result(self, command: Command, token: int) -> None:
+        self.sessions.pop(command.session, None)
+        self.sessions[command.session] = SessionResult(command.number, token)
+        while len(self.sessions) > MAX_SESSIONS:
+            del self.sessions[next(iter(self.sessions))]
 
-@dataclass(slots=True)
-class Gate:
-    """Stands before whatever takes effects under a lease: none of an older grant than the newest seen."""
-
-    newest: int = 0
-
-    def takes(self, token: int) -> bool:
-        if token < self.newest or token <= 0:
-            return False
-        self.newest = token
-        return True
+    def _execute(self, index: int, command: Command) -> int:
+        lease = self.leases.get(command.lease)
+        if command.kind == CommandKind.ACQUIRE:
+            if lease is None and command.ttl > 0:
+                self.leases[command.lease] = Lease(command.holder, index, command.ttl)
+                return index
+            return NO_TOKEN
+        if lease is None or lease.token != command.token:
+            return NO_TOKEN
+        if command.kind == CommandKind.RENEW:
+            self.leases[command.lease] = replace(lease, renewal_index=index)
+            return lease.token
+        # A renewal that stands on the log before this expiry was granted: its holder goes on.
+        if command.kind == CommandKind.RELEASE or lease.renewal_index == command.renewal_index:
+            del self.leases[command.lease]
+        return NO_TOKEN
--- a/stalltiller/leases/store.py
+++ b/stalltiller/leases/store.py
@@ -1,109 +1,153 @@
-"""A voter's term, vote and log on its disk: durable before anything is answered."""
+"""A voter's term, vote, log and snapshot on its disk (lmdb), durable before the voter answers anything."""
 
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import lmdb
 
 from stalltiller.leases import leases_pb2 as pb
-from stalltiller.leases.codec import command_from_pb, command_to_pb
-from stalltiller.leases.messages import Cut, Entry, Keep
+from stalltiller.leases.actions import PersistSnapshot, PersistState
+from stalltiller.leases.codec import decode_entry, encode_entry
+from stalltiller.leases.messages import LogEntry
+from stalltiller.leases.raft_state import PersistentState, Snapshot
 
-MAP_SIZE = 256 * 1024 * 1024
-META, MADE_FOR, SNAPSHOT = b"meta", b"made for", b"snapshot"
-INDEX = struct.Struct(">cQ")  # sorts by index
+MAX_STORE_BYTES = 256 * 1024 * 1024  # far above a compacted log; lmdb only reserves the address space
+_DATA_FILE = "data.mdb"
 
+# The keys of the store.  Old versions read them, so they must not change.
+_TERM_AND_VOTE_KEY = b"meta"
+_OWNER_KEY = b"made for"
+_SNAPSHOT_KEY = b"snapshot"
+_ENTRY_PREFIX = b"e"
+_ENTRY_KEY = struct.Struct(">cQ")  # the prefix and the index; big-endian, so the keys sort by index
+_TERM_BYTES = 8
 
-class Missing(OSError):
-    """There is no store: a voter without its disk must not vote, nobody knows what it has voted before."""
 
+class VoterStoreError(OSError):
+    """A voter's store at `path` cannot be created, opened or written; `reason` says why."""
 
-def make(folder: str, name: str) -> None:
-    """Make a voter's store, once in its life; raises OSError if there is one."""
-    if (Path(folder) / "data.mdb").exists():
-        raise OSError(f"{folder}: there is a store already")
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
+
+
+class VoterStoreMissingError(VoterStoreError):
+    """There is no store: a voter without its disk must not vote, since nobody knows its former votes."""
+
+    def __init__(self, path: str) -> None:
+        super().__init__(path, "no store of a voter")
+
+
+def create_voter_store(folder: str, name: str) -> None:
+    """Create the store of the voter `name`, once in its life; raises VoterStoreError if there is one."""
+    if (Path(folder) / _DATA_FILE).exists():
+        raise VoterStoreError(folder, "there is a store already")
     try:
         Path(folder).mkdir(parents=True, exist_ok=True)
-        with lmdb.open(folder, map_size=MAP_SIZE) as env, env.begin(write=True) as transaction:
-            transaction.put(MADE_FOR, name.encode())
+        with (
+            lmdb.open(folder, map_size=MAX_STORE_BYTES) as environment,
+            environment.begin(write=True) as transaction,
+        ):
+            transaction.put(_OWNER_KEY, name.encode())
     except lmdb.Error as error:
-        raise OSError(f"{folder}: {error}") from error
+        raise VoterStoreError(folder, str(error)) from error
 
 
 class VoterStore:
-    """One voter's.  `keep` returns once it is on the disk (lmdb syncs each transaction)."""
+    """One voter's store.  Writes return once they are durable: lmdb syncs each transaction."""
 
     def __init__(self, folder: str, name: str) -> None:
-        """Open it; raises Missing, or OSError if it was made for another voter."""
-        if not (Path(folder) / "data.mdb").exists():
-            raise Missing(f"{folder}: no store of a voter")
-        try:
-            self._env = lmdb.open(folder, map_size=MAP_SIZE)
-            with self._env.begin() as transaction:
-                made_for = bytes(transaction.get(MADE_FOR, b"")).decode()
-        except lmdb.Error as error:
-            raise OSError(f"{folder}: {error}") from error
-        if made_for != name:
-            raise OSError(f"{folder}: made for {made_for!r}")
-
-    def state(self) -> tuple[int, int, bytes]:
-        """Up to which index a state stands for the log, the term of its entry, and the state."""
-        with self._env.begin() as transaction:
-            found = pb.Snapshot.FromString(bytes(transaction.get(SNAPSHOT, b"")))
-        return found.index, found.term, found.state
-
-    def load(self) -> tuple[int, str | None, list[Entry]]:
-        """Term, vote and log (behind what the state stands for) as they were kept last."""
-        term, vote, log = 0, None, []
-        with self._env.begin() as transaction:
-            meta = transaction.get(META)
-            if meta is not None:
-                term, vote = int.from_bytes(meta[:8], "big"), bytes(meta[8:]).decode() or None
-            cursor = transaction.cursor()
-            if cursor.set_range(INDEX.pack(b"e", 0)):
-                for key, value in cursor:
-                    if bytes(key[:1]) != b"e":
-                        break
-                    found = pb.Entry.FromString(bytes(value))
-                    command = command_from_pb(found.command) if found.HasField("command") else None
-                    log.append(Entry(found.term, command))
-        return term, vote, log
-
-    def cut(self, cut: Cut) -> None:
-        """Make durable that a state stands for the beginning of the log; raises OSError as `keep` does."""
-        try:
-            with self._env.begin(write=True) as transaction:
-                made = pb.Snapshot(index=cut.index, term=cut.term, state=cut.state)
-                transaction.put(SNAPSHOT, made.SerializeToString())
-                cursor = transaction.cursor()
-                if cursor.set_range(INDEX.pack(b"e", 0)):
-                    while (
-                        bytes(cursor.key()[:1]) == b"e"
-                        and (cut.whole or INDEX.unpack(cursor.key())[1] <= cut.index)
-                        and cursor.delete()
-                    ):
-                        pass
-        except lmdb.Error as error:
-            raise OSError(str(error)) from error
+        """Open the store of the voter `name`.
 
-    def keep(self, keep: Keep) -> None:
-        """Make it durable; raises OSError, and then the voter must stop."""
+        Raises VoterStoreMissingError, or VoterStoreError if it belongs to another voter or can't be opened.
+        """
+        self._folder = folder
+        if not (Path(folder) / _DATA_FILE).exists():
+            raise VoterStoreMissingError(folder)
         try:
-            with self._env.begin(write=True) as transaction:
-                transaction.put(META, keep.term.to_bytes(8, "big") + (keep.vote or "").encode())
-                cursor = transaction.cursor()
-                if cursor.set_range(INDEX.pack(b"e", keep.length + 1)):
-                    while bytes(cursor.key()[:1]) == b"e" and cursor.delete():
-                        pass
-                for index, entry in enumerate(keep.entries, keep.length + 1):
-                    made = pb.Entry(term=entry.term)
-                    if entry.command is not None:
-                        made.command.CopyFrom(command_to_pb(entry.command))
-                    transaction.put(INDEX.pack(b"e", index), made.SerializeToString())
+            self._environment = lmdb.open(folder, map_size=MAX_STORE_BYTES)
+            with self._environment.begin() as transaction:
+                owner = bytes(transaction.get(_OWNER_KEY, b"")).decode()
         except lmdb.Error as error:
-            raise OSError(str(error)) from error
+            raise VoterStoreError(folder, str(error)) from error
+        if owner != name:
+            raise VoterStoreError(folder, f"made for {owner!r}")
+
+    def load_snapshot(self) -> Snapshot:
+        """The snapshot persisted last, an empty one before the first."""
+        with self._environment.begin() as transaction:
+            snapshot = pb.Snapshot.FromString(bytes(transaction.get(_SNAPSHOT_KEY, b"")))
+        return Snapshot(snapshot.index, snapshot.term, snapshot.state)
+
+    def load_state(self) -> PersistentState:
+        """The term, the vote and the entries after the snapshot, as they were persisted last."""
+        term = 0
+        voted_for = None
+        with self._environment.begin() as transaction:
+            term_and_vote = transaction.get(_TERM_AND_VOTE_KEY)
+            if term_and_vote is not None:
+                term = int.from_bytes(term_and_vote[:_TERM_BYTES], "big")
+                voted_for = bytes(term_and_vote[_TERM_BYTES:]).decode() or None
+            entries = list(_read_entries(transaction))
+        return PersistentState(term, voted_for, entries)
+
+    def persist_state(self, action: PersistState) -> None:
+        """Make a state durable; raises VoterStoreError, and then the voter must stop."""
+        vote = (action.voted_for or "").encode()
+        with self._write() as transaction:
+            transaction.put(_TERM_AND_VOTE_KEY, action.term.to_bytes(_TERM_BYTES, "big") + vote)
+            _delete_entries(transaction, action.last_retained_index + 1, None)
+            for index, entry in enumerate(action.entries, action.last_retained_index + 1):
+                transaction.put(_entry_key(index), encode_entry(entry))
+
+    def persist_snapshot(self, action: PersistSnapshot) -> None:
+        """Make a snapshot durable in place of its entries; raises VoterStoreError as `persist_state` does."""
+        snapshot = pb.Snapshot(index=action.index, term=action.term, state=action.state)
+        with self._write() as transaction:
+            transaction.put(_SNAPSHOT_KEY, snapshot.SerializeToString())
+            _delete_entries(transaction, 0, None if action.discard_log else action.index)
 
     def close(self) -> None:
-        self._env.close()
+        """Close the store."""
+        self._environment.close()
+
+    @contextmanager
+    def _write(self) -> Iterator[lmdb.Transaction]:
+        """A transaction that is durable when the block ends."""
+        try:
+            with self._environment.begin(write=True) as transaction:
+                yield transaction
+        except lmdb.Error as error:
+            raise VoterStoreError(self._folder, str(error)) from error
+
+
+def _entry_key(index: int) -> bytes:
+    return _ENTRY_KEY.pack(_ENTRY_PREFIX, index)
+
+
+def _read_entries(transaction: lmdb.Transaction) -> Iterator[LogEntry]:
+    cursor = transaction.cursor()
+    if not cursor.set_range(_entry_key(0)):
+        return
+    for key, value in cursor:
+        if not bytes(key).startswith(_ENTRY_PREFIX):
+            return
+        yield decode_entry(bytes(value))
+
+
+def _delete_entries(transaction: lmdb.Transaction, first_index: int, last_index: int | None) -> None:
+    """Delete the entries from one index to another, or to the end of the log."""
+    cursor = transaction.cursor()
+    if not cursor.set_range(_entry_key(first_index)):
+        return
+    while bytes(cursor.key()).startswith(_ENTRY_PREFIX):
+        _, index = _ENTRY_KEY.unpack(cursor.key())
+        if last_index is not None and index > last_index:
+            return
+        if not cursor.delete():
+            return
--- a/stalltiller/leases/voter.py
+++ b/stalltiller/leases/voter.py
@@ -1,28 +1,86 @@
-"""One voter at work: takes what is said in turn, keeps it, and only then answers."""
+"""One voter at work: runs Raft and the lease state machine on the event loop, the disk and the network."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 from collections.abc import Callable
-
-from stalltiller.leases.codec import Answer, Ask, NotLeader, Said, decode_table, encode_table
-from stalltiller.leases.messages import Action, Apply, Cut, Keep, Restore, Send
-from stalltiller.leases.raft import Raft, Times
-from stalltiller.leases.state_machine import Command, Keeper
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from stalltiller.leases.actions import (
+    Action,
+    ApplyEntry,
+    PersistSnapshot,
+    PersistState,
+    RestoreSnapshot,
+    SendMessage,
+)
+from stalltiller.leases.codec import (
+    CommandRequest,
+    CommandResponse,
+    Message,
+    NotLeader,
+    decode_state_machine,
+    encode_state_machine,
+)
+from stalltiller.leases.expiry import LeaseExpiryTracker
+from stalltiller.leases.raft import Raft
+from stalltiller.leases.raft_state import RaftTimeouts, Role
+from stalltiller.leases.state_machine import Command, Lease
 from stalltiller.leases.store import VoterStore
 
-MOST_WAITING = 1000  # messages not yet taken; more are dropped, as the network may
-LOOK_EVERY = 0.05  # s between a leader's looks for leases that have run out
+MAX_QUEUED_MESSAGES = 1000  # further messages are dropped, as the network may drop them
+EXPIRY_CHECK_INTERVAL_SECONDS = 0.05  # short against a lease, so an expiry adds little to its duration
+DEFAULT_MAX_LOG_ENTRIES = 2000
 
 Log = Callable[..., None]
 
 
+class _PendingCommand(NamedTuple):
+    """A command on the log whose client awaits the response."""
+
+    term: int
+    client: str
+    command: Command
+
+
+@dataclass(slots=True, frozen=True)
+class VoterStatus:
+    """A voter's state for operators."""
+
+    role: Role
+    term: int
+    leader: str | None
+    log_length: int
+    snapshot_index: int
+    commit_index: int
+    is_running: bool
+    leases: dict[str, Lease]
+
+    def to_json(self) -> dict[str, object]:
+        """The form in `GET /_fleet/leases`; its keys are fixed."""
+        return {
+            "role": self.role.value,
+            "term": self.term,
+            "leader": self.leader,
+            "log": self.log_length,
+            "cut": self.snapshot_index,
+            "committed": self.commit_index,
+            "working": self.is_running,
+            "leases": {
+                name: {"holder": lease.holder, "token": lease.token, "ttl_s": lease.ttl}
+                for name, lease in sorted(self.leases.items())
+            },
+        }
+
+
 class Voter:
-    """Runs a `Raft` and the lease table on it.
+    """Runs a `Raft` and the lease state machine on it.
 
-    Everything goes through one queue and one task, so what stands behind a `Keep` waits for the disk, and the
-    loop does not: the disk has a thread.  If the disk fails the voter stops and answers nothing more.
+    All messages go through one queue and one task, so whatever follows a persisting action waits for the disk
+    while the event loop does not: the disk has a thread.  If the disk fails, the voter stops and answers
+    nothing more.
     """
 
     def __init__(
@@ -30,62 +88,55 @@
         name: str,
         voters: tuple[str, ...],
         store: VoterStore,
-        send: Callable[[str, Said], None],
+        send: Callable[[str, Message], None],
         log: Log,
-        times: Times | None = None,
-        most_log: int = 2000,
+        timeouts: RaftTimeouts | None = None,
+        max_log_entries: int = DEFAULT_MAX_LOG_ENTRIES,
     ) -> None:
-        """`most_log` entries applied, a state is put in their place."""
-        self.name, self._store, self._send, self._log = name, store, send, log
-        self._most_log = most_log
+        """Start the voter from its store, which it owns; `max_log_entries` applied, it takes a snapshot."""
+        self.name = name
+        self._store = store
+        self._send = send
+        self._log = log
+        self._max_log_entries = max_log_entries
         self._loop = asyncio.get_running_loop()
-        term, vote, entries = store.load()
-        base, base_term, state = store.state()
+        persistent_state = store.load_state()
+        snapshot = store.load_snapshot()
         self.raft = Raft(
-            name,
-            voters,
-            random.Random(),
-            self._loop.time(),
-            times or Times(),
-            term,
-            vote,
-            entries,
-            base,
-            base_term,
-            state,
+            name, voters, random.Random(), self._loop.time(), persistent_state, snapshot, timeouts
         )
-        self.table, self._keeper = decode_table(state), Keeper()
-        self._inbox: asyncio.Queue[tuple[str, Said]] = asyncio.Queue(MOST_WAITING)
-        self._asked: dict[int, tuple[int, str, Command]] = {}  # by index: term, who asked, what
-        self._led = self._going = False
+        self.state_machine = decode_state_machine(snapshot.state)
+        self._expiry_tracker = LeaseExpiryTracker()
+        self._inbox: asyncio.Queue[tuple[str, Message]] = asyncio.Queue(MAX_QUEUED_MESSAGES)
+        self._pending: dict[int, _PendingCommand] = {}  # by log index
+        self._is_leading = False
+        self._wants_leadership_transfer = False
         self._task = self._loop.create_task(self._run())
 
-    def heard(self, sender: str, said: Said) -> None:
-        """Something was said to this voter."""
+    def handle_message(self, sender: str, message: Message) -> None:
+        """Queue a message of another voter or a client."""
         if not self._inbox.full():
-            self._inbox.put_nowait((sender, said))
-
-    def go(self) -> None:
-        """This instance ends or leaves: if it leads, hand the lead on once all that was said is done."""
-        self._going = True
-
-    def status(self) -> dict[str, object]:
-        """What an operator may want to know."""
-        return {
-            "role": self.raft.role,
-            "term": self.raft.term,
-            "leader": self.raft.leader,
-            "log": len(self.raft.log),
-            "cut": self.raft.base,
-            "committed": self.raft.commit,
-            "working": not self._task.done(),
-            "leases": {
-                name: {"holder": lease.holder, "token": lease.token, "ttl_s": lease.ttl}
-                for name, lease in sorted(self.table.leases.items())
-            },
-        }
+            self._inbox.put_nowait((sender, message))
+
+    def transfer_leadership(self) -> None:
+        """This initiator stops or leaves: if it leads, transfer that once all queued messages are handled."""
+        self._wants_leadership_transfer = True
+
+    def status(self) -> VoterStatus:
+        """The voter's state for operators."""
+        return VoterStatus(
+            role=self.raft.role,
+            term=self.raft.term,
+            leader=self.raft.leader,
+            log_length=len(self.raft.log),
+            snapshot_index=self.raft.snapshot_index,
+            commit_index=self.raft.commit_index,
+            is_running=not self._task.done(),
+            leases=self.state_machine.leases,
+        )
 
     async def close(self) -> None:
+        """Stop the voter and close its store."""
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         self._store.close()
@@ -93,76 +144,108 @@
     async def _run(self) -> None:
         try:
             while True:
-                now = self._loop.time()
-                wait = min(LOOK_EVERY, max(0.0, self.raft.wake_at - now))
-                try:
-                    async with asyncio.timeout(wait):
-                        sender, said = await self._inbox.get()
-                except TimeoutError:
-                    await self._do(self.raft.tick(self._loop.time()))
-                else:
-                    await self._take(sender, said)
-                if self._going and self._inbox.empty():
-                    self._going = False
-                    await self._do(self.raft.hand_over(self._loop.time()))
-                if self._led:
-                    for command in self._keeper.ended(self._loop.time(), self.table):
-                        await self._do(self.raft.propose(self._loop.time(), command)[1])
-        except OSError as error:  # what it had promised to keep may not be kept
+                await self._run_once()
+        except OSError as error:  # what this voter has promised may not be durable
             self._log("lease_voter_stopped", error=str(error))
 
-    async def _take(self, sender: str, said: Said) -> None:
+    async def _run_once(self) -> None:
+        """Handle one message or the timer, then a wanted leadership transfer and expired leases."""
+        timer_in = max(0.0, self.raft.timer_at - self._loop.time())
+        try:
+            async with asyncio.timeout(min(EXPIRY_CHECK_INTERVAL_SECONDS, timer_in)):
+                sender, message = await self._inbox.get()
+        except TimeoutError:
+            await self._execute(self.raft.tick(self._loop.time()))
+        else:
+            await self._process_message(sender, message)
+        if self._wants_leadership_transfer and self._inbox.empty():
+            self._wants_leadership_transfer = False
+            await self._execute(self.raft.transfer_leadership(self._loop.time()))
+        if self._is_leading:
+            await self._expire_leases()
+
+    async def _expire_leases(self) -> None:
+        for command in self._expiry_tracker.expiry_commands(self._loop.time(), self.state_machine):
+            _, actions = self.raft.propose(self._loop.time(), command)
+            await self._execute(actions)
+
+    async def _process_message(self, sender: str, message: Message) -> None:
         now = self._loop.time()
-        if isinstance(said, Ask):
-            index, actions = self.raft.propose(now, said.command)
-            if index is None:
-                command = said.command
-                self._send(sender, NotLeader(command.session, command.number, self.raft.leader or ""))
-            else:
-                self._asked[index] = self.raft.term, sender, said.command
-            await self._do(actions)
-        elif not isinstance(said, Answer | NotLeader):
-            await self._do(self.raft.step(now, sender, said))
-            if now >= self.raft.wake_at:
-                await self._do(self.raft.tick(now))
-
-    async def _do(self, actions: list[Action]) -> None:
+        if isinstance(message, CommandRequest):
+            await self._propose(now, sender, message.command)
+        elif not isinstance(message, CommandResponse | NotLeader):
+            await self._execute(self.raft.step(now, sender, message))
+            if now >= self.raft.timer_at:
+                await self._execute(self.raft.tick(now))
+
+    async def _propose(self, now: float, client: str, command: Command) -> None:
+        index, actions = self.raft.propose(now, command)
+        if index is None:
+            self._send(client, NotLeader(command.session, command.number, self.raft.leader or ""))
+        else:
+            self._pending[index] = _PendingCommand(self.raft.term, client, command)
+        await self._execute(actions)
+
+    async def _execute(self, actions: list[Action]) -> None:
+        """Execute actions in order, each one completely before the next one."""
         for action in actions:
-            if isinstance(action, Keep):
-                await self._loop.run_in_executor(None, self._store.keep, action)
-            elif isinstance(action, Cut):
-                await self._loop.run_in_executor(None, self._store.cut, action)
-            elif isinstance(action, Restore):
-                self.table = decode_table(action.state)
-                self._log("lease_state_taken", index=action.index)
-            elif isinstance(action, Send):
-                self._send(action.to, action.message)
-            elif isinstance(action, Apply):
-                self._apply(action)
-        if self.raft.commit - self.raft.base >= self._most_log:  # all of it has been applied above
-            await self._do(self.raft.compact(self._loop.time(), self.raft.commit, encode_table(self.table)))
-        if (self.raft.role == "leader") is not self._led:
-            self._led = not self._led
-            self._log("lease_leader" if self._led else "lease_follower", term=self.raft.term)
-            self._keeper.begin(self._loop.time(), self.table)
-            self._asked.clear()
-
-    def _apply(self, action: Apply) -> None:
+            await self._execute_one(action)
+        if self.raft.commit_index - self.raft.snapshot_index >= self._max_log_entries:
+            await self._take_snapshot()
+        if (self.raft.role is Role.LEADER) is not self._is_leading:
+            self._change_leadership()
+
+    async def _execute_one(self, action: Action) -> None:
+        if isinstance(action, PersistState):
+            await self._loop.run_in_executor(None, self._store.persist_state, action)
+        elif isinstance(action, PersistSnapshot):
+            await self._loop.run_in_executor(None, self._store.persist_snapshot, action)
+        elif isinstance(action, RestoreSnapshot):
+            self.state_machine = decode_state_machine(action.state)
+            self._log("lease_snapshot_installed", index=action.index)
+        elif isinstance(action, SendMessage):
+            self._send(action.to, action.message)
+        elif isinstance(action, ApplyEntry):
+            self._apply(action)
+
+    async def _take_snapshot(self) -> None:
+        """Compact the log; every committed entry has been applied before."""
+        snapshot = encode_state_machine(self.state_machine)
+        await self._execute(self.raft.compact(self._loop.time(), self.raft.commit_index, snapshot))
+
+    def _change_leadership(self) -> None:
+        """This voter leads from now on, or no longer."""
+        self._is_leading = not self._is_leading
+        self._log("lease_leader_elected" if self._is_leading else "lease_leader_deposed", term=self.raft.term)
+        self._expiry_tracker.start(self._loop.time(), self.state_machine)
+        self._pending.clear()
+
+    def _apply(self, action: ApplyEntry) -> None:
+        """Apply a committed command, and answer its client if it was proposed here."""
         command = action.entry.command
-        if command is None:
+        if not isinstance(command, Command):
+            return  # the first entry of a leader's term
+        lease_before = self.state_machine.leases.get(command.lease)
+        token = self.state_machine.apply(action.index, command)
+        self._expiry_tracker.observe(self._loop.time(), self.state_machine, command)
+        if self._is_leading:
+            self._log_change(command, lease_before)
+        pending = self._pending.pop(action.index, None)
+        if pending is not None and pending.command == command and pending.term == action.entry.term:
+            self._send(pending.client, CommandResponse(command.session, command.number, token))
+
+    def _log_change(self, command: Command, lease_before: Lease | None) -> None:
+        """Log a grant or the end of a lease; a renewal is neither."""
+        lease_after = self.state_machine.leases.get(command.lease)
+        token_before = None if lease_before is None else lease_before.token
+        token_after = None if lease_after is None else lease_after.token
+        lease = lease_after or lease_before
+        if lease is None or token_before == token_after:
             return
-        before = self.table.leases.get(command.lease)
-        token = self.table.apply(action.index, command)
-        self._keeper.applied(self._loop.time(), self.table, command)
-        after = self.table.leases.get(command.lease)
-        if self._led and (before is None or after is None or before.token != after.token) and before != after:
-            self._log(
-                "lease_granted" if after else "lease_ended",
-                lease=command.lease,
-                why=command.what,
-                holder=(after or before).holder,
-                token=(after or before).token,
-            )
-        term, sender, asked = self._asked.pop(action.index, (0, "", None))
-        if asked == command and term == action.entry.term:
-            self._send(sender, Answer(command.session, command.number, token))
+        self._log(
+            "lease_ended" if lease_after is None else "lease_granted",
+            lease=command.lease,
+            reason=command.kind,
+            holder=lease.holder,
+            token=lease.token,
+        )
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -20,7 +20,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from stalltiller.leases.store import make
+from stalltiller.leases.store import create_voter_store
 from stalltiller.protocol import http
 from tests.fleet.proxy import Proxy
 from tests.stand_ins import Discovery, HttpTarget, read_message
@@ -88,7 +88,7 @@
         """Give the file a section of leases, and a voter its store."""
         folder = self.folder / f"{self.name}.voter"
         if self.name in voters:
-            make(str(folder), self.name)
+            create_voter_store(str(folder), self.name)
         text = self.file.read_text()
         section = (
             f'[leases]\nvoters = {json.dumps(voters)}\nfolder = "{folder}"\n'
--- a/tests/fleet/test_lease_service.py
+++ b/tests/fleet/test_lease_service.py
@@ -1,4 +1,4 @@
-"""A duty that one of several real processes holds at a time, with faults between them."""
+"""A lease that one of several real processes holds at a time, with faults between them."""
 
 from __future__ import annotations
 
@@ -8,55 +8,62 @@
 
 from tests.fleet.rig import Rig, play
 
-FIVE = [f"m{n}" for n in range(5)]
-VOTERS = FIVE[:3]
+MEMBERS = [f"m{n}" for n in range(5)]
+VOTERS = MEMBERS[:3]
 
 
-async def holders(rig: Rig, names: list[str]) -> dict[str, int]:
-    """Who says that it holds the duty, and its token."""
-    found = await asyncio.gather(*(rig[name].ask("/_fleet/leases") for name in names))
-    return {
-        name: each["held"]["totals"]
-        for name, each in zip(names, found, strict=True)
-        if each and "totals" in each["held"]
-    }
+async def lease_statuses(rig: Rig, names: list[str]) -> dict[str, dict]:
+    """The lease status of each of these members that answers."""
+    statuses = await asyncio.gather(*(rig[name].ask("/_fleet/leases") for name in names))
+    return {name: status for name, status in zip(names, statuses, strict=True) if status}
 
 
-async def held(rig: Rig, names: list[str], above: int = 0) -> tuple[str, int]:
-    """Wait until one of those holds it under a token above another; who, and the token."""
-    found: list[tuple[str, int]] = []
+async def current_holders(rig: Rig, names: list[str]) -> dict[str, int]:
+    """The members that report that they hold the lease, with their tokens."""
+    statuses = await lease_statuses(rig, names)
+    return {name: status["held"]["totals"] for name, status in statuses.items() if "totals" in status["held"]}
 
-    async def one() -> bool:
-        now = await holders(rig, names)
-        assert len(now) <= 1, now
-        found[:] = now.items()
-        return len(now) == 1 and found[0][1] > above
 
-    await rig.until(one, f"one of {names} holds it above {above}")
-    return found[0]
+async def wait_for_holder(rig: Rig, names: list[str], above: int = 0) -> tuple[str, int]:
+    """Wait until one of these members holds the lease under a token above another one; its name and token."""
+    holders: dict[str, int] = {}
 
+    async def has_one_holder() -> bool:
+        nonlocal holders
+        holders = await current_holders(rig, names)
+        assert len(holders) <= 1, holders
+        return len(holders) == 1 and next(iter(holders.values())) > above
 
-async def leader(rig: Rig) -> str:
-    found: list[str] = []
+    await rig.until(has_one_holder, f"one of {names} holds it above {above}")
+    return next(iter(holders.items()))
 
-    async def one() -> bool:
-        now = await asyncio.gather(*(rig[name].ask("/_fleet/leases") for name in VOTERS))
-        found[:] = [
-            name for name, each in zip(VOTERS, now, strict=True) if each and each["voter"]["role"] == "leader"
-        ]
-        return len(found) == 1
 
-    await rig.until(one, "one leads")
-    return found[0]
+async def wait_for_leader(rig: Rig) -> str:
+    """Wait until one voter leads; its name."""
+    leaders: list[str] = []
 
+    async def has_one_leader() -> bool:
+        nonlocal leaders
+        statuses = await lease_statuses(rig, VOTERS)
+        leaders = [name for name, status in statuses.items() if status["voter"]["role"] == "leader"]
+        return len(leaders) == 1
 
-def test_the_duty_goes_on_when_its_holder_is_killed_and_tokens_grow(tmp_path):
+    await rig.until(has_one_leader, "one leads")
+    return leaders[0]
+
+
+def without(name: str, names: list[str] = MEMBERS) -> list[str]:
+    """These members but one."""
+    return [other for other in names if other != name]
+
+
+def test_another_member_acquires_the_lease_when_its_holder_is_killed_and_tokens_grow(tmp_path):
     async def scene(rig):
         token = 0
         for _ in range(2):
-            name, token = await held(rig, FIVE, token - 1)
+            name, token = await wait_for_holder(rig, MEMBERS, token - 1)
             await rig[name].kill()
-            other, newer = await held(rig, [each for each in FIVE if each != name], token)
+            other, newer = await wait_for_holder(rig, without(name), token)
             assert other != name and newer > token
             await rig[name].start()
             await rig.until(lambda name=name: rig[name].said("started")[1:] != [], "it is back")
@@ -65,78 +72,79 @@
     play(scene, 5, tmp_path, voters="3")
 
 
-def test_a_holder_stopped_past_its_time_finds_out_before_it_acts(tmp_path):
+def test_holder_suspended_past_its_ttl_notices_the_loss_before_it_acts(tmp_path):
     async def scene(rig):
-        name, token = await held(rig, FIVE)
+        name, token = await wait_for_holder(rig, MEMBERS)
         rig[name].send(signal.SIGSTOP)
-        _, newer = await held(rig, [each for each in FIVE if each != name], token)
+        _, newer = await wait_for_holder(rig, without(name), token)
         rig[name].send(signal.SIGCONT)
         await rig.until(lambda: rig[name].said("lease_lost") != [], "it finds out")
-        assert newer > token and name not in await holders(rig, FIVE)
+        assert newer > token and name not in await current_holders(rig, MEMBERS)
 
     play(scene, 5, tmp_path, voters="3")
 
 
-def test_a_holder_cut_off_with_the_lesser_side_loses_it_and_the_greater_side_gets_it(tmp_path):
+def test_holder_in_the_minority_partition_loses_the_lease_and_the_majority_acquires_it(tmp_path):
     async def scene(rig):
-        name, token = await held(rig, FIVE)
-        away = {name, "m4" if name in VOTERS else "m0"}  # one voter of three
-        rig.proxy.cut(away, set(FIVE) - away)
-        _, newer = await held(rig, sorted(set(FIVE) - away), token)
+        name, token = await wait_for_holder(rig, MEMBERS)
+        minority = {name, "m4" if name in VOTERS else "m0"}  # one voter of three
+        majority = set(MEMBERS) - minority
+        rig.proxy.cut(minority, majority)
+        _, newer = await wait_for_holder(rig, sorted(majority), token)
         await rig.until(lambda: rig[name].said("lease_lost") != [], "it finds out")
         rig.proxy.heal()
         await rig.agreed()
-        await held(rig, FIVE, newer - 1)
+        await wait_for_holder(rig, MEMBERS, newer - 1)
 
     play(scene, 5, tmp_path, voters="3")
 
 
-def test_the_leader_killed_and_all_restarted_at_once_the_log_goes_on(tmp_path):
+def test_log_survives_the_kill_of_the_leader_and_a_simultaneous_restart_of_all_members(tmp_path):
     async def scene(rig):
-        first = await leader(rig)
-        _, token = await held(rig, FIVE)
+        first = await wait_for_leader(rig)
+        _, token = await wait_for_holder(rig, MEMBERS)
         await rig[first].kill()
-        rest = [name for name in FIVE if name != first]
-        _, token = await held(rig, rest, token - 1)
-        await asyncio.gather(*(rig[name].kill() for name in rest))
-        await asyncio.gather(*(rig[name].start() for name in FIVE))
-        _, newer = await held(rig, FIVE, token)
+        others = without(first)
+        _, token = await wait_for_holder(rig, others, token - 1)
+        await asyncio.gather(*(rig[name].kill() for name in others))
+        await asyncio.gather(*(rig[name].start() for name in MEMBERS))
+        _, newer = await wait_for_holder(rig, MEMBERS, token)
         assert newer > token
 
     play(scene, 5, tmp_path, voters="3")
 
 
-def test_a_voter_that_lost_its_disk_does_not_start_and_the_others_go_on(tmp_path):
+def test_voter_without_its_store_does_not_start_and_the_others_go_on(tmp_path):
     async def scene(rig):
-        _, token = await held(rig, FIVE)
+        _, token = await wait_for_holder(rig, MEMBERS)
         await rig["m0"].kill()
         shutil.rmtree(tmp_path / "m0.voter")
         await rig["m0"].start()
         assert await asyncio.wait_for(rig["m0"].process.wait(), 20) == 2
-        await held(rig, FIVE[1:], token - 1)
+        await wait_for_holder(rig, MEMBERS[1:], token - 1)
 
     play(scene, 5, tmp_path, voters="3")
 
 
-def test_a_voter_that_was_away_while_the_log_was_cut_takes_the_state_from_the_others(tmp_path):
-    """The log is cut every 20 entries; renewals and the acquires of the others make some ten a second."""
+def test_voter_that_was_down_while_the_log_was_compacted_installs_a_snapshot(tmp_path):
+    """The log is compacted every 20 entries; renewals and the others' acquires make some ten a second."""
 
     async def scene(rig):
-        _, token = await held(rig, FIVE)
-        leads = await leader(rig)
-        name = next(name for name in VOTERS if name != leads)
+        _, token = await wait_for_holder(rig, MEMBERS)
+        leader = await wait_for_leader(rig)
+        name = without(leader, VOTERS)[0]
         await rig[name].kill()
 
-        async def cut() -> bool:
-            found = (await rig[await leader(rig)].ask("/_fleet/leases"))["voter"]
-            return found["cut"] > 60 and found["log"] < 60
+        async def is_compacted() -> bool:
+            status = (await rig[await wait_for_leader(rig)].ask("/_fleet/leases"))["voter"]
+            return status["cut"] > 60 and status["log"] < 60
 
-        await rig.until(cut, "the log is cut")
+        await rig.until(is_compacted, "the log is compacted")
         await rig[name].start()
-        await rig.until(lambda: bool(rig[name].said("lease_state_taken")), "it has taken the state")
-        others = [each for each in VOTERS if each != name]
-        await rig[others[0]].kill()  # now its vote is needed, and what it knows
-        _, later = await held(rig, [each for each in FIVE if each != others[0]])
+        await rig.until(lambda: bool(rig[name].said("lease_snapshot_installed")), "it has the snapshot")
+        other_voter = without(name, VOTERS)[0]
+        await rig[other_voter].kill()  # now a quorum needs the restarted voter's vote and its state
+        _, later = await wait_for_holder(rig, without(other_voter))
         assert later >= token
         status = (await rig[name].ask("/_fleet/leases"))["voter"]
         assert status["working"] and status["cut"] > 60
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -17,7 +17,7 @@
 from stalltiller.fleet.messages import PacketKind
 from stalltiller.leases import codec as lease_codec
 from stalltiller.leases import leases_pb2
-from stalltiller.leases.store import VoterStore, make
+from stalltiller.leases.store import VoterStore, create_voter_store
 from stalltiller.protocol import nvme
 from stalltiller.recovery import peer_state as word
 from stalltiller.recovery.store import Store
@@ -67,21 +67,21 @@
 # --- Voter's store ------------------------------------------------------------------------------------
 def test_a_voters_store_is_read(tmp_path):
     store = VoterStore(copied(samples.VOTER_STORE, tmp_path), samples.VOTER)
-    assert store.load() == (3, samples.CANDIDATE, list(samples.LOG[2:]))
-    index, term, state = store.state()
+    assert store.load_state() == (3, samples.CANDIDATE, list(samples.LOG[2:]))
+    index, term, state = store.load_snapshot()
     store.close()
     assert (index, term) == (2, 2)
-    table = lease_codec.decode_table(state)
-    assert table == samples.TABLE
-    assert list(table.answers) == ["s-2", "s-1"]  # the order is kept: the oldest session goes first
+    state_machine = lease_codec.decode_state_machine(state)
+    assert state_machine == samples.STATE_MACHINE
+    assert list(state_machine.sessions) == ["s-2", "s-1"]  # the order is kept: the oldest session goes first
 
 
 def test_a_voters_store_is_written_with_the_same_bytes(tmp_path):
     folder = str(tmp_path / "new")
-    make(folder, samples.VOTER)
+    create_voter_store(folder, samples.VOTER)
     store = VoterStore(folder, samples.VOTER)
-    store.keep(samples.KEEP)
-    store.cut(samples.CUT)
+    store.persist_state(samples.PERSIST_STATE)
+    store.persist_snapshot(samples.PERSIST_SNAPSHOT)
     store.close()
     expected = pairs(copied(samples.VOTER_STORE, tmp_path))
     entries = {b"e" + index.to_bytes(8, "big") for index in range(3, 7)}
@@ -145,22 +145,24 @@
 
 def test_the_messages_of_leases_are_of_all_kinds():
     assert DATAGRAMS["leases"].keys() == samples.LEASE_MESSAGES.keys()
-    assert {type(each) for each in samples.LEASE_MESSAGES.values()} == set(typing.get_args(lease_codec.Said))
-    kinds = {leases_pb2.Said.FromString(bytes.fromhex(data)).kind for data in DATAGRAMS["leases"].values()}
+    assert {type(each) for each in samples.LEASE_MESSAGES.values()} == set(
+        typing.get_args(lease_codec.Message)
+    )
+    kinds = {leases_pb2.Message.FromString(bytes.fromhex(data)).kind for data in DATAGRAMS["leases"].values()}
     assert kinds == {kind for kind in range(256) if is_lease_kind(kind)}
 
 
 def is_lease_kind(kind: int) -> bool:
     """Whether the codec reads messages of a kind."""
     try:
-        lease_codec.decode(leases_pb2.Said(kind=kind).SerializeToString())
-    except lease_codec.Malformed:
+        lease_codec.decode(leases_pb2.Message(kind=kind).SerializeToString())
+    except lease_codec.MalformedMessageError:
         return False
     return True
 
 
 def test_the_log_holds_each_command():
-    assert [command.what for command in samples.COMMANDS] == ["acquire", "renew", "release", "expire"]
+    assert [command.kind for command in samples.COMMANDS] == ["acquire", "renew", "release", "expire"]
 
 
 # --- Messages of recovery -----------------------------------------------------------------------------
