--- a/stalltiller/daemon/admission_gate.py
+++ b/stalltiller/daemon/admission_gate.py
@@ -1,4 +1,4 @@
-"""The engine's door: counts what is asked in the calm, and lets the ramp of a return decide who comes in."""
+"""The engine's admission gate: measures the load of each shard and applies the ramp after a mass restart."""
 
 from __future__ import annotations
 
@@ -6,63 +6,76 @@
 import random
 from collections.abc import Callable
 
-from stalltiller.recovery import Load, Ramp
+from stalltiller.recovery import RecoveryRamp, ShardLoadMeter
 from stalltiller.routing.ports import ClientRequest
 from stalltiller.scheduling import Settings
 
-Cell = int | None
+MIN_OVERLOAD_WINDOW_SECONDS = 1e-3  # guards the division where the window is set to nothing
 
 
 class RecoveryAdmissionGate:
-    """Stands open unless a ramp holds; never waits."""
+    """Admits everything unless a ramp is in progress; never waits."""
 
-    def __init__(self, settings: Callable[[], Settings], targets: Callable[[], int]) -> None:
-        """`targets` tells how many are listed: while a ramp holds and there are none, nobody comes in."""
-        self._settings, self._targets = settings, targets
+    def __init__(self, settings: Callable[[], Settings], target_count: Callable[[], int]) -> None:
+        """Create a gate; while a ramp is in progress and `target_count` returns 0, nothing is admitted."""
+        self._settings = settings
+        self._target_count = target_count
         self._loop = asyncio.get_running_loop()
-        self.load = Load(self._loop.time())
-        self.ramp: Ramp | None = None
+        self.load_meter = ShardLoadMeter(self._loop.time())
+        self.ramp: RecoveryRamp | None = None
 
-    def narrow(self, rates: dict[Cell, float], size: int) -> None:
-        """Begin a ramp by what this instance sent before, or by its part of what a cold target bears from a
-        fleet of that size."""
+    def start_ramp(self, shard_rates: dict[int | None, float], fleet_size: int) -> None:
+        """Start a ramp with the rates that this initiator sent to the shards before the restart.
+
+        Other shards start with this member's part of what a target that has just started can bear from a
+        fleet of that size.
+        """
         settings = self._settings()
-        blind = settings.slow_start_units / max(settings.rules.overload_window, 1e-3) / max(1, size)
-        self.ramp = Ramp(
-            self._loop.time(), rates, blind, settings.mean_units, settings.max_retry_after, random.Random()
+        overload_window = max(settings.rules.overload_window, MIN_OVERLOAD_WINDOW_SECONDS)
+        self.ramp = RecoveryRamp(
+            now=self._loop.time(),
+            shard_rates=shard_rates,
+            default_rate=settings.slow_start_units / overload_window / max(1, fleet_size),
+            mean_units=settings.mean_units,
+            max_retry_after=settings.max_retry_after,
+            rng=random.Random(),
         )
 
-    def open(self) -> dict[str, int]:
-        """End the ramp; what became of the requests that met it."""
-        counts = {} if self.ramp is None else dict(self.ramp.counts)
+    def end_ramp(self) -> dict[str, int]:
+        """End the ramp and return what became of the requests during it."""
+        counts = {} if self.ramp is None else self.ramp.counts_by_name()
         self.ramp = None
         return counts
 
     def admit(self, client_request: ClientRequest) -> float:
-        """0 if a request may go on; else it is refused, with the seconds after which to return."""
+        """Return 0 if a request is admitted, else the seconds after which its client should retry."""
         now = self._loop.time()
-        self.load.add(now, client_request.shard, client_request.units)
+        self.load_meter.add(now, client_request.shard, client_request.units)
         if self.ramp is None:
             return 0.0
-        if not self._targets():
-            return self.ramp.turn_away(now)
-        settings = self._settings()
-        best = max(cls.priority_weight for cls in settings.classes) * max(
-            plan.price_weight for plan in settings.plans
-        )
-        worth = (
-            settings.classes[client_request.class_index].priority_weight
-            * settings.plans[client_request.plan_index].price_weight
-            / best
-        )
+        if not self._target_count():
+            return self.ramp.reject(now)
+        client = (client_request.volume, client_request.class_index, client_request.idempotency_key)
         return self.ramp.admit(
             now,
             client_request.shard,
             client_request.units,
-            worth,
-            (client_request.volume, client_request.class_index, client_request.idempotency_key),
+            self._relative_priority(client_request),
+            client,
         )
 
     def retry_after(self, delay: float) -> float:
-        """What to tell a client whom the decisions refuse."""
-        return delay if self.ramp is None else self.ramp.spread(delay)
+        """Return the Retry-After for a client that the scheduler rejects with `delay` seconds."""
+        return delay if self.ramp is None else self.ramp.add_jitter(delay)
+
+    def _relative_priority(self, client_request: ClientRequest) -> float:
+        """Return the weight of a request relative to the highest that the settings allow."""
+        settings = self._settings()
+        max_priority_weight = max(latency_class.priority_weight for latency_class in settings.classes)
+        max_price_weight = max(plan.price_weight for plan in settings.plans)
+        max_weight = max_priority_weight * max_price_weight
+        return (
+            settings.classes[client_request.class_index].priority_weight
+            * settings.plans[client_request.plan_index].price_weight
+            / max_weight
+        )
--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -137,7 +137,7 @@
                 config.fleet is not None,
                 self._log,
             )
-            known = self.recovery.known(known)
+            known = self.recovery.initial_target_list(known)
         if known is not None:
             self._directory.update(TargetListKind.CACHED, known)
         if config.admin is not None:
@@ -155,7 +155,7 @@
         metrics.start()
         if self.recovery is not None:
             await asyncio.sleep(0)  # a turn of the loop, in which the decisions hear of the list
-            self.recovery.begin(self.is_ready)
+            self.recovery.start(self.is_ready)
         self._log("started", listen=join(*self.listener.address))
         self.started.set()
         try:
@@ -177,7 +177,7 @@
             if self.fleet is not None:
                 self.fleet.close()
         if self.recovery is not None:
-            await self.recovery.end()
+            await self.recovery.stop()
         self._log("stopped", **self.engine.counts)
 
     async def _own_turn(self) -> None:
@@ -218,7 +218,7 @@
         )
         await self.fleet.open()
         if self.recovery is not None:
-            self.recovery.joined(self.fleet)
+            self.recovery.join_fleet(self.fleet)
         if config.share:
             self.shared_budgets = SharedBudgets(
                 self.fleet,
@@ -315,7 +315,7 @@
         if address != self._discovery:
             self._discovery = address
             if self.recovery is not None:
-                self.recovery.moved(join(*address))
+                self.recovery.change_discovery(join(*address))
             if self._watching is not None:
                 self._watching.cancel()
                 self._watch()
@@ -346,9 +346,9 @@
             self._took_list,
             pace.poll_wait,
             index,
-            self.recovery is not None and self.recovery.first_waits,
+            self.recovery is not None and self.recovery.first_call_waits,
         )
-        pacing = pace if self.recovery is None else self.recovery.pace(pace)
+        pacing = pace if self.recovery is None else self.recovery.poll_policy(pace)
         watch = Watch(self._discovery, self.buffers, codec, pacing, self._watch_failed)
         self._watching = self._loop.create_task(watch.run())
 
@@ -359,7 +359,7 @@
     def _took_list(self, listing: TargetList) -> None:
         self._listed = True
         if self.recovery is not None:
-            self.recovery.took(listing)
+            self.recovery.handle_target_list(listing)
         if listing.targets or listing.is_full:
             self._log(
                 "list",
@@ -389,7 +389,7 @@
             "memory_kb": usage.ru_maxrss,
             "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000),
             "log_dropped": self._log.dropped,
-            **(self.recovery.figures() if self.recovery is not None else {}),
+            **(self.recovery.metrics() if self.recovery is not None else {}),
             **(self.lease_service.totals() if self.lease_service is not None else {}),
             **self.engine.counts,
         }
--- a/stalltiller/daemon/config.py
+++ b/stalltiller/daemon/config.py
@@ -283,9 +283,9 @@
     usual = RecoveryConfig(str(data["folder"]))
     return RecoveryConfig(
         usual.folder,
-        float(data.get("save_every_s", usual.save_every)),
-        data.get("ramp", usual.ramp),
-        float(data.get("ask_peers_s", usual.ask_peers)),
+        float(data.get("save_every_s", usual.save_interval)),
+        data.get("ramp", usual.is_ramp_enabled),
+        float(data.get("ask_peers_s", usual.peer_confirmation_wait)),
     )
 
 
--- a/stalltiller/daemon/peer_state_exchange.py
+++ b/stalltiller/daemon/peer_state_exchange.py
@@ -1,4 +1,4 @@
-"""Carries what instances that come back ask of their peers, and the answers, in the fleet's datagrams."""
+"""Sends requests for peers' state, and the answers to those of others, in the fleet's datagrams."""
 
 from __future__ import annotations
 
@@ -9,63 +9,80 @@
 from stalltiller.fleet import Packet, PacketKind
 from stalltiller.fleet.member_table import Address
 from stalltiller.fleet.membership_agent import MembershipAgent
-from stalltiller.recovery.peer_state import Ask, Malformed, Word, decode, encode
+from stalltiller.recovery.peer_state import PeerState, PeerStateMessage, PeerStateRequest
+from stalltiller.recovery.peer_state_codec import MalformedPeerStateError, decode_message, encode_message
 
-ASK_EVERY = 0.25  # s between asks, while there is something to ask
-ASKED = 2  # peers at a time
-ANSWERS_PER_S = 100  # given; more asks are lost
+REQUEST_INTERVAL_SECONDS = 0.25  # between requests, while there is something to ask
+PEERS_PER_REQUEST = 2  # one of them may have restarted as well
+MAX_ANSWERS_PER_SECOND = 100  # further requests are dropped: a mass restart must not keep a member busy
 
 
 class PeerStateExchange:
-    """Asks some peers as long as `ask` gives a question, answers theirs with `answer`, hands on to `heard`.
+    """Asks a few peers as long as there is something to ask, and answers the requests of others.
 
-    `kept` are addresses of peers from before, asked while no member is known to run.
+    `build_request` returns the request to send or None, `answer_request` the answer to a peer or None, and
+    `handle_peer_state` receives the answers of peers.  `cached_peers` are asked while no member is known to
+    run.  The exchange runs from its creation until `close`.
     """
 
     def __init__(
         self,
-        node: MembershipAgent,
-        kept: list[Address],
-        ask: Callable[[], Ask | None],
-        answer: Callable[[Ask], Word | None],
-        heard: Callable[[Word], None],
+        membership: MembershipAgent,
+        cached_peers: list[Address],
+        build_request: Callable[[], PeerStateRequest | None],
+        answer_request: Callable[[PeerStateRequest], PeerState | None],
+        handle_peer_state: Callable[[PeerState], None],
     ) -> None:
-        self._node, self._kept = node, [each for each in kept if each != node.swim.me.address]
-        self._ask, self._answer, self._heard = ask, answer, heard
+        own_address = membership.swim.me.address
+        self._membership = membership
+        self._cached_peers = [address for address in cached_peers if address != own_address]
+        self._build_request = build_request
+        self._answer_request = answer_request
+        self._handle_peer_state = handle_peer_state
         self._loop = asyncio.get_running_loop()
-        self._second, self._answers = 0, 0
-        node.handlers[PacketKind.RECOVERY] = self._received
-        self._timer = self._loop.call_soon(self._look)
+        self._current_second = 0
+        self._requests_in_second = 0
+        membership.handlers[PacketKind.RECOVERY] = self._handle_packet
+        self._timer: asyncio.Handle = self._loop.call_soon(self._send_request)
 
     def close(self) -> None:
+        """Stop asking and answering."""
         self._timer.cancel()
-        self._node.handlers.pop(PacketKind.RECOVERY, None)
+        self._membership.handlers.pop(PacketKind.RECOVERY, None)
 
-    def _look(self) -> None:
-        self._timer = self._loop.call_later(ASK_EVERY, self._look)
-        ask = self._ask()
-        if ask is None:
+    def _send_request(self) -> None:
+        self._timer = self._loop.call_later(REQUEST_INTERVAL_SECONDS, self._send_request)
+        request = self._build_request()
+        if request is None:
             return
-        peers = [member.address for member in self._node.swim.table.others] or self._kept
-        for address in random.sample(peers, min(ASKED, len(peers))):
-            self._send(address, ask)
+        members = self._membership.swim.table.others
+        peers = [member.address for member in members] or self._cached_peers
+        for address in random.sample(peers, min(PEERS_PER_REQUEST, len(peers))):
+            self._send(address, request)
 
-    def _send(self, address: Address, said: Ask | Word) -> None:
-        for body in encode(said):
-            self._node.send(address, Packet(PacketKind.RECOVERY, self._node.swim.me, body=body))
+    def _send(self, address: Address, message: PeerStateMessage) -> None:
+        for body in encode_message(message):
+            packet = Packet(PacketKind.RECOVERY, self._membership.swim.me, body=body)
+            self._membership.send(address, packet)
 
-    def _received(self, packet: Packet) -> None:
+    def _handle_packet(self, packet: Packet) -> None:
         try:
-            said = decode(packet.body)
-        except Malformed:
-            self._node.dropped["recovery"] += 1
+            message = decode_message(packet.body)
+        except MalformedPeerStateError:
+            self._membership.dropped["recovery"] += 1
             return
-        if isinstance(said, Word):
-            self._heard(said)
-            return
-        if int(self._loop.time()) != self._second:
-            self._second, self._answers = int(self._loop.time()), 0
-        self._answers += 1
-        word = self._answer(said) if self._answers <= ANSWERS_PER_S else None
-        if word is not None:
-            self._send(packet.sender.address, word)
+        if isinstance(message, PeerState):
+            self._handle_peer_state(message)
+        elif self._may_answer():
+            answer = self._answer_request(message)
+            if answer is not None:
+                self._send(packet.sender.address, answer)
+
+    def _may_answer(self) -> bool:
+        """Count a request and return whether it is within the limit of this second."""
+        second = int(self._loop.time())
+        if second != self._current_second:
+            self._current_second = second
+            self._requests_in_second = 0
+        self._requests_in_second += 1
+        return self._requests_in_second <= MAX_ANSWERS_PER_SECOND
--- a/stalltiller/daemon/recovery_coordinator.py
+++ b/stalltiller/daemon/recovery_coordinator.py
@@ -1,231 +1,273 @@
-"""An instance's return among others: its turn at discovery, its door, and what it heeds of its peers' word.
+"""Coordinates an initiator's recovery with its fleet: calls to discovery, admission, and peers' answers.
 
-What is decided lies in `recovery`; this gives it the clock, the fleet, the list and the engine.
+The decisions are made in `recovery`; this module connects them to the clock, the fleet, the target list and
+the engine.
 """
 
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypedDict
 
 from stalltiller.adapters.target_directory import TargetDirectory
 from stalltiller.daemon.admission_gate import RecoveryAdmissionGate
 from stalltiller.recovery import (
-    Ask,
-    Book,
-    Calm,
-    Caution,
-    Change,
-    Facts,
-    Herd,
-    Phases,
-    Turns,
-    View,
-    Word,
-    recall,
-    remember,
+    FleetView,
+    LoadBaseline,
+    MassRestartDetector,
+    PeerAddress,
+    PeerState,
+    PeerStateFilter,
+    PeerStateRequest,
+    PollSchedule,
+    RecoveryPhaseTracker,
+    RecoverySnapshot,
+    TargetChange,
+    TargetLatencyEstimate,
+    TargetListHistory,
+    capture_state,
+    restore_state,
 )
 from stalltiller.routing.engine import Engine
-from stalltiller.transport.watch import BackoffPollPolicy
 
 if TYPE_CHECKING:
     from stalltiller.fleet.membership_agent import MembershipAgent
 
-GATHER_EVERY = 0.1  # s between looks whether it is time to judge
-FRESH = 30.0  # s: a kept list older than this is served from once discovery or a peer has confirmed it
-CONFIRM = 5.0  # s after the start past which it has to do, as discovery and all peers are silent
-TEACH = 5.0  # s after the start for which peers' paces are better than none of one's own
+PEER_CONTACT_RECHECK_SECONDS = 0.1  # between checks whether enough is known of the peers to judge
+MAX_UNCONFIRMED_AGE_SECONDS = 30.0  # an older target list has to be confirmed by discovery or a peer
+MAX_CONFIRMATION_WAIT_SECONDS = 5.0  # after which it is used without, as discovery and all peers are silent
+PEER_ESTIMATES_SECONDS = (
+    5.0  # after the start, within which peers' estimates are better than none of one's own
+)
 
 Log = Callable[..., None]
 
 
-class ListPollPolicy:
-    """The pace of list calls in a fleet: the first and failed ones are made in turns while many come back."""
-
-    def __init__(self, alone: BackoffPollPolicy, returning: RecoveryCoordinator) -> None:
-        self._alone, self._returning = alone, returning
-        self._turns = Turns(alone.poll_wait, random.Random())
-
-    def timeout(self, waits: bool) -> float:
-        return self._alone.timeout(waits)
-
-    def initial_delay(self) -> float:
-        return self._returning.hold(self._turns)
+class CoordinatorStatus(TypedDict):
+    """What operators see of the coordination; the keys are those of the administration call."""
 
-    def backoff(self, failures: int, jitter_fraction: float) -> float:
-        view = self._returning.failed()
-        if view.size == 1 and self._returning.herd.last_size == 1:
-            return self._alone.backoff(failures, jitter_fraction)
-        return self._turns.again(time.time(), view, failures)
+    ramping: bool
+    door: dict[str, int]  # outcomes of requests during the ramp
+    withheld: list[str]  # names of targets
 
 
 class RecoveryCoordinator:
-    """One life's return.  `calm` is what was kept of before, `paces` the targets whose pace was kept."""
+    """The recovery of one process among the members of its fleet.
+
+    `load_baseline` is what the snapshot held; the owner replaces it as it measures new values.
+    `targets_with_estimates` names the targets whose latency is known from the snapshot or from a peer.
+    """
 
     def __init__(
         self,
         name: str,
-        address: str,
+        discovery_address: str,
         engine: Engine,
         directory: TargetDirectory,
-        book: Book,
-        calm: Calm,
-        herd: Herd,
-        phases: Phases,
+        target_list_history: TargetListHistory,
+        load_baseline: LoadBaseline,
+        mass_restart_detector: MassRestartDetector,
+        phases: RecoveryPhaseTracker,
         log: Log,
     ) -> None:
+        self._name = name
+        self._discovery_address = discovery_address
+        self._engine = engine
+        self._directory = directory
+        self._target_list_history = target_list_history
+        self._log = log
+        self.load_baseline = load_baseline
+        self.mass_restart_detector = mass_restart_detector
         self.phases = phases
-        self._name, self._address, self._engine, self._log = name, address, engine, log
-        self._directory, self._book, self.calm, self.herd = directory, book, calm, herd
+        self.targets_with_estimates: set[str] = set()
         self._loop = asyncio.get_running_loop()
-        self._began = self._loop.time()
-        self._node: MembershipAgent | None = None
-        self._caution = Caution(address)
-        self.taught: set[str] = set()  # targets whose pace is known from before or from a peer
-        self._turned = False  # the turn of the first list call has been told
-        self._confirmed = False  # by discovery: the list known is its newest
-        self._told = False  # by a peer
-        self.door = RecoveryAdmissionGate(lambda: engine.settings, lambda: engine.target_count)
-        engine.set_admission_gate(self.door)
+        self._started_at = self._loop.time()
+        self._membership: MembershipAgent | None = None
+        self._peer_state_filter = PeerStateFilter(discovery_address)
+        self._is_initial_poll_scheduled = False
+        self._is_confirmed_by_discovery = False  # the list known is the newest
+        self._is_confirmed_by_peer = False
+        self.admission_gate = RecoveryAdmissionGate(lambda: engine.settings, lambda: engine.target_count)
+        engine.set_admission_gate(self.admission_gate)
 
     @property
     def age(self) -> float:
-        """Seconds since the start."""
-        return self._loop.time() - self._began
+        """Seconds since the start of the process."""
+        return self._loop.time() - self._started_at
 
     @property
-    def view(self) -> View:
-        if self._node is None:
-            return View()
-        members = [self._node.swim.me, *self._node.swim.table.others]
-        return View.of(self._name, {member.name: member.start_time_ms / 1000 for member in members})
+    def fleet_view(self) -> FleetView:
+        """The fleet as this initiator sees it now."""
+        if self._membership is None:
+            return FleetView()
+        members = [self._membership.swim.me, *self._membership.swim.table.others]
+        start_times = {member.name: member.start_time_ms / 1000 for member in members}
+        return FleetView.from_start_times(self._name, start_times)
 
     @property
-    def peers(self) -> tuple[tuple[str, str, int], ...]:
-        """Name, host and port of the other members that run, or of those from before if there are none."""
-        others = [] if self._node is None else self._node.swim.table.others
-        return tuple((member.name, *member.address) for member in others) or self.calm.peers
-
-    def joined(self, node: MembershipAgent) -> None:
-        """This instance is in a fleet now."""
-        self._node = node
-
-    # --- The door ---------------------------------------------------------------------------------
-    def narrow(self) -> None:
-        """Begin a ramp, if this may be one of many that came back."""
-        view = self.view
-        if self.herd.verdict(view, self.age):
-            self.door.narrow(dict(self.calm.rates), self.herd.size(view))
-
-    def look(self) -> None:
-        """Open the door once the ramp is over, or if it shows that nobody else came back."""
-        ramp = self.door.ramp
-        if (
-            ramp is not None
-            and self._book.index
-            and (ramp.over(self._loop.time()) or not self.herd.verdict(self.view, self.age))
+    def peers(self) -> tuple[PeerAddress, ...]:
+        """The other members that run, or those of the snapshot if none is known to run."""
+        others = [] if self._membership is None else self._membership.swim.table.others
+        return tuple(PeerAddress(member.name, *member.address) for member in others) or (
+            self.load_baseline.peers
+        )
+
+    def status(self) -> CoordinatorStatus:
+        """Return the state of the ramp and the targets withheld, for operators."""
+        ramp = self.admission_gate.ramp
+        return {
+            "ramping": ramp is not None,
+            "door": {} if ramp is None else ramp.counts_by_name(),
+            "withheld": sorted(self._peer_state_filter.withheld_targets),
+        }
+
+    def join_fleet(self, membership: MembershipAgent) -> None:
+        """Use the members of a fleet from now on."""
+        self._membership = membership
+
+    # --- Admission --------------------------------------------------------------------------------
+    def start_ramp_if_needed(self) -> None:
+        """Start a ramp if this may be a mass restart."""
+        view = self.fleet_view
+        if self.mass_restart_detector.is_mass_restart(view, self.age):
+            shard_rates = dict(self.load_baseline.shard_rates)
+            self.admission_gate.start_ramp(shard_rates, self.mass_restart_detector.fleet_size(view))
+
+    def end_ramp_if_complete(self) -> None:
+        """End the ramp once it is complete, or if this turns out not to be a mass restart."""
+        ramp = self.admission_gate.ramp
+        if ramp is None or not self._target_list_history.version:
+            return
+        if ramp.is_complete(self._loop.time()) or not self.mass_restart_detector.is_mass_restart(
+            self.fleet_view, self.age
         ):
-            self._log("recovery_door", open_after_s=round(self.age, 3), **self.door.open())
+            outcomes = self.admission_gate.end_ramp()
+            self._log("recovery_ramp_ended", after_s=round(self.age, 3), **outcomes)
 
-    # --- The list ---------------------------------------------------------------------------------
-    def hold(self, turns: Turns) -> float:
-        """Seconds until it is worth asking again whether the first list call may be made; 0: now."""
-        if self._turned:
+    # --- Target list ------------------------------------------------------------------------------
+    def initial_poll_delay(self, schedule: PollSchedule) -> float:
+        """Return the seconds after which to ask again whether the first list call may be made; 0: now."""
+        if self._is_initial_poll_scheduled:
             return 0.0
-        if self._book.index and self.herd.gathering(self.age):
-            return GATHER_EVERY
-        self._turned = True
-        view = self.view
-        herd = self.herd.verdict(view, self.age)
-        rest = turns.first(time.time(), view) if herd else 0.0
+        has_target_list = bool(self._target_list_history.version)
+        if has_target_list and self.mass_restart_detector.is_waiting_for_peers(self.age):
+            return PEER_CONTACT_RECHECK_SECONDS
+        self._is_initial_poll_scheduled = True
+        view = self.fleet_view
+        is_mass_restart = self.mass_restart_detector.is_mass_restart(view, self.age)
+        delay = schedule.initial_delay(time.time(), view) if is_mass_restart else 0.0
         self._log(
-            "recovery_turn", herd=herd, size=self.herd.size(view), young=view.young, wait_s=round(rest, 3)
+            "recovery_initial_poll_scheduled",
+            is_mass_restart=is_mass_restart,
+            fleet_size=self.mass_restart_detector.fleet_size(view),
+            recently_started=view.recently_started_count,
+            delay_s=round(delay, 3),
         )
-        return rest
-
-    def failed(self) -> View:
-        """A list call has failed: from now on peers are asked what is new."""
-        self._confirmed = False
-        return self.view
-
-    def took(self, index: int, first: bool) -> None:
-        """Discovery has answered, if only that nothing is new; `first`: until now no list was known."""
-        self._confirmed = True
-        if first and self.door.ramp is not None:
-            self.door.ramp.again(self._loop.time())
-        if self._caution.told(index):
-            self._heed()
-
-    def moved(self, address: str) -> None:
-        """Another discovery is watched from now on."""
-        self._address, self._confirmed, self._told = address, False, False
-        self._caution = Caution(address)
-        self._heed()
-
-    def trusts(self, heard_at: float, ask_peers: float) -> bool:
-        """Whether a list that discovery last confirmed at a Unix time is good enough for this instance to be
-        ready.  The operator may have it wait so many seconds for word of a peer."""
-        if self._confirmed or self._told:
+        return delay
+
+    def handle_poll_failure(self) -> FleetView:
+        """Ask peers for changes from now on, since a list call has failed; return the fleet as seen now."""
+        self._is_confirmed_by_discovery = False
+        return self.fleet_view
+
+    def handle_target_list(self, version: int, is_first: bool) -> None:
+        """Handle an answer of discovery, even one without changes.
+
+        `is_first` says that no target list was known before.
+        """
+        self._is_confirmed_by_discovery = True
+        if is_first and self.admission_gate.ramp is not None:
+            self.admission_gate.ramp.restart(self._loop.time())
+        if self._peer_state_filter.discard_up_to(version):
+            self._apply_peer_state()
+
+    def change_discovery(self, discovery_address: str) -> None:
+        """Follow another discovery service, for which all answers of peers so far mean nothing."""
+        self._discovery_address = discovery_address
+        self._is_confirmed_by_discovery = False
+        self._is_confirmed_by_peer = False
+        self._peer_state_filter = PeerStateFilter(discovery_address)
+        self._apply_peer_state()
+
+    def is_target_list_trusted(self, confirmed_at: float, peer_confirmation_wait: float) -> bool:
+        """Return whether the target list is good enough for this initiator to be ready.
+
+        `confirmed_at` is the Unix time at which discovery last confirmed it; `peer_confirmation_wait` are the
+        seconds for which the operator has readiness wait for a peer's confirmation.
+        """
+        if self._is_confirmed_by_discovery or self._is_confirmed_by_peer:
             return True
-        if self.age < ask_peers:
+        if self.age < peer_confirmation_wait:
             return False
-        return heard_at > time.time() - FRESH or self.age >= CONFIRM
+        is_recent = confirmed_at > time.time() - MAX_UNCONFIRMED_AGE_SECONDS
+        return is_recent or self.age >= MAX_CONFIRMATION_WAIT_SECONDS
 
     # --- Peers ------------------------------------------------------------------------------------
-    def ask(self) -> Ask | None:
-        """What to ask of peers: what has changed, as long as discovery itself does not tell."""
-        return None if self._confirmed else Ask(self._address, self._book.index)
-
-    def answer(self, ask: Ask) -> Word | None:
-        """What this instance can tell one that comes back."""
-        listing = self._book.listing
-        if listing is None or ask.discovery != self._address:
+    def build_request(self) -> PeerStateRequest | None:
+        """Return a request for all changes, or None while discovery itself reports them."""
+        if self._is_confirmed_by_discovery:
             return None
-        newer = self._book.newer(ask.index)
-        changes = [target for target in listing.targets if target.started_at] if newer is None else newer
-        paces, _ = self._engine.inspect_scheduler(remember)
-        return Word(
-            self._address,
-            listing.version,
-            ask.index,
-            self._confirmed and newer is not None,
-            tuple(Change(target.name, target.status, target.started_at) for target in changes),
-            paces,
-            self.calm,
+        return PeerStateRequest(self._discovery_address, self._target_list_history.version)
+
+    def answer_request(self, request: PeerStateRequest) -> PeerState | None:
+        """Return what this initiator can tell a restarted peer, or None if that is nothing."""
+        target_list = self._target_list_history.target_list
+        if target_list is None or request.discovery_address != self._discovery_address:
+            return None
+        known_changes = self._target_list_history.changes_since(request.version)
+        changed_targets = known_changes
+        if changed_targets is None:  # the next best: those that may have restarted meanwhile
+            changed_targets = [target for target in target_list.targets if target.started_at]
+        return PeerState(
+            discovery_address=self._discovery_address,
+            version=target_list.version,
+            requested_version=request.version,
+            is_complete=self._is_confirmed_by_discovery and known_changes is not None,
+            changes=tuple(
+                TargetChange(target.name, target.status, target.started_at) for target in changed_targets
+            ),
+            latency_estimates=self._engine.inspect_scheduler(capture_state).latency_estimates,
+            load_baseline=self.load_baseline,
         )
 
-    def heard(self, word: Word) -> None:
-        """A peer has answered."""
-        listing = self._book.listing
-        if listing is None or word.discovery != self._address:
+    def handle_peer_state(self, answer: PeerState) -> None:
+        """Use an answer of a peer as far as the filter allows it."""
+        target_list = self._target_list_history.target_list
+        if target_list is None or answer.discovery_address != self._discovery_address:
             return
-        self._told = self._told or self._caution.confirms(word, listing.version)
-        if self._caution.took(
-            word, listing.version, {each.name: each.started_at for each in listing.targets}
-        ):
-            self._heed()
-        self.phases.learn(word.calm.share)
-        if self.door.ramp is not None:
-            self.door.ramp.learn(dict(word.calm.rates))
-        new = tuple(pace for pace in word.paces if pace.target not in self.taught)
-        if new and self.age < TEACH:
-            self.taught |= {pace.target for pace in new}
-            facts = Facts(self._name, self._address, time.time(), paces=new)
-            self._engine.inspect_scheduler(lambda scheduler, now, wall: recall(scheduler, facts, now, wall))
-
-    def _heed(self) -> None:
-        withheld, starts = self._caution.withheld, self._caution.starts
-        self._log("recovery_heeded", withheld=sorted(withheld), started=sorted(starts))
-        self._directory.apply_peer_state(withheld, starts)
-
-    def status(self) -> dict[str, object]:
-        """What an operator may want to know."""
-        ramp = self.door.ramp
-        return {
-            "ramping": ramp is not None,
-            "door": {} if ramp is None else dict(ramp.counts),
-            "withheld": sorted(self._caution.withheld),
-        }
+        if self._peer_state_filter.confirms_version(answer, target_list.version):
+            self._is_confirmed_by_peer = True
+        start_times = {target.name: target.started_at for target in target_list.targets}
+        if self._peer_state_filter.apply(answer, target_list.version, start_times):
+            self._apply_peer_state()
+        self.phases.set_default_served_fraction(answer.load_baseline.served_fraction)
+        if self.admission_gate.ramp is not None:
+            self.admission_gate.ramp.add_peer_rates(dict(answer.load_baseline.shard_rates))
+        self._use_estimates(answer.latency_estimates)
+
+    def _use_estimates(self, estimates: tuple[TargetLatencyEstimate, ...]) -> None:
+        """Use a peer's estimates for targets without one, shortly after the start."""
+        new_estimates = tuple(
+            estimate for estimate in estimates if estimate.target_name not in self.targets_with_estimates
+        )
+        if not new_estimates or self.age >= PEER_ESTIMATES_SECONDS:
+            return
+        self.targets_with_estimates |= {estimate.target_name for estimate in new_estimates}
+        snapshot = RecoverySnapshot(
+            self._name, self._discovery_address, time.time(), latency_estimates=new_estimates
+        )
+        self._engine.inspect_scheduler(
+            lambda scheduler, now, clock_offset: restore_state(scheduler, snapshot, now, clock_offset)
+        )
+
+    def _apply_peer_state(self) -> None:
+        withheld_targets = self._peer_state_filter.withheld_targets
+        restarted_targets = self._peer_state_filter.restarted_targets
+        self._log(
+            "recovery_peer_state_applied",
+            withheld_targets=sorted(withheld_targets),
+            restarted_targets=sorted(restarted_targets),
+        )
+        self._directory.apply_peer_state(withheld_targets, restarted_targets)
--- a/stalltiller/daemon/recovery_service.py
+++ b/stalltiller/daemon/recovery_service.py
@@ -1,4 +1,4 @@
-"""Has an instance keep what it needs to come back, take it up at its next start and tell how far it is."""
+"""Keeps an initiator's state on a disk, restores it after a restart and reports how far the recovery is."""
 
 from __future__ import annotations
 
@@ -10,230 +10,314 @@
 from typing import TYPE_CHECKING
 
 from stalltiller.adapters.target_directory import TargetDirectory
+from stalltiller.daemon.list_poll_policy import ListPollPolicy
 from stalltiller.daemon.peer_state_exchange import PeerStateExchange
-from stalltiller.daemon.recovery_coordinator import ListPollPolicy, RecoveryCoordinator
+from stalltiller.daemon.recovery_coordinator import CoordinatorStatus, RecoveryCoordinator
 from stalltiller.protocol.discovery import TargetList
-from stalltiller.recovery import Book, Calm, Facts, Herd, Phases, Refused, Store, recall, remember, usable
+from stalltiller.recovery import (
+    LoadBaseline,
+    MassRestartDetector,
+    RecoveryPhase,
+    RecoveryPhaseTracker,
+    RecoverySnapshot,
+    SnapshotRejectedError,
+    SnapshotStore,
+    TargetListHistory,
+    capture_state,
+    discard_expired,
+    restore_state,
+)
 from stalltiller.routing.engine import Engine
 from stalltiller.transport.watch import BackoffPollPolicy, PollPolicy
 
 if TYPE_CHECKING:
     from stalltiller.fleet.membership_agent import MembershipAgent
 
-LOOK_EVERY = 0.1  # s between looks at the counts
-SAVE_GAP = 0.05  # s between savings at the least, however fast the list changes
-SHARE_GAIN = 0.2  # weight of the share served just now in that of the calm
+PHASE_CHECK_INTERVAL_SECONDS = 0.1
+MIN_SAVE_INTERVAL_SECONDS = 0.05  # however fast the target list changes
+SERVED_FRACTION_GAIN = 0.2  # weight of the newest served fraction in that of the load baseline
 
 Log = Callable[..., None]
 
 
 @dataclass(slots=True, frozen=True)
 class RecoveryConfig:
-    """The [recovery] section of an operator's file; times in seconds."""
+    """The [recovery] section of an operator's file; times in seconds.
+
+    `is_ramp_enabled` says whether a fleet's mass restarts are paced, and `peer_confirmation_wait` for how
+    long readiness waits for a peer's confirmation of the target list.
+    """
 
     folder: str
-    save_every: float = 2.0
-    ramp: bool = True  # in a fleet: whether returns are paced
-    ask_peers: float = 0.0  # for which readiness waits for word of a peer
+    save_interval: float = 2.0
+    is_ramp_enabled: bool = True
+    peer_confirmation_wait: float = 0.0
+
+
+class RecoveryStatus(CoordinatorStatus):
+    """What operators see of the recovery; the keys are those of the administration call."""
+
+    phase: str
+    full_after_s: float  # from the start until service was full; 0 before
 
 
 class RecoveryService:
-    """One instance's kept state.  Saving blocks a thread of its own, never the loop."""
+    """The state of one initiator that outlives its process.
+
+    It is created before the target list is loaded, then started, and stopped once all requests are answered.
+    Snapshots are saved in a worker thread, never in that of the event loop.
+    """
 
     def __init__(
         self,
         config: RecoveryConfig,
         name: str,
-        address: str,
+        discovery_address: str,
         engine: Engine,
         directory: TargetDirectory,
         in_fleet: bool,
         log: Log,
     ) -> None:
-        """Open the store and narrow the door if need be; raises OSError."""
-        self._config, self._store = config, Store(config.folder)
-        self._name, self._address, self._engine, self._log = name, address, engine, log
+        """Load the snapshot and start a ramp if this may be a mass restart.  Raises OSError."""
+        self._config = config
+        self._store = SnapshotStore(config.folder)
+        self._name = name
+        self._discovery_address = discovery_address
+        self._engine = engine
+        self._log = log
         self._loop = asyncio.get_running_loop()
-        self._book, self._heard_at = Book(), 0.0
-        self._kept = kept = self._load()
-        calm = Calm() if kept is None else kept.calm
-        self.phases = Phases(self._loop.time(), calm.share)
-        paced = in_fleet and config.ramp
-        # No peers are kept if it was saved before it met any.
-        size = len(calm.peers) + 1 if calm.peers else engine.settings.initiator_count
-        herd = Herd(size if paced else 1, killed=kept is None or not kept.closed)
-        self.returning = RecoveryCoordinator(
-            name, address, engine, directory, self._book, calm, herd, self.phases, log
-        )
-        self._paced, self._peers = paced, None
-        if paced:
-            self.returning.narrow()
-        self._saving: asyncio.Task | None = None
-        self._news = asyncio.Event()  # the list has changed: it is kept at once
-        self._looking: asyncio.TimerHandle | None = None
-
-    def _load(self) -> Facts | None:
-        """The facts that may still be believed.  What must not be used is one line of the log."""
-        now = time.time()
-        try:
-            found = self._store.load(self._name, self._address, now)
-        except (Refused, OSError) as error:
-            self._log("recovery_refused", reason=str(error))
-            return None
-        if found is None:
-            return None
-        kept = usable(found, now)
-        self._log(
-            "recovery_loaded",
-            age_s=round(now - found.saved_at, 3),
-            closed=found.closed,
-            listing=None if kept.listing is None else kept.listing.version,
-            paces=len(kept.paces),
-            levels=len(kept.levels),
-            peers=len(kept.calm.peers),
+        self._target_list_history = TargetListHistory()
+        self._target_list_confirmed_at = 0.0
+        self._target_list_changed = asyncio.Event()
+        self._is_paced = in_fleet and config.is_ramp_enabled
+        self._snapshot = self._load_snapshot()
+        load_baseline = LoadBaseline() if self._snapshot is None else self._snapshot.load_baseline
+        self.phases = RecoveryPhaseTracker(self._loop.time(), load_baseline.served_fraction)
+        self.coordinator = RecoveryCoordinator(
+            name,
+            discovery_address,
+            engine,
+            directory,
+            self._target_list_history,
+            load_baseline,
+            self._mass_restart_detector(load_baseline),
+            self.phases,
+            log,
         )
-        return kept
+        if self._is_paced:
+            self.coordinator.start_ramp_if_needed()
+        self._peer_state_exchange: PeerStateExchange | None = None
+        self._save_task: asyncio.Task[None] | None = None
+        self._phase_timer: asyncio.TimerHandle | None = None
+        self._check_readiness: Callable[[], bool] = self.is_ready
 
-    def known(self, configured: TargetList | None) -> TargetList | None:
-        """The newer of the list kept and the one that the configuration brought.
+    @property
+    def first_call_waits(self) -> bool:
+        """Whether the first list call waits for changes as the later ones do.
 
-        Only this instance's own lists count: a target that none of them has named gets nothing.
+        In a fleet peers report what is new, and one more call from each restarted member would double the
+        load of discovery.
         """
-        kept = None if self._kept is None else self._kept.listing
-        if kept is not None and (configured is None or configured.version < kept.version):
-            configured, self._heard_at = kept, self._kept.heard_at
-        if configured is not None:
-            self._book.took(replace(configured, is_full=True))
-        return configured
+        return self._is_paced
 
-    def pace(self, alone: BackoffPollPolicy) -> PollPolicy:
-        """The pace of list calls, from the one that an instance alone keeps."""
-        return ListPollPolicy(alone, self.returning) if self._paced else alone
+    def initial_target_list(self, configured: TargetList | None) -> TargetList | None:
+        """Return the newer of the stored target list and the configured one.
 
-    @property
-    def first_waits(self) -> bool:
-        """Whether the first list call waits for news as the others do: in a fleet peers say what is new, and
-        one call more from each that comes back would double what discovery gets."""
-        return self._paced
-
-    def joined(self, node: MembershipAgent) -> None:
-        """This instance is in a fleet: peers may be asked, and ask."""
-        self.returning.joined(node)
-        kept = [(host, port) for _, host, port in self.returning.calm.peers]
-        self._peers = PeerStateExchange(
-            node, kept, self.returning.ask, self.returning.answer, self.returning.heard
+        Only this initiator's own lists count: a target that none of them names gets no requests.
+        """
+        initial = configured
+        if self._snapshot is not None and _is_newer(self._snapshot.target_list, configured):
+            initial = self._snapshot.target_list
+            self._target_list_confirmed_at = self._snapshot.target_list_confirmed_at
+        if initial is not None:
+            self._target_list_history.apply(replace(initial, is_full=True))
+        return initial
+
+    def poll_policy(self, single_policy: BackoffPollPolicy) -> PollPolicy:
+        """Return the policy of list calls, given that of an initiator without a fleet."""
+        return ListPollPolicy(single_policy, self.coordinator) if self._is_paced else single_policy
+
+    def join_fleet(self, membership: MembershipAgent) -> None:
+        """Exchange state with the members of a fleet from now on."""
+        self.coordinator.join_fleet(membership)
+        self._peer_state_exchange = PeerStateExchange(
+            membership,
+            [(peer.host, peer.port) for peer in self.coordinator.load_baseline.peers],
+            self.coordinator.build_request,
+            self.coordinator.answer_request,
+            self.coordinator.handle_peer_state,
         )
 
-    def begin(self, is_ready: Callable[[], bool]) -> None:
-        """Once the decisions know the targets: give them their facts, keep new ones from now on, and look
-        whether the instance is ready though nobody may ask."""
-        self._asked = is_ready
-        if self._kept is not None:
-            kept, self._kept = self._kept, None
-            self.returning.taught = {pace.target for pace in kept.paces}
-            self._log(
-                "recovery_recalled",
-                **self._engine.inspect_scheduler(
-                    lambda scheduler, now, wall: recall(scheduler, kept, now, wall)
-                ),
-            )
-        self._saving = self._loop.create_task(self._save_for_ever())
-        self._look()
-
-    def took(self, listing: TargetList) -> None:
-        """Discovery has answered, if only that nothing is new."""
-        self._heard_at = time.time()
-        if listing.targets or listing.is_full:
-            self._news.set()  # a target told to drain stays told, should this life end now
-        first = not self._book.index
-        self._book.took(listing)
-        self.returning.took(listing.version, first)
-
-    def moved(self, address: str) -> None:
-        """Another discovery is watched from now on: versions of the one before mean nothing to it."""
-        self._address, self._heard_at = address, 0.0
-        self._book.clear()
-        self.returning.moved(address)
+    def start(self, check_readiness: Callable[[], bool]) -> None:
+        """Restore the snapshot, and save new ones from now on; the scheduler must know its targets.
+
+        `check_readiness` is called regularly, so that the start of service is noticed though nobody asks.
+        """
+        self._check_readiness = check_readiness
+        if self._snapshot is not None:
+            self._restore_snapshot(self._snapshot)
+            self._snapshot = None
+        self._save_task = self._loop.create_task(self._save_regularly())
+        self._update_phase()
+
+    def handle_target_list(self, target_list: TargetList) -> None:
+        """Handle an answer of discovery, even one without changes."""
+        self._target_list_confirmed_at = time.time()
+        if target_list.targets or target_list.is_full:
+            self._target_list_changed.set()  # saved at once: a drain stays known if the process is killed
+        is_first = not self._target_list_history.version
+        self._target_list_history.apply(target_list)
+        self.coordinator.handle_target_list(target_list.version, is_first)
+
+    def change_discovery(self, discovery_address: str) -> None:
+        """Follow another discovery service, for which the versions of the one before mean nothing."""
+        self._discovery_address = discovery_address
+        self._target_list_confirmed_at = 0.0
+        self._target_list_history.clear()
+        self.coordinator.change_discovery(discovery_address)
 
     def is_ready(self) -> bool:
-        """Whether the list known is good enough to serve from."""
-        if not self._engine.target_count or not self.returning.trusts(self._heard_at, self._config.ask_peers):
-            return False  # without a list it could only refuse
-        if self.phases.ready(self._loop.time()):
-            self._log("recovery_phase", phase="ramping", after_s=round(self.returning.age, 3))
+        """Return whether the known target list is good enough to serve from."""
+        if not self._engine.target_count:
+            return False  # without a target every request would be rejected
+        if not self.coordinator.is_target_list_trusted(
+            self._target_list_confirmed_at, self._config.peer_confirmation_wait
+        ):
+            return False
+        if self.phases.mark_ready():
+            self._log_phase(self.coordinator.age)
         return True
 
-    def status(self) -> dict[str, object]:
-        """The phase, the seconds from the start until service was full (0: not yet), and of the return."""
+    def status(self) -> RecoveryStatus:
+        """Return the state of the recovery for operators."""
         return {
-            "phase": self.phases.phase,
-            "full_after_s": round(self.phases.took, 3),
-            **self.returning.status(),
+            "phase": self.phases.phase.value,
+            "full_after_s": round(self.phases.full_after, 3),
+            **self.coordinator.status(),
         }
 
-    def figures(self) -> dict[str, float]:
-        """The same for metrics."""
+    def metrics(self) -> dict[str, float]:
+        """Return the state of the recovery by names of metrics."""
         return {
-            "recovery_full": float(self.phases.phase == "full"),
-            "recovery_full_after_s": self.phases.took,
-            "recovery_ramping": float(self.returning.door.ramp is not None),
+            "recovery_full": float(self.phases.phase is RecoveryPhase.FULL),
+            "recovery_full_after_s": self.phases.full_after,
+            "recovery_ramping": float(self.coordinator.admission_gate.ramp is not None),
         }
 
-    async def end(self) -> None:
-        """All is answered and nothing more will be sent: keep the last facts as of a life that ended."""
-        if self._peers is not None:
-            self._peers.close()
-        if self._saving is not None:
-            self._saving.cancel()
-            await asyncio.gather(self._saving, return_exceptions=True)
-        if self._looking is not None:
-            self._looking.cancel()
-        await self._save(closed=True)
+    async def stop(self) -> None:
+        """Save the last snapshot as one of a clean shutdown; nothing may be sent to targets afterwards."""
+        if self._peer_state_exchange is not None:
+            self._peer_state_exchange.close()
+        if self._save_task is not None:
+            self._save_task.cancel()
+            await asyncio.gather(self._save_task, return_exceptions=True)
+        if self._phase_timer is not None:
+            self._phase_timer.cancel()
+        await self._save(is_clean_shutdown=True)
         self._store.close()
 
-    def _look(self) -> None:
-        self._looking = self._loop.call_later(LOOK_EVERY, self._look)
-        if self.phases.phase == "starting":
-            self._asked()
-        counts, now = self._engine.counts, self._loop.time()
-        answered = sum(counts[end] for end in ("served", "refused", "failed"))
-        if self.phases.counted(now, answered, counts["served"], counts["attempt_full"]):
-            self._log("recovery_phase", phase="full", after_s=round(self.phases.took, 3))
-        self.returning.look()
-
-    async def _save_for_ever(self) -> None:
+    def _load_snapshot(self) -> RecoverySnapshot | None:
+        """Return the stored snapshot without its expired parts, or None if there is none that may be used."""
+        now = time.time()
+        try:
+            stored = self._store.load(self._name, self._discovery_address, now)
+        except (SnapshotRejectedError, OSError) as error:
+            self._log("recovery_snapshot_rejected", reason=str(error))
+            return None
+        if stored is None:
+            return None
+        snapshot = discard_expired(stored, now)
+        target_list = snapshot.target_list
+        self._log(
+            "recovery_snapshot_loaded",
+            age_s=round(now - stored.saved_at, 3),
+            is_clean_shutdown=stored.is_clean_shutdown,
+            target_list_version=None if target_list is None else target_list.version,
+            latency_estimates=len(snapshot.latency_estimates),
+            token_levels=len(snapshot.token_levels),
+            peers=len(snapshot.load_baseline.peers),
+        )
+        return snapshot
+
+    def _mass_restart_detector(self, load_baseline: LoadBaseline) -> MassRestartDetector:
+        was_killed = self._snapshot is None or not self._snapshot.is_clean_shutdown
+        fleet_size = 1
+        if self._is_paced:
+            fleet_size = self._engine.settings.initiator_count
+            if load_baseline.peers:  # none are stored if it was saved before it knew any
+                fleet_size = len(load_baseline.peers) + 1
+        return MassRestartDetector(fleet_size, was_killed)
+
+    def _restore_snapshot(self, snapshot: RecoverySnapshot) -> None:
+        self.coordinator.targets_with_estimates = {
+            estimate.target_name for estimate in snapshot.latency_estimates
+        }
+        restored = self._engine.inspect_scheduler(
+            lambda scheduler, now, clock_offset: restore_state(scheduler, snapshot, now, clock_offset)
+        )
+        self._log(
+            "recovery_state_restored",
+            latency_estimates=restored.latency_estimates,
+            token_levels=restored.token_levels,
+        )
+
+    def _update_phase(self) -> None:
+        self._phase_timer = self._loop.call_later(PHASE_CHECK_INTERVAL_SECONDS, self._update_phase)
+        if self.phases.phase is RecoveryPhase.STARTING:
+            self._check_readiness()
+        counts = self._engine.counts
+        answered = counts["served"] + counts["refused"] + counts["failed"]
+        if self.phases.record_counts(self._loop.time(), answered, counts["served"], counts["attempt_full"]):
+            self._log_phase(self.phases.full_after)
+        self.coordinator.end_ramp_if_complete()
+
+    def _log_phase(self, after: float) -> None:
+        self._log("recovery_phase", phase=self.phases.phase.value, after_s=round(after, 3))
+
+    async def _save_regularly(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._config.save_every):
-                    await self._news.wait()
-            self._news.clear()
-            await self._save(closed=False)
-            await asyncio.sleep(SAVE_GAP)
-
-    def _calm(self) -> Calm:
-        """What to keep of the calm: a ramp and an outage teach nothing but who is there."""
-        before, share = self.returning.calm, self.phases.share
-        if self.phases.phase != "full" or share is None:
-            return replace(before, peers=self.returning.peers)
-        known = share if before.share is None else before.share
-        rates = self.returning.door.load.rates(self._loop.time())
-        return Calm(known + SHARE_GAIN * (share - known), rates, self.returning.peers)
-
-    async def _save(self, closed: bool) -> None:
-        paces, levels = self._engine.inspect_scheduler(remember)
-        self.returning.calm = self._calm()
-        facts = Facts(
-            self._name,
-            self._address,
-            time.time(),
-            closed,
-            self._book.listing,
-            self._heard_at,
-            paces,
-            levels,
-            self.returning.calm,
+                async with asyncio.timeout(self._config.save_interval):
+                    await self._target_list_changed.wait()
+            self._target_list_changed.clear()
+            await self._save(is_clean_shutdown=False)
+            await asyncio.sleep(MIN_SAVE_INTERVAL_SECONDS)
+
+    async def _save(self, is_clean_shutdown: bool) -> None:
+        state = self._engine.inspect_scheduler(capture_state)
+        self.coordinator.load_baseline = self._measured_load_baseline()
+        snapshot = RecoverySnapshot(
+            initiator_name=self._name,
+            discovery_address=self._discovery_address,
+            saved_at=time.time(),
+            is_clean_shutdown=is_clean_shutdown,
+            target_list=self._target_list_history.target_list,
+            target_list_confirmed_at=self._target_list_confirmed_at,
+            latency_estimates=state.latency_estimates,
+            token_levels=state.token_levels,
+            load_baseline=self.coordinator.load_baseline,
         )
         try:
-            await self._loop.run_in_executor(None, self._store.save, facts)
-        except OSError as error:  # what was kept before still stands
-            self._log("recovery_not_saved", error=str(error))
+            await self._loop.run_in_executor(None, self._store.save, snapshot)
+        except OSError as error:  # the previous snapshot is still stored
+            self._log("recovery_snapshot_save_failed", error=str(error))
+
+    def _measured_load_baseline(self) -> LoadBaseline:
+        """Return the baseline to store, of which only the peers change while service is not full."""
+        previous = self.coordinator.load_baseline
+        served_fraction = self.phases.served_fraction
+        if self.phases.phase is not RecoveryPhase.FULL or served_fraction is None:
+            return replace(previous, peers=self.coordinator.peers)
+        known_fraction = served_fraction if previous.served_fraction is None else previous.served_fraction
+        return LoadBaseline(
+            served_fraction=known_fraction + SERVED_FRACTION_GAIN * (served_fraction - known_fraction),
+            shard_rates=self.coordinator.admission_gate.load_meter.rates(self._loop.time()),
+            peers=self.coordinator.peers,
+        )
+
+
+def _is_newer(target_list: TargetList | None, other: TargetList | None) -> bool:
+    """Return whether a target list exists and is newer than another one, which may be missing."""
+    if target_list is None:
+        return False
+    return other is None or other.version < target_list.version
--- a/stalltiller/recovery/__init__.py
+++ b/stalltiller/recovery/__init__.py
@@ -1,54 +1,66 @@
-"""Coming back: what an instance keeps of its last life, what it may still believe of it, and how it returns.
+"""Recovery after a restart: what an initiator keeps, what of it may still be used, and how it ramps up.
 
-`facts` decides what is good, without I/O; `memory` takes facts from the decisions and gives them back;
-`Store` keeps them on a disk that lasts.  `herd`, `ramp` and `returns` pace the return of many together,
-`word` is what peers tell one that comes back, `phases` how far it is.
+- `snapshot` (with `snapshot_codec`, `store` and `target_list_history`): the state kept across a restart.
+- `scheduler_state`: captures the scheduler's learnt state and restores it.
+- `mass_restart`, `poll_schedule`, `recovery_ramp`, `retry_reservations`, `shard_load`: pace the calls to
+  discovery and the admission of requests when many members of a fleet restart together.
+- `peer_state` (with `peer_state_codec` and `peer_state_filter`): what peers tell a restarted initiator.
+- `phases`: how far the recovery is.
+
+Only `store` does I/O; `daemon.recovery_service` and `daemon.recovery_coordinator` connect these modules to
+the event loop, the fleet and the engine.
 """
 
-from stalltiller.recovery.mass_restart import Herd, Turns, View
-from stalltiller.recovery.peer_state import Ask, Caution, Change, Word
-from stalltiller.recovery.phases import Phases
-from stalltiller.recovery.recovery_ramp import Ramp
-from stalltiller.recovery.retry_reservations import Returns
-from stalltiller.recovery.scheduler_state import recall, remember
-from stalltiller.recovery.shard_load import Load
+from stalltiller.recovery.mass_restart import FleetView, MassRestartDetector
+from stalltiller.recovery.peer_state import PeerState, PeerStateRequest, TargetChange
+from stalltiller.recovery.peer_state_filter import PeerStateFilter
+from stalltiller.recovery.phases import RecoveryPhase, RecoveryPhaseTracker
+from stalltiller.recovery.poll_schedule import PollSchedule
+from stalltiller.recovery.recovery_ramp import RecoveryRamp
+from stalltiller.recovery.retry_reservations import RetryReservations
+from stalltiller.recovery.scheduler_state import capture_state, restore_state
+from stalltiller.recovery.shard_load import ShardLoadMeter
 from stalltiller.recovery.snapshot import (
-    Book,
-    Calm,
-    Facts,
-    Level,
-    Pace,
-    Refused,
-    decode,
-    encode,
-    start_level,
-    usable,
+    LoadBaseline,
+    PeerAddress,
+    RecoverySnapshot,
+    SnapshotRejectedError,
+    SnapshotRejectionReason,
+    TargetLatencyEstimate,
+    VolumeTokenLevel,
+    discard_expired,
+    initial_token_level,
 )
-from stalltiller.recovery.store import Store
+from stalltiller.recovery.snapshot_codec import decode_snapshot, encode_snapshot
+from stalltiller.recovery.store import SnapshotStore
+from stalltiller.recovery.target_list_history import TargetListHistory
 
 __all__ = [
-    "Ask",
-    "Book",
-    "Calm",
-    "Caution",
-    "Change",
-    "Facts",
-    "Herd",
-    "Level",
-    "Load",
-    "Pace",
-    "Phases",
-    "Ramp",
-    "Refused",
-    "Returns",
-    "Store",
-    "Turns",
-    "View",
-    "Word",
-    "decode",
-    "encode",
-    "recall",
-    "remember",
-    "start_level",
-    "usable",
+    "FleetView",
+    "LoadBaseline",
+    "MassRestartDetector",
+    "PeerAddress",
+    "PeerState",
+    "PeerStateFilter",
+    "PeerStateRequest",
+    "PollSchedule",
+    "RecoveryPhase",
+    "RecoveryPhaseTracker",
+    "RecoveryRamp",
+    "RecoverySnapshot",
+    "RetryReservations",
+    "ShardLoadMeter",
+    "SnapshotRejectedError",
+    "SnapshotRejectionReason",
+    "SnapshotStore",
+    "TargetChange",
+    "TargetLatencyEstimate",
+    "TargetListHistory",
+    "VolumeTokenLevel",
+    "capture_state",
+    "decode_snapshot",
+    "discard_expired",
+    "encode_snapshot",
+    "initial_token_level",
+    "restore_state",
 ]
--- a/stalltiller/recovery/phases.py
+++ b/stalltiller/recovery/phases.py
@@ -1,66 +1,94 @@
-"""How far an instance is back, and how long that took.  Pure."""
+"""Tracks how far an initiator has recovered after its start, and how long that took.  Pure."""
 
 from __future__ import annotations
 
 from collections import deque
+from enum import StrEnum
+from typing import NamedTuple
 
-FULL_SHARE = 0.95  # of what the same load got before
-FULL_FOR = 2.0  # s for which it has to hold
-WINDOW = 1.0  # s over which answers are counted
+FULL_SERVICE_FRACTION = 0.95  # of the fraction that the same load got before the restart
+FULL_SERVICE_SECONDS = 2.0  # for which that has to hold
+COUNT_WINDOW_SECONDS = 1.0  # over which answers are counted
 
 
-class Phases:
-    """`starting` until it can serve, `ramping` until it serves in full, then `full`.
+class RecoveryPhase(StrEnum):
+    """How far an initiator has recovered."""
 
-    Full: for FULL_FOR seconds at least FULL_SHARE of the requests answered in each WINDOW were served, or of
-    the part that the same load got before, if that is known (`before`), and no target turned any away for
-    being full.
-    """
+    STARTING = "starting"  # it can't serve yet
+    RAMPING = "ramping"  # it serves, but less than before the restart
+    FULL = "full"  # it serves as before the restart
+
+
+class _CountSample(NamedTuple):
+    """Requests answered and served since the start, at a time."""
+
+    at: float
+    answered: int
+    served: int
+
+
+class RecoveryPhaseTracker:
+    """The recovery phase of one process; times are seconds on one monotonic clock.
 
-    def __init__(self, now: float, before: float | None = None) -> None:
-        self.began, self.phase, self.took = now, "starting", 0.0
-        self._before = before
-        self._counts: deque[tuple[float, int, int]] = deque()  # when, answered and served so far
-        self._turned_away = 0
-        self._good_since: float | None = None
+    Service is full once for FULL_SERVICE_SECONDS at least FULL_SERVICE_FRACTION of the requests answered in
+    each COUNT_WINDOW_SECONDS were served, and no target rejected any for being full.  If the fraction that
+    the same load got before is known (`previous_served_fraction`), it is measured against that.
+    """
 
-    def learn(self, before: float | None) -> None:
-        """What a peer's load got before, where nothing is known of this one's."""
-        if self._before is None:
-            self._before = before
+    def __init__(self, now: float, previous_served_fraction: float | None = None) -> None:
+        self.started_at = now
+        self.phase = RecoveryPhase.STARTING
+        self.full_after = 0.0  # seconds from the start until service was full; 0 before
+        self._previous_served_fraction = previous_served_fraction
+        self._samples: deque[_CountSample] = deque()
+        self._rejected_by_targets = 0
+        self._sufficient_since: float | None = None
 
     @property
-    def _wanted(self) -> float:
-        return FULL_SHARE * (1.0 if self._before is None else min(1.0, self._before))
+    def served_fraction(self) -> float | None:
+        """The fraction of the requests answered in the last window that was served, or None if none was."""
+        if len(self._samples) < 2:
+            return None
+        oldest = self._samples[0]
+        newest = self._samples[-1]
+        if newest.answered == oldest.answered:
+            return None
+        return (newest.served - oldest.served) / (newest.answered - oldest.answered)
 
-    def ready(self, now: float) -> bool:
-        """It can serve from now on; whether that is news."""
-        if self.phase != "starting":
+    def set_default_served_fraction(self, served_fraction: float | None) -> None:
+        """Use what a peer's load got before, where nothing is known of this initiator's load."""
+        if self._previous_served_fraction is None:
+            self._previous_served_fraction = served_fraction
+
+    def mark_ready(self) -> bool:
+        """Note that the initiator can serve from now on, and return whether it could not before."""
+        if self.phase is not RecoveryPhase.STARTING:
             return False
-        self.phase = "ramping"
+        self.phase = RecoveryPhase.RAMPING
         return True
 
-    def counted(self, now: float, answered: int, served: int, turned_away: int = 0) -> bool:
-        """Counts since the start, told every now and then; whether it is full just now for the first time."""
-        self._counts.append((now, answered, served))
-        while len(self._counts) > 1 and self._counts[1][0] <= now - WINDOW:
-            self._counts.popleft()
-        if self.phase != "ramping":
+    def record_counts(self, now: float, answered: int, served: int, rejected_by_targets: int = 0) -> bool:
+        """Record the counts of requests since the start; return whether service has just become full."""
+        self._samples.append(_CountSample(now, answered, served))
+        while len(self._samples) > 1 and self._samples[1].at <= now - COUNT_WINDOW_SECONDS:
+            self._samples.popleft()
+        if self.phase is not RecoveryPhase.RAMPING:
             return False
-        at, before, good = self._counts[0]
-        full, self._turned_away = turned_away > self._turned_away, turned_away
-        if full or answered == before or served - good < self._wanted * (answered - before):
-            self._good_since = None
-        elif self._good_since is None:
-            self._good_since = at
-        elif now - self._good_since >= FULL_FOR + WINDOW:
-            self.phase, self.took = "full", self._good_since + WINDOW - self.began
+        oldest = self._samples[0]
+        was_rejected = rejected_by_targets > self._rejected_by_targets
+        self._rejected_by_targets = rejected_by_targets
+        required = self._required_fraction() * (answered - oldest.answered)
+        if was_rejected or answered == oldest.answered or served - oldest.served < required:
+            self._sufficient_since = None
+        elif self._sufficient_since is None:
+            self._sufficient_since = oldest.at
+        elif now - self._sufficient_since >= FULL_SERVICE_SECONDS + COUNT_WINDOW_SECONDS:
+            self.phase = RecoveryPhase.FULL
+            self.full_after = self._sufficient_since + COUNT_WINDOW_SECONDS - self.started_at
             return True
         return False
 
-    @property
-    def share(self) -> float | None:
-        """The part of the requests answered in the last WINDOW that was served."""
-        if len(self._counts) < 2 or self._counts[-1][1] == self._counts[0][1]:
-            return None
-        return (self._counts[-1][2] - self._counts[0][2]) / (self._counts[-1][1] - self._counts[0][1])
+    def _required_fraction(self) -> float:
+        if self._previous_served_fraction is None:
+            return FULL_SERVICE_FRACTION
+        return FULL_SERVICE_FRACTION * min(1.0, self._previous_served_fraction)
--- a/stalltiller/recovery/retry_reservations.py
+++ b/stalltiller/recovery/retry_reservations.py
@@ -1,6 +1,7 @@
-"""Times to come back that clients were told: who comes then passes first.  Pure, bounded.
+"""Reservations for rejected clients that were told when to retry.  Pure and bounded.
 
-A client is known by what it asks for (volume, class, piece of data): its next try has another request id.
+A client is identified by what it asks for (volume, class, idempotency key), since its retry carries another
+request id.
 """
 
 from __future__ import annotations
@@ -9,53 +10,61 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-EARLY, LATE = 0.03, 0.25  # s by which a client may miss its time: ways, timers, a busy client
-MOST = 8192  # kept at once: past it nobody is told a time that is kept
+# A client may miss its time by these, for the network's delay, its timers and its own load.
+EARLY_TOLERANCE_SECONDS = 0.03
+LATE_TOLERANCE_SECONDS = 0.25
+MAX_RESERVATIONS = 8192  # bounds the memory; further clients get no reservation
 
 
 @dataclass(slots=True, frozen=True)
-class Booking:
-    """Units of a cell set aside for who returns at a time."""
+class RetryReservation:
+    """Units of a shard that are reserved for a client's retry at the time `retry_at`."""
 
-    due: float
-    cell: int | None
+    retry_at: float
+    shard: int | None
     units: float
 
 
-class Returns:
-    """What is set aside, by client."""
+class RetryReservations:
+    """The pending reservations by client."""
 
     def __init__(self) -> None:
-        self._booked: dict[object, Booking] = {}
-        self._order: list[tuple[float, int, object]] = []  # by time; what has been used is still in it
-        self._count = 0
+        self._reservations: dict[object, RetryReservation] = {}
+        # A heap of time, sequence number and client; claimed reservations stay in it until they expire.
+        self._expiry_queue: list[tuple[float, int, object]] = []
+        self._sequence_number = 0
 
     def __len__(self) -> int:
-        return len(self._booked)
+        return len(self._reservations)
 
-    def book(self, now: float, client: object, due: float, cell: int | None, units: float) -> bool:
-        """Set units aside for a client that is told to return at a time; False if it has some already, or if
-        too many have."""
-        if client in self._booked or len(self._order) >= MOST:
+    def reserve(self, client: object, retry_at: float, shard: int | None, units: float) -> bool:
+        """Reserve units for a client's retry.
+
+        Returns False if the client has a reservation already, or if there are too many.
+        """
+        if client in self._reservations or len(self._expiry_queue) >= MAX_RESERVATIONS:
             return False
-        self._booked[client] = Booking(due, cell, units)
-        self._count += 1
-        heapq.heappush(self._order, (due, self._count, client))
+        self._reservations[client] = RetryReservation(retry_at, shard, units)
+        self._sequence_number += 1
+        heapq.heappush(self._expiry_queue, (retry_at, self._sequence_number, client))
         return True
 
-    def due(self, now: float, client: object, cell: int | None) -> Booking | None:
-        """What is set aside for a client that asks at the time it was told, for the cell it asked for then;
-        it has it once."""
-        booking = self._booked.get(client)
-        if booking is None or booking.cell != cell or not booking.due - EARLY <= now <= booking.due + LATE:
+    def claim(self, now: float, client: object, shard: int | None) -> RetryReservation | None:
+        """Remove and return the reservation of a client that retries in time and for the same shard."""
+        reservation = self._reservations.get(client)
+        if reservation is None or reservation.shard != shard:
+            return None
+        earliest = reservation.retry_at - EARLY_TOLERANCE_SECONDS
+        latest = reservation.retry_at + LATE_TOLERANCE_SECONDS
+        if not earliest <= now <= latest:
             return None
-        return self._booked.pop(client)
-
-    def lapsed(self, now: float) -> Iterator[Booking]:
-        """Take out what nobody came for in time."""
-        while self._order and self._order[0][0] + LATE < now:
-            due, _, client = heapq.heappop(self._order)
-            booking = self._booked.get(client)
-            if booking is not None and booking.due == due:
-                del self._booked[client]
-                yield booking
+        return self._reservations.pop(client)
+
+    def pop_expired(self, now: float) -> Iterator[RetryReservation]:
+        """Remove and yield the reservations that no client claimed in time."""
+        while self._expiry_queue and self._expiry_queue[0][0] + LATE_TOLERANCE_SECONDS < now:
+            retry_at, _sequence_number, client = heapq.heappop(self._expiry_queue)
+            reservation = self._reservations.get(client)
+            if reservation is not None and reservation.retry_at == retry_at:
+                del self._reservations[client]
+                yield reservation
--- a/stalltiller/recovery/scheduler_state.py
+++ b/stalltiller/recovery/scheduler_state.py
@@ -1,52 +1,121 @@
-"""Takes facts out of the decisions and gives them back to those of the next life.  No I/O."""
+"""Captures the scheduler's learnt state for a snapshot, and restores it after a restart.  No I/O."""
 
 from __future__ import annotations
 
-from stalltiller.recovery.snapshot import Facts, Level, Pace, start_level
+from typing import NamedTuple, cast
+
+from stalltiller.recovery.snapshot import (
+    RecoverySnapshot,
+    TargetLatencyEstimate,
+    VolumeTokenLevel,
+    initial_token_level,
+)
 from stalltiller.scheduling.scheduler import Scheduler, TargetState, Volume
 
-SAME_START = 0.05  # s by which a target's start may seem to differ: each life reads the clocks anew
+START_TIME_TOLERANCE_SECONDS = 0.05  # each process reads the wall clock and the monotonic clock anew
+MAX_PLAUSIBLE_LATENCY_SECONDS = 60.0  # no request lives that long
+
+
+class SchedulerState(NamedTuple):
+    """The learnt state of a scheduler."""
+
+    latency_estimates: tuple[TargetLatencyEstimate, ...]
+    token_levels: tuple[VolumeTokenLevel, ...]
+
+
+class RestoredCounts(NamedTuple):
+    """How many entries of each kind a scheduler accepted."""
 
+    latency_estimates: int
+    token_levels: int
 
-def _unix(node: TargetState, wall: float) -> float | None:
-    """A target's own start."""
-    return None if node.target.started_at is None else node.target.started_at + wall
 
+def capture_state(scheduler: Scheduler, now: float, clock_offset: float) -> SchedulerState:
+    """Return the estimates for all targets and the token levels of all limited volumes.
 
-def remember(scheduler: Scheduler, now: float, wall: float) -> tuple[tuple[Pace, ...], tuple[Level, ...]]:
-    """Paces of targets and levels of limited volumes at `now` on the scheduler's clock; `wall` is the Unix
-    time of its zero."""
-    paces = tuple(
-        Pace(str(name), _unix(node, wall), node.latency, node.concurrency_limit, wall + node.sent_at)
-        for name, node in scheduler.targets.items()
+    `now` is a time on the scheduler's clock, and `clock_offset` the Unix time of that clock's zero.
+    """
+    estimates = tuple(
+        TargetLatencyEstimate(
+            target_name=str(target_id),
+            target_started_at=_unix_start_time(state, clock_offset),
+            latency=state.latency,
+            concurrency_limit=state.concurrency_limit,
+            measured_at=clock_offset + state.sent_at,
+        )
+        for target_id, state in scheduler.targets.items()
     )
-    levels = []
-    for name, volume in scheduler.volumes.items():
+    token_levels = []
+    for volume_id, volume in scheduler.volumes.items():
         if volume.plan.limit > 0:
-            part = volume.plan.limit / volume.initiator_count
-            level = volume.limit.refill(now, part, volume.plan.burst / volume.initiator_count)
-            levels.append(Level(name, volume.plan.name, volume.initiator_count, level, wall + now))
-    return paces, tuple(levels)
-
-
-def recall(scheduler: Scheduler, facts: Facts, now: float, wall: float) -> dict[str, int]:
-    """Give usable facts to a scheduler that knows its targets; how many of each kind it took."""
-    taken = {"paces": 0, "levels": 0}
-    for pace in facts.paces:
-        node = scheduler.targets.get(pace.target)
-        if node is None or not 0.0 < pace.latency < 60.0 or not pace.window > 0.0:
+            rate = volume.plan.limit / volume.initiator_count
+            units = volume.limit.refill(now, rate, volume.plan.burst / volume.initiator_count)
+            token_levels.append(
+                VolumeTokenLevel(
+                    volume_id, volume.plan.name, volume.initiator_count, units, clock_offset + now
+                )
+            )
+    return SchedulerState(estimates, tuple(token_levels))
+
+
+def restore_state(
+    scheduler: Scheduler, snapshot: RecoverySnapshot, now: float, clock_offset: float
+) -> RestoredCounts:
+    """Give a scheduler that knows its targets the state of a snapshot without expired parts.
+
+    The times are those of `capture_state`.  Returns how many entries were accepted.
+    """
+    return RestoredCounts(
+        _restore_estimates(scheduler, snapshot.latency_estimates, clock_offset),
+        _restore_token_levels(scheduler, snapshot.token_levels, now, clock_offset),
+    )
+
+
+def _unix_start_time(state: TargetState, clock_offset: float) -> float | None:
+    if state.target.started_at is None:
+        return None
+    return state.target.started_at + clock_offset
+
+
+def _restore_estimates(
+    scheduler: Scheduler, estimates: tuple[TargetLatencyEstimate, ...], clock_offset: float
+) -> int:
+    states = cast("dict[str, TargetState]", scheduler.targets)  # the daemon identifies targets by name
+    restored = 0
+    for estimate in estimates:
+        state = states.get(estimate.target_name)
+        if state is None or not _is_plausible(estimate):
             continue
-        started = _unix(node, wall)
-        if started == pace.since or (started and pace.since and abs(started - pace.since) < SAME_START):
-            node.latency = pace.latency
-            node.concurrency_limit = min(pace.window, node.concurrency_limit)
-            taken["paces"] += 1
+        if _is_same_start(_unix_start_time(state, clock_offset), estimate.target_started_at):
+            state.latency = estimate.latency
+            state.concurrency_limit = min(estimate.concurrency_limit, state.concurrency_limit)
+            restored += 1
+    return restored
+
+
+def _is_plausible(estimate: TargetLatencyEstimate) -> bool:
+    return 0.0 < estimate.latency < MAX_PLAUSIBLE_LATENCY_SECONDS and estimate.concurrency_limit > 0.0
+
+
+def _is_same_start(first: float | None, second: float | None) -> bool:
+    if first == second:
+        return True
+    return bool(first and second and abs(first - second) < START_TIME_TOLERANCE_SECONDS)
+
+
+def _restore_token_levels(
+    scheduler: Scheduler, levels: tuple[VolumeTokenLevel, ...], now: float, clock_offset: float
+) -> int:
     plans = {plan.name: plan for plan in scheduler.settings.plans}
-    for level in facts.levels:
-        plan = plans.get(level.plan)
-        if plan is None or plan.limit <= 0 or level.hosts < 1 or level.volume in scheduler.volumes:
+    restored = 0
+    for level in levels:
+        plan = plans.get(level.plan_name)
+        if plan is None or plan.limit <= 0 or level.initiator_count < 1:
+            continue
+        if level.volume in scheduler.volumes:
             continue
-        volume = scheduler.volumes[level.volume] = Volume(plan, level.hosts, now)
-        volume.limit.level = start_level(level, plan, now + wall)
-        taken["levels"] += 1
-    return taken
+        volume = Volume(plan, level.initiator_count, now)
+        volume.limit.level = initial_token_level(level, plan, now + clock_offset)
+        scheduler.volumes[level.volume] = volume
+        restored += 1
+    return restored
--- a/stalltiller/recovery/shard_load.py
+++ b/stalltiller/recovery/shard_load.py
@@ -1,33 +1,45 @@
-"""What an instance sends in the calm, by cell.  Pure, bounded."""
+"""Measures the load that clients ask of each shard through this initiator.  Pure and bounded."""
 
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 
-SPAN = 10.0  # s: half of what was sent so long ago counts
-MOST_CELLS = 4096
-LEAST = 0.01  # units a second: less is not told
+HALF_LIFE_SECONDS = 10.0  # units asked for so long ago count half
+MAX_SHARDS = 4096  # clients name shards freely, so their number has to be bounded
+MIN_REPORTED_RATE = 0.01  # units per second; lower rates are left out
+MIN_ELAPSED_SECONDS = 1e-3  # guards the division right after the start
 
 
-class Load:
-    """Units a second asked of each cell through this instance."""
+@dataclass(slots=True, frozen=True)
+class _DecayedSum:
+    total: float
+    updated_at: float
+
+    def total_at(self, now: float) -> float:
+        return self.total * 0.5 ** ((now - self.updated_at) / HALF_LIFE_SECONDS)
+
+
+class ShardLoadMeter:
+    """Units per second asked of each shard, as an exponentially decayed mean; times in seconds."""
 
     def __init__(self, now: float) -> None:
-        self._began, self._sums = now, {}  # by cell: decayed sum of units, and when
+        self._started_at = now
+        self._sums: dict[int | None, _DecayedSum] = {}
 
-    def add(self, now: float, cell: int | None, units: float) -> None:
-        """Count a request."""
-        found = self._sums.get(cell)
-        if found is None and len(self._sums) >= MOST_CELLS:
+    def add(self, now: float, shard: int | None, units: float) -> None:
+        """Count a request for a shard (None: new data, for any shard)."""
+        previous = self._sums.get(shard)
+        if previous is None and len(self._sums) >= MAX_SHARDS:
             return
-        total, at = found or (0.0, now)
-        self._sums[cell] = total * 0.5 ** ((now - at) / SPAN) + units, now
+        if previous is None:
+            previous = _DecayedSum(0.0, now)
+        self._sums[shard] = _DecayedSum(previous.total_at(now) + units, now)
 
     def rates(self, now: float) -> tuple[tuple[int | None, float], ...]:
-        """Units a second by cell; exact for a steady stream however short the time counted."""
-        lived = max(1e-3, now - self._began)
-        whole = SPAN / math.log(2) * (1.0 - 0.5 ** (lived / SPAN))  # the sum of a stream of one unit a second
-        found = (
-            (cell, total * 0.5 ** ((now - at) / SPAN) / whole) for cell, (total, at) in self._sums.items()
-        )
-        return tuple((cell, rate) for cell, rate in found if rate >= LEAST)
+        """Return the units per second by shard; exact for a steady stream however short the time measured."""
+        elapsed = max(MIN_ELAPSED_SECONDS, now - self._started_at)
+        # The decayed sum of a stream of one unit per second over that time.
+        unit_sum = HALF_LIFE_SECONDS / math.log(2) * (1.0 - 0.5 ** (elapsed / HALF_LIFE_SECONDS))
+        rates = ((shard, decayed.total_at(now) / unit_sum) for shard, decayed in self._sums.items())
+        return tuple((shard, rate) for shard, rate in rates if rate >= MIN_REPORTED_RATE)
--- a/stalltiller/recovery/store.py
+++ b/stalltiller/recovery/store.py
@@ -1,4 +1,4 @@
-"""Keeps facts on a disk that lasts, in an embedded store."""
+"""Stores recovery snapshots on a durable disk, in an embedded LMDB database."""
 
 from __future__ import annotations
 
@@ -6,42 +6,52 @@
 
 import lmdb
 
-from stalltiller.recovery.snapshot import MOST_BYTES, Facts, decode, encode
+from stalltiller.recovery.snapshot import RecoverySnapshot
+from stalltiller.recovery.snapshot_codec import MAX_SNAPSHOT_BYTES, decode_snapshot, encode_snapshot
 
-KEY = b"facts"
-MAP_SIZE = 16 * MOST_BYTES
+SNAPSHOT_KEY = b"facts"
+MAP_SIZE_BYTES = 16 * MAX_SNAPSHOT_BYTES  # LMDB copies on write: room for several snapshots
 
 
-class Store:
-    """One folder, one instance.  Each `save` replaces the facts in one step that is on disk when it returns.
+class SnapshotStore:
+    """The snapshot of one initiator in one folder.
 
-    Both calls may block on the disk: off the request path, call them from another thread.
+    Each `save` replaces the snapshot in one transaction that is on the disk when it returns.  `load` and
+    `save` may block on the disk, so that they must be called from another thread than that of the event loop
+    wherever requests are served.
     """
 
     def __init__(self, folder: str) -> None:
-        """Open or make it; raises OSError."""
+        """Open the store, or create it.  Raises OSError."""
         try:
             Path(folder).mkdir(parents=True, exist_ok=True)
-            self._env = lmdb.open(folder, map_size=MAP_SIZE, max_dbs=0)
+            self._environment = lmdb.open(folder, map_size=MAP_SIZE_BYTES, max_dbs=0)
         except lmdb.Error as error:
             raise OSError(f"{folder}: {error}") from error
 
-    def load(self, name: str, address: str, now: float) -> Facts | None:
-        """The facts kept, None if there are none; raises Refused if they must not be used."""
+    def load(self, initiator_name: str, discovery_address: str, now: float) -> RecoverySnapshot | None:
+        """Return the stored snapshot, or None if there is none.
+
+        Raises SnapshotRejectedError if the snapshot must not be used at the Unix time `now`, and OSError if
+        it can't be read.
+        """
         try:
-            with self._env.begin() as transaction:
-                data = transaction.get(KEY)
+            with self._environment.begin() as transaction:
+                data = transaction.get(SNAPSHOT_KEY)
         except lmdb.Error as error:
             raise OSError(str(error)) from error
-        return None if data is None else decode(bytes(data), name, address, now)
+        if data is None:
+            return None
+        return decode_snapshot(bytes(data), initiator_name, discovery_address, now)
 
-    def save(self, facts: Facts) -> None:
-        """Keep facts; raises OSError, and then what was kept before still stands."""
+    def save(self, snapshot: RecoverySnapshot) -> None:
+        """Store a snapshot.  Raises OSError, in which case the previous snapshot is still stored."""
         try:
-            with self._env.begin(write=True) as transaction:
-                transaction.put(KEY, encode(facts))
+            with self._environment.begin(write=True) as transaction:
+                transaction.put(SNAPSHOT_KEY, encode_snapshot(snapshot))
         except lmdb.Error as error:
             raise OSError(str(error)) from error
 
     def close(self) -> None:
-        self._env.close()
+        """Close the database."""
+        self._environment.close()
--- a/tests/fleet/test_mass_restart.py
+++ b/tests/fleet/test_mass_restart.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from stalltiller.daemon.recovery_coordinator import CONFIRM
-from stalltiller.recovery import Store
+from stalltiller.daemon.recovery_coordinator import MAX_CONFIRMATION_WAIT_SECONDS
+from stalltiller.recovery import SnapshotStore
 from tests.fleet.rig import Rig, patient, play, read
 
 FOUR = [f"m{n}" for n in range(4)]
@@ -21,11 +21,11 @@
     """Wait until all have the newest list on their disks."""
 
     def kept(name: str) -> bool:
-        store = Store(str(rig[name].store))
+        store = SnapshotStore(str(rig[name].store))
         try:
             facts = store.load(name, f"127.0.0.1:{rig.discovery.port}", time.time())
-            listing = facts and facts.listing
-            return listing is not None and listing.index == rig.discovery.index
+            listing = facts and facts.target_list
+            return listing is not None and listing.version == rig.discovery.index
         finally:
             store.close()
 
@@ -72,7 +72,9 @@
         rig.discovery.close()
         await restart(rig)
         assert good([await patient(rig[name].listen, 1) for name in FOUR])
-        await rig.until(lambda: all(rig[name].said("recovery_loaded") for name in FOUR), "all say so")
+        await rig.until(
+            lambda: all(rig[name].said("recovery_snapshot_loaded") for name in FOUR), "all say so"
+        )
 
     play(scene, 4, tmp_path, keep="true")
 
@@ -110,7 +112,7 @@
         rig.discovery.calls.clear()
         await asyncio.gather(*(rig[name].start() for name in FOUR))
         await rig.until(lambda: len(rig.discovery.calls) >= 6, "all have asked, two of them twice")
-        assert [len(rig[name].said("recovery_refused")) for name in FOUR] == [1, 1, 0, 0]
+        assert [len(rig[name].said("recovery_snapshot_rejected")) for name in FOUR] == [1, 1, 0, 0]
         assert sum("after=" not in call for call in rig.discovery.calls) == 2
         await rig.agreed()
         assert good([await patient(rig[name].listen, 1) for name in FOUR])
@@ -135,7 +137,9 @@
         sent = len(rig.targets[1].begun)
         await start(rig, back)
         await ready(rig, back)
-        assert all(rig[name].said("recovery_heeded")[0]["withheld"] == ["s-1"] for name in back)
+        assert all(
+            rig[name].said("recovery_peer_state_applied")[0]["withheld_targets"] == ["s-1"] for name in back
+        )
         told = [await patient(rig[name].listen, 1, shard=1) for name in back]
         assert all(each[-1] > 0 for each in told)  # refused, with advice
         assert len(rig.targets[1].begun) == sent
@@ -175,9 +179,9 @@
         await end(rig, FOUR)
         rig.discovery.close()
         for name in FOUR:
-            store, now = Store(str(rig[name].store)), time.time()
+            store, now = SnapshotStore(str(rig[name].store)), time.time()
             facts = store.load(name, f"127.0.0.1:{rig.discovery.port}", now)
-            store.save(replace(facts, saved_at=now - age, heard_at=now - age))
+            store.save(replace(facts, saved_at=now - age, target_list_confirmed_at=now - age))
             store.close()
         await start(rig, FOUR)
         if waits:
@@ -186,7 +190,9 @@
             await rig.discovery.open()
         await ready(rig, FOUR)
         assert good([await patient(rig[name].listen, 1) for name in FOUR])
-        assert waits or all(rig[name].said("recovery_phase")[0]["after_s"] >= CONFIRM for name in FOUR)
+        assert waits or all(
+            rig[name].said("recovery_phase")[0]["after_s"] >= MAX_CONFIRMATION_WAIT_SECONDS for name in FOUR
+        )
 
     play(scene, 4, tmp_path, keep="true")
 
@@ -211,7 +217,9 @@
         rig.discovery.times.clear()
         await rig.discovery.open()
         assert good(await asyncio.gather(*reads))
-        await rig.until(lambda: all(rig[name].said("recovery_door") for name in names), "all doors are open")
+        await rig.until(
+            lambda: all(rig[name].said("recovery_ramp_ended") for name in names), "all doors are open"
+        )
         await rig.until(lambda: all(rig[name].said("list") for name in names), "all have heard")
         times = rig.discovery.times
         assert max(sum(at - 1.0 < other <= at for other in times) for at in times) <= 4
@@ -233,9 +241,9 @@
             number += 16
             await end(rig, [name], signal.SIGTERM)
             await start(rig, [name])
-            assert rig[name].said("recovery_loaded")[0]["closed"]
+            assert rig[name].said("recovery_snapshot_loaded")[0]["is_clean_shutdown"]
         assert good(await asyncio.gather(*reads))
-        assert not any(rig[name].said("recovery_door") or rig[name].said("fault") for name in FOUR)
+        assert not any(rig[name].said("recovery_ramp_ended") or rig[name].said("fault") for name in FOUR)
 
     play(scene, 4, tmp_path, keep="true")
 
@@ -248,8 +256,8 @@
         await restart(rig)
         told = await asyncio.gather(*(patient(rig["m0"].listen, n, 6.0, shard=n % 2) for n in range(40)))
         assert good(told) and len({wait for each in told for wait in each if wait > 0}) > 20  # no step
-        await rig.until(lambda: bool(rig["m0"].said("recovery_door")), "its door is open")
-        counts = rig["m0"].said("recovery_door")[0]
+        await rig.until(lambda: bool(rig["m0"].said("recovery_ramp_ended")), "its door is open")
+        counts = rig["m0"].said("recovery_ramp_ended")[0]
         assert counts["returned"] >= 0.8 * counts["booked"] > 0
 
     play(scene, 4, tmp_path, keep="true")
@@ -275,6 +283,6 @@
         took = time.monotonic() - began
         ran = len(rig.targets[0].ran)
         assert served <= ran <= 27 * took + 44
-        assert rig["m0"].said("recovery_recalled")[0]["levels"] == 1
+        assert rig["m0"].said("recovery_state_restored")[0]["token_levels"] == 1
 
     play(scene, 4, tmp_path, keep="true")
--- a/tests/test_recovery_coordinator.py
+++ b/tests/test_recovery_coordinator.py
@@ -13,24 +13,30 @@
 
 from stalltiller.protocol import discovery
 from stalltiller.recovery import (
-    Ask,
-    Book,
-    Calm,
-    Caution,
-    Change,
-    Herd,
-    Load,
-    Pace,
-    Ramp,
-    Returns,
-    Turns,
-    View,
-    Word,
+    FleetView,
+    LoadBaseline,
+    MassRestartDetector,
+    PeerState,
+    PeerStateFilter,
+    PeerStateRequest,
+    PollSchedule,
+    RecoveryRamp,
+    RetryReservations,
+    ShardLoadMeter,
+    TargetChange,
+    TargetLatencyEstimate,
+    TargetListHistory,
 )
-from stalltiller.recovery.mass_restart import GATHER, PEAK
-from stalltiller.recovery.peer_state import Malformed, decode, encode
-from stalltiller.recovery.recovery_ramp import BLIND_TIME, LONGEST, QUIET, RAMP_TIME
-from stalltiller.recovery.retry_reservations import LATE, MOST
+from stalltiller.recovery.mass_restart import PEER_CONTACT_SECONDS
+from stalltiller.recovery.peer_state_codec import MalformedPeerStateError, decode_message, encode_message
+from stalltiller.recovery.poll_schedule import PEAK_CALL_RATE_FACTOR
+from stalltiller.recovery.recovery_ramp import (
+    DEFAULT_RATE_RAMP_SECONDS,
+    MAX_RAMP_SECONDS,
+    NO_REJECTION_SECONDS,
+    RAMP_SECONDS,
+)
+from stalltiller.recovery.retry_reservations import LATE_TOLERANCE_SECONDS, MAX_RESERVATIONS
 from stalltiller.scheduling import TargetStatus
 
 READY, DRAINING, GONE = TargetStatus.READY, TargetStatus.DRAINING, TargetStatus.REMOVED
@@ -41,45 +47,49 @@
 @pytest.mark.parametrize(
     ("last_size", "killed", "view", "age", "herd"),
     [
-        (40, True, View(), 0.0, True),
-        (40, True, View(), 60.0, True),  # hears nobody: it may be one of forty
-        (40, False, View(), 0.0, False),
-        (1, True, View(), 0.0, False),  # ended in order; always alone
-        (40, True, View(40, 3, 1), GATHER, False),
-        (40, True, View(40, 3, 7), GATHER, False),  # nobody else
-        (40, True, View(40, 3, 8), GATHER, True),
-        (40, False, View(40, 3, 28), 0.0, True),
-        (40, True, View(12, 3, 1), 0.5 * GATHER, True),  # too soon to say
-        (5, True, View(5, 0, 1), GATHER, False),
-        (5, True, View(5, 0, 2), GATHER, True),
+        (40, True, FleetView(), 0.0, True),
+        (40, True, FleetView(), 60.0, True),  # hears nobody: it may be one of forty
+        (40, False, FleetView(), 0.0, False),
+        (1, True, FleetView(), 0.0, False),  # ended in order; always alone
+        (40, True, FleetView(40, 3, 1), PEER_CONTACT_SECONDS, False),
+        (40, True, FleetView(40, 3, 7), PEER_CONTACT_SECONDS, False),  # nobody else
+        (40, True, FleetView(40, 3, 8), PEER_CONTACT_SECONDS, True),
+        (40, False, FleetView(40, 3, 28), 0.0, True),
+        (40, True, FleetView(12, 3, 1), 0.5 * PEER_CONTACT_SECONDS, True),  # too soon to say
+        (5, True, FleetView(5, 0, 1), PEER_CONTACT_SECONDS, False),
+        (5, True, FleetView(5, 0, 2), PEER_CONTACT_SECONDS, True),
     ],
 )
 def test_who_comes_back_with_many_takes_itself_for_one_of_a_herd(last_size, killed, view, age, herd):
-    assert Herd(last_size, killed).verdict(view, age) is herd
-    assert Herd(last_size, killed).size(view) == (view.size if view.size > 1 else last_size)
+    assert MassRestartDetector(last_size, killed).is_mass_restart(view, age) is herd
+    assert MassRestartDetector(last_size, killed).fleet_size(view) == (
+        view.member_count if view.member_count > 1 else last_size
+    )
 
 
 def test_a_view_counts_those_that_began_about_when_this_one_did():
     starts = {"n3": 100.0, "n1": 91.0, "n2": 80.0, "n4": 109.9}
-    assert View.of("n3", starts) == View(4, 2, 3)
+    assert FleetView.from_start_times("n3", starts) == FleetView(4, 2, 3)
 
 
 @given(st.integers(2, 80), st.floats(1.0, 30.0), st.floats(1.7e9, 1.8e9), st.integers(1, 6))
 def test_members_that_see_the_same_fleet_call_no_more_than_half_as_often_again_as_in_the_calm(
     size, wait, wall, failures
 ):
-    turns = Turns(wait, random.Random(1))
-    firsts = sorted(turns.first(wall, View(size, rank)) for rank in range(size))
-    assert firsts[0] >= 0.0 and firsts[-1] <= turns.cycle == pytest.approx(wait / PEAK)
+    turns = PollSchedule(wait, random.Random(1))
+    firsts = sorted(turns.initial_delay(wall, FleetView(size, rank)) for rank in range(size))
+    assert firsts[0] >= 0.0 and firsts[-1] <= turns.cycle_seconds == pytest.approx(
+        wait / PEAK_CALL_RATE_FACTOR
+    )
     gaps = [later - sooner for sooner, later in itertools.pairwise(firsts)]
-    assert min(gaps) > 0.9 * turns.cycle / size  # none together: at most size / cycle a second
+    assert min(gaps) > 0.9 * turns.cycle_seconds / size  # none together: at most size / cycle a second
     for rank in range(size):
-        rest = turns.again(wall, View(size, rank), failures)
-        assert 0.25 * turns.cycle <= rest <= (2.25 if failures > 3 else 1.25) * turns.cycle
+        rest = turns.retry_delay(wall, FleetView(size, rank), failures)
+        assert 0.25 * turns.cycle_seconds <= rest <= (2.25 if failures > 3 else 1.25) * turns.cycle_seconds
 
 
 def test_those_that_hear_nobody_are_spread_over_the_cycle():
-    firsts = [Turns(5.0, random.Random(seed)).first(1e9, View()) for seed in range(400)]
+    firsts = [PollSchedule(5.0, random.Random(seed)).initial_delay(1e9, FleetView()) for seed in range(400)]
     assert max(sum(at <= first < at + 0.333 for first in firsts) for at in (0.0, 1.0, 2.0, 3.0)) < 70  # of 40
 
 
@@ -102,7 +112,7 @@
 def test_what_the_door_lets_in_never_passes_the_rate_and_who_returns_in_time_is_let_in(script, known, seed):
     """Units a cell is sent, over any script of asks: at most one usual request at the start, what the rate
     earns, and one request of debt.  Clients come at the told time or never."""
-    ramp = Ramp(0.0, {0: known}, 0.2, 2.0, 0.5, random.Random(seed))
+    ramp = RecoveryRamp(0.0, {0: known}, 0.2, 2.0, 0.5, random.Random(seed))
     now, sent, earned, promised = 0.0, {0: 0.0, 1: 0.0}, {0: 0.0, 1: 0.0}, []
     for gap, cell, units, worth, number, returns in script:
         client = cell, number
@@ -131,35 +141,35 @@
     [({3: 8.0}, 0.0, 8.0), ({3: 8.0}, 1.5, 8.0 * 2**1.5), ({}, 0.0, 0.25), ({}, 1.0, 1.0)],
 )
 def test_a_rate_doubles_from_that_of_before_or_faster_from_a_safe_one(rates, at, rate):
-    assert Ramp(0.0, rates, 0.25, 2.0, 0.5, random.Random(1)).rate(at, 3) == pytest.approx(rate)
+    assert RecoveryRamp(0.0, rates, 0.25, 2.0, 0.5, random.Random(1)).rate(at, 3) == pytest.approx(rate)
 
 
 @pytest.mark.parametrize(
     ("rates", "refused_at", "opens"),
     [
-        ({3: 8.0}, 0.0, RAMP_TIME),
-        ({}, 0.0, BLIND_TIME),
-        ({3: 8.0}, 1.9, 1.9 + QUIET),
-        ({3: 8.0}, LONGEST - 0.1, LONGEST),
+        ({3: 8.0}, 0.0, RAMP_SECONDS),
+        ({}, 0.0, DEFAULT_RATE_RAMP_SECONDS),
+        ({3: 8.0}, 1.9, 1.9 + NO_REJECTION_SECONDS),
+        ({3: 8.0}, MAX_RAMP_SECONDS - 0.1, MAX_RAMP_SECONDS),
     ],
 )
 def test_the_door_opens_once_the_ramp_is_over_and_nobody_was_refused_for_a_while(rates, refused_at, opens):
-    ramp = Ramp(0.0, rates, 0.25, 2.0, 0.5, random.Random(1))
-    ramp.turn_away(refused_at)
-    assert [ramp.over(at) for at in (opens - 0.01, opens + 0.01)] == [False, True]
-    ramp.again(opens)
-    assert not ramp.over(opens + 0.01) and ramp.rate(opens, 3) == rates.get(3, 0.25)
+    ramp = RecoveryRamp(0.0, rates, 0.25, 2.0, 0.5, random.Random(1))
+    ramp.reject(refused_at)
+    assert [ramp.is_complete(at) for at in (opens - 0.01, opens + 0.01)] == [False, True]
+    ramp.restart(opens)
+    assert not ramp.is_complete(opens + 0.01) and ramp.rate(opens, 3) == rates.get(3, 0.25)
 
 
 def test_what_a_peer_tells_stands_only_for_cells_of_which_nothing_is_known():
-    ramp = Ramp(0.0, {3: 8.0}, 0.25, 2.0, 0.5, random.Random(1))
-    ramp.learn({3: 80.0, 4: 6.0})
+    ramp = RecoveryRamp(0.0, {3: 8.0}, 0.25, 2.0, 0.5, random.Random(1))
+    ramp.add_peer_rates({3: 80.0, 4: 6.0})
     assert [ramp.rate(1.0, cell) for cell in (3, 4)] == [16.0, 12.0]
 
 
 def test_requests_of_less_worth_leave_a_part_to_the_others():
     """Two to eight units a second are earned and fifty asked for, half of them worth a fifth."""
-    ramp, let = Ramp(0.0, {0: 2.0}, 0.2, 1.0, 0.0, random.Random(3)), {0.2: 0, 1.0: 0}
+    ramp, let = RecoveryRamp(0.0, {0: 2.0}, 0.2, 1.0, 0.0, random.Random(3)), {0.2: 0, 1.0: 0}
     for n in range(100):
         worth = (0.2, 1.0)[n % 2]
         let[worth] += ramp.admit(n / 50, 0, 1.0, worth, n) == 0.0
@@ -167,19 +177,19 @@
 
 
 def test_units_that_nobody_came_for_are_given_back_and_a_client_has_them_once():
-    returns = Returns()
-    assert returns.book(0.0, "a", 1.0, 3, 2.0) and not returns.book(0.0, "a", 2.0, 3, 2.0)
-    assert returns.book(0.0, "b", 1.1, 4, 5.0)
-    assert [returns.due(at, "a", 3) is not None for at in (0.5, 1.0, 1.0)] == [False, True, False]
-    assert returns.due(1.1, "b", 3) is None  # set aside at another cell
-    assert list(returns.lapsed(1.1 + LATE)) == []
-    assert [(b.cell, b.units) for b in returns.lapsed(1.2 + LATE)] == [(4, 5.0)]
-    assert sum(returns.book(0.0, n, 5.0, 0, 1.0) for n in range(MOST + 9)) == MOST
+    returns = RetryReservations()
+    assert returns.reserve("a", 1.0, 3, 2.0) and not returns.reserve("a", 2.0, 3, 2.0)
+    assert returns.reserve("b", 1.1, 4, 5.0)
+    assert [returns.claim(at, "a", 3) is not None for at in (0.5, 1.0, 1.0)] == [False, True, False]
+    assert returns.claim(1.1, "b", 3) is None  # set aside at another cell
+    assert list(returns.pop_expired(1.1 + LATE_TOLERANCE_SECONDS)) == []
+    assert [(b.shard, b.units) for b in returns.pop_expired(1.2 + LATE_TOLERANCE_SECONDS)] == [(4, 5.0)]
+    assert sum(returns.reserve(n, 5.0, 0, 1.0) for n in range(MAX_RESERVATIONS + 9)) == MAX_RESERVATIONS
 
 
 @given(st.floats(0.5, 40.0), st.integers(50, 2000))
 def test_a_load_is_told_exactly_of_a_steady_stream_however_short(a_second, count):
-    load = Load(0.0)
+    load = ShardLoadMeter(0.0)
     for n in range(count):
         load.add((n + 0.5) / a_second, 7, 1.0)
     assert dict(load.rates(count / a_second))[7] == pytest.approx(a_second, rel=0.05)
@@ -207,12 +217,12 @@
 
 @given(news, st.integers(1, 8))
 def test_what_is_newer_than_a_version_leads_from_its_list_to_the_last(script, asked):
-    book, at = Book(), {}
+    book, at = TargetListHistory(), {}
     for index, (whole, lines) in enumerate(script, 1):
         targets = tuple(target(*line) for line in lines if not (whole and line[1] is GONE))
-        book.took(discovery.TargetList(index, whole or index == 1, targets))
-        at[index] = {each.name: each for each in book.listing.targets}
-    newer = book.newer(asked)
+        book.apply(discovery.TargetList(index, whole or index == 1, targets))
+        at[index] = {each.name: each for each in book.target_list.targets}
+    newer = book.changes_since(asked)
     if asked > len(script):
         assert newer is None
         return
@@ -227,60 +237,70 @@
 @pytest.mark.parametrize(
     ("index", "change", "withheld", "starts"),
     [
-        (9, Change("s-1", DRAINING, None), {"s-1"}, {}),
-        (9, Change("s-1", GONE, None), {"s-1"}, {}),
-        (9, Change("s-1", READY, 500.0), set(), {"s-1": 500.0}),  # it has started anew: it is cold
-        (9, Change("s-1", READY, 90.0), set(), {}),
-        (9, Change("s-1", READY, None), set(), {}),
-        (5, Change("s-1", GONE, None), set(), {}),
-        (4, Change("s-1", GONE, None), set(), {}),  # not newer
-        (9, Change("s-7", READY, 500.0), set(), {}),
-        (9, Change("s-7", GONE, None), set(), {}),
+        (9, TargetChange("s-1", DRAINING, None), {"s-1"}, {}),
+        (9, TargetChange("s-1", GONE, None), {"s-1"}, {}),
+        (9, TargetChange("s-1", READY, 500.0), set(), {"s-1": 500.0}),  # it has started anew: it is cold
+        (9, TargetChange("s-1", READY, 90.0), set(), {}),
+        (9, TargetChange("s-1", READY, None), set(), {}),
+        (5, TargetChange("s-1", GONE, None), set(), {}),
+        (4, TargetChange("s-1", GONE, None), set(), {}),  # not newer
+        (9, TargetChange("s-7", READY, 500.0), set(), {}),
+        (9, TargetChange("s-7", GONE, None), set(), {}),
     ],
 )  # never named
 def test_a_word_makes_more_careful_and_never_names_a_target(index, change, withheld, starts):
-    caution = Caution(HERE)
-    took = caution.took(Word(HERE, index, changes=(change,)), 5, {"s-1": 100.0, "s-2": None})
-    assert (took, caution.withheld, caution.starts) == (bool(withheld or starts), withheld, starts)
-    assert not caution.took(Word("other", 9, changes=(Change("s-2", GONE, None),)), 5, {"s-2": None})
-    back = Word(HERE, 12, changes=(Change("s-1", READY, None),))
-    assert not caution.took(back, 5, {"s-1": 100.0}) and caution.withheld == withheld  # own discovery alone
-    assert not caution.told(8) and caution.told(9) is bool(withheld or starts)
-    assert (caution.withheld, caution.starts) == (frozenset(), {})
-
-
-WORD = Word(
+    caution = PeerStateFilter(HERE)
+    took = caution.apply(PeerState(HERE, index, changes=(change,)), 5, {"s-1": 100.0, "s-2": None})
+    assert (took, caution.withheld_targets, caution.restarted_targets) == (
+        bool(withheld or starts),
+        withheld,
+        starts,
+    )
+    assert not caution.apply(
+        PeerState("other", 9, changes=(TargetChange("s-2", GONE, None),)), 5, {"s-2": None}
+    )
+    back = PeerState(HERE, 12, changes=(TargetChange("s-1", READY, None),))
+    assert (
+        not caution.apply(back, 5, {"s-1": 100.0}) and caution.withheld_targets == withheld
+    )  # own discovery alone
+    assert not caution.discard_up_to(8) and caution.discard_up_to(9) is bool(withheld or starts)
+    assert (caution.withheld_targets, caution.restarted_targets) == (frozenset(), {})
+
+
+WORD = PeerState(
     HERE,
     41,
     39,
     True,
-    (Change("s-1", GONE, 12.5), Change("s-2", READY, None)),
-    (Pace("s-2", None, 0.03, 4.0, 0.0),),
-    Calm(0.97, ((None, 0.5), (3, 2.0))),
+    (TargetChange("s-1", GONE, 12.5), TargetChange("s-2", READY, None)),
+    (TargetLatencyEstimate("s-2", None, 0.03, 4.0, 0.0),),
+    LoadBaseline(0.97, ((None, 0.5), (3, 2.0))),
 )
 
 
-@pytest.mark.parametrize("said", [Ask(HERE, 7), WORD, Word(HERE, 3)])
+@pytest.mark.parametrize("said", [PeerStateRequest(HERE, 7), WORD, PeerState(HERE, 3)])
 def test_what_is_said_comes_back_as_it_was(said):
-    assert [decode(body) for body in encode(said)] == [said]
+    assert [decode_message(body) for body in encode_message(said)] == [said]
 
 
 def test_a_long_answer_is_told_in_parts_and_follows_only_if_all_changes_are_in_the_first():
-    paces = tuple(replace(WORD.paces[0], target=f"s-{n}") for n in range(200))
-    parts = [decode(body) for body in encode(replace(WORD, paces=paces))]
-    assert 1 < len(parts) <= 8 and [part.follows for part in parts] == [True] + [False] * (len(parts) - 1)
-    assert max(map(len, encode(replace(WORD, paces=paces)))) < 1200
-    changes = tuple(Change(f"s-{n}", GONE, 1.0) for n in range(200))
-    assert not any(decode(body).follows for body in encode(replace(WORD, changes=changes)))
+    paces = tuple(replace(WORD.latency_estimates[0], target_name=f"s-{n}") for n in range(200))
+    parts = [decode_message(body) for body in encode_message(replace(WORD, latency_estimates=paces))]
+    assert 1 < len(parts) <= 8 and [part.is_complete for part in parts] == [True] + [False] * (len(parts) - 1)
+    assert max(map(len, encode_message(replace(WORD, latency_estimates=paces)))) < 1200
+    changes = tuple(TargetChange(f"s-{n}", GONE, 1.0) for n in range(200))
+    assert not any(
+        decode_message(body).is_complete for body in encode_message(replace(WORD, changes=changes))
+    )
 
 
 @given(st.binary(max_size=200))
 def test_no_bytes_make_the_reader_of_words_fail_in_another_way(data):
     try:
-        said = decode(data)
-    except Malformed:
+        said = decode_message(data)
+    except MalformedPeerStateError:
         return
-    assert isinstance(said, Ask | Word)
+    assert isinstance(said, PeerStateRequest | PeerState)
 
 
 def test_the_generated_code_is_current(tmp_path):
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -19,8 +19,8 @@
 from stalltiller.leases import leases_pb2
 from stalltiller.leases.store import VoterStore, make
 from stalltiller.protocol import nvme
-from stalltiller.recovery import peer_state as word
-from stalltiller.recovery.store import Store
+from stalltiller.recovery import peer_state_codec
+from stalltiller.recovery.store import SnapshotStore
 from stalltiller.scheduling import PeerMessage, SendPeerMessage, TargetStatus
 from stalltiller.scheduling import scheduler as logic
 from tests.fixtures import samples
@@ -46,14 +46,14 @@
 
 # --- Recovery store -----------------------------------------------------------------------------------
 def test_a_recovery_store_is_read(tmp_path):
-    store = Store(copied(samples.RECOVERY_STORE, tmp_path))
-    assert store.load(samples.NAME, samples.DISCOVERY, samples.SAVED_AT) == samples.FACTS
+    store = SnapshotStore(copied(samples.RECOVERY_STORE, tmp_path))
+    assert store.load(samples.NAME, samples.DISCOVERY, samples.SAVED_AT) == samples.SNAPSHOT
     store.close()
 
 
 def test_a_recovery_store_is_written_with_the_same_bytes(tmp_path):
-    store = Store(str(tmp_path / "new"))
-    store.save(samples.FACTS)
+    store = SnapshotStore(str(tmp_path / "new"))
+    store.save(samples.SNAPSHOT)
     store.close()
     expected = pairs(copied(samples.RECOVERY_STORE, tmp_path))
     assert expected.keys() == {b"facts"}
@@ -166,34 +166,45 @@
 # --- Messages of recovery -----------------------------------------------------------------------------
 @pytest.mark.parametrize("name", DATAGRAMS["recovery"])
 def test_a_message_of_recovery_is_written(name):
-    parts = [part.hex() for part in word.encode(samples.RECOVERY_MESSAGES[name])]
+    parts = [part.hex() for part in peer_state_codec.encode_message(samples.RECOVERY_MESSAGES[name])]
     assert parts == DATAGRAMS["recovery"][name]
 
 
 @pytest.mark.parametrize("name", ["ask", "word"])
 def test_a_message_of_recovery_is_read(name):
     (data,) = DATAGRAMS["recovery"][name]
-    assert word.decode(bytes.fromhex(data)) == samples.RECOVERY_MESSAGES[name]
+    assert peer_state_codec.decode_message(bytes.fromhex(data)) == samples.RECOVERY_MESSAGES[name]
 
 
 def test_an_answer_in_parts_is_read():
     """No part alone tells all changes; together they do."""
     whole = samples.RECOVERY_MESSAGES["word in parts"]
-    parts = [word.decode(bytes.fromhex(data)) for data in DATAGRAMS["recovery"]["word in parts"]]
+    parts = [
+        peer_state_codec.decode_message(bytes.fromhex(data))
+        for data in DATAGRAMS["recovery"]["word in parts"]
+    ]
     assert len(parts) > 2
     for part in parts:
-        assert (part.discovery, part.index, part.asked, part.follows) == (samples.DISCOVERY, 41, 40, False)
-        assert part.calm.share == whole.calm.share
+        assert (part.discovery_address, part.version, part.requested_version, part.is_complete) == (
+            samples.DISCOVERY,
+            41,
+            40,
+            False,
+        )
+        assert part.load_baseline.served_fraction == whole.load_baseline.served_fraction
     assert tuple(change for part in parts for change in part.changes) == whole.changes
-    assert tuple(pace for part in parts for pace in part.paces) == whole.paces
-    assert tuple(rate for part in parts for rate in part.calm.rates) == whole.calm.rates
+    assert tuple(pace for part in parts for pace in part.latency_estimates) == whole.latency_estimates
+    assert (
+        tuple(rate for part in parts for rate in part.load_baseline.shard_rates)
+        == whole.load_baseline.shard_rates
+    )
 
 
 def test_the_messages_of_recovery_are_of_all_kinds():
     assert DATAGRAMS["recovery"].keys() == samples.RECOVERY_MESSAGES.keys()
-    known = set(typing.get_args(typing.get_type_hints(word.decode)["return"]))
+    known = set(typing.get_args(typing.get_type_hints(peer_state_codec.decode_message)["return"]))
     assert {type(each) for each in samples.RECOVERY_MESSAGES.values()} == known
-    assert {change.state for change in samples.CHANGES} == set(TargetStatus)
+    assert {change.status for change in samples.CHANGES} == set(TargetStatus)
 
 
 # --- Tokens among schedulers --------------------------------------------------------------------------
