--- a/stalltiller/daemon/recovery_service.py
+++ b/stalltiller/daemon/recovery_service.py
@@ -93,17 +93,7 @@
         self._snapshot = self._load_snapshot()
         load_baseline = LoadBaseline() if self._snapshot is None else self._snapshot.load_baseline
         self.phases = RecoveryPhaseTracker(self._loop.time(), load_baseline.served_fraction)
-        self.coordinator = RecoveryCoordinator(
-            name,
-            discovery_address,
-            engine,
-            directory,
-            self._target_list_history,
-            load_baseline,
-            self._mass_restart_detector(load_baseline),
-            self.phases,
-            log,
-        )
+        self.coordinator = self._create_coordinator(directory, load_baseline)
         if self._is_paced:
             self.coordinator.start_ramp_if_needed()
         self._peer_state_exchange: PeerStateExchange | None = None
@@ -239,6 +229,21 @@
         )
         return snapshot
 
+    def _create_coordinator(
+        self, directory: TargetDirectory, load_baseline: LoadBaseline
+    ) -> RecoveryCoordinator:
+        return RecoveryCoordinator(
+            self._name,
+            self._discovery_address,
+            self._engine,
+            directory,
+            self._target_list_history,
+            load_baseline,
+            self._mass_restart_detector(load_baseline),
+            self.phases,
+            self._log,
+        )
+
     def _mass_restart_detector(self, load_baseline: LoadBaseline) -> MassRestartDetector:
         was_killed = self._snapshot is None or not self._snapshot.is_clean_shutdown
         fleet_size = 1
--- a/stalltiller/recovery/peer_state_codec.py
+++ b/stalltiller/recovery/peer_state_codec.py
@@ -1,7 +1,7 @@
 """Encodes requests to peers and their answers as bodies of datagrams (see `recovery.proto`).
 
-A long answer is split into parts that each fit into one datagram.  Datagrams may be lost, so each part can be
-used without the others.  Everything that is read is checked for its bounds.
+A long answer is split over several datagrams, each of which can be used without the others, as some may be
+lost.  Everything that is read is checked for its bounds.
 """
 
 from __future__ import annotations
@@ -15,9 +15,9 @@
 from stalltiller.recovery.snapshot import LoadBaseline, TargetLatencyEstimate
 from stalltiller.scheduling import TargetStatus
 
-MAX_PART_BYTES = 1100  # with the sender's name and address a part fits into one datagram
+MAX_BODY_BYTES = 1100  # with the sender's name and address it fits into one datagram
 MAX_NAME_LENGTH = 128  # characters of a target's name or an address
-MAX_PARTS = 8  # of one answer
+MAX_DATAGRAMS = 8  # of one answer; the rest is left out
 MAX_NUMBER = 1e12  # no time, rate or latency reaches it; NaN is not below it either
 FIELD_OVERHEAD_BYTES = 4  # at most, for the tag and the length of an embedded message
 STATUSES = (TargetStatus.READY, TargetStatus.DRAINING, TargetStatus.REMOVED)  # by their numbers on the wire
@@ -28,7 +28,7 @@
 
 
 def encode_message(message: PeerStateMessage) -> list[bytes]:
-    """Return a message as bodies of datagrams: at most the first MAX_PARTS parts of a long answer."""
+    """Return a message as bodies of datagrams: at most the first MAX_DATAGRAMS of a long answer."""
     if isinstance(message, PeerStateRequest):
         return [_encode_request(message)]
     return _encode_answer(message)
@@ -72,25 +72,25 @@
         requested_version=answer.requested_version,
         served_fraction=answer.load_baseline.served_fraction or 0.0,
     )
-    max_entry_bytes = MAX_PART_BYTES - header.ByteSize() - FIELD_OVERHEAD_BYTES
-    parts = [_new_part(header)]
-    part_bytes = 0
+    max_entry_bytes = MAX_BODY_BYTES - header.ByteSize() - FIELD_OVERHEAD_BYTES
+    datagrams = [_new_datagram(header)]
+    datagram_bytes = 0
     for field, entry in _entries(answer):
         entry_bytes = entry.ByteSize() + FIELD_OVERHEAD_BYTES
-        part_bytes += entry_bytes
-        if part_bytes > max_entry_bytes:
-            parts.append(_new_part(header))
-            part_bytes = entry_bytes
-        getattr(parts[-1], field).append(entry)
-    # The first part alone may claim to be complete: nobody knows whether the others arrive.
-    parts[0].is_complete = answer.is_complete and len(parts[0].changes) == len(answer.changes)
-    return [part.SerializeToString() for part in parts[:MAX_PARTS]]
-
-
-def _new_part(header: pb.PeerStateMessage) -> pb.PeerStateMessage:
-    part = pb.PeerStateMessage()
-    part.CopyFrom(header)
-    return part
+        datagram_bytes += entry_bytes
+        if datagram_bytes > max_entry_bytes:
+            datagrams.append(_new_datagram(header))
+            datagram_bytes = entry_bytes
+        getattr(datagrams[-1], field).append(entry)
+    # Only the first may claim to be complete: nobody knows whether the others arrive.
+    datagrams[0].is_complete = answer.is_complete and len(datagrams[0].changes) == len(answer.changes)
+    return [datagram.SerializeToString() for datagram in datagrams[:MAX_DATAGRAMS]]
+
+
+def _new_datagram(header: pb.PeerStateMessage) -> pb.PeerStateMessage:
+    datagram = pb.PeerStateMessage()
+    datagram.CopyFrom(header)
+    return datagram
 
 
 def _entries(
--- a/stalltiller/recovery/recovery_ramp.py
+++ b/stalltiller/recovery/recovery_ramp.py
@@ -172,12 +172,12 @@
             return _InitialRate(self._default_rate, DEFAULT_RATE_DOUBLING_SECONDS)
         return _InitialRate(known_rate, DOUBLING_SECONDS)
 
-    def _accrued_units(self, shard: Shard, begin: float, end: float) -> float:
+    def _accrued_units(self, shard: Shard, start_time: float, end_time: float) -> float:
         """Return the integral of the shard's rate between two times."""
         initial = self._initial_rate(shard)
-        begin_integral = self._growth_integral(begin, initial.doubling_seconds)
-        end_integral = self._growth_integral(end, initial.doubling_seconds)
-        return initial.units_per_second * (end_integral - begin_integral)
+        start_integral = self._growth_integral(start_time, initial.doubling_seconds)
+        end_integral = self._growth_integral(end_time, initial.doubling_seconds)
+        return initial.units_per_second * (end_integral - start_integral)
 
     def _growth_integral(self, time: float, doubling_seconds: float) -> float:
         """Return the integral of the growth factor up to a time; it stays constant after MAX_RAMP_SECONDS."""
--- a/stalltiller/recovery/shard_load.py
+++ b/stalltiller/recovery/shard_load.py
@@ -16,7 +16,8 @@
     total: float
     updated_at: float
 
-    def total_at(self, now: float) -> float:
+    def decayed_total(self, now: float) -> float:
+        """Return the sum at a time that is not before the last update."""
         return self.total * 0.5 ** ((now - self.updated_at) / HALF_LIFE_SECONDS)
 
 
@@ -34,12 +35,12 @@
             return
         if previous is None:
             previous = _DecayedSum(0.0, now)
-        self._sums[shard] = _DecayedSum(previous.total_at(now) + units, now)
+        self._sums[shard] = _DecayedSum(previous.decayed_total(now) + units, now)
 
     def rates(self, now: float) -> tuple[tuple[int | None, float], ...]:
         """Return the units per second by shard; exact for a steady stream however short the time measured."""
         elapsed = max(MIN_ELAPSED_SECONDS, now - self._started_at)
         # The decayed sum of a stream of one unit per second over that time.
         unit_sum = HALF_LIFE_SECONDS / math.log(2) * (1.0 - 0.5 ** (elapsed / HALF_LIFE_SECONDS))
-        rates = ((shard, decayed.total_at(now) / unit_sum) for shard, decayed in self._sums.items())
+        rates = ((shard, decayed.decayed_total(now) / unit_sum) for shard, decayed in self._sums.items())
         return tuple((shard, rate) for shard, rate in rates if rate >= MIN_REPORTED_RATE)
--- a/tests/test_recovery_coordinator.py
+++ b/tests/test_recovery_coordinator.py
@@ -1,4 +1,4 @@
-"""The return of many: whether they are a herd, their turns, the door's ramp, and the word of peers."""
+"""A mass restart: its detection, the schedule of list calls, the admission ramp, and the state of peers."""
 
 from __future__ import annotations
 
@@ -39,62 +39,64 @@
 from stalltiller.recovery.retry_reservations import LATE_TOLERANCE_SECONDS, MAX_RESERVATIONS
 from stalltiller.scheduling import TargetStatus
 
-READY, DRAINING, GONE = TargetStatus.READY, TargetStatus.DRAINING, TargetStatus.REMOVED
-HERE = "127.0.0.1:8500"
+READY = TargetStatus.READY
+DRAINING = TargetStatus.DRAINING
+REMOVED = TargetStatus.REMOVED
+DISCOVERY = "127.0.0.1:8500"
 
 
-# --- Herd and turns -------------------------------------------------------------------------------
+# --- Mass restart and poll schedule ---------------------------------------------------------------
 @pytest.mark.parametrize(
-    ("last_size", "killed", "view", "age", "herd"),
+    ("last_known_size", "was_killed", "view", "age", "is_mass_restart"),
     [
         (40, True, FleetView(), 0.0, True),
-        (40, True, FleetView(), 60.0, True),  # hears nobody: it may be one of forty
+        (40, True, FleetView(), 60.0, True),  # knows no peer: it may be one of forty
         (40, False, FleetView(), 0.0, False),
-        (1, True, FleetView(), 0.0, False),  # ended in order; always alone
+        (1, True, FleetView(), 0.0, False),  # always alone
         (40, True, FleetView(40, 3, 1), PEER_CONTACT_SECONDS, False),
-        (40, True, FleetView(40, 3, 7), PEER_CONTACT_SECONDS, False),  # nobody else
+        (40, True, FleetView(40, 3, 7), PEER_CONTACT_SECONDS, False),  # too few others
         (40, True, FleetView(40, 3, 8), PEER_CONTACT_SECONDS, True),
         (40, False, FleetView(40, 3, 28), 0.0, True),
-        (40, True, FleetView(12, 3, 1), 0.5 * PEER_CONTACT_SECONDS, True),  # too soon to say
+        (40, True, FleetView(12, 3, 1), 0.5 * PEER_CONTACT_SECONDS, True),  # too early to judge
         (5, True, FleetView(5, 0, 1), PEER_CONTACT_SECONDS, False),
         (5, True, FleetView(5, 0, 2), PEER_CONTACT_SECONDS, True),
     ],
 )
-def test_who_comes_back_with_many_takes_itself_for_one_of_a_herd(last_size, killed, view, age, herd):
-    assert MassRestartDetector(last_size, killed).is_mass_restart(view, age) is herd
-    assert MassRestartDetector(last_size, killed).fleet_size(view) == (
-        view.member_count if view.member_count > 1 else last_size
-    )
+def test_mass_restart_is_detected_by_start_times_of_peers(
+    last_known_size, was_killed, view, age, is_mass_restart
+):
+    detector = MassRestartDetector(last_known_size, was_killed)
+    assert detector.is_mass_restart(view, age) is is_mass_restart
+    assert detector.fleet_size(view) == (view.member_count if view.member_count > 1 else last_known_size)
 
 
-def test_a_view_counts_those_that_began_about_when_this_one_did():
-    starts = {"n3": 100.0, "n1": 91.0, "n2": 80.0, "n4": 109.9}
-    assert FleetView.from_start_times("n3", starts) == FleetView(4, 2, 3)
+def test_fleet_view_counts_members_that_started_at_about_the_same_time():
+    start_times = {"n3": 100.0, "n1": 91.0, "n2": 80.0, "n4": 109.9}
+    assert FleetView.from_start_times("n3", start_times) == FleetView(4, 2, 3)
 
 
 @given(st.integers(2, 80), st.floats(1.0, 30.0), st.floats(1.7e9, 1.8e9), st.integers(1, 6))
-def test_members_that_see_the_same_fleet_call_no_more_than_half_as_often_again_as_in_the_calm(
-    size, wait, wall, failures
-):
-    turns = PollSchedule(wait, random.Random(1))
-    firsts = sorted(turns.initial_delay(wall, FleetView(size, rank)) for rank in range(size))
-    assert firsts[0] >= 0.0 and firsts[-1] <= turns.cycle_seconds == pytest.approx(
-        wait / PEAK_CALL_RATE_FACTOR
-    )
-    gaps = [later - sooner for sooner, later in itertools.pairwise(firsts)]
-    assert min(gaps) > 0.9 * turns.cycle_seconds / size  # none together: at most size / cycle a second
+def test_scheduled_calls_of_a_fleet_stay_within_the_peak_rate(size, poll_wait, unix_time, failures):
+    schedule = PollSchedule(poll_wait, random.Random(1))
+    cycle = schedule.cycle_seconds
+    delays = sorted(schedule.initial_delay(unix_time, FleetView(size, rank)) for rank in range(size))
+    assert delays[0] >= 0.0
+    assert delays[-1] <= cycle == pytest.approx(poll_wait / PEAK_CALL_RATE_FACTOR)
+    gaps = [later - sooner for sooner, later in itertools.pairwise(delays)]
+    assert min(gaps) > 0.9 * cycle / size  # no two together: at most size / cycle per second
     for rank in range(size):
-        rest = turns.retry_delay(wall, FleetView(size, rank), failures)
-        assert 0.25 * turns.cycle_seconds <= rest <= (2.25 if failures > 3 else 1.25) * turns.cycle_seconds
+        delay = schedule.retry_delay(unix_time, FleetView(size, rank), failures)
+        assert 0.25 * cycle <= delay <= (2.25 if failures > 3 else 1.25) * cycle
 
 
-def test_those_that_hear_nobody_are_spread_over_the_cycle():
-    firsts = [PollSchedule(5.0, random.Random(seed)).initial_delay(1e9, FleetView()) for seed in range(400)]
-    assert max(sum(at <= first < at + 0.333 for first in firsts) for at in (0.0, 1.0, 2.0, 3.0)) < 70  # of 40
+def test_members_that_know_no_peer_are_spread_over_the_cycle():
+    delays = [PollSchedule(5.0, random.Random(seed)).initial_delay(1e9, FleetView()) for seed in range(400)]
+    # 40 are expected in each tenth of the cycle.
+    assert max(sum(at <= delay < at + 0.333 for delay in delays) for at in (0.0, 1.0, 2.0, 3.0)) < 70
 
 
-# --- The door -------------------------------------------------------------------------------------
-asks = st.lists(
+# --- Admission ramp -------------------------------------------------------------------------------
+requests = st.lists(
     st.tuples(
         st.floats(0.0, 0.3),
         st.integers(0, 1),
@@ -108,44 +110,47 @@
 )
 
 
-@given(asks, st.floats(0.1, 50.0), st.integers(0, 1000))
-def test_what_the_door_lets_in_never_passes_the_rate_and_who_returns_in_time_is_let_in(script, known, seed):
-    """Units a cell is sent, over any script of asks: at most one usual request at the start, what the rate
-    earns, and one request of debt.  Clients come at the told time or never."""
-    ramp = RecoveryRamp(0.0, {0: known}, 0.2, 2.0, 0.5, random.Random(seed))
-    now, sent, earned, promised = 0.0, {0: 0.0, 1: 0.0}, {0: 0.0, 1: 0.0}, []
-    for gap, cell, units, worth, number, returns in script:
-        client = cell, number
-        for where in earned:
-            earned[where] += gap * (ramp.rate(now, where) + ramp.rate(now + gap, where)) / 2
+@given(requests, st.floats(0.1, 50.0), st.integers(0, 1000))
+def test_ramp_stays_within_its_rate_and_admits_every_retry_in_time(script, known_rate, seed):
+    """Units that a shard is sent, over any script of requests: at most one mean request at the start, what
+    the rate accrues, and one request of debt.  Clients retry at the time they were told, or never."""
+    ramp = RecoveryRamp(0.0, {0: known_rate}, 0.2, 2.0, 0.5, random.Random(seed))
+    now, sent, accrued, pending = 0.0, {0: 0.0, 1: 0.0}, {0: 0.0, 1: 0.0}, []
+    for gap, shard, units, priority, number, retries in script:
+        client = shard, number
+        for each in accrued:
+            accrued[each] += gap * (ramp.rate(now, each) + ramp.rate(now + gap, each)) / 2
         now += gap
-        for due, key, where, size in sorted(p for p in promised if p[0] <= now):
-            booked = ramp.counts["returned"]
-            assert ramp.admit(due, where, size, 0.0, key) == 0.0 and ramp.counts["returned"] == booked + 1
-            sent[where] += size
-        promised = [p for p in promised if p[0] > now]
-        before, had = ramp.counts["booked"], ramp.counts["returned"]
-        wait = ramp.admit(now, cell, units, worth, client)
+        due = sorted(entry for entry in pending if entry[0] <= now)
+        for retry_at, retrying_client, retry_shard, retry_units in due:
+            returned = ramp.counts["returned"]
+            assert ramp.admit(retry_at, retry_shard, retry_units, 0.0, retrying_client) == 0.0
+            assert ramp.counts["returned"] == returned + 1
+            sent[retry_shard] += retry_units
+        pending = [entry for entry in pending if entry[0] > now]
+        reserved, returned = ramp.counts["booked"], ramp.counts["returned"]
+        wait = ramp.admit(now, shard, units, priority, client)
         assert 0.0 <= wait <= 0.5
-        if ramp.counts["returned"] > had:  # a little early: it has had its units
-            promised = [p for p in promised if p[1] != client]
+        if ramp.counts["returned"] > returned:  # a little early: its reservation is used
+            pending = [entry for entry in pending if entry[1] != client]
         if wait == 0.0:
-            sent[cell] += units
-        elif ramp.counts["booked"] > before and returns:
-            promised.append((now + wait, client, cell, units))
-        assert all(sent[where] <= 2.0 + 1.02 * earned[where] + 6.0 for where in sent)
+            sent[shard] += units
+        elif ramp.counts["booked"] > reserved and retries:
+            pending.append((now + wait, client, shard, units))
+        assert all(sent[each] <= 2.0 + 1.02 * accrued[each] + 6.0 for each in sent)
 
 
 @pytest.mark.parametrize(
-    ("rates", "at", "rate"),
+    ("shard_rates", "at", "rate"),
     [({3: 8.0}, 0.0, 8.0), ({3: 8.0}, 1.5, 8.0 * 2**1.5), ({}, 0.0, 0.25), ({}, 1.0, 1.0)],
 )
-def test_a_rate_doubles_from_that_of_before_or_faster_from_a_safe_one(rates, at, rate):
-    assert RecoveryRamp(0.0, rates, 0.25, 2.0, 0.5, random.Random(1)).rate(at, 3) == pytest.approx(rate)
+def test_rate_doubles_every_second_from_a_known_rate_and_faster_from_the_default(shard_rates, at, rate):
+    ramp = RecoveryRamp(0.0, shard_rates, 0.25, 2.0, 0.5, random.Random(1))
+    assert ramp.rate(at, 3) == pytest.approx(rate)
 
 
 @pytest.mark.parametrize(
-    ("rates", "refused_at", "opens"),
+    ("shard_rates", "rejected_at", "complete_at"),
     [
         ({3: 8.0}, 0.0, RAMP_SECONDS),
         ({}, 0.0, DEFAULT_RATE_RAMP_SECONDS),
@@ -153,59 +158,69 @@
         ({3: 8.0}, MAX_RAMP_SECONDS - 0.1, MAX_RAMP_SECONDS),
     ],
 )
-def test_the_door_opens_once_the_ramp_is_over_and_nobody_was_refused_for_a_while(rates, refused_at, opens):
-    ramp = RecoveryRamp(0.0, rates, 0.25, 2.0, 0.5, random.Random(1))
-    ramp.reject(refused_at)
-    assert [ramp.is_complete(at) for at in (opens - 0.01, opens + 0.01)] == [False, True]
-    ramp.restart(opens)
-    assert not ramp.is_complete(opens + 0.01) and ramp.rate(opens, 3) == rates.get(3, 0.25)
+def test_ramp_is_complete_after_its_time_and_a_while_without_rejections(
+    shard_rates, rejected_at, complete_at
+):
+    ramp = RecoveryRamp(0.0, shard_rates, 0.25, 2.0, 0.5, random.Random(1))
+    ramp.reject(rejected_at)
+    assert [ramp.is_complete(at) for at in (complete_at - 0.01, complete_at + 0.01)] == [False, True]
+    ramp.restart(complete_at)
+    assert not ramp.is_complete(complete_at + 0.01)
+    assert ramp.rate(complete_at, 3) == shard_rates.get(3, 0.25)
 
 
-def test_what_a_peer_tells_stands_only_for_cells_of_which_nothing_is_known():
+def test_peer_rates_are_used_only_for_shards_without_a_known_rate():
     ramp = RecoveryRamp(0.0, {3: 8.0}, 0.25, 2.0, 0.5, random.Random(1))
     ramp.add_peer_rates({3: 80.0, 4: 6.0})
-    assert [ramp.rate(1.0, cell) for cell in (3, 4)] == [16.0, 12.0]
+    assert [ramp.rate(1.0, shard) for shard in (3, 4)] == [16.0, 12.0]
 
 
-def test_requests_of_less_worth_leave_a_part_to_the_others():
-    """Two to eight units a second are earned and fifty asked for, half of them worth a fifth."""
-    ramp, let = RecoveryRamp(0.0, {0: 2.0}, 0.2, 1.0, 0.0, random.Random(3)), {0.2: 0, 1.0: 0}
-    for n in range(100):
-        worth = (0.2, 1.0)[n % 2]
-        let[worth] += ramp.admit(n / 50, 0, 1.0, worth, n) == 0.0
-    assert let[1.0] > 2 * let[0.2]
+def test_requests_of_low_priority_leave_tokens_to_those_of_high_priority():
+    """Two to eight units per second accrue and fifty are asked for, half of them at low priority."""
+    ramp = RecoveryRamp(0.0, {0: 2.0}, 0.2, 1.0, 0.0, random.Random(3))
+    admitted = {0.2: 0, 1.0: 0}
+    for number in range(100):
+        priority = (0.2, 1.0)[number % 2]
+        admitted[priority] += ramp.admit(number / 50, 0, 1.0, priority, number) == 0.0
+    assert admitted[1.0] > 2 * admitted[0.2]
 
 
-def test_units_that_nobody_came_for_are_given_back_and_a_client_has_them_once():
-    returns = RetryReservations()
-    assert returns.reserve("a", 1.0, 3, 2.0) and not returns.reserve("a", 2.0, 3, 2.0)
-    assert returns.reserve("b", 1.1, 4, 5.0)
-    assert [returns.claim(at, "a", 3) is not None for at in (0.5, 1.0, 1.0)] == [False, True, False]
-    assert returns.claim(1.1, "b", 3) is None  # set aside at another cell
-    assert list(returns.pop_expired(1.1 + LATE_TOLERANCE_SECONDS)) == []
-    assert [(b.shard, b.units) for b in returns.pop_expired(1.2 + LATE_TOLERANCE_SECONDS)] == [(4, 5.0)]
-    assert sum(returns.reserve(n, 5.0, 0, 1.0) for n in range(MAX_RESERVATIONS + 9)) == MAX_RESERVATIONS
+def test_reservations_are_claimed_once_and_unclaimed_ones_expire():
+    reservations = RetryReservations()
+    assert reservations.reserve("a", 1.0, 3, 2.0)
+    assert not reservations.reserve("a", 2.0, 3, 2.0)
+    assert reservations.reserve("b", 1.1, 4, 5.0)
+    assert [reservations.claim(at, "a", 3) is not None for at in (0.5, 1.0, 1.0)] == [False, True, False]
+    assert reservations.claim(1.1, "b", 3) is None  # reserved at another shard
+    assert list(reservations.pop_expired(1.1 + LATE_TOLERANCE_SECONDS)) == []
+    expired = reservations.pop_expired(1.2 + LATE_TOLERANCE_SECONDS)
+    assert [(reservation.shard, reservation.units) for reservation in expired] == [(4, 5.0)]
+    reserved = sum(reservations.reserve(number, 5.0, 0, 1.0) for number in range(MAX_RESERVATIONS + 9))
+    assert reserved == MAX_RESERVATIONS
 
 
 @given(st.floats(0.5, 40.0), st.integers(50, 2000))
-def test_a_load_is_told_exactly_of_a_steady_stream_however_short(a_second, count):
-    load = ShardLoadMeter(0.0)
-    for n in range(count):
-        load.add((n + 0.5) / a_second, 7, 1.0)
-    assert dict(load.rates(count / a_second))[7] == pytest.approx(a_second, rel=0.05)
+def test_load_meter_is_exact_for_a_steady_stream_however_short(requests_per_second, count):
+    meter = ShardLoadMeter(0.0)
+    for number in range(count):
+        meter.add((number + 0.5) / requests_per_second, 7, 1.0)
+    rates = dict(meter.rates(count / requests_per_second))
+    assert rates[7] == pytest.approx(requests_per_second, rel=0.05)
 
 
-# --- Word of peers --------------------------------------------------------------------------------
-def target(name: str, state: TargetStatus = READY, since: float | None = None) -> discovery.TargetRecord:
-    return discovery.TargetRecord(name, "127.0.0.1", 3000, "a", "m", 3, state, 1.0, since)
+# --- Peer state -----------------------------------------------------------------------------------
+def target(
+    name: str, status: TargetStatus = READY, started_at: float | None = None
+) -> discovery.TargetRecord:
+    return discovery.TargetRecord(name, "127.0.0.1", 3000, "a", "m", 3, status, 1.0, started_at)
 
 
 names = st.sampled_from(["s-1", "s-2", "s-3"])
-news = st.lists(
+updates = st.lists(
     st.tuples(
         st.booleans(),
         st.lists(
-            st.tuples(names, st.sampled_from([READY, DRAINING, GONE]), st.sampled_from([None, 5.0, 9.0])),
+            st.tuples(names, st.sampled_from([READY, DRAINING, REMOVED]), st.sampled_from([None, 5.0, 9.0])),
             max_size=3,
             unique_by=lambda line: line[0],
         ),
@@ -215,97 +230,96 @@
 )
 
 
-@given(news, st.integers(1, 8))
-def test_what_is_newer_than_a_version_leads_from_its_list_to_the_last(script, asked):
-    book, at = TargetListHistory(), {}
-    for index, (whole, lines) in enumerate(script, 1):
-        targets = tuple(target(*line) for line in lines if not (whole and line[1] is GONE))
-        book.apply(discovery.TargetList(index, whole or index == 1, targets))
-        at[index] = {each.name: each for each in book.target_list.targets}
-    newer = book.changes_since(asked)
-    if asked > len(script):
-        assert newer is None
+@given(updates, st.integers(1, 8))
+def test_changes_since_a_version_lead_from_its_list_to_the_last(script, requested):
+    history, lists = TargetListHistory(), {}
+    for version, (is_full, lines) in enumerate(script, 1):
+        targets = tuple(target(*line) for line in lines if not (is_full and line[1] is REMOVED))
+        history.apply(discovery.TargetList(version, is_full or version == 1, targets))
+        lists[version] = {record.name: record for record in history.target_list.targets}
+    changes = history.changes_since(requested)
+    if requested > len(script):
+        assert changes is None
         return
-    known = dict(at[asked])
-    for each in newer:
-        known.pop(each.name, None)
-        if each.status is not GONE:
-            known[each.name] = each
-    assert known == at[len(script)]
+    result = dict(lists[requested])
+    for record in changes:
+        result.pop(record.name, None)
+        if record.status is not REMOVED:
+            result[record.name] = record
+    assert result == lists[len(script)]
 
 
 @pytest.mark.parametrize(
-    ("index", "change", "withheld", "starts"),
+    ("version", "change", "withheld", "restarted"),
     [
         (9, TargetChange("s-1", DRAINING, None), {"s-1"}, {}),
-        (9, TargetChange("s-1", GONE, None), {"s-1"}, {}),
-        (9, TargetChange("s-1", READY, 500.0), set(), {"s-1": 500.0}),  # it has started anew: it is cold
+        (9, TargetChange("s-1", REMOVED, None), {"s-1"}, {}),
+        (9, TargetChange("s-1", READY, 500.0), set(), {"s-1": 500.0}),
         (9, TargetChange("s-1", READY, 90.0), set(), {}),
         (9, TargetChange("s-1", READY, None), set(), {}),
-        (5, TargetChange("s-1", GONE, None), set(), {}),
-        (4, TargetChange("s-1", GONE, None), set(), {}),  # not newer
-        (9, TargetChange("s-7", READY, 500.0), set(), {}),
-        (9, TargetChange("s-7", GONE, None), set(), {}),
+        (5, TargetChange("s-1", REMOVED, None), set(), {}),  # not newer
+        (4, TargetChange("s-1", REMOVED, None), set(), {}),
+        (9, TargetChange("s-7", READY, 500.0), set(), {}),  # not on the own list
+        (9, TargetChange("s-7", REMOVED, None), set(), {}),
     ],
-)  # never named
-def test_a_word_makes_more_careful_and_never_names_a_target(index, change, withheld, starts):
-    caution = PeerStateFilter(HERE)
-    took = caution.apply(PeerState(HERE, index, changes=(change,)), 5, {"s-1": 100.0, "s-2": None})
-    assert (took, caution.withheld_targets, caution.restarted_targets) == (
-        bool(withheld or starts),
-        withheld,
-        starts,
-    )
-    assert not caution.apply(
-        PeerState("other", 9, changes=(TargetChange("s-2", GONE, None),)), 5, {"s-2": None}
-    )
-    back = PeerState(HERE, 12, changes=(TargetChange("s-1", READY, None),))
-    assert (
-        not caution.apply(back, 5, {"s-1": 100.0}) and caution.withheld_targets == withheld
-    )  # own discovery alone
-    assert not caution.discard_up_to(8) and caution.discard_up_to(9) is bool(withheld or starts)
-    assert (caution.withheld_targets, caution.restarted_targets) == (frozenset(), {})
-
-
-WORD = PeerState(
-    HERE,
+)
+def test_peer_state_withholds_listed_targets_and_never_adds_one(version, change, withheld, restarted):
+    peer_filter = PeerStateFilter(DISCOVERY)
+    start_times = {"s-1": 100.0, "s-2": None}
+    is_changed = peer_filter.apply(PeerState(DISCOVERY, version, changes=(change,)), 5, start_times)
+    assert is_changed == bool(withheld or restarted)
+    assert (peer_filter.withheld_targets, peer_filter.restarted_targets) == (withheld, restarted)
+    foreign = PeerState("other", 9, changes=(TargetChange("s-2", REMOVED, None),))
+    assert not peer_filter.apply(foreign, 5, {"s-2": None})
+    # Only the own discovery service may end the withholding.
+    back = PeerState(DISCOVERY, 12, changes=(TargetChange("s-1", READY, None),))
+    assert not peer_filter.apply(back, 5, {"s-1": 100.0})
+    assert peer_filter.withheld_targets == withheld
+    assert not peer_filter.discard_up_to(8)
+    assert peer_filter.discard_up_to(9) is bool(withheld or restarted)
+    assert (peer_filter.withheld_targets, peer_filter.restarted_targets) == (frozenset(), {})
+
+
+ANSWER = PeerState(
+    DISCOVERY,
     41,
     39,
     True,
-    (TargetChange("s-1", GONE, 12.5), TargetChange("s-2", READY, None)),
+    (TargetChange("s-1", REMOVED, 12.5), TargetChange("s-2", READY, None)),
     (TargetLatencyEstimate("s-2", None, 0.03, 4.0, 0.0),),
     LoadBaseline(0.97, ((None, 0.5), (3, 2.0))),
 )
 
 
-@pytest.mark.parametrize("said", [PeerStateRequest(HERE, 7), WORD, PeerState(HERE, 3)])
-def test_what_is_said_comes_back_as_it_was(said):
-    assert [decode_message(body) for body in encode_message(said)] == [said]
+@pytest.mark.parametrize("message", [PeerStateRequest(DISCOVERY, 7), ANSWER, PeerState(DISCOVERY, 3)])
+def test_peer_messages_round_trip(message):
+    assert [decode_message(body) for body in encode_message(message)] == [message]
 
 
-def test_a_long_answer_is_told_in_parts_and_follows_only_if_all_changes_are_in_the_first():
-    paces = tuple(replace(WORD.latency_estimates[0], target_name=f"s-{n}") for n in range(200))
-    parts = [decode_message(body) for body in encode_message(replace(WORD, latency_estimates=paces))]
-    assert 1 < len(parts) <= 8 and [part.is_complete for part in parts] == [True] + [False] * (len(parts) - 1)
-    assert max(map(len, encode_message(replace(WORD, latency_estimates=paces)))) < 1200
-    changes = tuple(TargetChange(f"s-{n}", GONE, 1.0) for n in range(200))
-    assert not any(
-        decode_message(body).is_complete for body in encode_message(replace(WORD, changes=changes))
-    )
+def test_long_answer_is_split_and_complete_only_if_the_first_datagram_holds_all_changes():
+    estimates = tuple(replace(ANSWER.latency_estimates[0], target_name=f"s-{n}") for n in range(200))
+    bodies = encode_message(replace(ANSWER, latency_estimates=estimates))
+    answers = [decode_message(body) for body in bodies]
+    assert 1 < len(answers) <= 8
+    assert [answer.is_complete for answer in answers] == [True] + [False] * (len(answers) - 1)
+    assert max(map(len, bodies)) < 1200
+    changes = tuple(TargetChange(f"s-{n}", REMOVED, 1.0) for n in range(200))
+    bodies = encode_message(replace(ANSWER, changes=changes))
+    assert not any(decode_message(body).is_complete for body in bodies)
 
 
 @given(st.binary(max_size=200))
-def test_no_bytes_make_the_reader_of_words_fail_in_another_way(data):
+def test_decoding_arbitrary_bytes_raises_nothing_but_malformed_peer_state(data):
     try:
-        said = decode_message(data)
+        message = decode_message(data)
     except MalformedPeerStateError:
         return
-    assert isinstance(said, PeerStateRequest | PeerState)
+    assert isinstance(message, PeerStateRequest | PeerState)
 
 
-def test_the_generated_code_is_current(tmp_path):
+def test_generated_protobuf_code_is_current(tmp_path):
     from grpc_tools import protoc
 
-    made = "stalltiller/recovery/recovery_pb2.py"
+    generated = "stalltiller/recovery/recovery_pb2.py"
     protoc.main(["", "-I.", f"--python_out={tmp_path}", "stalltiller/recovery/recovery.proto"])
-    assert (tmp_path / made).read_text() == Path(made).read_text()
+    assert (tmp_path / generated).read_text() == Path(generated).read_text()
