--- a/bench/mass_restart.py
+++ b/bench/mass_restart.py
@@ -1,11 +1,18 @@
-"""Measures coming back: `python -m bench.mass_restart [--size 40] [--killed 28] [--down 4] [--series FILE]`.
-
-Processes of the program under a steady load of clients that return when they are told to; most are killed
-with kill -9 at once and started together while discovery is down for some seconds.  One JSON line a way, all
-in one run: with kept state and paced returns (on), with kept state alone (no_ramp), with neither (off), and
-all killed with their state lost, so that no peer knows anything (cold).  Seconds from the restart until
-service is full (95% of what the same load got before, for 2 s), reads lost, and at discovery and the targets
-the most in a second before and after.  `--series` keeps the counts over time, for `bench.plots`.
+"""Measures mass restarts: `python -m bench.mass_restart [--size 40] [--killed 28] [--down 4] [--series F]`.
+
+Processes of the program serve a steady load of clients that retry when they are told to.  Most of them are
+killed at once and started together while discovery is unavailable for some seconds.  One JSON line is printed
+for each configuration, all in one run:
+
+- on: with snapshots and paced recovery;
+- no_ramp: with snapshots alone;
+- off: with neither;
+- cold: all members are killed and lose their state, so that no peer knows anything;
+- cold_no_ramp: the same without pacing.
+
+A line holds the seconds from the restart until service is full (95% of what the same load got before, for
+2 s), the reads lost, and the most calls per second at discovery and the targets before and after.  `--series`
+keeps the counts over time for `bench.plots`.
 """
 
 from __future__ import annotations
@@ -18,18 +25,27 @@
 import signal
 import tempfile
 import time
+from dataclasses import dataclass, field
 from pathlib import Path
+from typing import NamedTuple
 
 from tests.fleet.rig import Rig, patient
 from tests.stand_ins import HttpTarget
 
-CALM, WATCHED = 8.0, 14.0  # s of load before the kill and after the restart
-EACH = 3.0  # reads a second for each member
-IN_TIME = 1.2  # s: of a client that goes on for longer, what comes after that is too late
-SHARE, HOLD = 0.95, 2.0  # full: this share of what was served before, for so many seconds
-SERVICE, ROOM = 0.1, 2.0  # s of work for a read; what a target can do, over what it is asked in the calm
-STEP = 0.25  # s of the series
-WAYS = {
+WARM_UP_SECONDS = 4.0  # of load before anything is counted
+BASELINE_SECONDS = 8.0  # of load before the kill
+OBSERVED_SECONDS = 14.0  # of load after the restart
+READS_PER_MEMBER_PER_SECOND = 3.0
+TIMELY_SECONDS = 1.2  # a read that is served later counts as lost, though its client goes on
+FULL_SERVICE_FRACTION = 0.95
+FULL_SERVICE_SECONDS = 2.0
+SERVICE_SECONDS = 0.1  # of work for a read at a target
+CAPACITY_FACTOR = 2.0  # what a target can do, compared with what it is asked in normal operation
+UNFINISHED_SECONDS = 1.5  # before the end, in which reads may not have ended yet
+SERIES_BEFORE_SECONDS = 4.0
+SERIES_STEP_SECONDS = 0.25
+FLEET_SETTINGS = {"keep": "true", "probe_every_s": "0.5", "probe_timeout_s": "0.2"}
+CONFIGURATIONS = {
     "on": {},
     "no_ramp": {"ramp": "false"},
     "off": {"keep": "false"},
@@ -38,76 +54,223 @@
 }
 
 
-class Counted(HttpTarget):
-    """A target that notes each new connection, how many are open, and what it turned away.
+class Scenario(NamedTuple):
+    """What happens to the fleet in one configuration; times in seconds."""
+
+    configuration: str
+    size: int
+    killed: int
+    discovery_down_time: float
+    patience: float  # for which a client retries
+    capacity_factor: float
+
+    @property
+    def loses_state(self) -> bool:
+        """Whether all members are killed and lose their state."""
+        return self.configuration.startswith("cold")
+
+
+class Span(NamedTuple):
+    """An interval of monotonic times."""
+
+    begin: float
+    end: float
+
+    def __contains__(self, at: object) -> bool:
+        return isinstance(at, float) and self.begin <= at < self.end
+
+
+class Read(NamedTuple):
+    """A finished read: when it was sent, and whether it was served in time."""
 
-    It works on `slots` requests at once, each for SERVICE seconds.
+    sent_at: float
+    is_served: bool
+
+
+class CountingTarget(HttpTarget):
+    """A target that notes its connections and its rejections.
+
+    It works on `slots` requests at once, each for SERVICE_SECONDS.
     """
 
     def __init__(self, name: str, shard: int, slots: int) -> None:
         super().__init__(name, shard)
-        self.opened: list[float] = []
-        self.open_now: list[tuple[float, int]] = []
-        self.full_at: list[float] = []
-        self.slots, self.delay = slots, SERVICE
+        self.connected_at: list[float] = []
+        self.open_connections: list[tuple[float, int]] = []
+        self.rejected_at: list[float] = []
+        self.slots = slots
+        self.delay = SERVICE_SECONDS
 
     async def act(self, tag: int, data: bytes) -> str:
         if self.out >= self.slots:
-            self.full_at.append(time.monotonic())
+            self.rejected_at.append(time.monotonic())
             return "turn_away"
         return await super().act(tag, data)
 
     async def serve(self, reader, writer) -> None:
-        self.opened.append(time.monotonic())
-        self.open_now.append((time.monotonic(), len(self.writers)))
+        self.connected_at.append(time.monotonic())
+        self.open_connections.append((time.monotonic(), len(self.writers)))
         await super().serve(reader, writer)
 
 
-async def load(
-    rig: Rig,
-    ends: list[tuple[float, bool]],
-    patience: float,
-    each: float = EACH,
-    took: list[float] | None = None,
-) -> None:
-    """Read through all members in turn; when each read was sent, and whether it was served in time.
+@dataclass
+class Load:
+    """A steady load of reads through all members in turn.
 
-    `took` is given the seconds of each that was served at its first try.
+    `reads` collects the finished reads, `latencies` the seconds of those served at the first try.
     """
-    names, tasks = list(rig.members), set()
 
-    async def one(number: int) -> None:
-        at = time.monotonic()
-        told = await patient(
-            rig[names[number % len(names)]].listen, number, patience, shard=number // len(names) % 2
-        )
-        ends.append((at, told[-1:] == [0.0] and time.monotonic() - at <= IN_TIME))
-        if took is not None and told == [0.0]:
-            took.append(time.monotonic() - at)
+    rig: Rig
+    patience: float
+    reads_per_member_per_second: float = READS_PER_MEMBER_PER_SECOND
+    reads: list[Read] = field(default_factory=list)
+    latencies: list[float] = field(default_factory=list)
+
+    async def run(self) -> None:
+        """Send reads until cancelled."""
+        names = list(self.rig.members)
+        tasks: set[asyncio.Task] = set()
+        for number in itertools.count():
+            task = asyncio.create_task(self._read(names, number))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(1 / (self.reads_per_member_per_second * len(names)))
+
+    async def _read(self, names: list[str], number: int) -> None:
+        sent_at = time.monotonic()
+        port = self.rig[names[number % len(names)]].listen
+        waits = await patient(port, number, self.patience, shard=number // len(names) % 2)
+        elapsed = time.monotonic() - sent_at
+        self.reads.append(Read(sent_at, waits[-1:] == [0.0] and elapsed <= TIMELY_SECONDS))
+        if waits == [0.0]:
+            self.latencies.append(elapsed)
+
+
+@dataclass
+class Observation:
+    """All that was counted in one scenario."""
+
+    scenario: Scenario
+    rig: Rig
+    targets: list[CountingTarget]
+    reads: list[Read]
+    before: Span
+    restarted_at: float
+    full_requests: int  # for the whole target list, since the kill
+
+    @property
+    def after(self) -> Span:
+        """The time from the kill until the end."""
+        return Span(self.before.end, self.restarted_at + OBSERVED_SECONDS)
+
+    def result(self) -> dict[str, object]:
+        """Return the figures that are printed."""
+        baseline = served_per_second(self.reads, self.before)
+        full_after = self._full_after(baseline)
+        rejected_at = [at for target in self.targets for at in target.rejected_at]
+        killed_at = self.before.end
+        list_calls = self.rig.discovery.times
+        return {
+            "kind": "coming_back",
+            "way": self.scenario.configuration,
+            "size": self.scenario.size,
+            "killed": self.scenario.size if self.scenario.loses_state else self.scenario.killed,
+            "down_s": self.scenario.discovery_down_time,
+            "before_per_s": round(baseline, 1),
+            "full_after_s": None if full_after is None else round(full_after, 1),
+            "lost": sum(not read.is_served for read in self.reads if read.sent_at >= killed_at),
+            "list_calls_calm_mean": round(
+                sum(at in self.before for at in list_calls) / (self.before.end - self.before.begin), 1
+            ),
+            "turned_away_calm": sum(at < killed_at for at in rejected_at),
+            "turned_away_after": sum(at >= killed_at for at in rejected_at),
+            "whole_lists": self.full_requests,
+            **self._peaks(),
+        }
+
+    def series(self) -> dict[str, list[float]]:
+        """Return counts per second in steps of SERIES_STEP_SECONDS, from shortly before the restart on."""
+        first_step = int(-SERIES_BEFORE_SECONDS / SERIES_STEP_SECONDS)
+        last_step = int((OBSERVED_SECONDS - UNFINISHED_SECONDS) / SERIES_STEP_SECONDS)
+        steps = [self.restarted_at + SERIES_STEP_SECONDS * number for number in range(first_step, last_step)]
+        times = {
+            "list_calls": self.rig.discovery.times,
+            "connections": self._connection_times(),
+            "sends": [at for target in self.targets for at, _tag in target.begun],
+            "served": [read.sent_at for read in self.reads if read.is_served],
+            "asked": [read.sent_at for read in self.reads],
+        }
+        counts = {
+            name: [
+                sum(at in Span(step, step + SERIES_STEP_SECONDS) for at in event_times) / SERIES_STEP_SECONDS
+                for step in steps
+            ]
+            for name, event_times in times.items()
+        }
+        return {"at": [round(step - self.restarted_at, 3) for step in steps], **counts}
+
+    def _connection_times(self) -> list[float]:
+        return [at for target in self.targets for at in target.connected_at]
+
+    def _full_after(self, baseline: float) -> float | None:
+        """Return the seconds from the restart until service was full, or None if it never was."""
+        tenths = int((OBSERVED_SECONDS - FULL_SERVICE_SECONDS - UNFINISHED_SECONDS) * 10)
+        for tenth in range(tenths):
+            at = self.restarted_at + tenth / 10
+            span = Span(at, at + FULL_SERVICE_SECONDS)
+            if served_per_second(self.reads, span) >= FULL_SERVICE_FRACTION * baseline:
+                return at - self.restarted_at
+        return None
+
+    def _peaks(self) -> dict[str, int]:
+        """Return the most calls, connections and requests in one second, before and after the kill."""
+        spans = {"calm": self.before, "after": self.after}
+        open_spans = {
+            "calm": Span(0.0, self.before.end),
+            "after": Span(self.restarted_at, self.after.end),
+        }
+        peaks: dict[str, int] = {}
+        for name, times in (
+            ("list_calls", self.rig.discovery.times),
+            ("connections", self._connection_times()),
+        ):
+            for when, span in spans.items():
+                peaks[f"{name}_{when}"] = peak_per_second(times, span)
+        for when, span in spans.items():
+            peaks[f"sends_{when}"] = max(
+                peak_per_second([at for at, _tag in target.begun], span) for target in self.targets
+            )
+        for when, span in open_spans.items():
+            peaks[f"open_{when}"] = sum(
+                max((count for at, count in target.open_connections if at in span), default=0)
+                for target in self.targets
+            )
+        return peaks
+
+
+class Report(NamedTuple):
+    """The printed figures of one scenario, and its counts over time."""
 
-    for number in itertools.count():
-        task = asyncio.create_task(one(number))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(1 / (each * len(names)))
+    result: dict[str, object]
+    series: dict[str, list[float]]
 
 
-def served(ends: list[tuple[float, bool]], begin: float, end: float) -> float:
-    """Reads served a second, of those sent in a time."""
-    return sum(good for at, good in ends if begin <= at < end) / (end - begin)
+def served_per_second(reads: list[Read], span: Span) -> float:
+    """Return the reads served per second, of those sent in an interval."""
+    return sum(read.is_served for read in reads if read.sent_at in span) / (span.end - span.begin)
 
 
-def most(times: list[float], begin: float, end: float) -> int:
-    """The most in a second."""
-    times = [at for at in times if begin <= at < end]
+def peak_per_second(times: list[float], span: Span) -> int:
+    """Return the most events in one second of an interval."""
+    times = [at for at in times if at in span]
     return max((sum(at - 1.0 < other <= at for other in times) for at in times), default=0)
 
 
-async def counted(rig: Rig, room: float) -> list[Counted]:
-    """Put targets that count in the place of the rig's."""
-    slots = round(room * EACH * len(rig.members) / 2 * SERVICE)
-    found = [Counted(target.name, target.shard, slots) for target in rig.targets]
-    for old, new in zip(list(rig.targets), found, strict=True):
+async def replace_targets(rig: Rig, capacity_factor: float) -> list[CountingTarget]:
+    """Put counting targets in the place of the rig's."""
+    slots = round(capacity_factor * READS_PER_MEMBER_PER_SECOND * len(rig.members) / 2 * SERVICE_SECONDS)
+    counting_targets = [CountingTarget(target.name, target.shard, slots) for target in rig.targets]
+    for old, new in zip(list(rig.targets), counting_targets, strict=True):
         await new.open()
         rig.discovery.set(new)
         rig.targets.append(new)
@@ -119,117 +282,71 @@
         ),
         "they are listed",
     )
-    return found
+    return counting_targets
 
 
-async def play(
-    way: str, size: int, killed: int, down: float, patience: float, room: float, folder: Path
-) -> dict[str, object]:
-    changes = {"keep": "true", "probe_every_s": "0.5", "probe_timeout_s": "0.2", **WAYS[way]}
-    async with Rig(size, folder, **changes) as rig:
+def count_full_requests(rig: Rig) -> int:
+    """Return how many list calls asked for the whole list so far."""
+    return sum("after=" not in call for call in rig.discovery.calls)
+
+
+async def play(scenario: Scenario, folder: Path) -> Report:
+    """Play a scenario and report what was counted."""
+    changes = {**FLEET_SETTINGS, **CONFIGURATIONS[scenario.configuration]}
+    async with Rig(scenario.size, folder, **changes) as rig:
         await rig.agreed()
-        targets = await counted(rig, room)
-        ends: list[tuple[float, bool]] = []
-        loading = asyncio.create_task(load(rig, ends, patience))
-        await asyncio.sleep(4.0)
-        calm = time.monotonic()
-        await asyncio.sleep(CALM)
-        names = list(rig.members)[: size if way.startswith("cold") else killed]
-        struck = time.monotonic()
+        targets = await replace_targets(rig, scenario.capacity_factor)
+        load = Load(rig, scenario.patience)
+        loading = asyncio.create_task(load.run())
+        await asyncio.sleep(WARM_UP_SECONDS)
+        baseline_began = time.monotonic()
+        await asyncio.sleep(BASELINE_SECONDS)
+        names = list(rig.members)[: scenario.size if scenario.loses_state else scenario.killed]
+        killed_at = time.monotonic()
         for name in names:
             rig[name].send(signal.SIGKILL)
         rig.discovery.close()
         await asyncio.gather(*(rig[name].process.wait() for name in names))
-        whole_before = sum("after=" not in call for call in rig.discovery.calls)
-        if way.startswith("cold"):
+        full_requests_before = count_full_requests(rig)
+        if scenario.loses_state:
             for name in names:
                 shutil.rmtree(rig[name].store, ignore_errors=True)
-        began = time.monotonic()
+        restarted_at = time.monotonic()
         await asyncio.gather(*(rig[name].start() for name in names))
-        await asyncio.sleep(max(0.0, struck + down - time.monotonic()))
+        await asyncio.sleep(max(0.0, killed_at + scenario.discovery_down_time - time.monotonic()))
         await rig.discovery.open()
-        await asyncio.sleep(began + WATCHED - time.monotonic())
+        await asyncio.sleep(restarted_at + OBSERVED_SECONDS - time.monotonic())
         loading.cancel()
-        end = began + WATCHED
-        before = served(ends, calm, struck)
-        steps = [began + step / 10 for step in range(int((WATCHED - HOLD - 1.5) * 10))]
-        full = next((at - began for at in steps if served(ends, at, at + HOLD) >= SHARE * before), None)
-        count = {
-            "list_calls": rig.discovery.times,
-            "connections": [at for target in targets for at in target.opened],
-        }
-        sends = [[at for at, _ in target.begun] for target in targets]
-        return {
-            "kind": "coming_back",
-            "way": way,
-            "size": size,
-            "killed": len(names),
-            "down_s": down,
-            "before_per_s": round(before, 1),
-            "full_after_s": None if full is None else round(full, 1),
-            "lost": sum(not good for at, good in ends if at >= struck),
-            "list_calls_calm_mean": round(
-                sum(calm <= at < struck for at in rig.discovery.times) / (struck - calm), 1
-            ),
-            "turned_away_calm": sum(at < struck for target in targets for at in target.full_at),
-            "turned_away_after": sum(at >= struck for target in targets for at in target.full_at),
-            "whole_lists": sum("after=" not in call for call in rig.discovery.calls) - whole_before,
-            **{
-                f"{name}_{when}": most(times, *span)
-                for name, times in count.items()
-                for when, span in (("calm", (calm, struck)), ("after", (struck, end)))
-            },
-            **{
-                f"sends_{when}": max(most(times, *span) for times in sends)
-                for when, span in (("calm", (calm, struck)), ("after", (struck, end)))
-            },
-            **{
-                f"open_{when}": sum(
-                    max((n for at, n in target.open_now if span[0] <= at < span[1]), default=0)
-                    for target in targets
-                )
-                for when, span in (("calm", (0.0, struck)), ("after", (began, end)))
-            },
-            "series": series(
-                began,
-                {
-                    **count,
-                    "sends": [at for times in sends for at in times],
-                    "served": [at for at, good in ends if good],
-                    "asked": [at for at, _ in ends],
-                },
-            ),
-        }
-
-
-def series(began: float, times: dict[str, list[float]]) -> dict[str, list[float]]:
-    """Counts a second in steps of STEP, from 4 s before the restart on."""
-    edges = [began + STEP * n for n in range(int(-4 / STEP), int((WATCHED - 1.5) / STEP))]
-    found = {
-        name: [sum(edge <= at < edge + STEP for at in each) / STEP for edge in edges]
-        for name, each in times.items()
-    }
-    return {"at": [round(edge - began, 3) for edge in edges], **found}
+        observation = Observation(
+            scenario,
+            rig,
+            targets,
+            load.reads,
+            Span(baseline_began, killed_at),
+            restarted_at,
+            count_full_requests(rig) - full_requests_before,
+        )
+        # Evaluated before the fleet ends, as reads that are still open would fail then.
+        return Report(observation.result(), observation.series())
 
 
-async def cost(keep: bool, folder: Path) -> dict[str, object]:
-    """What saving costs a request: latencies of reads at five members that save every 0.2 s, or never."""
-    async with Rig(5, folder, keep=str(keep).lower()) as rig:
+async def measure_snapshot_cost(saves_snapshots: bool, folder: Path) -> dict[str, object]:
+    """Return latencies of reads at five members that save a snapshot every 0.2 s, or never."""
+    async with Rig(5, folder, keep=str(saves_snapshots).lower()) as rig:
         await rig.agreed()
-        ends, took = [], []
-        loading = asyncio.create_task(load(rig, ends, 1.2, 40.0))
-        await asyncio.sleep(5.0)  # past the ramp of the start
-        loading.cancel()
-        loading = asyncio.create_task(load(rig, ends, 1.2, 40.0, took))
+        warm_up = asyncio.create_task(Load(rig, 1.2, 40.0).run())
+        await asyncio.sleep(5.0)  # until the ramp of the start is over
+        warm_up.cancel()
+        load = Load(rig, 1.2, 40.0)
+        loading = asyncio.create_task(load.run())
         await asyncio.sleep(10.0)
         loading.cancel()
-        took.sort()
-        return {
-            "kind": "snapshots",
-            "keep": keep,
-            "reads": len(took),
-            **{f"p{share}_ms": round(1000 * took[int(len(took) * share / 100)], 2) for share in (50, 99)},
+        latencies = sorted(load.latencies)
+        percentiles = {
+            f"p{percent}_ms": round(1000 * latencies[int(len(latencies) * percent / 100)], 2)
+            for percent in (50, 99)
         }
+        return {"kind": "snapshots", "keep": saves_snapshots, "reads": len(latencies), **percentiles}
 
 
 def main() -> None:
@@ -237,33 +354,27 @@
     parser.add_argument("--size", type=int, default=40)
     parser.add_argument("--killed", type=int, default=28)
     parser.add_argument("--down", type=float, default=4.0)
-    parser.add_argument("--patience", type=float, default=4.0, help="s for which a client tries")
-    parser.add_argument("--room", type=float, default=ROOM)
-    parser.add_argument("--ways", default=",".join(WAYS))
+    parser.add_argument("--patience", type=float, default=4.0, help="s for which a client retries")
+    parser.add_argument("--room", type=float, default=CAPACITY_FACTOR)
+    parser.add_argument("--ways", default=",".join(CONFIGURATIONS))
     parser.add_argument("--costs", type=int, default=2, help="rounds of measuring what saving costs")
     parser.add_argument("--series", type=Path)
     options = parser.parse_args()
-    kept = []
-    for way in filter(None, options.ways.split(",")):
+    series = []
+    for configuration in filter(None, options.ways.split(",")):
+        scenario = Scenario(
+            configuration, options.size, options.killed, options.down, options.patience, options.room
+        )
         with tempfile.TemporaryDirectory() as folder:
-            found = asyncio.run(
-                play(
-                    way,
-                    options.size,
-                    options.killed,
-                    options.down,
-                    options.patience,
-                    options.room,
-                    Path(folder),
-                )
-            )
-            kept.append({"way": way, **found.pop("series")})
-            print(json.dumps(found), flush=True)
-    for keep in (False, True) * options.costs:
+            report = asyncio.run(play(scenario, Path(folder)))
+        series.append({"way": configuration, **report.series})
+        print(json.dumps(report.result), flush=True)
+    for saves_snapshots in (False, True) * options.costs:
         with tempfile.TemporaryDirectory() as folder:
-            print(json.dumps(asyncio.run(cost(keep, Path(folder)))), flush=True)
+            cost = asyncio.run(measure_snapshot_cost(saves_snapshots, Path(folder)))
+        print(json.dumps(cost), flush=True)
     if options.series is not None:
-        options.series.write_text("".join(json.dumps(line) + "\n" for line in kept))
+        options.series.write_text("".join(json.dumps(line) + "\n" for line in series))
 
 
 if __name__ == "__main__":
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -1,7 +1,7 @@
-"""Draws what `bench.mass_restart --series FILE` has counted: `python -m bench.plots FILE PICTURE`.
+"""Plots what `bench.mass_restart --series FILE` counted: `python -m bench.plots FILE PICTURE`.
 
-One column a way, under each other the reads asked for and served in time, the list calls, the new connections
-and the sends to targets, a second each, from 4 s before the restart on.
+There is one column for each configuration.  Its rows show, per second and from 4 s before the restart on, the
+reads asked for and served in time, the list calls, the new connections, and the requests sent to targets.
 """
 
 from __future__ import annotations
@@ -16,53 +16,59 @@
 from matplotlib import pyplot
 
 ROWS = (
-    ("reads a second", ("asked", "served")),
-    ("list calls a second", ("list_calls",)),
-    ("new connections a second", ("connections",)),
-    ("sends to targets a second", ("sends",)),
+    ("reads per second", ("asked", "served")),
+    ("list calls per second", ("list_calls",)),
+    ("new connections per second", ("connections",)),
+    ("requests to targets per second", ("sends",)),
 )
 TITLES = {
-    "on": "state kept, paced",
-    "no_ramp": "state kept",
+    "on": "snapshots, paced",
+    "no_ramp": "snapshots",
     "off": "neither",
-    "cold": "all lost, paced",
-    "cold_no_ramp": "all lost",
+    "cold": "state lost, paced",
+    "cold_no_ramp": "state lost",
 }
+COLUMN_WIDTH_INCHES = 3.2
+ROW_HEIGHT_INCHES = 2.2
 
 
-def draw(lines: list[dict], picture: Path) -> None:
-    """One picture of all ways."""
+def plot(results: list[dict], picture: Path) -> None:
+    """Plot the series of all configurations into one picture."""
     figure, axes = pyplot.subplots(
         len(ROWS),
-        len(lines),
+        len(results),
         sharex=True,
         sharey="row",
         squeeze=False,
-        figsize=(3.2 * len(lines), 2.2 * len(ROWS)),
+        figsize=(COLUMN_WIDTH_INCHES * len(results), ROW_HEIGHT_INCHES * len(ROWS)),
     )
-    for column, line in enumerate(lines):
-        for row, (title, names) in enumerate(ROWS):
-            place = axes[row][column]
-            for name in names:
-                place.step(line["at"], line[name], where="post", label=name, linewidth=1.0)
-            place.axvline(0.0, color="grey", linewidth=0.6)
-            place.grid(alpha=0.3)
+    for column, result in enumerate(results):
+        for row, (title, series_names) in enumerate(ROWS):
+            plot_series(axes[row][column], result, series_names)
             if column == 0:
-                place.set_ylabel(title, fontsize=8)
-            if len(names) > 1 and column == 0:
-                place.legend(fontsize=7)
-        axes[0][column].set_title(TITLES.get(line["way"], line["way"]), fontsize=9)
+                axes[row][column].set_ylabel(title, fontsize=8)
+            if len(series_names) > 1 and column == 0:
+                axes[row][column].legend(fontsize=7)
+        axes[0][column].set_title(TITLES.get(result["way"], result["way"]), fontsize=9)
         axes[-1][column].set_xlabel("s since the restart", fontsize=8)
     figure.tight_layout()
     figure.savefig(picture, dpi=90)
 
 
+def plot_series(axis: pyplot.Axes, result: dict, series_names: tuple[str, ...]) -> None:
+    """Plot some series of one configuration."""
+    for name in series_names:
+        axis.step(result["at"], result[name], where="post", label=name, linewidth=1.0)
+    axis.axvline(0.0, color="grey", linewidth=0.6)
+    axis.grid(alpha=0.3)
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("series", type=Path)
     parser.add_argument("picture", type=Path)
     options = parser.parse_args()
-    draw([json.loads(line) for line in options.series.read_text().splitlines()], options.picture)
+    plot([json.loads(line) for line in options.series.read_text().splitlines()], options.picture)
 
 
 if __name__ == "__main__":
--- a/tests/fleet/test_mass_restart.py
+++ b/tests/fleet/test_mass_restart.py
@@ -1,4 +1,4 @@
-"""Coming back between real processes: killed, their state lost or spoilt, with discovery down."""
+"""Recovery of real processes: killed, with their state lost or corrupt, and with discovery unavailable."""
 
 from __future__ import annotations
 
@@ -17,61 +17,65 @@
 FOUR = [f"m{n}" for n in range(4)]
 
 
-async def saved(rig: Rig) -> None:
-    """Wait until all have the newest list on their disks."""
+async def wait_until_saved(rig: Rig) -> None:
+    """Wait until all members have stored the newest target list."""
 
-    def kept(name: str) -> bool:
+    def is_saved(name: str) -> bool:
         store = SnapshotStore(str(rig[name].store))
         try:
-            facts = store.load(name, f"127.0.0.1:{rig.discovery.port}", time.time())
-            listing = facts and facts.target_list
-            return listing is not None and listing.version == rig.discovery.index
+            snapshot = store.load(name, f"127.0.0.1:{rig.discovery.port}", time.time())
+            target_list = snapshot and snapshot.target_list
+            return target_list is not None and target_list.version == rig.discovery.index
         finally:
             store.close()
 
-    await rig.until(lambda: all(rig[name].store.exists() and kept(name) for name in FOUR), "all have kept it")
+    await rig.until(
+        lambda: all(rig[name].store.exists() and is_saved(name) for name in FOUR), "all have stored it"
+    )
 
 
-async def end(rig: Rig, names: list[str], number: signal.Signals = signal.SIGKILL) -> None:
-    """End some at once."""
+async def end_members(rig: Rig, names: list[str], signal_number: signal.Signals = signal.SIGKILL) -> None:
+    """End some members at once."""
     for name in names:
-        rig[name].send(number)
+        rig[name].send(signal_number)
     await asyncio.gather(*(rig[name].process.wait() for name in names))
     await asyncio.gather(*(rig[name].reading for name in names))
 
 
-async def start(rig: Rig, names: list[str]) -> None:
-    """Start some together."""
+async def start_members(rig: Rig, names: list[str]) -> None:
+    """Start some members together."""
     for name in names:
         rig[name].log.clear()
     await asyncio.gather(*(rig[name].start() for name in names))
     await rig.until(lambda: all(rig[name].said("started") for name in names), "they have started")
 
 
-async def restart(rig: Rig) -> None:
-    """Kill all at once and start them together."""
-    await end(rig, FOUR)
-    await start(rig, FOUR)
+async def kill_and_restart_all(rig: Rig) -> None:
+    """Kill all members at once and start them together."""
+    await end_members(rig, FOUR)
+    await start_members(rig, FOUR)
 
 
-async def ready(rig: Rig, names: list[str], status: int = 200) -> None:
-    async def all_say() -> bool:
+async def wait_until_ready(rig: Rig, names: list[str], status: int = 200) -> None:
+    """Wait until `/_ready` of some members answers with a status."""
+
+    async def all_answer() -> bool:
         return [await rig[name].status("/_ready") for name in names] == [status] * len(names)
 
-    await rig.until(all_say, f"/_ready says {status}")
+    await rig.until(all_answer, f"/_ready says {status}")
 
 
-def good(told: list[list[float]]) -> bool:
-    """Whether all of these patient clients were served in the end."""
-    return all(each[-1] == 0.0 for each in told)
+def all_served(client_waits: list[list[float]]) -> bool:
+    """Whether all of these clients were served in the end; `client_waits` are their Retry-After."""
+    return all(waits[-1] == 0.0 for waits in client_waits)
 
 
-def test_all_killed_while_discovery_is_down_serve_from_what_they_kept(tmp_path):
+def test_members_killed_while_discovery_is_unavailable_serve_from_their_snapshots(tmp_path):
     async def scene(rig):
-        await saved(rig)
+        await wait_until_saved(rig)
         rig.discovery.close()
-        await restart(rig)
-        assert good([await patient(rig[name].listen, 1) for name in FOUR])
+        await kill_and_restart_all(rig)
+        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
         await rig.until(
             lambda: all(rig[name].said("recovery_snapshot_loaded") for name in FOUR), "all say so"
         )
@@ -79,7 +83,7 @@
     play(scene, 4, tmp_path, keep="true")
 
 
-def test_with_their_state_lost_too_they_are_not_ready_until_discovery_is_back(tmp_path):
+def test_members_without_snapshots_are_not_ready_until_discovery_is_available(tmp_path):
     async def scene(rig):
         rig.discovery.close()
         for name in FOUR:
@@ -89,18 +93,18 @@
             shutil.rmtree(rig[name].store)
             rig[name].log.clear()
         await asyncio.gather(*(rig[name].start() for name in FOUR))
-        await rig.until(lambda: all(rig[name].said("discovery_failed") for name in FOUR), "it is missed")
+        await rig.until(lambda: all(rig[name].said("discovery_failed") for name in FOUR), "they notice")
         assert [await rig[name].status("/_ready") for name in FOUR] == [503] * 4
         await rig.discovery.open()
-        await ready(rig, FOUR)
-        assert good([await patient(rig[name].listen, 1) for name in FOUR])
+        await wait_until_ready(rig, FOUR)
+        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
 
     play(scene, 4, tmp_path, keep="true")
 
 
-def test_torn_state_of_half_is_refused_and_nobody_but_they_asks_for_the_whole_list(tmp_path):
+def test_torn_snapshots_are_rejected_and_only_their_members_request_the_full_list(tmp_path):
     async def scene(rig):
-        await saved(rig)
+        await wait_until_saved(rig)
         for name in FOUR:
             rig[name].send(signal.SIGKILL)
         await asyncio.gather(*(rig[name].process.wait() for name in FOUR))
@@ -115,81 +119,81 @@
         assert [len(rig[name].said("recovery_snapshot_rejected")) for name in FOUR] == [1, 1, 0, 0]
         assert sum("after=" not in call for call in rig.discovery.calls) == 2
         await rig.agreed()
-        assert good([await patient(rig[name].listen, 1) for name in FOUR])
+        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
 
     play(scene, 4, tmp_path, keep="true")
 
 
-def test_what_a_peer_knows_to_drain_gets_nothing_from_those_that_come_back_with_an_older_list(tmp_path):
-    """Three are killed; the fourth hears that s-1 leaves, then discovery falls silent.  On the lists that the
-    three have kept s-1 is ready."""
+def test_restarted_members_send_nothing_to_a_target_that_a_peer_knows_to_drain(tmp_path):
+    """Three members are killed; the fourth learns that s-1 drains, then discovery becomes unavailable.  In
+    the snapshots of the three s-1 is ready."""
 
     async def scene(rig):
-        await saved(rig)
-        back = FOUR[:3]
-        await end(rig, back)
+        await wait_until_saved(rig)
+        restarted = FOUR[:3]
+        await end_members(rig, restarted)
         rig.discovery.set(rig.targets[1], "leaving")
         await rig.until(
             lambda: any(line["targets"].get("s-1") == "draining" for line in rig["m3"].said("list")),
-            "m3 hears of it",
+            "m3 learns of it",
         )
         rig.discovery.close()
         sent = len(rig.targets[1].begun)
-        await start(rig, back)
-        await ready(rig, back)
+        await start_members(rig, restarted)
+        await wait_until_ready(rig, restarted)
         assert all(
-            rig[name].said("recovery_peer_state_applied")[0]["withheld_targets"] == ["s-1"] for name in back
+            rig[name].said("recovery_peer_state_applied")[0]["withheld_targets"] == ["s-1"]
+            for name in restarted
         )
-        told = [await patient(rig[name].listen, 1, shard=1) for name in back]
-        assert all(each[-1] > 0 for each in told)  # refused, with advice
+        client_waits = [await patient(rig[name].listen, 1, shard=1) for name in restarted]
+        assert all(waits[-1] > 0 for waits in client_waits)  # rejected with Retry-After
         assert len(rig.targets[1].begun) == sent
-        assert good([await patient(rig[name].listen, 2) for name in back])
-        rig.discovery.set(rig.targets[1])  # it stays after all: its own discovery may say so, no peer
+        assert all_served([await patient(rig[name].listen, 2) for name in restarted])
+        rig.discovery.set(rig.targets[1])  # it stays after all, as only the own discovery may report
         await rig.discovery.open()
-        await rig.until(lambda: all(rig[name].said("list") for name in back), "they hear of it")
-        assert good([await patient(rig[name].listen, 3, shard=1) for name in back])
+        await rig.until(lambda: all(rig[name].said("list") for name in restarted), "they learn of it")
+        assert all_served([await patient(rig[name].listen, 3, shard=1) for name in restarted])
 
     play(scene, 4, tmp_path, keep="true", ask_peers_s="3.0")
 
 
-def test_a_target_told_to_drain_stays_told_though_all_are_killed_long_before_the_next_saving(tmp_path):
+def test_drain_is_saved_at_once_and_survives_a_kill_before_the_next_regular_snapshot(tmp_path):
     async def scene(rig):
-        await saved(rig)
+        await wait_until_saved(rig)
         rig.discovery.set(rig.targets[1], "leaving")
-        await saved(rig)
+        await wait_until_saved(rig)
         rig.discovery.close()
-        await end(rig, FOUR)
+        await end_members(rig, FOUR)
         sent = len(rig.targets[1].begun)
-        await start(rig, FOUR)
-        assert good([await patient(rig[name].listen, 1) for name in FOUR])
-        told = [await patient(rig[name].listen, 2, shard=1) for name in FOUR]
-        assert all(each[-1] > 0 for each in told) and len(rig.targets[1].begun) == sent
+        await start_members(rig, FOUR)
+        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
+        client_waits = [await patient(rig[name].listen, 2, shard=1) for name in FOUR]
+        assert all(waits[-1] > 0 for waits in client_waits) and len(rig.targets[1].begun) == sent
 
     play(scene, 4, tmp_path, keep="true", save_every_s="300.0")
 
 
 @pytest.mark.parametrize(("age", "waits"), [(60.0, False), (700.0, True)])
-def test_a_list_of_another_time_is_served_from_once_confirmed_and_not_at_all_if_it_is_too_old(
-    tmp_path, age, waits
-):
-    """While discovery is down nobody confirms it: one of 60 s is believed in the end, one of 700 s never."""
+def test_old_list_is_used_after_a_wait_for_confirmation_and_an_expired_one_is_not(tmp_path, age, waits):
+    """While discovery is unavailable nobody confirms the list: one of 60 s is used in
+    the end, one of 700 s never."""
 
     async def scene(rig):
-        await saved(rig)
-        await end(rig, FOUR)
+        await wait_until_saved(rig)
+        await end_members(rig, FOUR)
         rig.discovery.close()
         for name in FOUR:
             store, now = SnapshotStore(str(rig[name].store)), time.time()
-            facts = store.load(name, f"127.0.0.1:{rig.discovery.port}", now)
-            store.save(replace(facts, saved_at=now - age, target_list_confirmed_at=now - age))
+            snapshot = store.load(name, f"127.0.0.1:{rig.discovery.port}", now)
+            store.save(replace(snapshot, saved_at=now - age, target_list_confirmed_at=now - age))
             store.close()
-        await start(rig, FOUR)
+        await start_members(rig, FOUR)
         if waits:
-            await rig.until(lambda: all(rig[name].said("discovery_failed") for name in FOUR), "it is missed")
+            await rig.until(lambda: all(rig[name].said("discovery_failed") for name in FOUR), "they notice")
             assert [await rig[name].status("/_ready") for name in FOUR] == [503] * 4
             await rig.discovery.open()
-        await ready(rig, FOUR)
-        assert good([await patient(rig[name].listen, 1) for name in FOUR])
+        await wait_until_ready(rig, FOUR)
+        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
         assert waits or all(
             rig[name].said("recovery_phase")[0]["after_s"] >= MAX_CONFIRMATION_WAIT_SECONDS for name in FOUR
         )
@@ -197,30 +201,31 @@
     play(scene, 4, tmp_path, keep="true")
 
 
-def test_a_second_wave_of_kills_while_the_first_comes_back_brings_no_rush_on_discovery(tmp_path):
-    """Six are killed together while discovery is down, three of them again in their return.  Discovery sees
-    1.2 calls a second of six in the calm."""
+def test_second_wave_of_kills_during_recovery_keeps_discovery_within_its_peak_rate(tmp_path):
+    """Six members are killed together while discovery is unavailable, three of them again during recovery.
+    Discovery gets 1.2 calls per second of six members in normal operation."""
 
     async def scene(rig):
-        names, wave = list(rig.members), list(rig.members)[::2]
-        await ready(rig, names)
+        names = list(rig.members)
+        second_wave = names[::2]
+        await wait_until_ready(rig, names)
         rig.discovery.close()
-        await end(rig, names)
-        await start(rig, names)
+        await end_members(rig, names)
+        await start_members(rig, names)
         reads = [
             asyncio.create_task(patient(rig[name].listen, n, 20.0, shard=n % 2))
             for n, name in enumerate(names * 6)
         ]
         await asyncio.sleep(0.5)
-        await end(rig, wave)
-        await start(rig, wave)
+        await end_members(rig, second_wave)
+        await start_members(rig, second_wave)
         rig.discovery.times.clear()
         await rig.discovery.open()
-        assert good(await asyncio.gather(*reads))
+        assert all_served(await asyncio.gather(*reads))
         await rig.until(
             lambda: all(rig[name].said("recovery_ramp_ended") for name in names), "all doors are open"
         )
-        await rig.until(lambda: all(rig[name].said("list") for name in names), "all have heard")
+        await rig.until(lambda: all(rig[name].said("list") for name in names), "all have a list")
         times = rig.discovery.times
         assert max(sum(at - 1.0 < other <= at for other in times) for at in times) <= 4
         assert sum(bool(rig[name].said("fault")) for name in names) == 0
@@ -230,7 +235,7 @@
     play(scene, 6, tmp_path, keep="true")
 
 
-def test_a_rolling_restart_narrows_no_door_and_every_patient_client_is_served(tmp_path):
+def test_rolling_restart_starts_no_ramp_and_every_retrying_client_is_served(tmp_path):
     async def scene(rig):
         reads, number = [], 0
         for name in FOUR:
@@ -239,32 +244,36 @@
                 for n, each in enumerate(FOUR * 4, number)
             ]
             number += 16
-            await end(rig, [name], signal.SIGTERM)
-            await start(rig, [name])
+            await end_members(rig, [name], signal.SIGTERM)
+            await start_members(rig, [name])
             assert rig[name].said("recovery_snapshot_loaded")[0]["is_clean_shutdown"]
-        assert good(await asyncio.gather(*reads))
+        assert all_served(await asyncio.gather(*reads))
         assert not any(rig[name].said("recovery_ramp_ended") or rig[name].said("fault") for name in FOUR)
 
     play(scene, 4, tmp_path, keep="true")
 
 
-def test_clients_that_come_at_the_time_they_were_told_are_served_first(tmp_path):
-    """All are killed and one is asked by forty at once: whom it can't serve it tells when to return."""
+def test_clients_that_retry_at_the_reserved_time_are_served_first(tmp_path):
+    """All members are killed, and forty clients ask one at once, which reserves units for some."""
 
     async def scene(rig):
-        await saved(rig)
-        await restart(rig)
-        told = await asyncio.gather(*(patient(rig["m0"].listen, n, 6.0, shard=n % 2) for n in range(40)))
-        assert good(told) and len({wait for each in told for wait in each if wait > 0}) > 20  # no step
-        await rig.until(lambda: bool(rig["m0"].said("recovery_ramp_ended")), "its door is open")
+        await wait_until_saved(rig)
+        await kill_and_restart_all(rig)
+        client_waits = await asyncio.gather(
+            *(patient(rig["m0"].listen, n, 6.0, shard=n % 2) for n in range(40))
+        )
+        assert all_served(client_waits)
+        different_waits = {wait for waits in client_waits for wait in waits if wait > 0}
+        assert len(different_waits) > 20  # the clients do not retry in step
+        await rig.until(lambda: bool(rig["m0"].said("recovery_ramp_ended")), "its ramp ends")
         counts = rig["m0"].said("recovery_ramp_ended")[0]
         assert counts["returned"] >= 0.8 * counts["booked"] > 0
 
     play(scene, 4, tmp_path, keep="true")
 
 
-def test_restarts_in_a_row_give_a_limited_volume_no_unit_more(tmp_path):
-    """One host of a `basic` volume (27 units a second, 44 at once) is told to end and started four times."""
+def test_repeated_restarts_give_a_limited_volume_no_additional_units(tmp_path):
+    """One initiator of a `basic` volume (27 units per second, burst of 44) is restarted four times."""
 
     async def scene(rig):
         began, number, served = time.monotonic(), 0, 0
@@ -280,9 +289,9 @@
             rig["m0"].log.clear()
             await rig["m0"].start()
             await rig.until(lambda: rig["m0"].said("started") != [], "it is back")
-        took = time.monotonic() - began
+        elapsed = time.monotonic() - began
         ran = len(rig.targets[0].ran)
-        assert served <= ran <= 27 * took + 44
+        assert served <= ran <= 27 * elapsed + 44
         assert rig["m0"].said("recovery_state_restored")[0]["token_levels"] == 1
 
     play(scene, 4, tmp_path, keep="true")
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -193,7 +193,7 @@
         )
         assert part.load_baseline.served_fraction == whole.load_baseline.served_fraction
     assert tuple(change for part in parts for change in part.changes) == whole.changes
-    assert tuple(pace for part in parts for pace in part.latency_estimates) == whole.latency_estimates
+    assert tuple(estimate for part in parts for estimate in part.latency_estimates) == whole.latency_estimates
     assert (
         tuple(rate for part in parts for rate in part.load_baseline.shard_rates)
         == whole.load_baseline.shard_rates
