--- a/stalltiller/scheduling/targets.py
+++ b/stalltiller/scheduling/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -44,3 +45,11 @@
 
     kind: TargetListKind
     targets: tuple[Target, ...]
+
+    def removed(self, known: Iterable[TargetId]) -> set[TargetId]:
+        """Return those of the known targets that the update removes, or leaves out of a whole list."""
+        listed = {target.target_id: target for target in self.targets}
+        left_out = set() if self.kind is TargetListKind.DELTA else set(known) - set(listed)
+        return left_out | {
+            target_id for target_id, target in listed.items() if target.status is TargetStatus.REMOVED
+        }
--- /dev/null
+++ b/stalltiller/scheduling/token_messages.py
@@ -0,0 +1,58 @@
+"""The messages by which initiators ask each other for tokens of a volume's limit, and grant them.
+
+A message is 15 bytes, little-endian: kind (1), volume (8), number of the request (4), parts of units (2).
+Units travel as whole sixteenths, rounded down.  What the scheduler does with a message is decided elsewhere.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+
+MESSAGE_LAYOUT = struct.Struct("<BQIH")
+PARTS_PER_UNIT = 16
+MAX_PARTS = 65535  # what the field of two bytes holds
+
+
+class Kind(IntEnum):
+    """What a token message is; the values are those on the wire."""
+
+    REQUEST = 1
+    GRANT = 2
+
+
+@dataclass(slots=True, frozen=True)
+class TokenMessage:
+    """A request for tokens, or the grant that answers the request of that number."""
+
+    kind: Kind
+    volume_id: int
+    request_number: int
+    units: float
+
+
+def encode_request(volume_id: int, request_number: int, units: float) -> bytes:
+    """Return the message that asks for that many units of a volume's limit."""
+    return MESSAGE_LAYOUT.pack(Kind.REQUEST, volume_id, request_number, _whole_parts(units))
+
+
+def encode_grant(request: TokenMessage, units: float) -> tuple[bytes, float]:
+    """Return the message that grants units to a request, and the units that it carries after rounding."""
+    parts = _whole_parts(units)
+    message = MESSAGE_LAYOUT.pack(Kind.GRANT, request.volume_id, request.request_number, parts)
+    return message, parts / PARTS_PER_UNIT
+
+
+def decode(data: bytes) -> TokenMessage | None:
+    """Return the message, or None for bytes of another length or an unknown kind."""
+    if len(data) != MESSAGE_LAYOUT.size:
+        return None
+    kind, volume_id, request_number, parts = MESSAGE_LAYOUT.unpack(data)
+    if kind not in (Kind.REQUEST, Kind.GRANT):
+        return None
+    return TokenMessage(Kind(kind), volume_id, request_number, parts / PARTS_PER_UNIT)
+
+
+def _whole_parts(units: float) -> int:
+    return min(MAX_PARTS, int(units * PARTS_PER_UNIT))
--- a/tests/decision_world.py
+++ b/tests/decision_world.py
@@ -40,6 +40,7 @@
     TargetListUpdate,
     TimerFired,
     WatchTargetList,
+    token_messages,
 )
 from stalltiller.scheduling import scheduler as logic
 from stalltiller.scheduling.scheduler import Scheduler
@@ -158,7 +159,7 @@
     def _change_lives(self, index: int) -> None:
         """Begin or retire a scheduler, as a process does that takes over from another."""
         scenario, scheduler = self.scenario, self.schedulers[index]
-        if scenario.begin_at is not None and self.now >= scenario.begin_at > scheduler.started:
+        if scenario.begin_at is not None and self.now >= scenario.begin_at > scheduler.started_at:
             scheduler.activate(self.now)
         if scenario.retire_at is not None and self.now >= scenario.retire_at:
             scheduler.deactivate()
@@ -214,12 +215,13 @@
         self.notes[code] += 1
         if isinstance(action, StartAttempt) and self._attempts[action.request_id]:
             self.notes["send again"] += 1
-        elif isinstance(action, SetTimer) and action.token == logic.TIMER_WATCH:
+        elif isinstance(action, SetTimer) and action.token == logic.WATCH_TIMER:
             self.notes["timer to watch"] += 1
         elif isinstance(action, SendPeerMessage):
-            kind = {logic.ASK: "ask", logic.GRANT: "grant"}[logic.MESSAGE.unpack(action.data)[0]]
+            message = token_messages.decode(action.data)
+            kind = {token_messages.Kind.REQUEST: "ask", token_messages.Kind.GRANT: "grant"}[message.kind]
             self.notes[kind + (" all" if action.initiator_index is None else "")] += 1
-            self.notes["tokens granted"] += kind == "grant" and logic.MESSAGE.unpack(action.data)[3] > 0
+            self.notes["tokens granted"] += kind == "grant" and message.units > 0
 
     def _carry_out(self, index: int, action: Action) -> None:
         if isinstance(action, StartAttempt):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,6 +12,8 @@
     StartAttempt,
     TargetStatus,
     scheduler,
+    state,
+    target_load,
 )
 from tests.helpers import Gateway, entry, outcome, request, request_class
 
@@ -24,14 +26,14 @@
     gateway = Gateway(nodes=(entry(1, status=TargetStatus.DRAINING),))  # nothing can be sent
     gateway.feed(0.0, request(1, time_remaining=3.0))
     gateway.feed(0.1, request(2, time_remaining=0.9))  # no later try of a client that waits for its aim
-    assert held(gateway, 2).due == pytest.approx(0.1 + 0.9 - scheduler.ANSWER_MARGIN)
+    assert held(gateway, 2).due_at == pytest.approx(0.1 + 0.9 - scheduler.ANSWER_MARGIN_SECONDS)
 
 
 def test_a_later_try_has_what_is_left_of_its_aim():
     gateway = Gateway(nodes=(entry(1, status=TargetStatus.DRAINING),))
     gateway.feed(0.0, request(1, time_remaining=3.0))
     gateway.feed(0.1, request(2, time_remaining=2.5))
-    assert held(gateway, 2).due == pytest.approx(0.6)
+    assert held(gateway, 2).due_at == pytest.approx(0.6)
 
 
 def test_a_try_that_the_client_will_not_wait_for_is_refused_at_once_and_never_sent():
@@ -39,9 +41,9 @@
     gateway.feed(0.0, request(1))
     node = gateway.scheduler.targets[1]
     node.latency = 0.4
-    refused = gateway.feed(0.01, request(2, time_remaining=scheduler.WAIT_SHARE * 0.4))
+    refused = gateway.feed(0.01, request(2, time_remaining=scheduler.ABANDONED_FACTOR * 0.4))
     assert refused == [Reject(2, 1.5)]
-    assert gateway.sends(0.02, request(3, time_remaining=0.4 + scheduler.WAIT_SHARE * 0.4)) == [3]
+    assert gateway.sends(0.02, request(3, time_remaining=0.4 + scheduler.ABANDONED_FACTOR * 0.4)) == [3]
 
 
 def test_a_short_time_out_does_not_close_the_window():
@@ -57,7 +59,7 @@
     gateway = Gateway()
     gateway.feed(0.0, request(1, time_remaining=60.0))
     assert gateway.sends(0.1, request(2, time_remaining=3.0)) == [2]
-    assert held(gateway, 2).due == pytest.approx(1.1)
+    assert held(gateway, 2).due_at == pytest.approx(1.1)
 
 
 def test_without_a_whole_attempt_a_request_is_given_up_before_half_of_its_time():
@@ -80,7 +82,7 @@
     for n in range(50):
         gateway.feed(n * 0.01, request(n, volume=n, shard=n))
         gateway.feed(n * 0.01 + 0.005, outcome(n, target_id=n))
-    later = 1.0 + scheduler.FORGET_AFTER
+    later = 1.0 + scheduler.FORGET_SECONDS
     gateway.feed(later, request(99, volume=99, shard=1))
     assert set(gateway.scheduler.volumes) == {99} and set(gateway.scheduler.contention.requested_at) == {1}
     assert sum(len(node.allocations) for node in gateway.scheduler.targets.values()) == 1
@@ -93,10 +95,11 @@
     assert gateway.sends(0.0, *(request(n) for n in range(1, 5))) == [1, 2, 3, 4]
     node.in_flight[1].sent_at = -0.01  # the first went a little earlier
     gateway.feed(0.02, *(outcome(n, latency=0.02) for n in (2, 3, 4)))
-    assert node.in_flight[1].passed == scheduler.PASSED
+    assert node.in_flight[1].overtaken_count == target_load.OVERTAKEN_COUNT
     window = node.concurrency_limit
     assert gateway.poll(0.03) == []
-    lost = scheduler.LOST_SHARE * node.latency * gateway.scheduler.slowness["read"] + scheduler.LOST_MARGIN
+    lost = scheduler.LOST_FACTOR * node.latency * gateway.scheduler.relative_latency["read"]
+    lost += scheduler.LOST_MARGIN_SECONDS
     assert gateway.poll(lost) == [CancelAttempt(1, 0)]
     assert gateway.poll(lost + 0.01) == []  # once
     assert gateway.sends(
@@ -117,7 +120,7 @@
     gateway = Gateway()
     gateway.feed(0.0, request(1))
     gateway.feed(0.3, outcome(1, status=AttemptStatus.RESET, request_done=False, latency=0.3))
-    assert gateway.scheduler.targets[1].concurrency_limit == scheduler.START_WINDOW
+    assert gateway.scheduler.targets[1].concurrency_limit == state.INITIAL_CONCURRENCY
 
 
 def test_a_node_that_seemed_too_slow_is_tried_again():
@@ -126,8 +129,8 @@
     gateway.feed(0.0, request(1))
     gateway.feed(0.1, outcome(1))
     node = gateway.scheduler.targets[1]
-    node.latency, node.concurrency_limit = 5.0, scheduler.FLOOR
+    node.latency, node.concurrency_limit = 5.0, target_load.MIN_CONCURRENCY
     assert gateway.sends(0.3, request(2)) == []
-    assert gateway.sends(0.2 + scheduler.UNTRIED, request(3)) == [3]
+    assert gateway.sends(0.2 + scheduler.UNTRIED_SECONDS, request(3)) == [3]
     node.latency = 5.0
-    assert gateway.sends(0.21 + scheduler.UNTRIED, request(4)) == []
+    assert gateway.sends(0.21 + scheduler.UNTRIED_SECONDS, request(4)) == []
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -16,6 +16,7 @@
     TargetListKind,
     TargetListUpdate,
     scheduler,
+    target_load,
 )
 from stalltiller.scheduling.contention import ContentionEstimator
 from tests.helpers import entry, outcome, request, request_class, rules, settings
@@ -169,7 +170,7 @@
         return others + (others * (1 - chance)) ** 0.5
 
     monkeypatch.setattr(ContentionEstimator, "other_initiators", asked)
-    monkeypatch.setattr(scheduler, "COLD_LEAST", 1.0)
+    monkeypatch.setattr(target_load, "MIN_OVERLOAD_BACKOFF", 1.0)
     assert plays()[0] > 1.1
 
 
@@ -187,5 +188,5 @@
         now = 10.0 + number
         gateway.handle(now, [request(number)])
         gateway.handle(now + took, [outcome(number, status=status, latency=took)])
-        eases.append(gateway.targets[1].ease)
+        eases.append(gateway.targets[1].overload_backoff)
     assert eases == [0.5, 0.75, 1.0, 0.5]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,8 +16,9 @@
     TargetListKind,
     TargetListUpdate,
     TimerFired,
+    token_messages,
 )
-from stalltiller.scheduling.scheduler import ASK, GRANT, MESSAGE, Scheduler
+from stalltiller.scheduling.scheduler import Scheduler
 from tests.helpers import entry, outcome, plan, request, rules, settings
 
 NODES = 12
@@ -52,8 +53,8 @@
             shard = draw.choice(mine)
             scheduler.contention.record(scheduler.now, shard, shard, 1)
             node = scheduler.targets[shard]
-            if shard == 1 and scheduler.now >= 3.0 and scheduler._cold_room(node, 2.0):
-                scheduler._cold_count(node, 2.0)
+            if shard == 1 and scheduler.now >= 3.0 and scheduler._has_slow_start_budget(node, 2.0):
+                scheduler._count_slow_start(node, 2.0)
                 sent.append((scheduler.now, 2.0))
     return sent
 
@@ -73,9 +74,9 @@
 
 def test_a_part_rounded_up_to_a_request_would_be_seen(monkeypatch):
     def broken(self, node, units):
-        return not any(at > self.now - 2.0 for at, _ in node.cold)
+        return node.slow_start_units.total_since(self.now - 2.0) == 0.0
 
-    monkeypatch.setattr(Scheduler, "_cold_room", broken)
+    monkeypatch.setattr(Scheduler, "_has_slow_start_budget", broken)
     assert most_in_a_span(ask_of_cold_node(150, 4, 8.0)) > 60.0
 
 
@@ -160,7 +161,7 @@
     """An even part alone leaves seven eighths of the limit with gateways that do not ask for it."""
     talk = Talk(3)
     talk.run(18.0)
-    monkeypatch.setattr(Scheduler, "_borrow", lambda self, name, volume: None)
+    monkeypatch.setattr(Scheduler, "_request_tokens", lambda self, volume_id, volume: None)
     mute = Talk(3)
     mute.run(18.0)
     served, alone = sum(u for _, u in talk.sent), sum(u for _, u in mute.sent)
@@ -169,8 +170,8 @@
 
 
 def test_a_lender_that_keeps_what_it_lends_would_be_seen(monkeypatch):
-    tell = Scheduler._tell
-    monkeypatch.setattr(Scheduler, "_tell", lambda self, *message: 0.0 * tell(self, *message))
+    encode_grant = token_messages.encode_grant
+    monkeypatch.setattr(token_messages, "encode_grant", lambda *grant: (encode_grant(*grant)[0], 0.0))
     talk = Talk(3)
     talk.run(18.0)
     assert talk.lowest() < 0.0
@@ -181,7 +182,7 @@
     gateway.settings = settings(initiator_index=0, initiator_count=HOSTS, plans=(LIMITED,), may_message=True)
     gateway.handle(0.1, [request(1, units=8.0, volume_initiator_count=HOSTS)])
     volume = gateway.volumes[1]
-    grant = MESSAGE.pack(GRANT, 1, volume.ask, 64)
+    grant = token_messages.MESSAGE_LAYOUT.pack(token_messages.Kind.GRANT, 1, volume.token_request_number, 64)
     level = volume.limit.level
     for sender, data in [
         (3, b""),
@@ -190,9 +191,19 @@
         (99, grant),
         (0, grant),
         (-1, grant),
-        (3, MESSAGE.pack(9, 1, volume.ask, 64)),
-        (3, MESSAGE.pack(GRANT, 77, volume.ask, 64)),
-        (3, MESSAGE.pack(GRANT, 1, volume.ask ^ 1, 64)),
+        (3, token_messages.MESSAGE_LAYOUT.pack(9, 1, volume.token_request_number, 64)),
+        (
+            3,
+            token_messages.MESSAGE_LAYOUT.pack(
+                token_messages.Kind.GRANT, 77, volume.token_request_number, 64
+            ),
+        ),
+        (
+            3,
+            token_messages.MESSAGE_LAYOUT.pack(
+                token_messages.Kind.GRANT, 1, volume.token_request_number ^ 1, 64
+            ),
+        ),
     ]:
         assert gateway.handle(0.1, [PeerMessage(sender, data)]) == []
         assert volume.limit.level == level
@@ -204,4 +215,9 @@
     (gateway,) = fleet(1, (entry(1),), plans=(LIMITED,))
     gateway.settings = settings(initiator_index=0, initiator_count=HOSTS, plans=(LIMITED,))
     gateway.handle(0.1, [request(1, units=8.0, volume_initiator_count=HOSTS)])
-    assert gateway.handle(9.0, [PeerMessage(3, MESSAGE.pack(ASK, 1, 5, 64))]) == []
+    assert (
+        gateway.handle(
+            9.0, [PeerMessage(3, token_messages.MESSAGE_LAYOUT.pack(token_messages.Kind.REQUEST, 1, 5, 64))]
+        )
+        == []
+    )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,15 @@
 INTERFACE = "scheduling"  # settings, targets, events and actions, which the package re-exports
 INTERFACE_MODULES = {"settings", "targets", "events", "actions"}
 SPLIT = ("scheduling", "simulator")  # packages whose modules are layers of their own
-DECISIONS = (INTERFACE, "scheduling.scheduler", "scheduling.contention")
+DECISIONS = (
+    INTERFACE,
+    "scheduling.scheduler",
+    "scheduling.admission",
+    "scheduling.target_load",
+    "scheduling.state",
+    "scheduling.contention",
+    "scheduling.token_messages",
+)
 MAY = {  # what a layer may import besides itself
     "transport": (),
     "common": (),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,7 +20,7 @@
     TargetStatus,
     TimerFired,
     WatchTargetList,
-    scheduler,
+    target_load,
 )
 from tests.helpers import Gateway, entry, outcome, plan, request, request_class, rules
 
@@ -89,7 +89,7 @@
     actions += [a for step in range(1, 100) for a in gateway.poll(0.1 + step * 0.01)]
     if status is AttemptStatus.OK:
         assert actions == []
-    elif status in scheduler.NEVER_EXECUTED:
+    elif status in target_load.NEVER_EXECUTED:
         assert isinstance(actions[0], StartAttempt)
     else:
         assert actions == [Fail(1)]
@@ -155,7 +155,7 @@
 # 4. Cold nodes.
 def test_a_cold_node_gets_no_more_than_this_gateways_part_of_the_budget():
     gateway = Gateway(nodes=(entry(1, started_at=0.0),), initiator_count=4)
-    gateway.scheduler.targets[1].concurrency_limit = scheduler.CEILING
+    gateway.scheduler.targets[1].concurrency_limit = target_load.MAX_CONCURRENCY
     sent = gateway.sends(0.0, *[request(i, units=2.0) for i in range(40)])
     assert 0 < len(sent) * 2.0 <= 40.0 / 4
     # refused work counts in: it makes no room
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -4,8 +4,17 @@
 
 import pytest
 
-from stalltiller.scheduling import Action, AttemptStatus, Reject, TimerFired, scheduler
-from stalltiller.scheduling.scheduler import Volume, VolumeAllocation
+from stalltiller.scheduling import (
+    Action,
+    AttemptStatus,
+    Reject,
+    TimerFired,
+    admission,
+    scheduler,
+    state,
+    target_load,
+)
+from stalltiller.scheduling.state import Volume, VolumeAllocation
 from tests.helpers import Gateway, entry, outcome, plan, request, request_class
 
 
@@ -14,7 +23,7 @@
 ) -> VolumeAllocation:
     """Put a volume with a grant at node 1."""
     share = VolumeAllocation(Volume(plan(**changes), 1, 0.0), 0.0)
-    share.grant, share.ask, share.open = grant, ask, 1
+    share.grant, share.requested_rate, share.open_count = grant, ask, 1
     gateway.scheduler.targets[1].allocations[name] = share
     return share
 
@@ -22,7 +31,7 @@
 def node_of(gateway: Gateway, capacity: float):
     """Node 1 with a latency that makes its capacity the given units per second."""
     node = gateway.scheduler.targets[1]
-    node.latency = scheduler.CEILING * gateway.scheduler.settings.mean_units / capacity
+    node.latency = target_load.MAX_CONCURRENCY * gateway.scheduler.settings.mean_units / capacity
     assert gateway.scheduler._capacity(node) == pytest.approx(capacity)
     return node
 
@@ -31,7 +40,7 @@
     """The grant of a volume that asks for its plan's rate (10) at a node of capacity 100."""
     node = node_of(gateway, 100.0)
     share = volume_share(gateway, name, 0.0, 0.0, **changes)
-    gateway.scheduler._test(node, name, share)
+    gateway.scheduler._update_grant(node, share)
     return share
 
 
@@ -65,10 +74,10 @@
     gateway = Gateway()
     node = node_of(gateway, 100.0)
     idle = volume_share(gateway, 1, 9.0, 9.0)
-    idle.open = 0
+    idle.open_count = 0
     half, tenth = volume_share(gateway, 2, 10.0, 20.0), volume_share(gateway, 3, 18.0, 20.0)
-    gateway.scheduler.now = scheduler.IDLE_AFTER + 0.1
-    gateway.scheduler._idle(node)
+    gateway.scheduler.now = admission.IDLE_SECONDS + 0.1
+    gateway.scheduler._reclaim_idle_grants(node)
     # remaining ratios 0.5 and 0.1: nine units go 7.5 to 1.5
     assert (half.grant, tenth.grant) == (pytest.approx(17.5), pytest.approx(19.5))
     assert 1 not in node.allocations
@@ -77,12 +86,12 @@
 def test_each_quiet_spell_releases_a_tenth_of_the_reserve_and_congestion_restores_it():
     gateway = Gateway()
     node = node_of(gateway, 100.0)
-    gateway.scheduler.now = 2.5 * scheduler.RELEASE_EVERY  # two spells
+    gateway.scheduler.now = 2.5 * admission.RESERVE_RELEASE_SECONDS  # two spells
     grant_test(gateway, 3)
-    assert node.reserve == pytest.approx(0.30 * 0.8)
+    assert node.reserve_fraction == pytest.approx(0.30 * 0.8)
     volume_share(gateway, 1, 90.0, 90.0)
     grant_test(gateway)
-    assert node.reserve == pytest.approx(0.30)
+    assert node.reserve_fraction == pytest.approx(0.30)
 
 
 def test_even_split_of_the_limit_before_any_news():
@@ -90,7 +99,7 @@
     gateway.feed(0.0, request(1, volume_initiator_count=3))
     share = gateway.scheduler.targets[1].allocations[1]
     share.demand.add(0.0, 1000.0)
-    ask, _ = gateway.scheduler._slices(gateway.scheduler.targets[1], share)
+    ask, _ = gateway.scheduler._rates(share)
     assert ask == pytest.approx(4.0)
 
 
@@ -108,11 +117,11 @@
 def test_window_stops_at_its_ceiling():
     gateway = Gateway()
     node = gateway.scheduler.targets[1]
-    node.concurrency_limit = scheduler.CEILING
+    node.concurrency_limit = target_load.MAX_CONCURRENCY
     gateway.feed(0.0, *[request(i) for i in range(30)])
-    assert node.in_flight_count == scheduler.CEILING
+    assert len(node.in_flight) == target_load.MAX_CONCURRENCY
     gateway.feed(0.1, outcome(0))
-    assert node.concurrency_limit == scheduler.CEILING
+    assert node.concurrency_limit == target_load.MAX_CONCURRENCY
 
 
 def test_earliest_due_goes_first_and_grants_go_before_what_lies_beyond():
@@ -147,7 +156,7 @@
 
 def test_a_new_object_goes_to_the_least_loaded_warm_node():
     gateway = Gateway(nodes=(entry(1), entry(2), entry(3, started_at=0.0)))
-    gateway.scheduler.targets[1].in_flight_count = 3
+    gateway.scheduler.targets[1].in_flight = dict.fromkeys(range(90, 93))
     (send,) = gateway.feed(0.0, request(1, shard=None))
     assert send.target_id == 2
 
@@ -165,13 +174,13 @@
     """A restarted node was starved long after it could serve: its budget knew only the time."""
     gateway = Gateway(nodes=(entry(1, started_at=0.0),))
     node = gateway.scheduler.targets[1]
-    gateway.scheduler._cold_room(node, 2.0)
-    node.cold_luck = 1.0  # no more than the whole part
-    part = 40.0 * scheduler.COLD_SAFETY / 2
+    gateway.scheduler._has_slow_start_budget(node, 2.0)
+    node.slow_start_draw = 1.0  # no more than the whole part
+    part = 40.0 * target_load.SLOW_START_BUDGET_FRACTION / 2
     assert gateway.sends(0.0, request(1, units=part)) == [1]
-    assert not gateway.scheduler._cold_room(node, 2.0)
+    assert not gateway.scheduler._has_slow_start_budget(node, 2.0)
     gateway.feed(0.1, outcome(1))
-    assert gateway.scheduler._cold_room(node, 2.0)
+    assert gateway.scheduler._has_slow_start_budget(node, 2.0)
 
 
 def test_the_least_worthy_before_a_late_request_is_given_up():
@@ -193,7 +202,7 @@
     gateway.feed(0.0, request(1), request(2))
     down = AttemptStatus.CONNECT_FAILED
     assert gateway.feed(0.01, outcome(1, status=down), outcome(2, status=down)) == []
-    assert [a.request_id for a in gateway.poll(0.011 + scheduler.PAUSE_FIRST)] == [1, 2]
+    assert [a.request_id for a in gateway.poll(0.011 + target_load.INITIAL_PAUSE_SECONDS)] == [1, 2]
 
 
 def test_an_attempt_ends_soon_after_its_aim():
@@ -208,7 +217,7 @@
     size = gateway.scheduler.targets[1].concurrency_limit
     gateway.feed(0.6, outcome(1, status=AttemptStatus.TIMEOUT, latency=0.6))
     assert (
-        size == scheduler.START_WINDOW and gateway.scheduler.targets[1].concurrency_limit == 0.5
+        size == state.INITIAL_CONCURRENCY and gateway.scheduler.targets[1].concurrency_limit == 0.5
     )  # half of that in use
 
 
@@ -230,7 +239,7 @@
     gateway = Gateway()
     node = gateway.scheduler.targets[1]
     node.concurrency_limit, node.paced_until = 0.1, 5.0
-    gateway.scheduler._take(request(1))
+    gateway.scheduler._accept(request(1))
     gateway.scheduler.volumes[1].reservation.level = 5.0
     assert gateway.sends(0.0, request(2)) == [1]
 
@@ -238,7 +247,7 @@
 def test_below_one_only_a_deep_queue_cuts_the_window_and_good_answers_double_it():
     gateway = Gateway()
     node = gateway.scheduler.targets[1]
-    least = scheduler.FLOOR
+    least = target_load.MIN_CONCURRENCY
     for number, took, before, after in [(1, 0.3, 0.4, 0.8), (2, 0.5, 0.4, 0.2), (3, 0.5, least, least)]:
         now = number * 5.0
         gateway.feed(now, request(number))
@@ -257,7 +266,7 @@
     )
     node.allocations[1].bucket.level = 9.0  # within its grant
     assert first + [a.request_id for a in gateway.poll(0.01)] == [1, 3]
-    assert gateway.sends(scheduler.RUN_SPAN + 0.001, request(4, idempotency_key=5)) == []
+    assert gateway.sends(scheduler.SAME_KEY_SECONDS + 0.001, request(4, idempotency_key=5)) == []
 
 
 def test_requests_without_a_key_are_no_run():
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -21,8 +21,7 @@
 from stalltiller.protocol import nvme
 from stalltiller.recovery import peer_state as word
 from stalltiller.recovery.store import Store
-from stalltiller.scheduling import PeerMessage, SendPeerMessage, TargetStatus
-from stalltiller.scheduling import scheduler as logic
+from stalltiller.scheduling import PeerMessage, SendPeerMessage, TargetStatus, token_messages
 from tests.fixtures import samples
 from tests.helpers import Gateway, plan, request
 
@@ -200,13 +199,16 @@
 @pytest.mark.parametrize("name", DATAGRAMS["tokens"])
 def test_a_token_message_is_read_and_written(name):
     data = fixture_bytes("tokens", name)
-    assert logic.MESSAGE.unpack(data) == samples.TOKEN_MESSAGES[name]
-    assert logic.MESSAGE.pack(*samples.TOKEN_MESSAGES[name]) == data
+    assert token_messages.MESSAGE_LAYOUT.unpack(data) == samples.TOKEN_MESSAGES[name]
+    assert token_messages.MESSAGE_LAYOUT.pack(*samples.TOKEN_MESSAGES[name]) == data
 
 
 def test_the_token_messages_are_of_all_kinds():
-    assert {each[0] for each in samples.TOKEN_MESSAGES.values()} == {logic.ASK, logic.GRANT}
-    assert (logic.ASK, logic.GRANT) == (1, 2)
+    assert {each[0] for each in samples.TOKEN_MESSAGES.values()} == {
+        token_messages.Kind.REQUEST,
+        token_messages.Kind.GRANT,
+    }
+    assert (token_messages.Kind.REQUEST, token_messages.Kind.GRANT) == (1, 2)
 
 
 def test_a_scheduler_answers_the_ask_with_the_grant():
