--- a/stalltiller/scheduling/admission.py
+++ b/stalltiller/scheduling/admission.py
@@ -11,7 +11,7 @@
 IDLE_SECONDS = 1.0  # without work at a target after which a volume is idle there
 PRIOR_REQUESTS = 3.0  # mean requests' worth of belief in the even split before others' demand is known
 BUCKET_DEPTH_SECONDS = 1.0  # of a grant or reservation slice that may be saved up, plus a largest request
-KEPT_FRACTION = 0.9  # of a limit's burst, less a largest request, that only the top classes may spend
+PRIORITY_FRACTION = 0.9  # of a limit's burst, less a largest request, that only the top classes may spend
 MAX_TOKEN_REQUEST_SECONDS = 1.0  # requests that bring nothing come half as often each time, down to this
 MAX_LENDERS = 3  # initiators asked at once
 LENDER_KEEP_SECONDS = 0.5  # of its own demand that a lender keeps
@@ -47,21 +47,21 @@
         allocation.tested_at = self.now
         self._reclaim_idle_grants(target)
         capacity = self._capacity(target)
-        used = sum(each.grant for each in target.allocations.values()) - allocation.grant
+        granted = sum(item.grant for item in target.allocations.values()) - allocation.grant
         requested, reserved = self._rates(allocation)
         allocation.requested_rate = requested
         releases = int((self.now - target.uncongested_since) / RESERVE_RELEASE_SECONDS)
         target.uncongested_since += releases * RESERVE_RELEASE_SECONDS
         released = releases * RESERVE_RELEASE_FRACTION * state.RESERVE_FRACTION
         target.reserve_fraction = max(0.0, target.reserve_fraction - released)
-        if used <= capacity - target.reserve_fraction * capacity:
+        if granted <= capacity - target.reserve_fraction * capacity:
             allocation.grant = requested
             return
         target.reserve_fraction, target.uncongested_since = state.RESERVE_FRACTION, self.now
         reserve = state.RESERVE_FRACTION * capacity
-        free = max(0.0, min(reserve, capacity - used))
-        psi = free / PSI_BASE ** ((used - reserve) * PSI_EXPONENT / capacity)
-        weights = [each.volume.plan.weight for each in target.allocations.values()]
+        free = max(0.0, min(reserve, capacity - granted))
+        psi = free / PSI_BASE ** ((granted - reserve) * PSI_EXPONENT / capacity)
+        weights = [item.volume.plan.weight for item in target.allocations.values()]
         weighted = psi * allocation.volume.plan.weight / max(sum(weights) / len(weights), 1e-9)
         allocation.grant = max(min(weighted, requested), min(reserved, requested))
 
@@ -70,11 +70,11 @@
         found = target.allocations
         idle = [key for key, a in found.items() if not a.open_count and self.now - a.used_at > IDLE_SECONDS]
         freed = sum(found.pop(key).grant for key in idle)
-        degraded = [each for each in found.values() if each.grant < each.requested_rate]
-        total = sum(1 - each.grant / each.requested_rate for each in degraded)
-        for each in degraded:
-            gain = freed * (1 - each.grant / each.requested_rate) / total
-            each.grant = min(each.requested_rate, each.grant + gain)
+        degraded = [item for item in found.values() if item.grant < item.requested_rate]
+        total = sum(1 - item.grant / item.requested_rate for item in degraded)
+        for item in degraded:
+            gain = freed * (1 - item.grant / item.requested_rate) / total
+            item.grant = min(item.requested_rate, item.grant + gain)
 
     def _service_priority(self, target: TargetState, pending: PendingRequest) -> state.ServicePriority:
         """By any level above zero: asking for all units would let small requests starve large ones."""
@@ -91,9 +91,9 @@
         volume, plan = pending.volume, pending.volume.plan
         if plan.limit <= 0:
             return True
-        kept = KEPT_FRACTION * max(0.0, plan.burst / volume.initiator_count - self.settings.max_units)
+        reserved = PRIORITY_FRACTION * max(0.0, plan.burst / volume.initiator_count - self.settings.max_units)
         is_low = pending.request_class.priority_weight < self.max_weight
-        if self._refill_limit(volume) >= pending.request.units + kept * is_low:
+        if self._refill_limit(volume) >= pending.request.units + reserved * is_low:
             return True
         if self.settings.may_message:
             self._request_tokens(pending.request.volume, volume)
@@ -123,8 +123,9 @@
         self.actions += [SendPeerMessage(receiver, message) for receiver in receivers]
 
     def _handle_peer_message(self, event: PeerMessage) -> None:
-        """Lend tokens not needed here, or take those lent.  They leave the lender's bucket before they travel
-        and count once for each lender of the last request: what is lost, doubled or late mints nothing."""
+        """Lend tokens that are not needed here, or take those granted."""
+        # They leave the lender's bucket before they travel, and count once for each lender of the last
+        # request, so a message that is lost, doubled or late never creates any.
         sender, settings = event.sender_index, self.settings
         is_peer = 0 <= sender < settings.initiator_count and sender != settings.initiator_index
         message = token_messages.decode(event.data)
@@ -136,9 +137,9 @@
             volume.peers.append(sender)
         level = self._refill_limit(volume)
         if message.kind is token_messages.Kind.REQUEST:
-            lent = min(message.units, level - LENDER_KEEP_SECONDS * volume.demand.rate(self.now))
-            if lent > 0 or not is_known:  # an empty grant makes this initiator known
-                grant, units = token_messages.encode_grant(message, max(0.0, lent))
+            granted = min(message.units, level - LENDER_KEEP_SECONDS * volume.demand.rate(self.now))
+            if granted > 0 or not is_known:  # an empty grant makes this initiator known
+                grant, units = token_messages.encode_grant(message, max(0.0, granted))
                 volume.limit.level -= units
                 self.actions.append(SendPeerMessage(sender, grant))
         elif message.request_number == volume.token_request_number and sender not in volume.lenders:
--- a/stalltiller/scheduling/contention.py
+++ b/stalltiller/scheduling/contention.py
@@ -33,9 +33,9 @@
         }
 
     def other_initiators(self, now: float, shard: int, initiators: int, shards: int, span: float) -> float:
-        """Return how many other initiators request a shard within `span` seconds: as many as for a mean shard
-        if others request as this one does, times how much busier it is by the volumes seen there, plus the
-        other initiators of those volumes, each with its chance of a request."""
+        """Return how many other initiators are taken to request a shard within `span` seconds."""
+        # As many as for a mean shard if others request as this one does, times how much busier it is by the
+        # volumes seen there, plus the other initiators of those volumes, each with its chance of a request.
         volumes = self.volumes_by_shard.get(shard, {})
         requested = sum(at > now - span for at in self.requested_at.values()) / max(1, shards)
         mean_volumes = sum(map(len, self.volumes_by_shard.values())) / max(1, shards)
--- a/stalltiller/scheduling/scheduler.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -7,7 +7,7 @@
 from stalltiller.scheduling.settings import Idempotency, RequestClass
 from stalltiller.scheduling.state import PendingRequest, TargetState, Volume, VolumeAllocation
 from stalltiller.scheduling.target_load import LATE_FRACTION, NEVER_EXECUTED, TargetLoad
-from stalltiller.scheduling.targets import TargetId, TargetListKind, TargetListUpdate, TargetStatus
+from stalltiller.scheduling.targets import Target, TargetId, TargetListKind, TargetListUpdate, TargetStatus
 
 SAME_KEY_SECONDS = 0.03  # from a first send, in which requests for the same data may pass the limit
 LATE_PATIENCE_SECONDS = 0.05  # past its objective for which an attempt may still use the limit
@@ -22,7 +22,7 @@
 REACH_FRACTION = 0.6  # of the mean latency: the least that a request in reach of its objective needs
 ABANDONED_FACTOR = 1.2  # of the mean latency: a client that waits no longer than this gets no attempt
 UNSENT_FRACTION = 0.5  # of a client's time: a request of which no target had the whole by then is given up
-LOST_FACTOR, LOST_MARGIN_SECONDS = 2.0, 0.01  # of what an overtaken attempt usually takes, and on top
+LOST_FACTOR, LOST_MARGIN_SECONDS = 2.0, 0.01  # of what an overtaken attempt expectedly takes, and on top
 
 
 class Scheduler(VolumeAdmission, TargetLoad):
@@ -46,8 +46,8 @@
             self._forget_unused()
         touched: dict[TargetId, TargetState] = {}
         for event in new_events:
-            found = self._dispatch(event)
-            touched.update({each.target.target_id: each for each in found if each is not None})
+            affected = self._dispatch(event)
+            touched.update({target.target.target_id: target for target in affected if target is not None})
         for target_id, target in touched.items():
             self._serve(target)
             if self._cancel_lost_attempts(target) or target.queue:
@@ -92,14 +92,7 @@
             self.actions.append(actions.SetTimer(WATCH_TIMER, WATCH_RETRY_SECONDS * (1 + self.rng.random())))
             return
         for entry in update.targets:
-            target = self.targets.get(entry.target_id)
-            if target is not None:
-                if entry.started_at != target.target.started_at:
-                    target.concurrency_limit = state.INITIAL_CONCURRENCY
-                target.target = entry
-            elif entry.status is not TargetStatus.REMOVED:
-                latency = LATE_FRACTION * self.min_objective
-                self.targets[entry.target_id] = TargetState(entry, latency, self.now)
+            self._update_target(entry)
         removed = update.removed(self.targets)
         for target_id, target in list(self.targets.items()):
             if target_id in removed:
@@ -118,14 +111,24 @@
         for pending in waiting:
             self._enqueue(pending)
 
+    def _update_target(self, entry: Target) -> None:
+        target = self.targets.get(entry.target_id)
+        if target is not None:
+            if entry.started_at != target.target.started_at:
+                target.concurrency_limit = state.INITIAL_CONCURRENCY
+            target.target = entry
+        elif entry.status is not TargetStatus.REMOVED:
+            latency = LATE_FRACTION * self.min_objective
+            self.targets[entry.target_id] = TargetState(entry, latency, self.now)
+
     def _forget_unused(self) -> None:
         """Forget what nobody requests any more; a volume not until its limit's bucket is full again."""
         self.swept_at = self.now
         for target in self.targets.values():
             self._reclaim_idle_grants(target)
         for volume_id, volume in list(self.volumes.items()):
-            quiet, plan = self.now - volume.requested_at, volume.plan
-            if quiet > FORGET_SECONDS and (plan.limit <= 0 or quiet * plan.limit >= plan.burst):
+            unused_for, plan = self.now - volume.requested_at, volume.plan
+            if unused_for > FORGET_SECONDS and (plan.limit <= 0 or unused_for * plan.limit >= plan.burst):
                 del self.volumes[volume_id]
         since = self.now - max(FORGET_SECONDS, self.settings.rules.overload_window)
         self.contention.forget(since, self.volumes)
@@ -189,14 +192,14 @@
     def _serve(self, target: TargetState) -> None:
         if target.target.status is not TargetStatus.READY or target.target.target_id not in self.targets:
             return
-        if not len(target.in_flight) and self.now - target.sent_at >= UNTRIED_SECONDS:
+        if not target.in_flight and self.now - target.sent_at >= UNTRIED_SECONDS:
             # Guards against a target avoided for good: never tried again, it is never seen to have recovered.
             target.latency = min(target.latency, LATE_FRACTION * self.min_objective)
         while True:
             for pending in target.queue:
                 pending.priority = self._service_priority(target, pending)
-            target.queue.sort(key=lambda each: (each.priority, each.due_at, each.request.request_id))
-            first = next((each for each in target.queue if self._may_send(target, each)), None)
+            target.queue.sort(key=lambda item: (item.priority, item.due_at, item.request.request_id))
+            first = next((item for item in target.queue if self._may_send(target, item)), None)
             if first is None:
                 break
             self._send(target, first)
@@ -204,13 +207,12 @@
             self._give_up(pending)
 
     def _may_send(self, target: TargetState, pending: PendingRequest) -> bool:
-        key, limit = pending.request.idempotency_key, target.concurrency_limit
-        is_retry = pending.attempt_count > 0
+        limit, key = target.concurrency_limit, pending.request.idempotency_key
         if self.now < target.paused_until or len(target.in_flight) >= target_load.MAX_CONCURRENCY:
             return False
         # What a target has just taken is cheap for it to take again, but not after others' requests.
         is_recent = key == target.recent_key and self.now < target.recent_key_until
-        if is_retry or pending.priority is state.ServicePriority.BEST_EFFORT or not is_recent:
+        if pending.attempt_count or pending.priority is state.ServicePriority.BEST_EFFORT or not is_recent:
             is_paced = limit < 1 and pending.priority is not state.ServicePriority.RESERVATION
             is_full = len(target.in_flight) >= max(1, int(limit))
             if is_full or (is_paced and self.now < target.paced_until):
@@ -218,17 +220,17 @@
         is_first_of_key = self.ordered.may_run(pending.ordering_key, pending, self.now)
         if not is_first_of_key or self._will_be_abandoned(target, pending):
             return False
-        if is_retry and not (self._may_repeat(pending, target) and self._has_retry_budget()):
+        if pending.attempt_count and not (self._may_repeat(pending, target) and self._has_retry_budget()):
             return False
-        has_tokens = pending.has_taken_tokens or self._has_limit_tokens(pending)
+        has_tokens = pending.has_spent_tokens or self._has_limit_tokens(pending)
         return has_tokens and self._has_slow_start_budget(target, pending.request.units)
 
     def _send(self, target: TargetState, pending: PendingRequest) -> None:
         request, volume, key = pending.request, pending.volume, pending.request.idempotency_key
         if pending.attempt_count and self.settings.rules.retry_budget_window is not None:
             self.retries.add(self.now, 1)
-        if not pending.has_taken_tokens:
-            pending.has_taken_tokens = True
+        if not pending.has_spent_tokens:
+            pending.has_spent_tokens = True
             volume.limit.level -= request.units
             if pending.priority is state.ServicePriority.RESERVATION:
                 volume.reservation.level -= request.units
@@ -254,20 +256,20 @@
         """The least valuable of each request out of reach and those before it (Moore and Hodgson)."""
         limit, reach = target.concurrency_limit, target.latency * REACH_FRACTION
         ahead = float(len(target.in_flight) >= max(1, int(limit)))
-        kept, shed = list[PendingRequest](), []
+        considered, shed = list[PendingRequest](), []
         for pending in target.queue:
-            kept.append(pending)
-            is_hopeless = self._is_unsent_too_long(pending) or self._will_be_abandoned(target, pending)
+            considered.append(pending)
+            is_out_of_reach = self._is_unsent_too_long(pending) or self._will_be_abandoned(target, pending)
             start = self.now + ahead / max(1.0, limit) * target.latency
             if limit < 1 and pending.priority is not state.ServicePriority.RESERVATION:
                 start = max(start, target.paced_until)
             ahead += pending.request.units / self.mean_units
-            is_hopeless = is_hopeless or self.now + reach > pending.due_at
-            if is_hopeless or start + reach > pending.due_at:
-                least = pending if is_hopeless else min(reversed(kept), key=self._value)
-                kept.remove(least)
-                ahead -= least.request.units / self.mean_units
-                shed.append(least)
+            is_out_of_reach = is_out_of_reach or self.now + reach > pending.due_at
+            if is_out_of_reach or start + reach > pending.due_at:
+                cheapest = pending if is_out_of_reach else min(reversed(considered), key=self._value)
+                considered.remove(cheapest)
+                ahead -= cheapest.request.units / self.mean_units
+                shed.append(cheapest)
         return shed
 
     def _will_be_abandoned(self, target: TargetState, pending: PendingRequest) -> bool:
@@ -307,8 +309,8 @@
         return self.targets.get(result.target_id)
 
     def _cancel_lost_attempts(self, target: TargetState) -> bool:
-        """Cancel attempts that a target's later answers have overtaken; whether some may become lost.  Guards
-        against connections that fall silent while the target answers what was sent after, in turn."""
+        """Cancel attempts that a target's later answers have overtaken; whether some may become lost."""
+        # Guards against connections that fall silent while the target answers what was sent after, in turn.
         has_suspects = False
         for pending in target.in_flight.values():
             is_over = pending.is_finished or pending.is_cancelled
@@ -316,8 +318,8 @@
             if is_over or not is_safe or pending.overtaken_count < target_load.OVERTAKEN_COUNT:
                 continue
             relative = self.relative_latency.get(pending.request_class.name, 1.0)
-            usual = target.latency * relative * self._relative_size(pending)
-            if self.now - pending.sent_at < LOST_FACTOR * usual + LOST_MARGIN_SECONDS:
+            expected = target.latency * relative * self._relative_size(pending)
+            if self.now - pending.sent_at < LOST_FACTOR * expected + LOST_MARGIN_SECONDS:
                 has_suspects = True
             elif self.settings.may_cancel and self._has_attempts_left(pending):
                 pending.is_cancelled = True
@@ -355,7 +357,7 @@
                 pending.possibly_executed_at = pending.possibly_executed_by = None
             if status is events.AttemptStatus.NOT_STARTED and is_first:
                 pending.volume.limit.level += pending.request.units
-                pending.has_taken_tokens = False
+                pending.has_spent_tokens = False
         is_in_time = self.now + ANSWER_MARGIN_SECONDS < pending.due_at
         can_run = pending.possibly_executed_at is None or self._choose_target(pending) is not None
         if self._has_attempts_left(pending) and is_in_time and can_run and self._has_retry_budget():
--- a/stalltiller/scheduling/settings.py
+++ b/stalltiller/scheduling/settings.py
@@ -139,10 +139,10 @@
     @property
     def max_priority_weight(self) -> float:
         """The highest priority weight of any class."""
-        return max(each.priority_weight for each in self.classes)
+        return max(item.priority_weight for item in self.classes)
 
     @property
     def min_latency_objective(self) -> float:
         """The shortest latency objective of any class that has one, else one second."""
-        objectives = (each.latency_objective for each in self.classes if each.latency_objective > 0)
+        objectives = (item.latency_objective for item in self.classes if item.latency_objective > 0)
         return min(objectives, default=1.0)
--- a/stalltiller/scheduling/state.py
+++ b/stalltiller/scheduling/state.py
@@ -90,7 +90,7 @@
     possibly_executed_at: float | None = None  # send time of the first attempt that may have run
     possibly_executed_by: TargetState | None = None
     is_finished: bool = False
-    has_taken_tokens: bool = False
+    has_spent_tokens: bool = False
     has_reached_target: bool = False
     sent_at: float = 0.0  # the last attempt
     overtaken_count: int = 0  # answers to later sends that came before the last attempt's
@@ -126,9 +126,9 @@
         self.settings = settings
         self.mean_units = max(settings.mean_units, 1e-9)
         self.max_weight, self.min_objective = settings.max_priority_weight, settings.min_latency_objective
-        names = [each.name for each in settings.classes]
-        self.relative_latency = {name: self.relative_latency.get(name, 1.0) for name in names}
-        self.max_time_remaining = {name: self.max_time_remaining.get(name, 0.0) for name in names}
+        classes = settings.classes
+        self.relative_latency = {item.name: self.relative_latency.get(item.name, 1.0) for item in classes}
+        self.max_time_remaining = {item.name: self.max_time_remaining.get(item.name, 0.0) for item in classes}
         plans = {plan.name: plan for plan in settings.plans}
         for volume in self.volumes.values():
             volume.plan = plans.get(volume.plan.name, volume.plan)
--- a/stalltiller/scheduling/target_load.py
+++ b/stalltiller/scheduling/target_load.py
@@ -32,8 +32,8 @@
             target.pause_duration = 0.0  # a connection was lost; the target answers others and is no fuller
             return
         is_congested = result.latency > CONGESTED_FRACTION * self.min_objective * size
-        late_after = LATE_FRACTION * self.min_objective * size
-        is_late = is_congested or (target.concurrency_limit > 1 and result.latency > late_after)
+        limit = target.concurrency_limit
+        is_late = is_congested or (limit > 1 and result.latency > LATE_FRACTION * self.min_objective * size)
         if status is AttemptStatus.REJECTED or is_congested:  # more initiators than this one can see
             target.overload_backoff = max(MIN_OVERLOAD_BACKOFF, target.overload_backoff / 2)
         elif is_ok:
@@ -41,12 +41,11 @@
         # A time-out counts by its length: a hasty client's says no more than an answer as slow would.
         if is_ok or (status is AttemptStatus.TIMEOUT and result.latency > target.latency):
             target.latency += MEAN_LATENCY_GAIN * (result.latency / size - target.latency)
-        limit = target.concurrency_limit
         if status in REJECTED_EARLY or is_late:
             if self.now - target.limit_decreased_at >= target.latency:  # once a round trip
                 target.limit_decreased_at = self.now
-                used = min(limit, len(target.in_flight) + 1)  # an unused limit says nothing
-                target.concurrency_limit = max(MIN_CONCURRENCY if is_congested else min(1.0, limit), used / 2)
+                busy = min(limit, len(target.in_flight) + 1)  # an unused limit says nothing
+                target.concurrency_limit = max(MIN_CONCURRENCY if is_congested else min(1.0, limit), busy / 2)
         elif is_ok and len(target.in_flight) + 1 >= int(limit):
             target.concurrency_limit = min(MAX_CONCURRENCY, limit + min(limit, 1 / limit))
         self._update_pause(target, status)
@@ -92,8 +91,8 @@
             target.slow_start_units.add(self.now, units)
 
     def _has_slow_start_budget(self, target: TargetState, units: float) -> bool:
-        """All initiators share what a target bears in a window; what it served in this is allowed again.
-        A share under one request is a chance of one, drawn once a turn."""
+        """Whether this initiator's share of what a target bears in a window has that many units left."""
+        # What it served is allowed again.  A share under one request is a chance of it, drawn each turn.
         if not self._is_warming_up(target):
             return True
         rules = self.settings.rules
@@ -104,7 +103,7 @@
         budget = self.settings.slow_start_units * fraction / max(initial, 1e-9) * SLOW_START_BUDGET_FRACTION
         share = target.slow_start_share
         if self.budget_fraction is not None:
-            demand = sum(each.demand.rate(self.now) for each in target.allocations.values())
+            demand = sum(item.demand.rate(self.now) for item in target.allocations.values())
             share = self.budget_fraction(str(target.target.target_id), demand * window / budget)
         load = target.slow_start_units.total_since(self.now - window)
         return share * budget - load >= units * target.slow_start_draw
--- a/stalltiller/scheduling/targets.py
+++ b/stalltiller/scheduling/targets.py
@@ -48,8 +48,8 @@
 
     def removed(self, known: Iterable[TargetId]) -> set[TargetId]:
         """Return those of the known targets that the update removes, or leaves out of a whole list."""
-        listed = {target.target_id: target for target in self.targets}
-        left_out = set() if self.kind is TargetListKind.DELTA else set(known) - set(listed)
+        entries = {target.target_id: target for target in self.targets}
+        left_out = set() if self.kind is TargetListKind.DELTA else set(known) - set(entries)
         return left_out | {
-            target_id for target_id, target in listed.items() if target.status is TargetStatus.REMOVED
+            target_id for target_id, target in entries.items() if target.status is TargetStatus.REMOVED
         }
--- a/stalltiller/scheduling/token_messages.py
+++ b/stalltiller/scheduling/token_messages.py
@@ -34,12 +34,12 @@
 
 def encode_request(volume_id: int, request_number: int, units: float) -> bytes:
     """Return the message that asks for that many units of a volume's limit."""
-    return MESSAGE_LAYOUT.pack(Kind.REQUEST, volume_id, request_number, _whole_parts(units))
+    return MESSAGE_LAYOUT.pack(Kind.REQUEST, volume_id, request_number, _to_parts(units))
 
 
 def encode_grant(request: TokenMessage, units: float) -> tuple[bytes, float]:
     """Return the message that grants units to a request, and the units that it carries after rounding."""
-    parts = _whole_parts(units)
+    parts = _to_parts(units)
     message = MESSAGE_LAYOUT.pack(Kind.GRANT, request.volume_id, request.request_number, parts)
     return message, parts / PARTS_PER_UNIT
 
@@ -54,5 +54,5 @@
     return TokenMessage(Kind(kind), volume_id, request_number, parts / PARTS_PER_UNIT)
 
 
-def _whole_parts(units: float) -> int:
+def _to_parts(units: float) -> int:
     return min(MAX_PARTS, int(units * PARTS_PER_UNIT))
