--- a/stalltiller/scheduling/actions.py
+++ b/stalltiller/scheduling/actions.py
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StartAttempt:
-    """Pass a request to a node; `expires` is the clock time to give the attempt up (None: the client's)."""
+    """Send a request to a target; give the attempt up at clock time `expires_at` (None: with the client)."""
 
     request_id: int
     target_id: TargetId
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Reject:
-    """Final answer: turned away, trying again is harmless, best after `retry_after` seconds (0: any time)."""
+    """Final answer: rejected; the client may safely try again after `retry_after` seconds (0: at any time)."""
 
     request_id: int
     retry_after: float
@@ -26,14 +26,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Fail:
-    """Final answer: failed, with no promise about the effect."""
+    """Final answer: failed; the request may have been executed."""
 
     request_id: int
 
 
 @dataclass(slots=True, frozen=True)
 class CancelAttempt:
-    """Stop waiting for one attempt."""
+    """Cancel one attempt; its `AttemptFinished` follows."""
 
     request_id: int
     attempt_number: int
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True, frozen=True)
 class SetTimer:
-    """Ask for a TimerFired after `delay` seconds."""
+    """Ask for a `TimerFired` with this token after `delay` seconds."""
 
     token: int
     delay: float
@@ -49,21 +49,21 @@
 
 @dataclass(slots=True, frozen=True)
 class ProbeTarget:
-    """Send a health check to a node."""
+    """Send a health check to a target; a `ProbeFinished` follows."""
 
     target_id: TargetId
 
 
 @dataclass(slots=True, frozen=True)
 class CloseIdleConnections:
-    """Close this gateway's idle connections to a node."""
+    """Close this initiator's idle connections to a target."""
 
     target_id: TargetId
 
 
 @dataclass(slots=True, frozen=True)
 class SendPeerMessage:
-    """Send bytes to one gateway, or to all (None)."""
+    """Send bytes to one initiator, or to all others (None); delivery is not guaranteed."""
 
     initiator_index: int | None
     data: bytes
@@ -78,14 +78,14 @@
 
 @dataclass(slots=True, frozen=True)
 class WatchTargetList:
-    """Open or close the standing subscription to the node list."""
+    """Open or close the watch on the target list."""
 
     enabled: bool
 
 
 @dataclass(slots=True, frozen=True)
 class FetchTargetList:
-    """Ask once for the whole node list."""
+    """Fetch the whole target list once."""
 
 
 Action = (
--- a/stalltiller/scheduling/events.py
+++ b/stalltiller/scheduling/events.py
@@ -1,4 +1,4 @@
-"""Events that the scheduler is told of.
+"""Events that the scheduler handles.
 
 Times are seconds on one monotonic clock of the caller's choosing, durations are seconds.
 """
@@ -13,7 +13,12 @@
 
 
 class AttemptStatus(Enum):
-    """How an attempt ended."""
+    """How an attempt ended.
+
+    REJECTED, CONNECT_FAILED and NOT_STARTED prove that the target did not execute the request: it was at
+    capacity, could not be reached, or the attempt was dropped before it was sent.  After an ERROR, a
+    TIMEOUT, a RESET of the connection or a CANCELLED attempt the request may have been executed.
+    """
 
     OK = "ok"
     ERROR = "error"
@@ -27,7 +32,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Request:
-    """A request taken from a client; `shard` is None for a new object, `key` is 0 for none."""
+    """A request accepted from a client, which must get one final answer.
+
+    request_id: unique; a client's next try has another one.
+    class_index, plan_index: positions in `Settings.classes` and `Settings.plans`.
+    volume: the volume that it belongs to.
+    units: its size, as reservations, limits and values count it.
+    volume_initiator_count: number of initiators through which the volume's requests arrive.
+    idempotency_key: identifies the data that it reads or writes, 0 for none.
+    shard: the shard that holds the data, None for a new object, which any target may take.
+    is_write, is_retry: whether it writes, and whether the client marked it as a repeat.
+    time_remaining: seconds until the client gives this try up.
+    """
 
     request_id: int
     class_index: int
@@ -44,7 +60,7 @@
 
 @dataclass(slots=True, frozen=True)
 class FirstByte:
-    """A streamed answer has begun: the attempt is the client's now."""
+    """A streamed answer has begun, `latency` seconds after its send; the client receives the rest."""
 
     request_id: int
     attempt_number: int
@@ -54,7 +70,18 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptFinished:
-    """An attempt is over.  `use` is the volume's late metered use as a multiple of its plan's rate."""
+    """An attempt is over.
+
+    request_id, attempt_number: which; a request's attempts are numbered from 0.
+    target_id: the target that it was sent to.
+    status: how it ended.
+    latency: seconds since its send.
+    request_done: the request has its final answer, by this result or before.
+    volume_usage: metered use of the volume over all initiators in a past period, as a multiple of its
+        plan's rate; None where there is none.
+    other_units: units that the shard served for the volume through other initiators since its last answer.
+    report: the target's load report, in the order of `Settings.report_fields`.
+    """
 
     request_id: int
     attempt_number: int
@@ -69,28 +96,28 @@
 
 @dataclass(slots=True, frozen=True)
 class ClientDisconnected:
-    """The client left: nothing more is owed."""
+    """The client has disconnected: the request needs no answer any more."""
 
     request_id: int
 
 
 @dataclass(slots=True, frozen=True)
 class TimerFired:
-    """A timer that the scheduler set has come due."""
+    """The timer that `SetTimer` set with this token has expired."""
 
     token: int
 
 
 @dataclass(slots=True, frozen=True)
 class SettingsChanged:
-    """Other settings hold from now on; `Request`s after it count classes and plans by them."""
+    """Other settings apply from now on; later `Request`s index classes and plans by them."""
 
     settings: Settings
 
 
 @dataclass(slots=True, frozen=True)
 class ProbeFinished:
-    """The result of a probe."""
+    """The result of a probe: seconds since its send, and the target's load report."""
 
     target_id: TargetId
     latency: float
@@ -100,7 +127,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerMessage:
-    """Bytes from another gateway."""
+    """Bytes from another initiator, as its `SendPeerMessage` gave them."""
 
     sender_index: int
     data: bytes
--- a/stalltiller/scheduling/targets.py
+++ b/stalltiller/scheduling/targets.py
@@ -10,7 +10,7 @@
 
 
 class TargetStatus(Enum):
-    """What the node list says of a node."""
+    """State of a target in the target list: only READY ones get requests."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -18,7 +18,11 @@
 
 
 class TargetListKind(Enum):
-    """What a piece of node-list news is."""
+    """Kind of a target list update.
+
+    A DELTA holds the targets that changed, FULL the whole list, CACHED a whole list that may be old.
+    FAILED says that the watch on the list has broken off; what was known stays valid.
+    """
 
     DELTA = "delta"
     FULL = "full"
@@ -28,7 +32,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Target:
-    """One line of the node list; `started` is None for a node that has long been up."""
+    """One entry of the target list.
+
+    target_id: identifies the target; it carries no order.
+    zone, kind: index of its zone and of its kind of machine.
+    shard: the group of targets that hold the same data.
+    status: whether it may get requests.
+    weight: its size as the list states it, relative to other targets.
+    started_at: clock time of its start in seconds, None if it has long been up.
+    """
 
     target_id: TargetId
     zone: int
@@ -41,7 +53,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TargetListUpdate:
-    """News of the node list."""
+    """A change of the target list, or the whole of it (see `TargetListKind`)."""
 
     kind: TargetListKind
     targets: tuple[Target, ...]
