--- a/stalltiller/scheduling/actions.py
+++ b/stalltiller/scheduling/actions.py
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Reject:
-    """Final answer: rejected; the client may safely try again after `retry_after` seconds (0: at any time)."""
+    """Final answer: rejected; the client may safely try again after `retry_after` seconds (0: any time)."""
 
     request_id: int
     retry_after: float
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -91,12 +91,12 @@
     return replace(base, **changes)
 
 
-class Gateway:
-    """A scheduler with a list of ready nodes, and short ways to feed it."""
+class SchedulerHarness:
+    """A scheduler with a list of ready targets, and short ways to feed it."""
 
-    def __init__(self, nodes: tuple[Target, ...] = (entry(1),), **changes: object) -> None:
+    def __init__(self, targets: tuple[Target, ...] = (entry(1),), **changes: object) -> None:
         self.scheduler = Scheduler(settings(**changes), 7, 0.0)
-        self.feed(0.0, TargetListUpdate(TargetListKind.CACHED, nodes))
+        self.feed(0.0, TargetListUpdate(TargetListKind.CACHED, targets))
 
     def feed(self, now: float, *events: Event) -> list[Action]:
         """All actions but the timers."""
@@ -104,8 +104,9 @@
         return [action for action in actions if not isinstance(action, SetTimer)]
 
     def poll(self, now: float) -> list[Action]:
-        """Let the scheduler look at what waits."""
+        """Let the scheduler's poll timer expire."""
         return self.feed(now, TimerFired(1))
 
     def sends(self, now: float, *events: Event) -> list[int]:
+        """The requests of which an attempt starts."""
         return [a.request_id for a in self.feed(now, *events) if isinstance(a, StartAttempt)]
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -13,7 +13,7 @@
 import pytest
 
 from stalltiller.daemon.process_handover import ProcessHandover
-from tests.helpers import Gateway, outcome, plan, request
+from tests.helpers import SchedulerHarness, outcome, plan, request
 from tests.stand_ins import World
 from tests.test_program import EXAMPLE, start
 
@@ -172,10 +172,10 @@
 
 def test_no_token_is_spent_by_two_processes():
     """The next process starts with none; the one before goes on with what it has, and gets no more."""
-    new = Gateway(**LIMITED)
+    new = SchedulerHarness(**LIMITED)
     new.scheduler.activate(5.0)
     assert new.sends(5.0, request(1)) == []
-    old = Gateway(**LIMITED)
+    old = SchedulerHarness(**LIMITED)
     assert old.sends(1.0, request(1)) == [1]  # 10 tokens by then
     old.scheduler.deactivate()
     spent = 2.0
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -26,7 +26,7 @@
     usable,
 )
 from stalltiller.scheduling import TargetStatus
-from tests.helpers import Gateway, entry, outcome, plan, request
+from tests.helpers import SchedulerHarness, entry, outcome, plan, request
 
 NOW, ADDRESS = 1000.0, "127.0.0.1:8500"
 TARGET = discovery.TargetRecord("s-1", "127.0.0.1", 3000, "a", "m", 3, TargetStatus.DRAINING, 0.5, 900.25)
@@ -127,7 +127,7 @@
 
 
 def test_paces_and_levels_go_from_one_life_to_the_next():
-    old, new = (Gateway((entry(1, started_at=5.0), entry(2)), plans=(LIMITED,)) for _ in range(2))
+    old, new = (SchedulerHarness((entry(1, started_at=5.0), entry(2)), plans=(LIMITED,)) for _ in range(2))
     old.feed(20.0, request(1, units=4.0))
     old.feed(20.1, outcome(1, latency=0.1))
     paces, levels = remember(old.scheduler, 20.1, NOW)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -15,283 +15,285 @@
     target_load,
 )
 from stalltiller.scheduling.state import Volume, VolumeAllocation
-from tests.helpers import Gateway, entry, outcome, plan, request, request_class
+from tests.helpers import SchedulerHarness, entry, outcome, plan, request, request_class
 
 
-def volume_share(
-    gateway: Gateway, name: int, grant: float, ask: float, **changes: object
+def add_allocation(
+    harness: SchedulerHarness, volume_id: int, grant: float, requested_rate: float, **changes: object
 ) -> VolumeAllocation:
-    """Put a volume with a grant at node 1."""
-    share = VolumeAllocation(Volume(plan(**changes), 1, 0.0), 0.0)
-    share.grant, share.requested_rate, share.open_count = grant, ask, 1
-    gateway.scheduler.targets[1].allocations[name] = share
-    return share
+    """Put a volume with a grant at target 1."""
+    allocation = VolumeAllocation(Volume(plan(**changes), 1, 0.0), 0.0)
+    allocation.grant, allocation.requested_rate, allocation.open_count = grant, requested_rate, 1
+    harness.scheduler.targets[1].allocations[volume_id] = allocation
+    return allocation
 
 
-def node_of(gateway: Gateway, capacity: float):
-    """Node 1 with a latency that makes its capacity the given units per second."""
-    node = gateway.scheduler.targets[1]
-    node.latency = target_load.MAX_CONCURRENCY * gateway.scheduler.settings.mean_units / capacity
-    assert gateway.scheduler._capacity(node) == pytest.approx(capacity)
-    return node
+def target_of_capacity(harness: SchedulerHarness, capacity: float):
+    """Target 1 with a latency that makes its capacity the given units per second."""
+    target = harness.scheduler.targets[1]
+    target.latency = target_load.MAX_CONCURRENCY * harness.scheduler.settings.mean_units / capacity
+    assert harness.scheduler._capacity(target) == pytest.approx(capacity)
+    return target
 
 
-def grant_test(gateway: Gateway, name: int = 2, **changes: object) -> VolumeAllocation:
-    """The grant of a volume that asks for its plan's rate (10) at a node of capacity 100."""
-    node = node_of(gateway, 100.0)
-    share = volume_share(gateway, name, 0.0, 0.0, **changes)
-    gateway.scheduler._update_grant(node, share)
-    return share
+def allocation_after_test(
+    harness: SchedulerHarness, volume_id: int = 2, **changes: object
+) -> VolumeAllocation:
+    """The allocation of a volume that requests its plan's rate (10) at a target of capacity 100."""
+    target = target_of_capacity(harness, 100.0)
+    allocation = add_allocation(harness, volume_id, 0.0, 0.0, **changes)
+    harness.scheduler._update_grant(target, allocation)
+    return allocation
 
 
-def test_uncongested_volume_gets_its_full_ask():
-    gateway = Gateway()
-    volume_share(gateway, 1, 70.0, 70.0)  # used 70 <= 100 - 30
-    assert grant_test(gateway).grant == pytest.approx(10.0)
+def test_an_uncongested_volume_is_granted_its_requested_rate():
+    harness = SchedulerHarness()
+    add_allocation(harness, 1, 70.0, 70.0)  # used 70 <= 100 - 30
+    assert allocation_after_test(harness).grant == pytest.approx(10.0)
 
 
-def test_congested_volume_gets_psi():
-    gateway = Gateway()
-    volume_share(gateway, 1, 95.0, 95.0)
+def test_a_congested_volume_is_granted_psi():
+    harness = SchedulerHarness()
+    add_allocation(harness, 1, 95.0, 95.0)
     # free reserve 5, used - reserve = 65: psi = 5 / 2**0.65
-    assert grant_test(gateway, reservation=0.0).grant == pytest.approx(5 / 2**0.65)
+    assert allocation_after_test(harness, reservation=0.0).grant == pytest.approx(5 / 2**0.65)
 
 
 def test_psi_is_weighted_by_the_plan_over_the_mean():
-    gateway = Gateway()
-    volume_share(gateway, 1, 95.0, 95.0, weight=1.0)
-    share = grant_test(gateway, reservation=0.0, weight=3.0)  # mean weight 2, w = 1.5
-    assert share.grant == pytest.approx(1.5 * 5 / 2**0.65)
+    harness = SchedulerHarness()
+    add_allocation(harness, 1, 95.0, 95.0, weight=1.0)
+    allocation = allocation_after_test(harness, reservation=0.0, weight=3.0)  # mean weight 2, w = 1.5
+    assert allocation.grant == pytest.approx(1.5 * 5 / 2**0.65)
 
 
-def test_the_reservation_slice_is_the_floor():
-    gateway = Gateway()
-    volume_share(gateway, 1, 100.0, 100.0)  # no free reserve: psi is 0
-    assert grant_test(gateway, reservation=4.0).grant == pytest.approx(4.0)
+def test_a_grant_is_never_below_the_reservation_slice():
+    harness = SchedulerHarness()
+    add_allocation(harness, 1, 100.0, 100.0)  # no free reserve: psi is 0
+    assert allocation_after_test(harness, reservation=4.0).grant == pytest.approx(4.0)
 
 
-def test_an_idle_volume_hands_back_by_remaining_ratio():
-    gateway = Gateway()
-    node = node_of(gateway, 100.0)
-    idle = volume_share(gateway, 1, 9.0, 9.0)
+def test_grants_of_idle_volumes_are_redistributed_by_remaining_ratio():
+    harness = SchedulerHarness()
+    target = target_of_capacity(harness, 100.0)
+    idle = add_allocation(harness, 1, 9.0, 9.0)
     idle.open_count = 0
-    half, tenth = volume_share(gateway, 2, 10.0, 20.0), volume_share(gateway, 3, 18.0, 20.0)
-    gateway.scheduler.now = admission.IDLE_SECONDS + 0.1
-    gateway.scheduler._reclaim_idle_grants(node)
+    half, tenth = add_allocation(harness, 2, 10.0, 20.0), add_allocation(harness, 3, 18.0, 20.0)
+    harness.scheduler.now = admission.IDLE_SECONDS + 0.1
+    harness.scheduler._reclaim_idle_grants(target)
     # remaining ratios 0.5 and 0.1: nine units go 7.5 to 1.5
     assert (half.grant, tenth.grant) == (pytest.approx(17.5), pytest.approx(19.5))
-    assert 1 not in node.allocations
-
-
-def test_each_quiet_spell_releases_a_tenth_of_the_reserve_and_congestion_restores_it():
-    gateway = Gateway()
-    node = node_of(gateway, 100.0)
-    gateway.scheduler.now = 2.5 * admission.RESERVE_RELEASE_SECONDS  # two spells
-    grant_test(gateway, 3)
-    assert node.reserve_fraction == pytest.approx(0.30 * 0.8)
-    volume_share(gateway, 1, 90.0, 90.0)
-    grant_test(gateway)
-    assert node.reserve_fraction == pytest.approx(0.30)
-
-
-def test_even_split_of_the_limit_before_any_news():
-    gateway = Gateway(plans=(plan(rate=10.0, limit=12.0, burst=60.0),))
-    gateway.feed(0.0, request(1, volume_initiator_count=3))
-    share = gateway.scheduler.targets[1].allocations[1]
-    share.demand.add(0.0, 1000.0)
-    ask, _ = gateway.scheduler._rates(share)
-    assert ask == pytest.approx(4.0)
-
-
-def test_window_in_use_halves_on_a_refusal_once_a_round_trip_and_grows_by_one_a_round_trip():
-    gateway = Gateway()
-    node = gateway.scheduler.targets[1]
-    size = int(node.concurrency_limit)
-    gateway.feed(1.0, *[request(i) for i in range(size)])
-    gateway.feed(1.1, *[outcome(i) for i in range(1)])
-    assert node.concurrency_limit == pytest.approx(size + 1 / size)
-    gateway.feed(2.0, outcome(1, status=AttemptStatus.REJECTED), outcome(2, status=AttemptStatus.REJECTED))
-    assert node.concurrency_limit == pytest.approx(1.5)  # half of the three that were out
-
-
-def test_window_stops_at_its_ceiling():
-    gateway = Gateway()
-    node = gateway.scheduler.targets[1]
-    node.concurrency_limit = target_load.MAX_CONCURRENCY
-    gateway.feed(0.0, *[request(i) for i in range(30)])
-    assert len(node.in_flight) == target_load.MAX_CONCURRENCY
-    gateway.feed(0.1, outcome(0))
-    assert node.concurrency_limit == target_load.MAX_CONCURRENCY
-
-
-def test_earliest_due_goes_first_and_grants_go_before_what_lies_beyond():
+    assert 1 not in target.allocations
+
+
+def test_each_uncongested_period_releases_a_tenth_of_the_reserve_and_congestion_restores_it():
+    harness = SchedulerHarness()
+    target = target_of_capacity(harness, 100.0)
+    harness.scheduler.now = 2.5 * admission.RESERVE_RELEASE_SECONDS  # two periods
+    allocation_after_test(harness, 3)
+    assert target.reserve_fraction == pytest.approx(0.30 * 0.8)
+    add_allocation(harness, 1, 90.0, 90.0)
+    allocation_after_test(harness)
+    assert target.reserve_fraction == pytest.approx(0.30)
+
+
+def test_a_limit_is_split_evenly_before_others_demand_is_known():
+    harness = SchedulerHarness(plans=(plan(rate=10.0, limit=12.0, burst=60.0),))
+    harness.feed(0.0, request(1, volume_initiator_count=3))
+    allocation = harness.scheduler.targets[1].allocations[1]
+    allocation.demand.add(0.0, 1000.0)
+    requested_rate, _ = harness.scheduler._rates(allocation)
+    assert requested_rate == pytest.approx(4.0)
+
+
+def test_the_used_concurrency_halves_on_a_rejection_and_grows_by_one_once_a_round_trip():
+    harness = SchedulerHarness()
+    target = harness.scheduler.targets[1]
+    size = int(target.concurrency_limit)
+    harness.feed(1.0, *[request(i) for i in range(size)])
+    harness.feed(1.1, *[outcome(i) for i in range(1)])
+    assert target.concurrency_limit == pytest.approx(size + 1 / size)
+    harness.feed(2.0, outcome(1, status=AttemptStatus.REJECTED), outcome(2, status=AttemptStatus.REJECTED))
+    assert target.concurrency_limit == pytest.approx(1.5)  # half of the three that were in flight
+
+
+def test_the_concurrency_limit_stops_at_its_maximum():
+    harness = SchedulerHarness()
+    target = harness.scheduler.targets[1]
+    target.concurrency_limit = target_load.MAX_CONCURRENCY
+    harness.feed(0.0, *[request(i) for i in range(30)])
+    assert len(target.in_flight) == target_load.MAX_CONCURRENCY
+    harness.feed(0.1, outcome(0))
+    assert target.concurrency_limit == target_load.MAX_CONCURRENCY
+
+
+def test_the_earliest_due_is_served_first_and_grants_before_best_effort():
     classes = (request_class(latency_objective=2.0), request_class(latency_objective=1.0))
-    gateway = Gateway(classes=classes)
-    node = gateway.scheduler.targets[1]
-    node.concurrency_limit = 1.0
-    node.latency = 0.01
-    gateway.scheduler.volumes.clear()
-    assert gateway.sends(20.0, request(1)) == [1]
-    assert gateway.sends(20.0, request(2), request(3, class_index=1)) == []
-    node.concurrency_limit = 1.0
-    assert gateway.sends(20.01, outcome(1, latency=0.6)) == [3]
-    # volume 9 has no grant left at the node: it waits although it is due first
-    node.allocations[1].bucket.level = 50.0
-    gateway.feed(20.02, request(4, class_index=1, volume=9))
-    node.allocations[9].grant = node.allocations[9].bucket.level = -1.0
-    gateway.scheduler.volumes[9].reservation.level = -1.0
-    assert gateway.sends(20.03, outcome(3, latency=0.6)) == [2]
-
-
-def test_refused_early_with_advice_only_when_the_aim_is_out_of_reach():
-    gateway = Gateway()
-    node = gateway.scheduler.targets[1]
-    node.concurrency_limit, node.latency = 1.0, 0.3
-    gateway.feed(0.0, request(1))
-    assert gateway.feed(0.0, request(2)) == []
-    actions = gateway.feed(0.0, *[request(i) for i in range(3, 8)])
+    harness = SchedulerHarness(classes=classes)
+    target = harness.scheduler.targets[1]
+    target.concurrency_limit = 1.0
+    target.latency = 0.01
+    harness.scheduler.volumes.clear()
+    assert harness.sends(20.0, request(1)) == [1]
+    assert harness.sends(20.0, request(2), request(3, class_index=1)) == []
+    target.concurrency_limit = 1.0
+    assert harness.sends(20.01, outcome(1, latency=0.6)) == [3]
+    # volume 9 has no grant left at the target: it waits although it is due first
+    target.allocations[1].bucket.level = 50.0
+    harness.feed(20.02, request(4, class_index=1, volume=9))
+    target.allocations[9].grant = target.allocations[9].bucket.level = -1.0
+    harness.scheduler.volumes[9].reservation.level = -1.0
+    assert harness.sends(20.03, outcome(3, latency=0.6)) == [2]
+
+
+def test_early_rejection_with_retry_after_only_when_the_objective_is_out_of_reach():
+    harness = SchedulerHarness()
+    target = harness.scheduler.targets[1]
+    target.concurrency_limit, target.latency = 1.0, 0.3
+    harness.feed(0.0, request(1))
+    assert harness.feed(0.0, request(2)) == []
+    actions = harness.feed(0.0, *[request(i) for i in range(3, 8)])
     assert actions and all(isinstance(a, Reject) and a.retry_after == 1.5 for a in actions)
     assert all(r.request_id != 2 for r in actions)
 
 
-def test_a_new_object_goes_to_the_least_loaded_warm_node():
-    gateway = Gateway(nodes=(entry(1), entry(2), entry(3, started_at=0.0)))
-    gateway.scheduler.targets[1].in_flight = dict.fromkeys(range(90, 93))
-    (send,) = gateway.feed(0.0, request(1, shard=None))
+def test_a_new_object_goes_to_the_least_loaded_target_that_is_not_warming_up():
+    harness = SchedulerHarness(targets=(entry(1), entry(2), entry(3, started_at=0.0)))
+    harness.scheduler.targets[1].in_flight = dict.fromkeys(range(90, 93))
+    (send,) = harness.feed(0.0, request(1, shard=None))
     assert send.target_id == 2
 
 
 def test_the_same_events_give_the_same_actions():
     def play() -> list[Action]:
-        gateway = Gateway(nodes=(entry(1), entry(2)))
-        actions = gateway.feed(0.0, *[request(i, shard=None, volume=i % 3) for i in range(40)])
-        return actions + gateway.feed(0.3, *[outcome(i) for i in range(40)]) + gateway.poll(0.9)
+        harness = SchedulerHarness(targets=(entry(1), entry(2)))
+        actions = harness.feed(0.0, *[request(i, shard=None, volume=i % 3) for i in range(40)])
+        return actions + harness.feed(0.3, *[outcome(i) for i in range(40)]) + harness.poll(0.9)
 
     assert play() == play() != []
 
 
-def test_what_a_cold_node_serves_is_allowed_again():
-    """A restarted node was starved long after it could serve: its budget knew only the time."""
-    gateway = Gateway(nodes=(entry(1, started_at=0.0),))
-    node = gateway.scheduler.targets[1]
-    gateway.scheduler._has_slow_start_budget(node, 2.0)
-    node.slow_start_draw = 1.0  # no more than the whole part
-    part = 40.0 * target_load.SLOW_START_BUDGET_FRACTION / 2
-    assert gateway.sends(0.0, request(1, units=part)) == [1]
-    assert not gateway.scheduler._has_slow_start_budget(node, 2.0)
-    gateway.feed(0.1, outcome(1))
-    assert gateway.scheduler._has_slow_start_budget(node, 2.0)
+def test_units_that_a_warming_target_serves_return_to_its_budget():
+    """A restarted target was starved long after it could serve: its budget grew with time only."""
+    harness = SchedulerHarness(targets=(entry(1, started_at=0.0),))
+    target = harness.scheduler.targets[1]
+    harness.scheduler._has_slow_start_budget(target, 2.0)
+    target.slow_start_draw = 1.0  # no more than the whole budget
+    budget = 40.0 * target_load.SLOW_START_BUDGET_FRACTION / 2
+    assert harness.sends(0.0, request(1, units=budget)) == [1]
+    assert not harness.scheduler._has_slow_start_budget(target, 2.0)
+    harness.feed(0.1, outcome(1))
+    assert harness.scheduler._has_slow_start_budget(target, 2.0)
 
 
-def test_the_least_worthy_before_a_late_request_is_given_up():
+def test_the_least_valuable_request_before_a_late_one_is_shed():
     classes = (
         request_class(latency_objective=1.0, priority_weight=1.0),
         request_class(latency_objective=1.1, priority_weight=4.0),
     )
-    gateway = Gateway(classes=classes)
-    node = gateway.scheduler.targets[1]
-    node.concurrency_limit, node.latency = 1.0, 0.4
-    gateway.feed(0.0, request(1))
-    gateway.feed(0.0, request(2), request(3, class_index=1))
-    assert [a.request_id for a in gateway.feed(0.0, request(4, class_index=1))] == [2]
-
-
-def test_a_node_that_takes_no_connection_is_paused():
-    """Requests used up their attempts on a node that was down, all at once."""
-    gateway = Gateway()
-    gateway.feed(0.0, request(1), request(2))
+    harness = SchedulerHarness(classes=classes)
+    target = harness.scheduler.targets[1]
+    target.concurrency_limit, target.latency = 1.0, 0.4
+    harness.feed(0.0, request(1))
+    harness.feed(0.0, request(2), request(3, class_index=1))
+    assert [a.request_id for a in harness.feed(0.0, request(4, class_index=1))] == [2]
+
+
+def test_a_target_that_refuses_connections_is_paused():
+    """Requests used up their attempts on a target that was down, all at once."""
+    harness = SchedulerHarness()
+    harness.feed(0.0, request(1), request(2))
     down = AttemptStatus.CONNECT_FAILED
-    assert gateway.feed(0.01, outcome(1, status=down), outcome(2, status=down)) == []
-    assert [a.request_id for a in gateway.poll(0.011 + target_load.INITIAL_PAUSE_SECONDS)] == [1, 2]
+    assert harness.feed(0.01, outcome(1, status=down), outcome(2, status=down)) == []
+    assert [a.request_id for a in harness.poll(0.011 + target_load.INITIAL_PAUSE_SECONDS)] == [1, 2]
 
 
-def test_an_attempt_ends_soon_after_its_aim():
-    """Lost answers held their places in the window to the client's deadline."""
-    (send,) = Gateway().feed(0.0, request(1))
+def test_an_attempt_expires_soon_after_its_latency_objective():
+    """Lost answers counted as in flight up to the client's deadline."""
+    (send,) = SchedulerHarness().feed(0.0, request(1))
     assert 1.0 < send.expires_at < 1.2
 
 
-def test_a_time_out_as_long_as_a_late_answer_halves_the_window_in_use():
-    gateway = Gateway()
-    gateway.feed(0.0, request(1))
-    size = gateway.scheduler.targets[1].concurrency_limit
-    gateway.feed(0.6, outcome(1, status=AttemptStatus.TIMEOUT, latency=0.6))
+def test_a_timeout_as_long_as_a_late_answer_halves_the_used_concurrency():
+    harness = SchedulerHarness()
+    harness.feed(0.0, request(1))
+    size = harness.scheduler.targets[1].concurrency_limit
+    harness.feed(0.6, outcome(1, status=AttemptStatus.TIMEOUT, latency=0.6))
     assert (
-        size == state.INITIAL_CONCURRENCY and gateway.scheduler.targets[1].concurrency_limit == 0.5
-    )  # half of that in use
-
-
-def test_below_one_the_window_paces_what_lies_beyond_the_reservation():
-    """A floor of one, times hundreds of gateways, floods a node of a few slots."""
-    gateway = Gateway()
-    node = gateway.scheduler.targets[1]
-    node.concurrency_limit, node.latency = 0.1, 0.05
-    gateway.feed(0.0, request(1))  # the next may go after latency / window, 0.25 to 0.75 s with the draw
-    gateway.scheduler.volumes[1].reservation.level = -100.0
-    gateway.feed(0.3, outcome(1, status=AttemptStatus.ERROR, request_done=True))
-    node.paced_until = 0.5
-    assert gateway.sends(0.31, request(2)) == []
-    assert [a.request_id for a in gateway.poll(0.51)] == [2]
-    assert 0.51 + 0.25 <= node.paced_until <= 0.51 + 0.75
-
-
-def test_below_one_the_window_lets_the_reservation_go():
-    gateway = Gateway()
-    node = gateway.scheduler.targets[1]
-    node.concurrency_limit, node.paced_until = 0.1, 5.0
-    gateway.scheduler._accept(request(1))
-    gateway.scheduler.volumes[1].reservation.level = 5.0
-    assert gateway.sends(0.0, request(2)) == [1]
-
-
-def test_below_one_only_a_deep_queue_cuts_the_window_and_good_answers_double_it():
-    gateway = Gateway()
-    node = gateway.scheduler.targets[1]
-    least = target_load.MIN_CONCURRENCY
-    for number, took, before, after in [(1, 0.3, 0.4, 0.8), (2, 0.5, 0.4, 0.2), (3, 0.5, least, least)]:
+        size == state.INITIAL_CONCURRENCY and harness.scheduler.targets[1].concurrency_limit == 0.5
+    )  # half of that in flight
+
+
+def test_a_limit_below_one_paces_requests_beyond_the_reservation():
+    """A minimum of one, times hundreds of initiators, floods a target of a few slots."""
+    harness = SchedulerHarness()
+    target = harness.scheduler.targets[1]
+    target.concurrency_limit, target.latency = 0.1, 0.05
+    harness.feed(0.0, request(1))  # the next may go after latency / limit, 0.25 to 0.75 s with the jitter
+    harness.scheduler.volumes[1].reservation.level = -100.0
+    harness.feed(0.3, outcome(1, status=AttemptStatus.ERROR, request_done=True))
+    target.paced_until = 0.5
+    assert harness.sends(0.31, request(2)) == []
+    assert [a.request_id for a in harness.poll(0.51)] == [2]
+    assert 0.51 + 0.25 <= target.paced_until <= 0.51 + 0.75
+
+
+def test_a_limit_below_one_does_not_pace_requests_within_the_reservation():
+    harness = SchedulerHarness()
+    target = harness.scheduler.targets[1]
+    target.concurrency_limit, target.paced_until = 0.1, 5.0
+    harness.scheduler._accept(request(1))
+    harness.scheduler.volumes[1].reservation.level = 5.0
+    assert harness.sends(0.0, request(2)) == [1]
+
+
+def test_a_limit_below_one_is_cut_only_by_congestion_and_doubled_by_timely_answers():
+    harness = SchedulerHarness()
+    target = harness.scheduler.targets[1]
+    floor = target_load.MIN_CONCURRENCY
+    for number, latency, before, after in [(1, 0.3, 0.4, 0.8), (2, 0.5, 0.4, 0.2), (3, 0.5, floor, floor)]:
         now = number * 5.0
-        gateway.feed(now, request(number))
-        node.concurrency_limit = before
-        gateway.feed(now + took, outcome(number, latency=took))
-        assert node.concurrency_limit == pytest.approx(after)
-
-
-def test_requests_in_a_row_for_the_same_data_follow_past_the_window():
-    gateway = Gateway()
-    node = gateway.scheduler.targets[1]
-    node.concurrency_limit = 1.0
-    node.allocations.clear()
-    first = gateway.sends(
+        harness.feed(now, request(number))
+        target.concurrency_limit = before
+        harness.feed(now + latency, outcome(number, latency=latency))
+        assert target.concurrency_limit == pytest.approx(after)
+
+
+def test_successive_requests_for_the_same_data_may_exceed_the_limit():
+    harness = SchedulerHarness()
+    target = harness.scheduler.targets[1]
+    target.concurrency_limit = 1.0
+    target.allocations.clear()
+    first = harness.sends(
         0.0, request(1, idempotency_key=5), request(2, idempotency_key=6), request(3, idempotency_key=5)
     )
-    node.allocations[1].bucket.level = 9.0  # within its grant
-    assert first + [a.request_id for a in gateway.poll(0.01)] == [1, 3]
-    assert gateway.sends(scheduler.SAME_KEY_SECONDS + 0.001, request(4, idempotency_key=5)) == []
+    target.allocations[1].bucket.level = 9.0  # within its grant
+    assert first + [a.request_id for a in harness.poll(0.01)] == [1, 3]
+    assert harness.sends(scheduler.SAME_KEY_SECONDS + 0.001, request(4, idempotency_key=5)) == []
 
 
-def test_requests_without_a_key_are_no_run():
-    gateway = Gateway()
-    gateway.scheduler.targets[1].concurrency_limit = 1.0
-    assert gateway.sends(0.0, request(1), request(2)) == [1]
+def test_requests_without_a_key_may_not_exceed_the_limit():
+    harness = SchedulerHarness()
+    harness.scheduler.targets[1].concurrency_limit = 1.0
+    assert harness.sends(0.0, request(1), request(2)) == [1]
 
 
-def test_most_of_a_limit_is_kept_for_the_classes_worth_most():
-    """A patient class took the tokens as they came, and reads of the same volume were refused."""
+def test_most_of_a_limit_is_reserved_for_the_classes_of_the_highest_weight():
+    """A class that can wait spent the tokens as they came, and reads of the same volume were rejected."""
     classes = (
         request_class(name="read", priority_weight=3.0),
         request_class(name="export", priority_weight=1.0, latency_objective=2.5),
     )
-    gateway = Gateway(classes=classes, plans=(plan(limit=10.0, burst=28.0),))  # 18 kept
-    assert gateway.sends(1.0, request(1, class_index=1)) == []  # 10 tokens
-    assert gateway.sends(1.1, request(2)) == [2]
-    assert gateway.sends(1.2, outcome(2)) == []
-    assert gateway.sends(3.0, TimerFired(1)) == [1]  # full: what comes in would be lost
+    harness = SchedulerHarness(classes=classes, plans=(plan(limit=10.0, burst=28.0),))  # 18 reserved
+    assert harness.sends(1.0, request(1, class_index=1)) == []  # 10 tokens
+    assert harness.sends(1.1, request(2)) == [2]
+    assert harness.sends(1.2, outcome(2)) == []
+    assert harness.sends(3.0, TimerFired(1)) == [1]  # full: what comes in would be lost
 
 
-def test_a_part_that_holds_one_request_serves_every_class():
+def test_a_bucket_that_holds_one_request_serves_every_class():
     classes = (
         request_class(name="read", priority_weight=3.0),
         request_class(name="export", priority_weight=1.0, latency_objective=2.5),
     )
-    gateway = Gateway(classes=classes, plans=(plan(limit=10.0, burst=8.0),))
-    assert gateway.sends(1.0, request(1, class_index=1, units=8.0)) == [1]
+    harness = SchedulerHarness(classes=classes, plans=(plan(limit=10.0, burst=8.0),))
+    assert harness.sends(1.0, request(1, class_index=1, units=8.0)) == [1]
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -23,7 +23,7 @@
 from stalltiller.recovery.store import Store
 from stalltiller.scheduling import PeerMessage, SendPeerMessage, TargetStatus, token_messages
 from tests.fixtures import samples
-from tests.helpers import Gateway, plan, request
+from tests.helpers import SchedulerHarness, plan, request
 
 DATAGRAMS = orjson.loads(samples.DATAGRAMS.read_bytes())
 
@@ -212,7 +212,7 @@
 
 
 def test_a_scheduler_answers_the_ask_with_the_grant():
-    gateway = Gateway(may_message=True, plans=(plan(limit=100.0, burst=50.0),))
+    gateway = SchedulerHarness(may_message=True, plans=(plan(limit=100.0, burst=50.0),))
     gateway.feed(10.0, request(1, volume=17, volume_initiator_count=2))
     told = gateway.feed(10.1, PeerMessage(1, fixture_bytes("tokens", "ask")))
     assert told == [SendPeerMessage(1, fixture_bytes("tokens", "grant"))]
