--- a/bench/recovery_faults.py
+++ b/bench/recovery_faults.py
@@ -24,7 +24,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from bench.storm import BURST, LIMIT, least_left
+from bench.storm import BURST, LIMIT, lowest_level
 from tests.fleet.rig import Rig, exchange
 
 SIZE = 6
@@ -183,7 +183,7 @@
             broken.append(f"{faults} faults")
         if late := sum(told + GRACE < at < back for at, _ in rig.targets[1].begun):
             broken.append(f"{late} sends to a target that drains")
-        left = least_left(alone.begun)
+        left = lowest_level(alone.begun)
         if left < -SLACK:
             broken.append(f"the limit was passed by {-left:.1f} units")
         return {
--- a/tests/decision_world.py
+++ b/tests/decision_world.py
@@ -1,7 +1,7 @@
 """A small simulated world around schedulers, and a digest of all that they decide in it.
 
-Events are drawn from a seed with `random()` alone, so that no version of Python draws others.  The digest is
-taken over a text of the actions in which no name of a class or field occurs: names may change, decisions not.
+Events come from a seed by `random()` alone, so that all versions of Python make the same.  The digest is
+of a text of the actions without names of classes or fields: names may change, decisions may not.
 """
 
 from __future__ import annotations
@@ -42,8 +42,7 @@
     WatchTargetList,
     token_messages,
 )
-from stalltiller.scheduling import scheduler as logic
-from stalltiller.scheduling.scheduler import Scheduler
+from stalltiller.scheduling.scheduler import WATCH_TIMER, Scheduler
 
 CODES = {
     StartAttempt: "send",
@@ -58,17 +57,17 @@
     WatchTargetList: "watch",
     FetchTargetList: "fetch-list",
 }
-MESSAGE_DELAY = 0.004  # s
-LOST_MESSAGES, DOUBLED_MESSAGES = 0.05, 0.05  # shares
-SILENCE = 2.0  # s until an attempt that a target never answers is over
-HASTY = 0.4  # of its class's deadline: the least time that a client gives
+MESSAGE_DELAY_SECONDS = 0.004
+LOST_MESSAGE_FRACTION, DUPLICATED_MESSAGE_FRACTION = 0.05, 0.05
+SILENCE_SECONDS = 2.0  # until an attempt that a target never answers has ended
+MIN_TIMEOUT_FRACTION = 0.4  # of its class's deadline: the shortest timeout of a client
 
 MakeEvent = Callable[[], Event | None]
 
 
 @dataclasses.dataclass(frozen=True)
 class Scenario:
-    """What is particular about a world.  `expected`: notes that must come up, else it holds nothing."""
+    """What is particular about a world.  `expected`: notes that must occur, else it covers too little."""
 
     expected: frozenset[str]
     settings: Settings
@@ -77,16 +76,16 @@
     changes: tuple[tuple[float, TargetListUpdate], ...] = ()  # of the list, by time
     updates: tuple[tuple[float, Settings], ...] = ()  # of the settings, by time
     arrivals: tuple[tuple[float, float, float], ...] = ((0.0, 6.0, 60.0),)  # from, to, requests a second
-    failures: tuple[tuple[AttemptStatus, float], ...] = ()  # shares of the attempts
-    skewed: bool = False  # most requests come to the first scheduler
-    silent: float = 0.0  # share of the attempts that a target never answers
-    leaving: float = 0.05  # share of the clients that leave early
-    metered: bool = False  # outcomes tell of a volume's use
+    failures: tuple[tuple[AttemptStatus, float], ...] = ()  # fractions of the attempts
+    skewed: bool = False  # most requests arrive at the first scheduler
+    silent: float = 0.0  # fraction of the attempts that a target never answers
+    disconnecting: float = 0.05  # fraction of the clients that disconnect early
+    metered: bool = False  # results report a volume's usage
     base_latency: float = 0.02  # s
-    latency_each: float = 0.004  # s for each attempt that is out at the target
-    parts: Callable[[str, float], float] | None = None
-    begin_at: float | None = None
-    retire_at: float | None = None
+    latency_each: float = 0.004  # s for each attempt in flight at the target
+    budget_fraction: Callable[[str, float], float] | None = None
+    activate_at: float | None = None
+    deactivate_at: float | None = None
 
 
 class World:
@@ -102,7 +101,7 @@
         self._order = 0
         self._next_request = 0
         self._attempts: Counter[int] = Counter()  # by request
-        self._running: dict[tuple[int, int], int] = {}  # target of each attempt that is out
+        self._running: dict[tuple[int, int], int] = {}  # target of each attempt in flight
         self._first_bytes: Counter[int] = Counter()
         self.settings = [
             dataclasses.replace(
@@ -112,29 +111,30 @@
         ]
         self.schedulers = [Scheduler(each, seed + index, 0.0) for index, each in enumerate(self.settings)]
         for scheduler in self.schedulers:
-            scheduler.budget_fraction = scenario.parts
+            scheduler.budget_fraction = scenario.budget_fraction
         self._fill_queue()
 
     def play(self) -> str:
-        """Run to the end; the digest of all actions in hexadecimal."""
+        """Run to the end; returns the digest of all actions in hexadecimal."""
         while self._queue:
             self.now, _, index, make = heapq.heappop(self._queue)
             events = [make()]
             while self._queue and self._queue[0][0] == self.now and self._queue[0][2] == index:
                 events.append(heapq.heappop(self._queue)[3]())
-            self._change_lives(index)
+            self._hand_over(index)
             found = [event for event in events if event is not None]
             for action in self.schedulers[index].handle(self.now, found):
                 self._record(index, action)
                 self._carry_out(index, action)
         return self._digest.hexdigest()
 
-    # --- What is planned from the start -------------------------------------------------------------
+    # --- What is scheduled from the start -------------------------------------------------------------
     def _fill_queue(self) -> None:
         for index in range(self.scenario.schedulers):
             if self.scenario.settings.list_pushed:
                 self._at(0.0, index, self._whole_list)
-            self._at(1.0, index, lambda: self._outcome(0, 0, 1, AttemptStatus.OK, 0.1))  # of no known request
+            # a result of an unknown request
+            self._at(1.0, index, lambda: self._result(0, 0, 1, AttemptStatus.OK, 0.1))
             for at, change in self.scenario.changes:
                 self._at(at + 0.01 * index, index, lambda change=change: change)
             for at, settings in self.scenario.updates:
@@ -156,12 +156,12 @@
             return 0
         return self._below(self.scenario.schedulers)
 
-    def _change_lives(self, index: int) -> None:
-        """Begin or retire a scheduler, as a process does that takes over from another."""
+    def _hand_over(self, index: int) -> None:
+        """Activate or deactivate a scheduler, as processes do at a handover."""
         scenario, scheduler = self.scenario, self.schedulers[index]
-        if scenario.begin_at is not None and self.now >= scenario.begin_at > scheduler.started_at:
+        if scenario.activate_at is not None and self.now >= scenario.activate_at > scheduler.started_at:
             scheduler.activate(self.now)
-        if scenario.retire_at is not None and self.now >= scenario.retire_at:
+        if scenario.deactivate_at is not None and self.now >= scenario.deactivate_at:
             scheduler.deactivate()
 
     # --- Events -------------------------------------------------------------------------------------
@@ -169,8 +169,8 @@
         return TargetListUpdate(TargetListKind.FULL, self.scenario.targets)
 
     def _update(self, index: int, settings: Settings) -> SettingsChanged:
-        gateways = self.settings[index].initiator_count
-        self.settings[index] = dataclasses.replace(settings, initiator_index=index, initiator_count=gateways)
+        count = self.settings[index].initiator_count
+        self.settings[index] = dataclasses.replace(settings, initiator_index=index, initiator_count=count)
         return SettingsChanged(self.settings[index])
 
     def _arrive(self, index: int) -> Request:
@@ -180,10 +180,12 @@
         class_index = self._below(len(settings.classes))
         request_class = settings.classes[class_index]
         volume = self._below(2 * len(settings.plans))
-        cells = sorted({target.shard for target in self.scenario.targets})
-        left = request_class.deadline * (HASTY + (1 - HASTY) * self.random.random())
-        if self.random.random() < self.scenario.leaving:
-            self._at(self.now + left * self.random.random() / 4, index, lambda: ClientDisconnected(number))
+        shards = sorted({target.shard for target in self.scenario.targets})
+        patience = MIN_TIMEOUT_FRACTION + (1 - MIN_TIMEOUT_FRACTION) * self.random.random()
+        time_remaining = request_class.deadline * patience
+        if self.random.random() < self.scenario.disconnecting:
+            disconnects_at = self.now + time_remaining * self.random.random() / 4
+            self._at(disconnects_at, index, lambda: ClientDisconnected(number))
         has_key = request_class.in_order or request_class.idempotency is Idempotency.IDEMPOTENCY_KEY
         return Request(
             number,
@@ -191,16 +193,16 @@
             volume % len(settings.plans),
             volume,
             1.0 + self._below(int(settings.max_units)),
-            self._hosts(),
+            self._volume_initiator_count(),
             1 + self._below(5) if has_key else 0,
-            None if self.random.random() < 0.2 else cells[self._below(len(cells))],
+            None if self.random.random() < 0.2 else shards[self._below(len(shards))],
             request_class.idempotency is not Idempotency.SAFE,
             self.random.random() < 0.1,
-            left,
+            time_remaining,
         )
 
-    def _hosts(self) -> int:
-        """How many schedulers serve the volume, as the client tells: at first one fewer than later."""
+    def _volume_initiator_count(self) -> int:
+        """How many schedulers serve the volume, as the client states: at first one fewer than later."""
         return max(1, self.scenario.schedulers - (self.now < 1.0))
 
     # --- Actions ------------------------------------------------------------------------------------
@@ -215,7 +217,7 @@
         self.notes[code] += 1
         if isinstance(action, StartAttempt) and self._attempts[action.request_id]:
             self.notes["send again"] += 1
-        elif isinstance(action, SetTimer) and action.token == logic.WATCH_TIMER:
+        elif isinstance(action, SetTimer) and action.token == WATCH_TIMER:
             self.notes["timer to watch"] += 1
         elif isinstance(action, SendPeerMessage):
             message = token_messages.decode(action.data)
@@ -239,55 +241,56 @@
         attempt = self._attempts[action.request_id]
         self._attempts[action.request_id] += 1
         self._running[action.request_id, attempt] = action.target_id
-        out = sum(node == action.target_id for node in self._running.values())
-        took = (self.scenario.base_latency + self.scenario.latency_each * out) * (0.5 + self.random.random())
-        status = self._draw_status()
+        in_flight = sum(target == action.target_id for target in self._running.values())
+        mean_latency = self.scenario.base_latency + self.scenario.latency_each * in_flight
+        latency = mean_latency * (0.5 + self.random.random())
+        status = self._choose_status()
         if self.random.random() < self.scenario.silent:
-            status, took = AttemptStatus.TIMEOUT, SILENCE
+            status, latency = AttemptStatus.TIMEOUT, SILENCE_SECONDS
         if status in (AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_STARTED):
-            took /= 10
+            latency /= 10
         if status is AttemptStatus.OK:
-            first = FirstByte(action.request_id, attempt, action.target_id, took / 2)
-            self._at(self.now + took / 2, index, lambda: first)
-        if action.expires_at is not None and self.now + took > action.expires_at:
-            status, took = AttemptStatus.TIMEOUT, max(0.0, action.expires_at - self.now)
-        self._end(index, action.request_id, attempt, status, took)
-
-    def _draw_status(self) -> AttemptStatus:
-        drawn = self.random.random()
+            first = FirstByte(action.request_id, attempt, action.target_id, latency / 2)
+            self._at(self.now + latency / 2, index, lambda: first)
+        if action.expires_at is not None and self.now + latency > action.expires_at:
+            status, latency = AttemptStatus.TIMEOUT, max(0.0, action.expires_at - self.now)
+        self._end(index, action.request_id, attempt, status, latency)
+
+    def _choose_status(self) -> AttemptStatus:
+        choice = self.random.random()
         for status, share in self.scenario.failures:
-            drawn -= share
-            if drawn < 0:
+            choice -= share
+            if choice < 0:
                 return status
         return AttemptStatus.OK
 
-    def _end(self, index: int, request: int, attempt: int, status: AttemptStatus, took: float) -> None:
+    def _end(self, index: int, request: int, attempt: int, status: AttemptStatus, latency: float) -> None:
         def make() -> AttemptFinished | None:
             target = self._running.pop((request, attempt), None)
             if target is None:  # it was cancelled before
                 return None
-            return self._outcome(request, attempt, target, status, took)
+            return self._result(request, attempt, target, status, latency)
 
-        self._at(self.now + took, index, make)
+        self._at(self.now + latency, index, make)
 
-    def _outcome(
-        self, request: int, attempt: int, target: int, status: AttemptStatus, took: float
+    def _result(
+        self, request: int, attempt: int, target: int, status: AttemptStatus, latency: float
     ) -> AttemptFinished:
-        over = status in (AttemptStatus.OK, AttemptStatus.ERROR)
-        use = None
-        others = 0.0
+        is_done = status in (AttemptStatus.OK, AttemptStatus.ERROR)
+        usage = None
+        other_units = 0.0
         if self.scenario.metered and self.random.random() < 0.3:
-            use = 4 * self.random.random()
+            usage = 4 * self.random.random()
         elif self.scenario.metered:
-            others = 10 * self.random.random()
-        return AttemptFinished(request, attempt, target, status, took, over, use, others, ())
+            other_units = 10 * self.random.random()
+        return AttemptFinished(request, attempt, target, status, latency, is_done, usage, other_units, ())
 
     def _answer_watch(self) -> TargetListUpdate:
-        """Discovery fails now and then, or tells of half the targets; after a while the connection breaks."""
-        drawn = self.random.random()
-        if drawn < 0.6:
+        """Discovery fails now and then, or lists half the targets; after a while the connection breaks."""
+        choice = self.random.random()
+        if choice < 0.6:
             return TargetListUpdate(TargetListKind.FAILED, ())
-        kind = TargetListKind.CACHED if drawn < 0.8 else TargetListKind.FULL
+        kind = TargetListKind.CACHED if choice < 0.8 else TargetListKind.FULL
         if self.now < 5.0:
             self._at(self.now + 0.5, 0, lambda: TargetListUpdate(TargetListKind.FAILED, ()))
         return TargetListUpdate(
@@ -295,15 +298,15 @@
         )
 
     def _deliver(self, index: int, action: SendPeerMessage) -> None:
-        """Carry a message; some are lost, some come twice."""
-        others = [each for each in range(self.scenario.schedulers) if each != index]
+        """Deliver a message; some are lost, some arrive twice."""
+        receivers = [each for each in range(self.scenario.schedulers) if each != index]
         message = PeerMessage(index, action.data)
-        for receiver in others if action.initiator_index is None else [action.initiator_index]:
-            drawn = self.random.random()
-            if drawn >= LOST_MESSAGES:
-                self._at(self.now + MESSAGE_DELAY * (1 + drawn), receiver, lambda: message)
-            if drawn >= 1 - DOUBLED_MESSAGES:
-                self._at(self.now + 3 * MESSAGE_DELAY, receiver, lambda: message)
+        for receiver in receivers if action.initiator_index is None else [action.initiator_index]:
+            choice = self.random.random()
+            if choice >= LOST_MESSAGE_FRACTION:
+                self._at(self.now + MESSAGE_DELAY_SECONDS * (1 + choice), receiver, lambda: message)
+            if choice >= 1 - DUPLICATED_MESSAGE_FRACTION:
+                self._at(self.now + 3 * MESSAGE_DELAY_SECONDS, receiver, lambda: message)
 
 
 def value_text(value: object) -> str:
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -1,4 +1,4 @@
-"""The crowd at a cell: how many others each gateway takes to ask, and two hundred at one cold target."""
+"""Estimates of contention at a shard, and two hundred initiators at one target that warms up."""
 
 from __future__ import annotations
 
@@ -15,88 +15,92 @@
     StartAttempt,
     TargetListKind,
     TargetListUpdate,
-    scheduler,
     target_load,
 )
 from stalltiller.scheduling.contention import ContentionEstimator
+from stalltiller.scheduling.scheduler import Scheduler
 from tests.helpers import entry, outcome, request, request_class, rules, settings
 
-GATEWAYS, CELLS = 200, 200
-COLD_FROM, WARM_AFTER, SHARE, UNITS = 3.0, 17.0, 0.15, 1.0
+INITIATORS, SHARDS = 200, 200
+STARTED_AT, SLOW_START_SECONDS, INITIAL_FRACTION, UNITS = 3.0, 17.0, 0.15, 1.0
 
 
-def crowd(*asks: tuple[int, int, int]) -> ContentionEstimator:
-    """One that saw each (cell, volume, hosts) asked ten times within a second."""
-    made = ContentionEstimator()
+def estimator(*requests: tuple[int, int, int]) -> ContentionEstimator:
+    """An estimator that recorded each (shard, volume, initiators) ten times within a second."""
+    recorded = ContentionEstimator()
     for number in range(10):
-        for cell, volume, hosts in asks:
-            made.record(number / 10, cell, volume, hosts)
-    return made
+        for shard, volume, initiators in requests:
+            recorded.record(number / 10, shard, volume, initiators)
+    return recorded
 
 
 @pytest.mark.parametrize(
-    ("asks", "least", "most"),
+    ("requests", "lower", "upper"),
     [
         ([], 0.0, 0.0),
-        ([(9, 1, 1)], 0.9, 1.1),  # seen at another cell only: a usual one is asked by one in two hundred
-        ([(1, 1, 1)], 1.2, 1.8),  # seen here: it may be busier than a usual one
-        ([(1, 1, 3)], 2.8, 3.8),  # and two more hosts of a volume that always asks
-        ([(1, v, 1) for v in range(20)], 8.0, 12.0),  # many volumes: a busy cell
-        ([(c, 1, 1) for c in range(1, 201)], 199.0, 199.0),  # all ask for all
+        ([(9, 1, 1)], 0.9, 1.1),  # another shard only: a mean one is requested by one in two hundred
+        ([(1, 1, 1)], 1.2, 1.8),  # this shard: it may be busier than the mean
+        ([(1, 1, 3)], 2.8, 3.8),  # and two more initiators of a busy volume
+        ([(1, v, 1) for v in range(20)], 8.0, 12.0),  # many volumes: a busy shard
+        ([(c, 1, 1) for c in range(1, 201)], 199.0, 199.0),  # each shard is requested
         ([(1, v, 3) for v in range(500)], 199.0, 199.0),  # never more than there are
     ],
 )
-def test_the_crowd_grows_with_volumes_and_hosts_seen_up_to_all_others(asks, least, most):
-    assert least <= crowd(*asks).other_initiators(0.95, 1, GATEWAYS, CELLS, 1.0) <= most
+def test_contention_grows_with_volumes_and_their_initiators_up_to_all_others(requests, lower, upper):
+    assert lower <= estimator(*requests).other_initiators(0.95, 1, INITIATORS, SHARDS, 1.0) <= upper
 
 
-def test_what_is_not_asked_for_or_known_any_more_leaves_the_crowd():
-    made = crowd((1, 1, 3), (1, 2, 3), (2, 1, 1))
-    made.record(5.0, 1, 1, 3)
-    made.forget(2.0, {1})
-    assert set(made.requested_at) == {1} and set(made.volumes_by_shard[1]) == {1}
+def test_unused_shards_and_unknown_volumes_are_forgotten():
+    recorded = estimator((1, 1, 3), (1, 2, 3), (2, 1, 1))
+    recorded.record(5.0, 1, 1, 3)
+    recorded.forget(2.0, {1})
+    assert set(recorded.requested_at) == {1} and set(recorded.volumes_by_shard[1]) == {1}
 
 
-class Herd:
-    """Two hundred gateways and a busy cell whose warm target leaves: what the cold one in its place is sent.
+class WarmingFleet:
+    """Two hundred initiators and a busy shard whose target is replaced by one that warms up.
 
-    The target takes requests in turn, and turns away what would wait for more than a second.
+    The target serves requests in order and rejects those that would wait for more than a second.
     """
 
-    def __init__(self, seed: int, busier: float) -> None:
+    def __init__(self, seed: int, busy_fraction: float) -> None:
         self.draw = random.Random(seed)
-        nodes = tuple(entry(n, started_at=COLD_FROM if n == 1 else None) for n in range(1, CELLS + 1))
-        site = settings(
-            initiator_count=GATEWAYS,
+        targets = tuple(entry(n, started_at=STARTED_AT if n == 1 else None) for n in range(1, SHARDS + 1))
+        fleet_settings = settings(
+            initiator_count=INITIATORS,
             slow_start_units=UNITS,
             classes=(request_class(latency_objective=0.2, deadline=1.2),),
             rules=rules(
-                slow_start_duration=WARM_AFTER, slow_start_initial_fraction=SHARE, overload_window=1.0
+                slow_start_duration=SLOW_START_SECONDS,
+                slow_start_initial_fraction=INITIAL_FRACTION,
+                overload_window=1.0,
             ),
         )
-        self.made = [scheduler.Scheduler(site, seed * 1000 + n, 0.0) for n in range(GATEWAYS)]
-        for gateway in self.made:
-            gateway.handle(0.0, [TargetListUpdate(TargetListKind.CACHED, nodes)])
-        self.free, self.number, self.ends, self.sent, self.complete = COLD_FROM, 0, [], [], 0
+        self.schedulers = [Scheduler(fleet_settings, seed * 1000 + n, 0.0) for n in range(INITIATORS)]
+        for scheduler in self.schedulers:
+            scheduler.handle(0.0, [TargetListUpdate(TargetListKind.CACHED, targets)])
+        self.free, self.number, self.ends, self.sent, self.complete = STARTED_AT, 0, [], [], 0
         volumes = [
             (
-                self.draw.sample(range(1, CELLS + 1), self.draw.randint(1, 4)),
-                self.draw.sample(range(GATEWAYS), self.draw.randint(1, 3)),
+                self.draw.sample(range(1, SHARDS + 1), self.draw.randint(1, 4)),
+                self.draw.sample(range(INITIATORS), self.draw.randint(1, 3)),
                 self.draw.choice([1, 1, 2, 3, 8]),
             )
-            for _ in range(6 * CELLS)
+            for _ in range(6 * SHARDS)
         ]
-        for cells, _, _ in volumes:
-            if self.draw.random() < busier:
-                cells[0] = 1
+        for shards, _, _ in volumes:
+            if self.draw.random() < busy_fraction:
+                shards[0] = 1
         self.volumes = volumes
 
     def capacity(self, now: float) -> float:
         """Units per second."""
-        return 12.0 * (SHARE + (1 - SHARE) * min(1.0, (now - COLD_FROM) / WARM_AFTER))
+        return 12.0 * (
+            INITIAL_FRACTION + (1 - INITIAL_FRACTION) * min(1.0, (now - STARTED_AT) / SLOW_START_SECONDS)
+        )
 
-    def act(self, now: float, index: int, event: Event) -> None:
-        for action in self.made[index].handle(now, [event]):
+    def handle(self, now: float, index: int, event: Event) -> None:
+        for action in self.schedulers[index].handle(now, [event]):
             if isinstance(action, StartAttempt):
                 units = float(action.request_id % 3 + 1)
                 self.sent.append((now, units))
@@ -112,34 +116,34 @@
                     )
 
     def run(self, seconds: float) -> float:
-        """The most sent in a second, over what may be: twice the capacity of the moment."""
+        """The most units sent in a second, over what is allowed: twice the present capacity."""
         sums = list(itertools.accumulate(weight for _, _, weight in self.volumes))
         now = 0.0
         while now < seconds:
-            now += self.draw.expovariate(6.0 * CELLS)
+            now += self.draw.expovariate(6.0 * SHARDS)
             while self.ends and self.ends[0][0] <= now:
-                at, index, number, took, status = heapq.heappop(self.ends)
+                at, index, number, latency, status = heapq.heappop(self.ends)
                 self.complete += (number % 3 + 1) * (status is AttemptStatus.OK)
-                if number in self.made[index].pending:
-                    self.act(at, index, outcome(number, status=status, latency=took))
-            place = self.draw.choices(range(len(sums)), cum_weights=sums)[0]
-            cells, hosts, _ = self.volumes[place]
-            cell, index = self.draw.choice(cells), self.draw.choice(hosts)
-            if cell == 1 and now >= COLD_FROM:
+                if number in self.schedulers[index].pending:
+                    self.handle(at, index, outcome(number, status=status, latency=latency))
+            volume = self.draw.choices(range(len(sums)), cum_weights=sums)[0]
+            shards, initiators, _ = self.volumes[volume]
+            shard, index = self.draw.choice(shards), self.draw.choice(initiators)
+            if shard == 1 and now >= STARTED_AT:
                 self.number += 1
-                self.act(
+                self.handle(
                     now,
                     index,
                     request(
                         self.number,
-                        volume=place,
+                        volume=volume,
                         units=float(self.number % 3 + 1),
-                        volume_initiator_count=len(hosts),
+                        volume_initiator_count=len(initiators),
                         time_remaining=1.2,
                     ),
                 )
             else:
-                self.made[index].contention.record(now, cell, place, len(hosts))
+                self.schedulers[index].contention.record(now, shard, volume, len(initiators))
         worst, total, span = 0.0, 0.0, deque()
         for at, units in self.sent:
             span.append((at, units))
@@ -150,43 +154,43 @@
         return worst
 
 
-def plays(busier: float = 0.02) -> tuple[float, float]:
-    """The mean over four seeds of the most in a second over what may be, and of the units sent."""
-    herds = [Herd(seed, busier) for seed in range(4)]
-    worst = [herd.run(18.0) for herd in herds]
-    return sum(worst) / 4, sum(units for herd in herds for _, units in herd.sent) / 4
+def mean_results(busy_fraction: float = 0.02) -> tuple[float, float]:
+    """Means over four seeds of the worst second (see `run`) and of the units sent."""
+    fleets = [WarmingFleet(seed, busy_fraction) for seed in range(4)]
+    worst = [fleet.run(18.0) for fleet in fleets]
+    return sum(worst) / 4, sum(units for fleet in fleets for _, units in fleet.sent) / 4
 
 
-def test_two_hundred_gateways_use_the_cold_target_of_a_busy_cell_and_do_not_push_it_over():
-    """Found on herd+mass (journal c557bf07), where a cold target was sent 4.1 times what it could do."""
-    worst, sent = plays()
+def test_two_hundred_initiators_use_the_warming_target_of_a_busy_shard_without_overload():
+    """Found on herd+mass (journal c557bf07), where a warming target was sent 4.1 times what it could do."""
+    worst, sent = mean_results()
     assert worst < 1.0 and sent > 40.0
 
 
-def test_a_crowd_told_only_by_how_many_cells_are_asked_pushes_it_over(monkeypatch):
-    def asked(self, now, cell, gateways, cells, span):
-        chance = sum(at > now - span for at in self.requested_at.values()) / cells
-        others = (gateways - 1) * chance
+def test_an_estimate_by_the_number_of_requested_shards_alone_overloads_it(monkeypatch):
+    def other_initiators(self, now, shard, initiators, shards, span):
+        chance = sum(at > now - span for at in self.requested_at.values()) / shards
+        others = (initiators - 1) * chance
         return others + (others * (1 - chance)) ** 0.5
 
-    monkeypatch.setattr(ContentionEstimator, "other_initiators", asked)
+    monkeypatch.setattr(ContentionEstimator, "other_initiators", other_initiators)
     monkeypatch.setattr(target_load, "MIN_OVERLOAD_BACKOFF", 1.0)
-    assert plays()[0] > 1.1
+    assert mean_results()[0] > 1.1
 
 
-def test_a_full_or_slow_cold_node_gets_a_smaller_part_until_it_answers_in_time():
-    gateway = scheduler.Scheduler(settings(initiator_count=1, rules=rules(slow_start_duration=100.0)), 1, 0.0)
-    gateway.handle(0.0, [TargetListUpdate(TargetListKind.FULL, (entry(1, started_at=0.0),))])
-    eases = []
+def test_a_rejecting_or_slow_warming_target_gets_a_smaller_share_until_it_answers_in_time():
+    scheduler = Scheduler(settings(initiator_count=1, rules=rules(slow_start_duration=100.0)), 1, 0.0)
+    scheduler.handle(0.0, [TargetListUpdate(TargetListKind.FULL, (entry(1, started_at=0.0),))])
+    backoffs = []
     answers = [
         (AttemptStatus.OK, 0.9),
         (AttemptStatus.OK, 0.05),
         (AttemptStatus.OK, 0.05),
         (AttemptStatus.REJECTED, 0.001),
     ]
-    for number, (status, took) in enumerate(answers):
+    for number, (status, latency) in enumerate(answers):
         now = 10.0 + number
-        gateway.handle(now, [request(number)])
-        gateway.handle(now + took, [outcome(number, status=status, latency=took)])
-        eases.append(gateway.targets[1].overload_backoff)
-    assert eases == [0.5, 0.75, 1.0, 0.5]
+        scheduler.handle(now, [request(number)])
+        scheduler.handle(now + latency, [outcome(number, status=status, latency=latency)])
+        backoffs.append(scheduler.targets[1].overload_backoff)
+    assert backoffs == [0.5, 0.75, 1.0, 0.5]
--- a/tests/test_decision_digest.py
+++ b/tests/test_decision_digest.py
@@ -1,7 +1,7 @@
 """The same events and seed give the same actions as in version f5167fe.
 
 The scenarios cover what simulated days do not reach: messages among schedulers, lists that are polled, keyed
-and ordered classes, settings that change, cold targets, budgets and metered use.  The digests stand in
+and ordered classes, settings that change, warming targets, budgets and metered use.  The digests stand in
 `fixtures/decision_digests.json`, made with f5167fe by `python -m tests.test_decision_digest`.  A change of
 decisions that is meant changes them; a rename must not.
 """
@@ -51,10 +51,10 @@
         name=scope.value,
         idempotency=Idempotency.IDEMPOTENCY_KEY,
         deduplication_scope=scope,
-        deduplication_window=keep,
+        deduplication_window=window,
         is_write=True,
     )
-    for scope, keep in (
+    for scope, window in (
         (DeduplicationScope.ALL, 2.0),
         (DeduplicationScope.ZONE, 2.0),
         (DeduplicationScope.SHARD, 2.0),
@@ -74,7 +74,7 @@
 
 
 def tokens() -> Scenario:
-    """Three schedulers short of tokens ask each other; after a long pause volumes are forgotten."""
+    """Three schedulers borrow tokens from each other; after a long pause volumes are forgotten."""
     return Scenario(
         frozenset({"send", "refuse", "ask", "ask all", "grant", "tokens granted", "timer"}),
         settings(may_message=True, classes=CLASSES, plans=LIMITED),
@@ -86,7 +86,7 @@
 
 
 def tokens_handed_over() -> Scenario:
-    """Tokens are counted from a beginning on, and after a process retires none come in."""
+    """Tokens are counted from the activation on, and none accrue after the deactivation."""
     return Scenario(
         frozenset({"send", "refuse", "ask", "grant", "tokens granted"}),
         settings(may_message=True, classes=CLASSES, plans=LIMITED),
@@ -94,13 +94,13 @@
         targets=TARGETS,
         skewed=True,
         failures=FAILURES,
-        begin_at=0.5,
-        retire_at=3.0,
+        activate_at=0.5,
+        deactivate_at=3.0,
     )
 
 
 def polled() -> Scenario:
-    """The list must be asked for, and discovery fails often."""
+    """The list must be polled, and discovery fails often."""
     return Scenario(
         frozenset({"watch", "timer to watch", "send", "refuse"}),
         settings(list_pushed=False, rules=rules(list_poll_interval=0.5), classes=CLASSES),
@@ -109,7 +109,7 @@
 
 
 def keyed() -> Scenario:
-    """Keyed requests of every scope go out again where that is safe."""
+    """Keyed requests of every scope are retried where that is safe."""
     return Scenario(
         frozenset({"send", "send again", "refuse", "fail"}),
         settings(classes=(*KEYED, *CLASSES), max_attempts=4),
@@ -120,7 +120,7 @@
 
 
 def ordered() -> Scenario:
-    """Requests of one key go one after the other, with a pause after one that may have run."""
+    """Requests of one key run one at a time, with a pause after one that may have been executed."""
     return Scenario(
         frozenset({"send", "send again", "refuse", "fail", "timer"}),
         settings(classes=ORDERED, rules=rules(ordering_pause=0.2)),
@@ -138,12 +138,12 @@
         targets=TARGETS[:3],
         arrivals=((0.0, 6.0, 120.0),),
         silent=0.05,
-        leaving=0.15,
+        disconnecting=0.15,
     )
 
 
 def updated() -> Scenario:
-    """Settings change: classes and plans come, go, and change places and figures."""
+    """Settings change: classes and plans are added, removed, reordered and changed."""
     changed = settings(
         classes=(
             request_class(name="write", idempotency=Idempotency.UNSAFE, latency_objective=0.4),
@@ -164,7 +164,7 @@
 
 
 def cold() -> Scenario:
-    """Targets that have just started, drain, go, come back anew."""
+    """Targets that have just started, drain, are removed and start again."""
     started = tuple(entry(number, shard=number % 3, started_at=0.4 * number - 1.0) for number in range(4, 7))
     return Scenario(
         frozenset({"send", "send again", "refuse"}),
@@ -187,25 +187,25 @@
     )
 
 
-def cold_part(target: str, needed: float) -> float:
-    """A fleet's answer to what part of a cold target's budget may be used."""
+def fraction_of_budget(target: str, needed: float) -> float:
+    """A fleet's answer to what fraction of a warming target's budget may be used."""
     return min(1.0, needed) / (2 + int(target) % 2)
 
 
 def cold_in_fleet() -> Scenario:
-    """Cold targets whose budgets a fleet shares out."""
+    """Warming targets whose budgets a fleet divides."""
     targets = tuple(entry(number, shard=number % 2, started_at=-0.5 * number) for number in range(1, 5))
     return Scenario(
         frozenset({"send", "refuse"}),
         settings(classes=CLASSES, slow_start_units=20.0),
         schedulers=2,
         targets=targets,
-        parts=cold_part,
+        budget_fraction=fraction_of_budget,
     )
 
 
 def budgets() -> Scenario:
-    """Further attempts are bounded by a free number and a share of the requests taken."""
+    """Retries are bounded by a base and a fraction of the accepted requests."""
     return Scenario(
         frozenset({"send", "send again", "refuse", "fail"}),
         settings(
@@ -218,7 +218,7 @@
 
 
 def metered() -> Scenario:
-    """Outcomes tell a volume's use while targets are overloaded, so grants and reservations decide."""
+    """Results report a volume's use while targets are overloaded, so grants and reservations decide."""
     plans = (
         plan(name="gold", rate=60.0, reservation=30.0, weight=3.0, price_weight=3.0),
         plan(name="bronze"),
@@ -236,7 +236,7 @@
 
 
 def others_told() -> Scenario:
-    """As `metered`, but outcomes tell of the units of others."""
+    """As `metered`, but results report the units of other initiators."""
     base = metered()
     return Scenario(
         base.expected,
@@ -251,7 +251,7 @@
 
 
 def tokens_among_many() -> Scenario:
-    """More schedulers than one asks at once."""
+    """More schedulers than one sends token requests to at once."""
     return Scenario(
         frozenset({"send", "refuse", "ask", "ask all", "grant", "tokens granted"}),
         settings(may_message=True, classes=CLASSES, plans=LIMITED, max_units=4.0),
@@ -263,7 +263,7 @@
 
 
 def congested() -> Scenario:
-    """Slow targets have less capacity than volumes ask for: grants are cut by weight and reservation."""
+    """Slow targets have less capacity than volumes request: grants are cut by weight and reservation."""
     plans = (
         plan(name="gold", rate=80.0, reservation=40.0, weight=3.0, price_weight=3.0),
         plan(name="silver", rate=60.0, reservation=10.0),
@@ -280,7 +280,7 @@
 
 
 def fast() -> Scenario:
-    """Many requests at fast targets: windows grow to their bound."""
+    """Many requests at fast targets: concurrency limits grow to their maximum."""
     return Scenario(
         frozenset({"send", "refuse"}),
         settings(classes=(*CLASSES, *KEYED[:1])),
@@ -291,7 +291,7 @@
 
 
 def rejecting() -> Scenario:
-    """Targets, some of them cold, reject most attempts."""
+    """Targets, some of them warming up, reject most attempts."""
     targets = (
         entry(1),
         entry(2, shard=1),
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -1,10 +1,10 @@
-"""Random but legal event sequences keep the seven rules, in settings unlike any deployment."""
+"""Random valid event sequences keep the seven rules, under settings unlike any deployment."""
 
 from __future__ import annotations
 
 import pytest
 from hypothesis import given
-from hypothesis import settings as budget
+from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
 from stalltiller.scheduling import (
@@ -26,7 +26,7 @@
 )
 from stalltiller.scheduling.scheduler import Scheduler
 from tests.helpers import entry, plan, request, request_class, rules, settings
-from tests.rule_checker import RuleBroken, World, nodes
+from tests.rule_checker import RuleBroken, World, target_list
 
 CLASSES = (
     request_class(latency_objective=0.2, deadline=1.0),
@@ -51,7 +51,7 @@
         in_order=True,
     ),
 )
-SITES = {
+SETTINGS = {
     "everything": settings(
         classes=CLASSES,
         plans=(plan(limit=8.0, burst=48.0, slack=4.0), plan(weight=5.0)),
@@ -59,7 +59,7 @@
             ordering_pause=0.3, retry_budget_base=2.0, retry_budget_fraction=0.1, retry_budget_window=3.0
         ),
     ),
-    "asked for, no limits": settings(
+    "polled, no limits": settings(
         classes=CLASSES[:1] + CLASSES[4:],
         list_pushed=False,
         may_send_retry_after=False,
@@ -79,55 +79,59 @@
     st.booleans(),
     st.floats(0.05, 3.0),
 )
-FATES = st.lists(
+RESULTS = st.lists(
     st.tuples(st.sampled_from(list(AttemptStatus)), st.floats(0.001, 1.5)), min_size=1, max_size=12
 )
-NEWS = st.lists(
+LIST_CHANGES = st.lists(
     st.tuples(st.integers(0, 3000), st.integers(0, 3), st.sampled_from(list(TargetStatus))),
     max_size=4,
 )
 
 
-def play(scheduler: object, site: Settings, arrivals: list, fates: list, news: list) -> World:
-    world = World(scheduler, site)
-    world.push(0.0, nodes(4, 1, 0.0))
+def play(
+    scheduler: object, scheduler_settings: Settings, arrivals: list, results: list, list_changes: list
+) -> World:
+    world = World(scheduler, scheduler_settings)
+    world.push(0.0, target_list(4, 1, 0.0))
     now = 0.0
-    for number, (gap, cls, kind, volume, units, shard, key, leaves, left) in enumerate(arrivals):
+    for number, (gap, cls, kind, volume, units, shard, key, disconnects, time_remaining) in enumerate(
+        arrivals
+    ):
         now += gap / 1000
-        name = kind % len(site.plans)
+        name = kind % len(scheduler_settings.plans)
         world.push(
             now,
             request(
                 number,
-                class_index=cls % len(site.classes),
+                class_index=cls % len(scheduler_settings.classes),
                 plan_index=name,
                 volume=volume * 2 + name,
                 units=float(units),
                 volume_initiator_count=2,
                 shard=shard,
                 idempotency_key=key,
-                time_remaining=left,
+                time_remaining=time_remaining,
             ),
         )
-        if leaves:
-            world.push(now + 0.5 * left, ClientDisconnected(number))
-    for at, node, state in news:
+        if disconnects:
+            world.push(now + 0.5 * time_remaining, ClientDisconnected(number))
+    for at, target, state in list_changes:
         world.push(
             at / 1000,
-            TargetListUpdate(TargetListKind.DELTA, (entry(node, zone=node % 2, status=state),)),
+            TargetListUpdate(TargetListKind.DELTA, (entry(target, zone=target % 2, status=state),)),
         )
-    world.run(fates)
+    world.run(results)
     return world
 
 
-@pytest.mark.parametrize("site", SITES.values(), ids=SITES.keys())
-@budget(max_examples=60, deadline=None, derandomize=True, database=None)
-@given(arrivals=st.lists(ARRIVAL, min_size=1, max_size=60), fates=FATES, news=NEWS)
-def test_rules_are_kept(site, arrivals, fates, news):
-    play(Scheduler(site, 3, 0.0), site, arrivals, fates, news)
+@pytest.mark.parametrize("scheduler_settings", SETTINGS.values(), ids=SETTINGS.keys())
+@hypothesis_settings(max_examples=60, deadline=None, derandomize=True, database=None)
+@given(arrivals=st.lists(ARRIVAL, min_size=1, max_size=60), results=RESULTS, list_changes=LIST_CHANGES)
+def test_rules_are_kept(scheduler_settings, arrivals, results, list_changes):
+    play(Scheduler(scheduler_settings, 3, 0.0), scheduler_settings, arrivals, results, list_changes)
 
 
-def flood(count: int, **changes: object) -> list[tuple]:
+def arrivals_of_one_kind(count: int, **changes: object) -> list[tuple]:
     one = {
         "gap": 5,
         "cls": 0,
@@ -136,14 +140,14 @@
         "units": 4,
         "shard": 1,
         "key": 1,
-        "leaves": False,
-        "left": 2.0,
+        "disconnects": False,
+        "time_remaining": 2.0,
     } | changes
     return [tuple(one.values())] * count
 
 
 class Broken:
-    """A scheduler with one rule broken on purpose; sends each request at once to its shard's node."""
+    """A scheduler with one rule broken on purpose; it sends each request at once to its shard's target."""
 
     def __init__(self, fault: str) -> None:
         self.fault = fault
@@ -166,24 +170,24 @@
 
 
 @pytest.mark.parametrize(
-    ("fault", "arrivals", "fate", "news", "says"),
+    ("fault", "arrivals", "result", "list_changes", "broken_rule"),
     [
-        ("silent", flood(1), AttemptStatus.OK, [], "1: not answered"),
-        ("twice", flood(1), AttemptStatus.OK, [], "1: answered twice"),
-        ("refuses", flood(1, cls=3), AttemptStatus.ERROR, [], "2: refused"),
-        ("repeats", flood(1, cls=3), AttemptStatus.ERROR, [], "2: unsafe"),
-        ("repeats", flood(1, cls=1), AttemptStatus.ERROR, [], "2: keyed"),
-        ("drains", flood(900), AttemptStatus.REJECTED, [(1, 1, TargetStatus.DRAINING)], "3: "),
-        ("cold", flood(20, shard=3), AttemptStatus.REJECTED, [], "4: "),
-        ("order", flood(2, cls=4), AttemptStatus.OK, [], "5: out of order"),
-        ("repeats", flood(2, left=3.0), AttemptStatus.ERROR, [], "6: "),
-        ("limit", flood(40), AttemptStatus.OK, [], "7: "),
+        ("silent", arrivals_of_one_kind(1), AttemptStatus.OK, [], "1: not answered"),
+        ("twice", arrivals_of_one_kind(1), AttemptStatus.OK, [], "1: answered twice"),
+        ("refuses", arrivals_of_one_kind(1, cls=3), AttemptStatus.ERROR, [], "2: refused"),
+        ("repeats", arrivals_of_one_kind(1, cls=3), AttemptStatus.ERROR, [], "2: unsafe"),
+        ("repeats", arrivals_of_one_kind(1, cls=1), AttemptStatus.ERROR, [], "2: keyed"),
+        ("drains", arrivals_of_one_kind(900), AttemptStatus.REJECTED, [(1, 1, TargetStatus.DRAINING)], "3: "),
+        ("cold", arrivals_of_one_kind(20, shard=3), AttemptStatus.REJECTED, [], "4: "),
+        ("order", arrivals_of_one_kind(2, cls=4), AttemptStatus.OK, [], "5: out of order"),
+        ("repeats", arrivals_of_one_kind(2, time_remaining=3.0), AttemptStatus.ERROR, [], "6: "),
+        ("limit", arrivals_of_one_kind(40), AttemptStatus.OK, [], "7: "),
     ],
 )
-def test_the_checker_finds_a_broken_scheduler(fault, arrivals, fate, news, says):
-    site = SITES["everything"]
-    if says == "3: ":
-        site = SITES["one unsafe class"]
-    took = 0.7 if says == "2: keyed" else 0.1
-    with pytest.raises(RuleBroken, match=says):
-        play(Broken(fault), site, arrivals, [(fate, took)], news)
+def test_the_checker_detects_a_broken_scheduler(fault, arrivals, result, list_changes, broken_rule):
+    scheduler_settings = SETTINGS["everything"]
+    if broken_rule == "3: ":
+        scheduler_settings = SETTINGS["one unsafe class"]
+    latency = 0.7 if broken_rule == "2: keyed" else 0.1
+    with pytest.raises(RuleBroken, match=broken_rule):
+        play(Broken(fault), scheduler_settings, arrivals, [(result, latency)], list_changes)
