--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -21,7 +21,7 @@
     TargetListKind,
     TargetStatus,
 )
-from tests.helpers import Gateway, entry, outcome, request, request_class, rules, settings
+from tests.helpers import SchedulerHarness, entry, outcome, request, request_class, rules, settings
 
 
 class Reply:
@@ -296,7 +296,7 @@
 @pytest.mark.parametrize("times", [1, 2, 3, 4])
 def test_an_unsafe_write_that_never_ran_is_refused_however_often_it_was_turned_away(times):
     """It was failed from the second time on, although its client could safely have tried again."""
-    gateway = Gateway(classes=(request_class(idempotency=Idempotency.UNSAFE),), max_attempts=times)
+    gateway = SchedulerHarness(classes=(request_class(idempotency=Idempotency.UNSAFE),), max_attempts=times)
     gateway.feed(0.0, request(1))
     actions = []
     for attempt in range(times):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -19,7 +19,6 @@
     "scheduling.target_load",
     "scheduling.state",
     "scheduling.contention",
-    "scheduling.token_messages",
 )
 MAY = {  # what a layer may import besides itself
     "transport": (),
