--- a/stalltiller/scheduling/admission.py
+++ b/stalltiller/scheduling/admission.py
@@ -82,9 +82,9 @@
         rate, grant, max_units = volume.plan.reservation, allocation.grant, self.settings.max_units
         rate *= self._initiator_share(volume)
         if volume.reservation.refill(self.now, rate, rate * BUCKET_DEPTH_SECONDS + max_units) > 0:
-            return state.ServicePriority.RESERVATION
+            return state.RESERVATION
         level = allocation.bucket.refill(self.now, grant, grant * BUCKET_DEPTH_SECONDS + max_units)
-        return state.ServicePriority.GRANT if level > 0 else state.ServicePriority.BEST_EFFORT
+        return state.GRANT if level > 0 else state.BEST_EFFORT
 
     def _has_limit_tokens(self, pending: PendingRequest) -> bool:
         """Most is kept for the top classes: one that can wait would spend what they earn more with."""
--- a/stalltiller/scheduling/scheduler.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -46,8 +46,8 @@
             self._forget_unused()
         touched: dict[TargetId, TargetState] = {}
         for event in new_events:
-            affected = self._dispatch(event)
-            touched.update({target.target.target_id: target for target in affected if target is not None})
+            for target in filter(None, self._dispatch(event)):
+                touched[target.target.target_id] = target
         for target_id, target in touched.items():
             self._serve(target)
             if self._cancel_lost_attempts(target) or target.queue:
@@ -166,6 +166,7 @@
         return self.now + request_class.latency_objective - elapsed
 
     def _enqueue(self, pending: PendingRequest) -> TargetState | None:
+        """Queue a request at the target that would answer it first, or let it wait for one."""
         target = pending.target = self._choose_target(pending)
         if target is None:
             self.waiting.append(pending)
@@ -212,8 +213,8 @@
             return False
         # What a target has just taken is cheap for it to take again, but not after others' requests.
         is_recent = key == target.recent_key and self.now < target.recent_key_until
-        if pending.attempt_count or pending.priority is state.ServicePriority.BEST_EFFORT or not is_recent:
-            is_paced = limit < 1 and pending.priority is not state.ServicePriority.RESERVATION
+        if pending.attempt_count or pending.priority is state.BEST_EFFORT or not is_recent:
+            is_paced = limit < 1 and pending.priority is not state.RESERVATION
             is_full = len(target.in_flight) >= max(1, int(limit))
             if is_full or (is_paced and self.now < target.paced_until):
                 return False
@@ -232,7 +233,7 @@
         if not pending.has_spent_tokens:
             pending.has_spent_tokens = True
             volume.limit.level -= request.units
-            if pending.priority is state.ServicePriority.RESERVATION:
+            if pending.priority is state.RESERVATION:
                 volume.reservation.level -= request.units
             target.allocations[request.volume].bucket.level -= request.units
         self._count_slow_start(target, request.units)
@@ -259,12 +260,12 @@
         considered, shed = list[PendingRequest](), []
         for pending in target.queue:
             considered.append(pending)
-            is_out_of_reach = self._is_unsent_too_long(pending) or self._will_be_abandoned(target, pending)
+            is_out_of_reach = self.now + reach > pending.due_at or self._is_unsent_too_long(pending)
+            is_out_of_reach = is_out_of_reach or self._will_be_abandoned(target, pending)
             start = self.now + ahead / max(1.0, limit) * target.latency
-            if limit < 1 and pending.priority is not state.ServicePriority.RESERVATION:
+            if limit < 1 and pending.priority is not state.RESERVATION:
                 start = max(start, target.paced_until)
             ahead += pending.request.units / self.mean_units
-            is_out_of_reach = is_out_of_reach or self.now + reach > pending.due_at
             if is_out_of_reach or start + reach > pending.due_at:
                 cheapest = pending if is_out_of_reach else min(reversed(considered), key=self._value)
                 considered.remove(cheapest)
@@ -282,6 +283,7 @@
         return not pending.has_reached_target and self.now + POLL_SECONDS >= unsent_until
 
     def _value(self, pending: PendingRequest) -> float:
+        """What a unit of a request earns, as far as this initiator can tell."""
         factors = (1.0, self.settings.within_share_weight, self.settings.beyond_share_weight)
         weight = factors[pending.priority] * pending.request_class.priority_weight
         return weight * pending.volume.plan.price_weight
--- a/stalltiller/scheduling/state.py
+++ b/stalltiller/scheduling/state.py
@@ -10,16 +10,13 @@
 from stalltiller.scheduling.contention import HALF_LIFE_SECONDS, ContentionEstimator
 
 RESERVE_FRACTION = 0.30  # of a target's capacity: the whole reserve (the source's start value)
-INITIAL_CONCURRENCY = 4.0  # a guess between least and most until answers are known
+INITIAL_CONCURRENCY = 4.0  # in flight at a target: a guess until answers are known
 TOKEN_REQUEST_SECONDS = 0.06  # between requests for tokens: a few times a message's round trip
 
 
-class ServicePriority(IntEnum):
-    """Order of service when the concurrency limit is reached."""
-
-    RESERVATION = 0
-    GRANT = 1
-    BEST_EFFORT = 2
+# The order of service when the concurrency limit is reached.
+ServicePriority = IntEnum("ServicePriority", {"RESERVATION": 0, "GRANT": 1, "BEST_EFFORT": 2})
+RESERVATION, GRANT, BEST_EFFORT = ServicePriority
 
 
 class Volume:
