--- a/stalltiller/scheduling/admission.py
+++ b/stalltiller/scheduling/admission.py
@@ -87,7 +87,7 @@
         return state.GRANT if level > 0 else state.BEST_EFFORT
 
     def _has_limit_tokens(self, pending: PendingRequest) -> bool:
-        """Most is kept for the top classes: one that can wait would spend what they earn more with."""
+        """Most is reserved for the top classes: one that can wait would spend what they earn more with."""
         volume, plan = pending.volume, pending.volume.plan
         if plan.limit <= 0:
             return True
