--- a/bench/recovery_faults.py
+++ b/bench/recovery_faults.py
@@ -25,7 +25,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from bench.storm import BURST, LIMIT, least_left
+from bench.storm import BURST, LIMIT, lowest_level
 from tests.fleet.rig import Rig, exchange
 
 FLEET_SIZE = 6
@@ -158,7 +158,7 @@
     if schedule.discovery_down_time:
         rig.discovery.close()
     if schedule.partition_size:
-        rig.proxy.abort_stream(set(names[: schedule.partition_size]), set(names[schedule.partition_size :]))
+        rig.proxy.cut(set(names[: schedule.partition_size]), set(names[schedule.partition_size :]))
     first_kill_at = time.monotonic()
     await end_members(rig, schedule.killed, schedule.is_clean_shutdown)
     for name in schedule.lost:
@@ -237,7 +237,7 @@
         if faults:
             broken_rules.append(f"{faults} faults")
         broken_rules += broken_drain_rules(rig, drain_notified_at, drain_ended_at)
-        units_left = least_left(limited_target.begun)
+        units_left = lowest_level(limited_target.begun)
         if units_left < -LIMIT_TOLERANCE_UNITS:
             broken_rules.append(f"the limit was passed by {-units_left:.1f} units")
         return {
--- a/stalltiller/scheduling/targets.py
+++ b/stalltiller/scheduling/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -9,7 +10,7 @@
 
 
 class TargetStatus(Enum):
-    """What the node list says of a node."""
+    """State of a target in the target list: only READY ones get requests."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -17,7 +18,11 @@
 
 
 class TargetListKind(Enum):
-    """What a piece of node-list news is."""
+    """Kind of a target list update.
+
+    A DELTA holds the targets that changed, FULL the whole list, CACHED a whole list that may be old.
+    FAILED says that the watch on the list has broken off; what was known stays valid.
+    """
 
     DELTA = "delta"
     FULL = "full"
@@ -27,7 +32,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Target:
-    """One line of the node list; `started` is None for a node that has long been up."""
+    """One entry of the target list.
+
+    target_id: identifies the target; it carries no order.
+    zone, kind: index of its zone and of its kind of machine.
+    shard: the group of targets that hold the same data.
+    status: whether it may get requests.
+    weight: its size as the list states it, relative to other targets.
+    started_at: clock time of its start in seconds, None if it has long been up.
+    """
 
     target_id: TargetId
     zone: int
@@ -40,7 +53,15 @@
 
 @dataclass(slots=True, frozen=True)
 class TargetListUpdate:
-    """News of the node list."""
+    """A change of the target list, or the whole of it (see `TargetListKind`)."""
 
     kind: TargetListKind
     targets: tuple[Target, ...]
+
+    def removed(self, known: Iterable[TargetId]) -> set[TargetId]:
+        """Return those of the known targets that the update removes, or leaves out of a whole list."""
+        entries = {target.target_id: target for target in self.targets}
+        left_out = set() if self.kind is TargetListKind.DELTA else set(known) - set(entries)
+        return left_out | {
+            target_id for target_id, target in entries.items() if target.status is TargetStatus.REMOVED
+        }
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -27,7 +27,7 @@
     restore_state,
 )
 from stalltiller.scheduling import TargetStatus
-from tests.helpers import Gateway, entry, outcome, plan, request
+from tests.helpers import SchedulerHarness, entry, outcome, plan, request
 
 NOW = 1000.0
 ADDRESS = "127.0.0.1:8500"
@@ -135,7 +135,7 @@
 
 
 def test_latency_estimates_and_token_levels_are_restored_in_the_next_process():
-    old, new = (Gateway((entry(1, started_at=5.0), entry(2)), plans=(LIMITED,)) for _ in range(2))
+    old, new = (SchedulerHarness((entry(1, started_at=5.0), entry(2)), plans=(LIMITED,)) for _ in range(2))
     old.feed(20.0, request(1, units=4.0))
     old.feed(20.1, outcome(1, latency=0.1))
     estimates, levels = capture_state(old.scheduler, 20.1, NOW)
