--- a/stalltiller/__init__.py
+++ b/stalltiller/__init__.py
@@ -1,4 +1,4 @@
-"""stalltiller: the decisions of a storage gateway that keeps volumes to their plans."""
+"""stalltiller: a storage initiator that routes requests of volumes to storage targets within their plans."""
 
 from stalltiller.scheduling.scheduler import Scheduler
 
--- a/stalltiller/routing/__init__.py
+++ b/stalltiller/routing/__init__.py
@@ -1,1 +1,4 @@
-"""The engine between the decision module and the fronts.  It knows no wire."""
+"""Request routing: the engine between the scheduler and the protocol adapters.
+
+The package knows no wire format.  Adapters meet it at the interfaces in `ports`.
+"""
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -1,21 +1,26 @@
-"""The engine: gathers the events of a loop turn, asks the scheduler once, and carries its actions out.
+"""The engine: carries each client request to a target and its answer back, as the scheduler decides.
 
-It owns the scheduler, the table of requests, ids, the clock and one heap of timers.  It decides nothing,
-but holds what no front and no decision may bend: one final answer each, one attempt out at a time, no
-start at a draining target past its time, an answer before the deadline.  A guard that has to step in is a
-fault of the program: it is logged and counted.
+Events that arrive in one turn of the event loop are gathered in a batch.  At the end of the turn the
+scheduler is called once with the batch, and its actions are carried out.
+
+The engine owns the scheduler, its clock, the open requests, the known targets and one heap of timers.  It
+makes no decision of its own, but guarantees what neither an adapter nor the scheduler may break: one final
+answer for each request, one attempt in flight at a time, no attempt at a target whose drain is over, an
+answer before the client's deadline.  `guard.GuardViolation` lists these guards.
 """
 
 from __future__ import annotations
 
 import asyncio
-import heapq
 import itertools
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
+from stalltiller.routing.action_dispatch import ANSWER_MARGIN_SECONDS, ActionDispatcher
+from stalltiller.routing.context import CounterName, EngineContext, Logger
+from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import (
     AdmissionGate,
     Attempt,
@@ -25,47 +30,36 @@
     TargetClient,
     TargetEndpoint,
 )
-from stalltiller.routing.request_state import NEVER_EXECUTED, RequestState
+from stalltiller.routing.request_state import RequestOutcome, RequestState
+from stalltiller.routing.request_table import RequestTable
+from stalltiller.routing.target_table import TargetTable
+from stalltiller.routing.timers import TimerQueue
 from stalltiller.scheduling import (
     Action,
-    AttemptFinished,
-    AttemptStatus,
-    CancelAttempt,
     ClientDisconnected,
-    CloseIdleConnections,
     Event,
-    Fail,
-    Idempotency,
-    LogMessage,
     PeerMessage,
-    Reject,
     Request,
-    SendPeerMessage,
-    SetTimer,
     Settings,
     SettingsChanged,
-    StartAttempt,
     TargetId,
     TargetListKind,
     TargetListUpdate,
-    TargetStatus,
-    TimerFired,
 )
 from stalltiller.scheduling.scheduler import Scheduler
 
-ANSWER_MARGIN = 0.015  # s by which the scheduler's deadline is before the client's: the way back, a late turn
-BACKSTOP_MARGIN = 0.008  # s before the client's deadline at which the engine itself answers
-LEAST_TURN = 0.002  # s that the scheduler has in any case
-REPEAT_MARGIN = 0.02  # s before targets may forget a keyed request after which it is not begun again
-DRAIN_MARGIN = 0.1  # s before the end of a drain's grace after which the engine starts nothing
-MAX_LAG = 0.25  # s: the most that a request is taken to have waited unread
+BACKSTOP_MARGIN_SECONDS = 0.008  # the engine itself answers so long before the client's deadline
+MIN_SCHEDULING_SECONDS = 0.002  # however short the client's time, the scheduler sees the request first
+MAX_LAG_SECONDS = 0.25  # the longest time for which a request is assumed to have waited unread
 
-Logger = Callable[..., None]
 Result = TypeVar("Result")
 
 
 class Engine:
-    """One initiator's requests, from the fronts to the targets and back."""
+    """The open requests of one initiator and the scheduler that decides about them.
+
+    All methods are called on the event loop's thread.  Times of the loop's clock are in seconds.
+    """
 
     def __init__(
         self,
@@ -75,464 +69,257 @@
         log: Logger,
         trace: Logger | None = None,
     ) -> None:
-        self.settings = settings
-        self._trace = trace  # one line for each step of each request, where asked for
-        self.counts: Counter[str] = Counter()
-        self.target_client: TargetClient | None = None
-        self._peers: PeerNetwork | None = None
-        self._door: AdmissionGate | None = None
-        self._loop, self._log = loop, log
-        self._base = loop.time()
-        self._wall = time.time() - self._base  # Unix time at the loop's zero: one reading, so no steps
+        epoch = loop.time()
+        self._unix_time_at_loop_zero = time.time() - epoch  # read once, so that it has no steps
+        self._loop = loop
+        self._context = EngineContext(loop, epoch, settings, log, trace)
         self._scheduler = Scheduler(settings, seed, 0.0)
-        self._ids = itertools.count(1)
-        self._entries: dict[int, RequestState] = {}
-        self._open = 0
-        self._places: dict[TargetId, TargetEndpoint] = {}
-        self._told: dict[TargetId, float] = {}  # when a target was first said to drain
-        self._events: list[Event] = []
-        self._turn: asyncio.Handle | None = None
-        self._timers: list[tuple[float, int, Callable[..., None], tuple]] = []
-        self._timer_ids = itertools.count()
-        self._wake: asyncio.TimerHandle | None = None
-        self._over = False  # all is answered: nothing more is taken
-        self._turn_ended = self._base
-        self._turn_took = 0.0
-
-    # --- For coming back --------------------------------------------------------------------------
+        self._request_ids = itertools.count(1)
+        self._requests = RequestTable(self._context, self._enqueue)
+        self._targets = TargetTable(loop.time)
+        self._timers = TimerQueue(loop, self._schedule_batch)
+        self._dispatcher = ActionDispatcher(
+            self._context, self._requests, self._targets, self._timers, self._enqueue
+        )
+        self._pending_events: list[Event] = []
+        self._scheduled_batch: asyncio.Handle | None = None
+        self._is_stopped = False  # whether all was answered for the end of the process
+        self._last_batch_ended_at = epoch
+        self._last_batch_duration = 0.0
+
+    # --- State for other parts of the program -----------------------------------------------------
+    @property
+    def settings(self) -> Settings:
+        """The settings in force."""
+        return self._context.settings
+
+    @property
+    def counts(self) -> Counter[str]:
+        """Exported counters; adapters add their own."""
+        return self._context.counts
+
+    @property
+    def open_request_count(self) -> int:
+        """Requests that were submitted and are not answered yet."""
+        return self._requests.open_count
+
     @property
     def target_count(self) -> int:
         """Targets on the list."""
-        return len(self._places)
-
-    def inspect_scheduler(self, ask: Callable[[Scheduler, float, float], Result]) -> Result:
-        """Let something look at the decisions between two turns: it is given them, the time on their clock
-        and the Unix time of its zero."""
-        return ask(self._scheduler, self._loop.time() - self._base, self._wall + self._base)
+        return len(self._targets)
 
-    def set_admission_gate(self, door: AdmissionGate) -> None:
-        """From now on let a door decide which requests reach the decisions."""
-        self._door = door
+    def inspect_scheduler(self, inspect: Callable[[Scheduler, float, float], Result]) -> Result:
+        """Call `inspect` between two batches and return its result.
 
-    # --- For the fleet ----------------------------------------------------------------------------
-    def set_peer_network(self, peers: PeerNetwork) -> None:
-        """From now on share budgets with other instances."""
-        self._peers = peers
-        self._scheduler.budget_fraction = peers.budget_fraction
+        It is given the scheduler, the time on the scheduler's clock and the Unix time of that clock's zero.
+        """
+        epoch = self._context.scheduler_epoch
+        return inspect(self._scheduler, self._loop.time() - epoch, self._unix_time_at_loop_zero + epoch)
 
-    def handle_peer_message(self, position: int, letter: bytes) -> None:
-        """A letter has come from the decisions of another instance."""
-        self._enqueue(PeerMessage(position, letter))
+    def to_scheduler_time(self, unix_time: float | None) -> float | None:
+        """Convert a Unix time to the scheduler's clock; None stays None."""
+        if unix_time is None:
+            return None
+        return unix_time - self._unix_time_at_loop_zero - self._context.scheduler_epoch
 
-    # --- For the fronts ---------------------------------------------------------------------------
+    # --- Collaborators ----------------------------------------------------------------------------
     @property
-    def open_request_count(self) -> int:
-        """Requests taken and not yet answered."""
-        return self._open
-
-    def submit(self, incoming: ClientRequest) -> int:
-        """Take a request; its reply is used once, in a later turn."""
+    def target_client(self) -> TargetClient:
+        """What sends attempts to targets; it is set before the first target is listed."""
+        return self._context.target_client
+
+    @target_client.setter
+    def target_client(self, target_client: TargetClient) -> None:
+        self._context.target_client = target_client
+
+    def set_admission_gate(self, admission_gate: AdmissionGate) -> None:
+        """Have a gate decide from now on which requests reach the scheduler."""
+        self._context.admission_gate = admission_gate
+
+    def set_peer_network(self, peer_network: PeerNetwork) -> None:
+        """Share budgets with other initiators from now on."""
+        self._context.send_peer_message = peer_network.send_peer_message
+        self._scheduler.budget_fraction = peer_network.budget_fraction
+
+    # --- Requests ---------------------------------------------------------------------------------
+    def submit(self, client_request: ClientRequest) -> int:
+        """Accept a request and return its id; its response handler is called once, in a later turn."""
         now = self._loop.time()
-        # It may have stood unread for as long as the turn before this one took.
-        lag = self._turn_took if now - self._turn_ended < self._turn_took else 0.0
-        deadline = now - min(lag, MAX_LAG) + incoming.timeout
-        number = next(self._ids)
-        self._entries[number] = RequestState(
-            incoming, deadline, self.settings.classes[incoming.class_index], self.settings.max_attempts
-        )
-        self._open += 1
-        self.counts["taken"] += 1
-        if self._trace:
-            self._trace(
-                "taken",
-                id=number,
-                label=incoming.trace_label,
-                cls=incoming.class_index,
-                plan=incoming.plan_index,
-                units=incoming.units,
-                timeout=incoming.timeout,
-                lag=round(min(lag, MAX_LAG), 4),
-            )
-        wait = 0.0 if self._door is None else self._door.admit(incoming)
-        if self._over:
-            wait = self.settings.max_retry_after or LEAST_TURN
-        if wait > 0.0:  # in a later turn, as all replies are
-            self._loop.call_soon(self._turn_back, number, wait)
-            return number
-        # Not before the scheduler has had its turn, however little time the client leaves.
-        self.call_at(max(deadline - BACKSTOP_MARGIN, now + LEAST_TURN), self._backstop, number)
-        left = max(0.0, deadline - ANSWER_MARGIN - now)
-        self._enqueue(
-            Request(
-                number,
-                incoming.class_index,
-                incoming.plan_index,
-                incoming.volume,
-                incoming.units,
-                incoming.volume_initiator_count,
-                incoming.idempotency_key,
-                incoming.shard,
-                incoming.is_write,
-                incoming.is_retry,
-                left,
+        lag = self._estimate_lag(now)
+        deadline = now - lag + client_request.timeout
+        request_id = next(self._request_ids)
+        self._add_request(request_id, client_request, deadline)
+        self._record_received(request_id, client_request, lag)
+        retry_after = self._context.admission_gate.admit(client_request)
+        if self._is_stopped:
+            retry_after = self.settings.max_retry_after or MIN_SCHEDULING_SECONDS
+        if retry_after > 0.0:
+            self._loop.call_soon(self._reject_at_gate, request_id, retry_after)
+            return request_id
+        backstop_at = max(deadline - BACKSTOP_MARGIN_SECONDS, now + MIN_SCHEDULING_SECONDS)
+        self.call_at(backstop_at, self._answer_at_deadline, request_id)
+        time_remaining = max(0.0, deadline - ANSWER_MARGIN_SECONDS - now)
+        self._enqueue(_scheduler_request(request_id, client_request, time_remaining))
+        return request_id
+
+    def cancel(self, request_id: int) -> None:
+        """The client of a request has disconnected."""
+        state = self._requests.get_open(request_id)
+        if state is not None:
+            self._requests.finish(state, RequestOutcome.DISCONNECTED)
+            self._enqueue(ClientDisconnected(request_id))
+
+    def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
+        """An attempt has ended; its target client calls this once unless it was told to abandon it."""
+        self._requests.finish_attempt(attempt, result)
+
+    def finish_all(self) -> None:
+        """Answer all open requests, since the process ends; what is submitted later is rejected at once."""
+        self._is_stopped = True
+        for state in self._requests.snapshot():
+            if state.is_finished:
+                continue
+            attempt = state.in_flight
+            may_execute = attempt is not None and self.target_client.is_fully_sent(attempt)
+            may_be_rejected = state.may_be_rejected(in_flight_may_execute=may_execute)
+            outcome = RequestOutcome.REJECTED if may_be_rejected else RequestOutcome.FAILED
+            self._requests.finish(state, outcome)
+            self._enqueue(ClientDisconnected(state.request_id))  # so that the scheduler starts nothing for it
+            handler = state.client_request.response_handler
+            if may_be_rejected:
+                handler.reject(self.settings.max_retry_after)
+            else:
+                handler.fail()
+
+    def _estimate_lag(self, now: float) -> float:
+        """How long a request may have stood unread: as long as the batch before this turn took."""
+        if now - self._last_batch_ended_at < self._last_batch_duration:
+            return min(self._last_batch_duration, MAX_LAG_SECONDS)
+        return 0.0
+
+    def _add_request(self, request_id: int, client_request: ClientRequest, deadline: float) -> None:
+        request_class = self.settings.classes[client_request.class_index]
+        max_attempts = self.settings.max_attempts
+        self._requests.add(RequestState(request_id, client_request, deadline, request_class, max_attempts))
+
+    def _record_received(self, request_id: int, client_request: ClientRequest, lag: float) -> None:
+        self.counts[CounterName.RECEIVED.value] += 1
+        if self._context.trace is not None:
+            self._context.trace(
+                "request_received",
+                id=request_id,
+                label=client_request.trace_label,
+                class_index=client_request.class_index,
+                plan_index=client_request.plan_index,
+                units=client_request.units,
+                timeout=client_request.timeout,
+                lag=round(lag, 4),
             )
-        )
-        return number
-
-    def _turn_back(self, number: int, wait: float) -> None:
-        """Refuse what the door does not let in: nothing of it has been sent."""
-        entry = self._entries.get(number)
-        if entry is not None and not entry.done:
-            self.counts["turned_back"] += 1
-            self._finish(number, entry, "refused")
-            entry.incoming.response_handler.reject(min(wait, self.settings.max_retry_after))
-
-    def cancel(self, number: int) -> None:
-        """The client of a request has left."""
-        entry = self._entries.get(number)
-        if entry is not None and not entry.done:
-            self._finish(number, entry, "gone")
-            self._enqueue(ClientDisconnected(number))
-
-    def attempt_finished(self, attempt: Attempt, ending: AttemptResult) -> None:
-        """An attempt is over."""
-        entry = self._entries.get(attempt.request_id)
-        if entry is None or entry.out is not attempt:
-            self._fault("an attempt ended twice", id=attempt.request_id, attempt=attempt.number)
+
+    def _reject_at_gate(self, request_id: int, retry_after: float) -> None:
+        """Reject a request that the admission gate did not admit: nothing of it has been sent."""
+        state = self._requests.get_open(request_id)
+        if state is not None:
+            self.counts[CounterName.REJECTED_BY_ADMISSION_GATE.value] += 1
+            self._requests.finish(state, RequestOutcome.REJECTED)
+            retry_after = min(retry_after, self.settings.max_retry_after)
+            state.client_request.response_handler.reject(retry_after)
+
+    def _answer_at_deadline(self, request_id: int) -> None:
+        """Fail a request that is still open shortly before its deadline: no answer may come after it."""
+        state = self._requests.get_open(request_id)
+        if state is None:
             return
-        entry.out = None
-        if ending.status not in NEVER_EXECUTED and not entry.ran:
-            entry.ran, entry.first_at = True, attempt.sent_at
-        if ending.status is AttemptStatus.OK and not entry.done:
-            self._finish(attempt.request_id, entry, "served")
-            entry.incoming.response_handler.complete(ending.answer)
-        over = entry.done
-        self.counts[f"attempt_{ending.status.value}"] += 1
-        if self._trace:
-            self._trace(
-                "attempt_ended",
-                id=attempt.request_id,
-                attempt=attempt.number,
-                node=attempt.target_id,
-                status=ending.status.value,
-                ms=round(1000 * (self._loop.time() - attempt.sent_at), 1),
-            )
-        self._enqueue(
-            AttemptFinished(
-                attempt.request_id,
-                attempt.number,
-                attempt.target_id,
-                ending.status,
-                self._loop.time() - attempt.sent_at,
-                over,
-                None,
-                ending.other_units,
-                ending.report,
-            )
-        )
-        if over:
-            self._drop(attempt.request_id)
-
-    def update_targets(self, kind: TargetListKind, places: Iterable[TargetEndpoint]) -> None:
-        """News of the target list; counts as told from now on."""
-        places = list(places)
-        if kind is not TargetListKind.DELTA:
-            self._places.clear()
-            listed = {place.target.target_id for place in places}
-            self._told = {name: at for name, at in self._told.items() if name in listed}
-        leaving = {
-            place.target.target_id for place in places if place.target.status is not TargetStatus.READY
-        }
-        if kind is not TargetListKind.DELTA:
-            leaving |= {entry.out.target_id for entry in self._entries.values() if entry.out} - listed
-        for place in places:
-            name = place.target.target_id
-            if place.target.status is TargetStatus.REMOVED:
-                self._places.pop(name, None)
-            else:
-                self._places[name] = place
-            if place.target.status is TargetStatus.DRAINING:
-                self._told.setdefault(name, self._loop.time())
-            else:
-                self._told.pop(name, None)
-        if leaving:
-            self._stop_late_starts(leaving)
-        self._enqueue(TargetListUpdate(kind, tuple(place.target for place in places)))
-
-    def _stop_late_starts(self, leaving: set[TargetId]) -> None:
-        """Bound attempts that are out by the drain, too.  Guards against one whose connection comes up so
-        late that its first byte would go to the target past the grace."""
-        for entry in self._entries.values():
-            attempt = entry.out
-            if attempt is not None and attempt.target_id in leaving:
-                told = self._told.get(attempt.target_id, self._loop.time())
-                stop = told + self.settings.rules.drain_grace - DRAIN_MARGIN
-                attempt.latest_start = (
-                    stop if attempt.latest_start is None else min(stop, attempt.latest_start)
-                )
+        self._context.report_violation(GuardViolation.DEADLINE_REACHED, id=request_id)
+        self._requests.finish(state, RequestOutcome.FAILED)
+        self._enqueue(ClientDisconnected(request_id))  # for the scheduler, as if the client had disconnected
+        state.client_request.response_handler.fail()
+
+    # --- Changes of the surroundings --------------------------------------------------------------
+    def update_targets(self, kind: TargetListKind, endpoints: Iterable[TargetEndpoint]) -> None:
+        """Apply an update of the target list; a drain that it announces starts now."""
+        endpoints = list(endpoints)
+        leaving = self._targets.update(kind, endpoints)
+        is_replaced = kind is not TargetListKind.DELTA
+        if leaving or is_replaced:
+            self._limit_late_starts(leaving, is_replaced)
+        self._enqueue(TargetListUpdate(kind, tuple(endpoint.target for endpoint in endpoints)))
+
+    def _limit_late_starts(self, leaving: set[TargetId], is_list_replaced: bool) -> None:
+        """Bound the attempts in flight at targets that leave, or that a new list no longer names."""
+        drain_grace = self.settings.rules.drain_grace
+        for attempt in self._requests.attempts_in_flight():
+            is_missing = is_list_replaced and self._targets.get(attempt.target_id) is None
+            if is_missing or attempt.target_id in leaving:
+                self._targets.limit_start(attempt, drain_grace)
 
     def update_settings(self, settings: Settings) -> None:
-        """Other settings hold from now on; what is open keeps its class."""
-        self.settings = settings
+        """Put other settings in force; open requests keep their class."""
+        self._context.settings = settings
         self._enqueue(SettingsChanged(settings))
 
-    def finish_all(self) -> None:
-        """Answer all that is open: the program ends, and what it took must not be lost.  What comes from now
-        on is turned back at once."""
-        self._over = True
-        for number, entry in list(self._entries.items()):
-            if entry.done:
-                continue
-            harmless = entry.refusable(entry.out is not None and self.target_client.is_fully_sent(entry.out))
-            self._finish(number, entry, "refused" if harmless else "failed")
-            self._enqueue(
-                ClientDisconnected(number)
-            )  # for the scheduler it is over: it must send no attempt now
-            if harmless:
-                entry.incoming.response_handler.reject(self.settings.max_retry_after)
-            else:
-                entry.incoming.response_handler.fail()
+    def handle_peer_message(self, sender_index: int, data: bytes) -> None:
+        """A message from the scheduler of another initiator has arrived."""
+        self._enqueue(PeerMessage(sender_index, data))
 
     def activate(self) -> None:
-        """This process takes clients from now on: no tokens of the time before are its own."""
-        self._scheduler.activate(self._loop.time() - self._base)
+        """This process serves clients from now on; tokens that were saved up before do not count."""
+        self._scheduler.activate(self._loop.time() - self._context.scheduler_epoch)
 
     def deactivate(self) -> None:
-        """Another process of this initiator takes clients from now on: what tokens come in are its."""
+        """Another process of this initiator serves clients from now on, and has the tokens that accrue."""
         self._scheduler.deactivate()
 
-    def to_scheduler_time(self, unix: float | None) -> float | None:
-        """A Unix time on the scheduler's clock."""
-        return None if unix is None else unix - self._wall - self._base
-
-    def call_at(self, when: float, call: Callable[..., None], *args: object) -> None:
-        """Call at a time of the loop's clock, at the start of a turn."""
-        heapq.heappush(self._timers, (when, next(self._timer_ids), call, args))
-        if self._timers[0][0] == when:
-            self._arm()
+    # --- Batches and timers -----------------------------------------------------------------------
+    def call_at(self, due_at: float, callback: Callable[..., None], *arguments: object) -> None:
+        """Call `callback` at a time of the loop's clock, at the start of a batch."""
+        self._timers.call_at(due_at, callback, *arguments)
 
-    # --- Turns ------------------------------------------------------------------------------------
     def _enqueue(self, event: Event) -> None:
-        """Keep an event for this turn's end: the loop runs what is ready first, then `_run_turn`."""
-        self._events.append(event)
-        if self._turn is None:
-            self._turn = self._loop.call_soon(self._process_batch)
+        """Add an event to the batch that is processed after all that is ready in the loop now."""
+        self._pending_events.append(event)
+        self._schedule_batch()
+
+    def _schedule_batch(self) -> None:
+        if self._scheduled_batch is None:
+            self._scheduled_batch = self._loop.call_soon(self._process_batch)
 
     def _process_batch(self) -> None:
-        began = self._loop.time()
-        while self._timers and self._timers[0][0] <= began:
-            _, _, call, args = heapq.heappop(self._timers)
-            call(*args)
-        self._turn = None
-        events, self._events = self._events, []
+        """Run due timers, pass the pending events to the scheduler and carry out its actions."""
+        started_at = self._loop.time()
+        self._timers.run_due(started_at)
+        self._scheduled_batch = None
+        events = self._pending_events
+        self._pending_events = []
         if events:
-            try:
-                actions = self._scheduler.handle(began - self._base, events)
-            except Exception as error:  # a crash of the decisions must not end what is under way
-                self._fault("the scheduler raised", error=f"{type(error).__name__}: {error}")
-                actions = []
-            for action in actions:
-                self._carry_out(action)
-        self._arm()
-        self._turn_ended = self._loop.time()
-        self._turn_took = self._turn_ended - began
-
-    def _arm(self) -> None:
-        if not self._timers:
-            return
-        when = self._timers[0][0]
-        if self._wake is not None:
-            if not self._wake.cancelled() and self._wake.when() <= when:
-                return
-            self._wake.cancel()
-        self._wake = self._loop.call_at(when, self._woken)
-
-    def _woken(self) -> None:
-        self._wake = None
-        if self._turn is None:
-            self._turn = self._loop.call_soon(self._process_batch)
-
-    # --- Actions ----------------------------------------------------------------------------------
-    def _carry_out(self, action: Action) -> None:
-        if isinstance(action, StartAttempt):
-            self._send(action)
-        elif isinstance(action, Reject):
-            self._refuse(action)
-        elif isinstance(action, Fail):
-            entry = self._unanswered(action.request_id)
-            if entry is not None:
-                self._finish(action.request_id, entry, "failed")
-                entry.incoming.response_handler.fail()
-        elif isinstance(action, CancelAttempt):
-            entry = self._entries.get(action.request_id)
-            if entry is not None and entry.out is not None and entry.out.number == action.attempt_number:
-                self._abandon(entry.out, AttemptStatus.CANCELLED)
-        elif isinstance(action, SetTimer):
-            self.call_at(self._loop.time() + action.delay, self._enqueue, TimerFired(action.token))
-        elif isinstance(action, CloseIdleConnections):
-            self.target_client.close_idle(action.target_id)
-        elif isinstance(action, SendPeerMessage) and self._peers is not None:
-            self._peers.send_peer_message(action.initiator_index, action.data)
-        elif isinstance(action, LogMessage):
-            self._log("decision", text=action.text)
-
-    def _unanswered(self, number: int) -> RequestState | None:
-        entry = self._entries.get(number)
-        if entry is None or entry.done:
-            self._fault("a second answer", id=number)
-            return None
-        return entry
-
-    def _send(self, action: StartAttempt) -> None:
-        entry, place = self._entries.get(action.request_id), self._places.get(action.target_id)
-        if entry is None or entry.done:
-            self._fault("an attempt after the end", id=action.request_id)
-            return
-        now = self._loop.time()
-        number, incoming = entry.attempts, entry.incoming
-        entry.attempts += 1
-        told = self._told.get(action.target_id)
-        stop = None if told is None else told + self.settings.rules.drain_grace - DRAIN_MARGIN
-        unsafe = entry.cls.idempotency is Idempotency.UNSAFE
-        if entry.ran and entry.cls.idempotency is Idempotency.IDEMPOTENCY_KEY:
-            forget = entry.first_at + entry.cls.deduplication_window - REPEAT_MARGIN
-            stop = forget if stop is None else min(stop, forget)
-        if entry.out is None and incoming.response_handler.is_disconnected():
-            self._finish(action.request_id, entry, "gone")
-            self._enqueue(ClientDisconnected(action.request_id))
-            self._enqueue(
-                AttemptFinished(
-                    action.request_id,
-                    number,
-                    action.target_id,
-                    AttemptStatus.NOT_STARTED,
-                    0.0,
-                    True,
-                    None,
-                    0.0,
-                    (),
-                )
-            )
-            return
-        if entry.out is not None:
-            reason = "a second attempt at once"
-        elif entry.ran and unsafe:
-            reason = "a repeat of what may have run"
-        elif number >= min(entry.most, self.settings.max_attempts):
-            reason = "an attempt over the number allowed"
-        elif place is None or (stop is not None and now >= stop):
-            reason = "an attempt at a target that drains, is not listed or may forget the one before"
-        else:
-            expires = entry.deadline - ANSWER_MARGIN
-            if action.expires_at is not None:
-                expires = min(expires, action.expires_at + self._base)
-            attempt = Attempt(
-                action.request_id,
-                number,
-                action.target_id,
-                place.host,
-                place.port,
-                incoming.shard,
-                incoming.payload,
-                now,
-                expires,
-                stop,
-            )
-            entry.out = attempt
-            self.counts["attempts"] += 1
-            if self._trace:
-                self._trace(
-                    "attempt",
-                    id=action.request_id,
-                    attempt=number,
-                    node=action.target_id,
-                    waited_ms=round(1000 * (now - entry.deadline + incoming.timeout), 1),
-                )
-            self.call_at(expires, self._expire, attempt)
-            if entry.ran and stop is not None and stop < expires:
-                self.call_at(stop, self._withdraw, attempt)
-            self.target_client.start(attempt)
-            return
-        self._fault(reason, id=action.request_id, node=action.target_id)
-        self._enqueue(
-            AttemptFinished(
-                action.request_id,
-                number,
-                action.target_id,
-                AttemptStatus.NOT_STARTED,
-                0.0,
-                False,
-                None,
-                0.0,
-                (),
-            )
-        )
-
-    def _refuse(self, action: Reject) -> None:
-        entry = self._unanswered(action.request_id)
-        if entry is None:
-            return
-        if not entry.refusable(entry.out is not None):
-            self._fault("a refusal of what may have run", id=action.request_id)
-            self._finish(action.request_id, entry, "failed")
-            entry.incoming.response_handler.fail()
-            return
-        self._finish(action.request_id, entry, "refused")
-        advice = min(action.retry_after, self.settings.max_retry_after)
-        entry.incoming.response_handler.reject(
-            advice if self._door is None else self._door.retry_after(advice)
-        )
-
-    def _expire(self, attempt: Attempt) -> None:
-        entry = self._entries.get(attempt.request_id)
-        if entry is not None and entry.out is attempt:
-            self._abandon(attempt, AttemptStatus.TIMEOUT)
-
-    def _withdraw(self, attempt: Attempt) -> None:
-        """Give an attempt up if its target has not had the whole: it must not begin any more."""
-        entry = self._entries.get(attempt.request_id)
-        if entry is not None and entry.out is attempt and not self.target_client.is_fully_sent(attempt):
-            self._abandon(attempt, AttemptStatus.CANCELLED)
-
-    def _abandon(self, attempt: Attempt, status: AttemptStatus) -> None:
-        """Give an attempt up; one of which the target has not had the whole never ran.  That its client left
-        before says nothing of the target."""
-        over = self._entries[attempt.request_id].done
-        ran = self.target_client.abandon(attempt)
-        self.attempt_finished(attempt, AttemptResult(status if ran or over else AttemptStatus.CONNECT_FAILED))
-
-    # --- Ends -------------------------------------------------------------------------------------
-    def _backstop(self, number: int) -> None:
-        """The deadline is near and nothing has answered: a late answer would break the first rule."""
-        entry = self._entries.get(number)
-        if entry is None or entry.done:
-            return
-        self._fault("the deadline backstop answered", id=number)
-        self._finish(number, entry, "failed")
-        self._enqueue(ClientDisconnected(number))  # for the scheduler it is over, as if the client had left
-        entry.incoming.response_handler.fail()
-
-    def _finish(self, number: int, entry: RequestState, how: str) -> None:
-        entry.done = True
-        self._open -= 1
-        self.counts[how] += 1
-        if self._trace:
-            self._trace(
-                "answered",
-                id=number,
-                how=how,
-                attempts=entry.attempts,
-                left_ms=round(1000 * (entry.deadline - self._loop.time()), 1),
+            for action in self._call_scheduler(started_at, events):
+                self._dispatcher.dispatch(action)
+        self._timers.arm()
+        self._last_batch_ended_at = self._loop.time()
+        self._last_batch_duration = self._last_batch_ended_at - started_at
+
+    def _call_scheduler(self, now: float, events: list[Event]) -> list[Action]:
+        """Call the scheduler; if it raises, requests in flight go on and the guards answer the rest."""
+        try:
+            return self._scheduler.handle(now - self._context.scheduler_epoch, events)
+        except Exception as error:
+            self._context.report_violation(
+                GuardViolation.SCHEDULER_RAISED, error=f"{type(error).__name__}: {error}"
             )
-        if entry.out is not None:  # for its client it is over: what has not begun must not begin
-            self._withdraw(entry.out)
-        self._drop(number)
-
-    def _drop(self, number: int) -> None:
-        entry = self._entries.get(number)
-        if entry is not None and entry.done and entry.out is None:
-            del self._entries[number]
-
-    def _fault(self, reason: str, **details: object) -> None:
-        self.counts["faults"] += 1
-        self._log("fault", reason=reason, **details)
+            return []
+
+
+def _scheduler_request(request_id: int, client_request: ClientRequest, time_remaining: float) -> Request:
+    return Request(
+        request_id=request_id,
+        class_index=client_request.class_index,
+        plan_index=client_request.plan_index,
+        volume=client_request.volume,
+        units=client_request.units,
+        volume_initiator_count=client_request.volume_initiator_count,
+        idempotency_key=client_request.idempotency_key,
+        shard=client_request.shard,
+        is_write=client_request.is_write,
+        is_retry=client_request.is_retry,
+        time_remaining=time_remaining,
+    )
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -1,4 +1,10 @@
-"""What the engine and a front ask of each other, in terms of no wire."""
+"""The interfaces between the engine and what surrounds it.
+
+Adapters for clients build a `ClientRequest` and implement `ResponseHandler`; adapters for targets implement
+`TargetClient` and report an `AttemptResult`.  `PeerNetwork` and `AdmissionGate` are optional.  Nothing here
+depends on a wire format.  All methods are called on the event loop's thread and must not block.  Durations
+are in seconds; times are on the loop's clock, in seconds.
+"""
 
 from __future__ import annotations
 
@@ -9,24 +15,35 @@
 
 
 class ResponseHandler(Protocol):
-    """The way back to a request's client; the engine calls exactly one of these, once."""
+    """Returns the final answer to a request's client.
+
+    The engine calls at most one of `complete`, `reject` and `fail`, and that once: none if the client
+    disconnected.
+    """
 
     def complete(self, answer: Any) -> None:
-        """Pass on what a target answered."""
+        """Pass on the answer of a target, as its target client reported it."""
 
     def reject(self, retry_after: float) -> None:
-        """Trying again is harmless, best after so many seconds."""
+        """Tell the client that a retry is harmless, best after `retry_after` seconds (0: at any time)."""
 
     def fail(self) -> None:
-        """No promise about the effect."""
+        """Tell the client that the request failed and may have been executed."""
 
     def is_disconnected(self) -> bool:
-        """Whether the client has gone, also where the loop has not come to see it."""
+        """Whether the client has disconnected, even if the event loop has not reported it yet."""
 
 
 @dataclass(slots=True, frozen=True)
 class ClientRequest:
-    """A request as a front read it; `payload` is the front's own and only passed on."""
+    """A request as its adapter read it from a client.
+
+    `class_index` and `plan_index` count the classes and plans of the engine's settings.  `units` is the work
+    that the request costs, `volume_initiator_count` the number of initiators that serve its volume.
+    `idempotency_key` is 0 without a key, `shard` is None for a new object.  `timeout` is the time that the
+    client has left, in seconds.  `payload` is for the target client and is not read by the engine.
+    `trace_label` is the client's name for the request in the trace.
+    """
 
     class_index: int
     plan_index: int
@@ -40,32 +57,41 @@
     timeout: float
     payload: Any
     response_handler: ResponseHandler
-    trace_label: str = ""  # the client's name for it, for the trace
+    trace_label: str = ""
 
 
 class PeerNetwork(Protocol):
-    """What the decisions may use of other instances, where an operator has made them a fleet; never waits."""
+    """The other initiators of a fleet, as far as the scheduler may use them."""
 
     def budget_fraction(self, key: str, need: float) -> float:
-        """The part of a shared budget that may be used now, for who could use that part of it."""
+        """The fraction of a shared budget that this initiator may use now.
+
+        `need` is the fraction that it could use.
+        """
 
     def send_peer_message(self, initiator_index: int | None, data: bytes) -> None:
-        """Send a letter to the decisions of another instance, or of all; it may be lost."""
+        """Send a message to the scheduler of one initiator, or of all (None); it may be lost."""
 
 
 class AdmissionGate(Protocol):
-    """Stands before the decisions while an instance comes back with many others; answers at once."""
+    """Decides which requests reach the scheduler while a fleet recovers from a mass restart."""
 
     def admit(self, client_request: ClientRequest) -> float:
-        """0 if a request may go on; else it is refused, with the seconds after which to return."""
+        """0 to admit a request; otherwise it is rejected with this retry delay, in seconds."""
 
     def retry_after(self, delay: float) -> float:
-        """The seconds to tell a client whom the decisions refuse with that advice."""
+        """The retry delay for a client that the scheduler rejects with `delay`, both in seconds."""
 
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One try of a request at a target; `wire` is for the front that carries it."""
+    """One try of a request at a target.
+
+    `number` counts the attempts of the request from 0.  The engine abandons the attempt at `expires_at`.  The
+    target client must not send its first byte at `latest_start` or later; None means that nothing bounds it,
+    and the bound may become earlier while the attempt is in flight.  `channel` is the target client's own;
+    `channel_idle_time` is how long that connection had been idle before, in seconds, None if it is new.
+    """
 
     request_id: int
     number: int
@@ -76,14 +102,19 @@
     payload: Any
     sent_at: float
     expires_at: float
-    latest_start: float | None = None  # when a drain ends the time for first bytes; None: no drain
+    latest_start: float | None = None
     channel: Any = field(default=None, repr=False)
-    channel_idle_time: float | None = None  # s for which `wire` had stood idle before; None: it is new
+    channel_idle_time: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
 class AttemptResult:
-    """How a target ended an attempt; `answer` goes to the client if the status is OK."""
+    """How an attempt ended.
+
+    `answer` is for the client and is only used if the status is OK.  The rest is what the target reported, if
+    anything: `other_units`, the work that the volume had done through other initiators, and `report`, the
+    figures of the target's load.
+    """
 
     status: AttemptStatus
     answer: Any = None
@@ -92,24 +123,27 @@
 
 
 class TargetClient(Protocol):
-    """Carries attempts to targets.  It reports each end once by `Engine.ended`, unless it was abandoned."""
+    """Sends attempts to targets.
+
+    It reports the end of each attempt once by `Engine.attempt_finished`, unless the attempt was abandoned.
+    """
 
     def start(self, attempt: Attempt) -> None:
-        """Begin an attempt; its end is reported later, never from within this call."""
+        """Start an attempt; its end is reported later, never from within this call."""
 
     def is_fully_sent(self, attempt: Attempt) -> bool:
-        """Whether the target may have the whole of an attempt, so that giving it up undoes nothing."""
+        """Whether the target may have received all of an attempt, so that it may execute it."""
 
     def abandon(self, attempt: Attempt) -> bool:
-        """Give an attempt up for good; whether it may have run."""
+        """Give an attempt up without a report; return whether the target may execute it."""
 
-    def close_idle(self, node: TargetId) -> None:
-        """Close what stands idle to a target."""
+    def close_idle(self, target_id: TargetId) -> None:
+        """Close the idle connections to a target."""
 
 
 @dataclass(slots=True, frozen=True)
 class TargetEndpoint:
-    """A line of the target list with the address that this machine reaches it by."""
+    """A target with the address by which this host reaches it."""
 
     target: Target
     host: str
--- a/stalltiller/routing/request_state.py
+++ b/stalltiller/routing/request_state.py
@@ -1,30 +1,75 @@
-"""What the engine holds of one request."""
+"""What the engine knows about one request."""
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 from stalltiller.routing.ports import Attempt, ClientRequest
 from stalltiller.scheduling import AttemptStatus, DeduplicationScope, Idempotency, RequestClass
 
-NEVER_EXECUTED = (AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_STARTED)
+NEVER_EXECUTED = frozenset(
+    {AttemptStatus.REJECTED, AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_STARTED}
+)  # statuses that prove that the target did not execute the request
+
+
+class RequestOutcome(StrEnum):
+    """How a request ended; the values are names of exported counters."""
+
+    SERVED = "served"
+    REJECTED = "refused"
+    FAILED = "failed"
+    DISCONNECTED = "gone"
 
 
 class RequestState:
-    """A request in the table: until it is answered and no attempt of it is out."""
-
-    __slots__ = ("attempts", "cls", "deadline", "done", "first_at", "incoming", "most", "out", "ran")
-
-    def __init__(self, incoming: ClientRequest, deadline: float, cls: RequestClass, most: int) -> None:
-        self.incoming, self.deadline = incoming, deadline
-        self.cls, self.most = cls, most  # by the settings when it came
-        self.first_at = 0.0  # when the first attempt that may have run was sent
-        self.attempts = 0
-        self.out: Attempt | None = None
-        self.ran = self.done = False  # ran: some attempt may have
-
-    def refusable(self, out: bool) -> bool:
-        """Whether trying again is harmless; `out`: whether an attempt that may have run is out."""
-        harmless = self.cls.idempotency is Idempotency.SAFE or (
-            self.cls.idempotency is Idempotency.IDEMPOTENCY_KEY
-            and self.cls.deduplication_scope is DeduplicationScope.ALL
-        )  # known as a repeat everywhere
-        return harmless or not (self.ran or out)
+    """A request from its arrival until it is finished and no attempt of it is in flight.
+
+    `deadline` is the client's deadline on the loop's clock.  `request_class` and `max_attempts` are those
+    of the settings at its arrival, which later settings do not change.
+    """
+
+    __slots__ = (
+        "attempt_count",
+        "client_request",
+        "deadline",
+        "first_executed_at",
+        "in_flight",
+        "is_finished",
+        "max_attempts",
+        "possibly_executed",
+        "request_class",
+        "request_id",
+    )
+
+    def __init__(
+        self,
+        request_id: int,
+        client_request: ClientRequest,
+        deadline: float,
+        request_class: RequestClass,
+        max_attempts: int,
+    ) -> None:
+        self.request_id = request_id
+        self.client_request = client_request
+        self.deadline = deadline
+        self.request_class = request_class
+        self.max_attempts = max_attempts
+        self.attempt_count = 0
+        self.in_flight: Attempt | None = None
+        self.possibly_executed = False  # whether an attempt that ended may have been executed
+        self.first_executed_at = 0.0  # when the first such attempt was sent, on the loop's clock
+        self.is_finished = False
+
+    def may_be_rejected(self, in_flight_may_execute: bool) -> bool:
+        """Whether the client may be told that a retry is harmless.
+
+        `in_flight_may_execute`: whether an attempt is in flight that its target may execute.
+        """
+        return self._is_retry_harmless() or not (self.possibly_executed or in_flight_may_execute)
+
+    def _is_retry_harmless(self) -> bool:
+        """Whether a retry does no harm even if this request is executed as well."""
+        idempotency = self.request_class.idempotency
+        if idempotency is Idempotency.IDEMPOTENCY_KEY:  # harmless where every target recognises the retry
+            return self.request_class.deduplication_scope is DeduplicationScope.ALL
+        return idempotency is Idempotency.SAFE
--- /dev/null
+++ b/stalltiller/routing/request_table.py
@@ -0,0 +1,145 @@
+"""The open requests of an engine and the attempts that are in flight for them.
+
+It guarantees that a request ends once, and that an attempt is reported to the scheduler once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from stalltiller.routing.context import EngineContext
+from stalltiller.routing.guard import GuardViolation
+from stalltiller.routing.ports import Attempt, AttemptResult
+from stalltiller.routing.request_state import NEVER_EXECUTED, RequestOutcome, RequestState
+from stalltiller.scheduling import AttemptFinished, AttemptStatus, Event
+
+MILLISECONDS = 1000
+
+
+class RequestTable:
+    """Requests by id, each until it is finished and no attempt of it is in flight."""
+
+    def __init__(self, context: EngineContext, enqueue: Callable[[Event], None]) -> None:
+        self._context = context
+        self._enqueue = enqueue
+        self._states: dict[int, RequestState] = {}
+        self.open_count = 0  # requests that are not finished
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def add(self, state: RequestState) -> None:
+        """Enter a new request."""
+        self._states[state.request_id] = state
+        self.open_count += 1
+
+    def get(self, request_id: int) -> RequestState | None:
+        """The request; None if it is no longer in the table."""
+        return self._states.get(request_id)
+
+    def get_open(self, request_id: int) -> RequestState | None:
+        """The request; None if it is finished."""
+        state = self._states.get(request_id)
+        return None if state is None or state.is_finished else state
+
+    def snapshot(self) -> list[RequestState]:
+        """The requests in the table, oldest first, finished ones with an attempt in flight among them."""
+        return list(self._states.values())
+
+    def attempts_in_flight(self) -> Iterator[Attempt]:
+        """The attempts in flight; the table must not change meanwhile."""
+        for state in self._states.values():
+            if state.in_flight is not None:
+                yield state.in_flight
+
+    def finish(self, state: RequestState, outcome: RequestOutcome) -> None:
+        """Record how an open request ended; its client is answered by the caller."""
+        state.is_finished = True
+        self.open_count -= 1
+        self._context.counts[outcome.value] += 1
+        if self._context.trace is not None:
+            remaining_seconds = state.deadline - self._context.loop.time()
+            self._context.trace(
+                "request_finished",
+                id=state.request_id,
+                outcome=outcome.value,
+                attempts=state.attempt_count,
+                remaining_ms=round(MILLISECONDS * remaining_seconds, 1),
+            )
+        if state.in_flight is not None:  # the client waits no longer: what has not started must not start
+            self.withdraw(state.in_flight)
+        self._discard_if_over(state)
+
+    def finish_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Record how an attempt ended, serve its client if it succeeded, and report it to the scheduler."""
+        state = self._states.get(attempt.request_id)
+        if state is None or state.in_flight is not attempt:
+            self._context.report_violation(
+                GuardViolation.ATTEMPT_FINISHED_TWICE, id=attempt.request_id, attempt=attempt.number
+            )
+            return
+        state.in_flight = None
+        if result.status not in NEVER_EXECUTED and not state.possibly_executed:
+            state.possibly_executed = True
+            state.first_executed_at = attempt.sent_at
+        if result.status is AttemptStatus.OK and not state.is_finished:
+            self.finish(state, RequestOutcome.SERVED)
+            state.client_request.response_handler.complete(result.answer)
+        request_done = state.is_finished
+        self._record_attempt_finished(attempt, result.status)
+        self._enqueue(
+            AttemptFinished(
+                request_id=attempt.request_id,
+                attempt_number=attempt.number,
+                target_id=attempt.target_id,
+                status=result.status,
+                latency=self._context.loop.time() - attempt.sent_at,
+                request_done=request_done,
+                volume_usage=None,
+                other_units=result.other_units,
+                report=result.report,
+            )
+        )
+        self._discard_if_over(state)
+
+    def expire(self, attempt: Attempt) -> None:
+        """Give an attempt up whose time is over, if it is still in flight."""
+        if self._is_in_flight(attempt):
+            self.abandon(attempt, AttemptStatus.TIMEOUT)
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give an attempt up unless its target has all of it: it must not start any more."""
+        if self._is_in_flight(attempt) and not self._context.target_client.is_fully_sent(attempt):
+            self.abandon(attempt, AttemptStatus.CANCELLED)
+
+    def abandon(self, attempt: Attempt, status: AttemptStatus) -> None:
+        """Give an attempt up that is in flight.
+
+        One that was not fully sent was never executed, which the scheduler learns as a failed connection.
+        If the request was finished before, that says nothing about the target, so `status` is kept.
+        """
+        request_done = self._states[attempt.request_id].is_finished
+        possibly_executed = self._context.target_client.abandon(attempt)
+        if not possibly_executed and not request_done:
+            status = AttemptStatus.CONNECT_FAILED
+        self.finish_attempt(attempt, AttemptResult(status))
+
+    def _is_in_flight(self, attempt: Attempt) -> bool:
+        state = self._states.get(attempt.request_id)
+        return state is not None and state.in_flight is attempt
+
+    def _record_attempt_finished(self, attempt: Attempt, status: AttemptStatus) -> None:
+        self._context.counts[f"attempt_{status.value}"] += 1
+        if self._context.trace is not None:
+            self._context.trace(
+                "attempt_finished",
+                id=attempt.request_id,
+                attempt=attempt.number,
+                target=attempt.target_id,
+                status=status.value,
+                ms=round(MILLISECONDS * (self._context.loop.time() - attempt.sent_at), 1),
+            )
+
+    def _discard_if_over(self, state: RequestState) -> None:
+        if state.is_finished and state.in_flight is None:
+            self._states.pop(state.request_id, None)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -299,7 +299,7 @@
         world.app.engine.finish_all()
         gate.open.set()
         assert (await asking).end == "refused"
-        world.app.engine._over = False
+        world.app.engine._is_stopped = False
         assert (await world.read(tag=2)).end == "served"
         assert [tag for _, tag in world.targets[0].begun] == [2]
 
@@ -372,7 +372,9 @@
         heard.name, heard.shard = "s-0", 0
         world.discovery.set(heard)
         await world.until(
-            lambda: any(place.port == heard.port for place in world.app.engine._places.values())
+            lambda: any(
+                endpoint.port == heard.port for endpoint in world.app.engine._targets._endpoints.values()
+            )
         )
         client = dial(world)
         client.sendall(get(1, Connection="close", **{"Idempotency-Key": "k-17"}))
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -1,12 +1,21 @@
-"""Reading traces: a request's trail through restarts, in the program's lines and in a bench's."""
+"""Reading traces: a request's steps through restarts, in an initiator's lines and in a bench's."""
 
 from __future__ import annotations
 
 import pytest
 
-from stalltiller.trace import follow, summary, trails
+from stalltiller.trace import follow_request, read_traces, summarize
 
-LIFE = [
+RUN = [
+    '{"time":1.0,"event":"started"}',
+    '{"time":1.1,"event":"request_received","id":1,"label":"a"}',
+    '{"time":1.2,"event":"attempt_started","id":1,"attempt":0,"target":"s-1"}',
+    '{"time":1.3,"event":"attempt_finished","id":1,"attempt":0,"target":"s-1","status":"reset"}',
+    '{"time":1.4,"event":"request_finished","id":1,"outcome":"failed"}',
+    "not json",
+    '{"time":"x"}',
+]
+EARLIER_RUN = [  # the same in the names of versions up to f5167fe
     '{"time":1.0,"event":"started"}',
     '{"time":1.1,"event":"taken","id":1,"label":"a"}',
     '{"time":1.2,"event":"attempt","id":1,"attempt":0,"node":"s-1"}',
@@ -15,22 +24,38 @@
     "not json",
     '{"time":"x"}',
 ]
+both_versions = pytest.mark.parametrize("run", [RUN, EARLIER_RUN], ids=["present", "earlier"])
 
 
+@both_versions
 @pytest.mark.parametrize(
-    ("lines", "how", "statuses", "first"),
+    ("prefix", "line_count", "outcome", "statuses", "received_at"),
     [
-        (LIFE, "failed", ("reset",), 1.1),
-        (["7.5 " + line for line in LIFE], "failed", ("reset",), 7.5),  # a bench's own times go first
-        (LIFE[:3], "open", (), 1.1),
+        ("", 7, "failed", ("reset",), 1.1),
+        ("7.5 ", 7, "failed", ("reset",), 7.5),  # a bench's own times go first
+        ("", 3, "open", (), 1.1),
     ],
 )
-def test_a_trail_keeps_how_a_request_ended(lines, how, statuses, first):
-    [trail] = trails("n0", lines)
-    assert (trail.how, trail.statuses, trail.taken_at, trail.where) == (how, statuses, first, "n0#1")
-
-
-def test_the_same_number_in_a_new_life_is_another_request():
-    found = trails("n0", LIFE + [line.replace('"a"', '"b"') for line in LIFE])
-    assert [t.where for t in found] == ["n0#1", "n0#2"] and "n0#2" in follow(found, "b")
-    assert "2 requests" in summary(found) and follow(found, "c") == "no request 'c'"
+def test_a_trace_keeps_how_a_request_ended(run, prefix, line_count, outcome, statuses, received_at):
+    [trace] = read_traces("n0", [prefix + line for line in run[:line_count]])
+    assert (trace.outcome, trace.statuses, trace.received_at, trace.run) == (
+        outcome,
+        statuses,
+        received_at,
+        "n0#1",
+    )
+
+
+@both_versions
+def test_the_same_id_after_a_restart_is_another_request(run):
+    traces = read_traces("n0", run + [line.replace('"a"', '"b"') for line in run])
+    assert [trace.run for trace in traces] == ["n0#1", "n0#2"]
+    assert "n0#2" in follow_request(traces, "b")
+    assert "2 requests" in summarize(traces)
+    assert follow_request(traces, "c") == "no request 'c'"
+
+
+def test_logs_of_both_versions_are_shown_alike():
+    present, earlier = read_traces("n0", RUN), read_traces("n0", EARLIER_RUN)
+    assert follow_request(present, "a") == follow_request(earlier, "a")
+    assert summarize(present) == summarize(earlier)
