Name the race tests and their page by the behaviour in standard terms

Need: test_races.py and docs/races.md spoke in house words. One check is stricter: after the listener stopped, a connection must fail with ConnectionRefusedError, where any OSError passed.

--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -1,7 +1,9 @@
-"""Bad orders of events around ends, forced on real connections: each failed before its mend (docs/races.md).
+"""Races around disconnects, closes and the shutdown, forced on real connections (docs/races.md).
 
-Blocking sockets make an order certain: what they do between two turns of the loop is in the kernel, whole,
-before the initiator sees any of it.
+Each test failed before the race was fixed.
+
+Blocking sockets make the order certain: what they do between two turns of the
+event loop is complete in the kernel before the initiator sees any of it.
 """
 
 from __future__ import annotations
@@ -21,7 +23,7 @@
 from tests.stand_ins import BLOCK, DEADLINE, PER_UNIT, VOLUME, Standin, World, read_message
 
 
-def get(tag: int, **fields: str) -> bytes:
+def encode_get(tag: int, **fields: str) -> bytes:
     return http.encode_request(
         "GET",
         f"/read/{tag:x}",
@@ -46,64 +48,67 @@
     run(whole())
 
 
-def dial(world) -> socket.socket:
+def connect_client(world) -> socket.socket:
     return socket.create_connection(world.app.listener.address, timeout=5)
 
 
-async def rest_of(sock: socket.socket) -> bytes:
-    """All that comes up to the end; a reset raises."""
+async def read_to_end(sock: socket.socket) -> bytes:
+    """All bytes up to the end of the connection; a reset raises."""
     sock.setblocking(False)
-    got = b""
+    data = b""
     while part := await asyncio.get_running_loop().sock_recv(sock, 65536):
-        got += part
-    return got
+        data += part
+    return data
 
 
-class Gate:
-    """Holds connections to targets while they come up."""
+class ConnectionGate:
+    """Holds back connections to targets until it is opened."""
 
     def __init__(self, world) -> None:
         pool = world.app.target_client.pool
-        self._connect, pool._connect = pool._connect, self.connect
-        self.world, self.held, self.open = world, 0, asyncio.Event()
-
-    async def begins_nothing(self) -> None:
-        """Opened, it lets nothing of what it held begin: another request is the first that a target sees."""
-        self.open.set()
+        self._connect = pool._connect
+        pool._connect = self.connect
+        self.world = world
+        self.held_count = 0
+        self.is_open = asyncio.Event()
+
+    async def assert_nothing_starts(self) -> None:
+        """Open it; nothing that it held back starts: another request is the first that a target sees."""
+        self.is_open.set()
         assert (await self.world.read(tag=2)).end == "served"
         assert [tag for _, tag in self.world.targets[0].begun] == [2]
 
     async def connect(self, host, port):
-        self.held += 1
-        await self.open.wait()
+        self.held_count += 1
+        await self.is_open.wait()
         return await self._connect(host, port)
 
 
-# --- Clients that leave ----------------------------------------------------------------------------
+# --- Clients that disconnect ----------------------------------------------------------------------------
 @pytest.mark.parametrize("kind", ["http", "nvme"])
 @pytest.mark.parametrize("draining", [False, True])
-def test_a_client_that_leaves_while_a_connection_comes_up_has_nothing_begun(kind, draining):
-    """The attempt stayed, and began once its connection was up."""
+def test_no_attempt_starts_for_a_client_that_disconnects_while_a_connection_is_established(kind, draining):
+    """The attempt stayed, and started once its connection was established."""
 
     async def scene(world):
-        gate = Gate(world)
-        asking = asyncio.create_task(world.read(tag=1))
-        await world.until(lambda: gate.held == 1)
+        gate = ConnectionGate(world)
+        client_task = asyncio.create_task(world.read(tag=1))
+        await world.until(lambda: gate.held_count == 1)
         if draining:
             world.app.stop.set()
-        asking.cancel()
+        client_task.cancel()
         await world.until(lambda: world.app.engine.open_request_count == 0)
-        await gate.begins_nothing()
+        await gate.assert_nothing_starts()
 
     play(scene, kind)
 
 
-def test_a_request_whose_client_has_left_before_it_is_read_is_not_sent():
-    """The turn that sends comes before the loop reads the connection's end."""
+def test_a_request_is_not_sent_if_its_client_disconnected_before_it_was_read():
+    """The turn that sends the request comes before the event loop reads the end of the connection."""
 
     async def scene(world):
-        with dial(world) as client:
-            client.sendall(get(1))
+        with connect_client(world) as client:
+            client.sendall(encode_get(1))
         assert (await world.read(tag=2)).end == "served"
         assert [tag for _, tag in world.targets[0].begun] == [2]
         assert world.app.engine.counts["gone"] == 1
@@ -111,27 +116,27 @@
     play(scene)
 
 
-def test_a_client_that_sends_much_ahead_and_leaves_is_seen_to_go():
-    """Its connection was not read any more once the buffer was full, so its end was not seen either."""
+def test_the_disconnect_of_a_client_that_sent_more_than_a_buffer_ahead_is_noticed():
+    """Its connection was no longer read once the buffer was full, so its end was not noticed either."""
 
     async def scene(world):
-        gate = Gate(world)
-        client = dial(world)
-        client.sendall(get(1) + bytes(200_000))
-        await world.until(lambda: gate.held == 1)
+        gate = ConnectionGate(world)
+        client = connect_client(world)
+        client.sendall(encode_get(1) + bytes(200_000))
+        await world.until(lambda: gate.held_count == 1)
         client.close()
         await world.until(lambda: world.app.engine.open_request_count == 0, DEADLINE / 3)
-        await gate.begins_nothing()
+        await gate.assert_nothing_starts()
         assert world.app.engine.counts["gone"] == 1
 
     play(scene)
 
 
-def test_one_that_sends_too_much_ahead_gets_its_answer_and_then_an_end():
+def test_a_client_that_sends_too_much_ahead_gets_its_response_and_then_a_close():
     async def scene(world):
-        client = dial(world)
-        client.sendall(get(1) + bytes(200_000))
-        answer = await rest_of(client)
+        client = connect_client(world)
+        client.sendall(encode_get(1) + bytes(200_000))
+        answer = await read_to_end(client)
         assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(world.targets[0].content(1, BLOCK))
         client.close()
         await world.until(lambda: len(world.app.listener) == 0)
@@ -139,15 +144,15 @@
     play(scene)
 
 
-def test_a_host_that_leaves_while_it_is_not_read_from_is_seen_to_go():
-    """It leaves completions unread, so no further command is taken from it, and its queue is not read."""
+def test_the_disconnect_of_a_host_that_is_not_read_from_is_noticed():
+    """It does not read its completions, so no further command of it is read either."""
 
     async def scene(world):
-        gate = Gate(world)
+        gate = ConnectionGate(world)
         _, io = await world.client.associate()
         size = BLOCK * PER_UNIT
         io.writer.write(nvme.io_command(nvme.READ, 9, 1, 1, size // BLOCK, size, b""))
-        await world.until(lambda: gate.held == 1)
+        await world.until(lambda: gate.held_count == 1)
         queue = next(iter(world.app.server.associations.values())).queues[1]
         queue.pause_writing()  # as when the kernel takes no more of what it does not read
         io.writer.write(b"".join(nvme.command(nvme.KEEP_ALIVE, 9) for _ in range(400)))
@@ -155,36 +160,36 @@
         for stream in world.client.streams:  # its machine is gone: every connection of it
             stream.writer.transport.abort()
         await world.until(lambda: world.app.engine.open_request_count == 0, DEADLINE / 3)
-        await gate.begins_nothing()
+        await gate.assert_nothing_starts()
 
     play(scene, "nvme")
 
 
 # --- Closes ------------------------------------------------------------------------------------------
-def arriving(monkeypatch, method: str, when: str, act) -> None:
-    """Have something arrive in the moment before or after a method of a client's connection."""
-    known = getattr(http_server.ClientConnection, method)
+def call_around(monkeypatch, method: str, when: str, act) -> None:
+    """Call `act` directly before or after a method of a client's connection."""
+    original = getattr(http_server.ClientConnection, method)
 
     def wrapped(self, *args, **kwargs):
         if when == "before":
             act()
-        found = known(self, *args, **kwargs)
+        result = original(self, *args, **kwargs)
         if when == "after":
             act()
-        return found
+        return result
 
     monkeypatch.setattr(http_server.ClientConnection, method, wrapped)
 
 
 @pytest.mark.parametrize("bad", [False, True])
-def test_bytes_that_arrive_as_a_connection_is_closed_take_no_answer_with_them(monkeypatch, bad):
+def test_bytes_that_arrive_during_a_close_do_not_lose_the_response(monkeypatch, bad):
     """They turned the close into a reset."""
 
     async def scene(world):
-        client = dial(world)
-        arriving(monkeypatch, "_answer", "before", lambda: client.sendall(b"GET /late"))
-        client.sendall(get(1, Connection="close", **({"Tier": "tin"} if bad else {})))
-        answer = await rest_of(client)
+        client = connect_client(world)
+        call_around(monkeypatch, "_answer", "before", lambda: client.sendall(b"GET /late"))
+        client.sendall(encode_get(1, Connection="close", **({"Tier": "tin"} if bad else {})))
+        answer = await read_to_end(client)
         assert answer.startswith(b"HTTP/1.1 400" if bad else b"HTTP/1.1 200")
         client.close()
         await world.until(lambda: len(world.app.listener) == 0)
@@ -193,15 +198,15 @@
     play(scene)
 
 
-def test_a_request_that_crosses_the_close_of_a_resting_connection_is_not_sent_on(monkeypatch):
-    """The close over it was a reset, which takes the answer before with it if that was not read yet."""
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_forwarded(monkeypatch):
+    """The close became a reset, which loses the response before it if that was not read yet."""
     monkeypatch.setattr("stalltiller.transport.listener.IDLE_LIMIT", 0.05)
 
     async def scene(world):
-        client = dial(world)
-        client.sendall(get(1))
-        arriving(monkeypatch, "is_clean", "after", lambda: client.sendall(get(2)))
-        answer = await rest_of(client)
+        client = connect_client(world)
+        client.sendall(encode_get(1))
+        call_around(monkeypatch, "is_clean", "after", lambda: client.sendall(encode_get(2)))
+        answer = await read_to_end(client)
         assert answer.count(b"HTTP/1.1") == 1 and answer.startswith(b"HTTP/1.1 200")
         assert [tag for _, tag in world.targets[0].begun] == [1]
         client.close()
@@ -209,78 +214,78 @@
     play(scene)
 
 
-def test_the_rest_of_a_long_answer_survives_bytes_that_arrive_as_it_ends(monkeypatch):
+def test_bytes_that_arrive_as_a_long_response_ends_do_not_truncate_it(monkeypatch):
     async def scene(world):
         size = 300_000
         monkeypatch.setattr(world.targets[0], "content", lambda tag, _: b"x" * size)
-        client = dial(world)
-        arriving(monkeypatch, "finish_stream", "before", lambda: client.sendall(b"GET /late"))
-        client.sendall(get(1, Connection="close"))
-        assert (await rest_of(client)).count(b"x") == size
+        client = connect_client(world)
+        call_around(monkeypatch, "finish_stream", "before", lambda: client.sendall(b"GET /late"))
+        client.sendall(encode_get(1, Connection="close"))
+        assert (await read_to_end(client)).count(b"x") == size
         client.close()
 
     play(scene)
 
 
-def test_bytes_behind_an_operator_s_call_take_no_answer_with_them(monkeypatch):
+def test_bytes_after_an_administration_call_do_not_lose_its_response(monkeypatch):
     async def scene(world):
         await world.app.admin.open("127.0.0.1", 0)
         client = socket.create_connection(world.app.admin.address, timeout=5)
-        known = world.app.is_ready
+        original = world.app.is_ready
 
         def ready():
             client.sendall(b"GET /late")
-            return known()
+            return original()
 
         monkeypatch.setattr(world.app, "is_ready", ready)
         client.sendall(b"GET /_ready HTTP/1.1\r\nHost: h\r\n\r\n")
-        assert (await rest_of(client)).startswith(b"HTTP/1.1 200")
+        assert (await read_to_end(client)).startswith(b"HTTP/1.1 200")
         client.close()
 
     play(scene)
 
 
-# --- The stop ----------------------------------------------------------------------------------------
+# --- The shutdown ----------------------------------------------------------------------------------------
 @pytest.mark.parametrize("accepted", [False, True])
-def test_what_waits_to_be_accepted_as_the_listener_stops_is_served(accepted):
-    """One that waits in the kernel, or was accepted and is not up yet, was reset with its request."""
+def test_connections_that_wait_to_be_accepted_when_the_listener_stops_are_served(accepted):
+    """A connection that waited in the kernel, or was accepted and not set up yet, was reset."""
 
     async def scene(world):
         listener = world.app.listener
-        client = dial(world)
-        client.sendall(get(1, Connection="close"))
+        client = connect_client(world)
+        client.sendall(encode_get(1, Connection="close"))
         address = listener.address
-        if accepted:  # the stop comes between the accept and the turn in which the connection comes up
+        if accepted:  # it stops between the accept and the turn that sets the connection up
             asyncio.get_running_loop()._accept_connection(
                 lambda: listener._make(listener), listener._listening, server=listener._server
             )
         await listener.stop(take_in=not accepted)
-        assert (await rest_of(client)).startswith(b"HTTP/1.1 200")
-        with pytest.raises(OSError):
+        assert (await read_to_end(client)).startswith(b"HTTP/1.1 200")
+        with pytest.raises(ConnectionRefusedError):
             socket.create_connection(address, timeout=1)
         client.close()
 
     play(scene)
 
 
-def test_what_comes_whole_after_the_last_answers_is_refused_not_dropped(monkeypatch):
-    """The program ended with a request read and not answered."""
+def test_a_request_that_is_complete_only_after_finish_all_is_rejected_not_dropped(monkeypatch):
+    """The process ended with a request that was read and not answered."""
     monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.01)
     monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.01)
 
     async def scene(world):
-        client = dial(world)
-        client.sendall(get(1)[:-2])  # half a head keeps the connection open
+        client = connect_client(world)
+        client.sendall(encode_get(1)[:-2])  # an incomplete header keeps the connection open
         await world.until(lambda: len(world.app.listener) == 1)
-        known = world.app.engine.finish_all
+        original = world.app.engine.finish_all
 
         def finish_all():
-            known()
+            original()
             client.sendall(b"\r\n")
 
         monkeypatch.setattr(world.app.engine, "finish_all", finish_all)
         world.app.stop.set()
-        assert (await rest_of(client)).startswith(b"HTTP/1.1 503")
+        assert (await read_to_end(client)).startswith(b"HTTP/1.1 503")
         client.close()
         await asyncio.wait_for(world.running, 5)
         assert world.targets[0].begun == []
@@ -289,16 +294,16 @@
 
 
 @pytest.mark.parametrize("write", [False, True])
-def test_the_end_lets_no_attempt_begin_and_says_so(write):
-    """An attempt whose connection was coming up began after its request was answered; a write was failed."""
+def test_finish_all_withdraws_an_attempt_that_has_not_started_and_rejects_its_request(write):
+    """An attempt started although its request was answered, when its connection came; a write failed."""
 
     async def scene(world):
-        gate = Gate(world)
-        asking = asyncio.create_task(world.write(tag=1) if write else world.read(tag=1))
-        await world.until(lambda: gate.held == 1)
+        gate = ConnectionGate(world)
+        client_task = asyncio.create_task(world.write(tag=1) if write else world.read(tag=1))
+        await world.until(lambda: gate.held_count == 1)
         world.app.engine.finish_all()
-        gate.open.set()
-        assert (await asking).end == "refused"
+        gate.is_open.set()
+        assert (await client_task).end == "refused"
         world.app.engine._is_stopped = False
         assert (await world.read(tag=2)).end == "served"
         assert [tag for _, tag in world.targets[0].begun] == [2]
@@ -306,8 +311,8 @@
     play(scene)
 
 
-def test_a_long_answer_that_the_end_cuts_off_does_not_look_whole(monkeypatch):
-    """To a client of HTTP/1.0 an answer without a length ends with its connection."""
+def test_a_long_response_that_the_shutdown_truncates_does_not_look_complete(monkeypatch):
+    """For an HTTP/1.0 client a response without a length ends with its connection."""
     for name in ("STILL_LISTENING", "CLOSING_TIME", "LAST_WORDS"):
         monkeypatch.setattr(f"stalltiller.daemon.application.{name}", 0.01, raising=False)
 
@@ -318,22 +323,23 @@
             await asyncio.get_running_loop().create_future()
 
         world.targets[0].serve = answer
-        client = dial(world)
-        client.sendall(get(1).replace(b"HTTP/1.1", b"HTTP/1.0"))
+        client = connect_client(world)
+        client.sendall(encode_get(1).replace(b"HTTP/1.1", b"HTTP/1.0"))
         await world.until(lambda: world.app.engine.counts["relayed"] == 1)
         world.app.stop.set()
         await asyncio.wait_for(world.running, 5)
-        with pytest.raises(ConnectionResetError):  # by now: what is left open ends in order with the process
-            await asyncio.wait_for(rest_of(client), 1)
+        # It must come now: what is still open when the process ends is closed in an orderly way.
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(read_to_end(client), 1)
         client.close()
 
     play(scene)
 
 
-# --- Repeats and drains ----------------------------------------------------------------------------
-def test_a_keyed_repeat_does_not_begin_once_targets_may_have_forgotten_the_first():
-    """It was sent in time, and began when its connection came up, past the window for repeats."""
-    keyed = request_class(
+# --- Retries and drains ----------------------------------------------------------------------------
+def test_a_retry_with_a_key_does_not_start_after_the_deduplication_window():
+    """It was decided in time, and started when its connection was established, after the window."""
+    class_with_key = request_class(
         name="read",
         latency_objective=0.4,
         deadline=DEADLINE,
@@ -343,83 +349,84 @@
 
     async def scene(world):
         world.targets[0].mode = "break"
-        pool, connect = world.app.target_client.pool, world.app.target_client.connect
+        pool = world.app.target_client.pool
+        connect = world.app.target_client.connect
 
-        async def late(host, port):
+        async def connect_late(host, port):
             await asyncio.sleep(0.2 if world.targets[0].begun else 0.0)
             return await connect(host, port)
 
-        pool._connect = late
+        pool._connect = connect_late
         assert (await world.read(tag=1)).end != "served"
         await asyncio.sleep(1.0)
         assert len(world.targets[0].begun) == 1
 
-    play(scene, run=run_on_jumping_clock, classes=(keyed,))
+    play(scene, run=run_on_jumping_clock, classes=(class_with_key,))
 
 
-def test_the_key_by_which_targets_know_a_repeat_passes_on_unchanged():
-    """It was left out: a repeat would have run twice (found on a site with a keyed class)."""
-    heads = []
+def test_the_idempotency_key_is_forwarded_unchanged():
+    """It was left out, so a retry would have been executed twice (found on a site with a keyed class)."""
+    received_fields = []
 
-    class Heard(Standin):
+    class RecordingTarget(Standin):
         async def serve(self, reader, writer):
-            heads.append((await read_message(reader)).head.fields)
+            received_fields.append((await read_message(reader)).head.fields)
             writer.write(http.encode_response(200, b"ok"))
 
     async def scene(world):
-        heard = Heard()
-        await heard.open()
-        heard.name, heard.shard = "s-0", 0
-        world.discovery.set(heard)
+        target = RecordingTarget()
+        await target.open()
+        target.name, target.shard = "s-0", 0
+        world.discovery.set(target)
         await world.until(
             lambda: any(
-                endpoint.port == heard.port for endpoint in world.app.engine._targets._endpoints.values()
+                endpoint.port == target.port for endpoint in world.app.engine._targets._endpoints.values()
             )
         )
-        client = dial(world)
-        client.sendall(get(1, Connection="close", **{"Idempotency-Key": "k-17"}))
-        assert (await rest_of(client)).endswith(b"ok")
-        assert heads[0]["idempotency-key"] == "k-17"
+        client = connect_client(world)
+        client.sendall(encode_get(1, Connection="close", **{"Idempotency-Key": "k-17"}))
+        assert (await read_to_end(client)).endswith(b"ok")
+        assert received_fields[0]["idempotency-key"] == "k-17"
         client.close()
-        heard.close()
+        target.close()
 
     play(scene)
 
 
-@pytest.mark.parametrize("told", ["leaving", "left", "missing"])
-def test_nothing_begins_past_a_drain_that_was_told_while_the_connection_came_up(told):
-    """An attempt knew of a drain only if that was told before it was sent."""
-    patient = request_class(name="read", latency_objective=4.0, deadline=5.0)
+@pytest.mark.parametrize("listed_as", ["leaving", "left", "missing"])
+def test_no_attempt_starts_after_a_drain_announced_while_its_connection_is_established(listed_as):
+    """An attempt was bound only by a drain that was announced before it was sent."""
+    patient_class = request_class(name="read", latency_objective=4.0, deadline=5.0)
 
     async def scene(world):
-        target, gate = world.targets[0], Gate(world)
+        target, gate = world.targets[0], ConnectionGate(world)
         world.app.target_client.pool._connect_timeout = 9.0
-        client = dial(world)
-        client.sendall(get(1, Connection="close", **{"X-Timeout": "5.0"}))
-        await world.until(lambda: gate.held == 1)
-        if told == "missing":
+        client = connect_client(world)
+        client.sendall(encode_get(1, Connection="close", **{"X-Timeout": "5.0"}))
+        await world.until(lambda: gate.held_count == 1)
+        if listed_as == "missing":
             del world.discovery.lines[target.name]
             world.discovery.set(world.targets[1])
         else:
-            world.discovery.set(target, told)
-        heard = len(world.logged)
-        await world.until(lambda: any(line["event"] == "list" for line in world.logged[heard - 1 :]))
+            world.discovery.set(target, listed_as)
+        logged_before = len(world.logged)
+        await world.until(lambda: any(line["event"] == "list" for line in world.logged[logged_before - 1 :]))
         await asyncio.sleep(world.settings.rules.drain_grace + 0.1)  # on the jumping clock
-        gate.open.set()
-        assert not (await rest_of(client)).startswith(b"HTTP/1.1 200")
+        gate.is_open.set()
+        assert not (await read_to_end(client)).startswith(b"HTTP/1.1 200")
         assert target.begun == []
         client.close()
 
-    play(scene, run=run_on_jumping_clock, classes=(patient,))
+    play(scene, run=run_on_jumping_clock, classes=(patient_class,))
 
 
-def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_request_s(monkeypatch):
-    """It crossed a request sent on the connection meanwhile, and was served as that one's answer."""
+def test_a_late_duplicate_response_is_not_used_for_the_next_request(monkeypatch):
+    """It crossed a request sent on the connection meanwhile, and was served as its response."""
 
     async def scene(world):
-        world.app.target_client.pool._rest = 0.0, 60.0  # the second answer comes within it on any machine
+        world.app.target_client.pool._rest = 0.0, 60.0  # the second response comes within it on any machine
 
-        async def twice(reader, writer):
+        async def serve_twice(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
             answer = http.encode_response(200, world.targets[0].content(1, BLOCK))
             writer.write(answer)
@@ -427,7 +434,7 @@
             writer.write(answer)
             await reader.read()
 
-        served, world.targets[0].serve = world.targets[0].serve, twice
+        served, world.targets[0].serve = world.targets[0].serve, serve_twice
         assert (await world.read(tag=1)).data == world.targets[0].content(1, BLOCK)
         world.targets[0].serve = served
         assert (await world.read(tag=2)).data == world.targets[0].content(2, BLOCK)
@@ -435,29 +442,29 @@
     play(scene)
 
 
-def test_a_connection_that_has_rested_is_used_again_and_one_that_has_not_if_no_other_can_be_had():
+def test_a_connection_is_reused_after_its_rest_or_if_no_other_may_be_opened():
     async def scene(world):
         pool = world.app.target_client.pool
-        for most, soonest, longest, opened in (
+        for max_connections, min_rest, max_rest, opened_count in (
             (99, 0.0, 0.0, 1),
             (99, 0.0, 60.0, 3),
             (3, 0.0, 60.0, 3),
             (99, 60.0, 90.0, 3),
         ):
-            pool._most, pool._rest = most, (soonest, longest)
+            pool._most, pool._rest = max_connections, (min_rest, max_rest)
             for _ in range(2):
                 assert (await world.read(tag=1)).end == "served"
-            assert pool.opened_count == opened
+            assert pool.opened_count == opened_count
 
     play(scene)
 
 
-# --- Answers that end by a reset ------------------------------------------------------------------------
+# --- Responses that end by a reset ------------------------------------------------------------------------
 @pytest.mark.parametrize("size", [5, 20_000, 300_000])
 @pytest.mark.parametrize("reset", [True, False])
 @pytest.mark.parametrize("slow", [False, True])
-def test_a_reset_is_no_end_of_an_answer_without_a_length(size, reset, slow):
-    """Only the connection's end in order makes such an answer whole, also where its client reads slowly."""
+def test_a_reset_does_not_complete_a_response_without_a_length(size, reset, slow):
+    """Only an orderly end of the connection completes such a response, also if its client reads slowly."""
 
     async def scene(world):
         async def answer(reader, writer):
@@ -472,13 +479,13 @@
             writer.transport.close()
 
         world.targets[0].serve = answer
-        client = dial(world)
+        client = connect_client(world)
         if slow:
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        client.sendall(get(1, Connection="close"))
+        client.sendall(encode_get(1, Connection="close"))
         got = b""
         with contextlib.suppress(ConnectionResetError):
-            got = await rest_of(client)
+            got = await read_to_end(client)
         whole = (
             got.startswith(b"HTTP/1.1 200")
             and got.count(b"x") == size
