--- a/stalltiller/routing/action_dispatch.py
+++ b/stalltiller/routing/action_dispatch.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from stalltiller.routing.context import CounterName, EngineContext
+from stalltiller.routing.context import COUNT_ATTEMPTS, EngineContext
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import Attempt, TargetEndpoint
 from stalltiller.routing.request_state import RequestOutcome, RequestState
@@ -206,7 +206,7 @@
             self._timers.call_at(latest_start, self._requests.withdraw, attempt)
 
     def _record_attempt_started(self, attempt: Attempt, state: RequestState) -> None:
-        self._context.counts[CounterName.ATTEMPTS.value] += 1
+        self._context.counts[COUNT_ATTEMPTS] += 1
         if self._context.trace is not None:
             waited_seconds = attempt.sent_at - state.deadline + state.client_request.timeout
             self._context.trace(
--- a/stalltiller/routing/context.py
+++ b/stalltiller/routing/context.py
@@ -6,7 +6,6 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import StrEnum
 
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import AdmissionGate, Attempt, ClientRequest, TargetClient
@@ -15,13 +14,11 @@
 Logger = Callable[..., None]  # called with the name of an event and its details as keywords
 
 
-class CounterName(StrEnum):
-    """Exported counters of the engine besides those of `RequestOutcome`."""
-
-    RECEIVED = "taken"
-    REJECTED_BY_ADMISSION_GATE = "turned_back"
-    ATTEMPTS = "attempts"
-    GUARD_VIOLATIONS = "faults"
+# Names of exported counters, besides the values of `RequestOutcome` and `attempt_STATUS` for each status.
+COUNT_RECEIVED = "taken"
+COUNT_NOT_ADMITTED = "turned_back"
+COUNT_ATTEMPTS = "attempts"
+COUNT_GUARD_VIOLATIONS = "faults"
 
 
 class AdmitAll:
@@ -79,5 +76,5 @@
 
     def report_violation(self, violation: GuardViolation, **details: object) -> None:
         """Count and log that a guard stepped in."""
-        self.counts[CounterName.GUARD_VIOLATIONS.value] += 1
+        self.counts[COUNT_GUARD_VIOLATIONS] += 1
         self.log("fault", reason=violation.value, **details)
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -19,7 +19,7 @@
 from typing import TypeVar
 
 from stalltiller.routing.action_dispatch import ANSWER_MARGIN_SECONDS, ActionDispatcher
-from stalltiller.routing.context import CounterName, EngineContext, Logger
+from stalltiller.routing.context import COUNT_NOT_ADMITTED, COUNT_RECEIVED, EngineContext, Logger
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import (
     AdmissionGate,
@@ -144,20 +144,27 @@
     # --- Requests ---------------------------------------------------------------------------------
     def submit(self, client_request: ClientRequest) -> int:
         """Accept a request and return its id; its response handler is called once, in a later turn."""
+        context = self._context
+        settings = context.settings
         now = self._loop.time()
         lag = self._estimate_lag(now)
         deadline = now - lag + client_request.timeout
         request_id = next(self._request_ids)
-        self._add_request(request_id, client_request, deadline)
-        self._record_received(request_id, client_request, lag)
-        retry_after = self._context.admission_gate.admit(client_request)
+        request_class = settings.classes[client_request.class_index]
+        self._requests.add(
+            RequestState(request_id, client_request, deadline, request_class, settings.max_attempts)
+        )
+        context.counts[COUNT_RECEIVED] += 1
+        if context.trace is not None:
+            self._trace_received(context.trace, request_id, client_request, lag)
+        retry_after = context.admission_gate.admit(client_request)
         if self._is_stopped:
-            retry_after = self.settings.max_retry_after or MIN_SCHEDULING_SECONDS
+            retry_after = settings.max_retry_after or MIN_SCHEDULING_SECONDS
         if retry_after > 0.0:
             self._loop.call_soon(self._reject_at_gate, request_id, retry_after)
             return request_id
         backstop_at = max(deadline - BACKSTOP_MARGIN_SECONDS, now + MIN_SCHEDULING_SECONDS)
-        self.call_at(backstop_at, self._answer_at_deadline, request_id)
+        self._timers.call_at(backstop_at, self._answer_at_deadline, request_id)
         time_remaining = max(0.0, deadline - ANSWER_MARGIN_SECONDS - now)
         self._enqueue(_scheduler_request(request_id, client_request, time_remaining))
         return request_id
@@ -197,30 +204,24 @@
             return min(self._last_batch_duration, MAX_LAG_SECONDS)
         return 0.0
 
-    def _add_request(self, request_id: int, client_request: ClientRequest, deadline: float) -> None:
-        request_class = self.settings.classes[client_request.class_index]
-        max_attempts = self.settings.max_attempts
-        self._requests.add(RequestState(request_id, client_request, deadline, request_class, max_attempts))
-
-    def _record_received(self, request_id: int, client_request: ClientRequest, lag: float) -> None:
-        self.counts[CounterName.RECEIVED.value] += 1
-        if self._context.trace is not None:
-            self._context.trace(
-                "request_received",
-                id=request_id,
-                label=client_request.trace_label,
-                class_index=client_request.class_index,
-                plan_index=client_request.plan_index,
-                units=client_request.units,
-                timeout=client_request.timeout,
-                lag=round(lag, 4),
-            )
+    @staticmethod
+    def _trace_received(trace: Logger, request_id: int, client_request: ClientRequest, lag: float) -> None:
+        trace(
+            "request_received",
+            id=request_id,
+            label=client_request.trace_label,
+            class_index=client_request.class_index,
+            plan_index=client_request.plan_index,
+            units=client_request.units,
+            timeout=client_request.timeout,
+            lag=round(lag, 4),
+        )
 
     def _reject_at_gate(self, request_id: int, retry_after: float) -> None:
         """Reject a request that the admission gate did not admit: nothing of it has been sent."""
         state = self._requests.get_open(request_id)
         if state is not None:
-            self.counts[CounterName.REJECTED_BY_ADMISSION_GATE.value] += 1
+            self.counts[COUNT_NOT_ADMITTED] += 1
             self._requests.finish(state, RequestOutcome.REJECTED)
             retry_after = min(retry_after, self.settings.max_retry_after)
             state.client_request.response_handler.reject(retry_after)
--- a/stalltiller/routing/request_table.py
+++ b/stalltiller/routing/request_table.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Iterator
 
-from stalltiller.routing.context import EngineContext
+from stalltiller.routing.context import EngineContext, Logger
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import Attempt, AttemptResult
 from stalltiller.routing.request_state import NEVER_EXECUTED, RequestOutcome, RequestState
@@ -86,7 +86,9 @@
             self.finish(state, RequestOutcome.SERVED)
             state.client_request.response_handler.complete(result.answer)
         request_done = state.is_finished
-        self._record_attempt_finished(attempt, result.status)
+        self._context.counts[f"attempt_{result.status.value}"] += 1
+        if self._context.trace is not None:
+            self._trace_attempt_finished(self._context.trace, attempt, result.status)
         self._enqueue(
             AttemptFinished(
                 request_id=attempt.request_id,
@@ -100,7 +102,8 @@
                 report=result.report,
             )
         )
-        self._discard_if_over(state)
+        if request_done:
+            self._discard_if_over(state)
 
     def expire(self, attempt: Attempt) -> None:
         """Give an attempt up whose time is over, if it is still in flight."""
@@ -128,17 +131,15 @@
         state = self._states.get(attempt.request_id)
         return state is not None and state.in_flight is attempt
 
-    def _record_attempt_finished(self, attempt: Attempt, status: AttemptStatus) -> None:
-        self._context.counts[f"attempt_{status.value}"] += 1
-        if self._context.trace is not None:
-            self._context.trace(
-                "attempt_finished",
-                id=attempt.request_id,
-                attempt=attempt.number,
-                target=attempt.target_id,
-                status=status.value,
-                ms=round(MILLISECONDS * (self._context.loop.time() - attempt.sent_at), 1),
-            )
+    def _trace_attempt_finished(self, trace: Logger, attempt: Attempt, status: AttemptStatus) -> None:
+        trace(
+            "attempt_finished",
+            id=attempt.request_id,
+            attempt=attempt.number,
+            target=attempt.target_id,
+            status=status.value,
+            ms=round(MILLISECONDS * (self._context.loop.time() - attempt.sent_at), 1),
+        )
 
     def _discard_if_over(self, state: RequestState) -> None:
         if state.is_finished and state.in_flight is None:
