Part the HTTP target side from the server side; name both in HTTP's terms

Change: http_target_client.py, http_payload.py and recent_request_ids.py part from it; constants carry their unit; long methods are split; each public item is documented. The log event bad_answer becomes bad_response, its field node target. Tests patch the constants where they are read.

--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from stalltiller.adapters.nvme_mapping import Mapping, Payload
-from stalltiller.adapters.pooled_target_client import ANSWER_STALL, PooledTargetClient
+from stalltiller.adapters.pooled_target_client import RESPONSE_STALL_TIMEOUT_SECONDS, PooledTargetClient
 from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Attempt, AttemptResult
@@ -89,7 +89,7 @@
             loop = asyncio.get_running_loop()
             self._moved_at = loop.time()
             if self._stall is None:
-                self._stall = loop.call_later(ANSWER_STALL, self._check_stall)
+                self._stall = loop.call_later(RESPONSE_STALL_TIMEOUT_SECONDS, self._check_stall)
         return used
 
     def _check_stall(self) -> None:
@@ -98,7 +98,7 @@
         if not self._in or self._done is None:
             return
         loop = asyncio.get_running_loop()
-        left = self._moved_at + ANSWER_STALL - loop.time()
+        left = self._moved_at + RESPONSE_STALL_TIMEOUT_SECONDS - loop.time()
         if left > 0:
             self._stall = loop.call_later(left, self._check_stall)
             return
--- a/stalltiller/adapters/response_stream.py
+++ b/stalltiller/adapters/response_stream.py
@@ -1,4 +1,8 @@
-"""An answer that is passed on to its client while it still comes in from its target."""
+"""A response that is passed on to its client while it still arrives from its target.
+
+Owned by the connection to the target, which is its source; the client's connection becomes its sink when the
+engine completes the request with it.
+"""
 
 from __future__ import annotations
 
@@ -6,41 +10,48 @@
 
 
 class StreamSource(Protocol):
-    """Where the answer comes from."""
+    """The end at which the response arrives from the target."""
 
     def resume_stream(self) -> None:
-        """The client has read what there was: read on."""
+        """Read on: the client has read everything sent so far."""
 
     def abort_stream(self) -> None:
-        """The client has gone: nobody wants the rest."""
+        """Stop: the client has disconnected, nobody wants the rest."""
 
 
 class StreamSink(Protocol):
-    """Where the answer goes to."""
+    """The end at which the response leaves for the client."""
 
     flushed: bool
 
     def write_part(self, data: bytes) -> None:
-        """Pass some of the body on."""
+        """Send some of the body to the client."""
 
     def finish_stream(self) -> None:
-        """The body has ended."""
+        """End the response: the body is complete."""
 
     def fail_stream(self) -> None:
-        """The rest will not come: end so that the client can tell."""
+        """End the connection so that the client sees that the rest will not arrive."""
 
 
 class ResponseStream:
     """Joins the two ends.
 
-    The target is read only while the client has read all so far.  Guards against answers that are together
-    far above the memory limit: each takes one buffer, however long it is and however slowly it is read.
+    `length` is the body's length in bytes, None if it is not known in advance; `first_part` is what of the
+    body had arrived when the stream was created.
+
+    The target is read only while the client has read everything so far.  Guards against responses that are
+    together far above the memory limit: each takes one buffer, however long it is and however slowly it is
+    read.
     """
 
-    def __init__(self, source: StreamSource, length: int | None, first: bytes) -> None:
-        self.source, self.length, self.first = source, length, first  # length: None if not known ahead
+    def __init__(self, source: StreamSource, length: int | None, first_part: bytes) -> None:
+        self.source = source
+        self.length = length
+        self.first_part = first_part
         self.sink: StreamSink | None = None
 
     @property
     def wants_more(self) -> bool:
+        """Whether the client has read everything sent so far."""
         return self.sink is not None and self.sink.flushed
--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -12,7 +12,8 @@
 import orjson
 
 from stalltiller.adapters.admin_api import admin_listener
-from stalltiller.adapters.http_server import HttpServer, HttpTargetClient
+from stalltiller.adapters.http_server import HttpServer
+from stalltiller.adapters.http_target_client import HttpTargetClient
 from stalltiller.adapters.nvme_controller import NvmeController
 from stalltiller.adapters.nvme_mapping import Mapping
 from stalltiller.adapters.nvme_target_client import NvmeTargetClient
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from stalltiller.adapters.http_server import ClientConnection, TargetConnection
+from stalltiller.adapters.http_server import ClientConnection
+from stalltiller.adapters.http_target_client import TargetConnection
 from stalltiller.protocol.platform import FieldError
 from stalltiller.transport.buffers import BufferPool, MemoryBudget
 from stalltiller.transport.connection import Connection
@@ -114,9 +115,9 @@
         loop=None,
         stopping=False,
         engine=SimpleNamespace(counts=Counter()),
-        fields=SimpleNamespace(parse=refuse_fields),
-        unread=MemoryBudget(99),
-        bodies=MemoryBudget(99),
+        request_fields=SimpleNamespace(parse=refuse_fields),
+        unread_response_budget=MemoryBudget(99),
+        request_body_budget=MemoryBudget(99),
     )
     connection = ClientConnection(front, Listener(None, 9, 9))
     connection.connection_made(Transport())
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from stalltiller.adapters.http_server import RecentIds
+from stalltiller.adapters.recent_request_ids import RecentRequestIds
 from stalltiller.protocol import http
 from stalltiller.transport.watch import BackoffPollPolicy
 from tests.helpers import request_class
@@ -90,7 +90,7 @@
 
 
 def test_a_request_that_is_begun_and_not_ended_is_given_up(monkeypatch):
-    monkeypatch.setattr("stalltiller.adapters.http_server.STALL_LIMIT", 0.05)
+    monkeypatch.setattr("stalltiller.adapters.http_server.REQUEST_TIMEOUT_SECONDS", 0.05)
 
     async def scene(world, reader, writer):
         writer.write(GET[:-2])
@@ -131,9 +131,9 @@
 
 
 def test_ids_are_forgotten_in_time():
-    ids = RecentIds(2.0)
+    ids = RecentRequestIds(2.0)
     assert [ids.claim(now, "a") for now in (10.0, 11.9, 13.0, 15.1)] == [True, False, False, True]
-    assert len(ids._new) + len(ids._old) == 1
+    assert len(ids._current) + len(ids._previous) == 1
 
 
 def test_the_error_for_a_huge_body_can_be_read_and_the_body_takes_no_memory():
@@ -214,7 +214,7 @@
         world.targets[0].serve = serve
         writer.write(http.encode_request("PUT", "/write/9", GOOD, b"x"))
         assert (await read_message(reader, response=True)).head.status == 504
-        assert any(line["event"] == "bad_answer" for line in world.logged)
+        assert any(line["event"] == "bad_response" for line in world.logged)
 
     play(scene)
 
@@ -434,7 +434,7 @@
                 out.write(http.encode_response(200, bytes(1_000_000)))
 
         world.targets[0].serve = serve
-        world.app.server.unread._most = 100_000
+        world.app.server.unread_response_budget._most = 100_000
         client, asking = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
         await world.until(lambda: len(world.app.listener) == 2)
         for ours in world.app.listener._strangers:
@@ -443,7 +443,9 @@
         asking.transport.pause_reading()
         asking.write(GET)
         await world.until(lambda: world.app.engine.counts["served"] == 1)
-        await world.until(lambda: len(world.app.listener) <= 1 and world.app.server.unread.reserved == 0)
+        await world.until(
+            lambda: len(world.app.listener) <= 1 and world.app.server.unread_response_budget.reserved == 0
+        )
         asking.transport.abort()
 
     play(scene)
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from stalltiller.adapters import http_server
+from stalltiller.adapters import http_server, http_target_client
 from stalltiller.protocol import http
 from tests.stand_ins import read_message
 from tests.test_http_server import GET, GOOD, play
@@ -70,7 +70,7 @@
         assert bytes(message.body) == LONG
         engine = world.app.engine
         await world.until(lambda: engine.counts["relayed"] == engine.counts["served"] == 1)
-        assert engine.open_request_count == 0 and world.app.target_client.allowance.reserved == 0
+        assert engine.open_request_count == 0 and world.app.target_client.response_budget.reserved == 0
 
     play(scene)
 
@@ -113,7 +113,7 @@
 
 
 def test_a_target_that_stands_still_in_a_long_answer_is_given_up(monkeypatch):
-    monkeypatch.setattr(http_server, "RELAY_STALL", 0.1)
+    monkeypatch.setattr(http_target_client, "STREAM_STALL_TIMEOUT_SECONDS", 0.1)
 
     async def scene(world, reader, writer):
         serving(world, answer("length"), asyncio.Event(), False)
@@ -127,7 +127,7 @@
 
 
 def test_a_client_that_does_not_read_holds_the_target_back_and_is_cut_off(monkeypatch):
-    monkeypatch.setattr(http_server, "UNREAD_LIMIT", 0.3)
+    monkeypatch.setattr(http_server, "UNREAD_TIMEOUT_SECONDS", 0.3)
 
     async def scene(world, reader, writer):
         go_on = asyncio.Event()
@@ -146,7 +146,7 @@
 
 
 def test_a_client_that_reads_slowly_gets_the_whole_of_a_long_answer(monkeypatch):
-    monkeypatch.setattr(http_server, "UNREAD_LIMIT", 0.2)
+    monkeypatch.setattr(http_server, "UNREAD_TIMEOUT_SECONDS", 0.2)
 
     async def scene(world, reader, writer):
         go_on = asyncio.Event()
@@ -178,14 +178,14 @@
         writer.write(raw)
         assert (await read_message(reader, response=True)).head.status == 200
         assert world.targets[0].ran == [(9, LONG)]
-        assert world.app.server.bodies.reserved == 0
+        assert world.app.server.request_body_budget.reserved == 0
 
     play(scene)
 
 
 def test_a_slow_body_has_its_time_and_one_that_stands_still_has_not(monkeypatch):
-    monkeypatch.setattr(http_server, "STALL_LIMIT", 0.1)
-    monkeypatch.setattr(http_server, "SLOWEST", 20_000)
+    monkeypatch.setattr(http_server, "REQUEST_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(http_server, "MIN_BODY_RATE_BYTES_PER_SECOND", 20_000)
     monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.2)
 
     async def scene(world, reader, writer):
@@ -202,11 +202,11 @@
 
 def test_bodies_are_held_to_an_allowance_and_given_back():
     async def scene(world, reader, writer):
-        world.app.server.bodies._most = 300_000
+        world.app.server.request_body_budget._most = 300_000
         raw = http.encode_request("PUT", "/write/9", GOOD, LONG)
         writer.write(raw)
         assert (await read_message(reader, response=True)).head.status == 503
-        await world.until(lambda: world.app.server.bodies.reserved == 0)
+        await world.until(lambda: world.app.server.request_body_budget.reserved == 0)
         assert world.app.engine.counts["taken"] == 0
 
     play(scene)
@@ -218,7 +218,7 @@
         for status in (200, 409):  # the second time its id is not new
             writer.write(raw)
             assert (await read_message(reader, response=True)).head.status == status
-            assert world.app.server.bodies.reserved == 0
+            assert world.app.server.request_body_budget.reserved == 0
 
     play(scene)
 
--- a/tests/test_nvme_controller.py
+++ b/tests/test_nvme_controller.py
@@ -219,7 +219,7 @@
 
         world.targets[0].act = act
         assert (await world.write()).end == "failed"
-        assert any(line["event"] == "bad_answer" for line in world.logged)
+        assert any(line["event"] == "bad_response" for line in world.logged)
         assert world.app.engine.counts["attempts"] == 1
 
     play(scene)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -182,7 +182,7 @@
 
     async def scene(world):
         client = dial(world)
-        arriving(monkeypatch, "_answer", "before", lambda: client.sendall(b"GET /late"))
+        arriving(monkeypatch, "_write_response", "before", lambda: client.sendall(b"GET /late"))
         client.sendall(get(1, Connection="close", **({"Tier": "tin"} if bad else {})))
         answer = await rest_of(client)
         assert answer.startswith(b"HTTP/1.1 400" if bad else b"HTTP/1.1 200")
