--- a/stalltiller/adapters/http_server.py
+++ b/stalltiller/adapters/http_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from http import HTTPMethod
 
 from stalltiller.adapters.http_payload import SMALL_BODY_BYTES, Payload
 from stalltiller.adapters.recent_request_ids import RecentRequestIds
@@ -23,7 +24,6 @@
 from stalltiller.transport.listener import Listener
 
 READY_PATH = "/healthz"
-WRITE_METHOD = "PUT"
 # How long a client may take to send a request's head; for a body it gets the time of MIN_BODY_RATE on top.
 REQUEST_TIMEOUT_SECONDS = 2.5
 MIN_BODY_RATE_BYTES_PER_SECOND = 48_000  # a body that arrives more slowly is not waited for
@@ -235,7 +235,7 @@
             volume_initiator_count=info.volume_initiator_count,
             idempotency_key=info.idempotency_key,
             shard=info.shard,
-            is_write=head.method == WRITE_METHOD,
+            is_write=head.method == HTTPMethod.PUT,
             is_retry=info.is_retry,
             timeout=info.timeout,
             payload=payload,
--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -12,12 +12,13 @@
 import orjson
 
 from stalltiller.adapters.admin_api import admin_listener
+from stalltiller.adapters.discovery_codec import WatchCodec
 from stalltiller.adapters.http_server import HttpServer
 from stalltiller.adapters.http_target_client import HttpTargetClient
 from stalltiller.adapters.nvme_controller import NvmeController
 from stalltiller.adapters.nvme_mapping import Mapping
 from stalltiller.adapters.nvme_target_client import NvmeTargetClient
-from stalltiller.adapters.target_directory import TargetDirectory, WatchCodec
+from stalltiller.adapters.target_directory import TargetDirectory
 from stalltiller.daemon.config import Config, ConfigError
 from stalltiller.daemon.log import JsonLog
 from stalltiller.daemon.metrics import Metrics
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from stalltiller.adapters.target_directory import WatchCodec
+from stalltiller.adapters.discovery_codec import WatchCodec
 from stalltiller.protocol import http
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.watch import NOTIFICATION_DEADLINE, BackoffPollPolicy, Watch
