Part the NVMe controller by association, host queue, I/O and admin commands; name both sides in NVMe's terms

Change: nvme_association.py, nvme_host_queue.py, nvme_io_command.py, nvme_admin_commands.py part from it and nvme_target_queue.py from the target client; byte offsets and limits are named constants; OpcodeMapping replaces a tuple.

--- /dev/null
+++ b/stalltiller/adapters/nvme_host_queue.py
@@ -0,0 +1,312 @@
+"""One connection of a host: a queue of its association, named by its Connect command.
+
+`HostQueue` owns the connection's state and the I/O commands in progress on it.  A host that breaks the
+protocol ends its own association alone.  Source: the NVM Express TCP Transport and Base Specifications.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from stalltiller.adapters.nvme_admin_commands import run_admin_command
+from stalltiller.adapters.nvme_association import Association
+from stalltiller.adapters.nvme_io_command import IoCommand
+from stalltiller.adapters.nvme_mapping import Namespace
+from stalltiller.protocol import nvme
+from stalltiller.transport.connection import Connection
+from stalltiller.transport.listener import Listener
+
+if TYPE_CHECKING:
+    from stalltiller.adapters.nvme_controller import NvmeController
+
+MAX_IO_QUEUES = 8  # of one association
+MIN_QUEUE_ENTRIES = 2
+MAX_COMMANDS = 4096  # of all hosts together; past it, commands are rejected
+UNREAD_TIMEOUT_SECONDS = 10.0  # how long a host may leave completions unread
+DISCONNECT_CHECK_SECONDS = 0.05  # between checks whether a host that is not read from has disconnected
+BUSY_DELAY_INDEX = 3  # the longest Command Retry Delay
+# Byte offsets in the submission queue entry of Connect
+CONNECT_RECORD_FORMAT_AT = 40
+CONNECT_QUEUE_ID_AT = 42
+CONNECT_QUEUE_SIZE_AT = 44
+CONNECT_KEEP_ALIVE_AT = 48  # milliseconds
+# Where a TermReq points at in a PDU's header
+CAPSULE_LENGTH_AT = 4
+CAPSULE_COMMAND_ID_AT = 10
+DATA_OFFSET_AT = 8
+DATA_LENGTH_AT = 12
+
+
+class HostQueue(Connection):
+    """A host's connection; `association` is None before its Connect and after its queue was closed."""
+
+    def __init__(self, controller: NvmeController, listener: Listener) -> None:
+        super().__init__(controller.buffers)
+        self.controller = controller
+        self._listener = listener
+        self._reader = nvme.PduReader(nvme.FROM_HOST)
+        self._is_initialized = False  # ICReq was received
+        self._unread_bytes = 0  # reserved in the controller's budget of unread responses
+        self._submission_head = 0
+        self.association: Association | None = None
+        self.queue_id = 0  # 0 for the admin queue
+        self.entry_count = 0
+        self.commands: dict[int, IoCommand] = {}  # by command identifier
+        self.orphaned_bytes: dict[int, int] = {}  # still to arrive for aborted writes, by command identifier
+
+    # --- The connection ---
+    def on_connected(self) -> None:
+        """Register with the listener."""
+        self._listener.add(self)
+
+    def on_disconnected(self, _error: Exception | None) -> None:
+        """End the whole association."""
+        self._reserve_unread(0)
+        self._listener.remove(self)
+        if self.association is not None:
+            self.association.end()
+
+    def close_if_idle(self) -> bool:
+        """Close while the program stops and return whether it did; a host's idle queue is in use before."""
+        is_busy = self.association is not None and self.association.has_commands()
+        if not self.controller.stopping or is_busy:
+            return False
+        self.close_gracefully()
+        return True
+
+    def close_gracefully(self) -> None:
+        """Shut down sending after what was written and drop what still arrives."""
+        if not self.is_closing and not self.half_closed:
+            self._listener.closing_gracefully(self)
+            super().close_gracefully()
+
+    def on_buffer_full(self) -> None:
+        """Wait until the host reads its completions.
+
+        Guards against a host that disconnects meanwhile: reading does not show it, and its commands would be
+        sent to targets.
+        """
+        super().on_buffer_full()
+        self._check_disconnect()
+
+    def _check_disconnect(self) -> None:
+        if self._paused and not self.is_closing:
+            if self.is_peer_closed():
+                self.abort()
+            else:
+                self.controller.loop.call_later(DISCONNECT_CHECK_SECONDS, self._check_disconnect)
+
+    def abort_partial_responses(self) -> None:
+        """Do nothing: only a completion ends a command."""
+
+    def on_request_timeout(self) -> None:
+        """Abort: the Connect command has not arrived in time."""
+        self.abort()
+
+    def reject_requests(self) -> None:
+        """Abort: there are too many connections."""
+        self.abort()
+
+    def on_data(self, data: memoryview) -> int:
+        """Parse a PDU and process it; return the number of bytes consumed."""
+        if not self.flushed:
+            return 0  # no further commands of a host that does not read its completions
+        try:
+            consumed, pdu = self._reader.feed(data)
+            self._listener.request_started(self)
+            if pdu is not None:
+                self._handle_pdu(pdu)
+        except nvme.PduError as error:
+            self._terminate(error)
+            return len(data)
+        return consumed
+
+    def pause_writing(self) -> None:
+        """Limit the time for which the host may read nothing."""
+        super().pause_writing()
+        self.abort_if_unread(UNREAD_TIMEOUT_SECONDS)
+
+    def resume_writing(self) -> None:
+        """Go on once the host has read everything that was written."""
+        self._reserve_unread(0)
+        super().resume_writing()
+
+    def _reserve_unread(self, size: int) -> bool:
+        change = size - self._unread_bytes
+        self._unread_bytes = size
+        return self.controller.unread_response_budget.adjust(change)
+
+    # --- For the association and its commands ---
+    def cancel_commands(self) -> None:
+        """Cancel all I/O commands: their host has disconnected."""
+        for command in list(self.commands.values()):
+            command.cancel()
+
+    def send_completion(self, completion: nvme.Completion) -> None:
+        """Send a completion; a host that leaves too many unread loses its connection."""
+        self._submission_head = (self._submission_head + 1) % max(1, self.entry_count)
+        self.write(nvme.completion(completion, self.queue_id, self._submission_head))
+        if self.flushed or self.is_closing:
+            return
+        assert self.transport is not None
+        if not self._reserve_unread(self.transport.get_write_buffer_size()):
+            self.abort()
+
+    def _terminate(self, error: nvme.PduError) -> None:
+        """Report a protocol error to the host and end its association alone."""
+        self.controller.engine.counts["bad_pdus"] += 1
+        self.controller.log("bad_pdu", error=str(error), status=error.status)
+        self.write(nvme.term(nvme.C2H_TERM, error))
+        self.close_gracefully()
+        if self.association is not None:
+            self.association.end()
+
+    # --- PDUs ---
+    def _handle_pdu(self, pdu: nvme.Pdu) -> None:
+        if self.association is not None:
+            self.association.last_received_at = self.controller.loop.time()
+        if pdu.kind == nvme.H2C_TERM:
+            self.controller.log("host_terminated", status=nvme.parse_term(pdu)[0])
+            self.close_gracefully()
+        elif not self._is_initialized:
+            if pdu.kind != nvme.IC_REQ:
+                raise nvme.PduError("the first PDU must be ICReq", nvme.BAD_SEQUENCE)
+            nvme.parse_ic(pdu)
+            self._is_initialized = True
+            self.write(nvme.ic_response())
+        elif pdu.kind == nvme.CAPSULE:
+            self._handle_command(nvme.parse_command(pdu), pdu.data)
+        elif pdu.kind == nvme.H2C_DATA:
+            self._handle_data(pdu)
+        else:
+            raise nvme.PduError("a second ICReq", nvme.BAD_SEQUENCE)
+
+    def _handle_command(self, command: nvme.Command, data: bytes) -> None:
+        if len(data) > nvme.IN_CAPSULE:
+            raise nvme.PduError("more data in a capsule than was offered", nvme.BAD_FIELD, CAPSULE_LENGTH_AT)
+        if self.association is None:
+            status = self._connect(command, data)
+            if status != nvme.OK:
+                self.send_completion(nvme.Completion(command.cid, status, no_retry=True))
+        elif self.queue_id:
+            self._handle_io_command(command, data)
+        else:
+            status, result = run_admin_command(self, self.association, command)
+            self.send_completion(nvme.Completion(command.cid, status, result, no_retry=status != nvme.OK))
+
+    # --- Connect ---
+    def _connect(self, command: nvme.Command, data: bytes) -> int:
+        """Join or create an association and return the status.
+
+        The completion is sent here if the status is OK, else by the caller.
+        """
+        if command.opcode != nvme.FABRICS or command.nsid != nvme.CONNECT:
+            return nvme.SEQUENCE
+        if len(data) != nvme.CONNECT_SIZE or command.u16(CONNECT_RECORD_FORMAT_AT) != 0:
+            return nvme.BAD_CONNECT
+        controller_id, subsystem, _ = nvme.parse_connect(data)
+        queue_id = command.u16(CONNECT_QUEUE_ID_AT)
+        entry_count = command.u16(CONNECT_QUEUE_SIZE_AT) + 1
+        if subsystem != self.controller.mapping.subsystem:
+            return nvme.BAD_CONNECT
+        if queue_id == 0:
+            if controller_id != nvme.DYNAMIC or not _is_valid_size(entry_count, nvme.ADMIN_ENTRIES):
+                return nvme.BAD_CONNECT
+            keep_alive = command.u32(CONNECT_KEEP_ALIVE_AT) / 1000
+            association = self.controller.create_association(keep_alive)
+            if association is None:
+                return nvme.BUSY
+        else:
+            association = self._find_association(controller_id, queue_id, entry_count)
+            if association is None:
+                return nvme.BAD_CONNECT
+        self._listener.request_finished(self)
+        self.association = association
+        self.queue_id = queue_id
+        self.entry_count = entry_count
+        association.queues[queue_id] = self
+        self.send_completion(nvme.Completion(command.cid, result=association.controller_id))
+        return nvme.OK
+
+    def _find_association(self, controller_id: int, queue_id: int, entry_count: int) -> Association | None:
+        """Return the association that an I/O queue may join, None if it may not."""
+        association = self.controller.associations.get(controller_id)
+        if association is None or not association.is_enabled:
+            return None
+        if queue_id > MAX_IO_QUEUES or queue_id in association.queues:
+            return None
+        return association if _is_valid_size(entry_count, nvme.IO_ENTRIES) else None
+
+    # --- I/O commands ---
+    def _handle_io_command(self, command: nvme.Command, data: bytes) -> None:
+        if command.cid in self.commands or command.cid in self.orphaned_bytes:
+            raise nvme.PduError("command id in use", nvme.BAD_FIELD, CAPSULE_COMMAND_ID_AT)
+        if len(self.commands) >= self.entry_count - 1:
+            raise nvme.PduError("more commands than the queue holds", nvme.BAD_SEQUENCE)
+        namespace = self.controller.mapping.namespaces.get(command.nsid)
+        status = self._validate(command, namespace)
+        if status != nvme.OK or namespace is None:
+            self.send_completion(nvme.Completion(command.cid, status, no_retry=True))
+            return
+        io_command = IoCommand(self, command, namespace, self.controller.loop.time())
+        if not self.controller.reserve(io_command):
+            self.send_completion(nvme.Completion(command.cid, nvme.NOT_READY, delay=BUSY_DELAY_INDEX))
+            return
+        self.commands[command.cid] = io_command
+        if io_command.is_write and command.sgl != nvme.IN_CAPSULE_SGL:
+            self._request_data(io_command)
+        else:
+            io_command.data += data
+            self.controller.submit(io_command)
+
+    def _validate(self, command: nvme.Command, namespace: Namespace | None) -> int:
+        """Return the status of a command that can't be executed, else OK."""
+        if command.opcode not in self.controller.mapping.opcodes:
+            return nvme.BAD_OPCODE
+        if namespace is None:
+            return nvme.BAD_NAMESPACE
+        if command.lba + command.blocks > namespace.blocks:
+            return nvme.OUT_OF_LBA
+        if command.length != command.blocks * namespace.block_size or command.length > nvme.MAX_DATA:
+            return nvme.INVALID_FIELD
+        return nvme.OK
+
+    def _request_data(self, io_command: IoCommand) -> None:
+        """Ask the host for the data of a write; it has the command's deadline to send it."""
+        deadline = self.controller.mapping.opcodes[nvme.WRITE].deadline
+        io_command.data_timer = self.controller.loop.call_later(deadline, self._on_data_timeout)
+        cid = io_command.command.cid
+        self.write(nvme.r2t(cid, cid, 0, io_command.size))
+
+    def _on_data_timeout(self) -> None:
+        self.controller.log("host_stalled", queue=self.queue_id)
+        assert self.association is not None
+        self.association.end()
+
+    def _handle_data(self, pdu: nvme.Pdu) -> None:
+        cid, tag, offset, length = nvme.parse_data(pdu)
+        if cid in self.orphaned_bytes:
+            self.orphaned_bytes[cid] -= length
+            if self.orphaned_bytes[cid] <= 0:
+                del self.orphaned_bytes[cid]
+            return
+        io_command = self.commands.get(cid)
+        if (
+            io_command is None
+            or tag != cid
+            or io_command.data_timer is None
+            or io_command.request_number is not None
+        ):
+            raise nvme.PduError("data that was not asked for", nvme.BAD_SEQUENCE)
+        if offset != len(io_command.data) or offset + length > io_command.size:
+            raise nvme.PduError("data out of range", nvme.OUT_OF_RANGE, DATA_OFFSET_AT)
+        io_command.data += pdu.data
+        if len(io_command.data) == io_command.size:
+            io_command.data_timer.cancel()
+            self.controller.submit(io_command)
+        elif pdu.flags & nvme.LAST:
+            raise nvme.PduError("data ends early", nvme.OUT_OF_RANGE, DATA_LENGTH_AT)
+
+
+def _is_valid_size(entry_count: int, max_entries: int) -> bool:
+    return MIN_QUEUE_ENTRIES <= entry_count <= max_entries
--- /dev/null
+++ b/stalltiller/adapters/nvme_io_command.py
@@ -0,0 +1,77 @@
+"""One Read or Write command of a host, from its capsule to its completion.
+
+Owned by its I/O queue; the engine answers the request through it (`ResponseHandler`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from stalltiller.adapters.nvme_mapping import Namespace
+from stalltiller.protocol import nvme
+
+if TYPE_CHECKING:
+    from stalltiller.adapters.nvme_host_queue import HostQueue
+
+
+class IoCommand:
+    """A host's Read or Write command.
+
+    `data` collects what the host sends of a write.  `request_number` is the engine's number of the request,
+    None until it is submitted; `data_timer` is set for a write whose data the host was asked for.
+    """
+
+    def __init__(
+        self, queue: HostQueue, command: nvme.Command, namespace: Namespace, received_at: float
+    ) -> None:
+        self.queue = queue
+        self.command = command
+        self.namespace = namespace
+        self.received_at = received_at
+        self.size = command.blocks * namespace.block_size  # bytes
+        self.data = bytearray()
+        self.request_number: int | None = None
+        self.data_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_write(self) -> bool:
+        """Whether the command is a Write."""
+        return self.command.opcode == nvme.WRITE
+
+    def complete(self, answer: bytes) -> None:
+        """Send what a target read, and a successful completion."""
+        if answer:
+            self.queue.write(nvme.data_pdu(nvme.C2H_DATA, self.command.cid, 0, 0, answer))
+        self._send_completion()
+
+    def reject(self, retry_after: float) -> None:
+        """Complete as retryable, with the delay nearest to `retry_after` seconds; nothing was executed."""
+        self._send_completion(nvme.NOT_READY, delay=self.queue.controller.delay_index(retry_after))
+
+    def fail(self) -> None:
+        """Complete as failed; a write may have been executed, so the host must not repeat it on its own."""
+        self._send_completion(nvme.INTERNAL, no_retry=self.is_write)
+
+    def is_disconnected(self) -> bool:
+        """Return whether the host has closed the queue's connection."""
+        return self.queue.is_peer_closed()
+
+    def cancel(self) -> None:
+        """Give the command up for its host; data that it was asked for may still arrive."""
+        self._release()
+        if self.data_timer is not None and self.request_number is None:
+            self.queue.orphaned_bytes[self.command.cid] = self.size - len(self.data)
+        if self.request_number is not None:
+            self.queue.controller.engine.cancel(self.request_number)
+
+    def _send_completion(self, status: int = nvme.OK, delay: int = 0, no_retry: bool = False) -> None:
+        self._release()
+        self.queue.send_completion(nvme.Completion(self.command.cid, status, 0, delay, no_retry))
+
+    def _release(self) -> None:
+        """Remove the command from its queue and give its memory back."""
+        if self.queue.commands.pop(self.command.cid, None) is not None:
+            self.queue.controller.command_data_budget.adjust(-self.size)
+        if self.data_timer is not None:
+            self.data_timer.cancel()
--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -1,242 +1,156 @@
-"""The second wire towards targets: a host of NVMe over TCP.
+"""The NVMe/TCP target side: associations that send attempts to targets, as a host does.
 
-Each channel of the pool is an association of its own with one I/O queue and one command at a time, so that
+Each channel of the pool is an association of its own with one I/O queue and one command in flight, so that
 giving an attempt up, which closes its association, disturbs no other.
 """
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 import os
 from collections.abc import Callable
 
 from stalltiller.adapters.nvme_mapping import Mapping, Payload
-from stalltiller.adapters.pooled_target_client import RESPONSE_STALL_TIMEOUT_SECONDS, PooledTargetClient
+from stalltiller.adapters.nvme_target_queue import TargetQueue
+from stalltiller.adapters.pooled_target_client import PooledTargetClient
 from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Attempt, AttemptResult
 from stalltiller.scheduling import AttemptStatus
 from stalltiller.transport.buffers import BufferPool
-from stalltiller.transport.connection import Connection
-
-KEEP_ALIVE = 10.0  # s that targets are told; it is sent in half the time
-ENABLE_POLL = 0.01  # s between looks at whether a target's controller is ready
-
-
-class TargetQueue(Connection):
-    """One queue to a target, with one command out at a time."""
-
-    def __init__(self, buffers: BufferPool) -> None:
-        super().__init__(buffers)
-        self._reader = nvme.PduReader(nvme.FROM_CONTROLLER)
-        self._cids = itertools.cycle(range(1, 0x8000))
-        self._done: Callable[[nvme.Completion | None, bytes], None] | None = None
-        self._cid = 0
-        self._out, self._in = b"", bytearray()  # data still to send, and received
-        self._size = 0
-        self._moved_at = 0.0  # when bytes came last
-        self._stall: asyncio.TimerHandle | None = None
-        self._max_data = nvme.MAX_DATA
-        self._greeting: asyncio.Future[None] | None = None
-        self.error: nvme.PduError | None = None
-        self.on_end: Callable[[], None] | None = None
 
-    @property
-    def busy(self) -> bool:
-        return self._done is not None
-
-    async def greet(self) -> None:
-        self._greeting = asyncio.get_running_loop().create_future()
-        self.write(nvme.ic_request())
-        await self._greeting
-
-    async def ask(self, encode: Callable[[int], bytes], size: int = 0) -> tuple[nvme.Completion, bytes]:
-        """Run a command of the handshake; one that fails is a ConnectionError."""
-        answer = asyncio.get_running_loop().create_future()
-        self.run(encode, lambda done, data: answer.done() or answer.set_result((done, data)), size=size)
-        done, data = await answer
-        if done is None or done.status:
-            raise ConnectionError("the target refused the association")
-        return done, data
-
-    def run(
-        self,
-        encode: Callable[[int], bytes],
-        done: Callable[[nvme.Completion | None, bytes], None],
-        data: bytes = b"",
-        size: int = 0,
-    ) -> None:
-        """Send a command; `done` is called once, with None if the queue is lost.
-
-        `data` goes when the target asks for it, `size` bytes are to come back.
-        """
-        self._cid = next(self._cids)
-        self._done, self._out, self._in, self._size = done, data, bytearray(), size
-        self.write(encode(self._cid))
-
-    def on_data(self, data: memoryview) -> int:
-        try:
-            used, found = self._reader.feed(data)
-            if found is not None:
-                self._take(found)
-        except nvme.PduError as error:
-            self.error = error
-            self.write(nvme.term(nvme.H2C_TERM, error))
-            self.close()
-            return len(data)
-        if self._in and self._done is not None:
-            loop = asyncio.get_running_loop()
-            self._moved_at = loop.time()
-            if self._stall is None:
-                self._stall = loop.call_later(RESPONSE_STALL_TIMEOUT_SECONDS, self._check_stall)
-        return used
-
-    def _check_stall(self) -> None:
-        """Guard against answers that stop short on a connection that stays open."""
-        self._stall = None
-        if not self._in or self._done is None:
-            return
-        loop = asyncio.get_running_loop()
-        left = self._moved_at + RESPONSE_STALL_TIMEOUT_SECONDS - loop.time()
-        if left > 0:
-            self._stall = loop.call_later(left, self._check_stall)
-            return
-        self.error = nvme.PduError("the answer stopped short")
-        self.abort()
-
-    def eof_received(self) -> bool:
-        self.abort()
-        return False
-
-    def on_disconnected(self, error: Exception | None) -> None:
-        if self._greeting is not None and not self._greeting.done():
-            self._greeting.set_exception(ConnectionResetError("the target closed the queue"))
-        self._finish(None)
-        if self.on_end is not None:
-            self.on_end()
-
-    def _take(self, found: nvme.Pdu) -> None:
-        if found.kind == nvme.C2H_TERM:
-            self.abort()
-        elif found.kind == nvme.IC_RESP:
-            if self._greeting is None or self._greeting.done():
-                raise nvme.PduError("ICResp not asked for", nvme.BAD_SEQUENCE)
-            self._max_data = min(nvme.MAX_DATA, max(nvme.PAGE, nvme.parse_ic(found)))
-            self._greeting.set_result(None)
-        elif found.kind == nvme.RESPONSE:
-            done = nvme.parse_completion(found)
-            self._mine(done.cid)
-            self._finish(done)
-        else:
-            cid, tag, offset, length = nvme.parse_data(found)
-            self._mine(cid)
-            if found.kind == nvme.R2T:
-                self._send_data(tag, offset, length)
-                return
-            if offset != len(self._in) or offset + length > self._size:
-                raise nvme.PduError("data out of range", nvme.OUT_OF_RANGE, 8)
-            self._in += found.data
-            if found.flags & nvme.SUCCESS:
-                self._finish(nvme.Completion(cid))
-
-    def _mine(self, cid: int) -> None:
-        if self._done is None or cid != self._cid:
-            raise nvme.PduError("a command that is not out", nvme.BAD_SEQUENCE)
-
-    def _send_data(self, tag: int, offset: int, length: int) -> None:
-        end = offset + length
-        if not length or end > len(self._out):
-            raise nvme.PduError("data asked for is out of range", nvme.OUT_OF_RANGE, 12)
-        for at in range(offset, end, self._max_data):
-            part = self._out[at : min(end, at + self._max_data)]
-            flags = nvme.LAST if at + len(part) == end else 0
-            self.write(nvme.data_pdu(nvme.H2C_DATA, self._cid, tag, at, part, flags))
-
-    def _finish(self, completion: nvme.Completion | None) -> None:
-        done, self._done = self._done, None
-        if done is not None:
-            done(completion, bytes(self._in))
+KEEP_ALIVE_TIMEOUT_SECONDS = 10.0  # what targets are told
+KEEP_ALIVE_INTERVAL_SECONDS = KEEP_ALIVE_TIMEOUT_SECONDS / 2
+READY_POLL_SECONDS = 0.01  # between checks whether a target's controller is ready
+ADMIN_QUEUE_ID = 0
+IO_QUEUE_ID = 1
+QUEUE_ENTRIES = 8
+CONTROLLER_ID_MASK = 0xFFFF  # in the result of Connect
+CC_ENTRY_SIZES = 0x460000  # CC: queue entries of 64 and 16 bytes, the only ones over fabrics
+CONNECTIONS_PER_ASSOCIATION = 2
+HOST_NQN_PREFIX = "nqn.2014-08.org.nvmexpress:stalltiller:"
 
 
 class TargetAssociation:
-    """A pool's channel: an association with a target, its admin queue and one I/O queue."""
+    """A pool's channel: an association with a target, its admin queue and one I/O queue.
+
+    `capsule_limit` is the number of bytes of data that the target takes in a capsule.
+    """
 
-    def __init__(self, carrier: NvmeTargetClient, admin: TargetQueue, io: TargetQueue, capsule: int) -> None:
-        self._carrier, self._admin, self._io, self._capsule = carrier, admin, io, capsule
+    def __init__(
+        self,
+        target_client: NvmeTargetClient,
+        admin_queue: TargetQueue,
+        io_queue: TargetQueue,
+        capsule_limit: int,
+    ) -> None:
+        self._target_client = target_client
+        self._admin_queue = admin_queue
+        self._io_queue = io_queue
+        self._capsule_limit = capsule_limit
         self._attempt: Attempt | None = None
-        admin.on_end = io.on_end = self.close
-        self._beat = carrier.loop.call_later(KEEP_ALIVE / 2, self._keep_alive)
+        admin_queue.on_end = self.close
+        io_queue.on_end = self.close
+        self._keep_alive_timer = self._start_keep_alive_timer()
 
     @property
     def is_closing(self) -> bool:
-        return self._admin.is_closing or self._io.is_closing
+        """Whether one of its connections is closing or closed."""
+        return self._admin_queue.is_closing or self._io_queue.is_closing
 
     def is_clean(self) -> bool:
-        return (
-            not self._admin.is_closing and self._io.is_clean()
-        )  # the admin queue may have a keep alive answered
+        """Return whether it is open and nothing unexpected has arrived on the I/O queue."""
+        # The admin queue may hold the answer to a keep alive.
+        return not self._admin_queue.is_closing and self._io_queue.is_clean()
 
     def start_exchange(self, attempt: Attempt) -> None:
+        """Send an attempt's command; the data of a write goes in the capsule if the target takes it there."""
         self._attempt = attempt
-        p: Payload = attempt.payload
-        size, inside = len(p.data) or p.size, p.data if len(p.data) <= self._capsule else b""
-        self._io.run(
-            lambda cid: nvme.io_command(p.opcode, cid, p.nsid, p.lba, p.blocks, size, inside),
-            self._done,
-            p.data,
-            p.size,
-        )
+        payload: Payload = attempt.payload
+        size = len(payload.data) or payload.size
+        capsule_data = payload.data if len(payload.data) <= self._capsule_limit else b""
+
+        def encode(cid: int) -> bytes:
+            return nvme.io_command(
+                payload.opcode, cid, payload.nsid, payload.lba, payload.blocks, size, capsule_data
+            )
+
+        self._io_queue.run(encode, self._on_completion, payload.data, payload.size)
 
     def is_fully_sent(self) -> bool:
-        return True  # a capsule is enough to make a target begin
+        """Return True: a capsule is enough for a target to begin."""
+        return True
 
     def abandon(self) -> bool:
-        """Any byte of a capsule sent may have made a target run it, whatever of its data has followed."""
+        """Give the attempt up and return whether it may have been executed.
+
+        Any byte of a capsule sent may have made a target execute it, whatever of its data has followed.
+        """
         self._attempt = None
         self.close()
         return True
 
     def close(self) -> None:
-        self._beat.cancel()
-        self._admin.abort()
-        self._io.abort()
+        """Abort both connections."""
+        self._keep_alive_timer.cancel()
+        self._admin_queue.abort()
+        self._io_queue.abort()
 
-    def _done(self, completion: nvme.Completion | None, data: bytes) -> None:
-        attempt, self._attempt = self._attempt, None
+    def _on_completion(self, completion: nvme.Completion | None, data: bytes) -> None:
+        attempt = self._attempt
+        self._attempt = None
         if attempt is None:
             return
-        if completion is None:
-            status = AttemptStatus.RESET
-        elif completion.status == nvme.OK and len(data) == attempt.payload.size:
-            status = AttemptStatus.OK
-        elif completion.status == nvme.NOT_READY and not completion.no_retry:
-            status = AttemptStatus.REJECTED
-        else:
-            status = AttemptStatus.ERROR
-        if self._io.error is not None:
+        status = _attempt_status(completion, len(data) == attempt.payload.size)
+        if self._io_queue.error is not None:
             status = AttemptStatus.ERROR
-            self._carrier.log_bad_response(attempt, str(self._io.error))
-        self._carrier.pool.record_use(attempt, status is AttemptStatus.RESET)
+            self._target_client.log_bad_response(attempt, str(self._io_queue.error))
+        self._target_client.pool.record_use(attempt, status is AttemptStatus.RESET)
         if completion is not None and not self.is_closing:
-            self._carrier.pool.release(attempt, self)
+            self._target_client.pool.release(attempt, self)
         else:
             attempt.channel = None
             self.close()
-        self._carrier.engine.attempt_finished(
-            attempt, AttemptResult(status, data if status is AttemptStatus.OK else None)
-        )
+        answer = data if status is AttemptStatus.OK else None
+        self._target_client.engine.attempt_finished(attempt, AttemptResult(status, answer))
+
+    # --- Keep alive ---
+    def _start_keep_alive_timer(self) -> asyncio.TimerHandle:
+        return self._target_client.loop.call_later(KEEP_ALIVE_INTERVAL_SECONDS, self._send_keep_alive)
 
-    def _keep_alive(self) -> None:
-        if self._admin.busy:  # the last one is not answered: the target is gone without a word
+    def _send_keep_alive(self) -> None:
+        if self._admin_queue.is_busy:  # the last one is not answered: the target has left silently
             self.close()
         elif not self.is_closing:
-            self._admin.run(lambda cid: nvme.command(nvme.KEEP_ALIVE, cid), lambda done, data: None)
-            self._beat = self._carrier.loop.call_later(KEEP_ALIVE / 2, self._keep_alive)
+            self._admin_queue.run(_encode_keep_alive, _ignore_completion)
+            self._keep_alive_timer = self._start_keep_alive_timer()
+
+
+def _attempt_status(completion: nvme.Completion | None, has_all_data: bool) -> AttemptStatus:
+    """Return how a command ended; a completion of None stands for a lost queue."""
+    if completion is None:
+        return AttemptStatus.RESET
+    if completion.status == nvme.OK and has_all_data:
+        return AttemptStatus.OK
+    if completion.status == nvme.NOT_READY and not completion.no_retry:
+        return AttemptStatus.REJECTED
+    return AttemptStatus.ERROR
+
+
+def _encode_keep_alive(cid: int) -> bytes:
+    return nvme.command(nvme.KEEP_ALIVE, cid)
+
+
+def _ignore_completion(_completion: nvme.Completion | None, _data: bytes) -> None:
+    """Do nothing: what counts is that the keep alive was answered."""
 
 
 class NvmeTargetClient(PooledTargetClient):
-    """Carries attempts to targets over NVMe/TCP."""
+    """Sends attempts to targets over NVMe/TCP.
+
+    Arguments are those of `PooledTargetClient`, except that `max_connections` bounds the connections, of
+    which each channel takes two.  `name` is the initiator's, for its NVMe qualified name.
+    """
 
     def __init__(
         self,
@@ -245,53 +159,68 @@
         buffers: BufferPool,
         connect_timeout: float,
         idle_limit: float,
-        most: int,
+        max_connections: int,
         log: Callable[..., None],
         name: str,
         mapping: Mapping,
     ) -> None:
-        # A channel is an association of two connections.
-        super().__init__(loop, engine, buffers, connect_timeout, idle_limit, most // 2, log)
-        self._name, self._mapping = f"nqn.2014-08.org.nvmexpress:stalltiller:{name}", mapping
-        self._id = os.urandom(16)  # an association's identity, not a decision
+        max_channels = max_connections // CONNECTIONS_PER_ASSOCIATION
+        super().__init__(loop, engine, buffers, connect_timeout, idle_limit, max_channels, log)
+        self._host_nqn = HOST_NQN_PREFIX + name
+        self._mapping = mapping
+        self._host_id = os.urandom(16)  # identifies the host to targets, decides nothing
 
     async def connect(self, host: str, port: int) -> TargetAssociation:
+        """Open an association with a target; raises OSError if the target can't be reached or rejects it."""
         queues: list[TargetQueue] = []
         try:
-            admin = await self._queue(host, port, queues)
-            done, _ = await admin.ask(lambda cid: self._connect_command(cid, 0, nvme.DYNAMIC))
-            controller = done.result & 0xFFFF
-            await admin.ask(lambda cid: nvme.property_set(cid, nvme.CC, 0x460000 | nvme.CC_ENABLE))
-            while not (await admin.ask(lambda cid: nvme.property_get(cid, nvme.CSTS)))[0].result & 1:
-                await asyncio.sleep(ENABLE_POLL)
-            _, page = await admin.ask(
-                lambda cid: nvme.command(
-                    nvme.IDENTIFY, cid, rest=bytes([nvme.CNS_CONTROLLER]), length=nvme.IDENTIFY_SIZE
-                ),
-                size=nvme.IDENTIFY_SIZE,
-            )
-            io = await self._queue(host, port, queues)
-            await io.ask(lambda cid: self._connect_command(cid, 1, controller))
+            return await self._connect(host, port, queues)
         except BaseException:
             for queue in queues:
                 queue.abort()
             raise
-        return TargetAssociation(self, admin, io, nvme.capsule_limit(page))
 
-    async def _queue(self, host: str, port: int, queues: list[TargetQueue]) -> TargetQueue:
+    async def _connect(self, host: str, port: int, queues: list[TargetQueue]) -> TargetAssociation:
+        """Open the two queues, adding each to `queues` as soon as it is up, and enable the controller."""
+        admin_queue = await self._open_queue(host, port, queues)
+        completion, _ = await admin_queue.execute(
+            lambda cid: self._connect_command(cid, ADMIN_QUEUE_ID, nvme.DYNAMIC)
+        )
+        controller_id = completion.result & CONTROLLER_ID_MASK
+        await admin_queue.execute(
+            lambda cid: nvme.property_set(cid, nvme.CC, CC_ENTRY_SIZES | nvme.CC_ENABLE)
+        )
+        while not await self._is_controller_ready(admin_queue):
+            await asyncio.sleep(READY_POLL_SECONDS)
+        _, page = await admin_queue.execute(
+            lambda cid: nvme.command(
+                nvme.IDENTIFY, cid, rest=bytes([nvme.CNS_CONTROLLER]), length=nvme.IDENTIFY_SIZE
+            ),
+            read_size=nvme.IDENTIFY_SIZE,
+        )
+        io_queue = await self._open_queue(host, port, queues)
+        await io_queue.execute(lambda cid: self._connect_command(cid, IO_QUEUE_ID, controller_id))
+        return TargetAssociation(self, admin_queue, io_queue, nvme.capsule_limit(page))
+
+    async def _is_controller_ready(self, admin_queue: TargetQueue) -> bool:
+        completion, _ = await admin_queue.execute(lambda cid: nvme.property_get(cid, nvme.CSTS))
+        return bool(completion.result & nvme.CSTS_READY)
+
+    async def _open_queue(self, host: str, port: int, queues: list[TargetQueue]) -> TargetQueue:
         _, queue = await self.loop.create_connection(lambda: TargetQueue(self.buffers), host, port)
         queues.append(queue)
-        await queue.greet()
+        await queue.initialize()
         return queue
 
-    def _connect_command(self, cid: int, queue: int, controller: int) -> bytes:
+    def _connect_command(self, cid: int, queue_id: int, controller_id: int) -> bytes:
+        keep_alive = KEEP_ALIVE_TIMEOUT_SECONDS if queue_id == ADMIN_QUEUE_ID else 0
         return nvme.connect(
             cid,
-            queue,
-            8,
-            0 if queue else KEEP_ALIVE,
-            controller,
-            self._id,
+            queue_id,
+            QUEUE_ENTRIES,
+            keep_alive,
+            controller_id,
+            self._host_id,
             self._mapping.subsystem,
-            self._name,
+            self._host_nqn,
         )
--- /dev/null
+++ b/stalltiller/adapters/nvme_target_queue.py
@@ -0,0 +1,184 @@
+"""The host side of one NVMe/TCP queue to a target, with one command in flight at a time.
+
+`TargetQueue` owns the connection's state.  Each command's callback is called exactly once.  Source: the NVM
+Express TCP Transport Specification.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from stalltiller.adapters.pooled_target_client import RESPONSE_STALL_TIMEOUT_SECONDS
+from stalltiller.protocol import nvme
+from stalltiller.transport.buffers import BufferPool
+from stalltiller.transport.connection import Connection
+
+COMMAND_ID_END = 0x8000  # command identifiers are below it and above zero
+DATA_OFFSET_AT = 8  # where a TermReq points at in the header of a data PDU or R2T
+DATA_LENGTH_AT = 12
+
+CommandCallback = Callable[[nvme.Completion | None, bytes], None]
+
+
+class TargetQueue(Connection):
+    """One queue to a target; `on_end` is called when its connection is lost."""
+
+    def __init__(self, buffers: BufferPool) -> None:
+        super().__init__(buffers)
+        self._reader = nvme.PduReader(nvme.FROM_CONTROLLER)
+        self._command_ids = itertools.cycle(range(1, COMMAND_ID_END))
+        self._command_id = 0  # of the command in flight
+        self._callback: CommandCallback | None = None
+        self._write_data = b""  # what the target may ask for
+        self._read_data = bytearray()
+        self._read_size = 0  # bytes that are to come back
+        self._last_progress_at = 0.0  # when bytes came last
+        self._stall_timer: asyncio.TimerHandle | None = None
+        self._max_pdu_data = nvme.MAX_DATA
+        self._initialized: asyncio.Future[None] | None = None
+        self.error: nvme.PduError | None = None
+        self.on_end: Callable[[], None] | None = None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a command is in flight."""
+        return self._callback is not None
+
+    async def initialize(self) -> None:
+        """Exchange ICReq and ICResp; raises ConnectionError if the target closes the connection."""
+        self._initialized = asyncio.get_running_loop().create_future()
+        self.write(nvme.ic_request())
+        await self._initialized
+
+    async def execute(
+        self, encode: Callable[[int], bytes], read_size: int = 0
+    ) -> tuple[nvme.Completion, bytes]:
+        """Run a command of the handshake and return its completion and data.
+
+        `encode` makes the capsule for a command identifier.  Raises ConnectionError if the command fails.
+        """
+        response: asyncio.Future[tuple[nvme.Completion | None, bytes]]
+        response = asyncio.get_running_loop().create_future()
+
+        def set_response(completion: nvme.Completion | None, data: bytes) -> None:
+            if not response.done():
+                response.set_result((completion, data))
+
+        self.run(encode, set_response, read_size=read_size)
+        completion, data = await response
+        if completion is None or completion.status:
+            raise ConnectionError("the target refused the association")
+        return completion, data
+
+    def run(
+        self,
+        encode: Callable[[int], bytes],
+        callback: CommandCallback,
+        write_data: bytes = b"",
+        read_size: int = 0,
+    ) -> None:
+        """Send a command; `callback` is called once, with None if the queue is lost.
+
+        `write_data` is sent when the target asks for it, `read_size` bytes are to come back.
+        """
+        self._command_id = next(self._command_ids)
+        self._callback = callback
+        self._write_data = write_data
+        self._read_data = bytearray()
+        self._read_size = read_size
+        self.write(encode(self._command_id))
+
+    # --- The connection ---
+    def on_data(self, data: memoryview) -> int:
+        """Parse a PDU and process it; return the number of bytes consumed."""
+        try:
+            consumed, pdu = self._reader.feed(data)
+            if pdu is not None:
+                self._handle_pdu(pdu)
+        except nvme.PduError as error:
+            self.error = error
+            self.write(nvme.term(nvme.H2C_TERM, error))
+            self.close()
+            return len(data)
+        if self._read_data and self._callback is not None:
+            loop = asyncio.get_running_loop()
+            self._last_progress_at = loop.time()
+            if self._stall_timer is None:
+                self._stall_timer = loop.call_later(RESPONSE_STALL_TIMEOUT_SECONDS, self._check_stall)
+        return consumed
+
+    def _check_stall(self) -> None:
+        """Guard against responses that stop short on a connection that stays open."""
+        self._stall_timer = None
+        if not self._read_data or self._callback is None:
+            return
+        loop = asyncio.get_running_loop()
+        remaining = self._last_progress_at + RESPONSE_STALL_TIMEOUT_SECONDS - loop.time()
+        if remaining > 0:
+            self._stall_timer = loop.call_later(remaining, self._check_stall)
+            return
+        self.error = nvme.PduError("the answer stopped short")
+        self.abort()
+
+    def eof_received(self) -> bool:
+        """Abort; a close would go on writing to a target that has stopped."""
+        self.abort()
+        return False
+
+    def on_disconnected(self, _error: Exception | None) -> None:
+        """Fail the handshake or the command in flight and tell the owner."""
+        if self._initialized is not None and not self._initialized.done():
+            self._initialized.set_exception(ConnectionResetError("the target closed the queue"))
+        self._finish_command(None)
+        if self.on_end is not None:
+            self.on_end()
+
+    # --- PDUs ---
+    def _handle_pdu(self, pdu: nvme.Pdu) -> None:
+        if pdu.kind == nvme.C2H_TERM:
+            self.abort()
+        elif pdu.kind == nvme.IC_RESP:
+            if self._initialized is None or self._initialized.done():
+                raise nvme.PduError("ICResp not asked for", nvme.BAD_SEQUENCE)
+            self._max_pdu_data = min(nvme.MAX_DATA, max(nvme.PAGE, nvme.parse_ic(pdu)))
+            self._initialized.set_result(None)
+        elif pdu.kind == nvme.RESPONSE:
+            completion = nvme.parse_completion(pdu)
+            self._check_in_flight(completion.cid)
+            self._finish_command(completion)
+        else:
+            self._handle_data_pdu(pdu)
+
+    def _handle_data_pdu(self, pdu: nvme.Pdu) -> None:
+        """Process an R2T, or data of a read."""
+        cid, tag, offset, length = nvme.parse_data(pdu)
+        self._check_in_flight(cid)
+        if pdu.kind == nvme.R2T:
+            self._send_data(tag, offset, length)
+            return
+        if offset != len(self._read_data) or offset + length > self._read_size:
+            raise nvme.PduError("data out of range", nvme.OUT_OF_RANGE, DATA_OFFSET_AT)
+        self._read_data += pdu.data
+        if pdu.flags & nvme.SUCCESS:
+            self._finish_command(nvme.Completion(cid))
+
+    def _check_in_flight(self, cid: int) -> None:
+        if self._callback is None or cid != self._command_id:
+            raise nvme.PduError("a command that is not out", nvme.BAD_SEQUENCE)
+
+    def _send_data(self, tag: int, offset: int, length: int) -> None:
+        end_offset = offset + length
+        if not length or end_offset > len(self._write_data):
+            raise nvme.PduError("data asked for is out of range", nvme.OUT_OF_RANGE, DATA_LENGTH_AT)
+        for piece_offset in range(offset, end_offset, self._max_pdu_data):
+            piece = self._write_data[piece_offset : min(end_offset, piece_offset + self._max_pdu_data)]
+            flags = nvme.LAST if piece_offset + len(piece) == end_offset else 0
+            self.write(nvme.data_pdu(nvme.H2C_DATA, self._command_id, tag, piece_offset, piece, flags))
+
+    def _finish_command(self, completion: nvme.Completion | None) -> None:
+        callback = self._callback
+        self._callback = None
+        if callback is not None:
+            callback(completion, bytes(self._read_data))
--- a/stalltiller/daemon/config.py
+++ b/stalltiller/daemon/config.py
@@ -321,10 +321,10 @@
             size,
             float(line["blocks_per_unit"]),
         )
-        if min(space.hosts, space.blocks, space.blocks_per_unit) <= 0 or space.shard < 0:
+        if min(space.initiator_count, space.blocks, space.blocks_per_unit) <= 0 or space.shard < 0:
             raise ConfigError(f"namespace {number}: hosts, blocks, blocks_per_unit or shard out of range")
         spaces[number] = space
-    opcodes: dict[int, tuple[int, float]] = {}
+    opcodes: dict[int, nvme_mapping.OpcodeMapping] = {}
     for name, opcode, write in (("read", nvme.READ, False), ("write", nvme.WRITE, True)):
         line = data["opcodes"][name]
         if line["class"] not in classes:
@@ -334,5 +334,5 @@
             raise ConfigError(f"opcode {name}: class {line['class']} does not go with it")
         if not line["deadline_ms"] > 0:
             raise ConfigError(f"opcode {name}: deadline_ms must be above zero")
-        opcodes[opcode] = (cls, line["deadline_ms"] / 1000)
+        opcodes[opcode] = nvme_mapping.OpcodeMapping(cls, line["deadline_ms"] / 1000)
     return nvme_mapping.Mapping(str(data["subsystem"]), spaces, opcodes)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -9,7 +9,7 @@
 import time
 from dataclasses import dataclass, replace
 
-from stalltiller.adapters.nvme_mapping import Mapping, Namespace
+from stalltiller.adapters.nvme_mapping import Mapping, Namespace, OpcodeMapping
 from stalltiller.daemon.application import Application
 from stalltiller.daemon.config import Config
 from stalltiller.protocol import http, nvme
@@ -375,7 +375,7 @@
 
     def config(self) -> Config:
         spaces = {i + 1: Namespace(VOLUME, 0, i, 1, 1 << 40, BLOCK, PER_UNIT) for i in range(2)}
-        opcodes = {nvme.READ: (0, DEADLINE), nvme.WRITE: (1, DEADLINE)}
+        opcodes = {nvme.READ: OpcodeMapping(0, DEADLINE), nvme.WRITE: OpcodeMapping(1, DEADLINE)}
         mapping = Mapping(SUBSYSTEM, spaces, opcodes) if self.kind == "nvme" else None
         agent = ("127.0.0.1", self.discovery.port)
         return Config(
--- a/tests/test_nvme_controller.py
+++ b/tests/test_nvme_controller.py
@@ -195,7 +195,7 @@
         admin.writer.transport.abort()
         assert await io.reader.read() == b""
         await world.until(lambda: world.app.engine.open_request_count == 0)
-        assert world.app.engine.counts["gone"] == 2 and world.app.server.held.reserved == 0
+        assert world.app.engine.counts["gone"] == 2 and world.app.server.command_data_budget.reserved == 0
 
     play(scene)
 
@@ -256,7 +256,7 @@
 def test_completions_that_a_host_does_not_read_are_held_to_an_allowance():
     async def scene(world, client):
         admin, io = await client.associate()
-        world.app.server.unread._most = 50_000
+        world.app.server.unread_response_budget._most = 50_000
         (association,) = world.app.server.associations.values()
         ours = association.queues[1].transport
         for end, option in ((ours, socket.SO_SNDBUF), (io.writer, socket.SO_RCVBUF)):
@@ -265,6 +265,6 @@
         for cid in range(1, 16):
             io.writer.write(read(cid, blocks=128))
         await world.until(lambda: world.app.server.associations == {})
-        assert world.app.server.unread.reserved == 0
+        assert world.app.server.unread_response_budget.reserved == 0
 
     play(scene)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from stalltiller.adapters.nvme_mapping import OpcodeMapping
 from stalltiller.daemon import application as program
 from stalltiller.daemon import config
 from stalltiller.daemon.settings_reload import transitional_settings
@@ -120,7 +121,9 @@
     async def scene():
         async with World("nvme") as world:
             after = replace(world.settings, classes=(WRITE, READ))
-            mapping = replace(world.config().nvme, opcodes={2: (1, DEADLINE), 1: (0, DEADLINE)})
+            mapping = replace(
+                world.config().nvme, opcodes={2: OpcodeMapping(1, DEADLINE), 1: OpcodeMapping(0, DEADLINE)}
+            )
             world.app.reload(lambda: replace(world.config(), settings=after, nvme=mapping))
             for tag in (1, 2):
                 assert (await world.write(tag)).end == (await world.read(tag)).end == "served"
@@ -162,7 +165,7 @@
             file.write_text(json.dumps(nested))
             world.app.reload(read_file)
             await asyncio.sleep(0.05)
-            fields = world.app.server.fields
+            fields = world.app.server.request_fields
             assert [cls["name"] for cls in classes] == ["write", "report-export", "new"]
             assert [fields._methods[fields._classes[name]] for name in ("write", "new")] == [
                 ("PUT",),
