--- a/bench/mass_restart.py
+++ b/bench/mass_restart.py
@@ -52,7 +52,7 @@
         self.slots, self.delay = slots, SERVICE
 
     async def act(self, tag: int, data: bytes) -> str:
-        if self.out >= self.slots:
+        if self.in_flight >= self.slots:
             self.full_at.append(time.monotonic())
             return "turn_away"
         return await super().act(tag, data)
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,7 +1,7 @@
 """A toy discovery and two toy targets on loopback, to try stalltiller with.
 
-Discovery listens on 127.0.0.1:8500, as examples/config.json expects.  The targets keep what they are sent in
-memory and answer reads with it.  It needs the standard library alone.
+Discovery listens on 127.0.0.1:8500, as examples/config.json expects.  The targets store writes in memory and
+answer reads with them.  It needs the standard library alone.
 """
 
 from __future__ import annotations
@@ -13,13 +13,15 @@
 from urllib.parse import parse_qs, urlsplit
 
 DISCOVERY_PORT = 8500
-SERVICE_TIME = 0.02  # s
+SERVICE_TIME_SECONDS = 0.02
 
 
 class Handler(BaseHTTPRequestHandler):
+    """What both toys share."""
+
     protocol_version = "HTTP/1.1"
 
-    def answer(self, status: int, body: bytes, **fields: str) -> None:
+    def send(self, status: int, body: bytes, **fields: str) -> None:
         self.send_response(status)
         for name, value in fields.items():
             self.send_header(name.replace("_", "-"), value)
@@ -28,50 +30,51 @@
         self.wfile.write(body)
 
     def log_message(self, *args: object) -> None:
-        """Be quiet."""
+        """Log nothing."""
 
 
 class Target(Handler):
-    """Keeps bodies by path."""
+    """Stores bodies by the last part of the path."""
 
     def do_GET(self) -> None:
-        time.sleep(SERVICE_TIME)
+        time.sleep(SERVICE_TIME_SECONDS)
         key = self.path.rsplit("/", 1)[-1]
-        self.answer(200, self.server.data.get(key, b"nothing yet\n"), X_Server_Load="TEXT mean_ms=20.0")
+        self.send(200, self.server.data.get(key, b"nothing yet\n"), X_Server_Load="TEXT mean_ms=20.0")
 
     def do_PUT(self) -> None:
-        time.sleep(SERVICE_TIME)
+        time.sleep(SERVICE_TIME_SECONDS)
         body = self.rfile.read(int(self.headers["Content-Length"]))
         self.server.data[self.path.rsplit("/", 1)[-1]] = body
-        self.answer(200, b"kept\n")
+        self.send(200, b"kept\n")
 
 
 class Discovery(Handler):
-    """Names the targets; the list never changes, so a watch waits out its time."""
+    """Lists the targets; the list never changes, so a poll for changes lasts its full time."""
 
     def do_GET(self) -> None:
         query = parse_qs(urlsplit(self.path).query)
-        lines = self.server.lines
+        targets = self.server.targets
         if "after" in query:
             time.sleep(int(query["wait_ms"][0]) / 1000)
-            lines = []
-        whole = "after" not in query
-        self.answer(200, json.dumps({"index": 1, "snapshot": whole, "endpoints": lines}).encode())
+            targets = []
+        is_full = "after" not in query
+        self.send(200, json.dumps({"index": 1, "snapshot": is_full, "endpoints": targets}).encode())
 
 
-def serve(port: int, handler: type[Handler], **more: object) -> ThreadingHTTPServer:
+def serve(port: int, handler: type[Handler], **attributes: object) -> ThreadingHTTPServer:
+    """Start a server in a thread of its own; handlers see `attributes` on it."""
     server = ThreadingHTTPServer(("127.0.0.1", port), handler)
     server.daemon_threads = True
-    vars(server).update(more)
+    vars(server).update(attributes)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
 
 def main() -> None:
-    lines = []
+    targets = []
     for shard in range(2):
         port = serve(0, Target, data={}).server_port
-        lines.append(
+        targets.append(
             {
                 "name": f"s-{shard}",
                 "address": f"127.0.0.1:{port}",
@@ -83,8 +86,8 @@
                 "since_ms": 0,
             }
         )
-    serve(DISCOVERY_PORT, Discovery, lines=lines)
-    addresses = ", ".join(line["address"] for line in lines)
+    serve(DISCOVERY_PORT, Discovery, targets=targets)
+    addresses = ", ".join(target["address"] for target in targets)
     print(f"discovery on 127.0.0.1:{DISCOVERY_PORT}, targets on {addresses}", flush=True)
     threading.Event().wait()
 
--- a/stalltiller/adapters/http_target_client.py
+++ b/stalltiller/adapters/http_target_client.py
@@ -242,11 +242,11 @@
             self._target_client.log_bad_response(self._streamed_attempt, str(error))
             self._fail_stream()
             return len(data)
-        part = self._reader.drain()
+        body = self._reader.drain()
         is_complete = self._reader.done
-        if part:
+        if body:
             assert self._stream is not None and self._stream.sink is not None
-            self._stream.sink.write_part(part)
+            self._stream.sink.write_part(body)
         if is_complete:
             assert self._reader.head is not None
             self._finish_stream(self._reader.head.keeps_alive() and self.is_fully_sent())
--- a/stalltiller/adapters/nvme_association.py
+++ b/stalltiller/adapters/nvme_association.py
@@ -46,7 +46,7 @@
             queue.cancel_commands()
             queue.close_gracefully()
 
-    def end(self) -> None:
+    def close(self) -> None:
         """Close all queues and cancel all commands."""
         if self._keep_alive_timer is not None:
             self._keep_alive_timer.cancel()
@@ -63,7 +63,7 @@
         silence = self.controller.loop.time() - self.last_received_at
         if silence > self.keep_alive + KEEP_ALIVE_GRACE_SECONDS:
             self.controller.log("keep_alive_expired", association=self.controller_id)
-            self.end()
+            self.close()
         else:
             self._keep_alive_timer = self.controller.loop.call_later(
                 self.keep_alive + KEEP_ALIVE_GRACE_SECONDS - silence + TIMER_MARGIN_SECONDS,
--- a/stalltiller/adapters/nvme_host_queue.py
+++ b/stalltiller/adapters/nvme_host_queue.py
@@ -64,7 +64,7 @@
         self._reserve_unread(0)
         self._listener.remove(self)
         if self.association is not None:
-            self.association.end()
+            self.association.close()
 
     def close_if_idle(self) -> bool:
         """Close while the program stops and return whether it did; a host's idle queue is in use before."""
@@ -159,7 +159,7 @@
         self.write(nvme.term(nvme.C2H_TERM, error))
         self.close_gracefully()
         if self.association is not None:
-            self.association.end()
+            self.association.close()
 
     # --- PDUs ---
     def _handle_pdu(self, pdu: nvme.Pdu) -> None:
@@ -281,7 +281,7 @@
     def _on_data_timeout(self) -> None:
         self.controller.log("host_stalled", queue=self.queue_id)
         assert self.association is not None
-        self.association.end()
+        self.association.close()
 
     def _handle_data(self, pdu: nvme.Pdu) -> None:
         cid, tag, offset, length = nvme.parse_data(pdu)
--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -71,6 +71,7 @@
         capsule_data = payload.data if len(payload.data) <= self._capsule_limit else b""
 
         def encode(cid: int) -> bytes:
+            """Return the capsule for a command identifier."""
             return nvme.io_command(
                 payload.opcode, cid, payload.nsid, payload.lba, payload.blocks, size, capsule_data
             )
--- a/stalltiller/adapters/nvme_target_queue.py
+++ b/stalltiller/adapters/nvme_target_queue.py
@@ -63,6 +63,7 @@
         response = asyncio.get_running_loop().create_future()
 
         def set_response(completion: nvme.Completion | None, data: bytes) -> None:
+            """Resolve the future, unless its waiter was cancelled."""
             if not response.done():
                 response.set_result((completion, data))
 
--- a/stalltiller/adapters/target_directory.py
+++ b/stalltiller/adapters/target_directory.py
@@ -78,8 +78,8 @@
         """Return a listed target with what operators and peers say of it."""
         target = endpoint.target
         name = target.target_id
-        is_held_back = name in self.detached or name in self._withheld
-        if is_held_back and target.status is TargetStatus.READY:
+        must_drain = name in self.detached or name in self._withheld
+        if must_drain and target.status is TargetStatus.READY:
             return replace(endpoint, target=replace(target, status=TargetStatus.DRAINING))
         if name in self._peer_start_times:
             start = self._engine.to_scheduler_time(self._peer_start_times[name])
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -1,9 +1,10 @@
-"""Stand-ins on loopback for discovery, targets and clients, one pair for each wire, with one face."""
+"""Stand-ins on loopback for discovery, targets and clients; HTTP and NVMe/TCP share one interface."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import itertools
 import json
 import struct
 import time
@@ -16,10 +17,14 @@
 from stalltiller.scheduling import Idempotency
 from tests.helpers import plan, request_class, rules, settings
 
-BLOCK, PER_UNIT, VOLUME = 512, 32, 0xA1
+BLOCK = 512  # bytes
+PER_UNIT = 32  # blocks
+VOLUME = 0xA1
 SUBSYSTEM = "nqn.2026-12.example:canteen"
-DEADLINE = 0.6
-MAX_ADVICE = 0.5
+DEADLINE = 0.6  # s
+MAX_RETRY_AFTER = 0.5  # s
+NEVER_ANSWERED = 30.0  # s: longer than any test
+READ_SIZE = 65536  # bytes
 CLASSES = (
     request_class(name="read", latency_objective=0.4, deadline=DEADLINE),
     request_class(
@@ -34,7 +39,7 @@
 
     end: str  # served, refused or failed
     data: bytes
-    took: float
+    elapsed: float  # s
     retry_after: float = 0.0
 
 
@@ -71,13 +76,15 @@
 
 
 async def read_message(stream: asyncio.StreamReader, response: bool = False) -> http.Reader:
-    reader, kept = http.Reader(response=response), b""
+    """Read one message; raises EOFError if the connection ends before it is complete."""
+    reader = http.Reader(response=response)
+    unparsed = b""
     while not reader.done:
-        got = await stream.read(65536)
-        if not got:
+        received = await stream.read(READ_SIZE)
+        if not received:
             raise EOFError
-        kept += got
-        kept = kept[reader.feed(memoryview(kept)) :]
+        unparsed += received
+        unparsed = unparsed[reader.feed(memoryview(unparsed)) :]
     return reader
 
 
@@ -86,11 +93,13 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.index, self.lines, self.changed = 1, {}, asyncio.Event()
+        self.index = 1
+        self.lines: dict[str, dict] = {}
+        self.changed = asyncio.Event()
         self.calls: list[str] = []
-        self.times: list[float] = []  # of the calls
-        self.spoil: list[bytes] = []  # bodies to answer in place of the list
-        self.silent = False  # it takes calls and answers none
+        self.times: list[float] = []  # when each call came
+        self.malformed_bodies: list[bytes] = []  # to answer in place of the list
+        self.silent = False  # it accepts calls and answers none
 
     def set(self, target: Target, status: str = "active", since_ms: int = 0) -> None:
         self.lines[target.name] = {
@@ -119,8 +128,8 @@
                     async with asyncio.timeout(int(path.rpartition("=")[2]) / 1000):
                         await self.changed.wait()
             body = (
-                self.spoil.pop()
-                if self.spoil
+                self.malformed_bodies.pop()
+                if self.malformed_bodies
                 else json.dumps(
                     {"index": self.index, "snapshot": True, "endpoints": list(self.lines.values())}
                 ).encode()
@@ -129,49 +138,60 @@
 
 
 class Target(Standin):
-    """A storage node.  `mode` says what it does with a request that has come whole: serve, turn_away, error,
-    silent, break, or stall (which stops reading at the request's head)."""
+    """A storage server.
+
+    `mode` says what it does with a complete request: serve, turn_away (reject it before execution), error,
+    silent, break (the connection), or stall (which stops reading at the request's head).
+    """
 
     def __init__(self, name: str, shard: int) -> None:
         super().__init__()
-        self.name, self.shard, self.mode, self.delay = name, shard, "serve", 0.0
+        self.name = name
+        self.shard = shard
+        self.mode = "serve"
+        self.delay = 0.0  # s that it takes to serve a request
         self.begun: list[tuple[float, int]] = []  # when a request's first bytes came, and its tag
-        self.ran: list[tuple[int, bytes]] = []
-        self.out, self.most_out = 0, 0
+        self.ran: list[tuple[int, bytes]] = []  # the tag and data of each request executed
+        self.in_flight = 0
+        self.max_in_flight = 0
 
     async def act(self, tag: int, data: bytes) -> str:
+        """Execute a request unless the mode rejects it; return the mode."""
         mode = self.mode
         if mode == "turn_away":
             return mode
         self.ran.append((tag, data))
-        self.out += 1
-        self.most_out = max(self.most_out, self.out)
+        self.in_flight += 1
+        self.max_in_flight = max(self.max_in_flight, self.in_flight)
         try:
-            await asyncio.sleep(30 if mode == "silent" else self.delay)
+            await asyncio.sleep(NEVER_ANSWERED if mode == "silent" else self.delay)
         finally:
-            self.out -= 1
+            self.in_flight -= 1
         if mode == "break":
             raise EOFError
         return mode
 
     @staticmethod
     def content(tag: int, size: int) -> bytes:
+        """Return the bytes that a tag reads as."""
         return (b"%08d" % tag * (size // 8 + 1))[:size]
 
 
 # --- HTTP -----------------------------------------------------------------------------------------
 class HttpTarget(Target):
+    """A target over HTTP."""
+
     async def serve(self, reader, writer) -> None:
         while True:
-            first = await reader.readuntil(b"\r\n\r\n")
-            tag = int(first.split(b" ")[1].split(b"/")[-1], 16)
+            head = await reader.readuntil(b"\r\n\r\n")
+            tag = int(head.split(b" ")[1].split(b"/")[-1], 16)
             self.begun.append((time.monotonic(), tag))
             if self.mode == "stall":
-                await asyncio.sleep(30)
+                await asyncio.sleep(NEVER_ANSWERED)
             message = http.Reader(response=False)
-            message.feed(memoryview(first))
+            message.feed(memoryview(head))
             while not message.done:
-                message.feed(memoryview(await reader.read(65536) or b""))
+                message.feed(memoryview(await reader.read(READ_SIZE) or b""))
             mode = await self.act(tag, bytes(message.body))
             if mode == "serve":
                 body = b"" if message.head.method == "PUT" else self.content(tag, BLOCK)
@@ -183,16 +203,17 @@
 
 
 class HttpClient:
-    """Sends one request a connection, so that it can leave in the middle."""
+    """Sends one request per connection, so that it can disconnect during it."""
 
     def __init__(self, port: int) -> None:
-        self.port, self.numbers = port, iter(range(1, 10**6))
+        self.port = port
+        self.request_numbers = itertools.count(1)
 
     async def open(self) -> None: ...
 
     async def request(self, write: bool, tag: int, data: bytes, shard: int, units: int) -> Result:
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        began = time.monotonic()
+        started_at = time.monotonic()
         try:
             method, path = ("PUT", f"/write/{tag:x}") if write else ("GET", f"/read/{tag:x}")
             writer.write(
@@ -201,7 +222,7 @@
                     path,
                     {
                         "Host": "h",
-                        "X-Request-ID": f"id{next(self.numbers)}",
+                        "X-Request-ID": f"id{next(self.request_numbers)}",
                         "Tier": "plan",
                         "X-Timeout": str(DEADLINE),
                         "IO-Info": f"volume={VOLUME:x},units={units},shard={shard},hosts=1",
@@ -215,7 +236,7 @@
         head = answer.head
         end = {200: "served", 429: "refused", 503: "refused"}.get(head.status, "failed")
         return Result(
-            end, bytes(answer.body), time.monotonic() - began, float(head.fields.get("retry-after", 0))
+            end, bytes(answer.body), time.monotonic() - started_at, float(head.fields.get("retry-after", 0))
         )
 
     def close(self) -> None: ...
@@ -223,27 +244,30 @@
 
 # --- NVMe/TCP ---------------------------------------------------------------------------------------
 class Pdus:
-    """A stream of PDUs."""
+    """A connection as a stream of PDUs."""
 
     def __init__(self, reader, writer, allowed) -> None:
-        self.reader, self.writer, self.kept = reader, writer, b""
-        self.pdus = nvme.PduReader(allowed)
+        self.reader = reader
+        self.writer = writer
+        self.pdu_reader = nvme.PduReader(allowed)
+        self.unparsed = b""
 
     async def next(self) -> nvme.Pdu:
+        """Return the next PDU; raises EOFError at the end of the connection."""
         while True:
-            used, found = self.pdus.feed(memoryview(self.kept))
-            self.kept = self.kept[used:]
-            if found is not None:
-                return found
-            if not used:
-                got = await self.reader.read(65536)
-                if not got:
+            consumed, pdu = self.pdu_reader.feed(memoryview(self.unparsed))
+            self.unparsed = self.unparsed[consumed:]
+            if pdu is not None:
+                return pdu
+            if not consumed:
+                received = await self.reader.read(READ_SIZE)
+                if not received:
                     raise EOFError
-                self.kept += got
+                self.unparsed += received
 
 
 class NvmeTarget(Target):
-    """A small controller: every queue of a connection, one command at a time."""
+    """A target over NVMe/TCP: each connection is a queue with one command at a time."""
 
     capsule = nvme.IN_CAPSULE
 
@@ -252,38 +276,44 @@
         nvme.parse_ic(await stream.next())
         writer.write(nvme.ic_response())
         while True:
-            found = await stream.next()
-            await self.command(stream, nvme.parse_command(found), found.data)
-
-    async def command(self, stream: Pdus, c: nvme.Command, data: bytes) -> None:
-        status, result, size = nvme.OK, 0, 0
-        if c.opcode == nvme.FABRICS:
-            result = {nvme.CONNECT: 7, nvme.PROPERTY_GET: nvme.CSTS_READY}.get(c.nsid, 0)
-        elif c.opcode == nvme.IDENTIFY:
+            pdu = await stream.next()
+            await self.command(stream, nvme.parse_command(pdu), pdu.data)
+
+    async def command(self, stream: Pdus, request: nvme.Command, data: bytes) -> None:
+        status = nvme.OK
+        result = 0
+        size = 0
+        if request.opcode == nvme.FABRICS:
+            result = {nvme.CONNECT: 7, nvme.PROPERTY_GET: nvme.CSTS_READY}.get(request.nsid, 0)
+        elif request.opcode == nvme.IDENTIFY:
             page = bytearray(nvme.identify_controller(7, self.name, SUBSYSTEM, (1, 1, 1), 9))
             struct.pack_into("<I", page, 1792, (self.capsule + 64) // 16)
-            stream.writer.write(nvme.data_pdu(nvme.C2H_DATA, c.cid, 0, 0, bytes(page)))
-        elif c.opcode in (nvme.READ, nvme.WRITE):
-            self.begun.append((time.monotonic(), c.lba))
-            if c.opcode == nvme.WRITE and not data:
-                stream.writer.write(nvme.r2t(c.cid, 5, 0, c.length))
+            stream.writer.write(nvme.data_pdu(nvme.C2H_DATA, request.cid, 0, 0, bytes(page)))
+        elif request.opcode in (nvme.READ, nvme.WRITE):
+            self.begun.append((time.monotonic(), request.lba))
+            if request.opcode == nvme.WRITE and not data:
+                stream.writer.write(nvme.r2t(request.cid, 5, 0, request.length))
             if self.mode == "stall":
-                await asyncio.sleep(30)
-            while c.opcode == nvme.WRITE and len(data) < c.length:
+                await asyncio.sleep(NEVER_ANSWERED)
+            while request.opcode == nvme.WRITE and len(data) < request.length:
                 data += (await stream.next()).data
-            mode = await self.act(c.lba, data)
+            mode = await self.act(request.lba, data)
             status = {"serve": nvme.OK, "turn_away": nvme.NOT_READY}.get(mode, nvme.INTERNAL)
-            size = c.length if c.opcode == nvme.READ and mode == "serve" else 0
+            size = request.length if request.opcode == nvme.READ and mode == "serve" else 0
             if size:
-                stream.writer.write(nvme.data_pdu(nvme.C2H_DATA, c.cid, 0, 0, self.content(c.lba, size)))
-        stream.writer.write(nvme.completion(nvme.Completion(c.cid, status, result), 0, 0))
+                stream.writer.write(
+                    nvme.data_pdu(nvme.C2H_DATA, request.cid, 0, 0, self.content(request.lba, size))
+                )
+        stream.writer.write(nvme.completion(nvme.Completion(request.cid, status, result), 0, 0))
 
 
 class NvmeClient:
-    """A host: an association a request, so that it can leave in the middle."""
+    """A host with an association for each request, so that it can disconnect during it."""
 
     def __init__(self, port: int) -> None:
-        self.port, self.streams, self.delays = port, [], (0, 0, 0)
+        self.port = port
+        self.streams: list[Pdus] = []
+        self.retry_delays = (0, 0, 0)  # in units of 100 ms
 
     async def open(self) -> None: ...
 
@@ -294,75 +324,75 @@
         writer.write(nvme.ic_request())
         nvme.parse_ic(await stream.next())
         writer.write(nvme.connect(1, number, 16, keep_alive, controller, b"host", SUBSYSTEM, "nqn.host"))
-        done = nvme.parse_completion(await stream.next())
-        assert done.status == nvme.OK
-        return stream, done.result
+        completion = nvme.parse_completion(await stream.next())
+        assert completion.status == nvme.OK
+        return stream, completion.result
 
     async def associate(self) -> tuple[Pdus, Pdus]:
         admin, controller = await self.queue(0, nvme.DYNAMIC)
         admin.writer.write(nvme.property_set(2, nvme.CC, nvme.CC_ENABLE))
         assert nvme.parse_completion(await admin.next()).status == nvme.OK
         admin.writer.write(nvme.command(nvme.IDENTIFY, 3, rest=bytes([nvme.CNS_CONTROLLER]), length=4096))
-        self.delays = nvme.retry_delays((await admin.next()).data)
+        self.retry_delays = nvme.retry_delays((await admin.next()).data)
         await admin.next()
         io, _ = await self.queue(1, controller)
         return admin, io
 
     async def request(self, write: bool, tag: int, data: bytes, shard: int, units: int) -> Result:
         admin, io = await self.associate()
-        began = time.monotonic()
+        started_at = time.monotonic()
         size = len(data) if write else BLOCK * PER_UNIT * units
-        inside = data if len(data) <= nvme.IN_CAPSULE else b""
+        capsule_data = data if len(data) <= nvme.IN_CAPSULE else b""
         try:
             io.writer.write(
                 nvme.io_command(
-                    nvme.WRITE if write else nvme.READ, 9, shard + 1, tag, size // BLOCK, size, inside
+                    nvme.WRITE if write else nvme.READ, 9, shard + 1, tag, size // BLOCK, size, capsule_data
                 )
             )
-            got = b""
+            read_data = b""
             while True:
-                found = await io.next()
-                if found.kind == nvme.RESPONSE:
+                pdu = await io.next()
+                if pdu.kind == nvme.RESPONSE:
                     break
-                if found.kind == nvme.R2T:
-                    _, ttag, offset, length = nvme.parse_data(found)
-                    part = data[offset : offset + length]
-                    io.writer.write(nvme.data_pdu(nvme.H2C_DATA, 9, ttag, offset, part))
+                if pdu.kind == nvme.R2T:
+                    _, tag_of_transfer, offset, length = nvme.parse_data(pdu)
+                    piece = data[offset : offset + length]
+                    io.writer.write(nvme.data_pdu(nvme.H2C_DATA, 9, tag_of_transfer, offset, piece))
                 else:
-                    got += found.data
-            done = nvme.parse_completion(found)
-            assert done.cid == 9
+                    read_data += pdu.data
+            completion = nvme.parse_completion(pdu)
+            assert completion.cid == 9
         finally:
             for stream in (admin, io):
                 stream.writer.transport.abort()
-        took = time.monotonic() - began
-        if done.status == nvme.OK:
-            return Result("served", got, took)
-        if done.delay and not done.no_retry:
-            return Result("refused", b"", took, self.delays[done.delay - 1] / 10)
-        assert done.no_retry or not write
-        return Result("failed", b"", took)
+        elapsed = time.monotonic() - started_at
+        if completion.status == nvme.OK:
+            return Result("served", read_data, elapsed)
+        if completion.delay and not completion.no_retry:
+            return Result("refused", b"", elapsed, self.retry_delays[completion.delay - 1] / 10)
+        assert completion.no_retry or not write
+        return Result("failed", b"", elapsed)
 
     def close(self) -> None:
         for stream in self.streams:
             stream.writer.transport.abort()
 
 
-# --- The whole ------------------------------------------------------------------------------------
+# --- The initiator and its surroundings ------------------------------------------------------------------
 class World:
-    """One initiator with its surroundings, on the wire that `kind` names."""
+    """One initiator with discovery, two targets and a client; `kind` is http or nvme."""
 
     def __init__(self, kind: str, **changes: object) -> None:
         self.kind = kind
         self.discovery = Discovery()
-        make = HttpTarget if kind == "http" else NvmeTarget
-        self.targets = [make("s-0", 0), make("s-1", 1)]
+        target_class = HttpTarget if kind == "http" else NvmeTarget
+        self.targets = [target_class("s-0", 0), target_class("s-1", 1)]
         self.logged: list[dict] = []
         changes = {
             "classes": CLASSES,
             "plans": (plan(rate=500.0, reservation=500.0),),
             "max_attempts": 4,
-            "max_retry_after": MAX_ADVICE,
+            "max_retry_after": MAX_RETRY_AFTER,
             "rules": rules(drain_grace=0.5),
             **changes,
         }
@@ -374,14 +404,16 @@
     log.dropped = 0
 
     def config(self) -> Config:
-        spaces = {i + 1: Namespace(VOLUME, 0, i, 1, 1 << 40, BLOCK, PER_UNIT) for i in range(2)}
+        namespaces = {
+            shard + 1: Namespace(VOLUME, 0, shard, 1, 1 << 40, BLOCK, PER_UNIT) for shard in range(2)
+        }
         opcodes = {nvme.READ: OpcodeMapping(0, DEADLINE), nvme.WRITE: OpcodeMapping(1, DEADLINE)}
-        mapping = Mapping(SUBSYSTEM, spaces, opcodes) if self.kind == "nvme" else None
-        agent = ("127.0.0.1", self.discovery.port)
+        mapping = Mapping(SUBSYSTEM, namespaces, opcodes) if self.kind == "nvme" else None
+        discovery_address = ("127.0.0.1", self.discovery.port)
         return Config(
             "n0",
             ("127.0.0.1", 0),
-            agent,
+            discovery_address,
             1,
             1024,
             64 << 20,
@@ -407,6 +439,7 @@
         return self
 
     def changed(self, config: Config) -> Config:
+        """Return the configuration to use; subclasses change it."""
         return replace(config)
 
     async def __aexit__(self, *error: object) -> None:
@@ -417,11 +450,11 @@
             standin.close()
         await asyncio.sleep(0)
 
-    async def until(self, true, limit: float = 5.0) -> None:
-        """Wait for something to come true."""
-        end = time.monotonic() + limit
-        while not true():
-            assert time.monotonic() < end, "it did not come true in time"
+    async def until(self, condition, limit: float = 5.0) -> None:
+        """Wait until a condition holds, at most `limit` seconds."""
+        deadline = time.monotonic() + limit
+        while not condition():
+            assert time.monotonic() < deadline, "the condition did not hold in time"
             await asyncio.sleep(0.005)
 
     async def read(self, tag: int = 1, shard: int = 0, units: int = 1) -> Result:
@@ -431,4 +464,5 @@
         return await self.client.request(True, tag, Target.content(tag, size), shard, 1)
 
     def faults(self) -> list[dict]:
+        """Return the log lines of faults that the engine survived."""
         return [line for line in self.logged if line["event"] == "fault"]
--- a/tests/test_nvme_controller.py
+++ b/tests/test_nvme_controller.py
@@ -1,4 +1,4 @@
-"""What is particular to NVMe/TCP, on real sockets."""
+"""Behaviour of the NVMe controller and target client alone, on real sockets."""
 
 from __future__ import annotations
 
@@ -13,30 +13,30 @@
 
 
 def play(scene, **changes):
-    async def whole():
+    async def run():
         async with World("nvme", **changes) as world:
             await asyncio.wait_for(scene(world, world.client), 20)
             assert world.faults() == []
 
-    asyncio.run(whole())
+    asyncio.run(run())
 
 
 def read(cid: int, lba: int = 1, nsid: int = 1, blocks: int = 1) -> bytes:
     return nvme.io_command(nvme.READ, cid, nsid, lba, blocks, blocks * BLOCK)
 
 
-async def completion(stream: Pdus) -> nvme.Completion:
-    while (found := await stream.next()).kind != nvme.RESPONSE:
+async def next_completion(stream: Pdus) -> nvme.Completion:
+    while (pdu := await stream.next()).kind != nvme.RESPONSE:
         pass
-    return nvme.parse_completion(found)
+    return nvme.parse_completion(pdu)
 
 
-async def terminated(stream: Pdus) -> int:
+async def read_termination(stream: Pdus) -> int:
     """Read on to the TermReq and the end of the connection: the fatal error status."""
-    while (found := await stream.next()).kind != nvme.C2H_TERM:
+    while (pdu := await stream.next()).kind != nvme.C2H_TERM:
         pass
     assert await stream.reader.read() == b""
-    return nvme.parse_term(found)[0]
+    return nvme.parse_term(pdu)[0]
 
 
 @pytest.mark.parametrize(
@@ -56,17 +56,17 @@
         _, other = await client.associate()
         admin, io = await client.associate()
         io.writer.write(raw)
-        assert await terminated(io) == status
+        assert await read_termination(io) == status
         assert await admin.reader.read() == b""
         world.targets[0].mode = "serve"
         other.writer.write(read(1, nsid=2))
-        assert (await completion(other)).status == nvme.OK
+        assert (await next_completion(other)).status == nvme.OK
         await world.until(lambda: world.app.engine.open_request_count == 0)
 
     play(scene)
 
 
-def test_a_connection_without_its_connect_command_is_ended_in_time(monkeypatch):
+def test_a_connection_without_its_connect_command_is_closed_in_time(monkeypatch):
     monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.1)
 
     async def scene(world, client):
@@ -74,17 +74,17 @@
         _, io = await client.associate()
         assert await reader.read() == b""
         io.writer.write(read(1))
-        assert (await completion(io)).status == nvme.OK
+        assert (await next_completion(io)).status == nvme.OK
         writer.close()
 
     play(scene)
 
 
-def test_the_first_pdu_must_greet():
+def test_the_first_pdu_must_be_icreq():
     async def scene(world, client):
         reader, writer = await asyncio.open_connection("127.0.0.1", client.port)
         writer.write(read(1))
-        assert await terminated(Pdus(reader, writer, nvme.FROM_CONTROLLER)) == nvme.BAD_SEQUENCE
+        assert await read_termination(Pdus(reader, writer, nvme.FROM_CONTROLLER)) == nvme.BAD_SEQUENCE
 
     play(scene)
 
@@ -98,11 +98,11 @@
         (nvme.command(0x55, 1, 1), nvme.BAD_OPCODE),
     ],
 )
-def test_a_command_that_can_not_be_is_completed_with_do_not_retry(raw, status):
+def test_an_invalid_command_is_completed_with_do_not_retry(raw, status):
     async def scene(world, client):
         _, io = await client.associate()
         io.writer.write(raw)
-        done = await completion(io)
+        done = await next_completion(io)
         assert (done.cid, done.status, done.no_retry) == (1, status, True)
         assert world.app.engine.counts["taken"] == 0
 
@@ -121,66 +121,66 @@
             (nvme.command(nvme.ABORT, 5, rest=struct.pack("<HH", 1, 99)), (nvme.OK, 1)),
         ]:
             admin.writer.write(raw)
-            done = await completion(admin)
+            done = await next_completion(admin)
             assert (done.status, done.result) == expected
         admin.writer.write(nvme.command(nvme.IDENTIFY, 6, 1, bytes([nvme.CNS_NAMESPACE]), 4096))
         page = (await admin.next()).data
         assert struct.unpack_from("<Q", page)[0] == 1 << 40 and 1 << page[130] == BLOCK
         admin.writer.write(nvme.command(nvme.IDENTIFY, 7, 0, bytes([nvme.CNS_ACTIVE]), 4096))
-        await completion(admin)
+        await next_completion(admin)
         assert struct.unpack_from("<3I", (await admin.next()).data) == (1, 2, 0)
 
     play(scene)
 
 
-def test_abort_is_the_client_gone():
+def test_abort_counts_as_a_client_disconnect():
     async def scene(world, client):
         world.targets[0].mode = "silent"
         admin, io = await client.associate()
         io.writer.write(read(4))
         await world.until(lambda: world.targets[0].begun)
         admin.writer.write(nvme.command(nvme.ABORT, 5, rest=struct.pack("<HH", 1, 4)))
-        assert (await completion(admin)).result == 0
-        assert (await completion(io)).status == nvme.ABORTED
+        assert (await next_completion(admin)).result == 0
+        assert (await next_completion(io)).status == nvme.ABORTED
         assert world.app.engine.counts["gone"] == 1
         world.targets[0].mode = "serve"
         io.writer.write(read(4))
-        assert (await completion(io)).status == nvme.OK
+        assert (await next_completion(io)).status == nvme.OK
 
     play(scene)
 
 
-def test_a_controller_that_is_disabled_drops_its_io_queues_and_comes_back():
+def test_a_disabled_controller_closes_its_io_queues_and_can_be_enabled_again():
     async def scene(world, client):
         world.targets[0].mode = "silent"
         admin, io = await client.associate()
         io.writer.write(read(4))
         await world.until(lambda: world.targets[0].begun)
         admin.writer.write(nvme.property_set(5, nvme.CC, 0))
-        assert (await completion(admin)).status == nvme.OK
+        assert (await next_completion(admin)).status == nvme.OK
         assert await io.reader.read() == b"" and world.app.engine.open_request_count == 0
         admin.writer.write(nvme.property_set(5, nvme.CC, nvme.CC_ENABLE))
-        assert (await completion(admin)).status == nvme.OK
+        assert (await next_completion(admin)).status == nvme.OK
         (number,) = world.app.server.associations
         io, _ = await client.queue(1, number)
         world.targets[0].mode = "serve"
         io.writer.write(read(5))
-        assert (await completion(io)).status == nvme.OK
+        assert (await next_completion(io)).status == nvme.OK
 
     play(scene)
 
 
-def test_data_that_crosses_an_abort_is_passed_over():
+def test_data_that_arrives_after_an_abort_is_ignored():
     async def scene(world, client):
         admin, io = await client.associate()
         io.writer.write(nvme.io_command(nvme.WRITE, 4, 1, 8, 32, 32 * BLOCK))
         assert (await io.next()).kind == nvme.R2T
         admin.writer.write(nvme.command(nvme.ABORT, 5, rest=struct.pack("<HH", 1, 4)))
-        done = await completion(io)
+        done = await next_completion(io)
         assert (done.status, done.no_retry) == (nvme.ABORTED, True)
         io.writer.write(nvme.data_pdu(nvme.H2C_DATA, 4, 4, 0, bytes(32 * BLOCK)))
         io.writer.write(read(5))
-        assert (await completion(io)).cid == 5
+        assert (await next_completion(io)).cid == 5
         assert [tag for _, tag in world.targets[0].begun] == [1]
 
     play(scene)
@@ -200,7 +200,7 @@
     play(scene)
 
 
-def test_a_host_that_stays_silent_past_its_keep_alive_time_is_gone():
+def test_a_host_silent_past_its_keep_alive_timeout_is_disconnected():
     async def scene(world, client):
         admin, _ = await client.queue(0, nvme.DYNAMIC, keep_alive=0.05)
         assert await admin.reader.read() == b""
@@ -209,12 +209,14 @@
     play(scene)
 
 
-@pytest.mark.parametrize("spoil", [b"\x77" + bytes(7), nvme.data_pdu(nvme.C2H_DATA, 77, 0, 0, b"data")])
-def test_a_bad_answer_of_a_target_is_an_event_and_the_write_failed(spoil):
+@pytest.mark.parametrize(
+    "malformed_pdu", [b"\x77" + bytes(7), nvme.data_pdu(nvme.C2H_DATA, 77, 0, 0, b"data")]
+)
+def test_a_malformed_response_of_a_target_is_logged_and_the_write_fails(malformed_pdu):
     async def scene(world, client):
         async def act(tag, data):
             for writer in list(world.targets[0].writers):
-                writer.write(spoil)
+                writer.write(malformed_pdu)
             return "silent"
 
         world.targets[0].act = act
@@ -225,7 +227,7 @@
     play(scene)
 
 
-def test_a_target_that_takes_no_data_in_capsules_asks_for_it():
+def test_a_target_without_in_capsule_data_requests_it_by_r2t():
     async def scene(world, client):
         world.targets[0].capsule = 0
         assert (await world.write(tag=3)).end == "served"
@@ -234,14 +236,14 @@
     play(scene)
 
 
-def test_an_answer_that_stops_short_is_given_up_soon_and_a_read_sent_again():
+def test_a_stalled_response_is_aborted_and_the_read_retried():
     async def scene(world, client):
         target, command = world.targets[0], world.targets[0].command
 
-        async def stop_short(stream, c, data):
-            if c.opcode != nvme.READ:
-                return await command(stream, c, data)
-            stream.writer.write(nvme.data_pdu(nvme.C2H_DATA, c.cid, 0, 0, bytes(BLOCK)))
+        async def stop_short(stream, request, data):
+            if request.opcode != nvme.READ:
+                return await command(stream, request, data)
+            stream.writer.write(nvme.data_pdu(nvme.C2H_DATA, request.cid, 0, 0, bytes(BLOCK)))
             target.command = command
             await asyncio.sleep(10)
 
@@ -253,13 +255,13 @@
     play(scene)
 
 
-def test_completions_that_a_host_does_not_read_are_held_to_an_allowance():
+def test_unread_completions_are_limited_by_a_memory_budget():
     async def scene(world, client):
         admin, io = await client.associate()
         world.app.server.unread_response_budget._most = 50_000
         (association,) = world.app.server.associations.values()
-        ours = association.queues[1].transport
-        for end, option in ((ours, socket.SO_SNDBUF), (io.writer, socket.SO_RCVBUF)):
+        transport = association.queues[1].transport
+        for end, option in ((transport, socket.SO_SNDBUF), (io.writer, socket.SO_RCVBUF)):
             end.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, 4096)
         io.writer.transport.pause_reading()
         for cid in range(1, 16):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -17,7 +17,7 @@
 from stalltiller.protocol import http, nvme
 from stalltiller.scheduling import Idempotency
 from tests.helpers import request_class
-from tests.simulated_clock import run_on_jumping_clock
+from tests.simulated_clock import run_on_simulated_clock
 from tests.stand_ins import BLOCK, DEADLINE, PER_UNIT, VOLUME, Standin, World, read_message
 
 
@@ -354,7 +354,7 @@
         await asyncio.sleep(1.0)
         assert len(world.targets[0].begun) == 1
 
-    play(scene, run=run_on_jumping_clock, classes=(keyed,))
+    play(scene, run=run_on_simulated_clock, classes=(keyed,))
 
 
 def test_the_key_by_which_targets_know_a_repeat_passes_on_unchanged():
@@ -408,7 +408,7 @@
         assert target.begun == []
         client.close()
 
-    play(scene, run=run_on_jumping_clock, classes=(patient,))
+    play(scene, run=run_on_simulated_clock, classes=(patient,))
 
 
 def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_request_s(monkeypatch):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -12,7 +12,7 @@
 from stalltiller.protocol import http
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.watch import NOTIFICATION_DEADLINE, BackoffPollPolicy, Watch
-from tests.simulated_clock import run_on_jumping_clock
+from tests.simulated_clock import run_on_simulated_clock
 from tests.stand_ins import Standin, read_message
 
 LINES, KNOWN = 60, 41
@@ -85,7 +85,7 @@
         discovery.close()
         return at - discovery.had_at, discovery.calls
 
-    return run_on_jumping_clock(scene())
+    return run_on_simulated_clock(scene())
 
 
 PACES = [
