--- a/stalltiller/adapters/__init__.py
+++ b/stalltiller/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""The two wires: each joins its parsers and connections to the engine by `routing.ports`."""
+"""The adapters of HTTP and NVMe/TCP: each joins its connections to the engine by `routing.ports`."""
--- a/stalltiller/adapters/http_server.py
+++ b/stalltiller/adapters/http_server.py
@@ -13,6 +13,7 @@
 
 from stalltiller.adapters.http_payload import SMALL_BODY_BYTES, Payload
 from stalltiller.adapters.recent_request_ids import RecentRequestIds
+from stalltiller.adapters.request_timer import RequestTimer
 from stalltiller.adapters.response_stream import ResponseStream
 from stalltiller.protocol import http
 from stalltiller.protocol.platform import FieldError, RequestFields
@@ -24,10 +25,6 @@
 from stalltiller.transport.listener import Listener
 
 READY_PATH = "/healthz"
-# How long a client may take to send a request's head; for a body it gets the time of MIN_BODY_RATE on top.
-REQUEST_TIMEOUT_SECONDS = 2.5
-MIN_BODY_RATE_BYTES_PER_SECOND = 48_000  # a body that arrives more slowly is not waited for
-MIN_TIMER_SECONDS = 0.05  # between two checks of a body that arrives just fast enough
 UNREAD_TIMEOUT_SECONDS = 5.0  # how long a client may read nothing of its response
 
 
@@ -44,8 +41,7 @@
         self._rejects_requests = False  # the listener is over its limit: each request gets 503
         # The client pipelined more than the buffer holds: that is dropped, and this request is its last one.
         self._discards_input = False
-        self._request_timer: asyncio.TimerHandle | None = None
-        self._request_started_at = 0.0
+        self._request_timer = RequestTimer(server.loop)
         self._unread_bytes = 0  # reserved in the server's budget of unread responses
         self._body_bytes = 0  # reserved in the server's budget of request bodies
         self._stream: ResponseStream | None = None  # the response that is being passed on
@@ -70,11 +66,11 @@
             self._reject_and_close(error.status, str(error))
             return len(data)
         if self._reader.done:
-            self._cancel_request_timer()
+            self._request_timer.cancel()
             self._listener.request_finished(self)
             self._handle_request()
             return consumed
-        self._start_request_timer()
+        self._request_timer.start(self._bytes_received, self._on_request_stalled)
         self._listener.request_started(self)
         if self._reader.begun and not had_head and not self._accept_head():
             return len(data)
@@ -83,6 +79,12 @@
             return len(data)
         return consumed
 
+    def _bytes_received(self) -> int:
+        return self._reader.bytes_received
+
+    def _on_request_stalled(self) -> None:
+        self._reject_and_close(408, "request not ended")
+
     def _accept_head(self) -> bool:
         """Return whether the body that follows a head is wanted.
 
@@ -139,7 +141,7 @@
     def on_disconnected(self, _error: Exception | None) -> None:
         """Release all reservations and cancel the request in progress."""
         self._listener.remove(self)
-        self._cancel_request_timer()
+        self._request_timer.cancel()
         self._release_unread()
         self._reserve_body(0)
         if self._stream is not None:
@@ -164,7 +166,7 @@
         """Shut down sending after what was written and drop what still arrives."""
         if self.is_closing or self.half_closed:
             return
-        self._cancel_request_timer()
+        self._request_timer.cancel()
         self._reader.reset()
         self._reserve_body(0)
         self._listener.closing_gracefully(self)
@@ -332,34 +334,6 @@
         self._unread_bytes = 0
         self._server.unread_response_budget.adjust(-size)
 
-    # --- The time limit of a request that is being received ---
-    def _start_request_timer(self) -> None:
-        """Guard against clients that begin a request and never end it."""
-        if self._request_timer is None:
-            self._request_started_at = self._server.loop.time()
-            self._request_timer = self._server.loop.call_later(
-                REQUEST_TIMEOUT_SECONDS, self._check_request_timeout
-            )
-
-    def _cancel_request_timer(self) -> None:
-        if self._request_timer is not None:
-            self._request_timer.cancel()
-            self._request_timer = None
-
-    def _check_request_timeout(self) -> None:
-        remaining = (
-            self._request_started_at
-            + REQUEST_TIMEOUT_SECONDS
-            + self._reader.bytes_received / MIN_BODY_RATE_BYTES_PER_SECOND
-            - self._server.loop.time()
-        )
-        if remaining <= 0:
-            self._reject_and_close(408, "request not ended")
-        else:
-            self._request_timer = self._server.loop.call_later(
-                max(remaining, MIN_TIMER_SECONDS), self._check_request_timeout
-            )
-
 
 class HttpServer:
     """Serves clients over HTTP/1.1; owns what their connections share.
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -90,7 +90,7 @@
 
 
 def test_an_incomplete_request_times_out_with_408(monkeypatch):
-    monkeypatch.setattr("stalltiller.adapters.http_server.REQUEST_TIMEOUT_SECONDS", 0.05)
+    monkeypatch.setattr("stalltiller.adapters.request_timer.REQUEST_TIMEOUT_SECONDS", 0.05)
 
     async def scene(world, reader, writer):
         writer.write(GET_REQUEST[:-2])
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from stalltiller.adapters import http_server, http_target_client
+from stalltiller.adapters import http_server, http_target_client, request_timer
 from stalltiller.protocol import http
 from tests.stand_ins import read_message
 from tests.test_http_server import GET_REQUEST, VALID_FIELDS, play
@@ -184,8 +184,8 @@
 
 
 def test_a_slow_body_is_waited_for_and_a_stalled_one_times_out(monkeypatch):
-    monkeypatch.setattr(http_server, "REQUEST_TIMEOUT_SECONDS", 0.1)
-    monkeypatch.setattr(http_server, "MIN_BODY_RATE_BYTES_PER_SECOND", 20_000)
+    monkeypatch.setattr(request_timer, "REQUEST_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(request_timer, "MIN_BODY_RATE_BYTES_PER_SECOND", 20_000)
     monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.2)
 
     async def scene(world, reader, writer):
