--- a/bench/mass_restart.py
+++ b/bench/mass_restart.py
@@ -102,7 +102,7 @@
         self.delay = SERVICE_SECONDS
 
     async def act(self, tag: int, data: bytes) -> str:
-        if self.out >= self.slots:
+        if self.in_flight >= self.slots:
             self.rejected_at.append(time.monotonic())
             return "turn_away"
         return await super().act(tag, data)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -19,7 +19,7 @@
 from stalltiller.protocol import http, nvme
 from stalltiller.scheduling import Idempotency
 from tests.helpers import request_class
-from tests.simulated_clock import run_on_jumping_clock
+from tests.simulated_clock import run_on_simulated_clock
 from tests.stand_ins import BLOCK, DEADLINE, PER_UNIT, VOLUME, Standin, World, read_message
 
 
@@ -187,7 +187,7 @@
 
     async def scene(world):
         client = connect_client(world)
-        call_around(monkeypatch, "_answer", "before", lambda: client.sendall(b"GET /late"))
+        call_around(monkeypatch, "_write_response", "before", lambda: client.sendall(b"GET /late"))
         client.sendall(encode_get(1, Connection="close", **({"Tier": "tin"} if bad else {})))
         answer = await read_to_end(client)
         assert answer.startswith(b"HTTP/1.1 400" if bad else b"HTTP/1.1 200")
@@ -361,7 +361,7 @@
         await asyncio.sleep(1.0)
         assert len(world.targets[0].begun) == 1
 
-    play(scene, run=run_on_jumping_clock, classes=(class_with_key,))
+    play(scene, run=run_on_simulated_clock, classes=(class_with_key,))
 
 
 def test_the_idempotency_key_is_forwarded_unchanged():
@@ -417,7 +417,7 @@
         assert target.begun == []
         client.close()
 
-    play(scene, run=run_on_jumping_clock, classes=(patient_class,))
+    play(scene, run=run_on_simulated_clock, classes=(patient_class,))
 
 
 def test_a_late_duplicate_response_is_not_used_for_the_next_request(monkeypatch):
