Name transport's connections, limits and poll policy in standard terms

Need: the transport package used words of an earlier house style (guest, stranger, wary, hello) and limits without units. Change: names, constants with units, one assignment a line, short functions, docstrings; behaviour is unchanged. Tests that set these attributes or constants by name follow.

--- a/stalltiller/adapters/admin_api.py
+++ b/stalltiller/adapters/admin_api.py
@@ -86,5 +86,8 @@
 def admin_listener(buffers: BufferPool, calls: dict[tuple[str, str], Act]) -> Listener:
     """Listens for calls.  Callers that say nothing make room for others, the oldest first."""
     return Listener(
-        lambda listener: AdminConnection(buffers, calls, listener), MAX_CALLERS, MAX_CALLERS, hello=CALL_LIMIT
+        lambda listener: AdminConnection(buffers, calls, listener),
+        MAX_CALLERS,
+        MAX_CALLERS,
+        first_request_timeout=CALL_LIMIT,
     )
--- a/stalltiller/transport/__init__.py
+++ b/stalltiller/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Connections, buffers and pools.  Nothing here knows what the bytes mean."""
+"""TCP connections, receive buffers and connection pools; nothing here knows what the bytes mean."""
--- a/stalltiller/transport/buffers.py
+++ b/stalltiller/transport/buffers.py
@@ -1,31 +1,46 @@
-"""Receive buffers of one size, used again."""
+"""Receive buffers of one size that are reused, and a byte budget that several connections share.
+
+Both are owned by the event loop's thread and take no locks.
+"""
 
 from __future__ import annotations
 
-SIZE = 16 * 1024  # bytes: also the longest message head that fits
+BUFFER_BYTES = 16 * 1024  # a connection sees one buffer at a time, so this is also the longest message head
+MAX_FREE_BUFFERS = 64  # 1 MiB in reserve; only connections with unread bytes need a buffer
 
 
 class BufferPool:
-    """Lends buffers; keeps at most `spare` of those that come back, the rest are freed."""
+    """Lends buffers of `size` bytes and reuses those that come back.
+
+    At most `max_free` returned buffers are retained; the others are left to the garbage collector.
+    """
 
-    def __init__(self, spare: int = 64, size: int = SIZE) -> None:
-        self.size, self._spare, self._free = size, spare, []
+    def __init__(self, max_free: int = MAX_FREE_BUFFERS, size: int = BUFFER_BYTES) -> None:
+        self.size = size
+        self._max_free = max_free
+        self._free: list[bytearray] = []
 
     def acquire(self) -> bytearray:
+        """Return a buffer, whose old contents are undefined."""
         return self._free.pop() if self._free else bytearray(self.size)
 
     def release(self, buffer: bytearray) -> None:
-        if len(self._free) < self._spare:
+        """Take back a buffer that `acquire` returned and nobody uses any more."""
+        if len(self._free) < self._max_free:
             self._free.append(buffer)
 
 
 class MemoryBudget:
-    """Bytes that may be held at once by all who share it."""
+    """Counts the bytes that all who share it have reserved, against a limit of `max_bytes`."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self.reserved = 0
 
-    def __init__(self, most: int) -> None:
-        self._most, self.reserved = most, 0
+    def adjust(self, byte_delta: int) -> bool:
+        """Reserve bytes, or return them if negative; return whether the total is within the limit.
 
-    def adjust(self, by: int) -> bool:
-        """Count bytes in, or out if negative; whether all are within the allowance."""
-        self.reserved += by
-        return self.reserved <= self._most
+        The bytes are counted even if the total exceeds the limit: the caller decides what to give up.
+        """
+        self.reserved += byte_delta
+        return self.reserved <= self._max_bytes
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -1,4 +1,8 @@
-"""A TCP connection that reads into a pooled buffer, which it holds only while bytes wait in it."""
+"""A TCP connection that reads into a pooled buffer and holds it only while unread bytes wait in it.
+
+A connection belongs to the event loop's thread.  It owns its buffer and its timers and gives them back when
+the connection is lost.
+"""
 
 from __future__ import annotations
 
@@ -7,234 +11,281 @@
 import select
 import socket
 import struct
+from typing import cast
 
 from stalltiller.transport.buffers import BufferPool
 
-LINGER_TIMEOUT = (
-    3.0  # s for which a connection that was shut down still reads, if the other side does not close it
-)
+# How long a connection whose sending side is shut down still reads if the peer does not close it: the peer's
+# time to read what was written last.
+LINGER_TIMEOUT_SECONDS = 3.0
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER, on with a timeout of zero: close() sends a reset
 
 
 class Connection(asyncio.BufferedProtocol):
-    """Subclasses say what to do with received bytes and with the end.
+    """Base of all connections; subclasses process the received bytes.
 
-    Names here stay clear of theirs: `_fill`, the buffer's fill, once hid a method `_fill` of a subclass, and
-    every answer of a target ended in a TypeError.
+    The names of its attributes must not hide methods of subclasses.  `tests/test_connection.py` checks that:
+    an attribute `_fill` once hid a method `_fill` of a subclass, and every response ended in a TypeError.
     """
 
     def __init__(self, buffers: BufferPool) -> None:
         self._buffers = buffers
         self._buffer: bytearray | None = None
-        self._read_at = self._fill = 0
-        self._paused = False
-        self._written = 0  # bytes in all
-        self._reading: asyncio.TimerHandle | None = None  # the next look whether the other side reads
-        self._lingering: asyncio.TimerHandle | None = None  # when it closes though the other side has not
-        self.flushed = True  # the kernel has taken every byte written so far
-        self.half_closed = False  # sending was shut down; what still comes is dropped
+        self._unread_start = 0
+        self._unread_end = 0
+        self._paused = False  # reading from the kernel is paused
+        self._bytes_written = 0
+        self._read_check_timer: asyncio.TimerHandle | None = None  # checks that the peer still reads
+        self._linger_timer: asyncio.TimerHandle | None = None  # ends a graceful close that the peer ignores
+        self.flushed = True  # the kernel has accepted every byte written so far
+        self.half_closed = False  # sending is shut down; received bytes are dropped
         self.transport: asyncio.Transport | None = None
 
     # --- For subclasses ---------------------------------------------------------------------------
     def on_data(self, data: memoryview) -> int:
-        """Take bytes and return how many are done with; the rest is kept and shown again with more."""
+        """Process received bytes and return how many are consumed.
+
+        The others are presented again together with the next bytes that arrive.
+        """
         raise NotImplementedError
 
     def on_connected(self) -> None:
-        """The connection is up."""
+        """Handle the connection's establishment."""
 
     def on_buffer_full(self) -> None:
-        """The buffer is full of bytes that `received` does not take; by default wait until it does."""
+        """Handle a buffer full of bytes that `on_data` does not consume; by default reading pauses."""
         self._pause()
 
     def on_disconnected(self, error: Exception | None) -> None:
-        """The connection is gone."""
+        """Handle the connection's end; `error` is None after an orderly close."""
 
     # --- For owners -------------------------------------------------------------------------------
     @property
     def is_closing(self) -> bool:
+        """Whether the connection is not established yet, closing or closed."""
         return self.transport is None or self.transport.is_closing()
 
     @property
     def has_unread_data(self) -> bool:
-        """Whether bytes were received that are not done with."""
-        return self._fill > self._read_at
+        """Whether bytes were received that are not consumed."""
+        return self._unread_end > self._unread_start
 
     def is_clean(self) -> bool:
-        """Whether nothing has come that nobody read, bytes or an end, in the kernel's buffer neither.
+        """Whether the connection is open and nothing unread waits, not in the kernel's buffer either.
 
-        Guards against an answer's surplus that the loop has not seen yet: it would pass for the next answer.
+        Guards against surplus bytes after a response, or an end of the stream, that the event loop has not
+        seen yet: they would pass for the next response.
         """
-        if self.is_closing or self.has_unread_data:
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.has_unread_data:
             return False
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        poll.register(transport.get_extra_info("socket"), select.POLLIN)
         return not poll.poll(0)
 
     def is_peer_closed(self) -> bool:
-        """Whether the other side has ended or reset the connection, also where bytes wait before its end or
-        the loop has not come to see it."""
-        if self.is_closing:
+        """Whether the peer has ended or reset the connection.
+
+        It is detected also while unread bytes precede the end, or before the event loop has seen it.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
             return True
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
-        return any(found & PEER_CLOSED_EVENTS for _, found in poll.poll(0))
+        poll.register(transport.get_extra_info("socket"), select.POLLRDHUP)
+        return any(events & PEER_CLOSED_EVENTS for _, events in poll.poll(0))
 
     def write(self, data: bytes | memoryview) -> None:
-        if self.is_closing or self.half_closed:
+        """Send bytes; on a connection that is closing they are dropped and `flushed` becomes false."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.half_closed:
             self.flushed = False
             return
-        self._written += len(data)
-        self.transport.write(data)
-        if self.transport.is_closing():  # the kernel took nothing: the other side was gone already
+        self._bytes_written += len(data)
+        transport.write(data)
+        if transport.is_closing():  # the kernel accepted nothing: the peer had closed already
             self.flushed = False
 
-    def abort_if_unread(self, limit: float) -> None:
-        """Abort if for so long the kernel takes nothing of what it has not taken by now.
+    def abort_if_unread(self, timeout: float) -> None:
+        """Abort if the kernel accepts none of the pending bytes within `timeout` seconds.
 
-        Guards against a side that asks and does not read; one that reads slowly has its time.
+        Guards against a peer that sends requests and does not read the responses.  One that reads slowly is
+        left alone: each accepted byte starts the time anew.
         """
-        if self._reading is None and not self.flushed and self.transport is not None:
-            taken = self._written - self.transport.get_write_buffer_size()
-            self._reading = asyncio.get_running_loop().call_later(limit, self._look, limit, taken)
+        if self._read_check_timer is not None or self.flushed or self.transport is None:
+            return
+        self._read_check_timer = asyncio.get_running_loop().call_later(
+            timeout, self._check_peer_reads, timeout, self._bytes_accepted(self.transport)
+        )
 
-    def _look(self, limit: float, before: int) -> None:
-        self._reading = None
-        if self.flushed:
+    def _bytes_accepted(self, transport: asyncio.Transport) -> int:
+        """Return how many bytes the kernel has accepted since the connection's establishment."""
+        return self._bytes_written - transport.get_write_buffer_size()
+
+    def _check_peer_reads(self, timeout: float, accepted_before: int) -> None:
+        self._read_check_timer = None
+        if self.flushed or self.transport is None:
             return
-        if self._written - self.transport.get_write_buffer_size() == before:
+        if self._bytes_accepted(self.transport) == accepted_before:
             self.abort()
         else:
-            self.abort_if_unread(limit)
+            self.abort_if_unread(timeout)
 
     def close_gracefully(self) -> None:
-        """Close so that all that was written arrives: shut down sending, drop what still comes, and close
-        when the other side has or LINGER is over.
+        """Close so that all written bytes arrive.
+
+        Sending is shut down, received bytes are dropped, and the connection closes when the peer closes it or
+        LINGER_TIMEOUT_SECONDS are over.
 
-        Guards against a close over bytes that nobody read, or that come right after it: it resets the
-        connection, and what the other side has not read yet is lost to it.
+        Guards against closing while received bytes are unread or still arrive: this resets the connection,
+        and the peer loses what it has not read yet.
         """
-        if self.is_closing or self.half_closed:
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.half_closed:
             return
         self.half_closed = True
         self._release()
         try:
-            self.transport.write_eof()  # once what was written has gone out
-        except OSError:  # the other side was gone already
+            transport.write_eof()  # takes effect once the written bytes are sent
+        except OSError:  # the peer had closed already
             self.abort()
             return
         if self._paused:
             self._paused = False
-            self.transport.resume_reading()
-        self.abort_if_unread(LINGER_TIMEOUT)
-        self._linger()
+            transport.resume_reading()
+        self.abort_if_unread(LINGER_TIMEOUT_SECONDS)
+        self._start_linger_timer()
 
-    def _linger(self) -> None:
-        self._lingering = asyncio.get_running_loop().call_later(LINGER_TIMEOUT, self._linger_over)
+    def _start_linger_timer(self) -> None:
+        self._linger_timer = asyncio.get_running_loop().call_later(
+            LINGER_TIMEOUT_SECONDS, self._on_linger_timeout
+        )
 
-    def _linger_over(self) -> None:
+    def _on_linger_timeout(self) -> None:
         if self.flushed:
             self.abort()
-        else:  # it reads slowly: `expect_reading` ends it if it reads nothing
-            self.abort_if_unread(LINGER_TIMEOUT)
-            self._linger()
+        else:  # the peer reads slowly: `abort_if_unread` ends the connection if it reads nothing
+            self.abort_if_unread(LINGER_TIMEOUT_SECONDS)
+            self._start_linger_timer()
 
     def close(self) -> None:
-        """Close once what was written has gone out."""
+        """Close once all written bytes are sent."""
         if self.transport is not None:
             self.transport.close()
 
     def abort(self) -> None:
-        """Close now; what was not sent is dropped.
+        """Close now; bytes that are not sent are dropped.
 
-        asyncio closes the socket one turn of the loop later.  Guards against a second copy: an attempt that
-        was given up must have ended for its target before the next one goes out on another connection.
+        asyncio closes the socket one iteration of the event loop later, so it is shut down here.  Guards
+        against running a request twice: an abandoned attempt must have ended for its target before the next
+        one starts on another connection.
         """
         if self.transport is not None:
-            with contextlib.suppress(OSError):  # it may be down already
+            with contextlib.suppress(OSError):  # the socket may be shut down already
                 self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
     def reset(self) -> None:
-        """Close now with a reset, so that no one takes what was sent for all there is."""
+        """Close now with a TCP reset, so that the peer does not take what it received for the whole."""
         if self.transport is not None:
             with contextlib.suppress(OSError):
                 self.transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
                 )
             self.transport.abort()
 
     def resume_processing(self) -> None:
-        """Look again at kept bytes, and go on reading."""
-        self._digest()
-        if self._paused and not self.is_closing and self._fill - self._read_at < self._buffers.size:
+        """Present unread bytes to `on_data` again and resume reading if the buffer has room."""
+        self._process_buffer()
+        transport = self.transport
+        if not self._paused or transport is None or transport.is_closing():
+            return
+        if self._unread_end - self._unread_start < self._buffers.size:
             self._paused = False
-            self.transport.resume_reading()
+            transport.resume_reading()
 
     def discard_unread(self) -> None:
-        """Drop the kept bytes."""
-        self._read_at = self._fill = 0
+        """Drop the unread bytes."""
+        self._unread_start = 0
+        self._unread_end = 0
 
     # --- asyncio ----------------------------------------------------------------------------------
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        self.transport = transport
-        transport.set_write_buffer_limits(high=0)  # so that `pause_writing` tells of any byte left over
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Implement `asyncio.BaseProtocol`."""
+        self.transport = cast(asyncio.Transport, transport)  # that of a socket reads and writes
+        self.transport.set_write_buffer_limits(high=0)  # so that `pause_writing` reports any byte left over
         self.on_connected()
 
-    def get_buffer(self, sizehint: int) -> memoryview:
+    def get_buffer(self, _sizehint: int) -> memoryview:
+        """Implement `asyncio.BufferedProtocol`: return the free part of the buffer."""
         if self._buffer is None:
             self._buffer = self._buffers.acquire()
-        return memoryview(self._buffer)[self._fill :]
+        return memoryview(self._buffer)[self._unread_end :]
 
     def buffer_updated(self, nbytes: int) -> None:
-        self._fill += nbytes
-        self._digest()
+        """Implement `asyncio.BufferedProtocol`: process the bytes that were received."""
+        self._unread_end += nbytes
+        self._process_buffer()
 
     def pause_writing(self) -> None:
+        """Implement `asyncio.BaseProtocol`: the kernel did not accept all written bytes."""
         self.flushed = False
 
     def resume_writing(self) -> None:
+        """Implement `asyncio.BaseProtocol`: the kernel has accepted all written bytes."""
         self.flushed = True
-        self.resume_processing()  # for those that take nothing more until what they wrote has gone out
+        self.resume_processing()  # for subclasses that consume nothing until their output is flushed
 
     def eof_received(self) -> bool:
+        """Implement `asyncio.BufferedProtocol`: close when the peer shuts down its sending side."""
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        for timer in (self._reading, self._lingering):
+        """Implement `asyncio.BaseProtocol`: release timers and buffer, then notify the subclass."""
+        for timer in (self._read_check_timer, self._linger_timer):
             if timer is not None:
                 timer.cancel()
         self._release()
         self.on_disconnected(error)
 
-    def _digest(self) -> None:
+    def _process_buffer(self) -> None:
+        """Present unread bytes to `on_data` until it consumes none, then free or compact the buffer."""
         if self.half_closed:
             self._release()
             return
-        while self._buffer is not None and self._fill > self._read_at and not self.is_closing:
-            used = self.on_data(memoryview(self._buffer)[self._read_at : self._fill])
-            self._read_at += used
-            if used == 0:
+        while self._buffer is not None and self._unread_end > self._unread_start and not self.is_closing:
+            consumed = self.on_data(memoryview(self._buffer)[self._unread_start : self._unread_end])
+            self._unread_start += consumed
+            if consumed == 0:
                 break
         if self._buffer is None:
             return
-        if self._read_at == self._fill or self.is_closing:
+        if self._unread_start == self._unread_end or self.is_closing:
             self._release()
-        elif self._fill == len(self._buffer):
-            if self._read_at:
-                left = self._fill - self._read_at
-                self._buffer[:left] = self._buffer[self._read_at : self._fill]
-                self._read_at, self._fill = 0, left
-            else:
-                self.on_buffer_full()
+        elif self._unread_end == len(self._buffer):
+            self._compact_full_buffer(self._buffer)
+
+    def _compact_full_buffer(self, buffer: bytearray) -> None:
+        """Move unread bytes to the buffer's start; if they fill it, leave the decision to the subclass."""
+        if self._unread_start == 0:
+            self.on_buffer_full()
+            return
+        unread_bytes = self._unread_end - self._unread_start
+        buffer[:unread_bytes] = buffer[self._unread_start : self._unread_end]
+        self._unread_start = 0
+        self._unread_end = unread_bytes
 
     def _pause(self) -> None:
-        if not self._paused and not self.is_closing:
+        """Pause reading from the kernel until `resume_processing` finds room in the buffer."""
+        transport = self.transport
+        if not self._paused and transport is not None and not transport.is_closing():
             self._paused = True
-            self.transport.pause_reading()
+            transport.pause_reading()
 
     def _release(self) -> None:
         if self._buffer is not None:
             self._buffers.release(self._buffer)
             self._buffer = None
-        self._read_at = self._fill = 0
+        self._unread_start = 0
+        self._unread_end = 0
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -1,4 +1,8 @@
-"""The listening socket and the client connections behind it, held to a number."""
+"""The listening socket and the client connections accepted on it, limited in number.
+
+A listener belongs to the event loop's thread.  It owns the listening socket and the timer of its sweep; each
+connection owns itself and reports its life to the listener (`add`, `request_started`, ..., `remove`).
+"""
 
 from __future__ import annotations
 
@@ -9,205 +13,265 @@
 from collections.abc import Callable
 from typing import Protocol
 
-BACKLOG = 512  # connections that wait in the kernel
-BATCH = 16  # connections accepted in one turn of the loop, or BATCH_SHARE of the number if that is fewer
-BATCH_SHARE = 4
-TURNED_AWAY = 16  # connections over the number that are still told so; the rest are closed unheard
-AWAY_SHARE = 2  # of the number: no more than this part of it, or there would be no descriptors for others
-SWEEP_EVERY = 0.25  # s between looks for connections to close
-SPEAK_LIMIT = 0.1  # s in which a client that has something to ask has asked, as a rule
-HELLO_LIMIT = 2.3  # s that a new connection may take until its first whole head
-IDLE_LIMIT = 2.0  # s that a connection may stand idle
-CROWDED_LIMIT = 0.3  # s, while there are more than `usual`
+BACKLOG = 512  # connections that wait in the kernel until they are accepted: bursts are hundreds
+# Connections accepted in one iteration of the event loop, or the limit divided by ACCEPTS_LIMIT_DIVISOR if
+# that is fewer.  Each is up before any can be closed, so they come on top of the limit.
+MAX_ACCEPTS_PER_ITERATION = 16
+ACCEPTS_LIMIT_DIVISOR = 4
+# Connections over the limit that still get a rejection, or the limit divided by REJECTED_LIMIT_DIVISOR if
+# that is fewer: of few descriptors none would be left for others.  The rest are closed without a response.
+MAX_REJECTED_CONNECTIONS = 16
+REJECTED_LIMIT_DIVISOR = 2
+SWEEP_INTERVAL_SECONDS = 0.25  # short against the timeouts below, so that these are kept closely
+# A client that connects for a request has begun to send it by then, as a rule; a silent one goes first later.
+FIRST_BYTE_TIMEOUT_SECONDS = 0.1
+# By then the first request head on a new connection must be complete; it leaves time to one sent slowly.
+FIRST_REQUEST_TIMEOUT_SECONDS = 2.3
+# Clients hold only so many connections to an initiator: unused ones keep others from sending.
+IDLE_TIMEOUT_SECONDS = 2.0
+CROWDED_IDLE_TIMEOUT_SECONDS = 0.3  # the same while there are more connections than usual
 
 
 class ManagedConnection(Protocol):
-    """A client's connection."""
+    """A client's connection, as the listener sees it."""
 
     def close_if_idle(self) -> bool:
-        """Close between requests; whether it was idle."""
+        """Close if no request is in progress; return whether that was so."""
 
     def on_request_timeout(self) -> None:
-        """No whole request has come in time: say so or close, unless its head has come."""
+        """Handle that no whole request came in time: reject it or close, unless its head has come."""
 
     def reject_requests(self) -> None:
-        """Answer whatever comes with a refusal and close."""
+        """Answer whatever request comes with a rejection, then close."""
 
     @property
-    def is_closing(self) -> bool: ...
+    def is_closing(self) -> bool:
+        """Whether the connection is closing or closed."""
 
     def abort(self) -> None:
-        """Close now."""
+        """Close now; bytes that are not sent are dropped."""
 
     def abort_partial_responses(self) -> None:
-        """The program ends: have the other side see what is not whole."""
+        """End so that the client recognises incomplete responses: the process stops."""
 
 
 class Listener:
-    """Accepts connections.  Over `most` another makes room, or the new one is turned away.
+    """Accepts client connections and closes some of them when there are more than `max_connections`.
+
+    Over the limit, room is made in this order: connections that have sent nothing within
+    FIRST_BYTE_TIMEOUT_SECONDS; then idle ones; then those still sending their first request, the one silent
+    for longest first; then the new connection itself.  If more than MAX_REJECTED_CONNECTIONS are over the
+    limit, a connection that is closing gracefully goes before idle ones.
 
-    Those go first that have sent nothing in SPEAK_LIMIT, then idle ones, then those in their first request,
-    from the one silent for longest on, then new ones.  One that was shut down and not closed yet goes when
-    more are over the number than are told so.  Guards against clients that connect by hundreds and
-    say nothing or never end what they say: they would push out the idle connections of usual clients, new
-    ones whose first request is on its way, and those that write it slowly.
+    Guards against clients that connect by hundreds and send nothing or never finish a request: they would
+    displace the idle connections of other clients, new connections whose first request is on its way, and
+    clients that send it slowly.
     """
 
     def __init__(
         self,
-        make: Callable[[Listener], asyncio.BufferedProtocol],
-        most: int,
-        usual: int,
-        hello: float | None = None,
+        connection_factory: Callable[[Listener], asyncio.BufferedProtocol],
+        max_connections: int,
+        usual_connections: int,
+        first_request_timeout: float | None = None,
     ) -> None:
-        self._make, self._most, self._usual = make, most, usual
-        self._away = min(TURNED_AWAY, most // AWAY_SHARE)
-        self._hello = HELLO_LIMIT if hello is None else hello
+        """Prepare to listen; above `usual_connections` idle ones are closed sooner.
+
+        `first_request_timeout` is in seconds; by default it is FIRST_REQUEST_TIMEOUT_SECONDS.
+        """
+        self._connection_factory = connection_factory
+        self._max_connections = max_connections
+        self._usual_connections = usual_connections
+        self._max_rejected = min(MAX_REJECTED_CONNECTIONS, max_connections // REJECTED_LIMIT_DIVISOR)
+        if first_request_timeout is None:
+            first_request_timeout = FIRST_REQUEST_TIMEOUT_SECONDS
+        self._first_request_timeout = first_request_timeout
         self._server: asyncio.Server | None = None
         self._listening: socket.socket | None = None
-        self._strangers: dict[
-            ManagedConnection, float
-        ] = {}  # no whole request yet: when each arrived, in order
-        self._spoke: dict[
-            ManagedConnection, float
-        ] = {}  # strangers that have begun one: when some came last, in order
-        self._guests: dict[ManagedConnection, float] = {}  # when each was last used, in order
-        self._lingering: dict[
-            ManagedConnection, float
-        ] = {}  # shut down and not closed yet: since when, in order
+        # Each with the time (monotonic clock) by which it is ordered.
+        self._awaiting_first_request: dict[ManagedConnection, float] = {}  # by establishment
+        self._sending_first_request: dict[ManagedConnection, float] = {}  # of these, by last receipt
+        self._established: dict[ManagedConnection, float] = {}  # with a request so far, by last use
+        self._lingering: dict[ManagedConnection, float] = {}  # closing gracefully, by shutdown
         self._sweep: asyncio.TimerHandle | None = None
-        self.keep_idle = False  # while it stops, clients have no other connections than those they hold
+        self.keep_idle = False  # during a graceful stop clients have no connections but those they hold
         self.shed_count = 0
 
     @property
     def address(self) -> tuple[str, int]:
+        """The host and port that the socket listens on; `open` must have returned."""
+        if self._server is None:
+            raise RuntimeError("the listener is not open")
         return self._server.sockets[0].getsockname()[:2]
 
     def __len__(self) -> int:
-        return len(self._strangers) + len(self._guests) + len(self._lingering)
+        """Return the number of connections, closing ones included."""
+        return len(self._awaiting_first_request) + len(self._established) + len(self._lingering)
 
     async def open(self, host: str, port: int, inherited: int | None = None) -> None:
-        """Listen, on the socket handed over under that descriptor if there is one.
+        """Listen on the address, or on the listening socket inherited as that descriptor.
 
-        Guards against binding an address anew that whoever started the program holds already: it fails.  What
-        waits on a socket handed over outlives this program, and whoever holds it next serves it.
+        Raises OSError if the address cannot be bound or the descriptor is no listening socket.
 
-        asyncio accepts as many connections in one turn as `backlog` says, before any can be closed: with the
-        kernel's number there a crowd would take every descriptor, and asyncio then accepts none for a second.
+        An inherited socket guards against binding an address that the starting process still holds, which
+        fails.  Connections that wait on it outlive this process: whoever holds it next serves them.
+
+        asyncio accepts up to `backlog` connections in one iteration of the event loop, before any can be
+        closed.  With the kernel's backlog there, a burst of clients would take every descriptor, and asyncio
+        then accepts none for a second.
         """
         loop = asyncio.get_running_loop()
-        if inherited is not None:
-            listening = socket.socket(fileno=inherited)
-            if not listening.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-                raise OSError(f"descriptor {inherited} is no listening socket")
-            listening.set_inheritable(False)
-        else:
-            family = socket.AF_INET6 if ":" in host else socket.AF_INET
-            listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        listening = self._create_socket(host, port) if inherited is None else self._adopt_socket(inherited)
         listening.setblocking(False)
         self._listening = listening
+        accepts = max(1, min(MAX_ACCEPTS_PER_ITERATION, self._max_connections // ACCEPTS_LIMIT_DIVISOR))
         self._server = await loop.create_server(
-            lambda: self._make(self), sock=listening, backlog=max(1, min(BATCH, self._most // BATCH_SHARE))
+            lambda: self._connection_factory(self), sock=listening, backlog=accepts
         )
         listening.listen(BACKLOG)
-        self._sweep_later()
-
-    def add(self, guest: ManagedConnection) -> None:
-        self._strangers[guest] = time.monotonic()
-        over = len(self) - self._most
-        if over <= 0:
+        self._schedule_sweep()
+
+    @staticmethod
+    def _create_socket(host: str, port: int) -> socket.socket:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        return socket.create_server((host, port), family=family, backlog=BACKLOG)
+
+    @staticmethod
+    def _adopt_socket(descriptor: int) -> socket.socket:
+        listening = socket.socket(fileno=descriptor)
+        if not listening.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(f"descriptor {descriptor} is no listening socket")
+        listening.set_inheritable(False)
+        return listening
+
+    def add(self, connection: ManagedConnection) -> None:
+        """Register a new connection; over the limit, close another one or reject the new one."""
+        self._awaiting_first_request[connection] = time.monotonic()
+        excess = len(self) - self._max_connections
+        if excess <= 0:
             return
         self.shed_count += 1
-        now = time.monotonic()
-        for other, since in self._strangers.items():
-            if now - since < SPEAK_LIMIT:
-                break
-            if other not in self._spoke and not other.is_closing:
-                other.abort()
-                return
-        if over > self._away and self._lingering:
+        if self._abort_silent_connection():
+            return
+        if excess > self._max_rejected and self._lingering:
             next(iter(self._lingering)).abort()
             return
-        if any(other.close_if_idle() for other in self._guests):
+        if any(other.close_if_idle() for other in self._established):
+            return
+        if self._abort_slowest_first_request(connection):
             return
-        for other in (*self._spoke, *self._strangers):
-            if other is not guest and not other.is_closing:
-                other.abort()
-                return
-        if over > self._away:
-            guest.abort()
+        if excess > self._max_rejected:
+            connection.abort()
         else:
-            guest.reject_requests()
-
-    def request_started(self, guest: ManagedConnection) -> None:
-        """A part of a request has come."""
-        if guest in self._strangers:
-            self._spoke.pop(guest, None)
-            self._spoke[guest] = time.monotonic()
-
-    def request_finished(self, guest: ManagedConnection) -> None:
-        """A whole request has come, or was answered: the connection makes room last."""
-        self._strangers.pop(guest, None)
-        self._spoke.pop(guest, None)
-        self._guests.pop(guest, None)
-        self._guests[guest] = time.monotonic()
-
-    def closing_gracefully(self, guest: ManagedConnection) -> None:
-        """Its connection was shut down: it takes no more requests, and closes soon."""
-        self.remove(guest)
-        self._lingering[guest] = time.monotonic()
-
-    def remove(self, guest: ManagedConnection) -> None:
-        for kind in (self._strangers, self._spoke, self._guests, self._lingering):
-            kind.pop(guest, None)
+            connection.reject_requests()
+
+    def _abort_silent_connection(self) -> bool:
+        """Abort the oldest connection that has sent nothing in time; return whether there was one."""
+        now = time.monotonic()
+        for connection, since in self._awaiting_first_request.items():
+            if now - since < FIRST_BYTE_TIMEOUT_SECONDS:
+                return False
+            if connection not in self._sending_first_request and not connection.is_closing:
+                connection.abort()
+                return True
+        return False
+
+    def _abort_slowest_first_request(self, newest: ManagedConnection) -> bool:
+        """Abort the connection silent for longest in its first request; return whether there was one."""
+        for connection in (*self._sending_first_request, *self._awaiting_first_request):
+            if connection is not newest and not connection.is_closing:
+                connection.abort()
+                return True
+        return False
+
+    def request_started(self, connection: ManagedConnection) -> None:
+        """Note that a part of a request was received."""
+        if connection in self._awaiting_first_request:
+            self._sending_first_request.pop(connection, None)
+            self._sending_first_request[connection] = time.monotonic()
+
+    def request_finished(self, connection: ManagedConnection) -> None:
+        """Note that a whole request was received or answered: the connection was used just now."""
+        self._awaiting_first_request.pop(connection, None)
+        self._sending_first_request.pop(connection, None)
+        self._established.pop(connection, None)
+        self._established[connection] = time.monotonic()
+
+    def closing_gracefully(self, connection: ManagedConnection) -> None:
+        """Note that a connection was shut down: it accepts no more requests and closes soon."""
+        self.remove(connection)
+        self._lingering[connection] = time.monotonic()
+
+    def remove(self, connection: ManagedConnection) -> None:
+        """Forget a connection that is lost."""
+        self._awaiting_first_request.pop(connection, None)
+        self._sending_first_request.pop(connection, None)
+        self._established.pop(connection, None)
+        self._lingering.pop(connection, None)
 
     def close_idle(self) -> None:
-        for guest in (*self._strangers, *self._guests):
-            guest.close_if_idle()
+        """Close every connection on which no request is in progress."""
+        for connection in (*self._awaiting_first_request, *self._established):
+            connection.close_if_idle()
 
     def abort_partial_responses(self) -> None:
-        for guest in (*self._strangers, *self._guests, *self._lingering):
-            guest.abort_partial_responses()
+        """End every connection so that clients recognise incomplete responses."""
+        for connection in (*self._awaiting_first_request, *self._established, *self._lingering):
+            connection.abort_partial_responses()
 
-    def _sweep_later(self) -> None:
-        self._sweep = asyncio.get_running_loop().call_later(SWEEP_EVERY, self._close_old)
+    def _schedule_sweep(self) -> None:
+        self._sweep = asyncio.get_running_loop().call_later(SWEEP_INTERVAL_SECONDS, self._close_expired)
 
-    def _close_old(self) -> None:
-        """Guard against clients that say nothing, never end what they begin, or ask once and stay.
+    def _close_expired(self) -> None:
+        """Close connections past their timeouts, and lingering ones if there are too many.
 
-        Clients hold only so many connections to an initiator: those that stay unused keep others from asking.
+        Guards against clients that send nothing, never finish a request, or keep a connection unused.
+        Clients hold only so many connections to an initiator: unused ones keep others from sending.
         """
         now = time.monotonic()
-        for guest, since in list(self._strangers.items()):
-            if now - since < self._hello:
+        self._expire_first_requests(now)
+        self._abort_excess_lingering(now)
+        if not self.keep_idle:
+            self._expire_idle(now)
+        self._schedule_sweep()
+
+    def _expire_first_requests(self, now: float) -> None:
+        for connection, since in list(self._awaiting_first_request.items()):
+            if now - since < self._first_request_timeout:
                 break
-            guest.on_request_timeout()
-        over = len(self) - self._most
-        for guest, since in list(self._lingering.items())[: max(0, over)]:
-            if now - since >= SWEEP_EVERY:
-                guest.abort()  # it has had the time to read its last answer, and others wait for its place
-        left = len(self._guests)
-        for guest, since in () if self.keep_idle else list(self._guests.items()):
-            if now - since < (IDLE_LIMIT if left <= self._usual else CROWDED_LIMIT):
+            connection.on_request_timeout()
+
+    def _abort_excess_lingering(self, now: float) -> None:
+        excess = len(self) - self._max_connections
+        for connection, since in list(self._lingering.items())[: max(0, excess)]:
+            if now - since >= SWEEP_INTERVAL_SECONDS:
+                connection.abort()  # it had the time to read its last response, and others need its place
+
+    def _expire_idle(self, now: float) -> None:
+        remaining = len(self._established)
+        for connection, since in list(self._established.items()):
+            is_crowded = remaining > self._usual_connections
+            timeout = CROWDED_IDLE_TIMEOUT_SECONDS if is_crowded else IDLE_TIMEOUT_SECONDS
+            if now - since < timeout:
                 break
-            left -= guest.close_if_idle()
-        self._sweep_later()
+            remaining -= connection.close_if_idle()
 
     async def stop(self, take_in: bool) -> None:
         """Accept no more; open connections stay.  With `take_in`, first accept what waits in the kernel.
 
-        Guards against closing the listening socket between a connection's accept and the turn of the loop in
-        which it comes up, or over connections that wait: both are reset, and what they asked is lost.
+        Guards against closing the listening socket while an accepted connection is not established yet or
+        while connections wait: both are reset, and the requests sent on them are lost.
         """
-        loop, listening = asyncio.get_running_loop(), self._listening
+        loop = asyncio.get_running_loop()
+        listening = self._listening
         if listening is not None and listening.fileno() >= 0:
             loop.remove_reader(listening)
-            await asyncio.sleep(0)  # those accepted come up
+            await asyncio.sleep(0)  # connections already accepted are established
             with contextlib.suppress(OSError):  # none waits, or no descriptor is left
                 while take_in:
                     accepted, _ = listening.accept()
                     accepted.setblocking(False)
-                    await loop.connect_accepted_socket(lambda: self._make(self), accepted)
+                    await loop.connect_accepted_socket(lambda: self._connection_factory(self), accepted)
         self.close()
 
     def close(self) -> None:
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -74,7 +74,7 @@
     assert not lines.transport.paused
     lines.arrive(b"hij")
     assert lines.transport.paused
-    lines._read_at = lines._fill  # someone took it
+    lines._unread_start = lines._unread_end  # someone took it
     lines.resume_processing()
     assert not lines.transport.paused
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -103,7 +103,7 @@
 @pytest.mark.parametrize(("raw", "answer"), [(b"", b""), (GET[:-2], b"HTTP/1.1 408 ")])
 def test_a_new_connection_without_a_whole_request_is_ended_in_time(monkeypatch, raw, answer):
     """Silent clients by hundreds held their descriptors for good."""
-    monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.1)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_REQUEST_TIMEOUT_SECONDS", 0.1)
 
     async def scene(world, reader, writer):
         writer.write(raw)
@@ -264,7 +264,7 @@
 
 def test_over_its_number_of_connections_it_sheds_and_serves_on():
     async def scene(world, reader, writer):
-        world.app.listener._most = 4
+        world.app.listener._max_connections = 4
         idle = [await asyncio.open_connection("127.0.0.1", world.app.listener.address[1]) for _ in range(8)]
         await world.until(lambda: world.app.listener.shed_count >= 4)
         await world.until(lambda: len(world.app.listener) <= 4)
@@ -277,13 +277,15 @@
     play(scene)
 
 
-@pytest.mark.parametrize(("limit", "usual"), [("IDLE_LIMIT", 9), ("CROWDED_LIMIT", 1)])
+@pytest.mark.parametrize(
+    ("limit", "usual"), [("IDLE_TIMEOUT_SECONDS", 9), ("CROWDED_IDLE_TIMEOUT_SECONDS", 1)]
+)
 def test_idle_connections_are_closed_and_sooner_in_a_crowd(monkeypatch, limit, usual):
     """Clients that asked once and stayed held every place, and the others had none left to ask by."""
     monkeypatch.setattr(f"stalltiller.transport.listener.{limit}", 0.05)
 
     async def scene(world, reader, writer):
-        world.app.listener._usual = usual
+        world.app.listener._usual_connections = usual
         world.targets[0].delay = 0.3
         other, asking = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
         asking.write(GET)
@@ -300,8 +302,8 @@
     """Closing at once left the clients without their one initiator until its next start."""
     monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.05)
     monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.1)
-    monkeypatch.setattr("stalltiller.transport.listener.IDLE_LIMIT", 0.01)
-    monkeypatch.setattr("stalltiller.transport.listener.SWEEP_EVERY", 0.01)
+    monkeypatch.setattr("stalltiller.transport.listener.IDLE_TIMEOUT_SECONDS", 0.01)
+    monkeypatch.setattr("stalltiller.transport.listener.SWEEP_INTERVAL_SECONDS", 0.01)
 
     request = http.encode_request("GET", "/read/1", {**GOOD, "X-Timeout": "2.0"}, b"")
 
@@ -326,12 +328,12 @@
 
 @pytest.mark.parametrize("limit", [0.0, 9.0])
 def test_silent_connections_make_room_before_idle_ones_and_those_before_new_ones(monkeypatch, limit):
-    monkeypatch.setattr("stalltiller.transport.listener.SPEAK_LIMIT", limit)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_BYTE_TIMEOUT_SECONDS", limit)
 
     async def scene(world, reader, writer):
         writer.write(GET)
         assert (await read_message(reader, response=True)).head.status == 200
-        world.app.listener._most = 4
+        world.app.listener._max_connections = 4
         crowd = [await asyncio.open_connection("127.0.0.1", world.app.listener.address[1]) for _ in range(20)]
         await world.until(lambda: world.app.listener.shed_count >= 17 and len(world.app.listener) <= 4)
         if limit:
@@ -347,7 +349,7 @@
 
 def test_channels_to_targets_are_held_to_a_number_and_an_idle_one_makes_room():
     async def scene(world, reader, writer):
-        world.app.target_client.pool._most = 2
+        world.app.target_client.pool._max_channels = 2
         world.targets[0].delay = 0.05
         answers = await asyncio.gather(*(world.read(tag, 0) for tag in range(1, 6)))
         assert [answer.end for answer in answers] == ["served"] * 5
@@ -362,7 +364,7 @@
 
     async def scene(world, reader, writer):
         pool, job = world.app.target_client.pool, SimpleNamespace(channel_idle_time=0.2)
-        pool._rest = 0.0, 0.0  # the rest after an answer is another matter (test_races.py)
+        pool._avoided_idle_range = 0.0, 0.0  # the rest after an answer is another matter (test_races.py)
         assert (await world.read()).end == "served"
         await asyncio.sleep(0.12)
         assert (await world.read()).end == "served" and pool.opened_count == 1
@@ -371,11 +373,11 @@
         await asyncio.sleep(0.12)
         assert (await world.read()).end == "served" and pool.opened_count == 2
         assert (await world.read()).end == "served" and pool.opened_count == 2  # a fresh one is used again
-        pool._wary_until = 0.0
+        pool._fresh_only_until = 0.0
         for lost in (True, False, True, True):  # where fresh ones are lost as often, age is not the cause
             pool.record_use(SimpleNamespace(channel_idle_time=0.01), lost)
             pool.record_use(job, lost)
-        assert pool._wary_until == 0.0
+        assert pool._fresh_only_until == 0.0
 
     play(scene)
 
@@ -400,7 +402,7 @@
 
 
 def test_a_crowd_that_never_ends_its_requests_does_not_push_out_one_that_writes_slowly(monkeypatch):
-    monkeypatch.setattr("stalltiller.transport.listener.SPEAK_LIMIT", 0.02)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_BYTE_TIMEOUT_SECONDS", 0.02)
 
     async def scene(world, reader, writer):
         async def slowly():
@@ -410,7 +412,7 @@
             return await read_message(reader, response=True)
 
         address = world.app.listener.address
-        world.app.listener._most = 8
+        world.app.listener._max_connections = 8
         asking, crowd = asyncio.create_task(slowly()), []
         while not asking.done():
             other, half = await asyncio.open_connection(*address)
@@ -418,10 +420,10 @@
             crowd.append(half)
             await asyncio.sleep(0.02)
         assert asking.result().head.status == 200
-        assert world.app.listener.shed_count > 4 and len(world.app.listener._spoke) <= 8
+        assert world.app.listener.shed_count > 4 and len(world.app.listener._sending_first_request) <= 8
         for half in crowd:
             half.transport.abort()
-        await world.until(lambda: not world.app.listener._spoke)
+        await world.until(lambda: not world.app.listener._sending_first_request)
 
     play(scene)
 
@@ -434,10 +436,10 @@
                 out.write(http.encode_response(200, bytes(1_000_000)))
 
         world.targets[0].serve = serve
-        world.app.server.unread._most = 100_000
+        world.app.server.unread._max_bytes = 100_000
         client, asking = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
         await world.until(lambda: len(world.app.listener) == 2)
-        for ours in world.app.listener._strangers:
+        for ours in world.app.listener._awaiting_first_request:
             ours.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         asking.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         asking.transport.pause_reading()
@@ -468,7 +470,7 @@
 
 def test_idle_target_connections_are_closed_before_the_target_does():
     async def scene(world, reader, writer):
-        world.app.target_client.pool._idle_limit = 0.2
+        world.app.target_client.pool._idle_timeout = 0.2
         writer.write(GET)
         assert (await read_message(reader, response=True)).head.status == 200
         assert len(world.targets[0].writers) == 1
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -137,7 +137,7 @@
         writer.transport.pause_reading()
         writer.write(GET)
         await world.until(lambda: world.app.engine.counts["relayed"] == 1)
-        (client,) = world.app.listener._guests
+        (client,) = world.app.listener._established
         assert client.transport.get_write_buffer_size() < 100_000
         await world.until(lambda: not world.targets[0].writers)  # nobody wants the rest
         assert not sent
@@ -186,7 +186,7 @@
 def test_a_slow_body_has_its_time_and_one_that_stands_still_has_not(monkeypatch):
     monkeypatch.setattr(http_server, "STALL_LIMIT", 0.1)
     monkeypatch.setattr(http_server, "SLOWEST", 20_000)
-    monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.2)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_REQUEST_TIMEOUT_SECONDS", 0.2)
 
     async def scene(world, reader, writer):
         raw = http.encode_request("PUT", "/write/9", GOOD, bytes(80_000))
@@ -202,7 +202,7 @@
 
 def test_bodies_are_held_to_an_allowance_and_given_back():
     async def scene(world, reader, writer):
-        world.app.server.bodies._most = 300_000
+        world.app.server.bodies._max_bytes = 300_000
         raw = http.encode_request("PUT", "/write/9", GOOD, LONG)
         writer.write(raw)
         assert (await read_message(reader, response=True)).head.status == 503
--- a/tests/test_nvme_controller.py
+++ b/tests/test_nvme_controller.py
@@ -67,7 +67,7 @@
 
 
 def test_a_connection_without_its_connect_command_is_ended_in_time(monkeypatch):
-    monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.1)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_REQUEST_TIMEOUT_SECONDS", 0.1)
 
     async def scene(world, client):
         reader, writer = await asyncio.open_connection("127.0.0.1", client.port)
@@ -256,7 +256,7 @@
 def test_completions_that_a_host_does_not_read_are_held_to_an_allowance():
     async def scene(world, client):
         admin, io = await client.associate()
-        world.app.server.unread._most = 50_000
+        world.app.server.unread._max_bytes = 50_000
         (association,) = world.app.server.associations.values()
         ours = association.queues[1].transport
         for end, option in ((ours, socket.SO_SNDBUF), (io.writer, socket.SO_RCVBUF)):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -195,7 +195,7 @@
 
 def test_a_request_that_crosses_the_close_of_a_resting_connection_is_not_sent_on(monkeypatch):
     """The close over it was a reset, which takes the answer before with it if that was not read yet."""
-    monkeypatch.setattr("stalltiller.transport.listener.IDLE_LIMIT", 0.05)
+    monkeypatch.setattr("stalltiller.transport.listener.IDLE_TIMEOUT_SECONDS", 0.05)
 
     async def scene(world):
         client = dial(world)
@@ -252,7 +252,7 @@
         address = listener.address
         if accepted:  # the stop comes between the accept and the turn in which the connection comes up
             asyncio.get_running_loop()._accept_connection(
-                lambda: listener._make(listener), listener._listening, server=listener._server
+                lambda: listener._connection_factory(listener), listener._listening, server=listener._server
             )
         await listener.stop(take_in=not accepted)
         assert (await rest_of(client)).startswith(b"HTTP/1.1 200")
@@ -415,7 +415,10 @@
     """It crossed a request sent on the connection meanwhile, and was served as that one's answer."""
 
     async def scene(world):
-        world.app.target_client.pool._rest = 0.0, 60.0  # the second answer comes within it on any machine
+        world.app.target_client.pool._avoided_idle_range = (
+            0.0,
+            60.0,
+        )  # the second answer comes within it on any machine
 
         async def twice(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
@@ -442,7 +445,7 @@
             (3, 0.0, 60.0, 3),
             (99, 60.0, 90.0, 3),
         ):
-            pool._most, pool._rest = most, (soonest, longest)
+            pool._max_channels, pool._avoided_idle_range = most, (soonest, longest)
             for _ in range(2):
                 assert (await world.read(tag=1)).end == "served"
             assert pool.opened_count == opened
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -11,7 +11,7 @@
 from stalltiller.adapters.target_directory import WatchCodec
 from stalltiller.protocol import http
 from stalltiller.transport.buffers import BufferPool
-from stalltiller.transport.watch import NOTIFICATION_DEADLINE, BackoffPollPolicy, Watch
+from stalltiller.transport.watch import NOTIFICATION_DEADLINE_SECONDS, BackoffPollPolicy, Watch
 from tests.simulated_clock import run_on_jumping_clock
 from tests.stand_ins import Standin, read_message
 
@@ -114,7 +114,7 @@
     """Where lists are asked for, a silent call and the pause after it took up to 8 s; a pushed watch 6 s."""
     monkeypatch.setattr("random.random", lambda: draw)
     after, calls = told_after(pace, list(script))
-    assert after < NOTIFICATION_DEADLINE
+    assert after < NOTIFICATION_DEADLINE_SECONDS
     follow_silence = [
         after for before, after in zip(["serve", *script], calls, strict=False) if before == "silent"
     ]
@@ -123,7 +123,10 @@
 
 @pytest.mark.parametrize(
     ("pace", "most"),
-    [(BackoffPollPolicy(), 0.5), (BackoffPollPolicy.for_remote_discovery(10.0), NOTIFICATION_DEADLINE)],
+    [
+        (BackoffPollPolicy(), 0.5),
+        (BackoffPollPolicy.for_remote_discovery(10.0), NOTIFICATION_DEADLINE_SECONDS),
+    ],
     ids=["pushed", "asked"],
 )
 @pytest.mark.parametrize("outage", [2.0, 8.0, 31.0])
