Split the simulator's codec into batches, actions and options, with the protocol's fields named

Need: one module of 428 lines decoded, encoded and read options by positions in tuples and one-letter names. Change: simulator/codec.py (frames and events), actions.py (replies), options.py (settings), errors.py; fields are unpacked by name, codes and record layouts are named constants. codec still offers settings_of, parse_settings and WireError.

--- a/stalltiller/simulator/adapter.py
+++ b/stalltiller/simulator/adapter.py
@@ -1,72 +1,98 @@
-"""Adapter: hosts one scheduler per instance on the simulator's wire, over standard input and output."""
+"""Hosts one scheduler per simulated initiator, driven by the simulator over standard input and output.
+
+It imports nothing but the standard library and the scheduler: a simulation starts hundreds of instances.
+"""
 
 from __future__ import annotations
 
 import sys
 from typing import BinaryIO
 
+from stalltiller.scheduling import Event
 from stalltiller.scheduling.scheduler import Scheduler
-from stalltiller.simulator import codec
+from stalltiller.simulator import actions, codec
+from stalltiller.simulator.options import NANOSECONDS_PER_SECOND
+
+EXIT_MALFORMED_INPUT = 2
 
 
 class Instance:
-    """One simulated gateway: a scheduler whose clock begins when it starts."""
+    """One simulated initiator: a scheduler whose clock begins when it starts."""
 
-    def __init__(self, number: int, init: codec.Init, clock: int) -> None:
+    def __init__(self, number: int, started: codec.InstanceStarted, clock_ns: int) -> None:
         self.number = number
-        self.base = clock
-        self.scheduler = Scheduler(codec.parse_settings(init.options), init.seed, 0.0)
+        self.base_ns = clock_ns
+        self.scheduler = Scheduler(codec.parse_settings(started.options), started.seed, 0.0)
+
+    def handle(self, clock_ns: int, raw_events: list[Event | codec.RawTargetList]) -> list[bytes]:
+        """Pass events to the scheduler and return its actions, encoded."""
+        events: list[Event] = [
+            codec.to_target_list_update(event, self.base_ns)
+            if isinstance(event, codec.RawTargetList)
+            else event
+            for event in raw_events
+        ]
+        now = (clock_ns - self.base_ns) / NANOSECONDS_PER_SECOND
+        return [
+            actions.encode_action(self.number, action, self.base_ns)
+            for action in self.scheduler.handle(now, events)
+        ]
 
-    def handle(self, clock: int, raw: list[object]) -> list[bytes]:
-        """Give the scheduler its events and encode what it does."""
-        events = [codec.node_list(*event, self.base) if isinstance(event, tuple) else event for event in raw]
-        actions = self.scheduler.handle((clock - self.base) / codec.NS, events)
-        return [codec.encode_action(self.number, action, self.base) for action in actions]
 
+def process_batch(
+    instances: dict[int, Instance], events: list[tuple[int, codec.InstanceEvent]], clock_ns: int
+) -> list[bytes]:
+    """Process one batch and return the encoded records of the reply.
 
-def answer(instances: dict[int, Instance], events: list[tuple[int, object]], clock: int) -> list[bytes]:
-    """Run one batch; an instance's events reach its scheduler together and in order."""
-    waiting: dict[int, list[object]] = {}
+    An instance's events reach its scheduler together and in order.  An exception of a scheduler becomes a
+    crash report in the reply; a WireError is raised.
+    """
+    pending: dict[int, list[Event | codec.RawTargetList]] = {}
     records: list[bytes] = []
     for number, event in events:
         try:
-            if isinstance(event, codec.Stop):
+            if isinstance(event, codec.InstanceStopped):
                 instances.pop(number, None)
-                waiting.pop(number, None)
-            elif isinstance(event, codec.Init):
-                instances[number] = Instance(number, event, clock)
-                waiting[number] = []
+                pending.pop(number, None)
+            elif isinstance(event, codec.InstanceStarted):
+                instances[number] = Instance(number, event, clock_ns)
+                pending[number] = []
             elif number in instances:
-                waiting.setdefault(number, []).append(event)
-        except Exception as error:  # a crash at the start is reported on the wire
-            records.append(codec.encode_fault(number, f"{type(error).__name__}: {error}"))
-    for number, own in waiting.items():
+                pending.setdefault(number, []).append(event)
+        except Exception as error:  # the simulator shows the report of a failed start
+            records.append(_crash_report(number, error))
+    for number, instance_events in pending.items():
         try:
-            records += instances[number].handle(clock, own)
+            records += instances[number].handle(clock_ns, instance_events)
         except codec.WireError:
             raise
-        except Exception as error:  # the run stops and shows the text
-            records.append(codec.encode_fault(number, f"{type(error).__name__}: {error}"))
+        except Exception as error:  # the simulator shows the report and stops the run
+            records.append(_crash_report(number, error))
     return records
 
 
+def _crash_report(number: int, error: Exception) -> bytes:
+    return actions.encode_crash_report(number, f"{type(error).__name__}: {error}")
+
+
 def run(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batches until the input ends."""
-    reader = codec.Reader()
+    """Answer batches until the input ends; raises WireError on malformed input."""
+    reader = codec.BatchReader()
     instances: dict[int, Instance] = {}
     while (frame := codec.read_frame(source)) is not None:
-        count, clock, body = frame
-        sink.write(codec.encode_reply(answer(instances, reader.events(count, body), clock)))
+        events = reader.events(frame.record_count, frame.body)
+        records = process_batch(instances, events, frame.clock_ns)
+        sink.write(actions.encode_reply(records))
         sink.flush()
 
 
 def main() -> int:
-    """Serve standard input; a malformed frame ends with a plain message."""
+    """Serve standard input; return the exit code.  Malformed input ends with a message."""
     try:
         run(sys.stdin.buffer, sys.stdout.buffer)
     except codec.WireError as error:
         print(f"stalltiller.simulator.adapter: {error}", file=sys.stderr)
-        return 2
+        return EXIT_MALFORMED_INPUT
     return 0
 
 
--- a/stalltiller/simulator/codec.py
+++ b/stalltiller/simulator/codec.py
@@ -1,66 +1,86 @@
-"""Frame codec and options parser of the simulator's wire.  It translates and decides nothing."""
+"""Decodes the simulator's batches of event records; it translates and decides nothing.
+
+The simulator sends batches and gets a reply for each (`simulator.actions`).  All numbers are little-endian,
+times are nanoseconds on the simulator's clock.  `BatchReader` owns the target lists that events refer to by
+number.
+"""
 
 from __future__ import annotations
 
-import math
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import BinaryIO
+from typing import Any, BinaryIO, NamedTuple
 
 from stalltiller.scheduling import (
-    Action,
     AttemptFinished,
     AttemptStatus,
-    CancelAttempt,
     ClientDisconnected,
-    CloseIdleConnections,
-    DeduplicationScope,
-    Fail,
-    FetchTargetList,
+    Event,
     FirstByte,
-    Idempotency,
-    LogMessage,
     PeerMessage,
-    Plan,
     ProbeFinished,
-    ProbeTarget,
-    Reject,
     Request,
-    RequestClass,
-    Rules,
-    SendPeerMessage,
-    SetTimer,
-    Settings,
-    StartAttempt,
     Target,
     TargetListKind,
     TargetListUpdate,
     TargetStatus,
     TimerFired,
-    WatchTargetList,
 )
-
-NS = 1_000_000_000
-BATCH_HEADER = struct.Struct("<IIQ")
-REPLY_HEADER = struct.Struct("<II")
-ENTRY = struct.Struct("<IHBHHBfQ")
-U16, U32 = struct.Struct("<H"), struct.Struct("<I")
-ALL_PEERS = 0xFFFF
-
-# Event codes and their fixed fields, in order, the instance first.
-FIRST, INIT, CENSUS, PEER, GONE, LIST, STOP, PROBED, REQUEST, TIMER, OUTCOME = range(11)
+from stalltiller.simulator.errors import WireError
+from stalltiller.simulator.options import NANOSECONDS_PER_SECOND, parse_settings, settings_of
+
+__all__ = [
+    "BatchReader",
+    "Frame",
+    "InstanceEvent",
+    "InstanceStarted",
+    "InstanceStopped",
+    "RawTargetList",
+    "WireError",
+    "parse_settings",
+    "read_frame",
+    "settings_of",
+    "to_target_id",
+    "to_target_list_update",
+]
+
+FRAME_HEADER = struct.Struct("<IIQ")  # record count, bytes that follow the length, clock
+CLOCK_BYTES = 8  # the clock is counted in the length
+TARGET_ROW = struct.Struct("<IHBHHBfQ")  # address, port, zone, kind, shard, status, weight, start time
+UINT16 = struct.Struct("<H")
+UINT32 = struct.Struct("<I")
+
+# Codes of the events.
+FIRST_BYTE = 0
+INSTANCE_STARTED = 1
+TARGET_ROWS = 2
+PEER_MESSAGE = 3
+CLIENT_DISCONNECTED = 4
+TARGET_LIST = 5
+INSTANCE_STOPPED = 6
+PROBE_FINISHED = 7
+REQUEST = 8
+TIMER_FIRED = 9
+ATTEMPT_FINISHED = 10
+
+# Their fixed fields, in order, the instance's number first.
 EVENT_FIELDS = {
-    FIRST: struct.Struct("<IQBIHQ"),
-    INIT: struct.Struct("<IQ"),
-    PEER: struct.Struct("<II"),
-    GONE: struct.Struct("<IQ"),
-    LIST: struct.Struct("<IBIH"),
-    STOP: struct.Struct("<I"),
-    PROBED: struct.Struct("<IIHQH"),
+    FIRST_BYTE: struct.Struct("<IQBIHQ"),
+    INSTANCE_STARTED: struct.Struct("<IQ"),
+    PEER_MESSAGE: struct.Struct("<II"),
+    CLIENT_DISCONNECTED: struct.Struct("<IQ"),
+    TARGET_LIST: struct.Struct("<IBIH"),
+    INSTANCE_STOPPED: struct.Struct("<I"),
+    PROBE_FINISHED: struct.Struct("<IIHQH"),
     REQUEST: struct.Struct("<IQffHQHQIfQ"),
-    TIMER: struct.Struct("<IQ"),
-    OUTCOME: struct.Struct("<IQBIHHQBHH"),
+    TIMER_FIRED: struct.Struct("<IQ"),
+    ATTEMPT_FINISHED: struct.Struct("<IQBIHHQBHH"),
 }
+RETRY_BIT = 2  # of a request's flags
+WRITE_BIT = 4
+
+# Enumerations by their number in the protocol.
 STATUSES = (
     AttemptStatus.OK,
     AttemptStatus.ERROR,
@@ -71,358 +91,227 @@
     AttemptStatus.CANCELLED,
     AttemptStatus.NOT_STARTED,
 )
-STATES = (TargetStatus.REMOVED, TargetStatus.DRAINING, TargetStatus.READY)
+TARGET_STATUSES = (TargetStatus.REMOVED, TargetStatus.DRAINING, TargetStatus.READY)
 LIST_KINDS = (
     TargetListKind.DELTA,
     TargetListKind.FULL,
     TargetListKind.CACHED,
     TargetListKind.FAILED,
 )
-EFFECTS = {
-    "repeatable": Idempotency.SAFE,
-    "by_key": Idempotency.IDEMPOTENCY_KEY,
-    "once": Idempotency.UNSAFE,
-}
-REPEAT_BIT, WRITE_BIT = 2, 4
+
+TargetRows = tuple[tuple[Any, ...], ...]  # each with the fields of TARGET_ROW
 
 
-class WireError(Exception):
-    """A frame that does not follow the wire."""
+class Frame(NamedTuple):
+    """A batch before its records are decoded."""
+
+    record_count: int
+    clock_ns: int
+    body: bytes
 
 
 @dataclass(slots=True, frozen=True)
-class Init:
-    """An instance comes up."""
+class InstanceStarted:
+    """An instance starts, with its random seed and its options as text."""
 
     seed: int
     options: str
 
 
 @dataclass(slots=True, frozen=True)
-class Stop:
-    """An instance dies."""
+class InstanceStopped:
+    """An instance stops at once."""
+
+
+class RawTargetList(NamedTuple):
+    """A target list whose start times are still on the simulator's clock."""
+
+    kind: TargetListKind
+    rows: TargetRows
+
 
+InstanceEvent = Event | InstanceStarted | InstanceStopped | RawTargetList
 
-def node_id(address: int, port: int) -> int:
-    """Fold the wire's address and port into one opaque number."""
+
+def to_target_id(address: int, port: int) -> int:
+    """Combine a target's address and port into one opaque number."""
     return address << 16 | port
 
 
-def read_frame(stream: BinaryIO) -> tuple[int, int, bytes] | None:
-    """Read one batch: its record count, clock and body; None at the end of input."""
-    header = stream.read(BATCH_HEADER.size)
+def read_frame(stream: BinaryIO) -> Frame | None:
+    """Read one batch; None at the end of the input.  Raises WireError if the input ends inside it."""
+    header = stream.read(FRAME_HEADER.size)
     if not header:
         return None
-    if len(header) < BATCH_HEADER.size:
+    if len(header) < FRAME_HEADER.size:
         raise WireError("input ends inside a batch header")
-    count, length, clock = BATCH_HEADER.unpack(header)
-    if length < 8:
+    record_count, length, clock_ns = FRAME_HEADER.unpack(header)
+    if length < CLOCK_BYTES:
         raise WireError(f"batch length {length} leaves no room for the clock")
-    body = stream.read(length - 8)
-    if len(body) < length - 8:
-        raise WireError(f"input ends inside a batch: {len(body)} of {length - 8} bytes")
-    return count, clock, body
+    body_bytes = length - CLOCK_BYTES
+    body = stream.read(body_bytes)
+    if len(body) < body_bytes:
+        raise WireError(f"input ends inside a batch: {len(body)} of {body_bytes} bytes")
+    return Frame(record_count, clock_ns, body)
+
+
+def _decode_request(values: tuple[Any, ...]) -> Request:
+    _, request_id, units, initiators, flags, key, class_index, volume, plan_index, shard, time_left = values
+    return Request(
+        request_id,
+        class_index,
+        plan_index,
+        volume,
+        units,
+        max(1, int(initiators)),
+        key,
+        None if shard < 0 else int(shard),
+        bool(flags & WRITE_BIT),
+        bool(flags & RETRY_BIT),
+        time_left / NANOSECONDS_PER_SECOND,
+    )
+
+
+def _decode_attempt_finished(values: tuple[Any, ...]) -> AttemptFinished:
+    _, request_id, attempt, address, port, status, latency, is_done, usage, other_units, report = values
+    return AttemptFinished(
+        request_id,
+        attempt,
+        to_target_id(address, port),
+        STATUSES[status],
+        latency / NANOSECONDS_PER_SECOND,
+        bool(is_done),
+        (usage - 1) / 100 if usage else None,  # percent plus one; 0 means not measured
+        float(other_units),
+        report,
+    )
+
 
+def _decode_first_byte(values: tuple[Any, ...]) -> FirstByte:
+    _, request_id, attempt, address, port, latency = values
+    return FirstByte(request_id, attempt, to_target_id(address, port), latency / NANOSECONDS_PER_SECOND)
 
-class Reader:
-    """Turns the records of batches into events; keeps the numbered node lists of the process."""
+
+def _decode_probe_finished(values: tuple[Any, ...]) -> ProbeFinished:
+    _, address, port, latency, status, report = values
+    latency_seconds = latency / NANOSECONDS_PER_SECOND
+    return ProbeFinished(to_target_id(address, port), latency_seconds, STATUSES[status], report)
+
+
+def _decode_instance_started(values: tuple[Any, ...]) -> InstanceStarted:
+    _, seed, options = values
+    return InstanceStarted(seed, options.decode("utf-8", "replace"))
+
+
+EVENT_DECODERS: dict[int, Callable[[tuple[Any, ...]], InstanceEvent]] = {
+    REQUEST: _decode_request,
+    ATTEMPT_FINISHED: _decode_attempt_finished,
+    TIMER_FIRED: lambda values: TimerFired(values[1]),
+    FIRST_BYTE: _decode_first_byte,
+    CLIENT_DISCONNECTED: lambda values: ClientDisconnected(values[1]),
+    PROBE_FINISHED: _decode_probe_finished,
+    PEER_MESSAGE: lambda values: PeerMessage(values[1], values[2]),
+    INSTANCE_STARTED: _decode_instance_started,
+    INSTANCE_STOPPED: lambda _: InstanceStopped(),
+}
+
+
+class BatchReader:
+    """Decodes batches; it keeps the numbered target lists that later events refer to."""
 
     def __init__(self) -> None:
-        self._lists: dict[int, tuple[tuple, ...]] = {}
+        self._rows_by_number: dict[int, TargetRows] = {}
+        self._decoders = {**EVENT_DECODERS, TARGET_LIST: self._decode_target_list}
 
-    def events(self, count: int, body: bytes) -> list[tuple[int, object]]:
-        """Decode a batch into (instance, raw event) pairs; node lists come as raw tuples."""
-        found: list[tuple[int, object]] = []
-        at = 0
+    def events(self, count: int, body: bytes) -> list[tuple[int, InstanceEvent]]:
+        """Decode a batch of `count` records into pairs of an instance's number and its event.
+
+        Raises WireError on records that are unknown, incomplete or out of range.
+        """
+        events: list[tuple[int, InstanceEvent]] = []
+        offset = 0
         try:
             for _ in range(count):
-                code = body[at]
-                at += 1
-                if code == CENSUS:
-                    at = self._census(body, at)
+                code = body[offset]
+                offset += 1
+                if code == TARGET_ROWS:
+                    offset = self._read_target_rows(body, offset)
                     continue
                 fields = EVENT_FIELDS.get(code)
                 if fields is None:
-                    raise WireError(f"unknown event code {code} at byte {at - 1}")
-                values = fields.unpack_from(body, at)
-                at += fields.size
-                if code in (INIT, PEER):
-                    data, at = self._bytes(body, at, U32 if code == INIT else U16)
+                    raise WireError(f"unknown event code {code} at byte {offset - 1}")
+                values = fields.unpack_from(body, offset)
+                offset += fields.size
+                if code in (INSTANCE_STARTED, PEER_MESSAGE):
+                    data, offset = _read_bytes(body, offset, UINT32 if code == INSTANCE_STARTED else UINT16)
                     values += (data,)
-                elif code in (PROBED, OUTCOME):
-                    report, at = self._floats(body, at)
+                elif code in (PROBE_FINISHED, ATTEMPT_FINISHED):
+                    report, offset = _read_floats(body, offset)
                     values += (report,)
-                found.append((values[0], self._event(code, values)))
+                try:
+                    events.append((values[0], self._decoders[code](values)))
+                except IndexError as error:
+                    raise WireError(f"a value out of range in event {code}") from error
         except (struct.error, IndexError) as error:
             raise WireError(f"batch body ends inside a record: {error}") from error
-        if at != len(body):
-            raise WireError(f"{len(body) - at} bytes left over after {count} records")
-        return found
-
-    @staticmethod
-    def _bytes(body: bytes, at: int, size: struct.Struct) -> tuple[bytes, int]:
-        (length,) = size.unpack_from(body, at)
-        at += size.size
-        if at + length > len(body):
-            raise WireError("batch body ends inside a record")
-        return body[at : at + length], at + length
-
-    @staticmethod
-    def _floats(body: bytes, at: int) -> tuple[tuple[float, ...], int]:
-        count = body[at]
-        return struct.unpack_from(f"<{count}f", body, at + 1), at + 1 + 4 * count
-
-    def _census(self, body: bytes, at: int) -> int:
-        (sheet,) = U16.unpack_from(body, at)
-        (count,) = U32.unpack_from(body, at + 2)
-        at += 6
-        end = at + count * ENTRY.size
-        if end > len(body):
+        if offset != len(body):
+            raise WireError(f"{len(body) - offset} bytes left over after {count} records")
+        return events
+
+    def _read_target_rows(self, body: bytes, offset: int) -> int:
+        """Store a numbered target list and return the offset behind it."""
+        (number,) = UINT16.unpack_from(body, offset)
+        (count,) = UINT32.unpack_from(body, offset + UINT16.size)
+        offset += UINT16.size + UINT32.size
+        end_offset = offset + count * TARGET_ROW.size
+        if end_offset > len(body):
             raise WireError("batch body ends inside a node list")
-        self._lists[sheet] = tuple(ENTRY.iter_unpack(body[at:end]))
-        return end
+        self._rows_by_number[number] = tuple(TARGET_ROW.iter_unpack(body[offset:end_offset]))
+        return end_offset
 
-    def _event(self, code: int, v: tuple) -> object:
-        try:
-            if code == REQUEST:
-                shard = None if v[9] < 0 else int(v[9])
-                return Request(
-                    v[1],
-                    v[6],
-                    v[8],
-                    v[7],
-                    v[2],
-                    max(1, int(v[3])),
-                    v[5],
-                    shard,
-                    bool(v[4] & WRITE_BIT),
-                    bool(v[4] & REPEAT_BIT),
-                    v[10] / NS,
-                )
-            if code == OUTCOME:
-                use = (v[8] - 1) / 100 if v[8] else None
-                return AttemptFinished(
-                    v[1],
-                    v[2],
-                    node_id(v[3], v[4]),
-                    STATUSES[v[5]],
-                    v[6] / NS,
-                    bool(v[7]),
-                    use,
-                    float(v[9]),
-                    v[10],
-                )
-            if code == TIMER:
-                return TimerFired(v[1])
-            if code == FIRST:
-                return FirstByte(v[1], v[2], node_id(v[3], v[4]), v[5] / NS)
-            if code == GONE:
-                return ClientDisconnected(v[1])
-            if code == PROBED:
-                return ProbeFinished(node_id(v[1], v[2]), v[3] / NS, STATUSES[v[4]], v[5])
-            if code == PEER:
-                return PeerMessage(v[1], v[2])
-            if code == INIT:
-                return Init(v[1], v[2].decode("utf-8", "replace"))
-            if code == STOP:
-                return Stop()
-            kind = LIST_KINDS[v[1]]
-            entries = () if kind is TargetListKind.FAILED else self._lists.get(v[3])
-            if entries is None:
-                raise WireError(f"node list {v[3]} was never sent")
-            return kind, entries
-        except IndexError as error:
-            raise WireError(f"a value out of range in event {code}") from error
-
-
-def node_list(kind: TargetListKind, rows: tuple[tuple, ...], base: int) -> TargetListUpdate:
-    """Give a raw node list the clock of the instance that hears of it."""
+    def _decode_target_list(self, values: tuple[Any, ...]) -> RawTargetList:
+        _, kind_number, _, rows_number = values
+        kind = LIST_KINDS[kind_number]
+        if kind is TargetListKind.FAILED:
+            return RawTargetList(kind, ())
+        rows = self._rows_by_number.get(rows_number)
+        if rows is None:
+            raise WireError(f"node list {rows_number} was never sent")
+        return RawTargetList(kind, rows)
+
+
+def _read_bytes(body: bytes, offset: int, length_field: struct.Struct) -> tuple[bytes, int]:
+    (length,) = length_field.unpack_from(body, offset)
+    offset += length_field.size
+    if offset + length > len(body):
+        raise WireError("batch body ends inside a record")
+    return body[offset : offset + length], offset + length
+
+
+def _read_floats(body: bytes, offset: int) -> tuple[tuple[float, ...], int]:
+    count = body[offset]
+    return struct.unpack_from(f"<{count}f", body, offset + 1), offset + 1 + 4 * count
+
+
+def to_target_list_update(raw_list: RawTargetList, base_ns: int) -> TargetListUpdate:
+    """Convert a raw target list to the clock of the instance that receives it.
+
+    `base_ns` is the simulator's time at which the instance's clock began; raises WireError on an unknown
+    target status.
+    """
     try:
-        return TargetListUpdate(
-            kind,
-            tuple(
-                Target(
-                    node_id(a, p),
-                    zone,
-                    hw,
-                    cell,
-                    STATES[state],
-                    weight,
-                    (started - base) / NS if started else None,
-                )
-                for a, p, zone, hw, cell, state, weight, started in rows
-            ),
+        targets = tuple(
+            Target(
+                to_target_id(address, port),
+                zone,
+                kind,
+                shard,
+                TARGET_STATUSES[status],
+                weight,
+                (started_ns - base_ns) / NANOSECONDS_PER_SECOND if started_ns else None,
+            )
+            for address, port, zone, kind, shard, status, weight, started_ns in raw_list.rows
         )
     except IndexError as error:
         raise WireError("a node state out of range") from error
-
-
-def encode_action(instance: int, action: Action, base: int) -> bytes:
-    """Encode one action; `base` is the clock at which the instance's own time began."""
-    match action:
-        case StartAttempt(request_id=request, target_id=node, expires_at=expires):
-            at = 0 if expires is None else base + max(1, round(expires * NS))
-            return struct.pack("<BIQQIH", 0, instance, request, at, node >> 16, node & 0xFFFF)
-        case Reject(request_id=request, retry_after=delay):
-            return struct.pack("<BIQQ", 1, instance, request, round(delay * NS))
-        case Fail(request_id=request):
-            return struct.pack("<BIQ", 2, instance, request)
-        case CancelAttempt(request_id=request, attempt_number=attempt):
-            return struct.pack("<BIQB", 3, instance, request, attempt)
-        case SetTimer(token=token, delay=delay):
-            return struct.pack("<BIQQ", 4, instance, token, max(0, math.ceil(delay * NS)))
-        case ProbeTarget(target_id=node):
-            return struct.pack("<BIIH", 5, instance, node >> 16, node & 0xFFFF)
-        case CloseIdleConnections(target_id=node):
-            return struct.pack("<BIIH", 6, instance, node >> 16, node & 0xFFFF)
-        case SendPeerMessage(initiator_index=gateway, data=data):
-            peer = ALL_PEERS if gateway is None else gateway
-            return struct.pack("<BIHH", 7, instance, peer, len(data)) + data
-        case LogMessage(text=text):
-            return encode_text(8, instance, text)
-        case WatchTargetList(enabled=on):
-            return struct.pack("<BIB", 10, instance, on)
-        case FetchTargetList():
-            return struct.pack("<BI", 11, instance)
-    raise TypeError(f"not an action: {action!r}")
-
-
-def encode_text(code: int, instance: int, text: str) -> bytes:
-    """Encode a log line (code 8) or a crash report (code 9)."""
-    data = text.encode()[:0xFFFF]
-    return struct.pack("<BIH", code, instance, len(data)) + data
-
-
-def encode_fault(instance: int, text: str) -> bytes:
-    """Encode the report of a crash of the decision code."""
-    return encode_text(9, instance, text)
-
-
-def encode_reply(records: list[bytes]) -> bytes:
-    """Join records into a reply."""
-    body = b"".join(records)
-    return REPLY_HEADER.pack(4 + len(body), len(records)) + body
-
-
-class _Options:
-    """The options by path, with typed look-ups; a missing path gives None."""
-
-    def __init__(self, values: dict[str, str], prefix: str = "") -> None:
-        self._values, self._prefix = values, prefix
-
-    def text(self, path: str) -> str | None:
-        return self._values.get(self._prefix + path)
-
-    def number(self, path: str) -> float | None:
-        value = self.text(path)
-        try:
-            return None if value is None else float(value)
-        except ValueError as error:
-            raise WireError(f"option {self._prefix + path} is not a number: {value}") from error
-
-    def amount(self, path: str) -> float:
-        return self.number(path) or 0.0
-
-    def seconds(self, path: str) -> float | None:
-        value = self.number(path + "-ns")
-        return None if value is None else value / NS
-
-    def span(self, path: str) -> float:
-        return self.seconds(path) or 0.0
-
-    def flag(self, path: str) -> bool:
-        return self.text(path) == "true"
-
-    def words(self, path: str) -> list[str]:
-        return [word for word in (self.text(path) or "").split(",") if word]
-
-    def items(self, path: str) -> list[_Options]:
-        count = int(self.amount(path + ".count"))
-        return [_Options(self._values, f"{self._prefix}{path}.{i}.") for i in range(count)]
-
-
-def parse_settings(text: str) -> Settings:
-    """Parse an instance's options, one path=value a line."""
-    pairs = (line.partition("=") for line in text.splitlines() if "=" in line)
-    return settings_of({path.strip(): value.strip() for path, _, value in pairs})
-
-
-def settings_of(values: dict[str, str]) -> Settings:
-    """Read the options by path; those that are not known are passed over."""
-    o = _Options(values)
-    # By place in the list of classes.  Guards against a list of another length, as files have once classes
-    # were added or dropped: its places say nothing.
-    words = o.words("family-info.changes-data")
-    writes = [w == "true" for w in words] if len(words) == o.amount("classes.count") else []
-    classes = tuple(
-        RequestClass(
-            c.text("name") or "",
-            c.span("aim"),
-            c.span("give-up"),
-            c.amount("worth"),
-            c.amount("late-share"),
-            EFFECTS.get(c.text("effect") or "", Idempotency.UNSAFE),
-            {"all": DeduplicationScope.ALL, "zone": DeduplicationScope.ZONE}.get(
-                c.text("key-scope") or "", DeduplicationScope.SHARD
-            ),
-            c.span("key-ttl"),
-            c.flag("streaming"),
-            c.flag("by-arrival"),
-            writes[i] if writes else None,
-        )
-        for i, c in enumerate(o.items("classes"))
-    )
-    plans = tuple(
-        Plan(
-            p.text("name") or "",
-            p.amount("nominal"),
-            p.amount("guaranteed"),
-            p.amount("parts"),
-            p.amount("price"),
-            p.amount("cap"),
-            p.amount("burst"),
-            p.amount("slack"),
-        )
-        for p in o.items("contracts")
-    )
-    rules = Rules(
-        o.span("rules.answer-slack"),
-        o.span("rules.drain-grace"),
-        o.amount("rules.cold-share"),
-        o.span("rules.cold"),
-        o.amount("rules.tip-multiple"),
-        o.span("rules.tip-after"),
-        o.seconds("rules.ask-every"),
-        o.seconds("rules.order-pause"),
-        o.number("rules.budget-free"),
-        o.number("rules.extra-share"),
-        o.seconds("rules.resend-span"),
-    )
-    attempts = o.number("limits.attempts-cap")
-    return Settings(
-        initiator_index=int(o.amount("position")),
-        initiator_count=int(o.amount("balancers")) or 1,
-        zone=int(o.amount("zone")),
-        tick=o.span("tick"),
-        classes=classes,
-        plans=plans,
-        rules=rules,
-        mean_units=o.amount("family-info.usual-units"),
-        max_units=o.amount("family-info.largest"),
-        slow_start_units=o.amount("family-info.young-limit"),
-        within_share_weight=o.amount("family-info.share-worth"),
-        beyond_share_weight=o.amount("family-info.spare-worth"),
-        meter_period=o.span("family-info.metering"),
-        other_usage_reported=o.flag("family-info.tells-elsewhere"),
-        list_pushed=o.text("membership-mode") != "ask",
-        report_fields=tuple(o.words("feedback.fields")),
-        reports_in_answers=o.text("feedback.how") == "piggyback",
-        may_probe=o.flag("limits.probes"),
-        may_message=o.flag("limits.peers"),
-        may_cancel=o.flag("limits.cancel"),
-        may_hedge=o.flag("limits.parallel-tries"),
-        may_send_retry_after=o.flag("limits.retry-after"),
-        max_retry_after=o.span("limits.max-retry-after"),
-        max_attempts=1 if attempts is None else int(attempts),
-        retries_marked=o.flag("clients.marks-retry"),
-    )
+    return TargetListUpdate(raw_list.kind, targets)
--- a/stalltiller/transport/watch.py
+++ b/stalltiller/transport/watch.py
@@ -194,7 +194,7 @@
             timeout = min(CONNECT_TIMEOUT_SECONDS, self._poll_policy.timeout(False))
             async with asyncio.timeout(timeout):
                 connection = await self._open()
-            self._connection = connection
+                self._connection = connection
         async with asyncio.timeout(self._poll_policy.timeout(waits)):
             stays_open = await self._request(connection, waits)
         if not stays_open:
--- a/tests/test_simulator_codec.py
+++ b/tests/test_simulator_codec.py
@@ -36,15 +36,15 @@
     TimerFired,
     WatchTargetList,
 )
-from stalltiller.simulator import adapter, codec
+from stalltiller.simulator import actions, adapter, codec
 
 CLOCK = 8_418_541_456
 ADDRESS = bytes.fromhex("0b164208") + struct.pack("<H", 7001)
-NODE = codec.node_id(int.from_bytes(ADDRESS[:4], "little"), 7001)
+TARGET = codec.to_target_id(int.from_bytes(ADDRESS[:4], "little"), 7001)
 
 
 def one(body: bytes) -> tuple[int, object]:
-    (found,) = codec.Reader().events(1, body)
+    (found,) = codec.BatchReader().events(1, body)
     return found
 
 
@@ -70,7 +70,7 @@
     )
     assert one(body) == (
         3,
-        AttemptFinished(99, 1, NODE, AttemptStatus.TIMEOUT, 0.03, True, 0.85, 3.0, (14.5, 2.0)),
+        AttemptFinished(99, 1, TARGET, AttemptStatus.TIMEOUT, 0.03, True, 0.85, 3.0, (14.5, 2.0)),
     )
 
 
@@ -85,16 +85,16 @@
     [
         (struct.pack("<BIQ", 4, 3, 99), ClientDisconnected(99)),
         (struct.pack("<BIQ", 9, 3, 77), TimerFired(77)),
-        (struct.pack("<BI", 6, 3), codec.Stop()),
+        (struct.pack("<BI", 6, 3), codec.InstanceStopped()),
         (struct.pack("<BIIH2s", 3, 3, 5, 2, b"hi"), PeerMessage(5, b"hi")),
-        (struct.pack("<BIQI3s", 1, 3, 12, 3, b"a=b"), codec.Init(12, "a=b")),
+        (struct.pack("<BIQI3s", 1, 3, 12, 3, b"a=b"), codec.InstanceStarted(12, "a=b")),
         (
             struct.pack("<BIQB", 0, 3, 99, 1) + ADDRESS + struct.pack("<Q", 10**9),
-            FirstByte(99, 1, NODE, 1.0),
+            FirstByte(99, 1, TARGET, 1.0),
         ),
         (
             struct.pack("<BI", 7, 3) + ADDRESS + struct.pack("<QHB1f", 10**9, 2, 1, 0.5),
-            ProbeFinished(NODE, 1.0, AttemptStatus.REJECTED, (0.5,)),
+            ProbeFinished(TARGET, 1.0, AttemptStatus.REJECTED, (0.5,)),
         ),
     ],
 )
@@ -102,22 +102,22 @@
     assert one(body) == (3, event)
 
 
-def census(sheet: int, *states: int) -> bytes:
+def target_rows(number: int, *states: int) -> bytes:
     rows = b"".join(ADDRESS + struct.pack("<BHHBfQ", 1, 2, 5, state, 1.5, CLOCK - 10**9) for state in states)
-    return struct.pack("<BHI", 2, sheet, len(states)) + rows
+    return struct.pack("<BHI", 2, number, len(states)) + rows
 
 
 def test_lists_resolve_by_order_even_when_a_number_is_reused():
     news = struct.pack("<BIBIH", 5, 3, 1, 40, 6)
-    found = codec.Reader().events(4, census(6, 2) + news + census(6, 1) + news)
-    lists = [codec.node_list(*raw, CLOCK) for _, raw in found]
+    found = codec.BatchReader().events(4, target_rows(6, 2) + news + target_rows(6, 1) + news)
+    lists = [codec.to_target_list_update(raw, CLOCK) for _, raw in found]
     assert [item.targets[0].status for item in lists] == [
         TargetStatus.READY,
         TargetStatus.DRAINING,
     ]
     assert lists[0] == TargetListUpdate(
         TargetListKind.FULL,
-        (Target(NODE, 1, 2, 5, TargetStatus.READY, 1.5, -1.0),),
+        (Target(TARGET, 1, 2, 5, TargetStatus.READY, 1.5, -1.0),),
     )
 
 
@@ -128,14 +128,14 @@
 @pytest.mark.parametrize(
     ("action", "body"),
     [
-        (StartAttempt(99, NODE, 2.0), struct.pack("<BIQQ", 0, 3, 99, CLOCK + 2 * 10**9) + ADDRESS),
-        (StartAttempt(99, NODE, None), struct.pack("<BIQQ", 0, 3, 99, 0) + ADDRESS),
+        (StartAttempt(99, TARGET, 2.0), struct.pack("<BIQQ", 0, 3, 99, CLOCK + 2 * 10**9) + ADDRESS),
+        (StartAttempt(99, TARGET, None), struct.pack("<BIQQ", 0, 3, 99, 0) + ADDRESS),
         (Reject(99, 0.5), struct.pack("<BIQQ", 1, 3, 99, 500_000_000)),
         (Fail(99), struct.pack("<BIQ", 2, 3, 99)),
         (CancelAttempt(99, 2), struct.pack("<BIQB", 3, 3, 99, 2)),
         (SetTimer(77, 0.5), struct.pack("<BIQQ", 4, 3, 77, 500_000_000)),
-        (ProbeTarget(NODE), struct.pack("<BI", 5, 3) + ADDRESS),
-        (CloseIdleConnections(NODE), struct.pack("<BI", 6, 3) + ADDRESS),
+        (ProbeTarget(TARGET), struct.pack("<BI", 5, 3) + ADDRESS),
+        (CloseIdleConnections(TARGET), struct.pack("<BI", 6, 3) + ADDRESS),
         (SendPeerMessage(None, b"hi"), struct.pack("<BIHH2s", 7, 3, 0xFFFF, 2, b"hi")),
         (SendPeerMessage(1, b"hi"), struct.pack("<BIHH2s", 7, 3, 1, 2, b"hi")),
         (LogMessage("hi"), struct.pack("<BIH2s", 8, 3, 2, b"hi")),
@@ -144,13 +144,13 @@
     ],
 )
 def test_actions(action, body):
-    assert codec.encode_action(3, action, CLOCK) == body
+    assert actions.encode_action(3, action, CLOCK) == body
 
 
 def test_fault_and_reply():
-    fault = codec.encode_fault(3, "no")
-    assert fault == struct.pack("<BIH2s", 9, 3, 2, b"no")
-    assert codec.encode_reply([fault]) == struct.pack("<II", 4 + len(fault), 1) + fault
+    report = actions.encode_crash_report(3, "no")
+    assert report == struct.pack("<BIH2s", 9, 3, 2, b"no")
+    assert actions.encode_reply([report]) == struct.pack("<II", 4 + len(report), 1) + report
 
 
 def test_empty_batch():
@@ -161,7 +161,7 @@
 
 def test_very_large_batch():
     body = struct.pack("<BIQ", 9, 3, 77) * 300_000
-    assert len(codec.Reader().events(300_000, body)) == 300_000
+    assert len(codec.BatchReader().events(300_000, body)) == 300_000
 
 
 @pytest.mark.parametrize(
@@ -255,14 +255,16 @@
     monkeypatch.setattr("stalltiller.scheduling.scheduler.Scheduler.handle", crash)
     sink = io.BytesIO()
     adapter.run(io.BytesIO(batch(2, init(3) + struct.pack("<BIQ", 9, 3, 1))), sink)
-    assert codec.encode_fault(3, "RuntimeError: broken on purpose") in sink.getvalue()
+    assert actions.encode_crash_report(3, "RuntimeError: broken on purpose") in sink.getvalue()
 
 
 def test_a_restart_in_one_batch_starts_anew_and_dead_instances_stay_silent():
     instances: dict[int, adapter.Instance] = {}
-    adapter.answer(instances, [(3, codec.Init(5, OPTIONS))], CLOCK)
+    adapter.process_batch(instances, [(3, codec.InstanceStarted(5, OPTIONS))], CLOCK)
     before = instances[3]
-    adapter.answer(instances, [(3, codec.Stop()), (3, codec.Init(6, OPTIONS))], CLOCK + 1)
+    adapter.process_batch(
+        instances, [(3, codec.InstanceStopped()), (3, codec.InstanceStarted(6, OPTIONS))], CLOCK + 1
+    )
     assert instances[3] is not before
-    adapter.answer(instances, [(3, codec.Stop())], CLOCK + 2)
-    assert adapter.answer(instances, [(3, TimerFired(1))], CLOCK + 3) == []
+    adapter.process_batch(instances, [(3, codec.InstanceStopped())], CLOCK + 2)
+    assert adapter.process_batch(instances, [(3, TimerFired(1))], CLOCK + 3) == []
