--- a/stalltiller/protocol/__init__.py
+++ b/stalltiller/protocol/__init__.py
@@ -1,1 +1,1 @@
-"""Parsers and encoders.  Nothing here does I/O or keeps time."""
+"""Parsers and encoders of the protocols; they do no I/O and keep no time."""
--- a/stalltiller/protocol/metrics.py
+++ b/stalltiller/protocol/metrics.py
@@ -1,4 +1,8 @@
-"""Encoders of metrics: Graphite's plaintext protocol and collectd's binary network protocol."""
+"""Encoders of metrics: Graphite's plaintext protocol and collectd's binary network protocol.
+
+collectd's packets are a sequence of parts, each with a type, a length and a value.  Numbers are big-endian,
+but a gauge's value is little-endian.  A value part applies to the host, plugin and type parts before it.
+"""
 
 from __future__ import annotations
 
@@ -6,51 +10,74 @@
 import struct
 from collections.abc import Mapping
 
-MAX_PACKET = 1452  # bytes: collectd's own default, under an Ethernet frame
-HOST, TIME, PLUGIN, PLUGIN_INSTANCE, TYPE, TYPE_INSTANCE, VALUES, INTERVAL = range(8)
-GAUGE, DERIVE = 1, 2
+MAX_PACKET = 1452  # bytes: collectd's own default, which fits an Ethernet frame
+MAX_TEXT_BYTES = 63  # collectd's names have 64 bytes with the terminating zero
+
+# Part types of collectd's binary protocol.
+HOST = 0
+TIME = 1
+PLUGIN = 2
+PLUGIN_INSTANCE = 3
+TYPE = 4
+TYPE_INSTANCE = 5
+VALUES = 6
+INTERVAL = 7
+
+# Kinds of a value in a VALUES part.
+GAUGE = 1
+DERIVE = 2
+
+PART_HEADER = struct.Struct(">HH")  # type, length with the header
+NUMBER_PART = struct.Struct(">HHQ")
+VALUE_PART_HEADER = struct.Struct(">HHHB")  # type, length, number of values, kind of the one value
+GAUGE_VALUE = struct.Struct("<d")
+DERIVE_VALUE = struct.Struct(">q")
 
 
 def graphite_lines(instance: str, sample: Mapping[str, float], now: float) -> bytes:
-    """One line a figure: path, value and Unix time."""
+    """Encode a sample as one line per metric: path, value and Unix time."""
     base = "stalltiller." + re.sub(r"[^A-Za-z0-9_-]", "_", instance)
     return "".join(f"{base}.{name} {value:g} {int(now)}\n" for name, value in sample.items()).encode()
 
 
-def _text(kind: int, text: str) -> bytes:
-    data = text.encode()[:63] + b"\0"
-    return struct.pack(">HH", kind, 4 + len(data)) + data
+def _text_part(part_type: int, text: str) -> bytes:
+    data = text.encode()[:MAX_TEXT_BYTES] + b"\0"
+    return PART_HEADER.pack(part_type, PART_HEADER.size + len(data)) + data
 
 
-def _number(kind: int, value: int) -> bytes:
-    return struct.pack(">HHQ", kind, 12, value)
+def _number_part(part_type: int, value: int) -> bytes:
+    return NUMBER_PART.pack(part_type, NUMBER_PART.size, value)
 
 
-def _value(name: str, value: float, gauge: bool) -> bytes:
-    coded = struct.pack("<d", value) if gauge else struct.pack(">q", int(value))
+def _value_parts(name: str, value: float, is_gauge: bool) -> bytes:
+    kind = GAUGE if is_gauge else DERIVE
+    encoded = GAUGE_VALUE.pack(value) if is_gauge else DERIVE_VALUE.pack(int(value))
     return (
-        _text(TYPE, "gauge" if gauge else "derive")
-        + _text(TYPE_INSTANCE, name)
-        + struct.pack(">HHHB", VALUES, 4 + 2 + 9, 1, GAUGE if gauge else DERIVE)
-        + coded
+        _text_part(TYPE, "gauge" if is_gauge else "derive")
+        + _text_part(TYPE_INSTANCE, name)
+        + VALUE_PART_HEADER.pack(VALUES, VALUE_PART_HEADER.size + len(encoded), 1, kind)
+        + encoded
     )
 
 
 def collectd_packets(
     instance: str, sample: Mapping[str, float], gauges: frozenset[str], now: float, interval: float
 ) -> list[bytes]:
-    """Packets no longer than MAX_PACKET, each whole in itself."""
+    """Encode a sample as packets of at most MAX_PACKET bytes, each complete in itself.
+
+    Metrics named in `gauges` are gauges, the others counters (derive); `interval` is in seconds.
+    """
     head = (
-        _text(HOST, instance)
-        + _number(TIME, int(now))
-        + _number(INTERVAL, max(1, round(interval)))
-        + _text(PLUGIN, "stalltiller")
-        + _text(PLUGIN_INSTANCE, instance)
+        _text_part(HOST, instance)
+        + _number_part(TIME, int(now))
+        + _number_part(INTERVAL, max(1, round(interval)))
+        + _text_part(PLUGIN, "stalltiller")
+        + _text_part(PLUGIN_INSTANCE, instance)
     )
     packets = [head]
     for name, value in sample.items():
-        part = _value(name, value, name in gauges)
-        if len(packets[-1]) + len(part) > MAX_PACKET:
+        encoded = _value_parts(name, value, name in gauges)
+        if len(packets[-1]) + len(encoded) > MAX_PACKET:
             packets.append(head)
-        packets[-1] += part
+        packets[-1] += encoded
     return packets
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -1,4 +1,7 @@
-"""The platform's fields on requests and answers, as PROTOCOL names them."""
+"""The platform's HTTP fields on requests and on targets' responses.
+
+Readers are built from the settings and hold no other state.
+"""
 
 from __future__ import annotations
 
@@ -9,21 +12,27 @@
 from stalltiller.protocol.http import Head
 from stalltiller.scheduling import AttemptStatus, Settings
 
-HEX = re.compile(r"[0-9A-Fa-f]{1,16}")
-NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
-WHOLE = re.compile(r"-?[0-9]{1,9}")
+HEXADECIMAL = re.compile(r"[0-9A-Fa-f]{1,16}")
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
+INTEGER = re.compile(r"-?[0-9]{1,9}")
 REQUEST_ID = re.compile(r"[!-~]{1,128}")
-NOT_RUN = (503, 504)
-MAX_SHARD = 1 << 20  # far above any shard: what names a higher one is in error
+READ_METHOD = "GET"
+WRITE_METHOD = "PUT"
+REPORT_FORMAT = "TEXT"
+REJECTION_STATUSES = (503, 504)  # with X-Not-Processed the target did not execute the request
+MAX_SHARD = 1 << 20  # far above any shard: a request that names a higher one is wrong
 
 
 class FieldError(Exception):
-    """A field that is missing or wrong; the request is not taken."""
+    """A field that is missing or wrong; the request is not accepted."""
 
 
 @dataclass(slots=True, frozen=True)
 class RequestInfo:
-    """What a request says of itself; `timeout` is in seconds from when the client sent it."""
+    """What a request's fields state.
+
+    `timeout` is in seconds from when the client sent it; `shard` is None for a new object.
+    """
 
     class_index: int
     plan_index: int
@@ -36,77 +45,102 @@
     timeout: float
 
 
-def _number(text: str | None, name: str) -> float:
-    if text is None or not NUMBER.fullmatch(text):
+def _parse_decimal(text: str | None, name: str) -> float:
+    if text is None or not DECIMAL.fullmatch(text):
         raise FieldError(f"{name} is missing or not a number")
     return float(text)
 
 
-def _whole(text: str | None, name: str, least: int, most: int) -> int:
-    if text is None or not WHOLE.fullmatch(text) or not least <= int(text) <= most:
+def _parse_integer(text: str | None, name: str, minimum: int, maximum: int) -> int:
+    if text is None or not INTEGER.fullmatch(text) or not minimum <= int(text) <= maximum:
         raise FieldError(f"{name} is missing or wrong")
     return int(text)
 
 
-def _hex(text: str | None, name: str) -> int:
-    if text is None or not HEX.fullmatch(text):
+def _parse_hexadecimal(text: str | None, name: str) -> int:
+    if text is None or not HEXADECIMAL.fullmatch(text):
         raise FieldError(f"{name} is missing or not hexadecimal")
     return int(text, 16)
 
 
+def _parse_pairs(text: str) -> dict[str, str]:
+    """Split `name=value, ...`; of a name given twice the last value counts."""
+    return dict(pair.strip().partition("=")[::2] for pair in text.split(","))
+
+
 class RequestFields:
-    """Reads requests with the class and plan names of the settings.
+    """Parses the fields of requests by the classes and plans of the settings.
 
-    What the settings rule out is wrong, too.  Guards against figures that would stay with the volume they
-    name: a million hosts leave it no part of its limit, a million units fill its demand for a minute.
+    Values that the settings rule out are wrong, too.  Guards against figures that would affect the volume
+    they name: a million initiators leave it no share of its limit, a million units fill its demand for a
+    minute.
     """
 
     def __init__(self, settings: Settings) -> None:
-        self._hosts, self._largest = settings.initiator_count, settings.max_units or math.inf
+        self._initiator_count = settings.initiator_count
+        self._max_units = settings.max_units or math.inf
         self._deadlines = [cls.deadline for cls in settings.classes]
-        self._classes = {cls.name: i for i, cls in enumerate(settings.classes)}
-        self._plans = {plan.name: i for i, plan in enumerate(settings.plans)}
-        methods = {True: ("PUT",), False: ("GET",), None: ("GET", "PUT")}
-        self._methods = [methods[cls.is_write] for cls in settings.classes]
+        self._class_indexes = {cls.name: index for index, cls in enumerate(settings.classes)}
+        self._plan_indexes = {plan.name: index for index, plan in enumerate(settings.plans)}
+        self._methods = [_allowed_methods(cls.is_write) for cls in settings.classes]
 
     def parse(self, head: Head, body: bytes) -> RequestInfo:
+        """Parse a request's fields; raises FieldError on the first that is missing or wrong."""
+        class_index, key_text = self._parse_path(head, body)
+        plan_index = self._plan_indexes.get(head.fields.get("tier", ""))
+        if plan_index is None:
+            raise FieldError("Tier is missing or names no plan")
+        if not REQUEST_ID.fullmatch(head.fields.get("x-request-id", "")):
+            raise FieldError("X-Request-ID is missing or wrong")
+        io_info = _parse_pairs(head.fields.get("io-info", ""))
+        units = _parse_decimal(io_info.get("units"), "units")
+        if not 0 < units <= self._max_units:
+            raise FieldError("units must be above zero and no more than the largest request")
+        shard = _parse_integer(io_info.get("shard"), "shard", -1, MAX_SHARD)
+        return RequestInfo(
+            class_index=class_index,
+            plan_index=plan_index,
+            volume=_parse_hexadecimal(io_info.get("volume"), "volume"),
+            units=units,
+            volume_initiator_count=_parse_integer(io_info.get("hosts"), "hosts", 1, self._initiator_count),
+            idempotency_key=_parse_hexadecimal(key_text, "the key"),
+            shard=None if shard < 0 else shard,
+            is_retry=head.fields.get("x-retried") == "1",
+            timeout=min(
+                self._deadlines[class_index], _parse_decimal(head.fields.get("x-timeout"), "X-Timeout")
+            ),
+        )
+
+    def _parse_path(self, head: Head, body: bytes) -> tuple[int, str]:
+        """Return the index of the class and the text of the key from /CLASS/.../KEY."""
         path = head.target.partition("?")[0]
         parts = path.split("/")
         if len(parts) < 3 or parts[0]:
             raise FieldError("the path does not name a class and a key")
-        cls = self._classes.get(parts[1])
-        if cls is None:
+        class_index = self._class_indexes.get(parts[1])
+        if class_index is None:
             raise FieldError("the path names no known class")
-        if head.method not in self._methods[cls]:
+        if head.method not in self._methods[class_index]:
             raise FieldError("method does not go with the class")
-        if body and head.method == "GET":
+        if body and head.method == READ_METHOD:
             raise FieldError("a read has no body")
-        plan = self._plans.get(head.fields.get("tier", ""))
-        if plan is None:
-            raise FieldError("Tier is missing or names no plan")
-        if not REQUEST_ID.fullmatch(head.fields.get("x-request-id", "")):
-            raise FieldError("X-Request-ID is missing or wrong")
-        info = dict(pair.strip().partition("=")[::2] for pair in head.fields.get("io-info", "").split(","))
-        units = _number(info.get("units"), "units")
-        if not 0 < units <= self._largest:
-            raise FieldError("units must be above zero and no more than the largest request")
-        shard = _whole(info.get("shard"), "shard", -1, MAX_SHARD)
-        return RequestInfo(
-            cls,
-            plan,
-            _hex(info.get("volume"), "volume"),
-            units,
-            _whole(info.get("hosts"), "hosts", 1, self._hosts),
-            _hex(parts[-1], "the key"),
-            None if shard < 0 else shard,
-            head.fields.get("x-retried") == "1",
-            min(self._deadlines[cls], _number(head.fields.get("x-timeout"), "X-Timeout")),
-        )
+        return class_index, parts[-1]
+
+
+def _allowed_methods(is_write: bool | None) -> tuple[str, ...]:
+    """Return the methods of a class; None: each request states by its method whether it writes."""
+    if is_write is None:
+        return (READ_METHOD, WRITE_METHOD)
+    return (WRITE_METHOD,) if is_write else (READ_METHOD,)
 
 
 @dataclass(slots=True, frozen=True)
 class AnswerInfo:
-    """What a target's answer tells beside its body."""
+    """What a target's response states beside its body.
+
+    `other_units` is the volume's use by other initiators, `report` the target's load figures in the order of
+    the settings; 0 and empty if they are not stated.
+    """
 
     status: AttemptStatus
     other_units: float = 0.0
@@ -114,30 +148,31 @@
 
 
 class AnswerFields:
-    """Reads targets' answers; what is malformed in a report is passed over."""
+    """Parses the fields of targets' responses; a malformed load report is ignored."""
 
     def __init__(self, settings: Settings) -> None:
         self._report_fields = settings.report_fields if settings.reports_in_answers else ()
 
     def parse(self, head: Head) -> AnswerInfo:
+        """Parse a response's fields; malformed ones count as absent."""
         if head.status == 200:
             status = AttemptStatus.OK
-        elif head.status in NOT_RUN and head.fields.get("x-not-processed") == "1":
+        elif head.status in REJECTION_STATUSES and head.fields.get("x-not-processed") == "1":
             status = AttemptStatus.REJECTED
         else:
             status = AttemptStatus.ERROR
-        others = head.fields.get("other-hosts", "")
+        other_units = head.fields.get("other-hosts", "")
         return AnswerInfo(
-            status,
-            float(others) if NUMBER.fullmatch(others) else 0.0,
-            self._report(head.fields.get("x-server-load", "")),
+            status=status,
+            other_units=float(other_units) if DECIMAL.fullmatch(other_units) else 0.0,
+            report=self._parse_report(head.fields.get("x-server-load", "")),
         )
 
-    def _report(self, text: str) -> tuple[float, ...]:
-        form, _, pairs = text.partition(" ")
-        if form != "TEXT" or not self._report_fields:
+    def _parse_report(self, text: str) -> tuple[float, ...]:
+        report_format, _, pairs = text.partition(" ")
+        if report_format != REPORT_FORMAT or not self._report_fields:
             return ()
-        values = dict(pair.strip().partition("=")[::2] for pair in pairs.split(","))
+        values = _parse_pairs(pairs)
         try:
             report = tuple(float(values[name]) for name in self._report_fields)
         except (KeyError, ValueError):
