Give the NVMe codec's constants and layouts the specification's names

Need: constants in rows, offsets without a name, tuples of four, layouts with an underscore and no legend. Change: one constant a line with its meaning, layouts named with the specification's fields, DataTransfer, ConnectData and RetryDelays as NamedTuples, the PDU header read apart from its data. Public names, bytes, statuses and texts are unchanged.

--- a/stalltiller/protocol/nvme.py
+++ b/stalltiller/protocol/nvme.py
@@ -1,31 +1,34 @@
-"""NVMe over TCP, a subset: PDUs, Fabrics, admin and I/O commands.  No digests, no padding, no metadata.
+"""NVMe over TCP, a subset: PDUs, Fabrics, admin and I/O commands; no digests, no padding, no metadata.
 
-Names and layouts are those of the NVM Express Base and TCP Transport specifications; numbers are
-little-endian.
+Names and layouts are those of the NVM Express Base Specification and of the NVM Express TCP Transport
+Specification; numbers are little-endian.  `PduReader` is incremental: its owner feeds it bytes that arrive.
 """
 
 from __future__ import annotations
 
 import struct
 from dataclasses import dataclass
+from typing import NamedTuple
 
-MAX_DATA = 64 * 1024  # bytes of one command
-IN_CAPSULE = 8 * 1024  # bytes of write data that a capsule may carry
-PAGE = 4096
-ADMIN_ENTRIES, IO_ENTRIES = 32, 64  # the longest queues that are offered
+MAX_DATA = 64 * 1024  # bytes of one command: what Identify states as MDTS
+IN_CAPSULE = 8 * 1024  # bytes of write data that a capsule may carry; longer writes wait for an R2T
+PAGE = 4096  # bytes: the memory page size (CAP.MPSMIN), in which MDTS is counted
+ADMIN_ENTRIES = 32  # the longest admin queue that is offered
+IO_ENTRIES = 64  # the longest I/O queue that is offered
 
 # --- PDUs -----------------------------------------------------------------------------------------
-IC_REQ, IC_RESP, H2C_TERM, C2H_TERM, CAPSULE, RESPONSE, H2C_DATA, C2H_DATA, R2T = (
-    0x00,
-    0x01,
-    0x02,
-    0x03,
-    0x04,
-    0x05,
-    0x06,
-    0x07,
-    0x09,
-)
+# PDU types
+IC_REQ = 0x00
+IC_RESP = 0x01
+H2C_TERM = 0x02
+C2H_TERM = 0x03
+CAPSULE = 0x04
+RESPONSE = 0x05
+H2C_DATA = 0x06
+C2H_DATA = 0x07
+R2T = 0x09
+TERM_PDUS = (H2C_TERM, C2H_TERM)
+PDUS_WITHOUT_DATA = (IC_REQ, IC_RESP, RESPONSE, R2T)
 HEADER_LENGTHS = {
     IC_REQ: 128,
     IC_RESP: 128,
@@ -39,51 +42,96 @@
 }
 FROM_HOST = frozenset((IC_REQ, H2C_TERM, CAPSULE, H2C_DATA))
 FROM_CONTROLLER = frozenset((IC_RESP, C2H_TERM, RESPONSE, C2H_DATA, R2T))
-LAST, SUCCESS = 0x04, 0x08  # flags of data PDUs
-DIGESTS = 0x03
+LAST = 0x04  # flag of data PDUs: the transfer's last
+SUCCESS = 0x08  # flag of C2HData: the command succeeded, no response capsule follows
+DIGESTS = 0x03  # flags of the header and data digests
 COMMON = struct.Struct("<BBBBI")  # type, flags, HLEN, PDO, PLEN
-MAX_TERM_DATA = 128
+MAX_TERM_DATA = 128  # bytes of the faulty PDU's header that a TermReq may carry
 # Fatal error status of a TermReq
-BAD_FIELD, BAD_SEQUENCE, OUT_OF_RANGE, UNSUPPORTED = 0x01, 0x02, 0x04, 0x06
+BAD_FIELD = 0x01
+BAD_SEQUENCE = 0x02
+OUT_OF_RANGE = 0x04
+UNSUPPORTED = 0x06
+# Its information for a faulty field: the offset of the field in the PDU, in bytes
+TYPE_OFFSET = 0
+FLAGS_OFFSET = 1
+HEADER_LENGTH_OFFSET = 2
+DATA_OFFSET_OFFSET = 3
+PDU_LENGTH_OFFSET = 4
+FORMAT_VERSION_OFFSET = 8
+ALIGNMENT_OFFSET = 10
+DATA_LENGTH_OFFSET = 16
+COMMAND_FLAGS_OFFSET = 9
+SGL_LENGTH_OFFSET = 8 + 32
+SGL_TYPE_OFFSET = 8 + 39
 
 # --- Commands -------------------------------------------------------------------------------------
-WRITE, READ = 0x01, 0x02
-IDENTIFY, ABORT, KEEP_ALIVE, FABRICS = 0x06, 0x08, 0x18, 0x7F
-PROPERTY_SET, CONNECT, PROPERTY_GET = 0x00, 0x01, 0x04
-CAP, VS, CC, CSTS = 0x00, 0x08, 0x14, 0x1C
-CC_ENABLE, CC_SHUTDOWN, CSTS_READY, CSTS_SHUT = 0x1, 0xC000, 0x1, 0x8
-VERSION = 0x00010400
-CNS_NAMESPACE, CNS_CONTROLLER, CNS_ACTIVE = 0x00, 0x01, 0x02
-CONNECT_SIZE, IDENTIFY_SIZE = 1024, 4096
+# Opcodes of I/O commands
+WRITE = 0x01
+READ = 0x02
+# Opcodes of admin commands
+IDENTIFY = 0x06
+ABORT = 0x08
+KEEP_ALIVE = 0x18
+FABRICS = 0x7F
+# Types of Fabrics commands
+PROPERTY_SET = 0x00
+CONNECT = 0x01
+PROPERTY_GET = 0x04
+# Offsets of controller properties, by the specification's names
+CAP = 0x00
+VS = 0x08
+CC = 0x14
+CSTS = 0x1C
+# Bits of the properties CC and CSTS
+CC_ENABLE = 0x1
+CC_SHUTDOWN = 0xC000
+CSTS_READY = 0x1
+CSTS_SHUT = 0x8
+VERSION = 0x00010400  # NVM Express 1.4
+# CNS values of Identify
+CNS_NAMESPACE = 0x00
+CNS_CONTROLLER = 0x01
+CNS_ACTIVE = 0x02
+CONNECT_SIZE = 1024  # bytes of Connect's data
+IDENTIFY_SIZE = 4096  # bytes of an Identify data structure
 DYNAMIC = 0xFFFF  # controller id by which a host leaves the choice to the controller
-IN_CAPSULE_SGL, TRANSPORT_SGL = 0x01, 0x5A
+# SGL descriptor: type and subtype
+IN_CAPSULE_SGL = 0x01
+TRANSPORT_SGL = 0x5A
+SGL_IN_COMMAND = 0x40  # command flag: SGLs are used for the transfer
+FUSED_FLAGS = 0x3F  # command flags that the subset does not support
 
 # --- Status: type << 8 | code ---------------------------------------------------------------------
-OK, BAD_OPCODE, INVALID_FIELD, INTERNAL, ABORTED, BAD_NAMESPACE, SEQUENCE, NOT_READY, OUT_OF_LBA = (
-    0x000,
-    0x001,
-    0x002,
-    0x006,
-    0x007,
-    0x00B,
-    0x00C,
-    0x082,
-    0x080,
-)
-BAD_CONNECT, BUSY = 0x182, 0x181
+OK = 0x000
+BAD_OPCODE = 0x001
+INVALID_FIELD = 0x002
+INTERNAL = 0x006
+ABORTED = 0x007
+BAD_NAMESPACE = 0x00B
+SEQUENCE = 0x00C
+NOT_READY = 0x082
+OUT_OF_LBA = 0x080
+BAD_CONNECT = 0x182
+BUSY = 0x181
 
 
 class PduError(ValueError):
-    """A PDU against the specification: what a TermReq says of it."""
+    """A PDU that violates the specification.
+
+    `status`, `info` and `header` are the TermReq's fatal error status, its information and the faulty header.
+    """
 
     def __init__(self, text: str, status: int = BAD_FIELD, info: int = 0, header: bytes = b"") -> None:
         super().__init__(text)
-        self.status, self.info, self.header = status, info, header
+        self.status = status
+        self.info = info
+        self.header = header
 
 
 @dataclass(slots=True, frozen=True)
 class Pdu:
-    """One PDU: its type, flags, header after the common part, and data."""
+    """One PDU: its type, flags, header without the common part, and data."""
 
     kind: int
     flags: int
@@ -92,110 +140,152 @@
 
 
 class PduReader:
-    """Splits a stream into PDUs of one direction, and refuses what is malformed as soon as it shows."""
+    """Splits a stream of one direction into PDUs; malformed ones raise PduError as soon as it shows.
+
+    `allowed` are the direction's PDU types, `max_data` limits the bytes of a PDU's data.
+    """
 
-    def __init__(self, allowed: frozenset[int], most: int = MAX_DATA) -> None:
-        self._allowed, self._most = allowed, most
-        self._need = 0
-        self._head = b""
+    def __init__(self, allowed: frozenset[int], max_data: int = MAX_DATA) -> None:
+        self._allowed = allowed
+        self._max_data = max_data
+        self._header = b""  # of the PDU that is being read, with the common part
         self._data = bytearray()
+        self._data_length = 0
 
     def feed(self, data: memoryview) -> tuple[int, Pdu | None]:
-        """Take bytes up to the end of a PDU: how many, and the PDU if it is whole."""
-        used = 0
-        if not self._head:
-            if len(data) < COMMON.size:
-                return 0, None
-            kind, _, length, offset, total = COMMON.unpack_from(data)
-            self._check(bytes(data[: COMMON.size]), kind, length, offset, total)
-            if len(data) < length:
+        """Consume bytes up to the end of a PDU; return how many, and the PDU if it is complete.
+
+        Bytes that are not consumed must be presented again, with those that follow them.
+        """
+        consumed = 0
+        if not self._header:
+            consumed = self._read_header(data)
+            if consumed == 0:
                 return 0, None
-            self._head, self._need = bytes(data[:length]), total - length
-            used = length
-        part = data[used : used + self._need - len(self._data)]
-        self._data += part
-        used += len(part)
-        if len(self._data) < self._need:
-            return used, None
-        pdu = Pdu(self._head[0], self._head[1], self._head[COMMON.size :], bytes(self._data))
-        self._head, self._data = b"", bytearray()
-        return used, pdu
-
-    def _check(self, head: bytes, kind: int, length: int, offset: int, total: int) -> None:
+        received = data[consumed : consumed + self._data_length - len(self._data)]
+        self._data += received
+        consumed += len(received)
+        if len(self._data) < self._data_length:
+            return consumed, None
+        kind, flags = self._header[0], self._header[1]
+        complete = Pdu(kind, flags, self._header[COMMON.size :], bytes(self._data))
+        self._header = b""
+        self._data = bytearray()
+        return consumed, complete
+
+    def _read_header(self, data: memoryview) -> int:
+        """Consume a PDU's header and return its length; 0: it is incomplete."""
+        if len(data) < COMMON.size:
+            return 0
+        kind, _, header_length, data_offset, pdu_length = COMMON.unpack_from(data)
+        self._check(bytes(data[: COMMON.size]), kind, header_length, data_offset, pdu_length)
+        if len(data) < header_length:
+            return 0
+        self._header = bytes(data[:header_length])
+        self._data_length = pdu_length - header_length
+        return header_length
+
+    def _check(self, header: bytes, kind: int, header_length: int, data_offset: int, pdu_length: int) -> None:
+        """Check a PDU's common header; raises PduError."""
         if kind not in self._allowed:
-            raise PduError("PDU type not expected", BAD_FIELD, 0, head)
-        if head[1] & DIGESTS:
-            raise PduError("digests were not agreed on", BAD_FIELD, 1, head)
-        if length != HEADER_LENGTHS[kind]:
-            raise PduError("header length wrong for the type", BAD_FIELD, 2, head)
-        most = MAX_TERM_DATA if kind in (H2C_TERM, C2H_TERM) else self._most
-        if kind in (IC_REQ, IC_RESP, RESPONSE, R2T):
-            most = 0
-        if total < length or total - length > most:
-            raise PduError("PDU length wrong for the type", BAD_FIELD, 4, head)
-        if total > length and kind not in (H2C_TERM, C2H_TERM) and offset != length:
-            raise PduError("data offset wrong", BAD_FIELD, 3, head)
+            raise PduError("PDU type not expected", BAD_FIELD, TYPE_OFFSET, header)
+        if header[FLAGS_OFFSET] & DIGESTS:
+            raise PduError("digests were not agreed on", BAD_FIELD, FLAGS_OFFSET, header)
+        if header_length != HEADER_LENGTHS[kind]:
+            raise PduError("header length wrong for the type", BAD_FIELD, HEADER_LENGTH_OFFSET, header)
+        data_length = pdu_length - header_length
+        if not 0 <= data_length <= self._max_data_of(kind):
+            raise PduError("PDU length wrong for the type", BAD_FIELD, PDU_LENGTH_OFFSET, header)
+        if data_length > 0 and kind not in TERM_PDUS and data_offset != header_length:
+            raise PduError("data offset wrong", BAD_FIELD, DATA_OFFSET_OFFSET, header)
+
+    def _max_data_of(self, kind: int) -> int:
+        if kind in PDUS_WITHOUT_DATA:
+            return 0
+        return MAX_TERM_DATA if kind in TERM_PDUS else self._max_data
 
 
 def pdu(kind: int, header: bytes, data: bytes = b"", flags: int = 0) -> bytes:
+    """Encode a PDU from its header without the common part, and its data."""
     length = HEADER_LENGTHS[kind]
-    offset = length if data and kind not in (H2C_TERM, C2H_TERM) else 0
-    return COMMON.pack(kind, flags, length, offset, length + len(data)) + header + data
+    data_offset = length if data and kind not in TERM_PDUS else 0
+    return COMMON.pack(kind, flags, length, data_offset, length + len(data)) + header + data
 
 
-_IC = struct.Struct("<HBBI112x")
-_TERM = struct.Struct("<HI10x")
-_DATA = struct.Struct("<HHII4x")
-_CQE = struct.Struct("<QHHHH")
+INITIALIZE_CONNECTION = struct.Struct("<HBBI112x")  # PFV, HPDA or CPDA, DGST, MAXR2T or MAXH2CDATA
+TERMINATE_CONNECTION = struct.Struct("<HI10x")  # FES, FEI
+DATA_TRANSFER = struct.Struct("<HHII4x")  # CCCID, TTAG, DATAO or R2TO, DATAL or R2TL
+COMPLETION_ENTRY = struct.Struct("<QHHHH")  # result, SQHD, SQID, CID, status
 
 
 def ic_request(max_r2t: int = 1) -> bytes:
-    return pdu(IC_REQ, _IC.pack(0, 0, 0, max_r2t - 1))
+    """Encode an ICReq; `max_r2t` is how many R2Ts may be outstanding for a command."""
+    return pdu(IC_REQ, INITIALIZE_CONNECTION.pack(0, 0, 0, max_r2t - 1))
 
 
 def ic_response(max_data: int = MAX_DATA) -> bytes:
-    return pdu(IC_RESP, _IC.pack(0, 0, 0, max_data))
+    """Encode an ICResp; `max_data` is how many bytes an H2CData PDU may carry."""
+    return pdu(IC_RESP, INITIALIZE_CONNECTION.pack(0, 0, 0, max_data))
 
 
 def parse_ic(found: Pdu) -> int:
-    """The last field: of a request MAXR2T, of a response MAXH2CDATA."""
-    version, alignment, digests, last = _IC.unpack(found.header)
+    """Return the last field of an ICReq (MAXR2T, zero-based) or of an ICResp (MAXH2CDATA).
+
+    Raises PduError for a format version, an alignment or digests that are not supported.
+    """
+    version, alignment, digests, last_field = INITIALIZE_CONNECTION.unpack(found.header)
     if version != 0:
-        raise PduError("PDU format version not known", UNSUPPORTED, 8)
+        raise PduError("PDU format version not known", UNSUPPORTED, FORMAT_VERSION_OFFSET)
     if alignment or digests:
-        raise PduError("alignment and digests are not supported", UNSUPPORTED, 10)
-    return last
+        raise PduError("alignment and digests are not supported", UNSUPPORTED, ALIGNMENT_OFFSET)
+    return last_field
 
 
 def term(kind: int, error: PduError) -> bytes:
-    return pdu(kind, _TERM.pack(error.status, error.info), error.header[:MAX_TERM_DATA])
+    """Encode the H2CTermReq or C2HTermReq that reports an error."""
+    return pdu(kind, TERMINATE_CONNECTION.pack(error.status, error.info), error.header[:MAX_TERM_DATA])
 
 
 def parse_term(found: Pdu) -> tuple[int, int]:
-    """Fatal error status and its information."""
-    return _TERM.unpack(found.header)
+    """Return a TermReq's fatal error status and its information."""
+    return TERMINATE_CONNECTION.unpack(found.header)
 
 
 def data_pdu(kind: int, cid: int, tag: int, offset: int, data: bytes, flags: int = LAST) -> bytes:
-    return pdu(kind, _DATA.pack(cid, tag, offset, len(data)), data, flags)
+    """Encode an H2CData or C2HData PDU; `tag` is the transfer tag, `offset` that of the data in bytes."""
+    return pdu(kind, DATA_TRANSFER.pack(cid, tag, offset, len(data)), data, flags)
 
 
 def r2t(cid: int, tag: int, offset: int, length: int) -> bytes:
-    return pdu(R2T, _DATA.pack(cid, tag, offset, length))
+    """Encode an R2T, with which a controller asks for `length` bytes of a command's data from `offset` on."""
+    return pdu(R2T, DATA_TRANSFER.pack(cid, tag, offset, length))
+
+
+class DataTransfer(NamedTuple):
+    """The header of an H2CData, C2HData or R2T PDU; `offset` and `length` are in bytes."""
+
+    cid: int
+    tag: int
+    offset: int
+    length: int
 
 
-def parse_data(found: Pdu) -> tuple[int, int, int, int]:
-    """Of H2CData, C2HData and R2T: command id, transfer tag, offset, length."""
-    cid, tag, offset, length = _DATA.unpack(found.header)
-    if found.kind != R2T and length != len(found.data):
-        raise PduError("data length differs from the PDU's", BAD_FIELD, 16)
-    return cid, tag, offset, length
+def parse_data(found: Pdu) -> DataTransfer:
+    """Parse the header of an H2CData, C2HData or R2T PDU; raises PduError if its length is wrong."""
+    transfer = DataTransfer(*DATA_TRANSFER.unpack(found.header))
+    if found.kind != R2T and transfer.length != len(found.data):
+        raise PduError("data length differs from the PDU's", BAD_FIELD, DATA_LENGTH_OFFSET)
+    return transfer
 
 
 # --- Submission and completion entries --------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
 class Command:
-    """A submission queue entry: the fields that the subset uses.  For Fabrics `nsid` holds FCTYPE."""
+    """A submission queue entry: the fields that the subset uses.
+
+    `sgl` is the SGL descriptor's type and `length` its length in bytes, `raw` the whole entry.  For Fabrics
+    commands `nsid` holds the type of the Fabrics command.
+    """
 
     opcode: int
     cid: int
@@ -205,50 +295,64 @@
     raw: bytes
 
     def u16(self, at: int) -> int:
+        """Return the 16-bit number at a byte offset of the entry."""
         return int.from_bytes(self.raw[at : at + 2], "little")
 
     def u32(self, at: int) -> int:
+        """Return the 32-bit number at a byte offset of the entry."""
         return int.from_bytes(self.raw[at : at + 4], "little")
 
     def u64(self, at: int) -> int:
+        """Return the 64-bit number at a byte offset of the entry."""
         return int.from_bytes(self.raw[at : at + 8], "little")
 
     @property
     def lba(self) -> int:
+        """The first logical block of a read or write (SLBA)."""
         return self.u64(40)
 
     @property
     def blocks(self) -> int:
+        """The number of logical blocks of a read or write (NLB, which is zero-based)."""
         return self.u16(48) + 1
 
 
-_SQE = struct.Struct("<BBHI16xQI3xB24s")
+# Opcode, flags, CID, NSID; the SGL descriptor: address, length and type; command dwords 10 to 15
+SUBMISSION_ENTRY = struct.Struct("<BBHI16xQI3xB24s")
 
 
 def parse_command(found: Pdu) -> Command:
+    """Parse a command capsule; raises PduError if it is fused or its descriptor and data do not match."""
     raw = found.header
-    opcode, flags, cid, nsid, _, length, sgl, _ = _SQE.unpack(raw)
-    if flags & 0x3F:
-        raise PduError("fused commands are not supported", BAD_FIELD, 9)
+    opcode, flags, cid, nsid, _, length, sgl, _ = SUBMISSION_ENTRY.unpack(raw)
+    if flags & FUSED_FLAGS:
+        raise PduError("fused commands are not supported", BAD_FIELD, COMMAND_FLAGS_OFFSET)
     if sgl == IN_CAPSULE_SGL and length != len(found.data):
-        raise PduError("in-capsule length differs from the PDU's", BAD_FIELD, 8 + 32)
+        raise PduError("in-capsule length differs from the PDU's", BAD_FIELD, SGL_LENGTH_OFFSET)
     if sgl != IN_CAPSULE_SGL and found.data:
-        raise PduError("capsule data without a descriptor", BAD_FIELD, 8 + 39)
+        raise PduError("capsule data without a descriptor", BAD_FIELD, SGL_TYPE_OFFSET)
     return Command(opcode, cid, nsid & 0xFF if opcode == FABRICS else nsid, sgl, length, raw)
 
 
 def command(
     opcode: int, cid: int, nsid: int = 0, rest: bytes = b"", length: int = 0, data: bytes = b""
 ) -> bytes:
-    """A capsule; `length` bytes follow or come back apart unless `data` goes along.  `rest` is CDW10 on."""
-    sgl = IN_CAPSULE_SGL if data else TRANSPORT_SGL if length else 0
-    entry = _SQE.pack(opcode, 0x40, cid, nsid, 0, len(data) or length, sgl, rest)
+    """Encode a command capsule; `rest` holds the command dwords from 10 on.
+
+    `data` is carried in the capsule.  Without it `length` bytes are transferred in data PDUs, to the
+    controller or back.
+    """
+    sgl = TRANSPORT_SGL if length else 0
+    if data:
+        sgl = IN_CAPSULE_SGL
+    entry = SUBMISSION_ENTRY.pack(opcode, SGL_IN_COMMAND, cid, nsid, 0, len(data) or length, sgl, rest)
     return pdu(CAPSULE, entry, data)
 
 
 def io_command(
     opcode: int, cid: int, nsid: int, lba: int, blocks: int, length: int, data: bytes = b""
 ) -> bytes:
+    """Encode a read or write of logical blocks; `length` and `data` are those of `command`."""
     return command(opcode, cid, nsid, struct.pack("<QH", lba, blocks - 1), length, data)
 
 
@@ -262,34 +366,56 @@
     subsystem: str,
     host_name: str,
 ) -> bytes:
+    """Encode a Fabrics Connect command with its data.
+
+    `queue` is the queue's id, `entries` its size, `keep_alive` a timeout in seconds, `controller` the id of
+    the controller and `host` the host's id of 16 bytes.
+    """
     data = host.ljust(16, b"\0")[:16] + struct.pack("<H238x", controller)
     data += subsystem.encode().ljust(256, b"\0") + host_name.encode().ljust(256, b"\0") + bytes(256)
     rest = struct.pack("<HHHBxI", 0, queue, entries - 1, 0, round(keep_alive * 1000))
     return command(FABRICS, cid, CONNECT, rest, data=data)
 
 
-def parse_connect(data: bytes) -> tuple[int, str, str]:
-    """Controller id, subsystem and host names."""
-    names = [data[at : at + 256].partition(b"\0")[0].decode("utf-8", "replace") for at in (256, 512)]
-    return int.from_bytes(data[16:18], "little"), names[0], names[1]
+class ConnectData(NamedTuple):
+    """What the data of a Connect command states: the controller's id and both qualified names."""
+
+    controller: int
+    subsystem: str
+    host_name: str
+
+
+def parse_connect(data: bytes) -> ConnectData:
+    """Parse the data of a Connect command, which must have CONNECT_SIZE bytes."""
+    return ConnectData(
+        controller=int.from_bytes(data[16:18], "little"),
+        subsystem=_decode_name(data[256:512]),
+        host_name=_decode_name(data[512:768]),
+    )
+
+
+def _decode_name(data: bytes) -> str:
+    return data.partition(b"\0")[0].decode("utf-8", "replace")
 
 
 def property_get(cid: int, offset: int, wide: bool = False) -> bytes:
+    """Encode a Fabrics Property Get command; `wide` properties have 8 bytes instead of 4."""
     return command(FABRICS, cid, PROPERTY_GET, struct.pack("<B3xI", wide, offset))
 
 
 def property_set(cid: int, offset: int, value: int) -> bytes:
+    """Encode a Fabrics Property Set command for a property of 4 bytes."""
     return command(FABRICS, cid, PROPERTY_SET, struct.pack("<B3xIQ", 0, offset, value))
 
 
 def capabilities() -> int:
-    """CAP: queue entries, contiguous queues, a time-out of 5 s, the NVM command set."""
+    """Return the property CAP: queue entries, contiguous queues, a timeout of 5 s, the NVM command set."""
     return (IO_ENTRIES - 1) | 1 << 16 | 10 << 24 | 1 << 37
 
 
 @dataclass(slots=True, frozen=True)
 class Completion:
-    """A completion queue entry; `delay` is the index of a Command Retry Delay, 0 for none."""
+    """A completion queue entry; `delay` is the index of a Command Retry Delay from 1 on, 0 for none."""
 
     cid: int
     status: int = OK
@@ -298,21 +424,29 @@
     no_retry: bool = False
 
 
-def completion(c: Completion, queue: int, head: int) -> bytes:
-    word = c.status << 1 | c.delay << 12 | c.no_retry << 15
-    return pdu(RESPONSE, _CQE.pack(c.result, head, queue, c.cid, word))
+def completion(entry: Completion, queue: int, head: int) -> bytes:
+    """Encode a response capsule; `queue` is the submission queue's id and `head` its head pointer."""
+    status_field = entry.status << 1 | entry.delay << 12 | entry.no_retry << 15
+    return pdu(RESPONSE, COMPLETION_ENTRY.pack(entry.result, head, queue, entry.cid, status_field))
 
 
 def parse_completion(found: Pdu) -> Completion:
-    result, _, _, cid, word = _CQE.unpack(found.header)
-    return Completion(cid, word >> 1 & 0x7FF, result, word >> 12 & 3, bool(word >> 15))
+    """Parse a response capsule."""
+    result, _, _, cid, status_field = COMPLETION_ENTRY.unpack(found.header)
+    return Completion(
+        cid=cid,
+        status=status_field >> 1 & 0x7FF,
+        result=result,
+        delay=status_field >> 12 & 3,
+        no_retry=bool(status_field >> 15),
+    )
 
 
 # --- Identify -------------------------------------------------------------------------------------
 def identify_controller(
     controller: int, name: str, subsystem: str, delays: tuple[int, int, int], namespaces: int
 ) -> bytes:
-    """The controller's data; `delays` are the Command Retry Delays in units of 100 ms."""
+    """Encode the Identify Controller data; `delays` are the Command Retry Delays in units of 100 ms."""
     page = bytearray(IDENTIFY_SIZE)
     page[4:24] = name.encode()[:20].ljust(20)
     page[24:64] = b"stalltiller".ljust(40)
@@ -333,6 +467,7 @@
 
 
 def identify_namespace(blocks: int, block_size: int) -> bytes:
+    """Encode the Identify Namespace data of a namespace without metadata; `block_size` is in bytes."""
     page = bytearray(IDENTIFY_SIZE)
     struct.pack_into("<QQQ", page, 0, blocks, blocks, blocks)
     page[130] = block_size.bit_length() - 1
@@ -340,16 +475,26 @@
 
 
 def active_namespaces(ids: list[int], after: int) -> bytes:
+    """Encode the list of active namespaces with ids above `after`."""
     page = bytearray(IDENTIFY_SIZE)
-    found = [i for i in sorted(ids) if i > after][: IDENTIFY_SIZE // 4]
-    struct.pack_into(f"<{len(found)}I", page, 0, *found)
+    listed = [namespace_id for namespace_id in sorted(ids) if namespace_id > after][: IDENTIFY_SIZE // 4]
+    struct.pack_into(f"<{len(listed)}I", page, 0, *listed)
     return bytes(page)
 
 
 def capsule_limit(page: bytes) -> int:
-    """Bytes of data that a controller takes in a capsule, from its Identify data."""
+    """Return how many bytes of data a controller accepts in a capsule, from its Identify data (IOCCSZ)."""
     return max(0, int.from_bytes(page[1792:1796], "little") * 16 - 64)
 
 
-def retry_delays(page: bytes) -> tuple[int, int, int]:
-    return struct.unpack_from("<3H", page, 128)
+class RetryDelays(NamedTuple):
+    """The Command Retry Delays of a controller, in units of 100 ms."""
+
+    first: int
+    second: int
+    third: int
+
+
+def retry_delays(page: bytes) -> RetryDelays:
+    """Return the Command Retry Delays from Identify Controller data."""
+    return RetryDelays(*struct.unpack_from("<3H", page, 128))
