--- a/stalltiller/protocol/http.py
+++ b/stalltiller/protocol/http.py
@@ -201,17 +201,17 @@
         raw = bytes(data)
         if raw[:2] == LINE_END and not self.response:
             return len(LINE_END)  # an empty line before a request is ignored (RFC 9112, section 2.2)
-        end = raw.find(HEAD_END)
-        if end < 0:
+        head_length = raw.find(HEAD_END)
+        if head_length < 0:
             return 0
-        text = raw[:end].decode("latin-1")
+        text = raw[:head_length].decode("latin-1")
         head = parse_response(text) if self.response else parse_request(text)
         self.head = head
         if self.response and 100 <= head.status < 200:
             self._skip_interim_response(head)
         else:
             self._determine_framing(head)
-        return end + len(HEAD_END)
+        return head_length + len(HEAD_END)
 
     def _skip_interim_response(self, head: Head) -> None:
         """Wait for the final response; an error leaves `head`, because the target has responded."""
@@ -275,10 +275,10 @@
     def _find_line(data: memoryview) -> bytes | None:
         """Return the first line without its end, or None if it is incomplete."""
         raw = bytes(data[:MAX_CHUNK_LINE])
-        end = raw.find(LINE_END)
-        if end < 0 and len(raw) == MAX_CHUNK_LINE:
+        line_length = raw.find(LINE_END)
+        if line_length < 0 and len(raw) == MAX_CHUNK_LINE:
             raise HttpError(400, "chunk line over the limit")
-        return raw[:end] if end >= 0 else None
+        return raw[:line_length] if line_length >= 0 else None
 
     def _read_chunk_line(self, data: memoryview) -> int:
         line = self._find_line(data)
