--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -35,8 +35,8 @@
         self.written += data
 
 
-class Lines(Connection):
-    """Takes whole lines."""
+class LineConnection(Connection):
+    """Consumes whole lines."""
 
     def __init__(self, buffers):
         super().__init__(buffers)
@@ -49,56 +49,56 @@
             self.lines.append(bytes(data[:end]))
         return end
 
-    def arrive(self, data):
+    def receive(self, data):
         self.get_buffer(-1)[: len(data)] = data
         self.buffer_updated(len(data))
 
 
-def test_a_buffer_is_held_only_while_bytes_wait_and_is_used_again():
+def test_a_buffer_is_held_only_while_bytes_are_unread_and_is_reused():
     buffers = BufferPool(size=8)
-    first, second = Lines(buffers), Lines(buffers)
-    first.arrive(b"ab\nc")
+    first, second = LineConnection(buffers), LineConnection(buffers)
+    first.receive(b"ab\nc")
     assert first.lines == [b"ab\n"]
-    first.arrive(b"d\n")
+    first.receive(b"d\n")
     assert first.lines == [b"ab\n", b"cd\n"]
     (free,) = buffers._free
-    second.arrive(b"x")
+    second.receive(b"x")
     assert second._buffer is free and buffers._free == []
     second.connection_lost(None)
     assert buffers._free == [free]
 
 
-def test_a_full_buffer_is_moved_down_or_stops_the_reading_until_there_is_room():
-    lines = Lines(BufferPool(size=8))
-    lines.arrive(b"ab\ncdefg")
+def test_a_full_buffer_is_compacted_or_pauses_reading_until_it_has_room():
+    lines = LineConnection(BufferPool(size=8))
+    lines.receive(b"ab\ncdefg")
     assert not lines.transport.paused
-    lines.arrive(b"hij")
+    lines.receive(b"hij")
     assert lines.transport.paused
-    lines._unread_start = lines._unread_end  # someone took it
+    lines._unread_start = lines._unread_end  # as if consumed
     lines.resume_processing()
     assert not lines.transport.paused
 
 
 @pytest.mark.parametrize("cls", [ClientConnection, TargetConnection])
-def test_no_field_of_a_connection_hides_a_method_of_a_subclass(cls):
+def test_no_attribute_of_a_connection_hides_a_method_of_a_subclass(cls):
     """Found by the first day: an index named like a method made every answer end in a TypeError."""
     fields = vars(Connection(BufferPool()))
     assert [name for name in fields if callable(getattr(cls, name, None))] == []
 
 
-def test_an_attempt_given_up_has_ended_for_its_target_before_another_can_start():
-    """Guards against a second copy: asyncio's abort alone leaves the socket open for a turn of the loop."""
+def test_an_abandoned_attempt_has_ended_for_its_target_before_another_can_start():
+    """Guards against running a request twice: asyncio's abort alone leaves the socket open."""
 
     async def scene():
-        ours, theirs = socket.socketpair()
-        ours.setblocking(False)
-        theirs.settimeout(1.0)
+        local, remote = socket.socketpair()
+        local.setblocking(False)
+        remote.settimeout(1.0)
         _, lines = await asyncio.get_running_loop().create_connection(
-            lambda: TargetConnection(SimpleNamespace(buffers=BufferPool())), sock=ours
+            lambda: TargetConnection(SimpleNamespace(buffers=BufferPool())), sock=local
         )
         lines.abandon()
-        assert theirs.recv(1) == b""  # at once: the loop has not run since
-        theirs.close()
+        assert remote.recv(1) == b""  # at once: the loop has not run since
+        remote.close()
 
     asyncio.run(scene())
 
@@ -107,7 +107,7 @@
     raise FieldError("no")
 
 
-def test_a_client_that_does_not_read_its_answers_gets_no_further_requests_taken():
+def test_no_further_requests_are_accepted_from_a_client_that_does_not_read_its_responses():
     """Guards against a pipeline of requests whose answers pile up in memory."""
     front = SimpleNamespace(  # answers every request at once as bad, which needs no engine
         buffers=BufferPool(),
@@ -130,23 +130,25 @@
     assert connection.transport.written.count(b"400 Bad Request") == 2
 
 
-@pytest.mark.parametrize(("reads", "stays"), [(False, False), (True, True)])
-def test_one_that_reads_slowly_has_its_time_and_one_that_does_not_read_is_cut_off(reads, stays):
+@pytest.mark.parametrize(("reads", "stays_open"), [(False, False), (True, True)])
+def test_a_peer_that_reads_slowly_stays_connected_and_one_that_does_not_read_is_aborted(reads, stays_open):
     async def scene():
         loop = asyncio.get_running_loop()
         with socket.create_server(("127.0.0.1", 0)) as server:
-            _, ours = await loop.create_connection(lambda: Lines(BufferPool()), *server.getsockname())
-            theirs, _ = server.accept()
-        with theirs:
-            theirs.setblocking(False)
-            ours.write(bytes(40 << 20))
-            ours.abort_if_unread(0.2)
+            _, local = await loop.create_connection(
+                lambda: LineConnection(BufferPool()), *server.getsockname()
+            )
+            remote, _ = server.accept()
+        with remote:
+            remote.setblocking(False)
+            local.write(bytes(40 << 20))
+            local.abort_if_unread(0.2)
             for _ in range(25):
                 await asyncio.sleep(0.02)
                 if reads:
-                    await loop.sock_recv(theirs, 300_000)
-            assert ours.is_closing is not stays
-        ours.abort()
+                    await loop.sock_recv(remote, 300_000)
+            assert local.is_closing is not stays_open
+        local.abort()
         await asyncio.sleep(0)
 
     asyncio.run(scene())
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -55,7 +55,7 @@
         (b"HTTP/1.1 204 No Content\r\n\r\n", True, b""),
     ],
 )
-def test_whole_messages(data, response, body, step):
+def test_complete_messages(data, response, body, step):
     reader = feed(data, response, step)
     assert reader.done and bytes(reader.body) == body
 
@@ -68,7 +68,7 @@
 @pytest.mark.parametrize(
     "data", [OK, OK + b"Content-Length: 5\r\n\r\nabc", OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab"]
 )
-def test_a_cut_message_is_not_whole(data):
+def test_a_truncated_message_is_not_complete(data):
     reader = feed(data, True)
     assert not reader.finish()
 
@@ -108,13 +108,13 @@
         (b"ICY 200 OK\r\n\r\n", True, 502),
     ],
 )
-def test_malformed_messages(data, response, status):
+def test_malformed_messages_are_rejected(data, response, status):
     with pytest.raises(http.HttpError) as caught:
         feed(data, response)
     assert caught.value.status == status
 
 
-def test_an_unreadable_value_in_an_answer_is_left_out_and_interim_answers_are_passed_over():
+def test_a_malformed_value_in_a_response_is_omitted_and_interim_responses_are_ignored():
     reader = feed(
         b"HTTP/1.1 103 Hints\r\n\r\n" * 16 + OK + b"X-Server-Load: \x00\x07\r\nContent-Length: 2\r\n\r\nok",
         True,
@@ -132,7 +132,7 @@
         (0, "keep-alive", True),
     ],
 )
-def test_keep_alive(minor, connection, keeps):
+def test_connection_persistence(minor, connection, keeps):
     assert http.Head(minor, {"connection": connection}).keeps_alive() is keeps
 
 
@@ -144,15 +144,15 @@
 }
 
 
-def ask(method="GET", target="/read/7f3a", body=b"", **changes):
+def parse_request_fields(method="GET", target="/read/7f3a", body=b"", **changes):
     fields = {name: value for name, value in {**FIELDS, **changes}.items() if value is not None}
     return platform.RequestFields(SETTINGS).parse(http.Head(1, fields, method, target), body)
 
 
-def test_a_request_s_fields():
-    assert ask() == platform.RequestInfo(0, 0, 0x3B4D60021, 2.0, 3, 0x7F3A, 5, False, 0.48)
-    assert ask("PUT", "/write/a/b/1f?q=1", b"x", **{"x-retried": "1"}).is_retry
-    assert ask(**{"io-info": "volume=1, units=1.5, shard=-1, hosts=1"}).shard is None
+def test_request_fields():
+    assert parse_request_fields() == platform.RequestInfo(0, 0, 0x3B4D60021, 2.0, 3, 0x7F3A, 5, False, 0.48)
+    assert parse_request_fields("PUT", "/write/a/b/1f?q=1", b"x", **{"x-retried": "1"}).is_retry
+    assert parse_request_fields(**{"io-info": "volume=1, units=1.5, shard=-1, hosts=1"}).shard is None
 
 
 @pytest.mark.parametrize(
@@ -186,13 +186,13 @@
         {"io-info": "volume=1,units=inf,shard=1,hosts=1"},
     ],
 )
-def test_wrong_fields(wrong):
+def test_wrong_request_fields_are_rejected(wrong):
     with pytest.raises(platform.FieldError):
-        ask(**wrong)
+        parse_request_fields(**wrong)
 
 
 @pytest.mark.parametrize(
-    ("status", "fields", "told"),
+    ("status", "fields", "expected"),
     [
         (
             200,
@@ -208,9 +208,9 @@
         (404, {}, (AttemptStatus.ERROR, 0.0, ())),
     ],
 )
-def test_answers(status, fields, told):
+def test_response_fields(status, fields, expected):
     found = platform.AnswerFields(SETTINGS).parse(http.Head(1, fields, status=status))
-    assert found == platform.AnswerInfo(*told)
+    assert found == platform.AnswerInfo(*expected)
 
 
 LINE = (
@@ -219,7 +219,7 @@
 )
 
 
-def test_a_list_of_targets():
+def test_target_list():
     found = discovery.parse_target_list(b'{"index":41,"snapshot":true,"endpoints":[%s]}' % (LINE % 2500))
     assert found == discovery.TargetList(
         41,
@@ -245,7 +245,7 @@
         b'{"index":1,"snapshot":true,"endpoints":[%s]}' % (LINE % 0).replace(b":3000", b":99999"),
     ],
 )
-def test_malformed_lists(body):
+def test_malformed_target_lists_are_rejected(body):
     with pytest.raises(discovery.DiscoveryError):
         discovery.parse_target_list(body)
 
@@ -306,7 +306,7 @@
         (IC[:4] + b"\x81\x00\x00\x00", 4),  # data where there can't be any
     ],
 )
-def test_malformed_pdus_are_refused_by_their_common_header(data, info):
+def test_malformed_pdus_are_rejected_by_their_common_header(data, info):
     with pytest.raises(nvme.PduError) as caught:
         pdus(data[:8], 8)
     assert (caught.value.status, caught.value.info) == (nvme.BAD_FIELD, info)
@@ -320,26 +320,28 @@
         WRITE[:47] + b"\x5a" + WRITE[48:],  # data, but a descriptor for a transfer
     ],
 )
-def test_malformed_commands(raw):
+def test_malformed_commands_are_rejected(raw):
     with pytest.raises(nvme.PduError):
         nvme.parse_command(pdus(raw, 1 << 20)[0])
 
 
 @pytest.mark.parametrize(
-    ("done", "word"),
+    ("done", "status_field"),
     [
         (nvme.Completion(7, nvme.NOT_READY, 0, 2), 0x82 << 1 | 2 << 12),
         (nvme.Completion(7, nvme.INTERNAL, 0, 0, True), 6 << 1 | 1 << 15),
         (nvme.Completion(7, nvme.BAD_CONNECT, 9, 0, True), 0x182 << 1 | 1 << 15),
     ],
 )
-def test_completions(done, word):
+def test_completions(done, status_field):
     raw = nvme.completion(done, 1, 3)
-    assert raw == bytes.fromhex("0500180018000000") + struct.pack("<QHHHH", done.result, 3, 1, 7, word)
+    assert raw == bytes.fromhex("0500180018000000") + struct.pack(
+        "<QHHHH", done.result, 3, 1, 7, status_field
+    )
     assert nvme.parse_completion(pdus(raw, 9, nvme.FROM_CONTROLLER)[0]) == done
 
 
-def test_a_connect_capsule_has_its_fields_in_their_places():
+def test_connect_capsule_fields_are_at_their_offsets():
     raw = nvme.connect(2, 1, 8, 10.0, 7, b"me", "nqn.sub", "nqn.me")
     entry, data = raw[8:72], raw[72:]
     assert struct.unpack_from("<BBHB", entry) == (0x7F, 0x40, 2, 1)
@@ -373,7 +375,7 @@
     return now, found
 
 
-def test_collectd_packets_are_whole_and_bounded():
+def test_collectd_packets_are_complete_and_bounded():
     sample = {f"figure_{i}": i + 0.5 for i in range(100)}
     packets = metrics.collectd_packets("n1", sample, frozenset(("figure_7",)), 1000.9, 10.0)
     assert len(packets) > 1 and max(map(len, packets)) <= metrics.MAX_PACKET
--- a/tests/test_simulator_codec.py
+++ b/tests/test_simulator_codec.py
@@ -43,7 +43,7 @@
 TARGET = codec.to_target_id(int.from_bytes(ADDRESS[:4], "little"), 7001)
 
 
-def one(body: bytes) -> tuple[int, object]:
+def decode_one(body: bytes) -> tuple[int, object]:
     (found,) = codec.BatchReader().events(1, body)
     return found
 
@@ -54,29 +54,29 @@
 
 def test_request():
     body = struct.pack("<BIQffHQHQIfQ", 8, 3, 99, 2.0, 3.0, 6, 77, 1, 55, 2, 4.0, 250_000_000)
-    assert one(body) == (3, Request(99, 1, 2, 55, 2.0, 3, 77, 4, True, True, 0.25))
+    assert decode_one(body) == (3, Request(99, 1, 2, 55, 2.0, 3, 77, 4, True, True, 0.25))
 
 
 def test_request_for_a_new_object_has_no_shard():
     body = struct.pack("<BIQffHQHQIfQ", 8, 3, 99, 2.0, 3.0, 0, 0, 1, 55, 2, -1.0, 250_000_000)
-    assert one(body)[1].shard is None
+    assert decode_one(body)[1].shard is None
 
 
-def test_outcome_with_a_report():
+def test_attempt_finished_with_a_load_report():
     body = (
         struct.pack("<BIQB", 10, 3, 99, 1)
         + ADDRESS
         + struct.pack("<HQBHHB2f", 3, 30_000_000, 1, 86, 3, 2, 14.5, 2.0)
     )
-    assert one(body) == (
+    assert decode_one(body) == (
         3,
         AttemptFinished(99, 1, TARGET, AttemptStatus.TIMEOUT, 0.03, True, 0.85, 3.0, (14.5, 2.0)),
     )
 
 
-def test_outcome_without_figures():
+def test_attempt_finished_without_measurements():
     body = struct.pack("<BIQB", 10, 3, 99, 0) + ADDRESS + struct.pack("<HQBHHB", 0, 1, 0, 0, 0, 0)
-    event = one(body)[1]
+    event = decode_one(body)[1]
     assert (event.volume_usage, event.other_units, event.report, event.request_done) == (None, 0.0, (), False)
 
 
@@ -99,7 +99,7 @@
     ],
 )
 def test_other_events(body, event):
-    assert one(body) == (3, event)
+    assert decode_one(body) == (3, event)
 
 
 def target_rows(number: int, *states: int) -> bytes:
@@ -107,9 +107,9 @@
     return struct.pack("<BHI", 2, number, len(states)) + rows
 
 
-def test_lists_resolve_by_order_even_when_a_number_is_reused():
-    news = struct.pack("<BIBIH", 5, 3, 1, 40, 6)
-    found = codec.BatchReader().events(4, target_rows(6, 2) + news + target_rows(6, 1) + news)
+def test_target_lists_resolve_in_order_even_when_a_number_is_reused():
+    list_event = struct.pack("<BIBIH", 5, 3, 1, 40, 6)
+    found = codec.BatchReader().events(4, target_rows(6, 2) + list_event + target_rows(6, 1) + list_event)
     lists = [codec.to_target_list_update(raw, CLOCK) for _, raw in found]
     assert [item.targets[0].status for item in lists] == [
         TargetStatus.READY,
@@ -121,8 +121,8 @@
     )
 
 
-def test_a_failed_call_needs_no_list():
-    assert one(struct.pack("<BIBIH", 5, 3, 3, 40, 9)) == (3, (TargetListKind.FAILED, ()))
+def test_a_failed_target_list_needs_no_rows():
+    assert decode_one(struct.pack("<BIBIH", 5, 3, 3, 40, 9)) == (3, (TargetListKind.FAILED, ()))
 
 
 @pytest.mark.parametrize(
@@ -147,7 +147,7 @@
     assert actions.encode_action(3, action, CLOCK) == body
 
 
-def test_fault_and_reply():
+def test_crash_report_and_reply():
     report = actions.encode_crash_report(3, "no")
     assert report == struct.pack("<BIH2s", 9, 3, 2, b"no")
     assert actions.encode_reply([report]) == struct.pack("<II", 4 + len(report), 1) + report
@@ -165,7 +165,7 @@
 
 
 @pytest.mark.parametrize(
-    ("data", "says"),
+    ("data", "message"),
     [
         (batch(0, b"")[:10], "inside a batch header"),
         (batch(1, struct.pack("<BIQ", 9, 3, 77))[:-1], "inside a batch"),
@@ -175,12 +175,12 @@
         (batch(1, struct.pack("<BIBIH", 5, 3, 0, 1, 4)), "never sent"),
     ],
 )
-def test_malformed_input_ends_with_a_plain_message(data, says):
+def test_malformed_input_ends_with_a_message_and_no_traceback(data, message):
     done = subprocess.run(
         [sys.executable, "-m", "stalltiller.simulator.adapter"], input=data, capture_output=True, timeout=30
     )
     assert done.returncode == 2
-    assert says in done.stderr.decode()
+    assert message in done.stderr.decode()
     assert "Traceback" not in done.stderr.decode()
 
 
@@ -238,27 +238,27 @@
     )
 
 
-def test_an_option_that_is_no_number_is_named():
+def test_an_option_that_is_not_a_number_is_named():
     with pytest.raises(codec.WireError, match="balancers"):
         codec.parse_settings("balancers=many")
 
 
-def init(number: int) -> bytes:
+def instance_started(number: int) -> bytes:
     text = OPTIONS.encode()
     return struct.pack("<BIQI", 1, number, 5, len(text)) + text
 
 
-def test_a_crash_of_the_logic_is_reported(monkeypatch):
+def test_an_exception_of_the_scheduler_is_reported(monkeypatch):
     def crash(*_args):
         raise RuntimeError("broken on purpose")
 
     monkeypatch.setattr("stalltiller.scheduling.scheduler.Scheduler.handle", crash)
     sink = io.BytesIO()
-    adapter.run(io.BytesIO(batch(2, init(3) + struct.pack("<BIQ", 9, 3, 1))), sink)
+    adapter.run(io.BytesIO(batch(2, instance_started(3) + struct.pack("<BIQ", 9, 3, 1))), sink)
     assert actions.encode_crash_report(3, "RuntimeError: broken on purpose") in sink.getvalue()
 
 
-def test_a_restart_in_one_batch_starts_anew_and_dead_instances_stay_silent():
+def test_an_instance_restarted_within_a_batch_is_new_and_stopped_instances_send_nothing():
     instances: dict[int, adapter.Instance] = {}
     adapter.process_batch(instances, [(3, codec.InstanceStarted(5, OPTIONS))], CLOCK)
     before = instances[3]
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,4 +1,4 @@
-"""The watch of discovery: its pace, where it begins, and forty of them at one discovery of fixed capacity."""
+"""The watch of discovery: its poll policy, where it starts, and forty watches of one overloaded discovery."""
 
 from __future__ import annotations
 
@@ -19,10 +19,10 @@
 
 
 @pytest.mark.parametrize(
-    ("pace", "failures", "least", "most"),
+    ("poll_policy", "failures", "min_backoff", "most"),
     [
         (BackoffPollPolicy(), 1, 0.025, 0.05),
-        (BackoffPollPolicy(), 99, 0.05, 0.1),  # an agent of its own: soon again
+        (BackoffPollPolicy(), 99, 0.05, 0.1),  # an agent on the same machine: soon again
         (BackoffPollPolicy.for_remote_discovery(10.0), 1, 0.0, 0.5),
         (BackoffPollPolicy.for_remote_discovery(10.0), 2, 0.0, 1.0),
         (BackoffPollPolicy.for_remote_discovery(10.0), 4000, 0.0, 2.0),
@@ -30,13 +30,15 @@
         (BackoffPollPolicy.for_remote_discovery(3.0), 4000, 0.0, 1.0),  # settings that ask for more
     ],
 )
-def test_a_failed_call_is_made_again_within_its_bounds(pace, failures, least, most):
-    assert [pace.backoff(failures, draw) for draw in (0.0, 1.0)] == pytest.approx([least, most])
+def test_the_backoff_after_failed_polls_stays_within_its_bounds(poll_policy, failures, min_backoff, most):
+    assert [
+        poll_policy.backoff(failures, jitter_fraction) for jitter_fraction in (0.0, 1.0)
+    ] == pytest.approx([min_backoff, most])
 
 
-class Scripted(Standin):
+class ScriptedDiscovery(Standin):
     """Discovery that has a change from the first call on, and does with each call what the script says next:
-    silent, refuse (503), break or, from the script's end on, serve."""
+    silent, refuse (503), break (abort the connection) or, from the script's end on, serve."""
 
     def __init__(self, script: list[str]) -> None:
         super().__init__()
@@ -56,12 +58,14 @@
             writer.write(http.encode_response(*((503,) if act == "refuse" else (200, body))))
 
 
-def told_after(pace: BackoffPollPolicy, script: list[str], outage: float = 0.0) -> tuple[float, list[str]]:
+def notification_delay(
+    poll_policy: BackoffPollPolicy, script: list[str], outage: float = 0.0
+) -> tuple[float, list[str]]:
     """Seconds from when discovery had a change and could be reached until the watch had it, and the calls.
     On the jumping clock, so that no case waits."""
 
     async def scene():
-        discovery, told = Scripted(script), asyncio.get_running_loop().create_future()
+        discovery, told = ScriptedDiscovery(script), asyncio.get_running_loop().create_future()
         await discovery.open()
         listening = discovery.server.sockets[0].getsockname()
         if outage:
@@ -72,8 +76,8 @@
                 told.set_result(asyncio.get_running_loop().time())
 
         # The watch stands already: its call waits for news.
-        codec = WatchCodec("d", took, pace.poll_wait, KNOWN, first_waits=True)
-        watch = asyncio.create_task(Watch(listening, BufferPool(), codec, pace, lambda _: None).run())
+        codec = WatchCodec("d", took, poll_policy.poll_wait, KNOWN, first_waits=True)
+        watch = asyncio.create_task(Watch(listening, BufferPool(), codec, poll_policy, lambda _: None).run())
         if outage:
             await asyncio.sleep(outage)
             await discovery.open()
@@ -88,12 +92,12 @@
     return run_on_jumping_clock(scene())
 
 
-PACES = [
+POLL_POLICIES = [
     BackoffPollPolicy(),
     BackoffPollPolicy.for_remote_discovery(10.0),
     BackoffPollPolicy.for_remote_discovery(60.0),
 ]
-WORST = [
+FAILING_SCRIPTS = [
     [],
     ["silent"],
     ["silent", "silent"],
@@ -105,15 +109,16 @@
 ]
 
 
-@pytest.mark.parametrize("pace", PACES, ids=["pushed", "asked", "seldom asked"])
-@pytest.mark.parametrize("script", WORST, ids="+".join)
-@pytest.mark.parametrize("draw", [0.0, 0.999])
-def test_a_change_is_heard_of_before_it_counts_as_told_whatever_became_of_the_calls(
-    monkeypatch, pace, script, draw
+@pytest.mark.parametrize("poll_policy", POLL_POLICIES, ids=["pushed", "asked", "seldom asked"])
+@pytest.mark.parametrize("script", FAILING_SCRIPTS, ids="+".join)
+@pytest.mark.parametrize("jitter_fraction", [0.0, 0.999])
+def test_a_change_is_known_before_the_notification_deadline_whatever_became_of_the_polls(
+    monkeypatch, poll_policy, script, jitter_fraction
 ):
-    """Where lists are asked for, a silent call and the pause after it took up to 8 s; a pushed watch 6 s."""
-    monkeypatch.setattr("random.random", lambda: draw)
-    after, calls = told_after(pace, list(script))
+    """Where discovery itself is polled, a call without response and the backoff after it took up to 8 s;
+    with an agent 6 s."""
+    monkeypatch.setattr("random.random", lambda: jitter_fraction)
+    after, calls = notification_delay(poll_policy, list(script))
     assert after < NOTIFICATION_DEADLINE_SECONDS
     follow_silence = [
         after for before, after in zip(["serve", *script], calls, strict=False) if before == "silent"
@@ -122,7 +127,7 @@
 
 
 @pytest.mark.parametrize(
-    ("pace", "most"),
+    ("poll_policy", "most"),
     [
         (BackoffPollPolicy(), 0.5),
         (BackoffPollPolicy.for_remote_discovery(10.0), NOTIFICATION_DEADLINE_SECONDS),
@@ -130,13 +135,13 @@
     ids=["pushed", "asked"],
 )
 @pytest.mark.parametrize("outage", [2.0, 8.0, 31.0])
-def test_after_an_outage_discovery_is_heard_in_time(monkeypatch, pace, most, outage):
+def test_after_an_outage_of_discovery_a_change_is_known_in_time(monkeypatch, poll_policy, most, outage):
     """What an agent gets at discovery's return counts at once, and a drain's grace may be half a second."""
     monkeypatch.setattr("random.random", lambda: 0.999)
-    assert told_after(pace, [], outage)[0] < most
+    assert notification_delay(poll_policy, [], outage)[0] < most
 
 
-def answered(codec: WatchCodec, status: int, **listing: object) -> None:
+def feed_response(codec: WatchCodec, status: int, **listing: object) -> None:
     body = json.dumps({"endpoints": [], **listing}).encode()
     codec.feed(memoryview(http.encode_response(status, body)))
     codec.finish()
@@ -153,21 +158,21 @@
         (200, {"index": 7, "snapshot": False}, ""),  # changes of another count of versions
     ],
 )
-def test_a_watch_begins_at_the_known_version_and_asks_for_the_whole_list_only_if_that_is_unknown(
+def test_a_watch_starts_at_the_known_version_and_requests_the_full_list_only_if_that_is_unknown(
     status, listing, follows
 ):
     codec = WatchCodec("d", lambda _: None, 5.0, KNOWN)
     assert b"/v1/servers?after=41&wait_ms=0 " in codec.call()
     try:
-        answered(codec, status, **listing)
+        feed_response(codec, status, **listing)
     except ValueError:
         assert (status, follows) != (200, "after=43&wait_ms=5000")
     assert f"/v1/servers{'?' * bool(follows)}{follows} ".encode() in codec.call()
 
 
-class Overbooked(Standin):
-    """Discovery with one line of work: a call takes its time by the lines it is answered with, waits its turn
-    and fails if it has waited too long."""
+class OverloadedDiscovery(Standin):
+    """Discovery that serves one call at a time: a call takes its time by the targets in its response,
+    waits for those before it and fails if it has waited too long."""
 
     LINE_TIME, PATIENCE = 0.0005, 0.15  # s
 
@@ -200,9 +205,9 @@
         self.changed.set()
 
 
-async def forty(known: int | None) -> tuple[int, int]:
-    """Forty that begin at once: calls failed till all have the list, and watches told of a change."""
-    discovery, seen = Overbooked(), [0] * 40
+async def run_forty_watches(known: int | None) -> tuple[int, int]:
+    """Forty watches start at once: calls failed until all have the list, watches that know a change."""
+    discovery, seen = OverloadedDiscovery(), [0] * 40
     await discovery.open()
     tasks = []
     for number in range(len(seen)):
@@ -210,9 +215,9 @@
         def took(listing, number=number):
             seen[number] = listing.version
 
-        pace = BackoffPollPolicy.for_remote_discovery(10.0)
-        codec = WatchCodec("d", took, pace.poll_wait, known)
-        watch = Watch(("127.0.0.1", discovery.port), BufferPool(), codec, pace, lambda _: None)
+        poll_policy = BackoffPollPolicy.for_remote_discovery(10.0)
+        codec = WatchCodec("d", took, poll_policy.poll_wait, known)
+        watch = Watch(("127.0.0.1", discovery.port), BufferPool(), codec, poll_policy, lambda _: None)
         tasks.append(asyncio.create_task(watch.run()))
     try:
         end = time.monotonic() + 1.5
@@ -230,10 +235,10 @@
         discovery.close()
 
 
-def test_forty_that_come_back_at_once_do_not_overbook_discovery_and_all_hear_of_a_change():
-    assert asyncio.run(forty(KNOWN)) == (0, 40)
+def test_forty_watches_that_restart_at_once_do_not_overload_discovery_and_all_learn_of_a_change():
+    assert asyncio.run(run_forty_watches(KNOWN)) == (0, 40)
 
 
-def test_whole_lists_for_all_of_them_would_overbook_it():
-    failed, _ = asyncio.run(forty(None))
+def test_full_lists_for_forty_watches_would_overload_discovery():
+    failed, _ = asyncio.run(run_forty_watches(None))
     assert failed > 10
