--- a/stalltiller/adapters/admin_api.py
+++ b/stalltiller/adapters/admin_api.py
@@ -116,5 +116,5 @@
         lambda listener: AdminConnection(buffers, calls, listener),
         MAX_CONNECTIONS,
         MAX_CONNECTIONS,
-        hello=CALL_TIMEOUT_SECONDS,
+        first_request_timeout=CALL_TIMEOUT_SECONDS,
     )
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -103,7 +103,7 @@
 @pytest.mark.parametrize(("raw", "answer"), [(b"", b""), (GET_REQUEST[:-2], b"HTTP/1.1 408 ")])
 def test_a_new_connection_without_a_complete_request_is_closed_in_time(monkeypatch, raw, answer):
     """Hundreds of silent clients once held their descriptors for good."""
-    monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.1)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_REQUEST_TIMEOUT_SECONDS", 0.1)
 
     async def scene(world, reader, writer):
         writer.write(raw)
@@ -266,7 +266,7 @@
 
 def test_connections_over_the_limit_are_shed_and_service_continues():
     async def scene(world, reader, writer):
-        world.app.listener._most = 4
+        world.app.listener._max_connections = 4
         idle = [await asyncio.open_connection("127.0.0.1", world.app.listener.address[1]) for _ in range(8)]
         await world.until(lambda: world.app.listener.shed_count >= 4)
         await world.until(lambda: len(world.app.listener) <= 4)
@@ -279,13 +279,15 @@
     play(scene)
 
 
-@pytest.mark.parametrize(("limit", "usual"), [("IDLE_LIMIT", 9), ("CROWDED_LIMIT", 1)])
+@pytest.mark.parametrize(
+    ("limit", "usual"), [("IDLE_TIMEOUT_SECONDS", 9), ("CROWDED_IDLE_TIMEOUT_SECONDS", 1)]
+)
 def test_idle_connections_are_closed_sooner_above_the_usual_number(monkeypatch, limit, usual):
     """Clients that sent one request and stayed once held every connection, and others could not connect."""
     monkeypatch.setattr(f"stalltiller.transport.listener.{limit}", 0.05)
 
     async def scene(world, reader, writer):
-        world.app.listener._usual = usual
+        world.app.listener._usual_connections = usual
         world.targets[0].delay = 0.3
         other, busy_writer = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
         busy_writer.write(GET_REQUEST)
@@ -302,8 +304,8 @@
     """Closing at once would leave the clients without their one initiator until its next start."""
     monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.05)
     monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.1)
-    monkeypatch.setattr("stalltiller.transport.listener.IDLE_LIMIT", 0.01)
-    monkeypatch.setattr("stalltiller.transport.listener.SWEEP_EVERY", 0.01)
+    monkeypatch.setattr("stalltiller.transport.listener.IDLE_TIMEOUT_SECONDS", 0.01)
+    monkeypatch.setattr("stalltiller.transport.listener.SWEEP_INTERVAL_SECONDS", 0.01)
 
     request = http.encode_request("GET", "/read/1", {**VALID_FIELDS, "X-Timeout": "2.0"}, b"")
 
@@ -328,12 +330,12 @@
 
 @pytest.mark.parametrize("limit", [0.0, 9.0])
 def test_silent_connections_are_shed_before_idle_ones_and_those_before_new_ones(monkeypatch, limit):
-    monkeypatch.setattr("stalltiller.transport.listener.SPEAK_LIMIT", limit)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_BYTE_TIMEOUT_SECONDS", limit)
 
     async def scene(world, reader, writer):
         writer.write(GET_REQUEST)
         assert (await read_message(reader, response=True)).head.status == 200
-        world.app.listener._most = 4
+        world.app.listener._max_connections = 4
         others = [
             await asyncio.open_connection("127.0.0.1", world.app.listener.address[1]) for _ in range(20)
         ]
@@ -351,7 +353,7 @@
 
 def test_channels_to_targets_are_limited_and_idle_ones_are_evicted():
     async def scene(world, reader, writer):
-        world.app.target_client.pool._most = 2
+        world.app.target_client.pool._max_channels = 2
         world.targets[0].delay = 0.05
         answers = await asyncio.gather(*(world.read(tag, 0) for tag in range(1, 6)))
         assert [answer.end for answer in answers] == ["served"] * 5
@@ -366,7 +368,7 @@
 
     async def scene(world, reader, writer):
         pool, job = world.app.target_client.pool, SimpleNamespace(channel_idle_time=0.2)
-        pool._rest = 0.0, 0.0  # the reuse delay is tested in test_races.py
+        pool._avoided_idle_range = 0.0, 0.0  # the reuse delay is tested in test_races.py
         assert (await world.read()).end == "served"
         await asyncio.sleep(0.12)
         assert (await world.read()).end == "served" and pool.opened_count == 1
@@ -375,11 +377,11 @@
         await asyncio.sleep(0.12)
         assert (await world.read()).end == "served" and pool.opened_count == 2
         assert (await world.read()).end == "served" and pool.opened_count == 2  # a fresh one is reused
-        pool._wary_until = 0.0
+        pool._fresh_only_until = 0.0
         for lost in (True, False, True, True):  # where fresh ones are lost as often, age is not the cause
             pool.record_use(SimpleNamespace(channel_idle_time=0.01), lost)
             pool.record_use(job, lost)
-        assert pool._wary_until == 0.0
+        assert pool._fresh_only_until == 0.0
 
     play(scene)
 
@@ -404,7 +406,7 @@
 
 
 def test_incomplete_requests_do_not_displace_a_client_that_writes_slowly(monkeypatch):
-    monkeypatch.setattr("stalltiller.transport.listener.SPEAK_LIMIT", 0.02)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_BYTE_TIMEOUT_SECONDS", 0.02)
 
     async def scene(world, reader, writer):
         async def slowly():
@@ -414,7 +416,7 @@
             return await read_message(reader, response=True)
 
         address = world.app.listener.address
-        world.app.listener._most = 8
+        world.app.listener._max_connections = 8
         slow_request = asyncio.create_task(slowly())
         others = []
         while not slow_request.done():
@@ -423,10 +425,10 @@
             others.append(half)
             await asyncio.sleep(0.02)
         assert slow_request.result().head.status == 200
-        assert world.app.listener.shed_count > 4 and len(world.app.listener._spoke) <= 8
+        assert world.app.listener.shed_count > 4 and len(world.app.listener._sending_first_request) <= 8
         for half in others:
             half.transport.abort()
-        await world.until(lambda: not world.app.listener._spoke)
+        await world.until(lambda: not world.app.listener._sending_first_request)
 
     play(scene)
 
@@ -439,10 +441,10 @@
                 out.write(http.encode_response(200, bytes(1_000_000)))
 
         world.targets[0].serve = serve
-        world.app.server.unread_response_budget._most = 100_000
+        world.app.server.unread_response_budget._max_bytes = 100_000
         client, unread_writer = await asyncio.open_connection("127.0.0.1", world.app.listener.address[1])
         await world.until(lambda: len(world.app.listener) == 2)
-        for ours in world.app.listener._strangers:
+        for ours in world.app.listener._awaiting_first_request:
             ours.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         unread_writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         unread_writer.transport.pause_reading()
@@ -475,7 +477,7 @@
 
 def test_idle_target_connections_are_closed_before_the_targets_own_timeout():
     async def scene(world, reader, writer):
-        world.app.target_client.pool._idle_limit = 0.2
+        world.app.target_client.pool._idle_timeout = 0.2
         writer.write(GET_REQUEST)
         assert (await read_message(reader, response=True)).head.status == 200
         assert len(world.targets[0].writers) == 1
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -137,7 +137,7 @@
         writer.transport.pause_reading()
         writer.write(GET_REQUEST)
         await world.until(lambda: world.app.engine.counts["relayed"] == 1)
-        (client,) = world.app.listener._guests
+        (client,) = world.app.listener._established
         assert client.transport.get_write_buffer_size() < 100_000
         await world.until(lambda: not world.targets[0].writers)  # nobody wants the rest
         assert not written
@@ -186,7 +186,7 @@
 def test_a_slow_body_is_waited_for_and_a_stalled_one_times_out(monkeypatch):
     monkeypatch.setattr(request_timer, "REQUEST_TIMEOUT_SECONDS", 0.1)
     monkeypatch.setattr(request_timer, "MIN_BODY_RATE_BYTES_PER_SECOND", 20_000)
-    monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.2)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_REQUEST_TIMEOUT_SECONDS", 0.2)
 
     async def scene(world, reader, writer):
         raw = http.encode_request("PUT", "/write/9", VALID_FIELDS, bytes(80_000))
@@ -204,7 +204,7 @@
 
 def test_bodies_are_limited_by_a_memory_budget_and_released():
     async def scene(world, reader, writer):
-        world.app.server.request_body_budget._most = 300_000
+        world.app.server.request_body_budget._max_bytes = 300_000
         raw = http.encode_request("PUT", "/write/9", VALID_FIELDS, LONG_BODY)
         writer.write(raw)
         assert (await read_message(reader, response=True)).head.status == 503
--- a/tests/test_nvme_controller.py
+++ b/tests/test_nvme_controller.py
@@ -67,7 +67,7 @@
 
 
 def test_a_connection_without_its_connect_command_is_closed_in_time(monkeypatch):
-    monkeypatch.setattr("stalltiller.transport.listener.HELLO_LIMIT", 0.1)
+    monkeypatch.setattr("stalltiller.transport.listener.FIRST_REQUEST_TIMEOUT_SECONDS", 0.1)
 
     async def scene(world, client):
         reader, writer = await asyncio.open_connection("127.0.0.1", client.port)
@@ -258,7 +258,7 @@
 def test_unread_completions_are_limited_by_a_memory_budget():
     async def scene(world, client):
         admin, io = await client.associate()
-        world.app.server.unread_response_budget._most = 50_000
+        world.app.server.unread_response_budget._max_bytes = 50_000
         (association,) = world.app.server.associations.values()
         transport = association.queues[1].transport
         for end, option in ((transport, socket.SO_SNDBUF), (io.writer, socket.SO_RCVBUF)):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -200,7 +200,7 @@
 
 def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_forwarded(monkeypatch):
     """The close became a reset, which loses the response before it if that was not read yet."""
-    monkeypatch.setattr("stalltiller.transport.listener.IDLE_LIMIT", 0.05)
+    monkeypatch.setattr("stalltiller.transport.listener.IDLE_TIMEOUT_SECONDS", 0.05)
 
     async def scene(world):
         client = connect_client(world)
@@ -257,7 +257,7 @@
         address = listener.address
         if accepted:  # it stops between the accept and the turn that sets the connection up
             asyncio.get_running_loop()._accept_connection(
-                lambda: listener._make(listener), listener._listening, server=listener._server
+                lambda: listener._connection_factory(listener), listener._listening, server=listener._server
             )
         await listener.stop(take_in=not accepted)
         assert (await read_to_end(client)).startswith(b"HTTP/1.1 200")
@@ -424,7 +424,10 @@
     """It crossed a request sent on the connection meanwhile, and was served as its response."""
 
     async def scene(world):
-        world.app.target_client.pool._rest = 0.0, 60.0  # the second response comes within it on any machine
+        world.app.target_client.pool._avoided_idle_range = (
+            0.0,
+            60.0,
+        )  # the second response comes within it on any machine
 
         async def serve_twice(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
@@ -451,7 +454,7 @@
             (3, 0.0, 60.0, 3),
             (99, 60.0, 90.0, 3),
         ):
-            pool._most, pool._rest = max_connections, (min_rest, max_rest)
+            pool._max_channels, pool._avoided_idle_range = max_connections, (min_rest, max_rest)
             for _ in range(2):
                 assert (await world.read(tag=1)).end == "served"
             assert pool.opened_count == opened_count
