--- a/stalltiller/scheduling/admission.py
+++ b/stalltiller/scheduling/admission.py
@@ -21,8 +21,7 @@
     """What each volume may spend: reserve-based admission control per target, and its part of the limit."""
 
     def _capacity(self, target: TargetState) -> float:
-        """Units per second that the largest concurrency limit carries at the target's mean latency."""
-        return MAX_CONCURRENCY * self.mean_units / target.latency
+        return MAX_CONCURRENCY * self.mean_units / target.latency  # units per second at the largest limit
 
     def _initiator_share(self, volume: Volume) -> float:
         prior = PRIOR_REQUESTS * max(self.settings.mean_units, 1.0) / HALF_LIFE_SECONDS
@@ -108,9 +107,8 @@
         if self.now < volume.next_token_request_at or volume.initiator_count < 2:
             return
         slower = min(2 * volume.token_request_interval, MAX_TOKEN_REQUEST_SECONDS)
-        volume.token_request_interval = state.TOKEN_REQUEST_SECONDS if volume.lenders else slower
-        delay = volume.token_request_interval * (0.75 + 0.5 * self.rng.random())
-        volume.next_token_request_at = self.now + delay
+        interval = volume.token_request_interval = state.TOKEN_REQUEST_SECONDS if volume.lenders else slower
+        volume.next_token_request_at = self.now + interval * (0.75 + 0.5 * self.rng.random())
         volume.token_request_number, volume.lenders = self.rng.getrandbits(32), []
         missing = volume.plan.burst / volume.initiator_count - volume.limit.level
         receivers: list[int | None] = self.rng.sample(volume.peers, min(MAX_LENDERS, len(volume.peers)))
--- a/stalltiller/scheduling/scheduler.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -1,10 +1,8 @@
 """The scheduler of one initiator: it turns timed events into actions.  `docs/design.md` explains it."""
 
-from collections.abc import Iterable
-
 from stalltiller.scheduling import actions, events, state, target_load
 from stalltiller.scheduling.admission import VolumeAdmission
-from stalltiller.scheduling.settings import Idempotency, RequestClass
+from stalltiller.scheduling.settings import DeduplicationScope, Idempotency, RequestClass
 from stalltiller.scheduling.state import PendingRequest, TargetState, Volume, VolumeAllocation
 from stalltiller.scheduling.target_load import LATE_FRACTION, NEVER_EXECUTED, TargetLoad
 from stalltiller.scheduling.targets import Target, TargetId, TargetListKind, TargetListUpdate, TargetStatus
@@ -46,8 +44,7 @@
             self._forget_unused()
         touched: dict[TargetId, TargetState] = {}
         for event in new_events:
-            for target in filter(None, self._dispatch(event)):
-                touched[target.target.target_id] = target
+            touched |= {target.target.target_id: target for target in self._dispatch(event) if target}
         for target_id, target in touched.items():
             self._serve(target)
             if self._cancel_lost_attempts(target) or target.queue:
@@ -63,7 +60,7 @@
             self.actions.append(actions.SetTimer(POLL_TIMER, POLL_SECONDS))
         return self.actions
 
-    def _dispatch(self, event: events.Event) -> Iterable[TargetState | None]:
+    def _dispatch(self, event: events.Event) -> list[TargetState | None]:
         """Apply an event; returns the targets that may serve requests after it."""
         match event:
             case events.Request():
@@ -76,15 +73,15 @@
                 self.actions.append(actions.WatchTargetList(True))
             case events.TimerFired():
                 self.is_polling = False
-                return self.queued.values()
+                return list(self.queued.values())
             case events.SettingsChanged(settings):
                 self._apply_settings(settings)
             case events.PeerMessage() if self.settings.may_message:
                 self._handle_peer_message(event)
             case TargetListUpdate():
                 self._update_targets(event)
-                return self.queued.values()
-        return ()
+                return list(self.queued.values())
+        return []
 
     def _update_targets(self, update: TargetListUpdate) -> None:
         """Follow the list; a target that drains or is removed gets nothing more from this moment."""
@@ -93,11 +90,12 @@
             return
         for entry in update.targets:
             self._update_target(entry)
-        removed = update.removed(self.targets)
+        listed = {entry.target_id for entry in update.targets}
         for target_id, target in list(self.targets.items()):
-            if target_id in removed:
+            is_left_out = update.kind is not TargetListKind.DELTA and target_id not in listed
+            if is_left_out or target.target.status is TargetStatus.REMOVED:
                 del self.targets[target_id]
-            if target_id in removed or target.target.status is TargetStatus.DRAINING:
+            if target_id not in self.targets or target.target.status is TargetStatus.DRAINING:
                 for pending in target.queue:
                     target.allocations[pending.request.volume].open_count -= 1
                 self.waiting += target.queue
@@ -118,8 +116,7 @@
                 target.concurrency_limit = state.INITIAL_CONCURRENCY
             target.target = entry
         elif entry.status is not TargetStatus.REMOVED:
-            latency = LATE_FRACTION * self.min_objective
-            self.targets[entry.target_id] = TargetState(entry, latency, self.now)
+            self.targets[entry.target_id] = TargetState(entry, LATE_FRACTION * self.min_objective, self.now)
 
     def _forget_unused(self) -> None:
         """Forget what nobody requests any more; a volume not until its limit's bucket is full again."""
@@ -166,7 +163,6 @@
         return self.now + request_class.latency_objective - elapsed
 
     def _enqueue(self, pending: PendingRequest) -> TargetState | None:
-        """Queue a request at the target that would answer it first, or let it wait for one."""
         target = pending.target = self._choose_target(pending)
         if target is None:
             self.waiting.append(pending)
@@ -215,8 +211,7 @@
         is_recent = key == target.recent_key and self.now < target.recent_key_until
         if pending.attempt_count or pending.priority is state.BEST_EFFORT or not is_recent:
             is_paced = limit < 1 and pending.priority is not state.RESERVATION
-            is_full = len(target.in_flight) >= max(1, int(limit))
-            if is_full or (is_paced and self.now < target.paced_until):
+            if len(target.in_flight) >= max(1, int(limit)) or (is_paced and self.now < target.paced_until):
                 return False
         is_first_of_key = self.ordered.may_run(pending.ordering_key, pending, self.now)
         if not is_first_of_key or self._will_be_abandoned(target, pending):
@@ -243,8 +238,7 @@
             target.recent_key, target.recent_key_until = key, self.now + SAME_KEY_SECONDS
         target.paced_until = self.now + target.latency / target.concurrency_limit * (0.5 + self.rng.random())
         pending.attempt_count += 1
-        pending.is_in_flight, pending.is_cancelled = True, False
-        pending.overtaken_count = 0
+        pending.is_in_flight, pending.is_cancelled, pending.overtaken_count = True, False, 0
         pending.sent_at = target.sent_at = self.now
         target.queue.remove(pending)
         target.in_flight[request.request_id] = pending
@@ -307,14 +301,14 @@
         elif result.request_done:
             self._close(pending)
         else:
-            self._retry(pending, result.status)
+            self._retry_or_give_up(pending, result.status)
         return self.targets.get(result.target_id)
 
     def _cancel_lost_attempts(self, target: TargetState) -> bool:
         """Cancel attempts that a target's later answers have overtaken; whether some may become lost."""
         # Guards against connections that fall silent while the target answers what was sent after, in turn.
         has_suspects = False
-        for pending in target.in_flight.values():
+        for request_id, pending in target.in_flight.items():
             is_over = pending.is_finished or pending.is_cancelled
             is_safe = pending.request_class.idempotency is Idempotency.SAFE
             if is_over or not is_safe or pending.overtaken_count < target_load.OVERTAKEN_COUNT:
@@ -325,8 +319,7 @@
                 has_suspects = True
             elif self.settings.may_cancel and self._has_attempts_left(pending):
                 pending.is_cancelled = True
-                last_attempt = pending.attempt_count - 1
-                self.actions.append(actions.CancelAttempt(pending.request.request_id, last_attempt))
+                self.actions.append(actions.CancelAttempt(request_id, pending.attempt_count - 1))
         return has_suspects
 
     def _has_attempts_left(self, pending: PendingRequest) -> bool:
@@ -334,24 +327,28 @@
 
     def _may_repeat(self, pending: PendingRequest, target: TargetState) -> bool:
         """Whether a request that may have run may go to a target (rule: no duplicated effect)."""
-        request_class, first = pending.request_class, pending.possibly_executed_by
+        request_class, executed_by = pending.request_class, pending.possibly_executed_by
         executed_at = pending.possibly_executed_at
-        if request_class.idempotency is Idempotency.SAFE or executed_at is None or first is None:
+        if request_class.idempotency is Idempotency.SAFE or executed_at is None or executed_by is None:
             return True
         is_late = self.now > executed_at + request_class.deduplication_window - ANSWER_MARGIN_SECONDS
         if request_class.idempotency is Idempotency.UNSAFE or is_late:
             return False
-        return request_class.deduplication_scope.includes(first.target, target.target)
+        scope, first, other = request_class.deduplication_scope, executed_by.target, target.target
+        is_same_zone, is_same_shard = other.zone == first.zone, other.shard == first.shard
+        is_in_scope = is_same_zone if scope is DeduplicationScope.ZONE else is_same_shard
+        return is_in_scope or scope is DeduplicationScope.ALL or other.target_id == first.target_id
 
     def _has_retry_budget(self) -> bool:
         rules = self.settings.rules
+        base, fraction = rules.retry_budget_base, rules.retry_budget_fraction
         if rules.retry_budget_window is None:
             return True
         start = self.now - rules.retry_budget_window
-        return self.retries.total_since(start) + 1 <= rules.max_retries(self.accepted.total_since(start))
+        allowed = (base or 0) + (fraction or 0) * self.accepted.total_since(start)
+        return self.retries.total_since(start) + 1 <= allowed or (base is None and fraction is None)
 
-    def _retry(self, pending: PendingRequest, status: events.AttemptStatus) -> None:
-        """Send a request whose attempt failed once more, or give it its final answer."""
+    def _retry_or_give_up(self, pending: PendingRequest, status: events.AttemptStatus) -> None:
         is_first = pending.attempt_count == 1
         if status in NEVER_EXECUTED:
             is_keyed = pending.request_class.idempotency is Idempotency.IDEMPOTENCY_KEY
@@ -369,8 +366,10 @@
 
     def _give_up(self, pending: PendingRequest) -> None:
         """Reject a request where that is harmless, else fail it."""
-        request_id, settings = pending.request.request_id, self.settings
-        may_reject = pending.possibly_executed_at is None or pending.request_class.may_repeat_anywhere
+        request_id, settings, request_class = pending.request.request_id, self.settings, pending.request_class
+        is_keyed = request_class.idempotency is Idempotency.IDEMPOTENCY_KEY
+        is_harmless = pending.possibly_executed_at is None or request_class.idempotency is Idempotency.SAFE
+        may_reject = is_harmless or (is_keyed and request_class.deduplication_scope is DeduplicationScope.ALL)
         # The longest delay that clients heed: a try after a rejection seldom has its objective in reach.
         retry_after = settings.max_retry_after if settings.may_send_retry_after else 0.0
         answer = actions.Reject(request_id, retry_after) if may_reject else actions.Fail(request_id)
--- a/stalltiller/scheduling/settings.py
+++ b/stalltiller/scheduling/settings.py
@@ -6,12 +6,9 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from enum import Enum
 
-from stalltiller.scheduling.targets import Target
-
 
 class Idempotency(Enum):
     """Whether a request of a class may be executed more than once.
@@ -36,14 +33,6 @@
     ZONE = "zone"
     SHARD = "cell"
 
-    def includes(self, first: Target, other: Target) -> bool:
-        """Whether `other` drops a repeat of a request that `first` has executed."""
-        if self is DeduplicationScope.ALL or other.target_id == first.target_id:
-            return True
-        if self is DeduplicationScope.ZONE:
-            return other.zone == first.zone
-        return other.shard == first.shard
-
 
 @dataclass(slots=True, frozen=True)
 class RequestClass:
@@ -74,13 +63,6 @@
     in_order: bool
     is_write: bool | None
 
-    @property
-    def may_repeat_anywhere(self) -> bool:
-        """Whether a request that may have been executed can safely go to any target again."""
-        if self.idempotency is Idempotency.IDEMPOTENCY_KEY:
-            return self.deduplication_scope is DeduplicationScope.ALL
-        return self.idempotency is Idempotency.SAFE
-
 
 @dataclass(slots=True, frozen=True)
 class Plan:
@@ -135,17 +117,6 @@
     retry_budget_fraction: float | None
     retry_budget_window: float | None
 
-    def max_retries(self, request_count: float) -> float:
-        """Return how many further attempts the rule allows in a window with that many requests."""
-        if self.retry_budget_base is None and self.retry_budget_fraction is None:
-            return math.inf
-        return (self.retry_budget_base or 0) + (self.retry_budget_fraction or 0) * request_count
-
-    def slow_start_fraction(self, age: float) -> float:
-        """Return the fraction of the usual load that a target bears `age` seconds after its start."""
-        initial = self.slow_start_initial_fraction
-        return initial + (1 - initial) * min(1.0, age / max(self.slow_start_duration, 1e-9))
-
 
 @dataclass(slots=True, frozen=True)
 class Settings:
@@ -199,14 +170,3 @@
     max_retry_after: float
     max_attempts: int
     retries_marked: bool
-
-    @property
-    def max_priority_weight(self) -> float:
-        """The highest priority weight of any class."""
-        return max(item.priority_weight for item in self.classes)
-
-    @property
-    def min_latency_objective(self) -> float:
-        """The shortest latency objective of any class that has one, else one second."""
-        objectives = (item.latency_objective for item in self.classes if item.latency_objective > 0)
-        return min(objectives, default=1.0)
--- a/stalltiller/scheduling/state.py
+++ b/stalltiller/scheduling/state.py
@@ -14,8 +14,7 @@
 TOKEN_REQUEST_SECONDS = 0.06  # between requests for tokens: a few times a message's round trip
 
 
-# The order of service when the concurrency limit is reached.
-ServicePriority = IntEnum("ServicePriority", {"RESERVATION": 0, "GRANT": 1, "BEST_EFFORT": 2})
+ServicePriority = IntEnum("ServicePriority", "RESERVATION GRANT BEST_EFFORT", start=0)  # in order of service
 RESERVATION, GRANT, BEST_EFFORT = ServicePriority
 
 
@@ -122,8 +121,10 @@
         """Go by other settings; what is known of a class or plan stays with its name."""
         self.settings = settings
         self.mean_units = max(settings.mean_units, 1e-9)
-        self.max_weight, self.min_objective = settings.max_priority_weight, settings.min_latency_objective
         classes = settings.classes
+        self.max_weight = max(item.priority_weight for item in classes)
+        objectives = (item.latency_objective for item in classes if item.latency_objective > 0)
+        self.min_objective = min(objectives, default=1.0)
         self.relative_latency = {item.name: self.relative_latency.get(item.name, 1.0) for item in classes}
         self.max_time_remaining = {item.name: self.max_time_remaining.get(item.name, 0.0) for item in classes}
         plans = {plan.name: plan for plan in settings.plans}
--- a/stalltiller/scheduling/target_load.py
+++ b/stalltiller/scheduling/target_load.py
@@ -99,7 +99,8 @@
         window, initial = rules.overload_window, rules.slow_start_initial_fraction
         if self.now >= target.slow_start_turn_ends_at:
             self._begin_slow_start_turn(target, window)
-        fraction = rules.slow_start_fraction(max(0.0, self.now - window - (target.target.started_at or 0.0)))
+        age = max(0.0, self.now - window - (target.target.started_at or 0.0))
+        fraction = initial + (1 - initial) * min(1.0, age / max(rules.slow_start_duration, 1e-9))
         budget = self.settings.slow_start_units * fraction / max(initial, 1e-9) * SLOW_START_BUDGET_FRACTION
         share = target.slow_start_share
         if self.budget_fraction is not None:
--- a/stalltiller/scheduling/targets.py
+++ b/stalltiller/scheduling/targets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -57,11 +56,3 @@
 
     kind: TargetListKind
     targets: tuple[Target, ...]
-
-    def removed(self, known: Iterable[TargetId]) -> set[TargetId]:
-        """Return those of the known targets that the update removes, or leaves out of a whole list."""
-        entries = {target.target_id: target for target in self.targets}
-        left_out = set() if self.kind is TargetListKind.DELTA else set(known) - set(entries)
-        return left_out | {
-            target_id for target_id, target in entries.items() if target.status is TargetStatus.REMOVED
-        }
