--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -91,7 +91,7 @@
     bytes_s = (sum(fleet.bytes.values()) - before) / REST / size
     fleet.kill("m2")
     death = fleet.run(120.0, fleet.agreed)
-    wrong = len({notice[3] for notice in fleet.said("suspect")} - {"m2"})
+    wrong = len({event.member for event in fleet.events_of("suspect")} - {"m2"})
     return {
         "kind": "virtual",
         "size": size,
--- a/bench/recovery_faults.py
+++ b/bench/recovery_faults.py
@@ -133,7 +133,7 @@
         if plan.down:
             rig.discovery.close()
         if plan.cut:
-            rig.proxy.abort_stream(set(names[: plan.cut]), set(names[plan.cut :]))
+            rig.proxy.cut(set(names[: plan.cut]), set(names[plan.cut :]))
 
         async def strike(some: tuple[str, ...], orderly: bool) -> None:
             for name in some:
--- a/bench/slow_start.py
+++ b/bench/slow_start.py
@@ -20,7 +20,7 @@
 from tests.test_contention import GATEWAYS, Herd
 
 LOOK, DELAY = 0.1, 0.005  # s
-NEED_FOR = 3.0  # s for which a need counts after it was told, as in `fleet.commons`
+NEED_FOR = 3.0  # s for which a need counts after it was told, as in `fleet.shared_budgets`
 
 
 class Sharing(Herd):
@@ -39,7 +39,7 @@
     def part(self, n: int, key: str, need: float) -> float:
         self.told[n][key] = self.now
         self.shares[n].set_need(key, need)
-        return self.shares[n].part(self.now, key)
+        return self.shares[n].usable_fraction(self.now, key)
 
     def act(self, now, index, event) -> None:
         self.advance(now)
@@ -57,7 +57,7 @@
                         shares.set_need(key, 0.0)
                 if self.told[n]:
                     peers = [str(p) for p in self.draw.sample(range(GATEWAYS), 9) if p != n]
-                    for peer, ask in shares.asks(self.looked, peers):
+                    for peer, ask in shares.due_requests(self.looked, peers):
                         self.post(n, int(peer), ask)
         self.deliver(now)
         self.now = now
@@ -69,11 +69,11 @@
         while self.mail and self.mail[0][0] <= now:
             at, _, one, other, what = heapq.heappop(self.mail)
             if isinstance(what, BudgetRequest):
-                grant = self.shares[other].asked(at, str(one), what)
+                grant = self.shares[other].handle_request(at, str(one), what)
                 if grant is not None:
                     heapq.heappush(self.mail, (at + DELAY, next(self.letters), other, one, grant))
             else:
-                self.shares[other].granted(at, str(one), what)
+                self.shares[other].handle_grant(at, str(one), what)
 
 
 def main() -> None:
--- a/bench/storm.py
+++ b/bench/storm.py
@@ -67,7 +67,7 @@
         await asyncio.gather(*(rig[name].start() for name in half))
         back = await rig.agreed()
         await asyncio.sleep(AWAY)
-        rig.proxy.abort_stream(set(names[: size // 2]), set(names[size // 2 :]))
+        rig.proxy.cut(set(names[: size // 2]), set(names[size // 2 :]))
         await asyncio.sleep(CUT)
         rig.proxy.heal()
         whole = await rig.agreed()
--- a/stalltiller/fleet/__init__.py
+++ b/stalltiller/fleet/__init__.py
@@ -1,22 +1,33 @@
-"""The fleet: who runs beside this instance.
+"""Membership of a fleet: which initiators run beside this one.
 
-`Swim` is the membership without I/O, `node.Node` runs it on sockets.  No request waits for either.
+`Swim` is the membership protocol without I/O, `membership_agent.MembershipAgent` runs it on sockets, and
+`shared_budgets.SharedBudgets` lends budgets between members.  The request path never waits for any of them.
 """
 
-from stalltiller.fleet.member_table import Member, MemberTable, State
-from stalltiller.fleet.messages import MemberEvent, Packet, PacketKind, PushPullSync, Send, Sync
-from stalltiller.fleet.swim import Settings, Swim
+from stalltiller.fleet.member_table import Member, MemberState, MemberTable
+from stalltiller.fleet.messages import (
+    MemberEvent,
+    MemberEventKind,
+    Packet,
+    PacketKind,
+    PushPullSync,
+    SendPacket,
+    StartSync,
+)
+from stalltiller.fleet.swim import Swim
+from stalltiller.fleet.swim_settings import SwimSettings
 
 __all__ = [
     "Member",
     "MemberEvent",
+    "MemberEventKind",
+    "MemberState",
     "MemberTable",
     "Packet",
     "PacketKind",
     "PushPullSync",
-    "Send",
-    "Settings",
-    "State",
+    "SendPacket",
+    "StartSync",
     "Swim",
-    "Sync",
+    "SwimSettings",
 ]
--- a/stalltiller/fleet/budget_lending.py
+++ b/stalltiller/fleet/budget_lending.py
@@ -1,19 +1,22 @@
-"""Budgets that a fleet shares by need: parts of a whole are lent, never minted.  Pure.
-
-Each member owns an even part of every budget, its home part, by the size that the operator gave the fleet.
-Who needs more asks others, who lend what they do not need.  For any loss, delay, doubling, partition and
-restart, what all members may use at one time, or within one span of the budget's rule, never adds up past the
-whole:
-
-- A lender stops using what it lends before the grant goes out.  The borrower begins one span after it came,
-  and the lender takes it back one span after it has run out, so no span sees the same part used twice.
-- No clocks are compared.  A loan lasts LOAN seconds from when the borrower asked (by its clock, less its
-  possible rate error) and, for the lender, from when the ask came (by its clock, more that error): later.
-- A grant counts for the ask it answers alone, and once for each lender: a doubled or late one adds nothing.
-- At most LENT_MOST of a home part is ever lent.  A new life uses nothing for one span, then the rest until
-  all loans of the life before have run out: a restart forgets loans and mints nothing.
-
-A member that hears nobody is left with its home part: the even split.
+"""Lending of shared budgets between the members of a fleet, by need.  No I/O.
+
+Each member owns an equal fraction of every budget, its allotment, by the fleet size that the operator set.  A
+member that needs more sends requests to others, which lend what they do not need.  For any loss, delay,
+duplication, partition and restart, the fractions that all members may use at one time, or within one
+accounting window of the budget's rule, never add up to more than the budget:
+
+- A lender stops using what it lends before the grant is sent.  The borrower begins one window after it
+  received the grant, and the lender reclaims the loan one window after it has expired, so that no window sees
+  the same fraction used twice.
+- No clocks are compared.  A loan lasts LOAN_SECONDS from when the borrower sent its request (by its clock,
+  less its possible rate error) and, for the lender, from when it received the request (by its clock, plus
+  that error), which is later.
+- A grant counts only for the request it answers, and once a lender: a duplicated or late one adds nothing.
+- At most MAX_LENT_FRACTION of an allotment is ever lent.  A restarted member uses nothing for one window,
+  then what is never lent, until all loans of the process before have expired: a restart forgets loans, and
+  budget is never created by it.
+
+A member that cannot reach any other is left with its allotment.
 """
 
 from __future__ import annotations
@@ -22,149 +25,218 @@
 from collections.abc import KeysView
 from dataclasses import dataclass, field
 
-LOAN = 5.0  # s
-RATE_ERROR = 0.01  # by which a second of a member's clock may be longer or shorter
-LENT_MOST = 0.9  # of a home part: more for others, less for its owner just after a restart
-ASK_EVERY = 0.1  # s between asks for one budget
-ASKED = 8  # members asked at once
-RENEW = 0.5  # of a loan's time that is left when its borrower asks to keep it
-LEAST = 0.02  # of a home part: less is not worth a message
-KEEP = 1.25  # times its own need that a lender keeps
+LOAN_SECONDS = 5.0  # long enough that renewals are rare, short enough that a lender's own need is met soon
+CLOCK_RATE_ERROR_FRACTION = 0.01  # by which a second of a member's clock may be longer or shorter
+MAX_LENT_FRACTION = 0.9  # of an allotment; what is never lent is all its owner has just after a restart
+REQUEST_INTERVAL_SECONDS = 0.1  # between the requests for one budget
+MAX_LENDERS_PER_REQUEST = 8  # a short need is met by few members; more would each lend too little
+RENEWAL_FRACTION = 0.5  # of a loan's time that is left when the borrower requests its renewal
+MIN_LOAN_FRACTION = 0.02  # of an allotment: a smaller loan is not worth a message
+LENDER_RESERVE_FACTOR = 1.25  # times its own need that a lender reserves, as the need may grow
+REQUEST_NUMBER_BITS = 32  # random, so that a restarted member does not repeat the numbers of before
+FRACTION_TOLERANCE = 1e-12  # rounding of a float between lender and borrower
+NEVER = -1e9  # seconds: long before any time of a clock
 
 
 @dataclass(slots=True, frozen=True)
 class BudgetRequest:
-    """A member asks for a part of a budget (both in parts of the whole, 0 to 1)."""
+    """A borrower's request for a fraction (0 to 1) of a budget."""
 
     key: str
     number: int
-    want: float
-    loan: int = 0  # the number of a loan to be kept for longer; 0: a new one
+    fraction: float
+    renewed_loan: int = 0  # the number of the loan to be renewed; 0: a new loan
 
 
 @dataclass(slots=True, frozen=True)
 class BudgetGrant:
-    """The answer to an ask: how large a part is lent."""
+    """A lender's answer to a request: the fraction (0 to 1) of the budget that is lent."""
 
     key: str
     number: int
-    part: float
+    fraction: float
+
+
+@dataclass(slots=True, frozen=True)
+class _LentLoan:
+    """A loan as its lender sees it: the fraction is not used here until it is reclaimed."""
+
+    fraction: float
+    reclaimed_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class _BorrowedLoan:
+    """A loan as its borrower sees it: the fraction may be used between the two times."""
+
+    fraction: float
+    begins_at: float
+    expires_at: float
+
+
+@dataclass(slots=True)
+class _PendingRequest:
+    """A request that lenders may still answer."""
+
+    sent_at: float
+    renewed_loan: int
+    answered_by: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
 class _Budget:
-    """One budget as a member sees it."""
+    """One budget as a member sees it; loans are keyed by the other member and the loan's number."""
+
+    need: float = 0.0  # fraction of the budget that this member could use
+    requested_at: float = NEVER
+    pending: dict[int, _PendingRequest] = field(default_factory=dict)
+    lent: dict[tuple[str, int], _LentLoan] = field(default_factory=dict)
+    borrowed: dict[tuple[str, int], _BorrowedLoan] = field(default_factory=dict)
 
-    need: float = 0.0  # part of the whole that it could use
-    asked_at: float = -1e9
-    asks: dict[int, tuple[float, set[str], int]] = field(default_factory=dict)  # when, who answered, loan
-    lent: dict[tuple[str, int], tuple[float, float]] = field(default_factory=dict)  # part, until
-    borrowed: dict[tuple[str, int], tuple[float, float, float]] = field(  # part, from, until
-        default_factory=dict
-    )
+    def lent_fraction(self, now: float) -> float:
+        """The fraction of the budget that is lent to others."""
+        return sum(loan.fraction for loan in self.lent.values() if now < loan.reclaimed_at)
+
+    def remove_expired(self, now: float) -> None:
+        """Forget loans and requests that have expired."""
+        self.lent = {key: loan for key, loan in self.lent.items() if now < loan.reclaimed_at}
+        self.borrowed = {key: loan for key, loan in self.borrowed.items() if now < loan.expires_at}
+        self.pending = {
+            number: request
+            for number, request in self.pending.items()
+            if now < request.sent_at + LOAN_SECONDS
+        }
+
+    def is_unused(self) -> bool:
+        """Whether nothing of the budget is needed, lent, borrowed or requested."""
+        return not (self.need or self.lent or self.borrowed or self.pending)
 
 
 class BudgetLedger:
-    """One member's parts of all budgets.  Every method takes the time of this member's clock.
+    """One member's loans of all budgets.  Every method takes the time of this member's clock, in seconds.
 
-    `size` members own a home part each; `span` is the longest time over which a rule sums up use, in seconds.
+    `member_count` members own an allotment each; `window` is the longest time over which a budget's rule
+    sums up use, in seconds.
     """
 
-    def __init__(self, size: int, span: float, draw: random.Random, now: float) -> None:
-        self.home, self.span, self._draw = 1.0 / max(1, size), span, draw
-        self._rest_from = now + span  # what the life before has used is out of the span
-        self._whole_from = now + LOAN * (1 + RATE_ERROR) + span  # what the life before has lent is back
+    def __init__(self, member_count: int, window: float, rng: random.Random, now: float) -> None:
+        self.allotment = 1.0 / max(1, member_count)
+        self.window = window
+        self._rng = rng
+        # What the process before this one has used is out of the window then, ...
+        self._may_use_from = now + window
+        # ... and what it has lent has expired at all borrowers then.
+        self._may_lend_from = now + LOAN_SECONDS * (1 + CLOCK_RATE_ERROR_FRACTION) + window
         self._budgets: dict[str, _Budget] = {}
 
-    def part(self, now: float, key: str) -> float:
-        """The part of the whole that this member may use now."""
+    def usable_fraction(self, now: float, key: str) -> float:
+        """The fraction of the budget that this member may use now."""
+        may_use = now >= self._may_use_from
+        may_lend = now >= self._may_lend_from
+        owned = self.allotment * (may_use * (1.0 - MAX_LENT_FRACTION) + may_lend * MAX_LENT_FRACTION)
         budget = self._budgets.get(key)
-        rest, whole = now >= self._rest_from, now >= self._whole_from
-        own = self.home * (rest * (1.0 - LENT_MOST) + whole * LENT_MOST)
         if budget is None:
-            return own
-        borrowed = sum(part for part, begin, end in budget.borrowed.values() if begin <= now < end)
-        return max(0.0, own - self._lent(now, budget)) + borrowed
+            return owned
+        borrowed = sum(
+            loan.fraction for loan in budget.borrowed.values() if loan.begins_at <= now < loan.expires_at
+        )
+        return max(0.0, owned - budget.lent_fraction(now)) + borrowed
 
     @property
     def keys(self) -> KeysView[str]:
         """The budgets of which something is needed, lent or borrowed."""
         return self._budgets.keys()
 
-    def whole(self, now: float) -> bool:
-        """Whether this member may use, and lend, all of its home part."""
-        return now >= self._whole_from
+    def may_lend(self, now: float) -> bool:
+        """Whether this member may use, and lend, all of its allotment."""
+        return now >= self._may_lend_from
 
     def set_need(self, key: str, need: float) -> None:
-        """How large a part this member could use; 0 forgets the budget once nothing of it is out."""
+        """Set the fraction that this member could use; 0 forgets the budget once its loans have expired."""
         self._budgets.setdefault(key, _Budget()).need = max(0.0, min(1.0, need))
 
-    def asks(self, now: float, peers: list[str]) -> list[tuple[str, BudgetRequest]]:
-        """Whom to ask for what, if anything is short.  Called often; paces itself."""
-        found: list[tuple[str, BudgetRequest]] = []
-        chosen: list[str] = []  # the same for all budgets: their asks share datagrams
+    def due_requests(self, now: float, peers: list[str]) -> list[tuple[str, BudgetRequest]]:
+        """The requests to send now, each with its lender.  It may be called often and limits its own rate."""
+        requests: list[tuple[str, BudgetRequest]] = []
+        lenders: list[str] = []  # the same for all budgets, so that their requests share datagrams
         for key, budget in list(self._budgets.items()):
-            self._tidy(now, key, budget)
-            short = budget.need - self.home - sum(part for part, _, _ in budget.borrowed.values())
-            if now >= budget.asked_at + ASK_EVERY and short > -LEAST:
-                ending = [loan for loan, (_, _, end) in budget.borrowed.items() if end < now + RENEW * LOAN]
-                found += [
-                    (lender, self._ask(now, key, budget, budget.borrowed[lender, number][0], number))
-                    for lender, number in ending
-                ]
-            if short < LEAST * self.home or now < budget.asked_at + ASK_EVERY or not peers:
+            self._remove_expired(now, key, budget)
+            borrowed = sum(loan.fraction for loan in budget.borrowed.values())
+            missing = budget.need - self.allotment - borrowed
+            if now >= budget.requested_at + REQUEST_INTERVAL_SECONDS and missing > -MIN_LOAN_FRACTION:
+                requests += self._renewals(now, key, budget)
+            too_early = now < budget.requested_at + REQUEST_INTERVAL_SECONDS  # also just after renewals
+            if missing < MIN_LOAN_FRACTION * self.allotment or too_early or not peers:
                 continue
-            chosen = chosen or self._draw.sample(peers, min(ASKED, len(peers)))
-            ask = self._ask(now, key, budget, short / len(chosen))
-            found += [(peer, ask) for peer in chosen]
-        return found
-
-    def _ask(self, now: float, key: str, budget: _Budget, want: float, loan: int = 0) -> BudgetRequest:
-        budget.asked_at = now
-        number = 1 + self._draw.getrandbits(32)
-        budget.asks[number] = now, set(), loan
-        return BudgetRequest(key, number, want, loan)
-
-    def asked(self, now: float, borrower: str, ask: BudgetRequest) -> BudgetGrant | None:
-        """Lend what is not needed here, or for longer; None if that is too little."""
-        if ask.key in self._budgets:
-            self._tidy(now, ask.key, self._budgets[ask.key])
-        budget = self._budgets.setdefault(ask.key, _Budget())
-        same = budget.lent.get((borrower, ask.number))
-        if same is not None:  # the ask came twice: the borrower takes one answer only
-            return BudgetGrant(ask.key, ask.number, same[0])
-        spare = min(LENT_MOST * self.home, self.home - KEEP * budget.need) - self._lent(now, budget)
-        old = budget.lent.get((borrower, ask.loan), (0.0, 0.0))[0]
-        part = old if old and spare >= 0 else min(ask.want, spare)
-        if now < self._whole_from or part < LEAST * self.home:
+            lenders = lenders or self._rng.sample(peers, min(MAX_LENDERS_PER_REQUEST, len(peers)))
+            request = self._new_request(now, key, budget, missing / len(lenders))
+            requests += [(lender, request) for lender in lenders]
+        return requests
+
+    def _renewals(self, now: float, key: str, budget: _Budget) -> list[tuple[str, BudgetRequest]]:
+        """Requests to renew the loans that expire soon."""
+        renew_before = now + RENEWAL_FRACTION * LOAN_SECONDS
+        expiring = [
+            (lender, number, loan.fraction)
+            for (lender, number), loan in budget.borrowed.items()
+            if loan.expires_at < renew_before
+        ]
+        return [
+            (lender, self._new_request(now, key, budget, fraction, renewed_loan=number))
+            for lender, number, fraction in expiring
+        ]
+
+    def _new_request(
+        self, now: float, key: str, budget: _Budget, fraction: float, renewed_loan: int = 0
+    ) -> BudgetRequest:
+        budget.requested_at = now
+        number = 1 + self._rng.getrandbits(REQUEST_NUMBER_BITS)
+        budget.pending[number] = _PendingRequest(now, renewed_loan)
+        return BudgetRequest(key, number, fraction, renewed_loan)
+
+    def handle_request(self, now: float, borrower: str, request: BudgetRequest) -> BudgetGrant | None:
+        """Lend what is not needed here, or renew a loan; None if that is too little to be lent."""
+        if request.key in self._budgets:
+            self._remove_expired(now, request.key, self._budgets[request.key])
+        budget = self._budgets.setdefault(request.key, _Budget())
+        duplicate = budget.lent.get((borrower, request.number))
+        if duplicate is not None:  # the request was received twice: the borrower accepts one grant only
+            return BudgetGrant(request.key, request.number, duplicate.fraction)
+        lendable = min(
+            MAX_LENT_FRACTION * self.allotment, self.allotment - LENDER_RESERVE_FACTOR * budget.need
+        ) - budget.lent_fraction(now)
+        renewed = budget.lent.get((borrower, request.renewed_loan))
+        if renewed is not None and lendable >= 0:
+            fraction = renewed.fraction
+        else:
+            fraction = min(request.fraction, lendable)
+        if now < self._may_lend_from or fraction < MIN_LOAN_FRACTION * self.allotment:
             return None
-        until = now + LOAN * (1 + RATE_ERROR) + self.span
-        budget.lent[borrower, ask.loan if old else ask.number] = part, until
-        return BudgetGrant(ask.key, ask.number, part)
+        reclaimed_at = now + LOAN_SECONDS * (1 + CLOCK_RATE_ERROR_FRACTION) + self.window
+        number = request.number if renewed is None else request.renewed_loan
+        budget.lent[borrower, number] = _LentLoan(fraction, reclaimed_at)
+        return BudgetGrant(request.key, request.number, fraction)
 
-    def granted(self, now: float, lender: str, grant: BudgetGrant) -> bool:
-        """Take a loan; whether it counts."""
+    def handle_grant(self, now: float, lender: str, grant: BudgetGrant) -> bool:
+        """Accept a loan; return whether the grant counts."""
         budget = self._budgets.get(grant.key)
-        when, answered, loan = (budget and budget.asks.get(grant.number)) or (0.0, {lender}, 0)
-        if lender in answered or not 0.0 < grant.part <= LENT_MOST * self.home + 1e-12:
+        request = budget.pending.get(grant.number) if budget is not None else None
+        if budget is None or request is None or lender in request.answered_by:
             return False
-        answered.add(lender)
-        end = when + LOAN * (1 - RATE_ERROR)
-        old = budget.borrowed.get((lender, loan))
-        if old is not None and old[0] == grant.part:
-            budget.borrowed[lender, loan] = grant.part, old[1], end
-        elif now + self.span < end:
-            budget.borrowed[lender, loan or grant.number] = grant.part, now + self.span, end
+        if not 0.0 < grant.fraction <= MAX_LENT_FRACTION * self.allotment + FRACTION_TOLERANCE:
+            return False
+        request.answered_by.add(lender)
+        expires_at = request.sent_at + LOAN_SECONDS * (1 - CLOCK_RATE_ERROR_FRACTION)
+        renewed = budget.borrowed.get((lender, request.renewed_loan))
+        if renewed is not None and renewed.fraction == grant.fraction:
+            loan = _BorrowedLoan(grant.fraction, renewed.begins_at, expires_at)
+            budget.borrowed[lender, request.renewed_loan] = loan
+        elif now + self.window < expires_at:
+            number = request.renewed_loan or grant.number
+            budget.borrowed[lender, number] = _BorrowedLoan(grant.fraction, now + self.window, expires_at)
         return True
 
-    @staticmethod
-    def _lent(now: float, budget: _Budget) -> float:
-        return sum(part for part, until in budget.lent.values() if now < until)
-
-    def _tidy(self, now: float, key: str, budget: _Budget) -> None:
-        """Forget what has run out."""
-        budget.lent = {loan: lent for loan, lent in budget.lent.items() if now < lent[1]}
-        budget.borrowed = {loan: lent for loan, lent in budget.borrowed.items() if now < lent[2]}
-        budget.asks = {number: ask for number, ask in budget.asks.items() if now < ask[0] + LOAN}
-        if not (budget.need or budget.lent or budget.borrowed or budget.asks):
+    def _remove_expired(self, now: float, key: str, budget: _Budget) -> None:
+        budget.remove_expired(now)
+        if budget.is_unused():
             self._budgets.pop(key, None)
--- a/stalltiller/fleet/codec.py
+++ b/stalltiller/fleet/codec.py
@@ -1,140 +1,188 @@
-"""The form of messages on the wire: protobuf, held to bounds.  No I/O."""
+"""Encoding of messages as protobuf; whatever is decoded is checked against bounds.  No I/O."""
 
 from __future__ import annotations
 
+import enum
+
 from google.protobuf.message import DecodeError
 
 from stalltiller.fleet import fleet_pb2 as pb
 from stalltiller.fleet.budget_lending import BudgetGrant, BudgetRequest
-from stalltiller.fleet.member_table import Member, State
+from stalltiller.fleet.member_table import Member, MemberState
 from stalltiller.fleet.messages import Packet, PacketKind, PushPullSync
 
-MOST_DATAGRAM = 1400  # bytes: one frame of Ethernet with its headers
-MOST_EXCHANGE = 512 * 1024  # bytes
-MOST_NAME, MOST_ZONE, MOST_HOST, MOST_KEY = 48, 24, 45, 64  # characters
-MOST_PARTS = 10  # in a datagram: what goes in with the longest keys
-MOST_LETTER = 64  # bytes
+MAX_DATAGRAM_BYTES = 1400  # one Ethernet frame with its headers
+MAX_SYNC_BYTES = 512 * 1024  # room for all members of a table of the default size
+MAX_NAME_CHARACTERS = 48
+MAX_ZONE_CHARACTERS = 24
+MAX_HOST_CHARACTERS = 45  # the longest text of an IPv6 address
+MAX_KEY_CHARACTERS = 64
+MAX_BUDGET_MESSAGES = 10  # what fits into a datagram with the longest keys
+MAX_PEER_MESSAGE_BYTES = 64
+MAX_PORT = 65535
+
+
+class RejectionReason(enum.StrEnum):
+    """Why a message was dropped; the values are keys of the counts that operators read."""
+
+    MALFORMED = "malformed"
+    FOREIGN = "foreign"
+    OVERSIZED = "oversized"
+    NAME = "name"
+    MEMBER = "member"
+    TARGET = "target"
+    KIND = "kind"
+    BUDGET_MESSAGE = "part"
 
 
-class Malformed(ValueError):
-    """What came is no message of this fleet; the text is a short word for the count."""
+class MalformedMessageError(ValueError):
+    """The received bytes are no message of this fleet, for `reason`."""
 
+    def __init__(self, reason: RejectionReason) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
 
-def _to_pb(member: Member) -> pb.Member:
+
+def _encode_member(member: Member) -> pb.Member:
     return pb.Member(
         name=member.name,
         host=member.address[0],
         port=member.address[1],
         zone=member.zone,
-        start_ms=member.start_time_ms,
+        start_time_ms=member.start_time_ms,
         incarnation=member.incarnation,
         state=member.state,
         protocol=member.protocol,
         load=member.load,
-        by=member.by,
-        position=member.initiator_index + 1,
+        reported_by=member.reported_by,
+        initiator_index_plus_one=member.initiator_index + 1,
     )
 
 
-def _from_pb(found: pb.Member) -> Member:
-    if not 0 < len(found.name) <= MOST_NAME or len(found.by) > MOST_NAME or len(found.zone) > MOST_ZONE:
-        raise Malformed("name")
-    if not 0 < len(found.host) <= MOST_HOST or not 0 < found.port < 65536 or found.state > State.LEFT:
-        raise Malformed("member")
+def _decode_member(message: pb.Member) -> Member:
+    if (
+        not 0 < len(message.name) <= MAX_NAME_CHARACTERS
+        or len(message.reported_by) > MAX_NAME_CHARACTERS
+        or len(message.zone) > MAX_ZONE_CHARACTERS
+    ):
+        raise MalformedMessageError(RejectionReason.NAME)
+    if (
+        not 0 < len(message.host) <= MAX_HOST_CHARACTERS
+        or not 0 < message.port <= MAX_PORT
+        or message.state > MemberState.LEFT
+    ):
+        raise MalformedMessageError(RejectionReason.MEMBER)
     return Member(
-        found.name,
-        (found.host, found.port),
-        found.zone,
-        found.start_ms,
-        found.incarnation,
-        State(found.state),
-        found.protocol,
-        found.load,
-        found.by,
-        found.position - 1,
+        name=message.name,
+        address=(message.host, message.port),
+        zone=message.zone,
+        start_time_ms=message.start_time_ms,
+        incarnation=message.incarnation,
+        state=MemberState(message.state),
+        protocol=message.protocol,
+        load=message.load,
+        reported_by=message.reported_by,
+        initiator_index=message.initiator_index_plus_one - 1,
     )
 
 
-def _part_to_pb(part: BudgetRequest | BudgetGrant) -> pb.Part:
-    if isinstance(part, BudgetRequest):
-        return pb.Part(key=part.key, number=part.number, part=part.want, loan=part.loan)
-    return pb.Part(key=part.key, number=part.number, part=part.part, granted=True)
+def _encode_budget_message(message: BudgetRequest | BudgetGrant) -> pb.BudgetMessage:
+    if isinstance(message, BudgetRequest):
+        return pb.BudgetMessage(
+            key=message.key,
+            number=message.number,
+            fraction=message.fraction,
+            renewed_loan=message.renewed_loan,
+        )
+    return pb.BudgetMessage(key=message.key, number=message.number, fraction=message.fraction, is_grant=True)
 
 
-def _part_from_pb(found: pb.Part) -> BudgetRequest | BudgetGrant:
-    if not 0 < len(found.key) <= MOST_KEY or not 0.0 <= found.part <= 1.0:  # NaN neither
-        raise Malformed("part")
-    if found.granted:
-        return BudgetGrant(found.key, found.number, found.part)
-    return BudgetRequest(found.key, found.number, found.part, found.loan)
+def _decode_budget_message(message: pb.BudgetMessage) -> BudgetRequest | BudgetGrant:
+    # The comparison also rejects a fraction that is not a number.
+    if not 0 < len(message.key) <= MAX_KEY_CHARACTERS or not 0.0 <= message.fraction <= 1.0:
+        raise MalformedMessageError(RejectionReason.BUDGET_MESSAGE)
+    if message.is_grant:
+        return BudgetGrant(message.key, message.number, message.fraction)
+    return BudgetRequest(message.key, message.number, message.fraction, message.renewed_loan)
 
 
-def _parse(message: pb.Packet | pb.Exchange, data: bytes, fleet: str) -> None:
+def _parse(message: pb.Packet | pb.PushPullSync, data: bytes, fleet: str) -> None:
     try:
         message.ParseFromString(data)
     except DecodeError as error:
-        raise Malformed("malformed") from error
+        raise MalformedMessageError(RejectionReason.MALFORMED) from error
     if message.fleet != fleet:
-        raise Malformed("foreign")
+        raise MalformedMessageError(RejectionReason.FOREIGN)
 
 
 def encode_packet(fleet: str, packet: Packet) -> bytes:
-    """One datagram; of the news as many as go in."""
+    """Encode one datagram, with as many of its updates as fit."""
     message = pb.Packet(
         fleet=fleet,
-        sender=_to_pb(packet.sender),
+        sender=_encode_member(packet.sender),
         kind=packet.kind,
         number=packet.number,
         target=packet.target,
         host=packet.address[0],
         port=packet.address[1],
-        parts=map(_part_to_pb, packet.parts[:MOST_PARTS]),
-        letter=packet.peer_message[:MOST_LETTER],
+        budget_messages=map(_encode_budget_message, packet.budget_messages[:MAX_BUDGET_MESSAGES]),
+        peer_message=packet.peer_message[:MAX_PEER_MESSAGE_BYTES],
         body=packet.body,
     )
-    for word in packet.updates:
-        message.news.append(_to_pb(word))
-        if message.ByteSize() > MOST_DATAGRAM:
-            del message.news[-1]
+    for update in packet.updates:
+        message.updates.append(_encode_member(update))
+        if message.ByteSize() > MAX_DATAGRAM_BYTES:
+            del message.updates[-1]
             break
     return message.SerializeToString()
 
 
 def decode_packet(fleet: str, data: bytes) -> Packet:
-    """Read a datagram; raises Malformed."""
-    if len(data) > MOST_DATAGRAM:
-        raise Malformed("oversized")
+    """Decode a datagram; raises MalformedMessageError."""
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise MalformedMessageError(RejectionReason.OVERSIZED)
     message = pb.Packet()
     _parse(message, data, fleet)
     try:
         kind = PacketKind(message.kind)
     except ValueError as error:
-        raise Malformed("kind") from error
-    if len(message.target) > MOST_NAME or len(message.host) > MOST_HOST or message.port > 65535:
-        raise Malformed("target")
-    if len(message.parts) > MOST_PARTS or len(message.letter) > MOST_LETTER:
-        raise Malformed("part")
+        raise MalformedMessageError(RejectionReason.KIND) from error
+    if (
+        len(message.target) > MAX_NAME_CHARACTERS
+        or len(message.host) > MAX_HOST_CHARACTERS
+        or message.port > MAX_PORT
+    ):
+        raise MalformedMessageError(RejectionReason.TARGET)
+    if (
+        len(message.budget_messages) > MAX_BUDGET_MESSAGES
+        or len(message.peer_message) > MAX_PEER_MESSAGE_BYTES
+    ):
+        raise MalformedMessageError(RejectionReason.BUDGET_MESSAGE)
     return Packet(
-        kind,
-        _from_pb(message.sender),
-        message.number,
-        message.target,
-        (message.host, message.port),
-        tuple(map(_from_pb, message.news)),
-        tuple(map(_part_from_pb, message.parts)),
-        message.letter,
-        message.body,
+        kind=kind,
+        sender=_decode_member(message.sender),
+        number=message.number,
+        target=message.target,
+        address=(message.host, message.port),
+        updates=tuple(map(_decode_member, message.updates)),
+        budget_messages=tuple(map(_decode_budget_message, message.budget_messages)),
+        peer_message=message.peer_message,
+        body=message.body,
     )
 
 
-def encode_exchange(fleet: str, exchange: PushPullSync) -> bytes:
-    return pb.Exchange(
-        fleet=fleet, sender=_to_pb(exchange.sender), members=map(_to_pb, exchange.members)
-    ).SerializeToString()
+def encode_sync(fleet: str, sync: PushPullSync) -> bytes:
+    """Encode a push-pull synchronisation, without its length."""
+    message = pb.PushPullSync(
+        fleet=fleet,
+        sender=_encode_member(sync.sender),
+        members=map(_encode_member, sync.members),
+    )
+    return message.SerializeToString()
 
 
-def decode_exchange(fleet: str, data: bytes) -> PushPullSync:
-    """Read an exchange; raises Malformed."""
-    message = pb.Exchange()
+def decode_sync(fleet: str, data: bytes) -> PushPullSync:
+    """Decode a push-pull synchronisation; raises MalformedMessageError."""
+    message = pb.PushPullSync()
     _parse(message, data, fleet)
-    return PushPullSync(_from_pb(message.sender), tuple(map(_from_pb, message.members)))
+    return PushPullSync(_decode_member(message.sender), tuple(map(_decode_member, message.members)))
--- a/stalltiller/fleet/config.py
+++ b/stalltiller/fleet/config.py
@@ -2,54 +2,73 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 from stalltiller.fleet.member_table import Address
-from stalltiller.fleet.swim import Settings
+from stalltiller.fleet.swim_settings import SwimSettings
 
-TIMES = ("probe_every", "probe_timeout", "gossip_every", "sync_every", "rejoin_every", "forget_after")
+DURATION_FIELDS = {  # key in the operator's file: field of SwimSettings, both in seconds
+    "probe_every_s": "probe_interval_seconds",
+    "probe_timeout_s": "probe_timeout_seconds",
+    "gossip_every_s": "gossip_interval_seconds",
+    "sync_every_s": "sync_interval_seconds",
+    "rejoin_every_s": "rejoin_interval_seconds",
+    "forget_after_s": "forget_after_seconds",
+}
+MIN_DURATION_SECONDS = 0.01  # shorter ones would keep the event loop busy with membership alone
+MAX_DURATION_SECONDS = 3600
 
 
 @dataclass(slots=True, frozen=True)
 class FleetConfig:
-    """What one member is told of its fleet."""
+    """The settings of one member of a fleet."""
 
     fleet: str
     listen: Address  # UDP and TCP
-    advertise: Address  # where the others reach this one
+    advertise: Address  # where the other members reach this one
     zone: str
-    settings: Settings
-    share: bool = True  # budgets of cold targets by need; False: by each one's guess of the others
-    clock_offset: float = 0.0  # s added to the machine's clock, for tests
+    settings: SwimSettings
+    share: bool = True  # whether budgets of warming targets are lent by need, not estimated by each member
+    clock_offset: float = 0.0  # seconds added to the machine's clock, for tests
 
 
-def _address(text: object) -> Address:
+def _parse_address(text: object) -> Address:
     host, _, port = str(text).rpartition(":")
     if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"fleet: not an address: {text!r}")
     return host, int(port)
 
 
-def fleet_config(data: dict, zone: str) -> FleetConfig:
-    """Read the section; raises ValueError or KeyError naming what is wrong.  Times are in seconds."""
-    listen = _address(data["listen"])
-    times = {name: float(data[name + "_s"]) for name in TIMES if name + "_s" in data}
-    for name, value in times.items():
-        if not 0.01 <= value <= 3600:
-            raise ValueError(f"fleet: {name}_s must lie between 0.01 and 3600")
-    settings = Settings(
-        seeds=tuple(map(_address, data.get("seeds", []))),
-        **times,
-        most_members=int(data.get("most_members", Settings().most_members)),
-    )
-    if settings.probe_timeout >= settings.probe_every:
+def _parse_durations(data: Mapping[str, Any]) -> dict[str, float]:
+    durations = {key: float(data[key]) for key in DURATION_FIELDS if key in data}
+    for key, duration in durations.items():
+        if not MIN_DURATION_SECONDS <= duration <= MAX_DURATION_SECONDS:
+            raise ValueError(
+                f"fleet: {key} must lie between {MIN_DURATION_SECONDS} and {MAX_DURATION_SECONDS}"
+            )
+    return {DURATION_FIELDS[key]: duration for key, duration in durations.items()}
+
+
+def fleet_config(data: Mapping[str, Any], zone: str) -> FleetConfig:
+    """Read the section; raises ValueError or KeyError with the offending key.
+
+    `zone` is this initiator's zone, unless the section names another.
+    """
+    listen = _parse_address(data["listen"])
+    fields: dict[str, Any] = dict(_parse_durations(data))
+    if "most_members" in data:
+        fields["max_members"] = int(data["most_members"])
+    settings = SwimSettings(seeds=tuple(map(_parse_address, data.get("seeds", []))), **fields)
+    if settings.probe_timeout_seconds >= settings.probe_interval_seconds:
         raise ValueError("fleet: probe_timeout_s must be under probe_every_s")
     return FleetConfig(
-        str(data["name"]),
-        listen,
-        _address(data.get("advertise", data["listen"])),
-        str(data.get("zone", zone)),
-        settings,
-        bool(data.get("share", True)),
-        float(data.get("clock_offset_s", 0.0)),
+        fleet=str(data["name"]),
+        listen=listen,
+        advertise=_parse_address(data.get("advertise", data["listen"])),
+        zone=str(data.get("zone", zone)),
+        settings=settings,
+        share=bool(data.get("share", True)),
+        clock_offset=float(data.get("clock_offset_s", 0.0)),
     )
--- a/stalltiller/fleet/gossip.py
+++ b/stalltiller/fleet/gossip.py
@@ -1,40 +1,50 @@
-"""What still has to be passed on, and how often it was.  Pure."""
+"""Membership updates that still have to be gossiped, and how often each was sent.  No I/O."""
 
 from __future__ import annotations
 
 import heapq
 import math
+from dataclasses import dataclass
 
 from stalltiller.fleet.member_table import Member
 
 
-class Gossip:
-    """News that wait to be passed on: each name's newest word, a bounded number of times.
+@dataclass(slots=True)
+class _QueuedUpdate:
+    """A member's newest state and the number of packets that carried it."""
 
-    A word is passed on `repeat * ceil(log10(members + 1))` times: enough to reach all with high probability,
-    and no more, so that the load of a member does not grow with the fleet (SWIM, section 4.1).
+    member: Member
+    transmissions: int = 0
+
+
+class GossipQueue:
+    """The newest update on each member, sent a bounded number of times.
+
+    An update is sent `retransmit_multiplier * ceil(log10(members + 1))` times: enough to reach all members
+    with high probability, and no more, so that the load of a member does not grow with the fleet (SWIM,
+    section 4.1).
     """
 
-    def __init__(self, repeat: int) -> None:
-        self._repeat = repeat
-        self._words: dict[str, tuple[Member, int]] = {}
+    def __init__(self, retransmit_multiplier: int) -> None:
+        self._retransmit_multiplier = retransmit_multiplier
+        self._updates: dict[str, _QueuedUpdate] = {}
 
     def __len__(self) -> int:
-        return len(self._words)
-
-    def add(self, word: Member) -> None:
-        """Pass on a word; what was said of the name before is not passed on any more."""
-        self._words[word.name] = word, 0
-
-    def take(self, most: int, members: int) -> tuple[Member, ...]:
-        """Words for one packet: those passed on least often."""
-        limit = self._repeat * math.ceil(math.log10(members + 1))
-        taken = []
-        for _, name in heapq.nsmallest(most, ((count, name) for name, (_, count) in self._words.items())):
-            word, count = self._words[name]
-            taken.append(word)
-            if count + 1 >= limit:
-                del self._words[name]
-            else:
-                self._words[name] = word, count + 1
-        return tuple(taken)
+        return len(self._updates)
+
+    def add(self, member: Member) -> None:
+        """Queue an update; it replaces an earlier one on the same member."""
+        self._updates[member.name] = _QueuedUpdate(member)
+
+    def next_updates(self, max_updates: int, member_count: int) -> tuple[Member, ...]:
+        """Return at most `max_updates` updates for one packet, those sent least often first."""
+        limit = self._retransmit_multiplier * math.ceil(math.log10(member_count + 1))
+        queued = ((update.transmissions, name) for name, update in self._updates.items())
+        selected = []
+        for _, name in heapq.nsmallest(max_updates, queued):
+            update = self._updates[name]
+            selected.append(update.member)
+            update.transmissions += 1
+            if update.transmissions >= limit:
+                del self._updates[name]
+        return tuple(selected)
--- a/stalltiller/fleet/local_health.py
+++ b/stalltiller/fleet/local_health.py
@@ -1,4 +1,4 @@
-"""How far a member trusts itself and how long it suspects others (Lifeguard).  Pure.
+"""Lifeguard's local health score and suspicion timeouts.  No I/O.
 
 Source: Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for More Accurate Failure Detection".
 """
@@ -7,45 +7,59 @@
 
 import math
 
-MOST = 8  # the score's highest value
+MAX_HEALTH_SCORE = 8  # Lifeguard's own bound: probes become at most nine times slower
 
 
 class LocalHealth:
-    """The local health score: 0 is well; each step makes probes wait longer and come more seldom."""
+    """How far this member trusts its own view; a score of 0 is healthy.
+
+    Each point makes probes wait longer for an answer and come less often.
+    """
 
     def __init__(self) -> None:
         self.score = 0
 
-    def change(self, by: int) -> None:
-        self.score = max(0, min(MOST, self.score + by))
+    def adjust(self, change: int) -> None:
+        """Add `change` (negative: healthier) to the score, within 0 and `MAX_HEALTH_SCORE`."""
+        self.score = max(0, min(MAX_HEALTH_SCORE, self.score + change))
 
     @property
-    def factor(self) -> int:
-        """What probe intervals and timeouts are multiplied by."""
+    def multiplier(self) -> int:
+        """What probe intervals and probe timeouts are multiplied by."""
         return self.score + 1
 
 
 class Suspicion:
-    """One member under suspicion: it is taken for dead at `end`, earlier the more others confirm it."""
+    """One suspected member: it is declared dead at `deadline`, earlier the more members confirm this.
+
+    Durations are in seconds.  `expected_confirmations` confirmations shorten the timeout to `min_timeout`.
+    """
 
-    def __init__(self, now: float, by: str, least: float, most: float, wanted: int) -> None:
-        self.began, self._least, self._most, self._wanted = now, least, most, wanted
-        self.by = {by}
-        self.delay = 0.0  # time in which this member itself stood still
+    def __init__(
+        self, now: float, reporter: str, min_timeout: float, max_timeout: float, expected_confirmations: int
+    ) -> None:
+        self.started_at = now
+        self.reporters = {reporter}
+        self.stalled_seconds = 0.0  # time in which this process itself did not run
+        self._min_timeout = min_timeout
+        self._max_timeout = max_timeout
+        self._expected_confirmations = expected_confirmations
 
-    def confirm(self, by: str) -> bool:
-        """Another member's word; whether it counts (once each, and no more than are wanted)."""
-        if by in self.by or len(self.by) > self._wanted:
+    def confirm(self, reporter: str) -> bool:
+        """Add a confirmation; return whether it counts (one a member, and no more than are expected)."""
+        if reporter in self.reporters or len(self.reporters) > self._expected_confirmations:
             return False
-        self.by.add(by)
+        self.reporters.add(reporter)
         return True
 
     @property
-    def end(self) -> float:
-        confirmed = len(self.by) - 1
-        if self._wanted < 1:
-            wait = self._least
+    def deadline(self) -> float:
+        """The time at which the member is declared dead, by the clock that the suspicion was started with."""
+        confirmations = len(self.reporters) - 1
+        if self._expected_confirmations < 1:
+            timeout = self._min_timeout
         else:
-            part = math.log(confirmed + 1) / math.log(self._wanted + 1)
-            wait = max(self._least, self._most - (self._most - self._least) * part)
-        return self.began + wait + self.delay
+            fraction = math.log(confirmations + 1) / math.log(self._expected_confirmations + 1)
+            range_seconds = self._max_timeout - self._min_timeout
+            timeout = max(self._min_timeout, self._max_timeout - range_seconds * fraction)
+        return self.started_at + timeout + self.stalled_seconds
--- a/stalltiller/fleet/member_table.py
+++ b/stalltiller/fleet/member_table.py
@@ -1,25 +1,42 @@
-"""Members of a fleet and what may be said of them.  Pure."""
+"""Members of a fleet and the table of what one member knows of all.  No I/O.
+
+`Swim` owns the table; other parts only read it.
+"""
 
 from __future__ import annotations
 
 import enum
 from dataclasses import dataclass, replace
+from typing import NamedTuple
+
+Address = tuple[str, int]  # host and port, as the socket functions take them
+
+UNKNOWN_INITIATOR_INDEX = -1
 
-Address = tuple[str, int]
 
+class MemberState(enum.IntEnum):
+    """State of a member; of the same start time and incarnation, the higher value takes precedence."""
 
-class State(enum.IntEnum):
-    """What is known of a member; of the same life and incarnation, the higher one holds."""
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
 
-    ALIVE, SUSPECT, DEAD, LEFT = range(4)
+
+class Precedence(NamedTuple):
+    """What orders the updates on one member: the higher one takes precedence."""
+
+    start_time_ms: int
+    incarnation: int
+    state: MemberState
 
 
 @dataclass(slots=True, frozen=True)
 class Member:
-    """One member, as somebody knows it.
+    """One member, as some member knows it.
 
-    `start` is the Unix time of its process's start in milliseconds: a restarted process is a new life of the
-    same name.  `incarnation` is raised by the member alone, when it refutes what is said of it.
+    `start_time_ms` is the Unix time of its process's start: a restarted process has a later one under the
+    same name.  `incarnation` is SWIM's counter: the member alone raises it, when it refutes a suspicion.
     """
 
     name: str
@@ -27,92 +44,105 @@
     zone: str = ""
     start_time_ms: int = 0
     incarnation: int = 0
-    state: State = State.ALIVE
+    state: MemberState = MemberState.ALIVE
     protocol: int = 1
-    load: int = 0  # requests open there, for information: no part of the order
-    by: str = ""  # who suspects it or took it for dead
-    initiator_index: int = -1  # its number among the decision modules; -1: not told
+    load: int = 0  # open requests, for information: no part of the precedence
+    reported_by: str = ""  # the member that suspects it or declared it dead
+    initiator_index: int = UNKNOWN_INITIATOR_INDEX
 
     @property
-    def order(self) -> tuple[int, int, State]:
-        """What is said of a name is ordered by this alone, so members that hear the same agree."""
-        return self.start_time_ms, self.incarnation, self.state
+    def precedence(self) -> Precedence:
+        """What orders updates; it alone decides, so members that receive the same updates agree."""
+        return Precedence(self.start_time_ms, self.incarnation, self.state)
 
     @property
-    def running(self) -> bool:
-        return self.state <= State.SUSPECT
+    def is_running(self) -> bool:
+        """Whether the member is alive or only suspected."""
+        return self.state <= MemberState.SUSPECT
 
-    def now(self, state: State, by: str = "") -> Member:
-        return replace(self, state=state, by=by)
+    def with_state(self, state: MemberState, reported_by: str = "") -> Member:
+        """Return this member in another state, as reported by a member."""
+        return replace(self, state=state, reported_by=reported_by)
 
 
 class MemberTable:
-    """What one member knows of all others and of itself; bounded.
+    """What one member knows of all members, itself included; at most `max_members` names.
 
-    A join semilattice: `put` keeps the higher of two words on a name, so the order in which news come, and
-    how often, makes no difference.
+    A join semilattice: `merge` keeps the update of higher precedence, so the order of updates and their
+    repetition make no difference.
     """
 
-    def __init__(self, me: Member, most: int) -> None:
-        self.me, self._most = me, most
+    def __init__(self, me: Member, max_members: int) -> None:
+        self.me = me
         self.known: dict[str, Member] = {me.name: me}
-        self.since: dict[str, float] = {me.name: 0.0}  # when the state was learnt, on this member's clock
-        self.refused = 0  # names not taken in because the table was full
-        self._running: list[Member] | None = None  # the others that run, by name, as long as it holds
+        self.state_changed_at: dict[str, float] = {me.name: 0.0}  # on this member's clock
+        self.rejected_count = 0  # names rejected as the table was full
+        self._max_members = max_members
+        self._running_others: list[Member] | None = None  # cache of `others`; None: to be computed
 
-    def put(self, now: float, word: Member) -> bool:
-        """Take a word on another member; whether it is news.
+    def merge(self, now: float, update: Member) -> bool:
+        """Merge an update on another member; return whether it changed the table.
 
-        A name not known is taken in only while it runs: what is dead or has left would only come back.
+        An unknown name is added only while it runs: dead and departed members would only come back.
         """
-        old = self.known.get(word.name)
-        if old is not None and word.order <= old.order:
+        known = self.known.get(update.name)
+        if known is not None and update.precedence <= known.precedence:
+            return False
+        if known is None and not self._may_add(update):
             return False
-        if old is None:
-            if not word.running:
-                return False
-            if len(self.known) >= self._most:
-                self.refused += 1
-                return False
-        if old is None or old.state is not word.state or old.start_time_ms != word.start_time_ms:
-            self.since[word.name] = now
-        self.known[word.name], self._running = word, None
+        if known is None or known.state is not update.state or known.start_time_ms != update.start_time_ms:
+            self.state_changed_at[update.name] = now
+        self.known[update.name] = update
+        self._running_others = None
         return True
 
-    def set_me(self, me: Member) -> None:
-        self.me = self.known[me.name] = me
-
-    def drop(self, name: str) -> None:
-        del self.known[name], self.since[name]
-        self._running = None
+    def _may_add(self, update: Member) -> bool:
+        if not update.is_running:
+            return False
+        if len(self.known) >= self._max_members:
+            self.rejected_count += 1
+            return False
+        return True
 
-    def load(self, name: str, start: int, load: int) -> None:
-        """A member's load, from itself."""
+    def set_me(self, me: Member) -> None:
+        """Replace the entry of this member itself."""
+        self.me = me
+        self.known[me.name] = me
+
+    def remove(self, name: str) -> None:
+        """Forget a member; raises KeyError if it is not known."""
+        del self.known[name]
+        del self.state_changed_at[name]
+        self._running_others = None
+
+    def update_load(self, name: str, start_time_ms: int, load: int) -> None:
+        """Set a member's load as it reported it itself, unless the report is of another process."""
         known = self.known.get(name)
-        if known is not None and known.start_time_ms == start and known.load != load:
-            self.known[name], self._running = replace(known, load=load), None
+        if known is not None and known.start_time_ms == start_time_ms and known.load != load:
+            self.known[name] = replace(known, load=load)
+            self._running_others = None
 
     @property
     def others(self) -> list[Member]:
-        """All others that run, suspects too, by name."""
-        if self._running is None:
-            self._running = [
+        """All other running members, suspected ones too, by name."""
+        if self._running_others is None:
+            self._running_others = [
                 self.known[name]
                 for name in sorted(self.known)
-                if name != self.me.name and self.known[name].running
+                if name != self.me.name and self.known[name].is_running
             ]
-        return self._running
+        return self._running_others
 
     @property
-    def ended(self) -> list[Member]:
-        """Those that are dead or have left and are still remembered, by name."""
+    def stopped_members(self) -> list[Member]:
+        """The remembered members that are dead or have left, by name."""
         return [
             self.known[name]
             for name in sorted(self.known)
-            if name != self.me.name and not self.known[name].running
+            if name != self.me.name and not self.known[name].is_running
         ]
 
     @property
-    def size(self) -> int:
-        """Members that run, this one too."""
+    def running_count(self) -> int:
+        """The number of running members, this one included."""
         return len(self.others) + 1
--- a/stalltiller/fleet/membership_agent.py
+++ b/stalltiller/fleet/membership_agent.py
@@ -1,4 +1,8 @@
-"""One member on sockets: datagrams over UDP, exchanges over TCP at the same address."""
+"""One member on sockets: datagrams over UDP, push-pull synchronisations over TCP at the same address.
+
+The agent owns the sockets, the timer and the connections; `Swim` decides what is sent.  The request path
+never waits for it.
+"""
 
 from __future__ import annotations
 
@@ -9,75 +13,85 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from typing import Protocol
+from typing import cast
 
 from stalltiller.fleet import codec
 from stalltiller.fleet.config import FleetConfig
-from stalltiller.fleet.member_table import Address, Member
-from stalltiller.fleet.messages import Action, MemberEvent, Packet, PacketKind, PushPullSync, Send, Sync
+from stalltiller.fleet.member_table import UNKNOWN_INITIATOR_INDEX, Address, Member
+from stalltiller.fleet.messages import (
+    Action,
+    MemberEvent,
+    Packet,
+    PacketKind,
+    PushPullSync,
+    SendPacket,
+    StartSync,
+)
+from stalltiller.fleet.rate_limiter import PerSecondLimiter
 from stalltiller.fleet.swim import Swim
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.connection import Connection
 
-LENGTH = struct.Struct(">I")  # bytes of the exchange that follows
-EXCHANGE_TIME = 2.0  # s that an exchange may take
-MOST_EXCHANGES = 8  # at once, made and taken each
-PACKETS_PER_S = 2000  # datagrams read; more are dropped and counted
-LEAVE_TIME = 0.3  # s after leaving for which the word of it is passed on
+LENGTH_PREFIX = struct.Struct(">I")  # number of bytes of the synchronisation that follows
+SYNC_TIMEOUT_SECONDS = 2.0  # many round trips: a member that takes longer is as good as unreachable
+MAX_SYNCS = 8  # at once, in each direction; each may hold a whole table in memory
+MAX_PACKETS_PER_SECOND = 2000  # received; more are dropped and counted, so that a flood leaves processor time
+LEAVE_GOSSIP_SECONDS = 0.3  # for which the departure is gossiped before the process goes on to stop
 
 Log = Callable[..., None]
 
 
-class Sharing(Protocol):
-    """What takes the datagrams of kind COMMONS."""
-
-    def status(self) -> dict[str, object]:
-        """What an operator may want to know."""
-
-    def on_data(self, packet: Packet) -> None:
-        """One has come."""
-
-
 class PushPullConnection(Connection):
-    """One exchange: the one who connects tells first, and both close after the answer."""
+    """One synchronisation: the client sends its state first, and both close after the answer.
+
+    `state` is the encoded state to be sent by the client; None on the server side.
+    """
 
-    def __init__(self, node: MembershipAgent, ours: bytes | None) -> None:
-        super().__init__(node.buffers)
-        self._node, self._ours = node, ours
-        self._got = bytearray()
+    def __init__(self, agent: MembershipAgent, state: bytes | None) -> None:
+        super().__init__(agent.buffers)
+        self._agent = agent
+        self._state = state
+        self._received = bytearray()
         self._deadline: asyncio.TimerHandle | None = None
 
     def on_connected(self) -> None:
-        self._deadline = asyncio.get_running_loop().call_later(EXCHANGE_TIME, self.abort)
-        if self._ours is not None:
-            self.write(self._ours)
-        elif not self._node.arrived(self):
+        """Send the state (client) or reserve a place among the synchronisations (server)."""
+        self._deadline = asyncio.get_running_loop().call_later(SYNC_TIMEOUT_SECONDS, self.abort)
+        if self._state is not None:
+            self.write(self._state)
+        elif not self._agent.admit_sync(self):
             self.abort()
 
     def on_data(self, data: memoryview) -> int:
-        self._got += data
-        if len(self._got) >= LENGTH.size:
-            size = LENGTH.unpack_from(self._got)[0]
-            if size > codec.MOST_EXCHANGE:
-                self._node.dropped["oversized"] += 1
+        """Collect the peer's state; once it is complete, handle it and close."""
+        self._received += data
+        if len(self._received) >= LENGTH_PREFIX.size:
+            size = LENGTH_PREFIX.unpack_from(self._received)[0]
+            if size > codec.MAX_SYNC_BYTES:
+                self._agent.dropped[codec.RejectionReason.OVERSIZED.value] += 1
                 self.abort()
-            elif len(self._got) >= LENGTH.size + size:
-                answer = self._node.exchanged(bytes(self._got[LENGTH.size : LENGTH.size + size]))
-                if self._ours is None and answer is not None:
-                    self.write(answer)
-                self.close()
+            elif len(self._received) >= LENGTH_PREFIX.size + size:
+                self._handle_state(bytes(self._received[LENGTH_PREFIX.size : LENGTH_PREFIX.size + size]))
         return len(data)
 
-    def on_disconnected(self, error: Exception | None) -> None:
+    def _handle_state(self, data: bytes) -> None:
+        answer = self._agent.handle_sync(data)
+        if self._state is None and answer is not None:
+            self.write(answer)
+        self.close()
+
+    def on_disconnected(self, _error: Exception | None) -> None:
+        """Release the timer and the place among the synchronisations."""
         if self._deadline is not None:
             self._deadline.cancel()
-        self._node.done(self)
+        self._agent.release_sync(self)
 
 
 class MembershipAgent(asyncio.DatagramProtocol):
-    """Runs a `Swim` on sockets.  Nothing it does is waited for by the request path.
+    """Runs `Swim` on sockets.
 
-    `load` tells how many requests are open here.
+    `load` returns the number of open requests, which is gossiped.  Other parts receive datagrams of their
+    kind by an entry in `handlers`.
     """
 
     def __init__(
@@ -87,178 +101,197 @@
         buffers: BufferPool,
         log: Log,
         load: Callable[[], int],
-        position: int = -1,
+        initiator_index: int = UNKNOWN_INITIATOR_INDEX,
     ) -> None:
-        self.config, self.buffers, self._log, self._load = config, buffers, log, load
-        life = int((time.time() + config.clock_offset) * 1000)
-        me = Member(name, config.advertise, config.zone, start_time_ms=life, initiator_index=position)
+        self.config = config
+        self.buffers = buffers
+        self._log = log
+        self._load = load
         self._loop = asyncio.get_running_loop()
+        me = Member(
+            name,
+            config.advertise,
+            config.zone,
+            start_time_ms=int((time.time() + config.clock_offset) * 1000),
+            initiator_index=initiator_index,
+        )
         self.swim = Swim(config.settings, me, random.Random(), self._loop.time())
         self.dropped: Counter[str] = Counter()  # messages, by reason
-        self.sent_bytes = self.sent_packets = 0
-        self.shared_budgets: Sharing | None = None
-        self.handlers: dict[
-            PacketKind, Callable[[Packet], None]
-        ] = {}  # what other parts say to each other, by kind
+        self.sent_bytes = 0
+        self.sent_packets = 0
+        self.handlers: dict[PacketKind, Callable[[Packet], None]] = {}
+        self.shared_budgets_status: Callable[[], dict[str, object]] | None = None
+        self._packet_limiter = PerSecondLimiter(MAX_PACKETS_PER_SECOND)
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
-        self._taken: set[PushPullConnection] = set()
-        self._made: set[asyncio.Task] = set()
-        self._second, self._packets = 0, 0
+        self._server_syncs: set[PushPullConnection] = set()
+        self._client_syncs: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
-        """Listen and begin; raises OSError if the address can't be had."""
+        """Listen and start the protocol; raises OSError if the address cannot be bound."""
         host, port = self.config.listen
         self._server = await self._loop.create_server(lambda: PushPullConnection(self, None), host, port)
         self._transport, _ = await self._loop.create_datagram_endpoint(lambda: self, (host, port))
         self._log(
-            "fleet_started", fleet=self.config.fleet, listen=f"{host}:{port}", life=self.swim.me.start_time_ms
+            "fleet_started",
+            fleet=self.config.fleet,
+            listen=f"{host}:{port}",
+            life=self.swim.me.start_time_ms,
         )
-        self._wake()
+        self._schedule_tick()
 
     async def leave(self) -> None:
-        """Tell the others that this one leaves, and give the word time to spread."""
-        if not self.swim.left:
-            self._act(self.swim.leave(self._loop.time()))
+        """Announce to the others that this member leaves, and wait while that is gossiped."""
+        if not self.swim.has_left:
+            self._execute(self.swim.leave(self._loop.time()))
             self._log("fleet_left", life=self.swim.me.start_time_ms)
-            await asyncio.sleep(LEAVE_TIME)
+            await asyncio.sleep(LEAVE_GOSSIP_SECONDS)
 
     def close(self) -> None:
+        """Stop at once, without an announcement, and close all sockets."""
         if self._timer is not None:
             self._timer.cancel()
-        for task in self._made:
+        for task in self._client_syncs:
             task.cancel()
-        for connection in list(self._taken):
+        for connection in list(self._server_syncs):
             connection.abort()
         if self._server is not None:
             self._server.close()
         if self._transport is not None:
             self._transport.close()
 
-    # --- What is asked for ----------------------------------------------------------------------------
+    # --- Status for operators -------------------------------------------------------------------------
     def status(self) -> dict[str, object]:
-        """What an operator may want to know of this member."""
+        """The operators' view of this member, as the JSON of `/_fleet/status`."""
         table = self.swim.table
+        shared_budgets = self.shared_budgets_status() if self.shared_budgets_status is not None else None
         return {
             "fleet": self.config.fleet,
             "name": table.me.name,
             "life": table.me.start_time_ms,
             "incarnation": table.me.incarnation,
             "state": table.me.state.name.lower(),
-            "members": table.size,
-            "ended": len(table.ended),
+            "members": table.running_count,
+            "ended": len(table.stopped_members),
             "health": self.swim.health.score,
-            "refused": table.refused,
+            "refused": table.rejected_count,
             "dropped": dict(self.dropped),
             "sent_packets": self.sent_packets,
             "sent_bytes": self.sent_bytes,
-            "commons": self.shared_budgets.status() if self.shared_budgets else None,
+            "commons": shared_budgets,
         }
 
     def members(self) -> list[dict[str, object]]:
-        """All members known, by name."""
-        table = self.swim.table
+        """All known members by name, as the JSON of `/_fleet/members`."""
         return [
             {
-                "name": m.name,
-                "address": "{}:{}".format(*m.address),
-                "zone": m.zone,
-                "life": m.start_time_ms,
-                "incarnation": m.incarnation,
-                "state": m.state.name.lower(),
-                "protocol": m.protocol,
-                "load": m.load,
+                "name": member.name,
+                "address": f"{member.address[0]}:{member.address[1]}",
+                "zone": member.zone,
+                "life": member.start_time_ms,
+                "incarnation": member.incarnation,
+                "state": member.state.name.lower(),
+                "protocol": member.protocol,
+                "load": member.load,
             }
-            for _, m in sorted(table.known.items())
+            for _, member in sorted(self.swim.table.known.items())
         ]
 
-    # --- The core's actions ---------------------------------------------------------------------------
-    def _wake(self) -> None:
+    # --- Actions of the protocol ----------------------------------------------------------------------
+    def _schedule_tick(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_at(self.swim.wake_at, self._tick)
 
     def _tick(self) -> None:
         self.swim.set_load(self._load())
-        self._act(self.swim.tick(self._loop.time()))
+        self._execute(self.swim.tick(self._loop.time()))
 
-    def _act(self, actions: list[Action]) -> None:
+    def _execute(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, Send):
+            if isinstance(action, SendPacket):
                 self.send(action.address, action.packet)
-            elif isinstance(action, Sync) and len(self._made) < MOST_EXCHANGES:
-                task = self._loop.create_task(self._exchange(action.address))
-                self._made.add(task)
-                task.add_done_callback(self._made.discard)
-            elif isinstance(action, MemberEvent):
-                self._log(
-                    "fleet_" + action.event,
-                    member=action.member.name,
-                    life=action.member.start_time_ms,
-                    incarnation=action.member.incarnation,
-                    by=action.member.by,
-                )
-        self._wake()
+            elif isinstance(action, StartSync):
+                self._start_sync(action.address)
+            else:
+                self._log_event(action)
+        self._schedule_tick()
+
+    def _log_event(self, event: MemberEvent) -> None:
+        self._log(
+            f"fleet_{event.kind.value}",
+            member=event.member.name,
+            life=event.member.start_time_ms,
+            incarnation=event.member.incarnation,
+            by=event.member.reported_by,
+        )
 
     def send(self, address: Address, packet: Packet) -> None:
         """Send a datagram; it may be lost."""
         data = codec.encode_packet(self.config.fleet, packet)
         self.sent_packets += 1
         self.sent_bytes += len(data)
-        with contextlib.suppress(OSError):  # an address that no route leads to: as good as lost
-            self._transport.sendto(data, address)
-
-    async def _exchange(self, address: Address) -> None:
-        ours = self._framed(self.swim.all_known())
-        with contextlib.suppress(OSError):  # TimeoutError is one
-            async with asyncio.timeout(EXCHANGE_TIME):
-                await self._loop.create_connection(lambda: PushPullConnection(self, ours), *address)
-
-    def _framed(self, exchange: PushPullSync) -> bytes:
-        data = codec.encode_exchange(self.config.fleet, exchange)
-        return LENGTH.pack(len(data)) + data
-
-    # --- What comes in --------------------------------------------------------------------------------
-    def datagram_received(self, data: bytes, source: Address) -> None:
-        if int(self._loop.time()) != self._second:
-            self._second, self._packets = int(self._loop.time()), 0
-        self._packets += 1
-        if self._packets > PACKETS_PER_S:
+        transport = cast(asyncio.DatagramTransport, self._transport)  # nothing is sent before `open`
+        with contextlib.suppress(OSError):  # an address without a route: the datagram is lost
+            transport.sendto(data, address)
+
+    def _start_sync(self, address: Address) -> None:
+        if len(self._client_syncs) >= MAX_SYNCS:
+            return
+        task = self._loop.create_task(self._connect_sync(address))
+        self._client_syncs.add(task)
+        task.add_done_callback(self._client_syncs.discard)
+
+    async def _connect_sync(self, address: Address) -> None:
+        state = self._encoded_state()
+        with contextlib.suppress(OSError):  # includes TimeoutError: the protocol tries again later
+            async with asyncio.timeout(SYNC_TIMEOUT_SECONDS):
+                await self._loop.create_connection(lambda: PushPullConnection(self, state), *address)
+
+    def _encoded_state(self) -> bytes:
+        """All that this member knows, with its length."""
+        data = codec.encode_sync(self.config.fleet, self.swim.full_state())
+        return LENGTH_PREFIX.pack(len(data)) + data
+
+    # --- Received messages ----------------------------------------------------------------------------
+    def datagram_received(self, data: bytes, _source: Address) -> None:
+        """Handle a datagram; the sender's address is the one in its message."""
+        if not self._packet_limiter.allow(self._loop.time()):
             self.dropped["rate"] += 1
             return
         try:
             packet = codec.decode_packet(self.config.fleet, data)
-        except codec.Malformed as error:
-            self.dropped[str(error)] += 1
+        except codec.MalformedMessageError as error:
+            self.dropped[error.reason.value] += 1
             return
-        self._act(self.swim.packet(self._loop.time(), packet))
-        if packet.kind is PacketKind.SHARED_BUDGETS and self.shared_budgets is not None:
-            self.shared_budgets.on_data(packet)
-        elif packet.kind in self.handlers:
-            self.handlers[packet.kind](packet)
-
-    def error_received(self, error: OSError) -> None:
-        """A port that nobody listens at: the probe will tell."""
-
-    def arrived(self, connection: PushPullConnection) -> bool:
-        """Whether one more exchange may be taken."""
-        if len(self._taken) >= MOST_EXCHANGES:
+        self._execute(self.swim.handle_packet(self._loop.time(), packet))
+        handler = self.handlers.get(packet.kind)
+        if handler is not None:
+            handler(packet)
+
+    def error_received(self, _error: Exception) -> None:
+        """Ignore that nobody listens at a port: the probe will time out."""
+
+    def admit_sync(self, connection: PushPullConnection) -> bool:
+        """Return whether one more synchronisation may be served, and register it if so."""
+        if len(self._server_syncs) >= MAX_SYNCS:
             self.dropped["exchanges"] += 1
             return False
-        self._taken.add(connection)
+        self._server_syncs.add(connection)
         return True
 
-    def done(self, connection: PushPullConnection) -> None:
-        self._taken.discard(connection)
+    def release_sync(self, connection: PushPullConnection) -> None:
+        """Unregister a connection that has ended."""
+        self._server_syncs.discard(connection)
 
-    def exchanged(self, data: bytes) -> bytes | None:
-        """Take what another member knows; what this one knew before, to answer it with."""
+    def handle_sync(self, data: bytes) -> bytes | None:
+        """Merge another member's state; return what this one knew before, or None if it is malformed."""
         try:
-            theirs = codec.decode_exchange(self.config.fleet, data)
-        except codec.Malformed as error:
-            self.dropped[str(error)] += 1
+            received: PushPullSync = codec.decode_sync(self.config.fleet, data)
+        except codec.MalformedMessageError as error:
+            self.dropped[error.reason.value] += 1
             return None
-        ours = self._framed(self.swim.all_known())
-        self._act(self.swim.exchange(self._loop.time(), theirs))
-        return ours
+        state = self._encoded_state()
+        self._execute(self.swim.handle_sync(self._loop.time(), received))
+        return state
--- a/stalltiller/fleet/messages.py
+++ b/stalltiller/fleet/messages.py
@@ -1,4 +1,7 @@
-"""What members say to each other.  Plain values; `codec` has their form on the wire."""
+"""Messages between members and the actions of the membership protocol, as plain values.
+
+`codec` encodes messages; `membership_agent` carries the actions out.
+"""
 
 from __future__ import annotations
 
@@ -10,14 +13,24 @@
 
 
 class PacketKind(enum.IntEnum):
-    PING, REQUEST, ACK, NACK, GOSSIP, SHARED_BUDGETS, LEASES, RECOVERY = range(1, 9)
+    """What a datagram is for; the values are those on the wire."""
+
+    PING = 1
+    PING_REQUEST = 2  # SWIM's ping-req: an indirect probe through the receiver
+    ACK = 3
+    NACK = 4  # Lifeguard's: an indirect probe has had no answer yet
+    GOSSIP = 5
+    SHARED_BUDGETS = 6
+    LEASES = 7
+    RECOVERY = 8
 
 
 @dataclass(slots=True, frozen=True)
 class Packet:
-    """One datagram.  `number` is the probe's; `target` and `address` name whom it is for.
+    """One datagram.
 
-    `parts` and `letter` are for what members share beside their membership (kind COMMONS).
+    `number` is that of the probe.  `target` and `address` name the probed member.  `updates` are gossip and
+    travel with any kind.  `budget_messages` and `peer_message` belong to kind SHARED_BUDGETS.
     """
 
     kind: PacketKind
@@ -26,41 +39,54 @@
     target: str = ""
     address: Address = ("", 0)
     updates: tuple[Member, ...] = ()
-    parts: tuple[BudgetRequest | BudgetGrant, ...] = ()
+    budget_messages: tuple[BudgetRequest | BudgetGrant, ...] = ()
     peer_message: bytes = b""
-    body: bytes = b""  # of kinds LEASES and RECOVERY, each in its own form
+    body: bytes = b""  # of kinds LEASES and RECOVERY, each in its own encoding
 
 
 @dataclass(slots=True, frozen=True)
 class PushPullSync:
-    """All that one member knows, for another: sent and answered once on a connection (push and pull)."""
+    """All that one member knows: sent and answered once on a TCP connection (push and pull)."""
 
     sender: Member
     members: tuple[Member, ...]
 
 
-# --- What the core asks for ---------------------------------------------------------------------------
+# --- Actions of the membership protocol ---------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
-class Send:
-    """Send a datagram."""
+class SendPacket:
+    """Send a datagram to an address."""
 
     address: Address
     packet: Packet
 
 
 @dataclass(slots=True, frozen=True)
-class Sync:
-    """Exchange all that is known with the member at an address, over TCP."""
+class StartSync:
+    """Start a push-pull synchronisation with the member at an address, over TCP."""
 
     address: Address
 
 
+class MemberEventKind(enum.StrEnum):
+    """What happened to a member; the log events are these values with the prefix `fleet_`."""
+
+    JOINED = "joined"  # also a restarted process under a known name
+    SUSPECT = "suspect"
+    ALIVE = "alive"
+    DEAD = "dead"
+    LEFT = "left"
+    REFUTED = "refuted"  # this member refuted an update on itself
+    CONFLICT = "conflict"  # another process has this member's name
+    STALLED = "stalled"  # this process did not run for some time
+
+
 @dataclass(slots=True, frozen=True)
 class MemberEvent:
-    """What operators may want to know: joined, suspect, alive, dead, left, refuted, conflict or stalled."""
+    """Log an event of a member."""
 
-    event: str
+    kind: MemberEventKind
     member: Member
 
 
-Action = Send | Sync | MemberEvent
+Action = SendPacket | StartSync | MemberEvent
--- a/stalltiller/fleet/shared_budgets.py
+++ b/stalltiller/fleet/shared_budgets.py
@@ -1,7 +1,7 @@
-"""What members share beside their membership: parts of budgets, and letters of their decision modules.
+"""Shared budgets and scheduler messages of one member, carried in the fleet's datagrams.
 
-The only way from the request path to the fleet.  It never waits: `part` answers from what is lent already,
-and a letter that can't be sent is lost, as the decision module takes for granted.
+The only way from the request path to the fleet, and it never waits: `budget_fraction` answers from the loans
+at hand, and a peer message that cannot be sent is lost, which the scheduler allows for.
 """
 
 from __future__ import annotations
@@ -11,104 +11,140 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from operator import itemgetter
 
 from stalltiller.fleet.budget_lending import BudgetGrant, BudgetLedger, BudgetRequest
-from stalltiller.fleet.codec import MOST_PARTS
+from stalltiller.fleet.codec import MAX_BUDGET_MESSAGES
 from stalltiller.fleet.member_table import Member
 from stalltiller.fleet.membership_agent import MembershipAgent
 from stalltiller.fleet.messages import Packet, PacketKind
+from stalltiller.fleet.rate_limiter import PerSecondLimiter
 
-LOOK_EVERY = 0.1  # s between looks at what is short
-NEED_FOR = 3.0  # s for which a need counts after it was told: a thin stream tells of it now and then only
-MOST_BUDGETS = 256  # kept at once; others get the home part
-LETTERS_PER_S = 500  # sent; more are lost
+LENDING_INTERVAL_SECONDS = 0.1  # between checks for budgets of which more is needed
+NEED_LIFETIME_SECONDS = 3.0  # for which a need counts: a thin stream of requests reports it rarely
+MAX_BUDGETS = 256  # in the ledger at once; of others each member has its allotment
+MAX_PEER_MESSAGES_PER_SECOND = 500  # sent; more are lost
+
+
+@dataclass(slots=True, frozen=True)
+class _ReportedNeed:
+    """The fraction of a budget that the request path could use, and when it said so."""
+
+    fraction: float
+    reported_at: float
 
 
 class SharedBudgets:
-    """One member's part in what the fleet shares.
+    """One member's side of shared budgets and of messages between schedulers.
 
-    `size` members own an even part of each budget; `span` is the longest time over which a budget's rule sums
-    up use, in seconds; `heard` is given the letters of other decision modules, with their positions.
+    `member_count` members own an equal fraction of each budget; `window` is the longest time over which a
+    budget's rule sums up use, in seconds; `on_peer_message` receives the messages of other schedulers with
+    the index of their initiator.
     """
 
     def __init__(
-        self, node: MembershipAgent, size: int, span: float, heard: Callable[[int, bytes], None]
+        self,
+        agent: MembershipAgent,
+        member_count: int,
+        window: float,
+        on_peer_message: Callable[[int, bytes], None],
     ) -> None:
-        self._node, self._heard = node, heard
+        self._agent = agent
+        self._on_peer_message = on_peer_message
         self._loop = asyncio.get_running_loop()
-        self._shares = BudgetLedger(size, span, random.Random(), self._loop.time())
-        self._needs: dict[str, tuple[float, float]] = {}  # by budget: the part needed, and when it was told
-        self._second, self._letters = 0, 0
+        self._ledger = BudgetLedger(member_count, window, random.Random(), self._loop.time())
+        self._needs: dict[str, _ReportedNeed] = {}
+        self._peer_message_limiter = PerSecondLimiter(MAX_PEER_MESSAGES_PER_SECOND)
         self.counts: Counter[str] = Counter()
-        node.shared_budgets = self
-        self._timer = self._loop.call_later(LOOK_EVERY, self._look)
+        agent.handlers[PacketKind.SHARED_BUDGETS] = self._handle_packet
+        agent.shared_budgets_status = self.status
+        self._timer = self._loop.call_later(LENDING_INTERVAL_SECONDS, self._lend_and_borrow)
 
     def budget_fraction(self, key: str, need: float) -> float:
-        """The part of a budget that may be used now, for who could use that part of it."""
+        """The fraction of a budget that may be used now; `need` is the fraction that the caller could use."""
         now = self._loop.time()
-        if key in self._needs or len(self._needs) < MOST_BUDGETS:
-            self._needs[key] = need, now
-        return self._shares.part(now, key)
+        if key in self._needs or len(self._needs) < MAX_BUDGETS:
+            self._needs[key] = _ReportedNeed(need, now)
+        return self._ledger.usable_fraction(now, key)
 
     def send_peer_message(self, initiator_index: int | None, data: bytes) -> None:
-        """Send a letter to the decision module of a position, or to all."""
-        if int(self._loop.time()) != self._second:
-            self._second, self._letters = int(self._loop.time()), 0
-        for member in self._node.swim.table.others:
+        """Send a message to the scheduler of one initiator, or of all (None); it may be lost."""
+        now = self._loop.time()
+        for member in self._agent.swim.table.others:
             if initiator_index is None or member.initiator_index == initiator_index:
-                self._letters += 1
-                if self._letters > LETTERS_PER_S:
+                if not self._peer_message_limiter.allow(now):
                     self.counts["letters_lost"] += 1
                     return
-                self._send(member, letter=data)
+                self._send(member, peer_message=data)
 
     def status(self) -> dict[str, object]:
-        """What an operator may want to know: `whole` means that nothing may be lent from an earlier life."""
-        whole = self._shares.whole(self._loop.time())
-        return {"whole": whole, "budgets": len(self._shares.keys), **self.counts}
+        """The operators' view, as JSON.
+
+        `whole` says that no loans of an earlier process can be outstanding; `lent`, `borrowed` and
+        `letters_lost` are counts since the start and appear with the first one.
+        """
+        may_lend = self._ledger.may_lend(self._loop.time())
+        return {"whole": may_lend, "budgets": len(self._ledger.keys), **self.counts}
 
     def close(self) -> None:
+        """Stop lending and borrowing; loans already granted expire."""
         self._timer.cancel()
 
-    def _look(self) -> None:
-        self._timer = self._loop.call_later(LOOK_EVERY, self._look)
+    def _lend_and_borrow(self) -> None:
+        """Bring the ledger's needs up to date and send the requests that are due."""
+        self._timer = self._loop.call_later(LENDING_INTERVAL_SECONDS, self._lend_and_borrow)
+        now = self._loop.time()
+        self._update_needs(now)
+        others = {member.name: member for member in self._agent.swim.table.others}
+        requests = sorted(self._ledger.due_requests(now, list(others)), key=itemgetter(0))
+        for lender, group in itertools.groupby(requests, key=itemgetter(0)):
+            if lender in others:  # the lender of a loan to be renewed may have gone
+                self._send_budget_messages(others[lender], [request for _, request in group])
+
+    def _update_needs(self, now: float) -> None:
+        oldest = now - NEED_LIFETIME_SECONDS
+        self._needs = {key: need for key, need in self._needs.items() if need.reported_at > oldest}
+        for key in self._ledger.keys - self._needs.keys():
+            self._ledger.set_need(key, 0.0)  # its loans are not renewed any more
+        for key, need in self._needs.items():
+            self._ledger.set_need(key, need.fraction)
+
+    def _handle_packet(self, packet: Packet) -> None:
+        """Handle a datagram of kind SHARED_BUDGETS."""
         now = self._loop.time()
-        self._needs = {key: told for key, told in self._needs.items() if told[1] > now - NEED_FOR}
-        for key in self._shares.keys - self._needs.keys():
-            self._shares.set_need(key, 0.0)  # what is lent to this one runs out
-        for key, (need, _) in self._needs.items():
-            self._shares.set_need(key, need)
-        others = {member.name: member for member in self._node.swim.table.others}
-        asks = sorted(self._shares.asks(now, list(others)), key=lambda ask: ask[0])
-        for name, group in itertools.groupby(asks, key=lambda ask: ask[0]):
-            if name in others:  # who lent it may have gone
-                self._parts(others[name], [ask for _, ask in group])
-
-    def on_data(self, packet: Packet) -> None:
-        """A datagram of kind COMMONS has come."""
-        now, sender = self._loop.time(), packet.sender
+        sender = packet.sender
         if packet.peer_message and sender.initiator_index >= 0:
-            self._heard(sender.initiator_index, packet.peer_message)
+            self._on_peer_message(sender.initiator_index, packet.peer_message)
+        borrower = f"{sender.name}/{sender.start_time_ms}"  # a restarted borrower has forgotten its loans
         grants = []
-        for part in packet.parts:
-            if isinstance(part, BudgetGrant):
-                self.counts["borrowed"] += self._shares.granted(now, sender.name, part)
-            elif part.key in self._shares.keys or len(self._shares.keys) < MOST_BUDGETS:
-                grants.append(self._shares.asked(now, f"{sender.name}/{sender.start_time_ms}", part))
-        given = [grant for grant in grants if grant is not None]
-        self.counts["lent"] += len(given)
-        if given:
-            self._parts(sender, given)
-
-    def _parts(self, to: Member, parts: Iterable[BudgetRequest | BudgetGrant]) -> None:
-        rest = iter(parts)
-        while some := tuple(itertools.islice(rest, MOST_PARTS)):
-            self._send(to, parts=some)
+        for message in packet.budget_messages:
+            if isinstance(message, BudgetGrant):
+                self.counts["borrowed"] += self._ledger.handle_grant(now, sender.name, message)
+            elif message.key in self._ledger.keys or len(self._ledger.keys) < MAX_BUDGETS:
+                grant = self._ledger.handle_request(now, borrower, message)
+                if grant is not None:
+                    grants.append(grant)
+        self.counts["lent"] += len(grants)
+        if grants:
+            self._send_budget_messages(sender, grants)
+
+    def _send_budget_messages(self, to: Member, messages: Iterable[BudgetRequest | BudgetGrant]) -> None:
+        """Send messages in as many datagrams as they need."""
+        remaining = iter(messages)
+        while batch := tuple(itertools.islice(remaining, MAX_BUDGET_MESSAGES)):
+            self._send(to, budget_messages=batch)
 
     def _send(
-        self, to: Member, parts: tuple[BudgetRequest | BudgetGrant, ...] = (), letter: bytes = b""
+        self,
+        to: Member,
+        budget_messages: tuple[BudgetRequest | BudgetGrant, ...] = (),
+        peer_message: bytes = b"",
     ) -> None:
-        self._node.send(
-            to.address,
-            Packet(PacketKind.SHARED_BUDGETS, self._node.swim.me, parts=parts, peer_message=letter),
+        packet = Packet(
+            PacketKind.SHARED_BUDGETS,
+            self._agent.swim.me,
+            budget_messages=budget_messages,
+            peer_message=peer_message,
         )
+        self._agent.send(to.address, packet)
--- a/stalltiller/fleet/swim.py
+++ b/stalltiller/fleet/swim.py
@@ -1,173 +1,184 @@
-"""Membership: SWIM with Lifeguard's additions, without I/O.
+"""SWIM membership with Lifeguard's additions, without I/O.
 
-Time, randomness and what comes in are handed to it, and it returns what is to be done, so that one seed gives
-one run.  Sources: Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group
-Membership Protocol"; Lifeguard (see `health`).  `docs/design/fleet.md` weighs the ways.
+Time, randomness and received messages are passed in, and each method returns the actions to be carried out,
+so that one seed gives one run.  `Swim` owns the member table.  Sources: Das, Gupta, Motivala, "SWIM:
+Scalable Weakly-consistent Infection-style Process Group Membership Protocol"; Lifeguard (see
+`local_health`). `docs/design/fleet.md` compares the alternatives.
 """
 
 from __future__ import annotations
 
-import heapq
 import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import NamedTuple
 
-from stalltiller.fleet.gossip import Gossip
+from stalltiller.fleet.gossip import GossipQueue
 from stalltiller.fleet.local_health import LocalHealth, Suspicion
-from stalltiller.fleet.member_table import Address, Member, MemberTable, State
-from stalltiller.fleet.messages import Action, MemberEvent, Packet, PacketKind, PushPullSync, Send, Sync
-
-PIGGYBACK = 6  # words in one datagram: what goes in 1400 bytes with the longest names
-NACK_SHARE = 0.8  # of a probe's timeout after which a helper says that it has heard nothing either
-STALL_SHARE = 0.5  # of a probe's interval by which a timer may be late; past it this member stood still
-MOST_HELPED = 256  # probes made for others at once
-FIRST_SYNC = 1.0  # s, doubling: soon after a start a member hears little, as few have heard of it
-SWEEP_EVERY = 5.0  # s between looks for members to forget
-
-
-@dataclass(slots=True, frozen=True)
-class Settings:
-    """Times in seconds."""
-
-    seeds: tuple[Address, ...] = ()
-    probe_every: float = 0.5
-    probe_timeout: float = 0.2
-    helpers: int = 3  # members asked to probe for this one
-    suspicion: float = 4.0  # probe intervals, times log10 of the members, that a confirmed suspicion lasts
-    suspicion_spread: float = 6.0  # times as long as that, one that nobody confirms lasts
-    confirmations: int = 3  # that make a suspicion as short as it gets
-    gossip_every: float = 0.2
-    fanout: int = 3  # members told each time
-    repeat: int = 4  # times log10 of the members, a word is passed on
-    sync_every: float = 30.0  # between exchanges of all that is known with a member
-    rejoin_every: float = 3.0  # between tries to reach seeds and members taken for dead
-    forget_after: float = 120.0  # for which those that are dead or have left are remembered
-    most_members: int = 1024
+from stalltiller.fleet.member_table import Address, Member, MemberState, MemberTable
+from stalltiller.fleet.messages import (
+    Action,
+    MemberEvent,
+    MemberEventKind,
+    Packet,
+    PacketKind,
+    PushPullSync,
+    SendPacket,
+    StartSync,
+)
+from stalltiller.fleet.swim_settings import SwimSettings
+from stalltiller.fleet.timer_queue import TimerQueue
+
+MAX_UPDATES_PER_PACKET = 6  # what fits into 1400 bytes with the longest names
+NACK_TIMEOUT_FRACTION = 0.8  # of a probe timeout: the nack arrives before the origin's own timeout
+STALL_FRACTION = 0.5  # of a probe interval: a timer that is later means that this process did not run
+MAX_INDIRECT_PROBES = 256  # made for others at once, so that a flood of requests costs bounded memory
+INITIAL_SYNC_SECONDS = 1.0  # doubling: just after a start few members have heard of this one
+FORGET_CHECK_SECONDS = 5.0  # between checks for members to be forgotten
+MIN_REJOIN_PROBABILITY = 0.1  # of a try each interval, however large the fleet is
+REJOINING_MEMBERS = 3  # members of the fleet that try in one interval, on average
+DEADLINE_TOLERANCE_SECONDS = 1e-6  # rounding of a float
+PROBE_NUMBER_BITS = 30  # random start, so that a restarted member does not repeat the numbers of before
 
 
 @dataclass(slots=True)
-class Probe:
+class _Probe:
     """A probe of this member's own."""
 
     target: Member
-    answered: bool = False
-    asked: int = 0  # helpers
-    nacks: int = 0  # helpers that heard nothing either, but were heard
+    is_acknowledged: bool = False
+    indirect_probes: int = 0  # requested from other members
+    nacks: int = 0  # members that had no answer either, but were heard themselves
+
+
+class _IndirectProbe(NamedTuple):
+    """A probe made for another member."""
+
+    origin: Address
+    origin_number: int  # the probe's number at its origin
 
 
 class Swim:
-    """The membership of one member.  Each method takes the time and returns actions, in order.
+    """The membership protocol of one member.  Each method takes the time (seconds) and returns actions.
 
-    `wake_at` is the time at which `tick` wants to be called next.
+    `wake_at` is the time at which `tick` is to be called next.
     """
 
-    def __init__(self, settings: Settings, me: Member, draw: random.Random, now: float) -> None:
-        self.settings, self._draw, self._now = settings, draw, now
-        self.table = MemberTable(me, settings.most_members)
+    def __init__(self, settings: SwimSettings, me: Member, rng: random.Random, now: float) -> None:
+        self.settings = settings
+        self.table = MemberTable(me, settings.max_members)
         self.health = LocalHealth()
-        self._gossip = Gossip(settings.repeat)
+        self.has_left = False
+        self._rng = rng
+        self._now = now
+        self._gossip = GossipQueue(settings.retransmit_multiplier)
         self._suspicions: dict[str, Suspicion] = {}
-        self._round: list[str] = []  # names still to be probed in this round
-        self._number = draw.getrandbits(30)
-        self._probes: dict[int, Probe] = {}
-        self._helped: dict[int, tuple[Address, int]] = {}  # own number: who asked, and that one's number
-        self._timers: list[tuple[float, int, Callable[[], None]]] = []
-        self._timer_number = 0
+        self._probe_round: list[str] = []  # names still to be probed in this round
+        self._probe_number = rng.getrandbits(PROBE_NUMBER_BITS)
+        self._probes: dict[int, _Probe] = {}
+        self._indirect_probes: dict[int, _IndirectProbe] = {}
+        self._timers = TimerQueue()
         self._actions: list[Action] = []
-        self.left = False
-        self._after(0.0, self._rejoin)
-        self._after(settings.probe_every * draw.random(), self._probe)
-        self._after(settings.gossip_every * draw.random(), self._spread)
-        self._sync_wait = min(FIRST_SYNC, settings.sync_every)
-        self._after(self._sync_wait * (0.5 + draw.random()), self._sync)
-        self._after(SWEEP_EVERY, self._forget)
+        self._sync_interval = min(INITIAL_SYNC_SECONDS, settings.sync_interval_seconds)
+        # The order of these draws is part of "one seed, one run".
+        self._call_later(0.0, self._rejoin)
+        self._call_later(settings.probe_interval_seconds * rng.random(), self._start_probe)
+        self._call_later(settings.gossip_interval_seconds * rng.random(), self._send_gossip)
+        self._call_later(self._sync_interval * (0.5 + rng.random()), self._start_sync)
+        self._call_later(FORGET_CHECK_SECONDS, self._forget_stopped)
 
     @property
     def me(self) -> Member:
+        """This member as it is now."""
         return self.table.me
 
     @property
     def wake_at(self) -> float:
-        return self._timers[0][0]
+        """The time at which the next timer is due."""
+        return self._timers.next_due_at
 
-    # --- What comes in ------------------------------------------------------------------------------
+    # --- Events -------------------------------------------------------------------------------------
     def tick(self, now: float) -> list[Action]:
-        """Do what is due."""
-        self._begin(now)
-        while self._timers[0][0] <= now:
-            heapq.heappop(self._timers)[2]()
-        return self._end()
-
-    def packet(self, now: float, packet: Packet) -> list[Action]:
-        """A datagram of another member of this fleet has come; it is answered at the address it tells."""
-        self._begin(now)
-        self._word(packet.sender)
-        self.table.load(packet.sender.name, packet.sender.start_time_ms, packet.sender.load)
-        for word in packet.updates:
-            self._word(word)
+        """Run the timers that are due."""
+        self._begin_event(now)
+        while (callback := self._timers.pop_due(now)) is not None:
+            callback()
+        return self._take_actions()
+
+    def handle_packet(self, now: float, packet: Packet) -> list[Action]:
+        """Handle a datagram of another member; it is answered at the address that its sender advertises."""
+        self._begin_event(now)
+        sender = packet.sender
+        self._handle_update(sender)
+        self.table.update_load(sender.name, sender.start_time_ms, sender.load)
+        for update in packet.updates:
+            self._handle_update(update)
         if packet.kind is PacketKind.PING and packet.target == self.me.name:
-            self._send(packet.sender.address, PacketKind.ACK, packet.number, about=packet.sender.name)
-        elif packet.kind is PacketKind.REQUEST:
-            self._help(packet.sender.address, packet)
+            self._send(sender.address, PacketKind.ACK, packet.number, about=sender.name)
+        elif packet.kind is PacketKind.PING_REQUEST:
+            self._start_indirect_probe(sender.address, packet)
         elif packet.kind is PacketKind.ACK:
-            self._acked(packet.number)
+            self._handle_ack(packet.number)
         elif packet.kind is PacketKind.NACK and packet.number in self._probes:
             self._probes[packet.number].nacks += 1
-        return self._end()
-
-    def exchange(self, now: float, theirs: PushPullSync) -> list[Action]:
-        """All that another member knows has come.  Its word of a death counts as a suspicion only."""
-        self._begin(now)
-        self._word(theirs.sender)
-        for word in theirs.members:
-            dead = word.state is State.DEAD
-            self._word(word.now(State.SUSPECT, theirs.sender.name) if dead else word)
-        return self._end()
-
-    def all_known(self) -> PushPullSync:
-        """All that this member knows, for another."""
-        return PushPullSync(
-            self.me,
-            tuple(self.table.known[name] for name in sorted(self.table.known) if name != self.me.name),
-        )
+        return self._take_actions()
+
+    def handle_sync(self, now: float, received: PushPullSync) -> list[Action]:
+        """Merge all that another member knows.  A death it reports counts as a suspicion only."""
+        self._begin_event(now)
+        self._handle_update(received.sender)
+        for update in received.members:
+            if update.state is MemberState.DEAD:
+                self._handle_update(update.with_state(MemberState.SUSPECT, received.sender.name))
+            else:
+                self._handle_update(update)
+        return self._take_actions()
+
+    def full_state(self) -> PushPullSync:
+        """All that this member knows, to be sent to another."""
+        names = sorted(self.table.known)
+        return PushPullSync(self.me, tuple(self.table.known[name] for name in names if name != self.me.name))
 
     def leave(self, now: float) -> list[Action]:
-        """Tell that this member leaves; from then on it refutes nothing."""
-        self._begin(now)
-        self.left = True
-        self._me(replace(self.me, state=State.LEFT))
-        for member in self._some(2 * self.settings.fanout):
+        """Announce that this member leaves; from then on it refutes nothing."""
+        self._begin_event(now)
+        self.has_left = True
+        self._update_me(replace(self.me, state=MemberState.LEFT))
+        for member in self._random_others(2 * self.settings.gossip_fanout):
             self._send(member.address, PacketKind.GOSSIP, about=self.me.name)
-        return self._end()
+        return self._take_actions()
 
     def set_load(self, load: int) -> None:
-        """This member's load as of now; it travels with what is sent anyway."""
+        """Set this member's load; it travels with whatever is sent next."""
         self.table.set_me(replace(self.me, load=load))
 
-    # --- Turns --------------------------------------------------------------------------------------
-    def _begin(self, now: float) -> None:
-        """Guards against taking others for dead after this member stood still (stopped, or out of its
-        turn): what was due meanwhile is put off by as long, and it trusts itself less."""
-        late = now - self.wake_at
-        if late > STALL_SHARE * self.settings.probe_every:
-            self._timers = [(at + late, number, act) for at, number, act in self._timers]
+    # --- Timers, actions and packets ----------------------------------------------------------------
+    def _begin_event(self, now: float) -> None:
+        """Set the time; if this process did not run meanwhile, do not blame the others.
+
+        After a stall (stopped, or without processor time) all timers are postponed by as much, and local
+        health gets worse.
+        """
+        delay = now - self.wake_at
+        if delay > STALL_FRACTION * self.settings.probe_interval_seconds:
+            self._timers.postpone_all(delay)
             for suspicion in self._suspicions.values():
-                suspicion.delay += late
-            self.health.change(1 + int(late / self.settings.probe_every))
-            self._notice("stalled", self.me)
+                suspicion.stalled_seconds += delay
+            self.health.adjust(1 + int(delay / self.settings.probe_interval_seconds))
+            self._report(MemberEventKind.STALLED, self.me)
         self._now = now
 
-    def _end(self) -> list[Action]:
-        actions, self._actions = self._actions, []
+    def _take_actions(self) -> list[Action]:
+        actions = self._actions
+        self._actions = []
         return actions
 
-    def _after(self, wait: float, act: Callable[[], None]) -> None:
-        self._timer_number += 1
-        heapq.heappush(self._timers, (self._now + wait, self._timer_number, act))
+    def _call_later(self, delay: float, callback: Callable[[], None]) -> None:
+        self._timers.call_at(self._now + delay, callback)
 
-    def _notice(self, event: str, member: Member) -> None:
-        self._actions.append(MemberEvent(event, member))
+    def _report(self, kind: MemberEventKind, member: Member) -> None:
+        self._actions.append(MemberEvent(kind, member))
 
     def _send(
         self,
@@ -178,179 +189,211 @@
         address: Address = ("", 0),
         about: str | None = None,
     ) -> None:
-        """Send a packet with news, first that on `about` unless it is well: it must know."""
+        """Send a packet with updates; one on member `about` comes first if it is not alive, to be refuted."""
         known = self.table.known.get(about) if about else None
-        first = (known,) if known is not None and known.state is not State.ALIVE else ()
-        news = first + self._gossip.take(PIGGYBACK - len(first), self.table.size)
-        self._actions.append(Send(to, Packet(kind, self.me, number, target, address, news)))
+        first = (known,) if known is not None and known.state is not MemberState.ALIVE else ()
+        gossip = self._gossip.next_updates(MAX_UPDATES_PER_PACKET - len(first), self.table.running_count)
+        packet = Packet(kind, self.me, number, target, address, first + gossip)
+        self._actions.append(SendPacket(to, packet))
 
-    def _some(self, count: int, but: str = "") -> list[Member]:
-        """So many of the others that run, drawn at random."""
+    def _random_others(self, count: int, excluded: str = "") -> list[Member]:
+        """At most `count` of the other running members, drawn at random."""
         others = self.table.others
-        drawn = self._draw.sample(others, min(count + 1, len(others)))
-        return [member for member in drawn if member.name != but][:count]
+        drawn = self._rng.sample(others, min(count + 1, len(others)))
+        return [member for member in drawn if member.name != excluded][:count]
 
     # --- Probes -------------------------------------------------------------------------------------
-    def _probe(self) -> None:
-        """Begin a probe.  Each member is probed once in a round, in an order drawn anew for each round."""
-        interval = self.settings.probe_every * self.health.factor
-        target = self._next_target()
-        if target is None or self.left:
-            self._after(interval, self._probe)
+    def _start_probe(self) -> None:
+        """Probe the next member.  Each is probed once in a round; each round has a new random order."""
+        interval = self.settings.probe_interval_seconds * self.health.multiplier
+        target = self._next_probe_target()
+        if target is None or self.has_left:
+            self._call_later(interval, self._start_probe)
             return
-        self._number += 1
-        number, probe = self._number, Probe(target)
+        self._probe_number += 1
+        number = self._probe_number
+        probe = _Probe(target)
         self._probes[number] = probe
         self._send(target.address, PacketKind.PING, number, target.name, about=target.name)
-        patience = self.settings.probe_timeout * self.health.factor
-        self._after(patience, lambda: self._ask_helpers(number, probe))
-        self._after(interval, lambda: self._probe_over(number, probe))
-
-    def _next_target(self) -> Member | None:
-        for _ in range(2):
-            while self._round:
-                member = self.table.known.get(self._round.pop())
-                if member is not None and member.running and member.name != self.me.name:
+        timeout = self.settings.probe_timeout_seconds * self.health.multiplier
+        self._call_later(timeout, lambda: self._request_indirect_probes(number, probe))
+        self._call_later(interval, lambda: self._finish_probe(number, probe))
+
+    def _next_probe_target(self) -> Member | None:
+        for _ in range(2):  # what is left of this round, then a new one
+            while self._probe_round:
+                member = self.table.known.get(self._probe_round.pop())
+                if member is not None and member.is_running and member.name != self.me.name:
                     return member
-            self._round = [member.name for member in self.table.others]
-            self._draw.shuffle(self._round)
+            self._probe_round = [member.name for member in self.table.others]
+            self._rng.shuffle(self._probe_round)
         return None
 
-    def _ask_helpers(self, number: int, probe: Probe) -> None:
-        if probe.answered:
+    def _request_indirect_probes(self, number: int, probe: _Probe) -> None:
+        if probe.is_acknowledged:
             return
-        helpers = self._some(self.settings.helpers, probe.target.name)
-        probe.asked = len(helpers)
-        for helper in helpers:
-            self._send(helper.address, PacketKind.REQUEST, number, probe.target.name, probe.target.address)
-
-    def _probe_over(self, number: int, probe: Probe) -> None:
-        """End a probe: helpers not heard at all speak against this member, not against its target."""
+        target = probe.target
+        proxies = self._random_others(self.settings.indirect_probe_count, target.name)
+        probe.indirect_probes = len(proxies)
+        for proxy in proxies:
+            self._send(proxy.address, PacketKind.PING_REQUEST, number, target.name, target.address)
+
+    def _finish_probe(self, number: int, probe: _Probe) -> None:
+        """End a probe and start the next; missing nacks speak against this member, not against its target."""
         del self._probes[number]
-        if probe.answered:
-            self.health.change(-1)
+        if probe.is_acknowledged:
+            self.health.adjust(-1)
         else:
-            self.health.change(probe.asked - probe.nacks if probe.asked else 1)
-            known = self.table.known.get(probe.target.name)
-            if known is not None and known.running and known.start_time_ms == probe.target.start_time_ms:
-                self._word(known.now(State.SUSPECT, self.me.name))
-        self._probe()
+            self.health.adjust(probe.indirect_probes - probe.nacks if probe.indirect_probes else 1)
+            self._suspect_unless_restarted(probe.target)
+        self._start_probe()
+
+    def _suspect_unless_restarted(self, target: Member) -> None:
+        known = self.table.known.get(target.name)
+        if known is not None and known.is_running and known.start_time_ms == target.start_time_ms:
+            self._handle_update(known.with_state(MemberState.SUSPECT, self.me.name))
 
-    def _acked(self, number: int) -> None:
+    def _handle_ack(self, number: int) -> None:
         if number in self._probes:
-            self._probes[number].answered = True
-        elif number in self._helped:
-            asker, theirs = self._helped.pop(number)
-            self._send(asker, PacketKind.ACK, theirs)
-
-    def _help(self, source: Address, packet: Packet) -> None:
-        """Probe a member for another one, and say so if it is not heard in time."""
-        if len(self._helped) >= MOST_HELPED:
+            self._probes[number].is_acknowledged = True
+        elif number in self._indirect_probes:
+            indirect = self._indirect_probes.pop(number)
+            self._send(indirect.origin, PacketKind.ACK, indirect.origin_number)
+
+    def _start_indirect_probe(self, origin: Address, packet: Packet) -> None:
+        """Probe a member for another one, and send a nack if there is no answer in time."""
+        if len(self._indirect_probes) >= MAX_INDIRECT_PROBES:
             return
-        self._number += 1
-        number = self._number
-        self._helped[number] = source, packet.number
+        self._probe_number += 1
+        number = self._probe_number
+        self._indirect_probes[number] = _IndirectProbe(origin, packet.number)
         self._send(packet.address, PacketKind.PING, number, packet.target, about=packet.target)
 
-        def unheard() -> None:
-            if self._helped.get(number) is not None:
-                self._send(source, PacketKind.NACK, packet.number)
+        def send_nack() -> None:
+            if number in self._indirect_probes:
+                self._send(origin, PacketKind.NACK, packet.number)
+
+        self._call_later(NACK_TIMEOUT_FRACTION * self.settings.probe_timeout_seconds, send_nack)
+        self._call_later(self.settings.probe_interval_seconds, lambda: self._forget_indirect_probe(number))
 
-        self._after(NACK_SHARE * self.settings.probe_timeout, unheard)
-        self._after(self.settings.probe_every, lambda: self._helped.pop(number, None))
+    def _forget_indirect_probe(self, number: int) -> None:
+        self._indirect_probes.pop(number, None)
 
-    # --- Words --------------------------------------------------------------------------------------
-    def _word(self, word: Member) -> None:
-        """Hear what is said of a member."""
-        if word.name == self.me.name:
-            self._about_me(word)
+    # --- Updates ------------------------------------------------------------------------------------
+    def _handle_update(self, update: Member) -> None:
+        """Merge an update on a member, and gossip it if it is new."""
+        if update.name == self.me.name:
+            self._handle_update_on_me(update)
             return
-        old = self.table.known.get(word.name)
-        if not self.table.put(self._now, word):
-            self._confirm(word)
+        known = self.table.known.get(update.name)
+        if not self.table.merge(self._now, update):
+            self._confirm_suspicion(update)
             return
-        self._gossip.add(word)
-        suspicion = self._suspicions.pop(word.name, None)
-        if word.state is State.SUSPECT:
-            self._suspect(word)
-        if old is None or (old.start_time_ms != word.start_time_ms and word.running):
-            self._notice("joined", word)
-        elif old.state is not word.state and (word.state is not State.ALIVE or suspicion or not old.running):
-            self._notice(word.state.name.lower(), word)
-
-    def _about_me(self, word: Member) -> None:
-        """Refute what is wrong.  A later life that is dead was this one's forerunner with a clock ahead."""
-        if self.left:
+        self._gossip.add(update)
+        suspicion = self._suspicions.pop(update.name, None)
+        if update.state is MemberState.SUSPECT:
+            self._start_suspicion(update)
+        if known is None or (known.start_time_ms != update.start_time_ms and update.is_running):
+            self._report(MemberEventKind.JOINED, update)
+        elif known.state is not update.state and (
+            update.state is not MemberState.ALIVE or suspicion or not known.is_running
+        ):
+            self._report(MemberEventKind[update.state.name], update)
+
+    def _handle_update_on_me(self, update: Member) -> None:
+        """Refute an update that is wrong.
+
+        One with a later start time is of a process before this one whose clock was ahead, unless it runs at
+        another address: then two processes have one name, which the operator has to settle.
+        """
+        if self.has_left:
             return
-        if word.start_time_ms > self.me.start_time_ms:
-            if word.address != self.me.address and word.running:
-                self._notice("conflict", word)  # two processes of one name: the operator's to settle
+        if update.start_time_ms > self.me.start_time_ms:
+            if update.address != self.me.address and update.is_running:
+                self._report(MemberEventKind.CONFLICT, update)
                 return
-            self._me(replace(self.me, start_time_ms=word.start_time_ms + 1, incarnation=0))
-        elif word.order >= self.me.order and word.state is not State.ALIVE:
-            self._me(replace(self.me, incarnation=word.incarnation + 1))
-            self.health.change(1)
-            self._notice("refuted", word)
+            self._update_me(replace(self.me, start_time_ms=update.start_time_ms + 1, incarnation=0))
+        elif update.precedence >= self.me.precedence and update.state is not MemberState.ALIVE:
+            self._update_me(replace(self.me, incarnation=update.incarnation + 1))
+            self.health.adjust(1)
+            self._report(MemberEventKind.REFUTED, update)
 
-    def _me(self, me: Member) -> None:
+    def _update_me(self, me: Member) -> None:
         self.table.set_me(me)
         self._gossip.add(me)
 
-    def _suspect(self, word: Member) -> None:
+    # --- Suspicions ---------------------------------------------------------------------------------
+    def _start_suspicion(self, update: Member) -> None:
         settings = self.settings
-        least = settings.suspicion * max(1.0, math.log10(max(1, self.table.size))) * settings.probe_every
-        wanted = min(settings.confirmations, self.table.size - 2)  # all but the two concerned may confirm
-        suspicion = Suspicion(self._now, word.by, least, settings.suspicion_spread * least, wanted)
-        self._suspicions[word.name] = suspicion
-        self._after(suspicion.end - self._now, lambda: self._judge(word.name, suspicion))
-
-    def _confirm(self, word: Member) -> None:
-        """Hear another's suspicion of a member under suspicion; it is passed on, as it shortens the wait."""
-        suspicion, known = self._suspicions.get(word.name), self.table.known.get(word.name)
-        if suspicion is None or word.state is not State.SUSPECT or word.order != known.order:
+        member_count = self.table.running_count
+        min_timeout = (
+            settings.suspicion_multiplier
+            * max(1.0, math.log10(max(1, member_count)))
+            * settings.probe_interval_seconds
+        )
+        max_timeout = settings.max_suspicion_multiplier * min_timeout
+        # All but the suspected member and its reporter may confirm.
+        confirmations = min(settings.expected_confirmations, member_count - 2)
+        suspicion = Suspicion(self._now, update.reported_by, min_timeout, max_timeout, confirmations)
+        self._suspicions[update.name] = suspicion
+        self._check_suspicion_later(update.name, suspicion)
+
+    def _confirm_suspicion(self, update: Member) -> None:
+        """Count an independent suspicion as a confirmation; it is gossiped, as it shortens the timeout."""
+        suspicion = self._suspicions.get(update.name)
+        known = self.table.known.get(update.name)
+        if suspicion is None or known is None or update.state is not MemberState.SUSPECT:
             return
-        if suspicion.confirm(word.by):
-            self._gossip.add(word)
-            self._after(max(0.0, suspicion.end - self._now), lambda: self._judge(word.name, suspicion))
+        if update.precedence == known.precedence and suspicion.confirm(update.reported_by):
+            self._gossip.add(update)
+            self._check_suspicion_later(update.name, suspicion)
+
+    def _check_suspicion_later(self, name: str, suspicion: Suspicion) -> None:
+        """Check a suspicion at its deadline, or in the next tick if that has passed."""
+        remaining = max(0.0, suspicion.deadline - self._now)
+        self._call_later(remaining, lambda: self._check_suspicion(name, suspicion))
 
-    def _judge(self, name: str, suspicion: Suspicion) -> None:
-        """Take a member for dead if it is still under that suspicion and its time is over."""
+    def _check_suspicion(self, name: str, suspicion: Suspicion) -> None:
+        """Declare a member dead if this suspicion still holds and its deadline has passed."""
         if self._suspicions.get(name) is not suspicion:
             return
-        if self._now < suspicion.end - 1e-6:
-            self._after(suspicion.end - self._now, lambda: self._judge(name, suspicion))
+        if self._now < suspicion.deadline - DEADLINE_TOLERANCE_SECONDS:
+            self._check_suspicion_later(name, suspicion)
             return
-        self._word(self.table.known[name].now(State.DEAD, self.me.name))
+        self._handle_update(self.table.known[name].with_state(MemberState.DEAD, self.me.name))
 
-    # --- Now and then -------------------------------------------------------------------------------
-    def _spread(self) -> None:
-        for member in self._some(self.settings.fanout):
+    # --- Periodic work ------------------------------------------------------------------------------
+    def _send_gossip(self) -> None:
+        for member in self._random_others(self.settings.gossip_fanout):
             if len(self._gossip):
                 self._send(member.address, PacketKind.GOSSIP)
-        self._after(self.settings.gossip_every, self._spread)
+        self._call_later(self.settings.gossip_interval_seconds, self._send_gossip)
 
-    def _sync(self) -> None:
-        for member in self._some(1):
-            self._actions.append(Sync(member.address))
-        scale = max(1.0, math.log2(self.table.size) - 4)  # seldom in a large fleet: an exchange holds it all
-        self._sync_wait = min(2 * self._sync_wait, self.settings.sync_every * scale)
-        self._after(self._sync_wait * (0.75 + 0.5 * self._draw.random()), self._sync)
+    def _start_sync(self) -> None:
+        """Synchronise with one member; the interval doubles from a short one to that of the settings."""
+        for member in self._random_others(1):
+            self._actions.append(StartSync(member.address))
+        # Less often in a large fleet, as each synchronisation holds the whole table.
+        scale = max(1.0, math.log2(self.table.running_count) - 4)
+        self._sync_interval = min(2 * self._sync_interval, self.settings.sync_interval_seconds * scale)
+        self._call_later(self._sync_interval * (0.75 + 0.5 * self._rng.random()), self._start_sync)
 
     def _rejoin(self) -> None:
-        """Try to reach a seed not known to run, or a member taken for dead: so a partition heals.
+        """Try to reach a seed that is not known to run, or a dead member: so a partition heals.
 
-        Each member tries now and then only, the more seldom the larger its fleet is; one that is alone tries
-        at each turn.
+        Each member tries at random, less often in a larger fleet; one that is alone tries in each interval.
         """
         running = {member.address for member in self.table.others}
-        dead = [m.address for m in self.table.ended if m.state is State.DEAD]
-        lost = sorted({*self.settings.seeds, *dead} - running - {self.me.address})
-        if lost and not self.left and self._draw.random() < max(0.1, 3 / self.table.size):
-            self._actions.append(Sync(self._draw.choice(lost)))
-        self._after(self.settings.rejoin_every * (0.5 + self._draw.random() / 2), self._rejoin)
-
-    def _forget(self) -> None:
-        for member in self.table.ended:
-            if self._now - self.table.since[member.name] > self.settings.forget_after:
-                self.table.drop(member.name)
-        self._after(SWEEP_EVERY, self._forget)
+        dead = [member.address for member in self.table.stopped_members if member.state is MemberState.DEAD]
+        unreached = sorted({*self.settings.seeds, *dead} - running - {self.me.address})
+        probability = max(MIN_REJOIN_PROBABILITY, REJOINING_MEMBERS / self.table.running_count)
+        if unreached and not self.has_left and self._rng.random() < probability:
+            self._actions.append(StartSync(self._rng.choice(unreached)))
+        interval = self.settings.rejoin_interval_seconds
+        self._call_later(interval * (0.5 + self._rng.random() / 2), self._rejoin)
+
+    def _forget_stopped(self) -> None:
+        for member in self.table.stopped_members:
+            if self._now - self.table.state_changed_at[member.name] > self.settings.forget_after_seconds:
+                self.table.remove(member.name)
+        self._call_later(FORGET_CHECK_SECONDS, self._forget_stopped)
--- a/tests/fleet/proxy.py
+++ b/tests/fleet/proxy.py
@@ -8,8 +8,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from stalltiller.fleet.codec import decode_exchange
-from stalltiller.fleet.membership_agent import LENGTH
+from stalltiller.fleet.codec import decode_sync
+from stalltiller.fleet.membership_agent import LENGTH_PREFIX
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,14 +54,14 @@
         """Pass one exchange on, unless either way between the two is cut."""
         back = None
         with contextlib.suppress(OSError, EOFError):
-            head = await reader.readexactly(LENGTH.size)
-            data = await reader.readexactly(LENGTH.unpack(head)[0])
-            asker = decode_exchange(self.proxy.fleet, data).sender.name
+            head = await reader.readexactly(LENGTH_PREFIX.size)
+            data = await reader.readexactly(LENGTH_PREFIX.unpack(head)[0])
+            asker = decode_sync(self.proxy.fleet, data).sender.name
             if CUT not in (self.proxy.fault(asker, self.name), self.proxy.fault(self.name, asker)):
                 there, back = await asyncio.open_connection("127.0.0.1", self.port)
                 back.write(head + data)
-                head = await there.readexactly(LENGTH.size)
-                writer.write(head + await there.readexactly(LENGTH.unpack(head)[0]))
+                head = await there.readexactly(LENGTH_PREFIX.size)
+                writer.write(head + await there.readexactly(LENGTH_PREFIX.unpack(head)[0]))
                 await writer.drain()
         for stream in (writer, back):
             if stream is not None:
@@ -92,7 +92,7 @@
         self.gates.append(Gate(self, name, own))
         await self.gates[-1].open(port)
 
-    def abort_stream(self, ones: set[str], others: set[str], both: bool = True) -> None:
+    def cut(self, ones: set[str], others: set[str], both: bool = True) -> None:
         """Cut the way from each of the ones to each of the others, and back."""
         for one in ones:
             for other in others - {one}:
--- a/tests/fleet/virtual.py
+++ b/tests/fleet/virtual.py
@@ -1,4 +1,4 @@
-"""Many members on one virtual clock, with a network that loses, delays, doubles, cuts: one seed, one run."""
+"""Many members on one virtual clock; a network that loses, delays, duplicates and cuts; one seed, one run."""
 
 from __future__ import annotations
 
@@ -6,34 +6,57 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-
-from stalltiller.fleet import Member, MemberEvent, Send, Settings, State, Swim, Sync
+from typing import NamedTuple
+
+from stalltiller.fleet import (
+    Member,
+    MemberEvent,
+    MemberEventKind,
+    MemberState,
+    SendPacket,
+    StartSync,
+    Swim,
+    SwimSettings,
+)
 from stalltiller.fleet.codec import decode_packet, encode_packet
 
-SYNC_TIME = 0.005  # s for an exchange
-CHECK = 0.05  # s between looks whether a condition holds
+SYNC_SECONDS = 0.005  # that a push-pull synchronisation takes
+CHECK_SECONDS = 0.05  # between checks whether a condition holds
+
+
+class LoggedEvent(NamedTuple):
+    """An event that one member reported of another."""
+
+    at: float
+    observer: str
+    kind: MemberEventKind
+    member: str
 
 
 class Fleet:
-    """`cut(a, b)` tells whether what `a` sends to `b` is lost."""
+    """`is_cut(sender, receiver)` says whether all that the one sends to the other is lost."""
 
     def __init__(
         self,
         size: int,
         seed: int,
         loss: float = 0.0,
-        double: float = 0.0,
+        duplication: float = 0.0,
         delay: float = 0.002,
-        settings: Settings | None = None,
+        settings: SwimSettings | None = None,
     ) -> None:
-        self.draw, self.loss, self.double, self.delay = random.Random(seed), loss, double, delay
-        self.settings = settings or Settings()
-        self.now, self.count = 0.0, 0
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.duplication = duplication
+        self.delay = delay
+        self.settings = settings or SwimSettings()
+        self.now = 0.0
+        self.event_count = 0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.members: dict[str, Swim] = {}
-        self.stopped: dict[str, list] = {}  # those that stand still: what came meanwhile
-        self.abort_stream: Callable[[str, str], bool] = lambda a, b: False
-        self.notices: list[tuple[float, str, str, str]] = []  # when, who says it, what, of whom
+        self.stopped: dict[str, list] = {}  # stopped members and the datagrams that wait for them
+        self.is_cut: Callable[[str, str], bool] = lambda a, b: False
+        self.log: list[LoggedEvent] = []
         self.bytes: Counter[str] = Counter()
         self.wakes: dict[str, float] = {}
         for n in range(size):
@@ -44,15 +67,15 @@
         return "10.0.0.1", 1000 + int(name[1:])
 
     def start(self, name: str) -> None:
-        """Begin a life of that name; it knows the first two members as seeds."""
-        settings = Settings(
+        """Start a process under that name; its seeds are the first two members."""
+        settings = SwimSettings(
             **{
                 **{f: getattr(self.settings, f) for f in self.settings.__slots__},
                 "seeds": (self.address("m0"), self.address("m1")),
             }
         )
         me = Member(name, self.address(name), "ab"[int(name[1:]) % 2], start_time_ms=1 + int(self.now * 1000))
-        self.members[name] = Swim(settings, me, random.Random(self.draw.getrandbits(64)), self.now)
+        self.members[name] = Swim(settings, me, random.Random(self.rng.getrandbits(64)), self.now)
         self.wake(name)
 
     def kill(self, name: str) -> None:
@@ -63,47 +86,47 @@
         """SIGSTOP."""
         self.stopped[name] = []
 
-    def resume_stream(self, name: str) -> None:
-        """SIGCONT: what came meanwhile is there at once."""
+    def resume(self, name: str) -> None:
+        """SIGCONT: the datagrams received meanwhile are there at once."""
         for data in self.stopped.pop(name):
             self.deliver(name, data)
         self.wakes.pop(name, None)
         self.wake(name)
 
-    def at(self, time: float, act: Callable[[], None]) -> None:
-        self.count += 1
-        heapq.heappush(self.events, (time, self.count, act))
+    def call_at(self, time: float, callback: Callable[[], None]) -> None:
+        self.event_count += 1
+        heapq.heappush(self.events, (time, self.event_count, callback))
 
     def wake(self, name: str) -> None:
         swim = self.members[name]
         if self.wakes.get(name) != swim.wake_at:
             self.wakes[name] = swim.wake_at
-            self.at(max(self.now, swim.wake_at), lambda: self.tick(name, swim))
+            self.call_at(max(self.now, swim.wake_at), lambda: self.tick(name, swim))
 
     def tick(self, name: str, swim: Swim) -> None:
         if self.members.get(name) is swim and name not in self.stopped and swim.wake_at <= self.now:
-            self.act(name, swim.tick(self.now))
+            self.execute(name, swim.tick(self.now))
         elif self.members.get(name) is swim and name not in self.stopped:
             self.wake(name)
 
-    def act(self, name: str, actions: list) -> None:
+    def execute(self, name: str, actions: list) -> None:
         for action in actions:
             if isinstance(action, MemberEvent):
-                self.notices.append((self.now, name, action.event, action.member.name))
-            elif isinstance(action, Send):
+                self.log.append(LoggedEvent(self.now, name, action.kind, action.member.name))
+            elif isinstance(action, SendPacket):
                 data = encode_packet("f", action.packet)
                 self.bytes[name] += len(data)
                 to = f"m{action.address[1] - 1000}"
-                for _ in range(1 + (self.draw.random() < self.double)):
-                    if not self.abort_stream(name, to) and self.draw.random() >= self.loss:
-                        self.at(
-                            self.now + self.delay * (0.5 + self.draw.random()),
+                for _ in range(1 + (self.rng.random() < self.duplication)):
+                    if not self.is_cut(name, to) and self.rng.random() >= self.loss:
+                        self.call_at(
+                            self.now + self.delay * (0.5 + self.rng.random()),
                             lambda to=to, data=data: self.deliver(to, data),
                         )
-            elif isinstance(action, Sync):
+            elif isinstance(action, StartSync):
                 to = f"m{action.address[1] - 1000}"
-                if not self.abort_stream(name, to) and not self.abort_stream(to, name):
-                    self.at(self.now + SYNC_TIME, lambda to=to: self.sync(name, to))
+                if not self.is_cut(name, to) and not self.is_cut(to, name):
+                    self.call_at(self.now + SYNC_SECONDS, lambda to=to: self.sync(name, to))
         if name in self.members:
             self.wake(name)
 
@@ -111,40 +134,44 @@
         if name in self.stopped:
             self.stopped[name].append(data)
         elif name in self.members:
-            self.act(name, self.members[name].packet(self.now, decode_packet("f", data)))
+            self.execute(name, self.members[name].handle_packet(self.now, decode_packet("f", data)))
 
-    def sync(self, one: str, other: str) -> None:
-        if all(name in self.members and name not in self.stopped for name in (one, other)):
-            ours, theirs = self.members[one].all_known(), self.members[other].all_known()
-            self.act(other, self.members[other].exchange(self.now, ours))
-            self.act(one, self.members[one].exchange(self.now, theirs))
+    def sync(self, client: str, server: str) -> None:
+        if all(name in self.members and name not in self.stopped for name in (client, server)):
+            client_state = self.members[client].full_state()
+            server_state = self.members[server].full_state()
+            self.execute(server, self.members[server].handle_sync(self.now, client_state))
+            self.execute(client, self.members[client].handle_sync(self.now, server_state))
 
     def run(self, seconds: float, until: Callable[[], bool] | None = None) -> float:
-        """Go on for so long, or until something is true (looked at each CHECK); the time it took."""
-        began, end, looked = self.now, self.now + seconds, self.now
+        """Run for so long, or until a condition holds (see CHECK_SECONDS); return the time it took."""
+        began_at = self.now
+        end = self.now + seconds
+        checked_at = self.now
         while self.events and self.events[0][0] <= end:
-            at, _, act = heapq.heappop(self.events)
+            at, _, callback = heapq.heappop(self.events)
             self.now = max(self.now, at)
-            act()
-            if until is not None and self.now - looked >= CHECK:
-                looked = self.now
+            callback()
+            if until is not None and self.now - checked_at >= CHECK_SECONDS:
+                checked_at = self.now
                 if until():
-                    return self.now - began
+                    return self.now - began_at
         self.now = end
         return seconds
 
     def seen(self, name: str) -> set[str]:
-        """Whom a member takes to run."""
-        return {m.name for m in self.members[name].table.known.values() if m.running}
+        """The members that a member takes to be running."""
+        return {m.name for m in self.members[name].table.known.values() if m.is_running}
 
     def agreed(self, among: set[str] | None = None) -> bool:
-        """Whether all (of those) take exactly all (of those) that run to run."""
+        """Whether all running members (of those named) take exactly these to be running."""
         names = among or set(self.members)
         return all(self.seen(name) == names for name in names)
 
-    def said(self, event: str, since: float = 0.0) -> list[tuple[float, str, str, str]]:
-        return [notice for notice in self.notices if notice[2] == event and notice[0] >= since]
+    def events_of(self, kind: str, since: float = 0.0) -> list[LoggedEvent]:
+        """The reported events of a kind."""
+        return [event for event in self.log if event.kind == kind and event.at >= since]
 
-    def state(self, name: str, of: str) -> State | None:
-        known = self.members[name].table.known.get(of)
+    def state(self, observer: str, name: str) -> MemberState | None:
+        known = self.members[observer].table.known.get(name)
         return None if known is None else known.state
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -11,9 +11,9 @@
 import pytest
 
 from stalltiller.daemon.process_handover import ProcessHandover
-from stalltiller.fleet import budget_lending as shares
+from stalltiller.fleet import budget_lending
 from stalltiller.fleet import codec as fleet_codec
-from stalltiller.fleet.member_table import State
+from stalltiller.fleet.member_table import MemberState
 from stalltiller.fleet.messages import PacketKind
 from stalltiller.leases import codec as lease_codec
 from stalltiller.leases import leases_pb2
@@ -121,18 +121,21 @@
     assert fleet_codec.encode_packet(samples.FLEET, samples.PACKETS[name]) == data
 
 
-def test_an_exchange_is_read_and_written():
+def test_a_push_pull_sync_is_read_and_written():
     data = fixture_bytes("fleet exchange", "exchange")
-    assert fleet_codec.decode_exchange(samples.FLEET, data) == samples.EXCHANGE
-    assert fleet_codec.encode_exchange(samples.FLEET, samples.EXCHANGE) == data
+    assert fleet_codec.decode_sync(samples.FLEET, data) == samples.EXCHANGE
+    assert fleet_codec.encode_sync(samples.FLEET, samples.EXCHANGE) == data
 
 
 def test_the_packets_are_of_all_kinds():
     assert DATAGRAMS["fleet packets"].keys() == samples.PACKETS.keys()
     assert sorted(packet.kind for packet in samples.PACKETS.values()) == sorted(PacketKind)
     assert [int(kind) for kind in PacketKind] == list(range(1, 9))
-    assert {member.state for member in samples.MEMBERS} == set(State)
-    assert {type(part) for part in samples.PARTS} == {shares.BudgetRequest, shares.BudgetGrant}
+    assert {member.state for member in samples.MEMBERS} == set(MemberState)
+    assert {type(part) for part in samples.PARTS} == {
+        budget_lending.BudgetRequest,
+        budget_lending.BudgetGrant,
+    }
 
 
 # --- Messages of leases -------------------------------------------------------------------------------
