--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -95,7 +95,7 @@
                 ("PUT", "/_targets/attach"): lambda name: self._take_out(name, False),
                 ("GET", "/_fleet/status"): lambda _: self.fleet
                 and orjson.dumps(
-                    {**self.fleet.status(), **(self.recovery.status() if self.recovery else {})}
+                    {**self.fleet.status().to_json(), **(self.recovery.status() if self.recovery else {})}
                 ),
                 ("GET", "/_fleet/members"): lambda _: self.fleet and orjson.dumps(self.fleet.members()),
                 ("GET", "/_fleet/leases"): lambda _: self.lease_service
--- a/stalltiller/fleet/membership_agent.py
+++ b/stalltiller/fleet/membership_agent.py
@@ -28,6 +28,7 @@
     StartSync,
 )
 from stalltiller.fleet.rate_limiter import PerSecondLimiter
+from stalltiller.fleet.status import MembershipStatus, MemberStatus, SharedBudgetsStatus
 from stalltiller.fleet.swim import Swim
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.connection import Connection
@@ -120,7 +121,7 @@
         self.sent_bytes = 0
         self.sent_packets = 0
         self.handlers: dict[PacketKind, Callable[[Packet], None]] = {}
-        self.shared_budgets_status: Callable[[], dict[str, object]] | None = None
+        self.shared_budgets_status: Callable[[], SharedBudgetsStatus] | None = None
         self._packet_limiter = PerSecondLimiter(MAX_PACKETS_PER_SECOND)
         self._timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -137,7 +138,7 @@
             "fleet_started",
             fleet=self.config.fleet,
             listen=f"{host}:{port}",
-            life=self.swim.me.start_time_ms,
+            start_time_ms=self.swim.me.start_time_ms,
         )
         self._schedule_tick()
 
@@ -145,7 +146,7 @@
         """Announce to the others that this member leaves, and wait while that is gossiped."""
         if not self.swim.has_left:
             self._execute(self.swim.leave(self._loop.time()))
-            self._log("fleet_left", life=self.swim.me.start_time_ms)
+            self._log("fleet_left", start_time_ms=self.swim.me.start_time_ms)
             await asyncio.sleep(LEAVE_GOSSIP_SECONDS)
 
     def close(self) -> None:
@@ -162,41 +163,25 @@
             self._transport.close()
 
     # --- Status for operators -------------------------------------------------------------------------
-    def status(self) -> dict[str, object]:
-        """The operators' view of this member, as the JSON of `/_fleet/status`."""
+    def status(self) -> MembershipStatus:
+        """This member's view of its fleet and of itself."""
         table = self.swim.table
-        shared_budgets = self.shared_budgets_status() if self.shared_budgets_status is not None else None
-        return {
-            "fleet": self.config.fleet,
-            "name": table.me.name,
-            "life": table.me.start_time_ms,
-            "incarnation": table.me.incarnation,
-            "state": table.me.state.name.lower(),
-            "members": table.running_count,
-            "ended": len(table.stopped_members),
-            "health": self.swim.health.score,
-            "refused": table.rejected_count,
-            "dropped": dict(self.dropped),
-            "sent_packets": self.sent_packets,
-            "sent_bytes": self.sent_bytes,
-            "commons": shared_budgets,
-        }
-
-    def members(self) -> list[dict[str, object]]:
-        """All known members by name, as the JSON of `/_fleet/members`."""
-        return [
-            {
-                "name": member.name,
-                "address": f"{member.address[0]}:{member.address[1]}",
-                "zone": member.zone,
-                "life": member.start_time_ms,
-                "incarnation": member.incarnation,
-                "state": member.state.name.lower(),
-                "protocol": member.protocol,
-                "load": member.load,
-            }
-            for _, member in sorted(self.swim.table.known.items())
-        ]
+        return MembershipStatus(
+            fleet=self.config.fleet,
+            me=table.me,
+            running_count=table.running_count,
+            stopped_count=len(table.stopped_members),
+            health_score=self.swim.health.score,
+            rejected_count=table.rejected_count,
+            dropped=dict(self.dropped),
+            sent_packets=self.sent_packets,
+            sent_bytes=self.sent_bytes,
+            shared_budgets=self.shared_budgets_status() if self.shared_budgets_status is not None else None,
+        )
+
+    def members(self) -> list[MemberStatus]:
+        """All known members, this one included, by name."""
+        return [MemberStatus.of(member) for _, member in sorted(self.swim.table.known.items())]
 
     # --- Actions of the protocol ----------------------------------------------------------------------
     def _schedule_tick(self) -> None:
@@ -222,7 +207,7 @@
         self._log(
             f"fleet_{event.kind.value}",
             member=event.member.name,
-            life=event.member.start_time_ms,
+            start_time_ms=event.member.start_time_ms,
             incarnation=event.member.incarnation,
             by=event.member.reported_by,
         )
--- a/stalltiller/fleet/shared_budgets.py
+++ b/stalltiller/fleet/shared_budgets.py
@@ -20,6 +20,7 @@
 from stalltiller.fleet.membership_agent import MembershipAgent
 from stalltiller.fleet.messages import Packet, PacketKind
 from stalltiller.fleet.rate_limiter import PerSecondLimiter
+from stalltiller.fleet.status import SharedBudgetsStatus
 
 LENDING_INTERVAL_SECONDS = 0.1  # between checks for budgets of which more is needed
 NEED_LIFETIME_SECONDS = 3.0  # for which a need counts: a thin stream of requests reports it rarely
@@ -78,14 +79,10 @@
                     return
                 self._send(member, peer_message=data)
 
-    def status(self) -> dict[str, object]:
-        """The operators' view, as JSON.
-
-        `whole` says that no loans of an earlier process can be outstanding; `lent`, `borrowed` and
-        `letters_lost` are counts since the start and appear with the first one.
-        """
+    def status(self) -> SharedBudgetsStatus:
+        """The state of this member's loans."""
         may_lend = self._ledger.may_lend(self._loop.time())
-        return {"whole": may_lend, "budgets": len(self._ledger.keys), **self.counts}
+        return SharedBudgetsStatus(may_lend, len(self._ledger.keys), dict(self.counts))
 
     def close(self) -> None:
         """Stop lending and borrowing; loans already granted expire."""
--- a/tests/fleet/proxy.py
+++ b/tests/fleet/proxy.py
@@ -1,4 +1,4 @@
-"""A fault proxy on loopback: it stands before each member and loses, delays, doubles or cuts by pairs."""
+"""Fault-injecting proxies on loopback, one for each member: loss, delay, duplication and cuts by pairs."""
 
 from __future__ import annotations
 
@@ -14,22 +14,27 @@
 
 @dataclass(slots=True, frozen=True)
 class Fault:
-    """What happens from one member to another: shares of messages, and a delay in seconds (drawn up to it, so
-    that messages overtake each other)."""
+    """What happens from one member to another.
 
-    lose: float = 0.0
-    double: float = 0.0
+    `loss` and `duplication` are fractions of the messages.  Each message has a random delay of at most
+    `delay` seconds, so that messages overtake each other.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
     delay: float = 0.0
 
 
-CUT = Fault(lose=1.0)
+CUT = Fault(loss=1.0)
 
 
-class Gate(asyncio.DatagramProtocol):
-    """The way to one member, over UDP and TCP at one port."""
+class MemberProxy(asyncio.DatagramProtocol):
+    """The proxy of one member, over UDP and TCP at one port."""
 
     def __init__(self, proxy: Proxy, name: str, port: int) -> None:
-        self.proxy, self.name, self.port = proxy, name, port
+        self.proxy = proxy
+        self.name = name
+        self.port = port
         self.transport: asyncio.DatagramTransport | None = None
         self.server: asyncio.Server | None = None
 
@@ -40,30 +45,30 @@
 
     def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
         fault = self.proxy.fault(self.proxy.names.get(source[1], "?"), self.name)
-        if self.proxy.draw.random() < fault.lose:
+        if self.proxy.rng.random() < fault.loss:
             self.proxy.lost[self.proxy.names.get(source[1], "?"), self.name] += 1
             return
-        for _ in range(1 + (self.proxy.draw.random() < fault.double)):
-            asyncio.get_running_loop().call_later(fault.delay * self.proxy.draw.random(), self.forward, data)
+        for _ in range(1 + (self.proxy.rng.random() < fault.duplication)):
+            asyncio.get_running_loop().call_later(fault.delay * self.proxy.rng.random(), self.forward, data)
 
     def forward(self, data: bytes) -> None:
         if not self.transport.is_closing():
             self.transport.sendto(data, ("127.0.0.1", self.port))
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Pass one exchange on, unless either way between the two is cut."""
-        back = None
+        """Forward one push-pull synchronisation, unless either direction between the two is cut."""
+        target_writer = None
         with contextlib.suppress(OSError, EOFError):
-            head = await reader.readexactly(LENGTH_PREFIX.size)
-            data = await reader.readexactly(LENGTH_PREFIX.unpack(head)[0])
-            asker = decode_sync(self.proxy.fleet, data).sender.name
-            if CUT not in (self.proxy.fault(asker, self.name), self.proxy.fault(self.name, asker)):
-                there, back = await asyncio.open_connection("127.0.0.1", self.port)
-                back.write(head + data)
-                head = await there.readexactly(LENGTH_PREFIX.size)
-                writer.write(head + await there.readexactly(LENGTH_PREFIX.unpack(head)[0]))
+            length = await reader.readexactly(LENGTH_PREFIX.size)
+            data = await reader.readexactly(LENGTH_PREFIX.unpack(length)[0])
+            client = decode_sync(self.proxy.fleet, data).sender.name
+            if CUT not in (self.proxy.fault(client, self.name), self.proxy.fault(self.name, client)):
+                target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.port)
+                target_writer.write(length + data)
+                length = await target_reader.readexactly(LENGTH_PREFIX.size)
+                writer.write(length + await target_reader.readexactly(LENGTH_PREFIX.unpack(length)[0]))
                 await writer.drain()
-        for stream in (writer, back):
+        for stream in (writer, target_writer):
             if stream is not None:
                 stream.close()
 
@@ -73,36 +78,39 @@
 
 
 class Proxy:
-    """All gates of one fleet."""
+    """The proxies of all members of one fleet."""
 
     def __init__(self, fleet: str, seed: int = 1) -> None:
-        self.fleet, self.draw = fleet, random.Random(seed)
-        self.names: dict[int, str] = {}  # by a member's own port
-        self.gates: list[Gate] = []
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.names: dict[int, str] = {}  # by the member's port
+        self.member_proxies: list[MemberProxy] = []
         self.faults: dict[tuple[str, str], Fault] = {}
-        self.usual = Fault()
+        self.default_fault = Fault()
         self.lost: Counter[tuple[str, str]] = Counter()
 
-    def fault(self, one: str, other: str) -> Fault:
-        return self.faults.get((one, other), self.usual)
-
-    async def before(self, name: str, own: int, port: int) -> None:
-        """Open a gate at `port` to the member that listens at `own`."""
-        self.names[own] = name
-        self.gates.append(Gate(self, name, own))
-        await self.gates[-1].open(port)
-
-    def cut(self, ones: set[str], others: set[str], both: bool = True) -> None:
-        """Cut the way from each of the ones to each of the others, and back."""
-        for one in ones:
-            for other in others - {one}:
-                self.faults[one, other] = CUT
+    def fault(self, sender: str, receiver: str) -> Fault:
+        """The fault from one member to another."""
+        return self.faults.get((sender, receiver), self.default_fault)
+
+    async def add_member(self, name: str, member_port: int, port: int) -> None:
+        """Open a proxy at `port` to the member that listens at `member_port`."""
+        self.names[member_port] = name
+        self.member_proxies.append(MemberProxy(self, name, member_port))
+        await self.member_proxies[-1].open(port)
+
+    def cut(self, senders: set[str], receivers: set[str], both: bool = True) -> None:
+        """Cut each sender from each receiver, and if `both` the other direction too."""
+        for sender in senders:
+            for receiver in receivers - {sender}:
+                self.faults[sender, receiver] = CUT
                 if both:
-                    self.faults[other, one] = CUT
+                    self.faults[receiver, sender] = CUT
 
     def heal(self) -> None:
+        """End all faults between pairs."""
         self.faults.clear()
 
     def close(self) -> None:
-        for gate in self.gates:
-            gate.close()
+        for member_proxy in self.member_proxies:
+            member_proxy.close()
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -1,7 +1,7 @@
 """Several real processes of the program, started as an operator would, with faults between them.
 
-A test is a short script of steps and faults.  If it fails, the log of all processes is printed, merged and in
-order of time.  The rig ends only what it started.
+A test is a short script of steps and faults.  If it fails, the logs of all processes are printed, merged and
+in order of time.  The rig ends only what it started.
 """
 
 from __future__ import annotations
@@ -28,44 +28,53 @@
 ROOT = Path(__file__).parent.parent.parent
 FILE = (ROOT / "deploy" / "fleet.toml").read_text()
 FLEET = "campus"
-TTL = 1.5  # s of a lease
-PATIENCE = 40.0  # s that a condition may take: many times what it takes on an idle machine
+TTL = 1.5  # seconds, of a lease
+CONDITION_TIMEOUT_SECONDS = 40.0  # many times what a condition takes on an idle machine
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports that nobody listens at, over TCP and UDP, under those that the system gives to connections: one
-    of these could be taken by a client of the test before its process starts."""
-    held, ports = [], []
+    """Unused ports, over TCP and UDP, below the ephemeral range: a client of the test could take one of these
+    before its process starts."""
+    sockets = []
+    ports = []
     for port in random.sample(range(12000, 32000), 2000):
-        one, two = socket.socket(), socket.socket(type=socket.SOCK_DGRAM)
-        held += [one, two]
+        tcp = socket.socket()
+        udp = socket.socket(type=socket.SOCK_DGRAM)
+        sockets += [tcp, udp]
         with contextlib.suppress(OSError):
-            one.bind(("127.0.0.1", port))
-            two.bind(("127.0.0.1", port))
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
             ports.append(port)
         if len(ports) == count:
             break
-    for each in held:
+    for each in sockets:
         each.close()
     return ports
 
 
 class Process:
-    """One member: its file, its ports, its process and all lines of its log."""
+    """One member: its configuration file, its ports, its process and all lines of its log."""
 
     def __init__(self, name: str, folder: Path, seeds: list[int], ports: list[int]) -> None:
-        self.name, self.folder, self.seeds = name, folder, seeds
-        self.listen, self.admin, self.own, self.gate = ports
-        self.file, self.store = folder / f"{name}.toml", folder / f"{name}.kept"
+        self.name = name
+        self.folder = folder
+        self.seeds = seeds
+        self.listen, self.admin, self.fleet_port, self.proxy_port = ports
+        self.file = folder / f"{name}.toml"
+        self.store = folder / f"{name}.kept"
         self.log: list[dict] = []
         self.process: asyncio.subprocess.Process | None = None
         self.reading: asyncio.Task | None = None
 
     def write(self, discovery: int, size: int, **changes: str) -> None:
-        here, seeds = "127.0.0.1", ", ".join(f'"127.0.0.1:{port}"' for port in self.seeds)
+        here = "127.0.0.1"
+        seeds = ", ".join(f'"127.0.0.1:{port}"' for port in self.seeds)
         text = FILE if "folder" in changes else re.sub(r"^\[recovery\](.|\n)*?\n\n", "", FILE, flags=re.M)
         for old, new in [
-            (f'^listen = "{here}:7946".*', f'listen = "{here}:{self.own}"\nadvertise = "{here}:{self.gate}"'),
+            (
+                f'^listen = "{here}:7946".*',
+                f'listen = "{here}:{self.fleet_port}"\nadvertise = "{here}:{self.proxy_port}"',
+            ),
             ("^seeds = .*", f"seeds = [{seeds}]"),
             ('^name = "n1"', f'name = "{self.name}"'),
             *(
@@ -84,8 +93,8 @@
             assert found, old
         self.file.write_text(text)
 
-    def vote(self, voters: list[str]) -> None:
-        """Give the file a section of leases, and a voter its store."""
+    def add_lease_section(self, voters: list[str]) -> None:
+        """Add the section of leases to the file, and create the store of a voter."""
         folder = self.folder / f"{self.name}.voter"
         if self.name in voters:
             make(str(folder), self.name)
@@ -118,8 +127,8 @@
                 text = line.decode(errors="replace")
                 self.log.append({"time": time.time(), "name": self.name, "event": text})
 
-    def send(self, number: signal.Signals) -> None:
-        self.process.send_signal(number)
+    def send(self, signal_number: signal.Signals) -> None:
+        self.process.send_signal(signal_number)
 
     async def kill(self) -> None:
         self.send(signal.SIGKILL)
@@ -129,7 +138,7 @@
         return [line for line in self.log if line["event"] == event and of in (None, line.get("member"))]
 
     async def _call(self, path: str) -> http.Reader | None:
-        """A call's answer at the second address; None if there is none."""
+        """The response of the administration address; None if there is none."""
         with contextlib.suppress(OSError, EOFError, TimeoutError):
             async with asyncio.timeout(2.0):
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.admin)
@@ -140,17 +149,17 @@
         return None
 
     async def ask(self, path: str) -> object:
-        """The body of an answer; None if there is none."""
+        """The body of a response of the administration address; None if there is none."""
         message = await self._call(path)
         return None if message is None else json.loads(bytes(message.body) or b"null")
 
     async def status(self, path: str) -> int | None:
-        """The status of an answer; None if there is none."""
+        """The status of a response of the administration address; None if there is none."""
         message = await self._call(path)
         return None if message is None else message.head.status
 
     async def seen(self) -> dict[str, int]:
-        """Whom it takes to run, and the life of each."""
+        """The members that it takes to be running, with the start time of each in milliseconds."""
         found = await self.ask("/_fleet/members")
         return {m["name"]: m["life"] for m in found or [] if m["state"] in ("alive", "suspect")}
 
@@ -194,32 +203,35 @@
 
 
 async def patient(port: int, number: int, patience: float = 1.2, **how: object) -> list[float]:
-    """What a client is told that returns when it is told to, for some seconds: the advice of each refusal,
-    and 0.0 if it is served in the end; -1.0 stands for a try that nobody answered."""
-    end, told = time.monotonic() + patience, []
+    """The Retry-After values that a client gets which retries accordingly for some seconds, and 0.0 if it is
+    served in the end; -1.0 stands for an attempt without a response."""
+    end = time.monotonic() + patience
+    retry_after = []
     for attempt in itertools.count():
         try:
             head = await exchange(port, number + (attempt << 40), data=number, **how)
             if head.status == 200:
-                return [*told, 0.0]
-            told.append(float(head.fields.get("retry-after", "0.2")))
+                return [*retry_after, 0.0]
+            retry_after.append(float(head.fields.get("retry-after", "0.2")))
         except (OSError, EOFError):
-            told.append(-1.0)
-        wait = told[-1] if told[-1] > 0 else 0.2
+            retry_after.append(-1.0)
+        wait = retry_after[-1] if retry_after[-1] > 0 else 0.2
         if time.monotonic() + wait >= end:
-            return told
+            return retry_after
         await asyncio.sleep(wait)
 
 
 class Rig:
-    """So many members, two stand-in targets and a discovery."""
+    """A fleet of processes, two stand-in targets and a stand-in discovery."""
 
     def __init__(self, size: int, folder: Path, **changes: str) -> None:
         ports = free_ports(4 * size)
         seeds = [ports[3], ports[7]]
         changes = {"probe_every_s": "0.2", "probe_timeout_s": "0.1", **changes}
-        self.keep = changes.pop("keep", "") == "true"  # whether they keep state, each in a folder of its own
-        voters = int(changes.pop("voters", "0"))  # so many of them vote on leases
+        self.keep = (
+            changes.pop("keep", "") == "true"
+        )  # whether they persist state, each in a folder of its own
+        voters = int(changes.pop("voters", "0"))  # the number of voters on leases
         self.voters = [f"m{n}" for n in range(voters)]
         self.lists = int(changes.pop("lists", "1"))
         self.members = {
@@ -228,7 +240,7 @@
         self.changes = changes
         self.proxy = Proxy(FLEET)
         self.discovery, self.targets = Discovery(), [HttpTarget("s-0", 0), HttpTarget("s-1", 1)]
-        self.second = Discovery()  # with two lists: of the second half of the members
+        self.second = Discovery()  # with two target lists: that of the second half of the members
 
     async def __aenter__(self) -> Rig:
         for target in self.targets:
@@ -240,13 +252,13 @@
                 self.second.set(target)
             await self.second.open()
         for name, member in self.members.items():
-            await self.proxy.before(name, member.own, member.gate)
-            kept = {"folder": f'"{member.store}"', "save_every_s": "0.2"} if self.keep else {}
+            await self.proxy.add_member(name, member.fleet_port, member.proxy_port)
+            recovery = {"folder": f'"{member.store}"', "save_every_s": "0.2"} if self.keep else {}
             second = self.lists == 2 and int(name[1:]) >= len(self.members) // 2
             discovery = self.second if second else self.discovery
-            member.write(discovery.port, len(self.members), **{**kept, **self.changes})
+            member.write(discovery.port, len(self.members), **{**recovery, **self.changes})
             if self.voters:
-                member.vote(self.voters)
+                member.add_lease_section(self.voters)
         await asyncio.gather(*(member.start() for member in self.members.values()))
         return self
 
@@ -266,16 +278,16 @@
                 print(json.dumps(line))
 
     async def shares_whole(self) -> None:
-        """Wait until all may lend: what an earlier life has lent is back."""
+        """Wait until all may lend: loans of earlier processes have expired."""
 
-        async def all_whole() -> bool:
+        async def may_all_lend() -> bool:
             found = await asyncio.gather(*(member.ask("/_fleet/status") for member in self.members.values()))
             return all(status and status["commons"]["whole"] for status in found)
 
-        await self.until(all_whole, "all may lend")
+        await self.until(may_all_lend, "all may lend")
 
     async def add(self, name: str, shard: int, since_ms: int = 0) -> HttpTarget:
-        """One more target, once all members have it on their list."""
+        """Add a target; returns once all members have it on their list."""
         target = HttpTarget(name, shard)
         await target.open()
         self.targets.append(target)
@@ -291,52 +303,61 @@
 
     async def rush(
         self,
-        askers: list[str],
-        a_second: int,
+        readers: list[str],
+        reads_per_second: int,
         seconds: float,
         mode: str = "serve",
         delay: float = 0.0,
-        usual: int = 20,
+        background_reads_per_second: int = 20,
     ) -> tuple[int, HttpTarget]:
-        """Have some members read from a target that has just started, one unit each, while all read from the
-        others, so many times a second; how many were served there, and the target."""
-        served, asked, others = 0, [], []
-        cold = await self.add("s-9", 9, since_ms=int(time.time() * 1000))
-        cold.mode, cold.delay = mode, delay
-
-        async def elsewhere() -> None:
+        """Read from a target that has just started through some members, one unit each.
+
+        All members read from the other targets meanwhile.  Returns how many reads the new target served, and
+        the target.
+        """
+        served = 0
+        reads = []
+        background_reads = []
+        warming = await self.add("s-9", 9, since_ms=int(time.time() * 1000))
+        warming.mode = mode
+        warming.delay = delay
+
+        async def read_from_others() -> None:
             for number in itertools.count():
                 member = list(self.members.values())[number % len(self.members)]
                 shard = number // len(self.members) % 2
-                others.append(asyncio.create_task(read(member.listen, number, shard)))
-                await asyncio.sleep(1 / usual)
-
-        background = asyncio.create_task(elsewhere())
-        await asyncio.sleep(1.0)  # each has lived a span with the traffic that it judges the others by
-        for number in range(int(a_second * seconds)):
-            asked.append(asyncio.create_task(read(self[askers[number % len(askers)]].listen, number, 9)))
-            await asyncio.sleep(1 / a_second)
+                background_reads.append(asyncio.create_task(read(member.listen, number, shard)))
+                await asyncio.sleep(1 / background_reads_per_second)
+
+        background = asyncio.create_task(read_from_others())
+        await asyncio.sleep(1.0)  # each has seen a window of the traffic by which it estimates the others
+        for number in range(int(reads_per_second * seconds)):
+            reads.append(asyncio.create_task(read(self[readers[number % len(readers)]].listen, number, 9)))
+            await asyncio.sleep(1 / reads_per_second)
         background.cancel()
-        for status in await asyncio.gather(*asked, return_exceptions=True):  # who is killed answers nobody
+        for status in await asyncio.gather(*reads, return_exceptions=True):  # a killed member answers nobody
             served += status == 200
-        await asyncio.gather(*others, return_exceptions=True)
-        return served, cold
+        await asyncio.gather(*background_reads, return_exceptions=True)
+        return served, warming
 
     def __getitem__(self, name: str) -> Process:
         return self.members[name]
 
-    async def until(self, true: Callable[[], bool | Awaitable[bool]], what: str) -> float:
-        """Wait for something to come true; how long it took."""
-        began = time.monotonic()
+    async def until(self, condition: Callable[[], bool | Awaitable[bool]], description: str) -> float:
+        """Wait until a condition holds; returns the seconds it took."""
+        began_at = time.monotonic()
         while True:
-            found = true()
-            if found if isinstance(found, bool) else await found:
-                return time.monotonic() - began
-            assert time.monotonic() - began < PATIENCE, f"it did not come true in time: {what}"
+            result = condition()
+            holds = result if isinstance(result, bool) else await result
+            if holds:
+                return time.monotonic() - began_at
+            assert (
+                time.monotonic() - began_at < CONDITION_TIMEOUT_SECONDS
+            ), f"the condition did not hold in time: {description}"
             await asyncio.sleep(0.02)
 
     async def agreed(self, *names: str) -> float:
-        """Wait until each of those (or of all) takes exactly those to run."""
+        """Wait until each of those members (or of all) takes exactly those to be running."""
         wanted = set(names or self.members)
 
         async def all_agree() -> bool:
@@ -347,11 +368,11 @@
 
 
 def play(scene: Callable[[Rig], Awaitable[None]], size: int, folder: Path, **changes: str) -> None:
-    """Run a scene with a fleet that is whole."""
+    """Run a scene with a fleet whose members all agree."""
 
-    async def whole() -> None:
+    async def run_scene() -> None:
         async with Rig(size, folder, **changes) as rig:
             await rig.agreed()
             await scene(rig)
 
-    asyncio.run(whole())
+    asyncio.run(run_scene())
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -17,7 +17,7 @@
 SIX = [f"m{n}" for n in range(6)]
 
 
-def test_half_the_fleet_killed_and_restarted_together_is_back_with_new_lives(tmp_path):
+def test_half_of_the_fleet_killed_and_restarted_together_rejoins_with_later_start_times(tmp_path):
     async def scene(rig):
         before = await rig["m0"].seen()
         await asyncio.gather(*(rig[name].kill() for name in SIX[3:]))
@@ -30,23 +30,23 @@
     play(scene, 6, tmp_path)
 
 
-def test_a_name_restarted_faster_than_its_death_is_known_is_a_new_life(tmp_path):
+def test_a_member_restarted_before_its_death_is_detected_has_a_later_start_time(tmp_path):
     async def scene(rig):
         before = (await rig["m1"].seen())["m4"]
         await rig["m4"].kill()
         await rig["m4"].start()
 
-        async def renewed():
+        async def is_known_as_restarted():
             seen = await asyncio.gather(*(rig[name].seen() for name in SIX[:4]))
             return all(each.get("m4", 0) > before for each in seen)
 
-        await rig.until(renewed, "all know the new life")
+        await rig.until(is_known_as_restarted, "all know the new process")
         await rig.agreed()
 
     play(scene, 6, tmp_path)
 
 
-def test_a_partition_makes_two_fleets_and_healed_one_again(tmp_path):
+def test_a_partition_splits_the_fleet_and_healing_joins_it(tmp_path):
     async def scene(rig):
         rig.proxy.cut(set(SIX[:3]), set(SIX[3:]))
         await asyncio.gather(rig.agreed(*SIX[:3]), rig.agreed(*SIX[3:]))
@@ -57,7 +57,7 @@
     play(scene, 6, tmp_path)
 
 
-def test_one_way_cut_between_two_takes_nobody_for_dead(tmp_path):
+def test_a_one_way_cut_between_two_members_declares_nobody_dead(tmp_path):
     async def scene(rig):
         rig.proxy.cut({"m1"}, {"m2"}, both=False)
         await rig.until(lambda: rig.proxy.lost["m1", "m2"] >= 20, "enough is lost")
@@ -67,7 +67,7 @@
     play(scene, 6, tmp_path)
 
 
-def test_a_member_stopped_for_longer_than_suspicion_is_dead_for_the_others_and_doubts_itself(tmp_path):
+def test_a_member_stopped_for_longer_than_a_suspicion_is_declared_dead_and_refutes_it(tmp_path):
     async def scene(rig):
         rig["m5"].send(signal.SIGSTOP)
         await rig.agreed(*SIX[:5])
@@ -80,16 +80,16 @@
     play(scene, 6, tmp_path)
 
 
-def test_messages_lost_doubled_and_overtaking_each_other_kill_nobody(tmp_path):
+def test_loss_duplication_and_reordering_declare_nobody_dead(tmp_path):
     async def scene(rig):
-        rig.proxy.usual = Fault(lose=0.1, double=0.2, delay=0.03)
+        rig.proxy.default_fault = Fault(loss=0.1, duplication=0.2, delay=0.03)
         await rig.until(lambda: sum(rig.proxy.lost.values()) >= 60, "enough is lost")
         assert not any(member.said("fleet_dead") for member in rig.members.values())
 
     play(scene, 6, tmp_path)
 
 
-def test_who_is_told_to_end_or_to_leave_has_left_and_is_not_dead(tmp_path):
+def test_a_member_that_terminates_or_leaves_has_left_and_is_not_dead(tmp_path):
     async def scene(rig):
         rig["m4"].send(signal.SIGTERM)
         command = await asyncio.create_subprocess_exec(
@@ -112,51 +112,51 @@
     play(scene, 6, tmp_path)
 
 
-def test_a_cold_target_s_budget_goes_to_those_who_need_it_and_is_not_passed(tmp_path):
-    """Only m0 and m1 ask: they borrow the parts of the others, and a target that turns all away gets no more
-    than it bears in any case (8 units in a second at its start, more as it warms)."""
+def test_the_budget_of_a_warming_target_is_lent_to_members_in_need_and_not_exceeded(tmp_path):
+    """Only m0 and m1 have clients: they borrow the allotments of others, and a target that rejects all gets
+    no more than its capacity in any case (8 units a second at its start, more as it warms up)."""
 
     async def scene(rig):
         await rig.shares_whole()
-        _, cold = await rig.rush(["m0", "m1"], 40, 5.0, "turn_away")
-        first = cold.begun[0][0]
+        _, warming = await rig.rush(["m0", "m1"], 40, 5.0, "turn_away")
+        first_at = warming.begun[0][0]
         borrowed = [(await rig[name].ask("/_fleet/status"))["commons"].get("borrowed", 0) for name in SIX[:2]]
         assert all(borrowed)
-        for at, _ in cold.begun:
-            bears = 8 * (0.15 + 0.85 * (at - first) / 17) / 0.15
-            assert sum(at - 1.0 < other <= at for other, _ in cold.begun) <= bears + 1
+        for at, _ in warming.begun:
+            capacity = 8 * (0.15 + 0.85 * (at - first_at) / 17) / 0.15
+            assert sum(at - 1.0 < other <= at for other, _ in warming.begun) <= capacity + 1
 
     play(scene, 6, tmp_path)
 
 
-def test_members_whose_lists_disagree_go_by_their_own_each(tmp_path):
-    """For some seconds half of the fleet has not heard that a target drains and that another has come: it
-    goes on with the first and sends nothing to the second, whatever its peers know."""
+def test_members_with_different_target_lists_use_their_own(tmp_path):
+    """For some seconds half of the fleet does not know that a target drains and that another was added: it
+    still uses the first and sends nothing to the second, whatever its peers know."""
 
     async def scene(rig):
-        late = HttpTarget("s-9", 9)
-        await late.open()
-        rig.targets.append(late)
-        rig.discovery.set(late)
+        added = HttpTarget("s-9", 9)
+        await added.open()
+        rig.targets.append(added)
+        rig.discovery.set(added)
         rig.discovery.set(rig.targets[0], "leaving")
         first = [rig["m0"], rig["m1"]]
         await rig.until(
             lambda: all(
                 any("draining" in line["targets"].values() for line in one.said("list")) for one in first
             ),
-            "half has heard",
+            "the first half has the new list",
         )
         assert [await read(rig[name].listen, 1) for name in SIX[:4]] == [503, 503, 200, 200]
         assert [await read(member.listen, 2, 9) for member in first] == [200, 200]
         assert [await read(rig[name].listen, 3, 9) for name in SIX[2:4]] == [503, 503]
-        assert not any(tag == 3 for tag, _ in late.ran)
-        rig.second.set(late)
+        assert not any(tag == 3 for tag, _ in added.ran)
+        rig.second.set(added)
         await rig.until(
             lambda: all(
                 any("s-9" in line["targets"] for line in member.said("list"))
                 for member in (rig["m2"], rig["m3"])
             ),
-            "the second half has heard",
+            "the second half has the new list",
         )
         assert [await read(rig[name].listen, 4, 9) for name in SIX[2:4]] == [200, 200]
         await rig.agreed()
@@ -164,31 +164,32 @@
     play(scene, 4, tmp_path, lists="2")
 
 
-def test_units_of_a_limited_volume_are_lent_and_all_together_stay_within_its_limit(tmp_path):
-    """Two hosts of a `basic` volume (27 units a second, 44 at once); all but one request come through m0,
+def test_units_of_a_limited_volume_are_lent_and_the_fleet_stays_within_its_limit(tmp_path):
+    """Two initiators of a `basic` volume (27 units a second, 44 at once); all but one request go through m0,
     which alone would have half of the limit and of the burst."""
 
     async def scene(rig):
         assert await read(rig["m1"].listen, 999, plan="basic", hosts=2, volume=9) in (200, 503)
-        began, tries = time.monotonic(), []
+        began_at = time.monotonic()
+        attempts = []
         for number in range(240):
-            again = read(rig["m0"].listen, number, plan="basic", hosts=2, volume=9)
-            tries.append(asyncio.create_task(again))
+            attempt = read(rig["m0"].listen, number, plan="basic", hosts=2, volume=9)
+            attempts.append(asyncio.create_task(attempt))
             await asyncio.sleep(1 / 60)
-        served = sum(status == 200 for status in await asyncio.gather(*tries))
-        took = time.monotonic() - began
-        ran = len(rig.targets[0].ran)
-        assert 1.2 * (13.5 * took + 22) < served <= ran <= 27 * took + 44 + 1
+        served = sum(status == 200 for status in await asyncio.gather(*attempts))
+        elapsed = time.monotonic() - began_at
+        executed = len(rig.targets[0].ran)
+        assert 1.2 * (13.5 * elapsed + 22) < served <= executed <= 27 * elapsed + 44 + 1
 
     play(scene, 2, tmp_path, peers="true")
 
 
-@pytest.mark.parametrize("silent", [False, True])
-def test_serving_does_not_wait_for_the_fleet(silent, tmp_path):
+@pytest.mark.parametrize("isolated", [False, True])
+def test_requests_do_not_wait_for_the_fleet(isolated, tmp_path):
     async def scene(rig):
-        if silent:
+        if isolated:
             rig.proxy.cut(set(SIX[:3]), set(SIX[:3]))
-            await rig.until(lambda: sum(rig.proxy.lost.values()) >= 10, "peers are silent")
+            await rig.until(lambda: sum(rig.proxy.lost.values()) >= 10, "the members are isolated")
         assert [await read(rig["m0"].listen, number) for number in range(1, 9)] == [200] * 8
 
     play(scene, 3, tmp_path)
