--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -228,9 +228,8 @@
         ports = free_ports(4 * size)
         seeds = [ports[3], ports[7]]
         changes = {"probe_every_s": "0.2", "probe_timeout_s": "0.1", **changes}
-        self.keep = (
-            changes.pop("keep", "") == "true"
-        )  # whether they persist state, each in a folder of its own
+        # Whether the members persist state, each in a folder of its own.
+        self.keep = changes.pop("keep", "") == "true"
         voters = int(changes.pop("voters", "0"))  # the number of voters on leases
         self.voters = [f"m{n}" for n in range(voters)]
         self.lists = int(changes.pop("lists", "1"))
@@ -351,9 +350,8 @@
             holds = result if isinstance(result, bool) else await result
             if holds:
                 return time.monotonic() - began_at
-            assert (
-                time.monotonic() - began_at < CONDITION_TIMEOUT_SECONDS
-            ), f"the condition did not hold in time: {description}"
+            elapsed = time.monotonic() - began_at
+            assert elapsed < CONDITION_TIMEOUT_SECONDS, f"the condition did not hold in time: {description}"
             await asyncio.sleep(0.02)
 
     async def agreed(self, *names: str) -> float:
--- a/tests/fleet/test_budget_lending.py
+++ b/tests/fleet/test_budget_lending.py
@@ -31,9 +31,8 @@
         ]
         self.restarts = [0] * size
         self.isolated: set[int] = set()
-        self.members = [
-            BudgetLedger(size, WINDOW, random.Random(n), -20.0) for n in range(size)
-        ]  # started long ago: all may lend
+        long_ago = -20.0  # so that all may lend
+        self.members = [BudgetLedger(size, WINDOW, random.Random(n), long_ago) for n in range(size)]
         self.needs = [0.0] * size
         self.recent: list[list[tuple[float, float]]] = [[] for _ in range(size)]  # when, what it might use
         self.used = [0.0] * size
