Test the fleet's timer queue and per-second limit by themselves

Need: both became modules of their own. Change: two tests; one assignment a line in the rig and the lending test.

--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -238,7 +238,8 @@
         }
         self.changes = changes
         self.proxy = Proxy(FLEET)
-        self.discovery, self.targets = Discovery(), [HttpTarget("s-0", 0), HttpTarget("s-1", 1)]
+        self.discovery = Discovery()
+        self.targets = [HttpTarget("s-0", 0), HttpTarget("s-1", 1)]
         self.second = Discovery()  # with two target lists: that of the second half of the members
 
     async def __aenter__(self) -> Rig:
--- a/tests/fleet/test_budget_lending.py
+++ b/tests/fleet/test_budget_lending.py
@@ -12,7 +12,9 @@
 from stalltiller.fleet import budget_lending
 from stalltiller.fleet.budget_lending import BudgetGrant, BudgetLedger, BudgetRequest
 
-WINDOW, STEP, KEY = 1.0, 0.05, "s-1"
+WINDOW = 1.0  # seconds, of the budget's rule
+STEP = 0.05  # seconds of the simulation
+KEY = "s-1"
 
 
 class Market:
@@ -90,7 +92,8 @@
 
 def largest_sum(script, seed: int, loss: float, duplication: float, delay: float) -> float:
     """The largest sum of the usable fractions in a run of a script."""
-    market, largest = Market(5, seed, loss, duplication, delay), 0.0
+    market = Market(5, seed, loss, duplication, delay)
+    largest = 0.0
     for what, n, need, steps in script:
         if what == "need":
             market.needs[n] = need
--- a/tests/fleet/test_swim.py
+++ b/tests/fleet/test_swim.py
@@ -29,6 +29,8 @@
 from stalltiller.fleet.config import fleet_config
 from stalltiller.fleet.gossip import GossipQueue
 from stalltiller.fleet.local_health import MAX_HEALTH_SCORE, LocalHealth, Suspicion
+from stalltiller.fleet.rate_limiter import PerSecondLimiter
+from stalltiller.fleet.timer_queue import TimerQueue
 from tests.fleet.virtual import Fleet
 
 ROOT = Path(__file__).parent.parent.parent
@@ -124,6 +126,24 @@
     assert (health.score, health.multiplier) == (score, score + 1)
 
 
+def test_timers_run_in_the_order_of_their_times_then_as_added_and_are_postponed_together():
+    timers = TimerQueue()
+    ran = []
+    for due_at, name in [(2.0, "b"), (1.0, "a"), (2.0, "c")]:
+        timers.call_at(due_at, lambda name=name: ran.append(name))
+    assert timers.pop_due(0.9) is None
+    timers.postpone_all(0.5)
+    assert timers.pop_due(1.4) is None and timers.next_due_at == 1.5
+    while (callback := timers.pop_due(2.5)) is not None:
+        callback()
+    assert ran == ["a", "b", "c"]
+
+
+def test_a_per_second_limiter_counts_anew_in_each_second():
+    limiter = PerSecondLimiter(2)
+    assert [limiter.allow(now) for now in (5.0, 5.5, 5.9, 6.0, 6.1, 6.2)] == [True, True, False] * 2
+
+
 # --- One member ---------------------------------------------------------------------------------------
 def new_swim(**changes) -> Swim:
     return Swim(SwimSettings(**changes), member("me"), random.Random(1), 0.0)
