Check the message of each invalid fleet section; part the faults of the SWIM property test

Change: each invalid section is matched by its message (stricter than before); apply_fault() holds the faults; the rig's retrying client counts its attempts in a while loop.

--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -207,7 +207,8 @@
     served in the end; -1.0 stands for an attempt without a response."""
     end = time.monotonic() + patience
     retry_after = []
-    for attempt in itertools.count():
+    attempt = 0
+    while True:
         try:
             head = await exchange(port, number + (attempt << 40), data=number, **how)
             if head.status == 200:
@@ -218,6 +219,7 @@
         wait = retry_after[-1] if retry_after[-1] > 0 else 0.2
         if time.monotonic() + wait >= end:
             return retry_after
+        attempt += 1
         await asyncio.sleep(wait)
 
 
--- a/tests/fleet/test_swim.py
+++ b/tests/fleet/test_swim.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -280,19 +281,19 @@
 
 
 @pytest.mark.parametrize(
-    "change",
+    ("change", "message"),
     [
-        {"listen": "nowhere"},
-        {"listen": "127.0.0.1:0"},
-        {"seeds": ["x"]},
-        {"probe_every_s": 0},
-        {"probe_timeout_s": 0.5},
-        {"probe_every_s": "soon"},
+        ({"listen": "nowhere"}, "not an address: 'nowhere'"),
+        ({"listen": "127.0.0.1:0"}, "not an address: '127.0.0.1:0'"),
+        ({"seeds": ["x"]}, "not an address: 'x'"),
+        ({"probe_every_s": 0}, "probe_every_s must lie between 0.01 and 3600"),
+        ({"probe_timeout_s": 0.5}, "probe_timeout_s must be under probe_every_s"),
+        ({"probe_every_s": "soon"}, "could not convert string to float: 'soon'"),
     ],
 )
-def test_an_invalid_section_is_rejected(change):
+def test_an_invalid_section_is_rejected(change, message):
     assert fleet_config(GOOD, "a").advertise == ("127.0.0.1", 7946)
-    with pytest.raises(ValueError):
+    with pytest.raises(ValueError, match=re.escape(message)):
         fleet_config({**GOOD, **change}, "a")
 
 
@@ -316,27 +317,32 @@
 )
 
 
+def apply_fault(fleet: Fleet, fault: str, number: int) -> None:
+    """Apply one fault to member `number`, if it can be; "cut" and "one way" replace an earlier cut."""
+    name = f"m{number}"
+    if fault == "kill" and name in fleet.members and len(fleet.members) > 1:
+        fleet.kill(name)
+    elif fault == "start" and name not in fleet.members:
+        fleet.start(name)
+    elif fault == "stop" and name in fleet.members and name not in fleet.stopped:
+        fleet.stop(name)
+    elif fault == "resume" and name in fleet.stopped:
+        fleet.resume(name)
+    elif fault == "cut":
+        fleet.is_cut = lambda a, b, n=number: (int(a[1:]) <= n) != (int(b[1:]) <= n)
+    elif fault == "one way":
+        fleet.is_cut = lambda a, b, n=name: a == n
+    elif fault == "heal":
+        fleet.is_cut = lambda a, b: False
+
+
 @settings(max_examples=30, deadline=None, derandomize=True)
 @given(st.integers(0, 10**6), faults, st.floats(0.0, 0.2), st.floats(0.0, 0.3))
 def test_after_any_faults_all_running_members_agree_again(seed, script, loss, duplication):
     """Loss, duplication, kills, restarts, stops and partitions in any order; then one view of the fleet."""
     fleet = Fleet(6, seed, loss, duplication)
     for fault, number, wait in script:
-        name = f"m{number}"
-        if fault == "kill" and name in fleet.members and len(fleet.members) > 1:
-            fleet.kill(name)
-        elif fault == "start" and name not in fleet.members:
-            fleet.start(name)
-        elif fault == "stop" and name in fleet.members and name not in fleet.stopped:
-            fleet.stop(name)
-        elif fault == "resume" and name in fleet.stopped:
-            fleet.resume(name)
-        elif fault == "cut":
-            fleet.is_cut = lambda a, b, n=number: (int(a[1:]) <= n) != (int(b[1:]) <= n)
-        elif fault == "one way":
-            fleet.is_cut = lambda a, b, n=name: a == n
-        elif fault == "heal":
-            fleet.is_cut = lambda a, b: False
+        apply_fault(fleet, fault, number)
         fleet.run(wait)
     for name in list(fleet.stopped):
         fleet.resume(name)
