Part the configuration by kind of file; errors carry path, line and key

Need: config.py read both kinds of file, errors were bare texts, names were short or figurative. Change: platform_config.py and operator_config.py share config.py; ConfigError derives from StalltillerError (common/errors.py) with key, path and line, and keeps its text; schema violations are typed; log, metrics, command line and process handover use standard names. tests/test_layers.py: daemon may import common, the lowest layer.

--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -17,9 +17,9 @@
 from stalltiller.adapters.nvme_mapping import Mapping
 from stalltiller.adapters.nvme_target_client import NvmeTargetClient
 from stalltiller.adapters.target_directory import TargetDirectory, WatchCodec
-from stalltiller.daemon.config import Config, ConfigError
+from stalltiller.daemon.config import Config, ConfigError, MissingKeyError
 from stalltiller.daemon.log import JsonLog
-from stalltiller.daemon.metrics import Metrics
+from stalltiller.daemon.metrics import MetricsExporter
 from stalltiller.daemon.process_handover import ProcessHandover
 from stalltiller.daemon.settings_reload import SETTLE_SECONDS, merge_settings, transitional_settings
 from stalltiller.protocol.discovery import TargetList
@@ -70,12 +70,12 @@
         self.buffers = BufferPool()
         self.engine = Engine(config.settings, config.seed, loop, log, log if trace else None)
         common = (loop, self.engine, self.buffers)
-        descriptors = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        descriptors = min(config.max_descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         sockets = descriptors - min(OWN_SOCKETS, int(descriptors * OWN_SHARE))
         targets = max(16, int(sockets * TARGET_SHARE))
-        channels = (config.connect_timeout, config.idle_limit, targets, log)
+        channels = (config.connect_timeout, config.idle_timeout, targets, log)
         answers, bodies, commands = (
-            max(LEAST_SHARE, int((config.memory - OWN_MEMORY) * share))
+            max(LEAST_SHARE, int((config.memory_bytes - OWN_MEMORY) * share))
             for share in (ANSWER_SHARE, BODY_SHARE, NVME_SHARE)
         )
         if config.nvme is None:
@@ -86,7 +86,7 @@
             self.target_client = NvmeTargetClient(*common, *channels, config.name, config.nvme)
         self.engine.target_client = self.target_client
         self._directory = TargetDirectory(self.engine, config.zones, config.kinds)
-        self._handover = ProcessHandover(config.folder, config.name)
+        self._handover = ProcessHandover(config.handover_folder, config.name)
         self.admin = admin_listener(
             self.buffers,
             {
@@ -122,7 +122,7 @@
         """Serve until `stop` is set, then until all is answered."""
         config = self._config
         self._directory.set_detached(self._handover.load())
-        known = config.known
+        known = config.initial_target_list
         if config.recovery is not None:
             from stalltiller.daemon.recovery_service import (
                 RecoveryService,
@@ -145,13 +145,13 @@
             self._log("admin", listen=join(*self.admin.address))
         moved = self._discovery != config.discovery  # by a SIGHUP meanwhile: other versions count there
         self._watch(None if known is None or moved else known.version)
-        if config.inherited is not None:
+        if config.inherited_descriptor is not None:
             await self._own_turn()
-        await self.listener.open(*config.listen, config.inherited)
+        await self.listener.open(*config.listen, config.inherited_descriptor)
         if config.fleet is not None:
             await self._join_fleet(config.fleet)
         tasks = [self._loop.create_task(work) for work in (self._report(), self._follow())]
-        metrics = Metrics(config, self.sample, self._loop)
+        metrics = MetricsExporter(config, self.sample, self._loop)
         metrics.start()
         if self.recovery is not None:
             await asyncio.sleep(0)  # a turn of the loop, in which the decisions hear of the list
@@ -258,7 +258,7 @@
         longest = max(cls.deadline for cls in self.engine.settings.classes)
         end = self._loop.time() + min(longest, LONGEST_STOP) + STOP_GRACE
         self.listener.keep_idle = True
-        if self._config.inherited is not None:
+        if self._config.inherited_descriptor is not None:
             # Whoever holds the socket next serves what comes on new connections; here each answer ends one.
             await self.listener.stop(take_in=False)
             self.server.stopping = True
@@ -268,7 +268,7 @@
         while self._loop.time() < end - CLOSING_TIME and self._in_use():
             await asyncio.sleep(0.02)
         # What waits to be accepted now is served too.
-        await self.listener.stop(take_in=self._config.inherited is None)
+        await self.listener.stop(take_in=self._config.inherited_descriptor is None)
         self.server.stopping = True  # from now on each answer ends its connection
         while self._loop.time() < end and self._in_use():
             self.listener.close_idle()
@@ -292,9 +292,9 @@
         """
         try:
             config = read()
-            missing = sorted(self._config.keys - config.keys)
+            missing = sorted(self._config.required_keys - config.required_keys)
             if missing:
-                raise ConfigError(f"{missing[0]} is missing")
+                raise MissingKeyError(missing[0])
         except ConfigError as error:
             self._log("reload_failed", error=str(error))
             return
--- a/stalltiller/daemon/cli.py
+++ b/stalltiller/daemon/cli.py
@@ -1,4 +1,4 @@
-"""The operators' command line: `stalltiller serve | check | fleet ...`."""
+"""The operators' command line: `stalltiller serve | check | init-voter | fleet ...`."""
 
 from __future__ import annotations
 
@@ -9,20 +9,24 @@
 import click
 import orjson
 
-from stalltiller.daemon.config import ConfigError, from_operator
-from stalltiller.daemon.serve import start
+from stalltiller.daemon.config import ConfigError
+from stalltiller.daemon.operator_config import read_operator_config
+from stalltiller.daemon.serve import EXIT_USAGE, start
 from stalltiller.protocol.discovery import parse_address
 
-CALL_TIMEOUT = 5.0  # s
+CALL_TIMEOUT_SECONDS = 5.0  # of a call to an initiator, which answers at once however busy it is
+HTTP_OK = 200
+MEMBER_COLUMNS = ("name", "state", "address", "zone", "life", "incarnation", "load")
 
 
-class Failed(click.ClickException):
-    """One plain line on standard error and exit code 2, as for whatever can't be started."""
+class CommandError(click.ClickException):
+    """A command failed: one plain line on standard error, and the exit code of a start that failed."""
 
-    exit_code = 2
+    exit_code = EXIT_USAGE
 
     def show(self, file: IO[str] | None = None) -> None:
-        click.echo(f"stalltiller: {self.message}", err=True)
+        """Print the error to `file`, or to standard error."""
+        click.echo(f"stalltiller: {self.message}", file=file, err=True)
 
 
 @click.group()
@@ -34,7 +38,7 @@
 @click.argument("file", type=click.Path())
 def serve(file: str) -> None:
     """Serve by an operator's FILE until SIGTERM."""
-    sys.exit(start(lambda: from_operator(file)))
+    sys.exit(start(lambda: read_operator_config(file)))
 
 
 @main.command()
@@ -42,9 +46,9 @@
 def check(file: str) -> None:
     """Say whether an operator's FILE would start; the first thing wrong is named with its line."""
     try:
-        config = from_operator(file)
+        config = read_operator_config(file)
     except ConfigError as error:
-        raise Failed(str(error)) from error
+        raise CommandError(str(error)) from error
     click.echo(
         f"{file}: good, {config.name} listens on {config.listen[0]}:{config.listen[1]}"
         + (f" in fleet {config.fleet.fleet}" if config.fleet else "")
@@ -58,12 +62,12 @@
     from stalltiller.leases.store import make
 
     try:
-        config = from_operator(file)
+        config = read_operator_config(file)
         if config.leases is None or config.name not in config.leases.voters:
-            raise Failed(f"{file}: {config.name} is no voter")
+            raise CommandError(f"{file}: {config.name} is no voter")
         make(config.leases.folder, config.name)
     except (ConfigError, OSError) as error:
-        raise Failed(str(error)) from error
+        raise CommandError(str(error)) from error
     click.echo(f"made {config.leases.folder}")
 
 
@@ -79,18 +83,19 @@
 
 
 def _call(address: tuple[str, int], method: str, path: str) -> bytes:
-    """One call at the second address; its body.  Whatever does not end in a yes ends the program."""
-    connection = http.client.HTTPConnection(*address, timeout=CALL_TIMEOUT)
+    """Call an initiator's admin address and return the response's body; raises CommandError."""
+    host, port = address
+    connection = http.client.HTTPConnection(host, port, timeout=CALL_TIMEOUT_SECONDS)
     try:
         connection.request(method, path, headers={"Content-Length": "0"})
-        answer = connection.getresponse()
-        body = answer.read()
+        response = connection.getresponse()
+        body = response.read()
     except (OSError, http.client.HTTPException) as error:
-        raise Failed(f"{address[0]}:{address[1]}: {error}") from error
+        raise CommandError(f"{host}:{port}: {error}") from error
     finally:
         connection.close()
-    if answer.status != 200:
-        raise Failed(f"{address[0]}:{address[1]}: status {answer.status}: is it in a fleet?")
+    if response.status != HTTP_OK:
+        raise CommandError(f"{host}:{port}: status {response.status}: is it in a fleet?")
     return body
 
 
@@ -103,27 +108,27 @@
 
 
 @fleet.command()
-@click.option("--json", "plain", is_flag=True, help="As one line of JSON.")
+@click.option("--json", "as_json", is_flag=True, help="As one line of JSON.")
 @click.pass_obj
-def members(address: tuple[str, int], plain: bool) -> None:
+def members(address: tuple[str, int], as_json: bool) -> None:
     """All members that this instance knows."""
     body = _call(address, "GET", "/_fleet/members")
-    if plain:
+    if as_json:
         click.echo(body)
         return
-    lines = [["name", "state", "address", "zone", "life", "incarnation", "load"]]
-    lines += [[str(member[key]) for key in lines[0]] for member in orjson.loads(body)]
-    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
-    for line in lines:
-        click.echo("  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip())
+    rows = [list(MEMBER_COLUMNS)]
+    rows += [[str(member[key]) for key in MEMBER_COLUMNS] for member in orjson.loads(body)]
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        click.echo("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
 
 
 @fleet.command()
 @click.pass_obj
 def leases(address: tuple[str, int]) -> None:
     """What this instance holds and, if it votes, the leases that it knows."""
-    found = orjson.loads(_call(address, "GET", "/_fleet/leases"))
-    click.echo(orjson.dumps(found, option=orjson.OPT_INDENT_2).decode())
+    lease_status = orjson.loads(_call(address, "GET", "/_fleet/leases"))
+    click.echo(orjson.dumps(lease_status, option=orjson.OPT_INDENT_2).decode())
 
 
 @fleet.command()
--- a/stalltiller/daemon/log.py
+++ b/stalltiller/daemon/log.py
@@ -1,4 +1,4 @@
-"""Logging: one JSON line an event, on standard output."""
+"""The program's log: one JSON line for each event, on standard output."""
 
 from __future__ import annotations
 
@@ -8,29 +8,40 @@
 
 import orjson
 
-STDOUT = 1
-LINES_PER_S = 200  # past this, lines are counted and dropped: a log must not take the core from service
-TRACE_LINES_PER_S = 5000  # with each request's steps traced
+STDOUT_DESCRIPTOR = 1
+MAX_LINES_PER_SECOND = 200  # more are counted and dropped: a log must not take the core from service
+MAX_TRACE_LINES_PER_SECOND = 5000  # with each request's steps traced
 
 
 class JsonLog:
-    """Writes events as lines; what can't be written is counted and dropped."""
-
-    def __init__(self, name: str, descriptor: int = STDOUT, lines_per_s: int = LINES_PER_S) -> None:
-        self._name, self._descriptor, self._most = name, descriptor, lines_per_s
-        self._second, self._lines, self.dropped = 0, 0, 0
-
-    def never_block(self) -> None:
-        """Guard against a reader of our pipe that stops: its lines are lost, service goes on."""
+    """Writes events as lines; what can't be written is counted in `dropped` and lost."""
+
+    def __init__(
+        self,
+        name: str,
+        descriptor: int = STDOUT_DESCRIPTOR,
+        max_lines_per_second: int = MAX_LINES_PER_SECOND,
+    ) -> None:
+        self._name = name
+        self._descriptor = descriptor
+        self._max_lines_per_second = max_lines_per_second
+        self._current_second = 0
+        self._lines_this_second = 0
+        self.dropped = 0
+
+    def make_nonblocking(self) -> None:
+        """Make a pipe non-blocking: if its reader stops, lines are lost and service goes on."""
         if stat.S_ISFIFO(os.fstat(self._descriptor).st_mode):
             os.set_blocking(self._descriptor, False)
 
     def __call__(self, event: str, **details: object) -> None:
+        """Write one event with its details."""
         now = time.time()
-        if int(now) != self._second:
-            self._second, self._lines = int(now), 0
-        self._lines += 1
-        if self._lines > self._most:
+        if int(now) != self._current_second:
+            self._current_second = int(now)
+            self._lines_this_second = 0
+        self._lines_this_second += 1
+        if self._lines_this_second > self._max_lines_per_second:
             self.dropped += 1
             return
         line = {"time": round(now, 3), "name": self._name, "event": event, **details}
--- a/stalltiller/daemon/metrics.py
+++ b/stalltiller/daemon/metrics.py
@@ -1,7 +1,7 @@
-"""Metrics out: a sample every so often to Graphite, collectd or both; off unless set up.
+"""Exports metrics: a sample at regular intervals to Graphite, collectd or both; off unless configured.
 
-Sending never waits: a sink that does not take a sample in time loses it, and at most one sample is kept
-back.
+Sending never waits: a sink that does not accept a sample in time loses it, and at most 64 KiB are buffered
+for a sink that does not read.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from stalltiller.daemon.config import Config, Sink
 from stalltiller.protocol.metrics import collectd_packets, graphite_lines
 
+# All other figures are counters, which only ever rise.
 GAUGES = frozenset(
     (
         "open",
@@ -26,31 +27,35 @@
         "recovery_ramping",
     )
 )
-MAX_UNSENT = 64 * 1024  # bytes kept for a Graphite that does not read
+MAX_UNSENT_BYTES = 64 * 1024  # buffered for a sink that does not read; past this, samples are lost
 
+Sample = Callable[[], dict[str, float]]
 
-class Metrics:
-    """Sends samples until it is closed."""
 
-    def __init__(
-        self, config: Config, sample: Callable[[], dict[str, float]], loop: asyncio.AbstractEventLoop
-    ) -> None:
-        self._name, self._sample, self._loop = config.name, sample, loop
-        self._sinks = [
-            (sink, send)
-            for sink, send in ((config.graphite, self._graphite), (config.collectd, self._collectd))
-            if sink
-        ]
-        self._tasks: list[asyncio.Task] = []
+class MetricsExporter:
+    """Sends samples to the configured sinks, from `start` to `close`."""
+
+    def __init__(self, config: Config, sample: Sample, loop: asyncio.AbstractEventLoop) -> None:
+        self._name = config.name
+        self._graphite_sink = config.graphite
+        self._collectd_sink = config.collectd
+        self._sample = sample
+        self._loop = loop
+        self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
-        self._tasks = [self._loop.create_task(send(sink)) for sink, send in self._sinks]
+        """Begin to send."""
+        if self._graphite_sink is not None:
+            self._tasks.append(self._loop.create_task(self._export_to_graphite(self._graphite_sink)))
+        if self._collectd_sink is not None:
+            self._tasks.append(self._loop.create_task(self._export_to_collectd(self._collectd_sink)))
 
     def close(self) -> None:
+        """Stop sending and close the connections."""
         for task in self._tasks:
             task.cancel()
 
-    async def _graphite(self, sink: Sink) -> None:
+    async def _export_to_graphite(self, sink: Sink) -> None:
         transport: asyncio.Transport | None = None
         try:
             while True:
@@ -59,15 +64,15 @@
                     try:
                         async with asyncio.timeout(sink.interval):
                             transport, _ = await self._loop.create_connection(asyncio.Protocol, *sink.address)
-                    except OSError:  # no one listens: this sample is lost
+                    except OSError:  # nothing listens there: this sample is lost
                         continue
-                if transport.get_write_buffer_size() < MAX_UNSENT:
+                if transport.get_write_buffer_size() < MAX_UNSENT_BYTES:
                     transport.write(graphite_lines(self._name, self._sample(), time.time()))
         finally:
             if transport is not None:
                 transport.abort()
 
-    async def _collectd(self, sink: Sink) -> None:
+    async def _export_to_collectd(self, sink: Sink) -> None:
         transport: asyncio.DatagramTransport | None = None
         try:
             while True:
@@ -79,11 +84,14 @@
                         )
                     except OSError:
                         continue
-                if transport.get_write_buffer_size() < MAX_UNSENT:
-                    for packet in collectd_packets(
-                        self._name, self._sample(), GAUGES, time.time(), sink.interval
-                    ):
-                        transport.sendto(packet)
+                # asyncio's datagram transports have this method, but typeshed does not name it.
+                unsent_bytes = transport.get_write_buffer_size()  # type: ignore[attr-defined]
+                if unsent_bytes < MAX_UNSENT_BYTES:
+                    self._send_collectd_packets(transport, sink.interval)
         finally:
             if transport is not None:
                 transport.abort()
+
+    def _send_collectd_packets(self, transport: asyncio.DatagramTransport, interval: float) -> None:
+        for packet in collectd_packets(self._name, self._sample(), GAUGES, time.time(), interval):
+            transport.sendto(packet)
--- a/stalltiller/daemon/process_handover.py
+++ b/stalltiller/daemon/process_handover.py
@@ -1,4 +1,8 @@
-"""What one process of an initiator leaves to the next: targets taken out, and the turn to take clients."""
+"""What the processes of one initiator share: the detached targets, and a lock on accepting clients.
+
+Both are files in a folder that operators keep for the initiator.  Writes of the file of detached targets are
+atomic; the lock is released by the kernel if its process dies.
+"""
 
 from __future__ import annotations
 
@@ -6,69 +10,84 @@
 import os
 import re
 from pathlib import Path
+from typing import NamedTuple
 
 import orjson
 
 
+class FileVersion(NamedTuple):
+    """What changes whenever a file is replaced."""
+
+    modified_at_ns: int
+    inode: int
+
+
 class ProcessHandover:
-    """Two files in a folder that the processes of one initiator share; without a folder nothing is kept."""
+    """The two files of one initiator; without a folder nothing persists and the lock is always granted."""
 
     def __init__(self, folder: str | None, name: str) -> None:
-        base = None if folder is None else Path(folder) / ("stalltiller-" + re.sub(r"[^\w-]", "_", name))
-        self._out = None if base is None else base.with_suffix(".out")
-        self._lock = None if base is None else base.with_suffix(".lock")
-        self._seen: tuple[int, int] | None = None  # the file of targets when it was last read or written
-        self._held: int | None = None  # descriptor of the lock
+        self._detached_path: Path | None = None
+        self._lock_path: Path | None = None
+        if folder is not None:
+            base = Path(folder) / ("stalltiller-" + re.sub(r"[^\w-]", "_", name))
+            self._detached_path = base.with_suffix(".out")
+            self._lock_path = base.with_suffix(".lock")
+        self._last_version: FileVersion | None = None  # of the detached targets, at the last read or write
+        self._lock_descriptor: int | None = None
 
-    # --- Targets taken out --------------------------------------------------------------------------
+    # --- Detached targets ---------------------------------------------------------------------------
     def has_changed(self) -> bool:
-        """Whether the other process has written the file since this one last looked."""
-        return self._stamp() != self._seen
+        """Return whether the other process has written the file since this one last read or wrote it."""
+        return self._current_version() != self._last_version
 
     def load(self) -> dict[str, float]:
-        """The targets taken out, and when (Unix time)."""
-        self._seen = self._stamp()
-        if self._out is None:
+        """Return the names of the detached targets, and when each was detached (Unix time)."""
+        self._last_version = self._current_version()
+        if self._detached_path is None:
             return {}
         try:
-            return {str(name): float(at) for name, at in orjson.loads(self._out.read_bytes()).items()}
-        except (OSError, ValueError, TypeError, AttributeError):  # none so far, or not ours
+            entries = orjson.loads(self._detached_path.read_bytes())
+            return {str(name): float(detached_at) for name, detached_at in entries.items()}
+        except (OSError, ValueError, TypeError, AttributeError):  # no file so far, or not one of ours
             return {}
 
-    def save(self, out: dict[str, float]) -> None:
-        """Write the file in one step, so that nobody reads half of it; raises OSError."""
-        if self._out is None:
+    def save(self, detached: dict[str, float]) -> None:
+        """Replace the file in one step, so that nobody reads half of it; raises OSError."""
+        if self._detached_path is None:
             return
-        new = self._out.with_suffix(f".{os.getpid()}")
-        new.write_bytes(orjson.dumps(out))
-        new.replace(self._out)
-        self._seen = self._stamp()
+        temporary_path = self._detached_path.with_suffix(f".{os.getpid()}")
+        temporary_path.write_bytes(orjson.dumps(detached))
+        temporary_path.replace(self._detached_path)
+        self._last_version = self._current_version()
 
-    def _stamp(self) -> tuple[int, int] | None:
+    def _current_version(self) -> FileVersion | None:
+        if self._detached_path is None:
+            return None
         try:
-            found = None if self._out is None else self._out.stat()
+            status = self._detached_path.stat()
         except OSError:
             return None
-        return None if found is None else (found.st_mtime_ns, found.st_ino)
+        return FileVersion(status.st_mtime_ns, status.st_ino)
 
-    # --- The turn to take clients -------------------------------------------------------------------
+    # --- The lock on accepting clients --------------------------------------------------------------
     def acquire_lock(self) -> bool:
-        """Whether this process is the one to take clients; the lock ends with the process that holds it."""
-        if self._lock is None or self._held is not None:
+        """Return whether this process may accept clients; it holds the lock until it releases it or dies."""
+        if self._lock_path is None or self._lock_descriptor is not None:
             return True
         try:
-            descriptor = os.open(self._lock, os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
-        except OSError:  # nobody can hold it: better two at once than none
+            descriptor = os.open(self._lock_path, os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
+        except OSError:  # no process can lock it: better that two accept clients than none
             return True
         try:
             fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             os.close(descriptor)
             return False
-        self._held = descriptor
+        self._lock_descriptor = descriptor
         return True
 
     def release_lock(self) -> None:
-        if self._held is not None:
-            os.close(self._held)
-            self._held = None
+        """Let another process of this initiator accept clients."""
+        if self._lock_descriptor is not None:
+            os.close(self._lock_descriptor)
+            self._lock_descriptor = None
--- a/stalltiller/daemon/schema.py
+++ b/stalltiller/daemon/schema.py
@@ -1,61 +1,71 @@
-"""Checks an operator's file against its JSON Schema and names the line of what is wrong."""
+"""Checks an operator's file against its JSON Schema and finds the line of what is wrong."""
 
 from __future__ import annotations
 
 import re
 from pathlib import Path
+from typing import NamedTuple
 
 import orjson
 from jsonschema import Draft202012Validator
 from jsonschema.exceptions import ValidationError
 
-SCHEMA = Path(__file__).with_name("operator.schema.json")
-TABLE = re.compile(r"\s*(\[{1,2})\s*([^\[\]]+?)\s*\]{1,2}\s*(#.*)?$")
-KEY = re.compile(r"\s*([A-Za-z0-9_-]+|\"[^\"]*\")\s*=")
+SCHEMA_FILE = Path(__file__).with_name("operator.schema.json")
+UNKNOWN_KEY_VALIDATOR = "additionalProperties"  # the JSON Schema keyword that rejects keys not listed
+TABLE_PATTERN = re.compile(r"\s*(\[{1,2})\s*([^\[\]]+?)\s*\]{1,2}\s*(#.*)?$")
+KEY_PATTERN = re.compile(r"\s*([A-Za-z0-9_-]+|\"[^\"]*\")\s*=")
 
+KeyPath = tuple[str | int, ...]
 
-def lines_of(text: str) -> dict[tuple[str | int, ...], int]:
-    """The line (from 1) on which each table and each key of a TOML text stands, by its path."""
-    found: dict[tuple[str | int, ...], int] = {(): 1}
-    counts: dict[tuple[str | int, ...], int] = {}  # elements of each array of tables so far
-    at: tuple[str | int, ...] = ()
+
+class SchemaViolation(NamedTuple):
+    """One violation of the schema, with its line in the file (from 1)."""
+
+    line: int
+    key: str | None  # dotted path; None: the whole file
+    message: str
+
+
+def find_lines(text: str) -> dict[KeyPath, int]:
+    """Return the line (from 1) on which each table and each key of a TOML text stands, by its path."""
+    lines: dict[KeyPath, int] = {(): 1}
+    table_counts: dict[KeyPath, int] = {}  # elements of each array of tables so far
+    table_path: KeyPath = ()
     for number, line in enumerate(text.splitlines(), 1):
-        table, key = TABLE.match(line), KEY.match(line)
+        table = TABLE_PATTERN.match(line)
+        key = KEY_PATTERN.match(line)
         if table is not None:
-            at = ()
+            table_path = ()
             names = [name.strip().strip('"') for name in table[2].split(".")]
-            for i, name in enumerate(names):
-                at += (name,)
-                if i == len(names) - 1 and table[1] == "[[":
-                    counts[at] = counts.get(at, 0) + 1
-                    found.setdefault(at, number)
-                if at in counts:
-                    at += (counts[at] - 1,)
-            found[at] = number
+            for index, name in enumerate(names):
+                table_path += (name,)
+                if index == len(names) - 1 and table[1] == "[[":
+                    table_counts[table_path] = table_counts.get(table_path, 0) + 1
+                    lines.setdefault(table_path, number)
+                if table_path in table_counts:
+                    table_path += (table_counts[table_path] - 1,)
+            lines[table_path] = number
         elif key is not None:
-            found.setdefault((*at, key[1].strip('"')), number)
-    return found
-
-
-def first_error(data: dict, text: str) -> str | None:
-    """The first thing wrong with a file, by its lines: `LINE: path: what`; None if it is good."""
-    lines = lines_of(text)
-
-    def place(error: ValidationError) -> tuple[int, str]:
-        path = tuple(error.absolute_path)
-        if error.validator == "additionalProperties":  # the key that is too many, not the table around it
-            extra = sorted(set(error.instance) - set(error.schema["properties"]))
-            path += (extra[0],)
-        known = path
-        while known not in lines:
-            known = known[:-1]
-        return lines[known], ".".join(map(str, path))
-
-    errors = sorted(
-        (place(error), error.message)
-        for error in Draft202012Validator(orjson.loads(SCHEMA.read_bytes())).iter_errors(data)
-    )
-    if not errors:
+            lines.setdefault((*table_path, key[1].strip('"')), number)
+    return lines
+
+
+def first_violation(data: dict, text: str) -> SchemaViolation | None:
+    """Return the first violation by its line in the file, or None if the file is valid."""
+    lines = find_lines(text)
+    validator = Draft202012Validator(orjson.loads(SCHEMA_FILE.read_bytes()))
+    violations = [_violation(error, lines) for error in validator.iter_errors(data)]
+    if not violations:
         return None
-    (line, path), message = errors[0]
-    return f"{line}: {path}: {message}" if path else f"{line}: {message}"
+    return min(violations, key=lambda found: (found.line, found.key or "", found.message))
+
+
+def _violation(error: ValidationError, lines: dict[KeyPath, int]) -> SchemaViolation:
+    path = tuple(error.absolute_path)
+    if error.validator == UNKNOWN_KEY_VALIDATOR:  # name the unknown key, not the table around it
+        unknown_keys = sorted(set(error.instance) - set(error.schema["properties"]))
+        path += (unknown_keys[0],)
+    known_path = path
+    while known_path not in lines:
+        known_path = known_path[:-1]
+    return SchemaViolation(lines[known_path], ".".join(map(str, path)) or None, error.message)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,6 +25,7 @@
     "recovery": (*DECISIONS, "common", "protocol"),
     "daemon": (
         *DECISIONS,
+        "common",
         "simulator.codec",
         "transport",
         "protocol",
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -31,7 +31,7 @@
     folder = None
 
     def changed(self, found):
-        return replace(found, admin=("127.0.0.1", 0), folder=self.folder)
+        return replace(found, admin=("127.0.0.1", 0), handover_folder=self.folder)
 
     async def call(self, text: str, body: str = "") -> int:
         return await call(self.app.admin.address, text, body)
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -8,7 +8,8 @@
 from click.testing import CliRunner
 
 from stalltiller.daemon import cli, config
-from stalltiller.daemon.schema import lines_of
+from stalltiller.daemon.operator_config import read_operator_config
+from stalltiller.daemon.schema import find_lines
 
 DEPLOY = Path(__file__).parent.parent / "deploy"
 FLEET, OPERATOR = ((DEPLOY / name).read_text() for name in ("fleet.toml", "operator.toml"))
@@ -38,11 +39,11 @@
     file = tmp_path / "operator.toml"
     file.write_text(text.replace(old, new, 1))
     found = file.read_text()
-    line = line_of(found, new) if new else lines_of(found)["nvme", "namespaces", 1]
+    line = line_of(found, new) if new else find_lines(found)["nvme", "namespaces", 1]
     done = CliRunner().invoke(cli.main, ["check", str(file)])
     assert done.exit_code == 2 and done.output.startswith(f"stalltiller: {file}:{line}: {path}: ")
     with pytest.raises(config.ConfigError):
-        config.from_operator(str(file))
+        read_operator_config(str(file))
 
 
 @pytest.mark.parametrize("name", ["fleet.toml", "operator.toml"])
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,6 +17,7 @@
 import pytest
 
 from stalltiller.daemon import config
+from stalltiller.daemon.operator_config import read_operator_config
 from tests.stand_ins import World
 from tests.test_parsers import collectd_decoded
 
@@ -81,12 +82,12 @@
 
 
 def test_the_operator_s_file_is_read():
-    found = config.from_operator(str(ROOT / "deploy" / "operator.toml"))
+    found = read_operator_config(str(ROOT / "deploy" / "operator.toml"))
     data = tomllib.loads(OPERATOR)
     space = found.nvme.namespaces[1]
     assert space.blocks_per_unit == data["nvme"]["namespaces"][0]["blocks_per_unit"]
     assert found.nvme.opcodes[2][1] == data["nvme"]["opcodes"]["read"]["deadline_ms"] / 1000
-    assert found.seed != config.from_operator(str(ROOT / "deploy" / "operator.toml")).seed
+    assert found.seed != read_operator_config(str(ROOT / "deploy" / "operator.toml")).seed
     assert found.graphite.address[0] == found.collectd.address[0] == "127.0.0.1"
 
 
@@ -110,7 +111,7 @@
     path = tmp_path / "operator.toml"
     path.write_text(OPERATOR.replace(old, new, 1))
     with pytest.raises(config.ConfigError) as caught:
-        config.from_operator(str(path))
+        read_operator_config(str(path))
     assert "\n" not in str(caught.value)
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -11,6 +11,7 @@
 
 from stalltiller.daemon import application as program
 from stalltiller.daemon import config
+from stalltiller.daemon.platform_config import read_platform_config
 from stalltiller.daemon.settings_reload import transitional_settings
 from stalltiller.scheduling import DeduplicationScope, Idempotency
 from tests.helpers import plan, request_class, settings
@@ -219,10 +220,10 @@
     async def scene():
         async with World("http") as world:
             file.write_text(json.dumps(EXAMPLE))
-            world.app._config = config.from_platform({"PROXY_CONFIG": str(file)})
+            world.app._config = read_platform_config({"PROXY_CONFIG": str(file)})
             before = world.app.engine.settings
             file.write_text(json.dumps({**changed(path, value), "name": "other"}))
-            world.app.reload(lambda: config.from_platform({"PROXY_CONFIG": str(file)}))
+            world.app.reload(lambda: read_platform_config({"PROXY_CONFIG": str(file)}))
             assert world.logged[-1]["event"] == "reload_failed"
             assert world.app.engine.settings is before and world.app._config.name == EXAMPLE["name"]
 
