Part the application into owners with one job; tasks are owned

Need: application.py wired, divided limits, watched discovery, reloaded settings and drained in one class; tasks were created bare. Change: resource_limits, protocol_adapters, discovery_watch, detached_targets, admin_calls (typed calls), fleet_participation, settings_reload.SettingsReloader, graceful_shutdown, background_tasks. Application only wires, starts and closes, in the order as before. Tests follow the names (monkeypatched constants, settings_reloader), no assertion changed.

--- a/stalltiller/daemon/config.py
+++ b/stalltiller/daemon/config.py
@@ -98,6 +98,12 @@
     recovery: RecoveryConfig | None = None  # None: nothing outlives a restart, as on the platform
 
 
+def format_address(address: tuple[str, int]) -> str:
+    """Return an address as `host:port`."""
+    host, port = address
+    return f"{host}:{port}"
+
+
 def key_paths(value: object, prefix: str = "") -> frozenset[str]:
     """Return the dotted paths of all keys; for a list of objects, of those that all of them have."""
     if isinstance(value, dict):
--- a/stalltiller/daemon/metrics.py
+++ b/stalltiller/daemon/metrics.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable
 
+from stalltiller.daemon.background_tasks import BackgroundTasks
 from stalltiller.daemon.config import Config, Sink
 from stalltiller.protocol.metrics import collectd_packets, graphite_lines
 
@@ -35,20 +36,27 @@
 class MetricsExporter:
     """Sends samples to the configured sinks, from `start` to `close`."""
 
-    def __init__(self, config: Config, sample: Sample, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        config: Config,
+        sample: Sample,
+        loop: asyncio.AbstractEventLoop,
+        background_tasks: BackgroundTasks,
+    ) -> None:
         self._name = config.name
         self._graphite_sink = config.graphite
         self._collectd_sink = config.collectd
         self._sample = sample
         self._loop = loop
+        self._background_tasks = background_tasks
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Begin to send."""
         if self._graphite_sink is not None:
-            self._tasks.append(self._loop.create_task(self._export_to_graphite(self._graphite_sink)))
+            self._tasks.append(self._background_tasks.start(self._export_to_graphite(self._graphite_sink)))
         if self._collectd_sink is not None:
-            self._tasks.append(self._loop.create_task(self._export_to_collectd(self._collectd_sink)))
+            self._tasks.append(self._background_tasks.start(self._export_to_collectd(self._collectd_sink)))
 
     def close(self) -> None:
         """Stop sending and close the connections."""
--- /dev/null
+++ b/stalltiller/daemon/protocol_adapters.py
@@ -0,0 +1,107 @@
+"""Builds the server side and the target client of the protocol that an initiator is configured for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from stalltiller.adapters.http_server import HttpServer, HttpTargetClient
+from stalltiller.adapters.nvme_controller import NvmeController
+from stalltiller.adapters.nvme_mapping import Mapping
+from stalltiller.adapters.nvme_target_client import NvmeTargetClient
+from stalltiller.daemon.config import Config
+from stalltiller.daemon.log import JsonLog
+from stalltiller.daemon.resource_limits import ResourceLimits
+from stalltiller.routing.engine import Engine
+from stalltiller.scheduling import Settings
+from stalltiller.transport.buffers import BufferPool
+
+
+@dataclass(slots=True, frozen=True)
+class HttpAdapters:
+    """The platform's protocol, HTTP/1.1, on both sides."""
+
+    server: HttpServer
+    target_client: HttpTargetClient
+
+    def update_settings(self, settings: Settings, _mapping: Mapping | None) -> None:
+        """Use other settings from now on; HTTP has no mapping of namespaces."""
+        self.server.update_settings(settings)
+        self.target_client.update_settings(settings)
+
+
+@dataclass(slots=True, frozen=True)
+class NvmeAdapters:
+    """NVMe/TCP on both sides."""
+
+    server: NvmeController
+    target_client: NvmeTargetClient
+
+    def update_settings(self, settings: Settings, mapping: Mapping | None) -> None:
+        """Use other settings from now on, and the mapping, or without one the mapping used so far."""
+        self.server.update_settings(settings, mapping or self.server.mapping)
+
+
+ProtocolAdapters = HttpAdapters | NvmeAdapters
+
+
+def build_adapters(
+    config: Config,
+    limits: ResourceLimits,
+    loop: asyncio.AbstractEventLoop,
+    engine: Engine,
+    buffers: BufferPool,
+    is_ready: Callable[[], bool],
+    log: JsonLog,
+) -> ProtocolAdapters:
+    """Return the adapters for NVMe/TCP if the configuration has a mapping of namespaces, else for HTTP."""
+    if config.nvme is not None:
+        return _build_nvme_adapters(config, config.nvme, limits, loop, engine, buffers, log)
+    server = HttpServer(
+        loop,
+        engine,
+        buffers,
+        config.settings,
+        is_ready,
+        limits.response_bytes,
+        limits.request_body_bytes,
+    )
+    target_client = HttpTargetClient(
+        loop,
+        engine,
+        buffers,
+        config.connect_timeout,
+        config.idle_timeout,
+        limits.max_target_connections,
+        log,
+        config.settings,
+        limits.response_bytes,
+    )
+    return HttpAdapters(server, target_client)
+
+
+def _build_nvme_adapters(
+    config: Config,
+    mapping: Mapping,
+    limits: ResourceLimits,
+    loop: asyncio.AbstractEventLoop,
+    engine: Engine,
+    buffers: BufferPool,
+    log: JsonLog,
+) -> NvmeAdapters:
+    server = NvmeController(
+        loop, engine, buffers, config.settings, config.name, mapping, log, limits.nvme_bytes
+    )
+    target_client = NvmeTargetClient(
+        loop,
+        engine,
+        buffers,
+        config.connect_timeout,
+        config.idle_timeout,
+        limits.max_target_connections,
+        log,
+        config.name,
+        mapping,
+    )
+    return NvmeAdapters(server, target_client)
--- a/stalltiller/daemon/settings_reload.py
+++ b/stalltiller/daemon/settings_reload.py
@@ -1,55 +1,139 @@
-"""From one configuration to the next, while requests come in."""
+"""Changes the settings of a running initiator when its configuration is read again.
+
+Clients learn of other settings late, so settings change in two steps: at once to `transitional_settings`,
+by which requests of either are accepted under the stricter rules, and TRANSITION_SECONDS later in full.
+"""
 
 from __future__ import annotations
 
+import asyncio
 import math
+from collections.abc import Callable
 from dataclasses import replace
 
-from stalltiller.scheduling import DeduplicationScope, Idempotency, Settings
+from stalltiller.adapters.nvme_mapping import Mapping
+from stalltiller.daemon.config import Config, ConfigError, MissingKeyError, format_address
+from stalltiller.daemon.discovery_watch import DiscoveryWatch
+from stalltiller.daemon.log import JsonLog
+from stalltiller.daemon.protocol_adapters import ProtocolAdapters
+from stalltiller.routing.engine import Engine
+from stalltiller.scheduling import DeduplicationScope, Idempotency, RequestClass, Settings
 
-SETTLE_SECONDS = 1.5  # s after SIGHUP for which clients may still go by the settings before
-WIDTH = (
-    DeduplicationScope.SHARD,
-    DeduplicationScope.ZONE,
-    DeduplicationScope.ALL,
-)  # where a repeat is known as one, the narrowest first
-STRICTNESS = (Idempotency.SAFE, Idempotency.IDEMPOTENCY_KEY, Idempotency.UNSAFE)
+TRANSITION_SECONDS = 1.5  # after SIGHUP, for which clients may still go by the settings before
+SCOPES_NARROWEST_FIRST = (DeduplicationScope.SHARD, DeduplicationScope.ZONE, DeduplicationScope.ALL)
+IDEMPOTENCY_STRICTEST_LAST = (Idempotency.SAFE, Idempotency.IDEMPOTENCY_KEY, Idempotency.UNSAFE)
 
 
 def merge_settings(old: Settings, new: Settings) -> Settings:
-    """The new settings, in which a class that goes on is a write if it was one, and of others it is not told.
+    """Return the new settings, in which whether a class writes comes from the old class of that name.
 
-    Guards against settings that tell it by place and keep that list while the classes change theirs: every
-    write was taken for a read, and answered 400.
+    Of classes without an old one it is unknown.  Guards against files that list by position which classes
+    write, and keep that list while the classes change places: every write would be taken for a read and
+    answered 400.
     """
     writes = {cls.name: cls.is_write for cls in old.classes}
     return replace(new, classes=tuple(replace(cls, is_write=writes.get(cls.name)) for cls in new.classes))
 
 
 def transitional_settings(old: Settings, new: Settings) -> Settings:
-    """What holds while either may be meant: all classes and plans of both, and the stricter of two rules.
+    """Return settings with all classes and plans of both, and the stricter of each two rules.
 
-    Guards against refusing what the one names and the other does not, and against repeating a request that
-    only the new settings allow to be repeated while its client still goes by the old ones.
+    Guards against rejecting what only one of them names, and against repeating a request that only the new
+    settings allow to be repeated while its client still goes by the old ones.
     """
-    coming = {cls.name: cls for cls in new.classes}
-    classes = []
-    for cls in old.classes:
-        same = coming.pop(cls.name, cls)
-        classes.append(
-            replace(
-                same,
-                idempotency=max(cls.idempotency, same.idempotency, key=STRICTNESS.index),
-                deduplication_scope=min(cls.deduplication_scope, same.deduplication_scope, key=WIDTH.index),
-                deduplication_window=min(cls.deduplication_window, same.deduplication_window),
-            )
-        )
+    new_classes = {cls.name: cls for cls in new.classes}
+    classes = [_stricter_class(cls, new_classes.pop(cls.name, cls)) for cls in old.classes]
     plans = {plan.name: plan for plan in old.plans}
     for plan in new.plans:
-        plans[plan.name] = min(plan, plans.get(plan.name, plan), key=lambda one: one.limit or math.inf)
+        plans[plan.name] = min(
+            plan, plans.get(plan.name, plan), key=lambda candidate: candidate.limit or math.inf
+        )
     return replace(
         new,
-        classes=(*classes, *coming.values()),
+        classes=(*classes, *new_classes.values()),
         plans=tuple(plans.values()),
         max_attempts=min(old.max_attempts, new.max_attempts),
     )
+
+
+def _stricter_class(old: RequestClass, new: RequestClass) -> RequestClass:
+    return replace(
+        new,
+        idempotency=max(old.idempotency, new.idempotency, key=IDEMPOTENCY_STRICTEST_LAST.index),
+        deduplication_scope=min(
+            old.deduplication_scope, new.deduplication_scope, key=SCOPES_NARROWEST_FIRST.index
+        ),
+        deduplication_window=min(old.deduplication_window, new.deduplication_window),
+    )
+
+
+class SettingsReloader:
+    """Reads the configuration again and applies what may change while the program runs.
+
+    The address of discovery and the settings may; the listening addresses, limits, the protocol and metrics
+    wait for the next start.
+    """
+
+    def __init__(
+        self,
+        config: Config,
+        engine: Engine,
+        adapters: ProtocolAdapters,
+        discovery_watch: DiscoveryWatch,
+        loop: asyncio.AbstractEventLoop,
+        log: JsonLog,
+    ) -> None:
+        self.config = config
+        self._engine = engine
+        self._adapters = adapters
+        self._discovery_watch = discovery_watch
+        self._loop = loop
+        self._log = log
+        self._transition: asyncio.TimerHandle | None = None  # until the last settings read hold in full
+
+    def reload(self, read_config: Callable[[], Config]) -> None:
+        """Read the configuration and apply it; if that fails or a key is missing, nothing changes."""
+        try:
+            config = self._read_complete(read_config)
+        except ConfigError as error:
+            self._log("reload_failed", error=str(error))
+            return
+        if (self.config.nvme is None) != (config.nvme is None):
+            config = replace(config, nvme=self.config.nvme)  # another protocol waits for the next start
+        config = replace(config, settings=merge_settings(self._engine.settings, config.settings))
+        self._log(
+            "reloaded",
+            discovery=format_address(config.discovery),
+            classes=[cls.name for cls in config.settings.classes],
+        )
+        self._change_settings(config)
+        self.config = config
+        self._discovery_watch.move_to(config.discovery)
+
+    def apply_settings(self, settings: Settings, mapping: Mapping | None = None) -> None:
+        """Use settings from now on, and the mapping of NVMe namespaces unless it is None."""
+        self._engine.update_settings(settings)
+        self._adapters.update_settings(settings, mapping)
+
+    def _read_complete(self, read_config: Callable[[], Config]) -> Config:
+        config = read_config()
+        missing = sorted(self.config.required_keys - config.required_keys)
+        if missing:
+            raise MissingKeyError(missing[0])
+        return config
+
+    def _change_settings(self, config: Config) -> None:
+        """Start the transition, also if one has not ended: then its settings never held in full."""
+        in_transition = self._transition is not None
+        if self._transition is not None:
+            self._transition.cancel()
+        has_changed = config.settings != self._engine.settings or config.nvme != self.config.nvme
+        if in_transition or has_changed:
+            self.apply_settings(transitional_settings(self._engine.settings, config.settings))
+            self._transition = self._loop.call_later(
+                TRANSITION_SECONDS, self._end_transition, config.settings, config.nvme
+            )
+
+    def _end_transition(self, settings: Settings, mapping: Mapping | None) -> None:
+        self._transition = None
+        self.apply_settings(settings, mapping)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -242,7 +242,7 @@
 
 def test_a_silent_discovery_is_called_anew_and_service_goes_on_with_the_last_list(monkeypatch):
     monkeypatch.setattr(
-        "stalltiller.daemon.application.BackoffPollPolicy",
+        "stalltiller.daemon.discovery_watch.BackoffPollPolicy",
         lambda: BackoffPollPolicy(poll_wait=0.1, response_timeout=0.1),
     )
 
@@ -298,8 +298,8 @@
 
 def test_after_sigterm_open_connections_are_served_on_and_in_the_end_all_is_answered(monkeypatch):
     """Closing at once left the clients without their one initiator until its next start."""
-    monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.05)
-    monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.1)
+    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.KEEP_LISTENING_SECONDS", 0.05)
+    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.CLOSING_SECONDS", 0.1)
     monkeypatch.setattr("stalltiller.transport.listener.IDLE_LIMIT", 0.01)
     monkeypatch.setattr("stalltiller.transport.listener.SWEEP_EVERY", 0.01)
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -265,8 +265,8 @@
 
 def test_what_comes_whole_after_the_last_answers_is_refused_not_dropped(monkeypatch):
     """The program ended with a request read and not answered."""
-    monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.01)
-    monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.01)
+    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.KEEP_LISTENING_SECONDS", 0.01)
+    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.CLOSING_SECONDS", 0.01)
 
     async def scene(world):
         client = dial(world)
@@ -308,8 +308,8 @@
 
 def test_a_long_answer_that_the_end_cuts_off_does_not_look_whole(monkeypatch):
     """To a client of HTTP/1.0 an answer without a length ends with its connection."""
-    for name in ("STILL_LISTENING", "CLOSING_TIME", "LAST_WORDS"):
-        monkeypatch.setattr(f"stalltiller.daemon.application.{name}", 0.01, raising=False)
+    for name in ("KEEP_LISTENING_SECONDS", "CLOSING_SECONDS", "LINGER_SECONDS"):
+        monkeypatch.setattr(f"stalltiller.daemon.graceful_shutdown.{name}", 0.01, raising=False)
 
     async def scene(world):
         async def answer(reader, writer):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -9,8 +9,7 @@
 
 import pytest
 
-from stalltiller.daemon import application as program
-from stalltiller.daemon import config
+from stalltiller.daemon import config, settings_reload
 from stalltiller.daemon.platform_config import read_platform_config
 from stalltiller.daemon.settings_reload import transitional_settings
 from stalltiller.scheduling import DeduplicationScope, Idempotency
@@ -78,7 +77,7 @@
 
 def test_new_settings_hold_at_once_where_stricter_and_in_full_later(monkeypatch):
     """The open write keeps its class, though that is gone when its attempt ends; no class is mixed up."""
-    monkeypatch.setattr(program, "SETTLE_SECONDS", 60.0)
+    monkeypatch.setattr(settings_reload, "TRANSITION_SECONDS", 60.0)
 
     async def scene():
         async with World("http") as world:
@@ -103,7 +102,7 @@
             for answer in ("served", "failed"):  # the old name; later it is refused as unknown
                 result = await world.write(tag=2, shard=1)
                 assert result.end == answer
-                world.app._retune(after)  # what SETTLE_SECONDS brings
+                world.app.settings_reloader.apply_settings(after)  # as at the end of TRANSITION_SECONDS
             assert world.app.engine.counts["bad_requests"] == 1
             assert (await asking).end == "served"
             assert (await world.read(tag=3, shard=1)).end == "served"
@@ -116,7 +115,7 @@
 
 
 def test_the_nvme_front_keeps_its_classes_while_their_order_changes(monkeypatch):
-    monkeypatch.setattr(program, "SETTLE_SECONDS", 0.1)
+    monkeypatch.setattr(settings_reload, "TRANSITION_SECONDS", 0.1)
 
     async def scene():
         async with World("nvme") as world:
@@ -135,7 +134,7 @@
 
 def test_a_second_reload_while_the_first_settles_loses_none_of_it(monkeypatch):
     """It cancelled the first one's second step, and took the file for known: the new mapping never held."""
-    monkeypatch.setattr(program, "SETTLE_SECONDS", 0.1)
+    monkeypatch.setattr(settings_reload, "TRANSITION_SECONDS", 0.1)
 
     async def scene():
         async with World("nvme") as world:
@@ -144,14 +143,14 @@
             for _ in range(2):
                 world.app.reload(lambda: replace(world.config(), nvme=mapping))
             await world.until(lambda: 7 in world.app.server.mapping.namespaces, 2.0)
-            assert world.app._settling is None
+            assert world.app.settings_reloader._transition is None
 
     asyncio.run(scene())
 
 
 def test_classes_that_change_places_stay_reads_and_writes(monkeypatch, tmp_path):
     """The list of those that write kept its places, so every write was answered 400."""
-    monkeypatch.setattr(program, "SETTLE_SECONDS", 0.0)
+    monkeypatch.setattr(settings_reload, "TRANSITION_SECONDS", 0.0)
 
     def read_file():
         world_settings = config.parse_settings(json.loads(file.read_text()))
@@ -220,12 +219,15 @@
     async def scene():
         async with World("http") as world:
             file.write_text(json.dumps(EXAMPLE))
-            world.app._config = read_platform_config({"PROXY_CONFIG": str(file)})
+            world.app.settings_reloader.config = read_platform_config({"PROXY_CONFIG": str(file)})
             before = world.app.engine.settings
             file.write_text(json.dumps({**changed(path, value), "name": "other"}))
             world.app.reload(lambda: read_platform_config({"PROXY_CONFIG": str(file)}))
             assert world.logged[-1]["event"] == "reload_failed"
-            assert world.app.engine.settings is before and world.app._config.name == EXAMPLE["name"]
+            assert (
+                world.app.engine.settings is before
+                and world.app.settings_reloader.config.name == EXAMPLE["name"]
+            )
 
     file = tmp_path / "config.json"
     asyncio.run(scene())
