--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -1,4 +1,4 @@
-"""Idle clients that take every descriptor they can get, while discovery is down."""
+"""Idle clients that open as many connections as they can, while discovery is down."""
 
 from __future__ import annotations
 
@@ -15,11 +15,12 @@
 from tests.stand_ins import BLOCK, Discovery, HttpTarget, read_message
 from tests.test_program import EXAMPLE, start
 
-CROWD, CALLERS = 300, 40
+IDLE_CLIENTS = 300
+IDLE_ADMIN_CLIENTS = 40
 
 
-async def idler(address: tuple[str, int], pause: list[float]) -> None:
-    """A client that connects, says nothing, and comes again a pause after it is turned away."""
+async def reconnect_idle(address: tuple[str, int], pause: list[float]) -> None:
+    """A client that connects, sends nothing, and reconnects a pause after it is rejected."""
     while True:
         with contextlib.suppress(OSError):
             reader, writer = await asyncio.open_connection(*address)
@@ -31,8 +32,8 @@
 
 
 @pytest.mark.parametrize("sockets", [96, 160])
-def test_the_watch_the_dials_and_the_second_address_work_past_a_crowd_of_idle_clients(sockets, tmp_path):
-    """Discovery is down as the crowd comes; when it returns the list is learned, and a request served."""
+def test_discovery_targets_and_admin_calls_keep_descriptors_beside_many_idle_clients(sockets, tmp_path):
+    """Discovery is down as the clients connect; once it is up the list is learned, and a request served."""
 
     async def scene():
         discovery, target = Discovery(), HttpTarget("s-0", 0)
@@ -69,24 +70,27 @@
 
         reading = loop.run_in_executor(None, read)
 
-        async def said(event: str) -> dict:
+        async def logged(event: str) -> dict:
             while True:
                 line = await lines.get()
                 assert line["event"] != "loop_error", line  # an accept that found no descriptor
                 if line["event"] == event:
                     return line
 
-        host, _, port = (await said("started"))["listen"].partition(":")
+        host, _, port = (await logged("started"))["listen"].partition(":")
         address = (host, int(port))
-        pause = [0.0]  # at first they come again at once
-        crowd = [asyncio.create_task(idler(place, pause)) for place in [address] * CROWD + [admin] * CALLERS]
+        pause = [0.0]  # at first they reconnect at once
+        idle_clients = [
+            asyncio.create_task(reconnect_idle(listener, pause))
+            for listener in [address] * IDLE_CLIENTS + [admin] * IDLE_ADMIN_CLIENTS
+        ]
         try:
-            await said("discovery_failed")
-            while (await said("counters"))["shed"] < CROWD:
+            await logged("discovery_failed")
+            while (await logged("counters"))["shed"] < IDLE_CLIENTS:
                 pass
             pause[0] = 0.5
             await discovery.open()
-            assert (await said("list"))["targets"] == {"s-0": "ready"}
+            assert (await logged("list"))["targets"] == {"s-0": "ready"}
             reader, writer = await asyncio.open_connection(*admin)
             writer.write(b"GET /_ready HTTP/1.1\r\nHost: h\r\n\r\n")
             assert (await reader.read()).startswith(b"HTTP/1.1 200")
@@ -110,9 +114,9 @@
             assert (answer.head.status, bytes(answer.body)) == (200, target.content(1, BLOCK))
             writer.close()
         finally:
-            for task in crowd:
+            for task in idle_clients:
                 task.cancel()
-            await asyncio.gather(*crowd, return_exceptions=True)
+            await asyncio.gather(*idle_clients, return_exceptions=True)
             program.send_signal(signal.SIGTERM)
             await reading
             discovery.close()
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,4 @@
-"""The list of known failures can't rot: it is short, whole, and names tests that are there."""
+"""The list of known failures stays short and well-formed, and names existing tests."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.parametrize(
-    ("lines", "code", "says"),
+    ("lines", "exit_code", "expected_output"),
     [
         ([], 1, "1 failed, 1 passed"),
         ([f"{RED} | cause | issue 1"], 0, f"{RED}: still fails"),
@@ -29,7 +29,7 @@
         ([f"{RED} | cause | issue {n}" for n in range(4)], 4, "4 lines, 3 allowed"),
     ],
 )
-def test_a_run_passes_over_just_the_tests_listed_and_prints_them(lines, code, says, tmp_path):
+def test_only_the_listed_tests_may_fail_and_they_are_printed(lines, exit_code, expected_output, tmp_path):
     (tmp_path / "tests").mkdir()
     (tmp_path / "tests" / "conftest.py").write_text(CONFTEST.read_text())
     (tmp_path / "tests" / "test_a.py").write_text(TESTS)
@@ -43,5 +43,5 @@
         text=True,
         timeout=60,
     )
-    assert run.returncode == code, run.stdout + run.stderr
-    assert says in run.stdout + run.stderr
+    assert run.returncode == exit_code, run.stdout + run.stderr
+    assert expected_output in run.stdout + run.stderr
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,4 +1,4 @@
-"""What operators do by hand: calls at the second address, targets taken out, one process after another."""
+"""Operators' actions: calls at the admin address, detached targets, one process after another."""
 
 from __future__ import annotations
 
@@ -30,22 +30,22 @@
 class AdminWorld(World):
     folder = None
 
-    def changed(self, found):
-        return replace(found, admin=("127.0.0.1", 0), handover_folder=self.folder)
+    def changed(self, config):
+        return replace(config, admin=("127.0.0.1", 0), handover_folder=self.folder)
 
     async def call(self, text: str, body: str = "") -> int:
         return await call(self.app.admin.address, text, body)
 
 
-def on(scene, kind: str = "http", folder=None) -> None:
-    async def whole():
+def run_scene(scene, kind: str = "http", folder=None) -> None:
+    async def run():
         world = AdminWorld(kind)
         world.folder = folder
         async with world:
             await asyncio.wait_for(scene(world), 20)
             assert world.faults() == []
 
-    asyncio.run(whole())
+    asyncio.run(run())
 
 
 @pytest.mark.parametrize(
@@ -64,14 +64,14 @@
         ("nonsense", "", 400),
     ],
 )
-def test_a_call_gets_a_yes_or_a_no(text, body, status):
+def test_an_admin_call_is_answered_with_a_status(text, body, status):
     async def scene(world):
         assert await world.call(text, body) == status
 
-    on(scene)
+    run_scene(scene)
 
 
-def test_callers_that_say_nothing_do_not_keep_others_waiting():
+def test_silent_connections_do_not_delay_admin_calls():
     async def scene(world):
         silent = [await asyncio.open_connection(*world.app.admin.address) for _ in range(20)]
         began = time.monotonic()
@@ -80,11 +80,11 @@
         for _, writer in silent:
             writer.close()
 
-    on(scene)
+    run_scene(scene)
 
 
 @pytest.mark.parametrize("kind", ["http", "nvme"])
-def test_a_target_taken_out_gets_nothing_until_it_is_put_back(kind):
+def test_a_detached_target_gets_no_requests_until_it_is_attached(kind):
     async def scene(world):
         target, lists = world.targets[0], len(world.logged)
         for _ in range(2):
@@ -99,10 +99,10 @@
             world.app.engine.to_scheduler_time(time.time()), abs=5
         )  # cold
 
-    on(scene, kind)
+    run_scene(scene, kind)
 
 
-def test_another_process_of_the_initiator_follows_suit(tmp_path):
+def test_another_process_of_the_initiator_follows_the_detached_targets(tmp_path):
     async def scene(world):
         other = ProcessHandover(str(tmp_path), "n0")
         other.save({"s-0": time.time()})
@@ -112,17 +112,17 @@
         assert await world.call("PUT /_targets/attach", "s-0") == 200
         assert other.has_changed() and other.load() == {}
 
-    on(scene, folder=str(tmp_path))
+    run_scene(scene, folder=str(tmp_path))
 
 
 @pytest.mark.parametrize("text", ["", "[1]", '{"s-0": "x"}'])
-def test_a_file_of_targets_that_can_not_be_read_counts_as_none(text, tmp_path):
+def test_an_unreadable_file_of_detached_targets_counts_as_empty(text, tmp_path):
     (tmp_path / "stalltiller-n0.out").write_text(text)
     assert ProcessHandover(str(tmp_path), "n0").load() == {}
 
 
-def test_the_next_process_waits_its_turn_and_takes_over_socket_and_targets(tmp_path):
-    def begin(until: str):
+def test_the_next_process_waits_for_the_lock_and_takes_over_socket_and_detached_targets(tmp_path):
+    def start_until(event_name: str):
         program = start(
             PROXY_CONFIG=str(path),
             PROXY_LISTEN=address,
@@ -132,14 +132,14 @@
             pass_fds=(number,),
         )
         events = map(json.loads, program.stdout)
-        found = {}
-        while until not in found:
+        logged = {}
+        while event_name not in logged:
             event = next(events)
-            found[event["event"]] = event
-        host, _, port = found["admin"]["listen"].partition(":")
+            logged[event["event"]] = event
+        host, _, port = logged["admin"]["listen"].partition(":")
         return program, events, (host, int(port))
 
-    def healthy() -> bool:
+    def is_healthy() -> bool:
         with socket.create_connection(listening.getsockname(), timeout=20) as client:
             client.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
             return client.recv(100).startswith(b"HTTP/1.1 200")
@@ -149,15 +149,15 @@
     path.write_text(json.dumps({**EXAMPLE, "known": {"index": 1, "snapshot": True, "endpoints": [line]}}))
     with socket.create_server(("127.0.0.1", 0)) as listening:
         address, number = f"127.0.0.1:{listening.getsockname()[1]}", listening.fileno()
-        old, _, old_admin = begin("started")
+        old, _, old_admin = start_until("started")
         assert asyncio.run(call(old_admin, "PUT /_targets/detach", "s-1")) == 200
-        new, events, new_admin = begin("admin")
+        new, events, new_admin = start_until("admin")
         while asyncio.run(call(new_admin, "GET /_ready")) != 200:
             time.sleep(0.05)
-        assert healthy()  # by the old one: the new one has not started to take clients
+        assert is_healthy()  # by the old one: the new one has not started to take clients
         old.send_signal(signal.SIGTERM)
         assert next(event for event in events if event["event"] == "started")["listen"] == address
-        assert healthy()
+        assert is_healthy()
         assert json.loads((tmp_path / f"stalltiller-{EXAMPLE['name']}.out").read_text()).keys() == {"s-1"}
         assert asyncio.run(call(new_admin, "PUT /_targets/attach", "s-1")) == 200
         for program in (old, new):
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -1,4 +1,4 @@
-"""The operator's file: what is wrong with it is named by its line."""
+"""The operator's file: errors name the line."""
 
 from __future__ import annotations
 
@@ -35,24 +35,25 @@
         (OPERATOR, "shard = 1\n", "", "nvme.namespaces.1"),
     ],
 )
-def test_a_bad_file_is_refused_with_the_line_named(text, old, new, path, tmp_path):
+def test_an_invalid_file_is_rejected_with_the_line_of_the_error(text, old, new, path, tmp_path):
     file = tmp_path / "operator.toml"
     file.write_text(text.replace(old, new, 1))
     found = file.read_text()
     line = line_of(found, new) if new else find_lines(found)["nvme", "namespaces", 1]
-    done = CliRunner().invoke(cli.main, ["check", str(file)])
-    assert done.exit_code == 2 and done.output.startswith(f"stalltiller: {file}:{line}: {path}: ")
-    with pytest.raises(config.ConfigError):
+    result = CliRunner().invoke(cli.main, ["check", str(file)])
+    assert result.exit_code == 2 and result.output.startswith(f"stalltiller: {file}:{line}: {path}: ")
+    with pytest.raises(config.ConfigError) as caught:
         read_operator_config(str(file))
+    assert (caught.value.path, caught.value.line, caught.value.key) == (str(file), line, path)
 
 
 @pytest.mark.parametrize("name", ["fleet.toml", "operator.toml"])
-def test_the_files_of_this_repository_are_good(name):
-    done = CliRunner().invoke(cli.main, ["check", str(DEPLOY / name)])
-    assert (done.exit_code, "good" in done.output) == (0, True)
+def test_the_files_of_this_repository_are_valid(name):
+    result = CliRunner().invoke(cli.main, ["check", str(DEPLOY / name)])
+    assert (result.exit_code, "good" in result.output) == (0, True)
 
 
-def test_a_fleet_that_can_not_be_asked_is_one_plain_line():
-    done = CliRunner().invoke(cli.main, ["fleet", "--admin", "127.0.0.1:1", "members"])
-    assert done.exit_code == 2 and done.output.count("\n") == 1
+def test_an_unreachable_admin_address_prints_one_line_and_exits_with_2():
+    result = CliRunner().invoke(cli.main, ["fleet", "--admin", "127.0.0.1:1", "members"])
+    assert result.exit_code == 2 and result.output.count("\n") == 1
     assert CliRunner().invoke(cli.main, ["fleet", "--admin", "nowhere", "members"]).exit_code == 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,4 +1,4 @@
-"""The program as it is started: configuration, signals, log and metrics."""
+"""The program as a process: configuration, signals, log and metrics."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
         {"settings": {"classes": [{"aim-ns": "soon"}], "contracts": [{}]}},
     ],
 )
-def test_a_bad_configuration_ends_with_one_plain_line(change, tmp_path):
+def test_an_invalid_configuration_prints_one_line_and_exits_with_2(change, tmp_path):
     path = tmp_path / "config.json"
     path.write_text(json.dumps({**EXAMPLE, **change}))
     program = start(PROXY_CONFIG=str(path))
@@ -60,7 +60,7 @@
 
 
 @pytest.mark.parametrize("text", ["not json", "[]", None])
-def test_a_file_that_can_not_be_read_ends_with_one_plain_line(text, tmp_path):
+def test_an_unreadable_file_prints_one_line_and_exits_with_2(text, tmp_path):
     path = tmp_path / "config"
     if text is not None:
         path.write_text(text)
@@ -69,7 +69,7 @@
         assert (program.returncode, err.count("\n")) == (2, 1)
 
 
-def test_settings_are_read_with_their_units_and_unknown_keys_passed_over():
+def test_settings_are_read_with_their_units_and_unknown_keys_are_ignored():
     nested = {**EXAMPLE["settings"], "no-such-key": {"a": [1, {"b": None}]}}
     settings = config.parse_settings(nested)
     assert [cls.name for cls in settings.classes] == ["order-read", "order-write", "report-export"]
@@ -81,14 +81,14 @@
 OPERATOR = (ROOT / "deploy" / "operator.toml").read_text()
 
 
-def test_the_operator_s_file_is_read():
-    found = read_operator_config(str(ROOT / "deploy" / "operator.toml"))
+def test_the_operator_file_is_read():
+    loaded = read_operator_config(str(ROOT / "deploy" / "operator.toml"))
     data = tomllib.loads(OPERATOR)
-    space = found.nvme.namespaces[1]
-    assert space.blocks_per_unit == data["nvme"]["namespaces"][0]["blocks_per_unit"]
-    assert found.nvme.opcodes[2][1] == data["nvme"]["opcodes"]["read"]["deadline_ms"] / 1000
-    assert found.seed != read_operator_config(str(ROOT / "deploy" / "operator.toml")).seed
-    assert found.graphite.address[0] == found.collectd.address[0] == "127.0.0.1"
+    namespace = loaded.nvme.namespaces[1]
+    assert namespace.blocks_per_unit == data["nvme"]["namespaces"][0]["blocks_per_unit"]
+    assert loaded.nvme.opcodes[2][1] == data["nvme"]["opcodes"]["read"]["deadline_ms"] / 1000
+    assert loaded.seed != read_operator_config(str(ROOT / "deploy" / "operator.toml")).seed
+    assert loaded.graphite.address[0] == loaded.collectd.address[0] == "127.0.0.1"
 
 
 @pytest.mark.parametrize(
@@ -106,7 +106,7 @@
         ("shard = 0", 'shard = "a"'),
     ],
 )
-def test_a_bad_operator_s_file_is_refused(old, new, tmp_path):
+def test_an_invalid_operator_file_is_rejected(old, new, tmp_path):
     assert old in OPERATOR
     path = tmp_path / "operator.toml"
     path.write_text(OPERATOR.replace(old, new, 1))
@@ -116,7 +116,7 @@
 
 
 @pytest.mark.parametrize("operator", [False, True])
-def test_it_starts_logs_json_lines_and_ends_on_sigterm(operator, tmp_path):
+def test_it_starts_logs_json_lines_and_exits_on_sigterm(operator, tmp_path):
     if operator:
         path = tmp_path / "operator.toml"
         path.write_text(OPERATOR.replace(":4420", ":0"))
@@ -135,18 +135,18 @@
     assert {line["name"] for line in lines} == {EXAMPLE["name"]}
 
 
-def test_sighup_moves_the_watch_and_an_unreadable_file_changes_nothing(tmp_path):
-    def call(server: socket.socket) -> bytes:
-        caller, _ = server.accept()
-        caller.settimeout(20)
-        callers.append(caller)
-        return caller.recv(1000)
+def test_sighup_moves_the_discovery_watch_and_an_unreadable_file_changes_nothing(tmp_path):
+    def receive_poll(server: socket.socket) -> bytes:
+        connection, _ = server.accept()
+        connection.settimeout(20)
+        connections.append(connection)
+        return connection.recv(1000)
 
     def write(text: str) -> None:
         path.with_suffix(".new").write_text(text)
         path.with_suffix(".new").replace(path)
 
-    callers: list[socket.socket] = []
+    connections: list[socket.socket] = []
     path = tmp_path / "config.json"
     with socket.create_server(("127.0.0.1", 0)) as old, socket.create_server(("127.0.0.1", 0)) as new:
         old.settimeout(20)
@@ -155,7 +155,7 @@
         write(json.dumps({**EXAMPLE, "discovery": addresses[0]}))
         program = start(PROXY_CONFIG=str(path), PROXY_LISTEN="127.0.0.1:0", PROXY_DISCOVERY=addresses[0])
         events = (json.loads(line) for line in program.stdout)
-        assert call(old).startswith(b"GET /v1/servers HTTP/1.1")
+        assert receive_poll(old).startswith(b"GET /v1/servers HTTP/1.1")
         for text, expected in (
             ("{", "reload_failed"),
             (json.dumps({**EXAMPLE, "discovery": addresses[1]}), "reloaded"),
@@ -163,14 +163,14 @@
             write(text)
             program.send_signal(signal.SIGHUP)
             assert any(event["event"] == expected for event in events)
-        assert call(new).startswith(b"GET /v1/servers HTTP/1.1")  # the whole list again
-        assert callers[0].recv(1) == b""  # the old call is over
+        assert receive_poll(new).startswith(b"GET /v1/servers HTTP/1.1")  # the whole list again
+        assert connections[0].recv(1) == b""  # the old poll is over
         program.send_signal(signal.SIGTERM)
         assert program.wait(timeout=20) == 0
         program.communicate()
 
 
-def test_it_listens_on_the_socket_that_it_is_handed():
+def test_it_listens_on_the_socket_that_it_inherits():
     """The address is bound already: to bind it anew would fail."""
     with socket.create_server(("127.0.0.1", 0)) as listening:
         address, number = listening.getsockname(), listening.fileno()
@@ -189,7 +189,7 @@
 
 
 @pytest.mark.parametrize("number", ["three", "2", "99999"])
-def test_a_descriptor_that_does_not_listen_ends_with_one_plain_line(number):
+def test_a_descriptor_that_does_not_listen_prints_one_line_and_exits_with_2(number):
     program = start(
         PROXY_CONFIG=str(ROOT / "examples" / "config.json"),
         PROXY_LISTEN="127.0.0.1:0",
@@ -199,7 +199,7 @@
     assert (program.returncode, err.count("\n")) == (2, 1) and err.startswith("stalltiller: ")
 
 
-def test_it_lives_through_running_out_of_descriptors():
+def test_it_serves_again_after_running_out_of_descriptors():
     program = start(
         PROXY_CONFIG=str(ROOT / "examples" / "config.json"),
         PROXY_LISTEN="127.0.0.1:0",
@@ -207,14 +207,14 @@
     )
     events = map(json.loads, program.stdout)
     host, _, port = next(event for event in events if event["event"] == "started")["listen"].partition(":")
-    crowd = [socket.create_connection((host, int(port))) for _ in range(60)]
+    connections = [socket.create_connection((host, int(port))) for _ in range(60)]
     assert any(event["event"] == "loop_error" for event in events)  # accept failed
-    for one in crowd:
-        one.close()
+    for connection in connections:
+        connection.close()
     for _ in range(50):
-        with socket.create_connection((host, int(port)), timeout=10) as again:
-            again.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
-            if again.recv(100).startswith(b"HTTP/1.1 200"):
+        with socket.create_connection((host, int(port)), timeout=10) as client:
+            client.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+            if client.recv(100).startswith(b"HTTP/1.1 200"):
                 break
     else:
         pytest.fail("it does not serve again")
@@ -223,12 +223,12 @@
     assert program.returncode == 0
 
 
-class Sink(asyncio.DatagramProtocol):
+class DatagramSink(asyncio.DatagramProtocol):
     def __init__(self) -> None:
-        self.got: list[bytes] = []
+        self.received: list[bytes] = []
 
     def datagram_received(self, data, address) -> None:
-        self.got.append(data)
+        self.received.append(data)
 
 
 class MeteredWorld(World):
@@ -238,8 +238,8 @@
         )
 
 
-def test_metrics_arrive_at_graphite_and_collectd():
-    async def whole():
+def test_metrics_are_exported_to_graphite_and_collectd():
+    async def scene():
         lines: list[bytes] = []
 
         async def plaintext(reader, writer):
@@ -249,7 +249,7 @@
 
         server = await asyncio.start_server(plaintext, "127.0.0.1", 0)
         transport, sink = await asyncio.get_running_loop().create_datagram_endpoint(
-            Sink, local_addr=("127.0.0.1", 0)
+            DatagramSink, local_addr=("127.0.0.1", 0)
         )
         world = MeteredWorld("http")
         world.graphite, world.collectd = server.sockets[0].getsockname(), transport.get_extra_info("sockname")
@@ -257,23 +257,23 @@
             assert (await world.read()).end == "served"
             served = len(lines)
             await world.until(lambda: any(b".served 1 " in line for line in lines[served:]))
-            await world.until(lambda: any(b"served" in data for data in sink.got))
+            await world.until(lambda: any(b"served" in data for data in sink.received))
         path, value, at = next(line for line in lines if b".served " in line).split()
         assert (path, value) == (b"stalltiller.n0.served", b"1") and int(at) > 1_700_000_000
-        head, values = collectd_decoded(next(data for data in sink.got if b"served" in data))
+        head, values = collectd_decoded(next(data for data in sink.received if b"served" in data))
         assert (head[0], head[2], head[3], values["served"]) == (b"n0", b"stalltiller", b"n0", 1)
         transport.close()
         server.close()
 
-    asyncio.run(whole())
+    asyncio.run(scene())
 
 
-def test_sinks_that_are_not_there_or_do_not_read_do_not_hold_up_service():
-    async def whole():
-        async def deaf(reader, writer):
+def test_sinks_that_are_down_or_do_not_read_do_not_delay_service():
+    async def scene():
+        async def accept_without_reading(reader, writer):
             await asyncio.sleep(30)
 
-        server = await asyncio.start_server(deaf, "127.0.0.1", 0)
+        server = await asyncio.start_server(accept_without_reading, "127.0.0.1", 0)
         world = MeteredWorld("http")
         world.graphite, world.collectd = server.sockets[0].getsockname(), ("127.0.0.1", 9)
         async with world:
@@ -281,4 +281,4 @@
             assert (await world.read()).end == "served"
         server.close()
 
-    asyncio.run(whole())
+    asyncio.run(scene())
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,4 +1,4 @@
-"""SIGHUP: other settings while requests come in, and files that are turned down whole."""
+"""SIGHUP: changed settings while requests are open, and files that are rejected as a whole."""
 
 from __future__ import annotations
 
@@ -31,22 +31,22 @@
         ((KEYED,), (replace(KEYED, idempotency=Idempotency.SAFE),), ["keyed keyed"]),
     ],
 )
-def test_between_two_settings_both_names_and_the_stricter_rule_hold(old, new, classes):
-    found = transitional_settings(
+def test_transitional_settings_have_the_classes_of_both_and_the_stricter_idempotency(old, new, classes):
+    merged = transitional_settings(
         settings(classes=old, max_attempts=4), settings(classes=new, max_attempts=2, plans=(plan(name="b"),))
     )
-    assert [f"{cls.name} {cls.idempotency.value}" for cls in found.classes] == classes
-    assert (found.max_attempts, [p.name for p in found.plans]) == (2, ["plan", "b"])
+    assert [f"{cls.name} {cls.idempotency.value}" for cls in merged.classes] == classes
+    assert (merged.max_attempts, [p.name for p in merged.plans]) == (2, ["plan", "b"])
 
 
-def test_between_two_settings_the_smaller_limit_holds():
+def test_transitional_settings_have_the_smaller_limit_of_a_plan():
     for limits in ((10.0, 5.0), (5.0, 10.0), (5.0, 0.0), (0.0, 5.0)):
         old, new = (settings(plans=(plan(limit=limit),)) for limit in limits)
         assert transitional_settings(old, new).plans[0].limit == 5.0
 
 
 @pytest.mark.parametrize(
-    ("changes", "held"),
+    ("changes", "expected"),
     [
         ([{"deduplication_window": 6.0}, {"deduplication_window": 1.5}], (1.5, DeduplicationScope.ALL)),
         (
@@ -69,20 +69,22 @@
         ),
     ],
 )
-def test_between_two_settings_a_repeat_keeps_to_the_shorter_window_and_the_fewer_targets(changes, held):
+def test_transitional_settings_have_the_shorter_deduplication_window_and_the_narrower_scope(
+    changes, expected
+):
     old, new = (settings(classes=(replace(KEYED, **change),)) for change in changes)
-    (found,) = transitional_settings(old, new).classes
-    assert (found.deduplication_window, found.deduplication_scope) == held
+    (merged,) = transitional_settings(old, new).classes
+    assert (merged.deduplication_window, merged.deduplication_scope) == expected
 
 
-def test_new_settings_hold_at_once_where_stricter_and_in_full_later(monkeypatch):
+def test_stricter_settings_apply_at_once_and_the_others_after_the_transition(monkeypatch):
     """The open write keeps its class, though that is gone when its attempt ends; no class is mixed up."""
     monkeypatch.setattr(settings_reload, "TRANSITION_SECONDS", 60.0)
 
     async def scene():
         async with World("http") as world:
             world.targets[0].delay = 0.4
-            asking = asyncio.create_task(world.write(tag=1))
+            open_write = asyncio.create_task(world.write(tag=1))
             await world.until(lambda: world.targets[0].begun)
             after = replace(
                 world.settings,
@@ -99,12 +101,12 @@
                 ),
             )
             world.app.reload(lambda: replace(world.config(), settings=after))
-            for answer in ("served", "failed"):  # the old name; later it is refused as unknown
+            for answer in ("served", "failed"):  # the old name; later it is rejected as unknown
                 result = await world.write(tag=2, shard=1)
                 assert result.end == answer
                 world.app.settings_reloader.apply_settings(after)  # as at the end of TRANSITION_SECONDS
             assert world.app.engine.counts["bad_requests"] == 1
-            assert (await asking).end == "served"
+            assert (await open_write).end == "served"
             assert (await world.read(tag=3, shard=1)).end == "served"
             world.targets[1].mode = "error"
             assert (await world.read(tag=4, shard=1)).end == "refused"
@@ -114,7 +116,7 @@
     asyncio.run(scene())
 
 
-def test_the_nvme_front_keeps_its_classes_while_their_order_changes(monkeypatch):
+def test_nvme_commands_keep_their_classes_while_the_order_of_classes_changes(monkeypatch):
     monkeypatch.setattr(settings_reload, "TRANSITION_SECONDS", 0.1)
 
     async def scene():
@@ -132,8 +134,8 @@
     asyncio.run(scene())
 
 
-def test_a_second_reload_while_the_first_settles_loses_none_of_it(monkeypatch):
-    """It cancelled the first one's second step, and took the file for known: the new mapping never held."""
+def test_a_second_reload_during_the_transition_loses_none_of_the_first(monkeypatch):
+    """The second reload cancelled the end of the first transition: the new mapping never held in full."""
     monkeypatch.setattr(settings_reload, "TRANSITION_SECONDS", 0.1)
 
     async def scene():
@@ -148,8 +150,8 @@
     asyncio.run(scene())
 
 
-def test_classes_that_change_places_stay_reads_and_writes(monkeypatch, tmp_path):
-    """The list of those that write kept its places, so every write was answered 400."""
+def test_classes_that_change_their_order_remain_reads_and_writes(monkeypatch, tmp_path):
+    """The list of classes that write went by position, so every write was answered 400."""
     monkeypatch.setattr(settings_reload, "TRANSITION_SECONDS", 0.0)
 
     def read_file():
@@ -177,13 +179,13 @@
     asyncio.run(scene())
 
 
-def test_a_list_of_writes_of_another_length_says_nothing():
+def test_a_list_of_writes_with_another_length_than_the_classes_is_ignored():
     nested = copy.deepcopy(EXAMPLE["settings"])
     nested["classes"].append({**nested["classes"][0], "name": "new"})
     assert {cls.is_write for cls in config.parse_settings(nested).classes} == {None}
 
 
-def changed(path: str, value: object) -> dict:
+def with_value(path: str, value: object) -> dict:
     data = copy.deepcopy(EXAMPLE)
     *parents, last = path.split(".")
     at = data
@@ -215,13 +217,13 @@
         ("limits.sockets", None),
     ],
 )
-def test_a_file_with_a_wrong_or_missing_key_is_turned_down_whole(path, value, tmp_path):
+def test_a_file_with_an_invalid_or_missing_key_changes_nothing(path, value, tmp_path):
     async def scene():
         async with World("http") as world:
             file.write_text(json.dumps(EXAMPLE))
             world.app.settings_reloader.config = read_platform_config({"PROXY_CONFIG": str(file)})
             before = world.app.engine.settings
-            file.write_text(json.dumps({**changed(path, value), "name": "other"}))
+            file.write_text(json.dumps({**with_value(path, value), "name": "other"}))
             world.app.reload(lambda: read_platform_config({"PROXY_CONFIG": str(file)}))
             assert world.logged[-1]["event"] == "reload_failed"
             assert (
