--- a/stalltiller/daemon/cli.py
+++ b/stalltiller/daemon/cli.py
@@ -31,7 +31,7 @@
 
 @click.group()
 def main() -> None:
-    """A storage initiator: serve requests, check a file, look at the fleet."""
+    """A storage initiator: serve requests, check a file, inspect a fleet."""
 
 
 @main.command()
@@ -44,7 +44,7 @@
 @main.command()
 @click.argument("file", type=click.Path())
 def check(file: str) -> None:
-    """Say whether an operator's FILE would start; the first thing wrong is named with its line."""
+    """Check an operator's FILE; the first error is printed with its line."""
     try:
         config = read_operator_config(file)
     except ConfigError as error:
@@ -58,7 +58,7 @@
 @main.command("init-voter")
 @click.argument("file", type=click.Path())
 def init_voter(file: str) -> None:
-    """Make the store of the voter that an operator's FILE names: once in its life, not after a lost disk."""
+    """Create the store of the voter named in an operator's FILE: once only, not after its disk was lost."""
     from stalltiller.leases.store import make
 
     try:
@@ -72,10 +72,10 @@
 
 
 @main.group()
-@click.option("--admin", required=True, metavar="HOST:PORT", help="The second address of any instance.")
+@click.option("--admin", required=True, metavar="HOST:PORT", help="The admin address of any instance.")
 @click.pass_context
 def fleet(context: click.Context, admin: str) -> None:
-    """Look at a fleet through one of its instances."""
+    """Inspect a fleet through one of its instances."""
     try:
         context.obj = parse_address(admin)
     except ValueError as error:
@@ -102,7 +102,7 @@
 @fleet.command()
 @click.pass_obj
 def status(address: tuple[str, int]) -> None:
-    """How this instance sees its fleet and itself."""
+    """Show this instance's view of its fleet and of itself."""
     for name, value in orjson.loads(_call(address, "GET", "/_fleet/status")).items():
         click.echo(f"{name:14} {value if not isinstance(value, dict) else orjson.dumps(value).decode()}")
 
@@ -111,7 +111,7 @@
 @click.option("--json", "as_json", is_flag=True, help="As one line of JSON.")
 @click.pass_obj
 def members(address: tuple[str, int], as_json: bool) -> None:
-    """All members that this instance knows."""
+    """List the members that this instance knows."""
     body = _call(address, "GET", "/_fleet/members")
     if as_json:
         click.echo(body)
@@ -126,7 +126,7 @@
 @fleet.command()
 @click.pass_obj
 def leases(address: tuple[str, int]) -> None:
-    """What this instance holds and, if it votes, the leases that it knows."""
+    """Show the leases of this instance and, if it is a voter, all leases that it knows."""
     lease_status = orjson.loads(_call(address, "GET", "/_fleet/leases"))
     click.echo(orjson.dumps(lease_status, option=orjson.OPT_INDENT_2).decode())
 
@@ -134,7 +134,7 @@
 @fleet.command()
 @click.pass_obj
 def leave(address: tuple[str, int]) -> None:
-    """Have this instance leave its fleet; it serves on."""
+    """Make this instance leave its fleet; it continues to serve."""
     _call(address, "PUT", "/_fleet/leave")
     click.echo("left")
 
--- a/stalltiller/daemon/schema.py
+++ b/stalltiller/daemon/schema.py
@@ -57,7 +57,7 @@
     violations = [_violation(error, lines) for error in validator.iter_errors(data)]
     if not violations:
         return None
-    return min(violations, key=lambda found: (found.line, found.key or "", found.message))
+    return min(violations, key=lambda violation: (violation.line, violation.key or "", violation.message))
 
 
 def _violation(error: ValidationError, lines: dict[KeyPath, int]) -> SchemaViolation:
--- a/stalltiller/daemon/settings_reload.py
+++ b/stalltiller/daemon/settings_reload.py
@@ -89,7 +89,7 @@
         self._discovery_watch = discovery_watch
         self._loop = loop
         self._log = log
-        self._transition: asyncio.TimerHandle | None = None  # until the last settings read hold in full
+        self._transition: asyncio.TimerHandle | None = None  # until the last settings read apply in full
 
     def reload(self, read_config: Callable[[], Config]) -> None:
         """Read the configuration and apply it; if that fails or a key is missing, nothing changes."""
@@ -123,7 +123,7 @@
         return config
 
     def _change_settings(self, config: Config) -> None:
-        """Start the transition, also if one has not ended: then its settings never held in full."""
+        """Start the transition, also if one has not ended: then its settings never applied in full."""
         in_transition = self._transition is not None
         if self._transition is not None:
             self._transition.cancel()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -38,7 +38,7 @@
     async def scene():
         discovery, target = Discovery(), HttpTarget("s-0", 0)
         await discovery.open()
-        discovery.close()  # its port stays known, and is refused for now
+        discovery.close()  # its port stays known, and connections are refused for now
         await target.open()
         discovery.set(target)
         with socket.socket() as free:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -97,7 +97,7 @@
         node = world.app.engine._scheduler.targets["s-0"]
         assert node.target.started_at == pytest.approx(
             world.app.engine.to_scheduler_time(time.time()), abs=5
-        )  # cold
+        )  # in slow start
 
     run_scene(scene, kind)
 
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -38,8 +38,8 @@
 def test_an_invalid_file_is_rejected_with_the_line_of_the_error(text, old, new, path, tmp_path):
     file = tmp_path / "operator.toml"
     file.write_text(text.replace(old, new, 1))
-    found = file.read_text()
-    line = line_of(found, new) if new else find_lines(found)["nvme", "namespaces", 1]
+    changed_text = file.read_text()
+    line = line_of(changed_text, new) if new else find_lines(changed_text)["nvme", "namespaces", 1]
     result = CliRunner().invoke(cli.main, ["check", str(file)])
     assert result.exit_code == 2 and result.output.startswith(f"stalltiller: {file}:{line}: {path}: ")
     with pytest.raises(config.ConfigError) as caught:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -232,9 +232,9 @@
 
 
 class MeteredWorld(World):
-    def changed(self, found):
+    def changed(self, configured):
         return replace(
-            found, graphite=config.Sink(self.graphite, 0.05), collectd=config.Sink(self.collectd, 0.05)
+            configured, graphite=config.Sink(self.graphite, 0.05), collectd=config.Sink(self.collectd, 0.05)
         )
 
 
