--- a/stalltiller/adapters/target_directory.py
+++ b/stalltiller/adapters/target_directory.py
@@ -12,7 +12,7 @@
 from stalltiller.protocol import discovery
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import TargetEndpoint
-from stalltiller.scheduling import Target, TargetListKind, TargetStatus
+from stalltiller.scheduling import Target, TargetId, TargetListKind, TargetStatus
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,7 +35,7 @@
         self._engine = engine
         self._zones = zones
         self._kinds = kinds
-        self._endpoints: dict[str, TargetEndpoint] = {}  # as discovery last reported them
+        self._endpoints: dict[TargetId, TargetEndpoint] = {}  # as discovery last reported them
         self.detached: dict[str, float] = {}  # when each was detached (Unix time)
         self._past_detachments: dict[str, _Detachment] = {}
         self._withheld: frozenset[str] = frozenset()  # reported by peers, as are the start times (Unix time)
--- a/stalltiller/protocol/platform.py
+++ b/stalltiller/protocol/platform.py
@@ -84,7 +84,7 @@
         self._plan_indexes = {plan.name: index for index, plan in enumerate(settings.plans)}
         self._methods = [_allowed_methods(cls.is_write) for cls in settings.classes]
 
-    def parse(self, head: Head, body: bytes) -> RequestInfo:
+    def parse(self, head: Head, body: bytes | bytearray) -> RequestInfo:
         """Parse a request's fields; raises FieldError on the first that is missing or wrong."""
         class_index, key_text = self._parse_path(head, body)
         plan_index = self._plan_indexes.get(head.fields.get("tier", ""))
@@ -111,7 +111,7 @@
             ),
         )
 
-    def _parse_path(self, head: Head, body: bytes) -> tuple[int, str]:
+    def _parse_path(self, head: Head, body: bytes | bytearray) -> tuple[int, str]:
         """Return the index of the class and the text of the key from /CLASS/.../KEY."""
         path = head.target.partition("?")[0]
         parts = path.split("/")
--- a/stalltiller/scheduling/targets.py
+++ b/stalltiller/scheduling/targets.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-TargetId = int
+TargetId = int | str  # any value that can be ordered; those of one scheduler are of one type
 
 
 class TargetStatus(Enum):
--- a/stalltiller/simulator/actions.py
+++ b/stalltiller/simulator/actions.py
@@ -82,6 +82,7 @@
     expires_ns = 0  # 0: at the client's own deadline
     if action.expires_at is not None:
         expires_ns = base_ns + max(1, round(action.expires_at * NANOSECONDS_PER_SECOND))
+    assert isinstance(action.target_id, int)  # made by `to_target_id`
     address = action.target_id >> 16
     port = action.target_id & PORT_MASK
     return START_ATTEMPT_RECORD.pack(START_ATTEMPT, instance, action.request_id, expires_ns, address, port)
@@ -106,10 +107,12 @@
 
 
 def _encode_probe_target(instance: int, action: ProbeTarget, _base_ns: int) -> bytes:
+    assert isinstance(action.target_id, int)
     return _encode_target(PROBE_TARGET, instance, action.target_id)
 
 
 def _encode_close_idle_connections(instance: int, action: CloseIdleConnections, _base_ns: int) -> bytes:
+    assert isinstance(action.target_id, int)
     return _encode_target(CLOSE_IDLE_CONNECTIONS, instance, action.target_id)
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -244,7 +244,7 @@
 
 def test_an_unresponsive_discovery_is_polled_again_while_the_cached_list_serves(monkeypatch):
     monkeypatch.setattr(
-        "stalltiller.daemon.application.BackoffPollPolicy",
+        "stalltiller.daemon.discovery_watch.BackoffPollPolicy",
         lambda: BackoffPollPolicy(poll_wait=0.1, response_timeout=0.1),
     )
 
@@ -302,8 +302,8 @@
 
 def test_after_sigterm_open_connections_are_served_until_every_request_is_answered(monkeypatch):
     """Closing at once would leave the clients without their one initiator until its next start."""
-    monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.05)
-    monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.1)
+    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.KEEP_LISTENING_SECONDS", 0.05)
+    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.CLOSING_SECONDS", 0.1)
     monkeypatch.setattr("stalltiller.transport.listener.IDLE_TIMEOUT_SECONDS", 0.01)
     monkeypatch.setattr("stalltiller.transport.listener.SWEEP_INTERVAL_SECONDS", 0.01)
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -32,6 +32,7 @@
     "recovery": (*DECISIONS, "common", "protocol"),
     "daemon": (
         *DECISIONS,
+        "common",
         "simulator.codec",
         "transport",
         "protocol",
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -270,8 +270,8 @@
 
 def test_a_request_that_is_complete_only_after_finish_all_is_rejected_not_dropped(monkeypatch):
     """The process ended with a request that was read and not answered."""
-    monkeypatch.setattr("stalltiller.daemon.application.STILL_LISTENING", 0.01)
-    monkeypatch.setattr("stalltiller.daemon.application.CLOSING_TIME", 0.01)
+    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.KEEP_LISTENING_SECONDS", 0.01)
+    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.CLOSING_SECONDS", 0.01)
 
     async def scene(world):
         client = connect_client(world)
@@ -313,8 +313,8 @@
 
 def test_a_long_response_that_the_shutdown_truncates_does_not_look_complete(monkeypatch):
     """For an HTTP/1.0 client a response without a length ends with its connection."""
-    for name in ("STILL_LISTENING", "CLOSING_TIME", "LAST_WORDS"):
-        monkeypatch.setattr(f"stalltiller.daemon.application.{name}", 0.01, raising=False)
+    for name in ("KEEP_LISTENING_SECONDS", "CLOSING_SECONDS", "LINGER_SECONDS"):
+        monkeypatch.setattr(f"stalltiller.daemon.graceful_shutdown.{name}", 0.01)
 
     async def scene(world):
         async def answer(reader, writer):
