--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,8 @@
 
 lint: build
 	$(PYTHON) -m ruff check .
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m mypy
 
 # Starts the example; `python examples/toy_server.py` in another terminal gives it a target.
 run: build
