--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -28,7 +28,7 @@
 
 
 async def all_status(rig: Rig) -> dict[str, dict]:
-    return {name: await member.ask("/_fleet/status") for name, member in rig.members.items()}
+    return {name: await member.admin_json("/_fleet/status") for name, member in rig.members.items()}
 
 
 async def measure_processes(size: int, folder: Path) -> dict[str, object]:
@@ -48,7 +48,7 @@
         await rig["m2"].kill()
         detected = await rig.agreed(*(name for name in rig.members if name != "m2"))
         false_suspicions = len(
-            {line["member"] for member in rig.members.values() for line in member.said("fleet_suspect")}
+            {line["member"] for member in rig.members.values() for line in member.logged("fleet_suspect")}
             - {"m2"}
         )
         return {
@@ -70,7 +70,7 @@
     async with Rig(size, folder, share=str(share).lower()) as rig:
         await rig.agreed()
         if share:
-            await rig.shares_whole()
+            await rig.all_may_lend()
         readers = list(rig.members)[::MEMBERS_PER_READER]
         reads_per_second = RUSH_READS_PER_SECOND * size // MEMBERS_PER_READER
         served, warming = await rig.rush(
--- a/bench/leases.py
+++ b/bench/leases.py
@@ -39,7 +39,7 @@
     await process.wait()
     rig[holder].log.clear()
     await rig[holder].start()
-    await rig.until(lambda: rig[holder].said("started") != [], "it is back")
+    await rig.until(lambda: rig[holder].logged("started") != [], "it is back")
     await rig.agreed()
     return seconds
 
--- a/bench/mass_restart.py
+++ b/bench/mass_restart.py
@@ -29,7 +29,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.fleet.rig import Rig, patient
+from tests.fleet.rig import Rig, read_with_retries
 from tests.stand_ins import HttpTarget
 
 WARM_UP_SECONDS = 4.0  # of load before anything is counted
@@ -139,7 +139,7 @@
     async def _read(self, names: list[str], number: int) -> None:
         sent_at = time.monotonic()
         port = self.rig[names[number % len(names)]].listen
-        waits = await patient(port, number, self.patience, shard=number // len(names) % 2)
+        waits = await read_with_retries(port, number, self.patience, shard=number // len(names) % 2)
         elapsed = time.monotonic() - sent_at
         self.reads.append(Read(sent_at, waits[-1:] == [0.0] and elapsed <= TIMELY_SECONDS))
         if waits == [0.0]:
@@ -277,7 +277,7 @@
         old.mode = "turn_away"
     await rig.until(
         lambda: all(
-            any(line["index"] >= rig.discovery.index for line in member.said("list"))
+            any(line["index"] >= rig.discovery.index for line in member.logged("list"))
             for member in rig.members.values()
         ),
         "they are listed",
--- a/bench/recovery_faults.py
+++ b/bench/recovery_faults.py
@@ -142,7 +142,7 @@
     rig.discovery.set(rig.targets[1], "leaving")
     await rig.until(
         lambda: all(
-            any(line["targets"].get("s-1") == "draining" for line in member.said("list"))
+            any(line["targets"].get("s-1") == "draining" for line in member.logged("list"))
             for member in rig.members.values()
         ),
         "all know the drain",
@@ -181,21 +181,21 @@
     began = time.monotonic()
 
     async def all_full() -> bool:
-        statuses = await asyncio.gather(*(rig[name].ask("/_fleet/status") for name in names))
+        statuses = await asyncio.gather(*(rig[name].admin_json("/_fleet/status") for name in names))
         return all(status and status["phase"] == "full" for status in statuses)
 
     try:
         async with asyncio.timeout(RECOVERY_SECONDS):
             await rig.until(all_full, "all are full")
     except TimeoutError:
-        phases = [(await rig[name].ask("/_fleet/status"))["phase"] for name in names]
+        phases = [(await rig[name].admin_json("/_fleet/status"))["phase"] for name in names]
         broken_rules.append(f"not full again: {phases}")
     return time.monotonic() - began
 
 
 def count_faults(rig: Rig) -> int:
     """Return how many faults the engine's guards have logged."""
-    return sum(len(member.said("fault")) for member in rig.members.values())
+    return sum(len(member.logged("fault")) for member in rig.members.values())
 
 
 def broken_drain_rules(rig: Rig, notified_at: float, ended_at: float) -> list[str]:
@@ -211,7 +211,7 @@
     async with Rig(FLEET_SIZE, folder, keep="true") as rig:
         names = list(rig.members)
         await rig.agreed()
-        await rig.until(lambda: all(rig[name].said("list") for name in names), "all have a list")
+        await rig.until(lambda: all(rig[name].logged("list") for name in names), "all have a list")
         limited_target = await rig.add("s-2", 2)
         load = ClientLoad(rig)
         load.ending |= set(schedule.killed)
--- a/bench/storm.py
+++ b/bench/storm.py
@@ -59,7 +59,7 @@
     names = [f"m{n}" for n in range(size)]
     async with Rig(size, folder, peers="true", probe_every_s="0.5", probe_timeout_s="0.2") as rig:
         await rig.agreed()
-        await rig.shares_whole()
+        await rig.all_may_lend()
         alone = await rig.add("s-2", 2)
         limited = {"shard": 2, "plan": "basic", "hosts": 3, "volume": 9}
         volume = asyncio.create_task(read_in_turn(rig, names[:3], VOLUME_READS_PER_SECOND, **limited))
--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -134,7 +134,7 @@
         self.send(signal.SIGKILL)
         await self.process.wait()
 
-    def said(self, event: str, of: str | None = None) -> list[dict]:
+    def logged(self, event: str, of: str | None = None) -> list[dict]:
         return [line for line in self.log if line["event"] == event and of in (None, line.get("member"))]
 
     async def _call(self, path: str) -> http.Reader | None:
@@ -148,7 +148,7 @@
                 return message
         return None
 
-    async def ask(self, path: str) -> object:
+    async def admin_json(self, path: str) -> object:
         """The body of a response of the administration address; None if there is none."""
         message = await self._call(path)
         return None if message is None else json.loads(bytes(message.body) or b"null")
@@ -158,9 +158,9 @@
         message = await self._call(path)
         return None if message is None else message.head.status
 
-    async def seen(self) -> dict[str, int]:
+    async def running_members(self) -> dict[str, int]:
         """The members that it takes to be running, with the start time of each in milliseconds."""
-        found = await self.ask("/_fleet/members")
+        found = await self.admin_json("/_fleet/members")
         return {m["name"]: m["life"] for m in found or [] if m["state"] in ("alive", "suspect")}
 
 
@@ -202,7 +202,7 @@
     return (await exchange(port, number, shard, **how)).status
 
 
-async def patient(port: int, number: int, patience: float = 1.2, **how: object) -> list[float]:
+async def read_with_retries(port: int, number: int, patience: float = 1.2, **how: object) -> list[float]:
     """The Retry-After values that a client gets which retries accordingly for some seconds, and 0.0 if it is
     served in the end; -1.0 stands for an attempt without a response."""
     end = time.monotonic() + patience
@@ -279,11 +279,13 @@
             for line in sorted(lines, key=lambda line: line["time"]):
                 print(json.dumps(line))
 
-    async def shares_whole(self) -> None:
+    async def all_may_lend(self) -> None:
         """Wait until all may lend: loans of earlier processes have expired."""
 
         async def may_all_lend() -> bool:
-            found = await asyncio.gather(*(member.ask("/_fleet/status") for member in self.members.values()))
+            found = await asyncio.gather(
+                *(member.admin_json("/_fleet/status") for member in self.members.values())
+            )
             return all(status and status["commons"]["whole"] for status in found)
 
         await self.until(may_all_lend, "all may lend")
@@ -296,7 +298,7 @@
         self.discovery.set(target, since_ms=since_ms)
         await self.until(
             lambda: all(
-                any(name in line.get("targets", {}) for line in member.said("list"))
+                any(name in line.get("targets", {}) for line in member.logged("list"))
                 for member in self.members.values()
             ),
             f"{name} is listed",
@@ -362,18 +364,18 @@
         wanted = set(names or self.members)
 
         async def all_agree() -> bool:
-            seen = await asyncio.gather(*(self[name].seen() for name in wanted))
+            seen = await asyncio.gather(*(self[name].running_members() for name in wanted))
             return all(set(each) == wanted for each in seen) and all(each == seen[0] for each in seen)
 
         return await self.until(all_agree, f"{sorted(wanted)} agree")
 
 
-def play(scene: Callable[[Rig], Awaitable[None]], size: int, folder: Path, **changes: str) -> None:
+def run_scene(scene: Callable[[Rig], Awaitable[None]], size: int, folder: Path, **changes: str) -> None:
     """Run a scene with a fleet whose members all agree."""
 
-    async def run_scene() -> None:
+    async def run() -> None:
         async with Rig(size, folder, **changes) as rig:
             await rig.agreed()
             await scene(rig)
 
-    asyncio.run(run_scene())
+    asyncio.run(run())
--- a/tests/fleet/test_lease_service.py
+++ b/tests/fleet/test_lease_service.py
@@ -6,7 +6,7 @@
 import shutil
 import signal
 
-from tests.fleet.rig import Rig, play
+from tests.fleet.rig import Rig, run_scene
 
 MEMBERS = [f"m{n}" for n in range(5)]
 VOTERS = MEMBERS[:3]
@@ -14,7 +14,7 @@
 
 async def lease_statuses(rig: Rig, names: list[str]) -> dict[str, dict]:
     """The lease status of each of these members that answers."""
-    statuses = await asyncio.gather(*(rig[name].ask("/_fleet/leases") for name in names))
+    statuses = await asyncio.gather(*(rig[name].admin_json("/_fleet/leases") for name in names))
     return {name: status for name, status in zip(names, statuses, strict=True) if status}
 
 
@@ -66,10 +66,10 @@
             other, newer = await wait_for_holder(rig, without(name), token)
             assert other != name and newer > token
             await rig[name].start()
-            await rig.until(lambda name=name: rig[name].said("started")[1:] != [], "it is back")
+            await rig.until(lambda name=name: rig[name].logged("started")[1:] != [], "it is back")
             token = newer
 
-    play(scene, 5, tmp_path, voters="3")
+    run_scene(scene, 5, tmp_path, voters="3")
 
 
 def test_holder_suspended_past_its_ttl_notices_the_loss_before_it_acts(tmp_path):
@@ -78,10 +78,10 @@
         rig[name].send(signal.SIGSTOP)
         _, newer = await wait_for_holder(rig, without(name), token)
         rig[name].send(signal.SIGCONT)
-        await rig.until(lambda: rig[name].said("lease_lost") != [], "it finds out")
+        await rig.until(lambda: rig[name].logged("lease_lost") != [], "it finds out")
         assert newer > token and name not in await current_holders(rig, MEMBERS)
 
-    play(scene, 5, tmp_path, voters="3")
+    run_scene(scene, 5, tmp_path, voters="3")
 
 
 def test_holder_in_the_minority_partition_loses_the_lease_and_the_majority_acquires_it(tmp_path):
@@ -91,12 +91,12 @@
         majority = set(MEMBERS) - minority
         rig.proxy.cut(minority, majority)
         _, newer = await wait_for_holder(rig, sorted(majority), token)
-        await rig.until(lambda: rig[name].said("lease_lost") != [], "it finds out")
+        await rig.until(lambda: rig[name].logged("lease_lost") != [], "it finds out")
         rig.proxy.heal()
         await rig.agreed()
         await wait_for_holder(rig, MEMBERS, newer - 1)
 
-    play(scene, 5, tmp_path, voters="3")
+    run_scene(scene, 5, tmp_path, voters="3")
 
 
 def test_log_survives_the_kill_of_the_leader_and_a_simultaneous_restart_of_all_members(tmp_path):
@@ -111,7 +111,7 @@
         _, newer = await wait_for_holder(rig, MEMBERS, token)
         assert newer > token
 
-    play(scene, 5, tmp_path, voters="3")
+    run_scene(scene, 5, tmp_path, voters="3")
 
 
 def test_voter_without_its_store_does_not_start_and_the_others_go_on(tmp_path):
@@ -123,7 +123,7 @@
         assert await asyncio.wait_for(rig["m0"].process.wait(), 20) == 2
         await wait_for_holder(rig, MEMBERS[1:], token - 1)
 
-    play(scene, 5, tmp_path, voters="3")
+    run_scene(scene, 5, tmp_path, voters="3")
 
 
 def test_voter_that_was_down_while_the_log_was_compacted_installs_a_snapshot(tmp_path):
@@ -136,17 +136,17 @@
         await rig[name].kill()
 
         async def is_compacted() -> bool:
-            status = (await rig[await wait_for_leader(rig)].ask("/_fleet/leases"))["voter"]
+            status = (await rig[await wait_for_leader(rig)].admin_json("/_fleet/leases"))["voter"]
             return status["cut"] > 60 and status["log"] < 60
 
         await rig.until(is_compacted, "the log is compacted")
         await rig[name].start()
-        await rig.until(lambda: bool(rig[name].said("lease_snapshot_installed")), "it has the snapshot")
+        await rig.until(lambda: bool(rig[name].logged("lease_snapshot_installed")), "it has the snapshot")
         other_voter = without(name, VOTERS)[0]
         await rig[other_voter].kill()  # now a quorum needs the restarted voter's vote and its state
         _, later = await wait_for_holder(rig, without(other_voter))
         assert later >= token
-        status = (await rig[name].ask("/_fleet/leases"))["voter"]
+        status = (await rig[name].admin_json("/_fleet/leases"))["voter"]
         assert status["working"] and status["cut"] > 60
 
-    play(scene, 5, tmp_path, voters="3")
+    run_scene(scene, 5, tmp_path, voters="3")
--- a/tests/fleet/test_mass_restart.py
+++ b/tests/fleet/test_mass_restart.py
@@ -12,7 +12,7 @@
 
 from stalltiller.daemon.recovery_coordinator import MAX_CONFIRMATION_WAIT_SECONDS
 from stalltiller.recovery import SnapshotStore
-from tests.fleet.rig import Rig, patient, play, read
+from tests.fleet.rig import Rig, read, read_with_retries, run_scene
 
 FOUR = [f"m{n}" for n in range(4)]
 
@@ -47,7 +47,7 @@
     for name in names:
         rig[name].log.clear()
     await asyncio.gather(*(rig[name].start() for name in names))
-    await rig.until(lambda: all(rig[name].said("started") for name in names), "they have started")
+    await rig.until(lambda: all(rig[name].logged("started") for name in names), "they have started")
 
 
 async def kill_and_restart_all(rig: Rig) -> None:
@@ -75,12 +75,12 @@
         await wait_until_saved(rig)
         rig.discovery.close()
         await kill_and_restart_all(rig)
-        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
+        assert all_served([await read_with_retries(rig[name].listen, 1) for name in FOUR])
         await rig.until(
-            lambda: all(rig[name].said("recovery_snapshot_loaded") for name in FOUR), "all say so"
+            lambda: all(rig[name].logged("recovery_snapshot_loaded") for name in FOUR), "all say so"
         )
 
-    play(scene, 4, tmp_path, keep="true")
+    run_scene(scene, 4, tmp_path, keep="true")
 
 
 def test_members_without_snapshots_are_not_ready_until_discovery_is_available(tmp_path):
@@ -93,13 +93,13 @@
             shutil.rmtree(rig[name].store)
             rig[name].log.clear()
         await asyncio.gather(*(rig[name].start() for name in FOUR))
-        await rig.until(lambda: all(rig[name].said("discovery_failed") for name in FOUR), "they notice")
+        await rig.until(lambda: all(rig[name].logged("discovery_failed") for name in FOUR), "they notice")
         assert [await rig[name].status("/_ready") for name in FOUR] == [503] * 4
         await rig.discovery.open()
         await wait_until_ready(rig, FOUR)
-        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
+        assert all_served([await read_with_retries(rig[name].listen, 1) for name in FOUR])
 
-    play(scene, 4, tmp_path, keep="true")
+    run_scene(scene, 4, tmp_path, keep="true")
 
 
 def test_torn_snapshots_are_rejected_and_only_their_members_request_the_full_list(tmp_path):
@@ -116,12 +116,12 @@
         rig.discovery.calls.clear()
         await asyncio.gather(*(rig[name].start() for name in FOUR))
         await rig.until(lambda: len(rig.discovery.calls) >= 6, "all have asked, two of them twice")
-        assert [len(rig[name].said("recovery_snapshot_rejected")) for name in FOUR] == [1, 1, 0, 0]
+        assert [len(rig[name].logged("recovery_snapshot_rejected")) for name in FOUR] == [1, 1, 0, 0]
         assert sum("after=" not in call for call in rig.discovery.calls) == 2
         await rig.agreed()
-        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
+        assert all_served([await read_with_retries(rig[name].listen, 1) for name in FOUR])
 
-    play(scene, 4, tmp_path, keep="true")
+    run_scene(scene, 4, tmp_path, keep="true")
 
 
 def test_restarted_members_send_nothing_to_a_target_that_a_peer_knows_to_drain(tmp_path):
@@ -134,7 +134,7 @@
         await end_members(rig, restarted)
         rig.discovery.set(rig.targets[1], "leaving")
         await rig.until(
-            lambda: any(line["targets"].get("s-1") == "draining" for line in rig["m3"].said("list")),
+            lambda: any(line["targets"].get("s-1") == "draining" for line in rig["m3"].logged("list")),
             "m3 learns of it",
         )
         rig.discovery.close()
@@ -142,19 +142,19 @@
         await start_members(rig, restarted)
         await wait_until_ready(rig, restarted)
         assert all(
-            rig[name].said("recovery_peer_state_applied")[0]["withheld_targets"] == ["s-1"]
+            rig[name].logged("recovery_peer_state_applied")[0]["withheld_targets"] == ["s-1"]
             for name in restarted
         )
-        client_waits = [await patient(rig[name].listen, 1, shard=1) for name in restarted]
+        client_waits = [await read_with_retries(rig[name].listen, 1, shard=1) for name in restarted]
         assert all(waits[-1] > 0 for waits in client_waits)  # rejected with Retry-After
         assert len(rig.targets[1].begun) == sent
-        assert all_served([await patient(rig[name].listen, 2) for name in restarted])
+        assert all_served([await read_with_retries(rig[name].listen, 2) for name in restarted])
         rig.discovery.set(rig.targets[1])  # it stays after all, as only the own discovery may report
         await rig.discovery.open()
-        await rig.until(lambda: all(rig[name].said("list") for name in restarted), "they learn of it")
-        assert all_served([await patient(rig[name].listen, 3, shard=1) for name in restarted])
+        await rig.until(lambda: all(rig[name].logged("list") for name in restarted), "they learn of it")
+        assert all_served([await read_with_retries(rig[name].listen, 3, shard=1) for name in restarted])
 
-    play(scene, 4, tmp_path, keep="true", ask_peers_s="3.0")
+    run_scene(scene, 4, tmp_path, keep="true", ask_peers_s="3.0")
 
 
 def test_drain_is_saved_at_once_and_survives_a_kill_before_the_next_regular_snapshot(tmp_path):
@@ -166,11 +166,11 @@
         await end_members(rig, FOUR)
         sent = len(rig.targets[1].begun)
         await start_members(rig, FOUR)
-        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
-        client_waits = [await patient(rig[name].listen, 2, shard=1) for name in FOUR]
+        assert all_served([await read_with_retries(rig[name].listen, 1) for name in FOUR])
+        client_waits = [await read_with_retries(rig[name].listen, 2, shard=1) for name in FOUR]
         assert all(waits[-1] > 0 for waits in client_waits) and len(rig.targets[1].begun) == sent
 
-    play(scene, 4, tmp_path, keep="true", save_every_s="300.0")
+    run_scene(scene, 4, tmp_path, keep="true", save_every_s="300.0")
 
 
 @pytest.mark.parametrize(("age", "waits"), [(60.0, False), (700.0, True)])
@@ -189,16 +189,16 @@
             store.close()
         await start_members(rig, FOUR)
         if waits:
-            await rig.until(lambda: all(rig[name].said("discovery_failed") for name in FOUR), "they notice")
+            await rig.until(lambda: all(rig[name].logged("discovery_failed") for name in FOUR), "they notice")
             assert [await rig[name].status("/_ready") for name in FOUR] == [503] * 4
             await rig.discovery.open()
         await wait_until_ready(rig, FOUR)
-        assert all_served([await patient(rig[name].listen, 1) for name in FOUR])
+        assert all_served([await read_with_retries(rig[name].listen, 1) for name in FOUR])
         assert waits or all(
-            rig[name].said("recovery_phase")[0]["after_s"] >= MAX_CONFIRMATION_WAIT_SECONDS for name in FOUR
+            rig[name].logged("recovery_phase")[0]["after_s"] >= MAX_CONFIRMATION_WAIT_SECONDS for name in FOUR
         )
 
-    play(scene, 4, tmp_path, keep="true")
+    run_scene(scene, 4, tmp_path, keep="true")
 
 
 def test_second_wave_of_kills_during_recovery_keeps_discovery_within_its_peak_rate(tmp_path):
@@ -213,7 +213,7 @@
         await end_members(rig, names)
         await start_members(rig, names)
         reads = [
-            asyncio.create_task(patient(rig[name].listen, n, 20.0, shard=n % 2))
+            asyncio.create_task(read_with_retries(rig[name].listen, n, 20.0, shard=n % 2))
             for n, name in enumerate(names * 6)
         ]
         await asyncio.sleep(0.5)
@@ -223,16 +223,16 @@
         await rig.discovery.open()
         assert all_served(await asyncio.gather(*reads))
         await rig.until(
-            lambda: all(rig[name].said("recovery_ramp_ended") for name in names), "all doors are open"
+            lambda: all(rig[name].logged("recovery_ramp_ended") for name in names), "all doors are open"
         )
-        await rig.until(lambda: all(rig[name].said("list") for name in names), "all have a list")
+        await rig.until(lambda: all(rig[name].logged("list") for name in names), "all have a list")
         times = rig.discovery.times
         assert max(sum(at - 1.0 < other <= at for other in times) for at in times) <= 4
-        assert sum(bool(rig[name].said("fault")) for name in names) == 0
+        assert sum(bool(rig[name].logged("fault")) for name in names) == 0
         ran = [tag for target in rig.targets for tag, _ in target.ran]
         assert set(ran) >= set(range(36))
 
-    play(scene, 6, tmp_path, keep="true")
+    run_scene(scene, 6, tmp_path, keep="true")
 
 
 def test_rolling_restart_starts_no_ramp_and_every_retrying_client_is_served(tmp_path):
@@ -240,17 +240,17 @@
         reads, number = [], 0
         for name in FOUR:
             reads += [
-                asyncio.create_task(patient(rig[each].listen, n, 12.0, shard=n % 2))
+                asyncio.create_task(read_with_retries(rig[each].listen, n, 12.0, shard=n % 2))
                 for n, each in enumerate(FOUR * 4, number)
             ]
             number += 16
             await end_members(rig, [name], signal.SIGTERM)
             await start_members(rig, [name])
-            assert rig[name].said("recovery_snapshot_loaded")[0]["is_clean_shutdown"]
+            assert rig[name].logged("recovery_snapshot_loaded")[0]["is_clean_shutdown"]
         assert all_served(await asyncio.gather(*reads))
-        assert not any(rig[name].said("recovery_ramp_ended") or rig[name].said("fault") for name in FOUR)
+        assert not any(rig[name].logged("recovery_ramp_ended") or rig[name].logged("fault") for name in FOUR)
 
-    play(scene, 4, tmp_path, keep="true")
+    run_scene(scene, 4, tmp_path, keep="true")
 
 
 def test_clients_that_retry_at_the_reserved_time_are_served_first(tmp_path):
@@ -260,16 +260,16 @@
         await wait_until_saved(rig)
         await kill_and_restart_all(rig)
         client_waits = await asyncio.gather(
-            *(patient(rig["m0"].listen, n, 6.0, shard=n % 2) for n in range(40))
+            *(read_with_retries(rig["m0"].listen, n, 6.0, shard=n % 2) for n in range(40))
         )
         assert all_served(client_waits)
         different_waits = {wait for waits in client_waits for wait in waits if wait > 0}
         assert len(different_waits) > 20  # the clients do not retry in step
-        await rig.until(lambda: bool(rig["m0"].said("recovery_ramp_ended")), "its ramp ends")
-        counts = rig["m0"].said("recovery_ramp_ended")[0]
+        await rig.until(lambda: bool(rig["m0"].logged("recovery_ramp_ended")), "its ramp ends")
+        counts = rig["m0"].logged("recovery_ramp_ended")[0]
         assert counts["returned"] >= 0.8 * counts["booked"] > 0
 
-    play(scene, 4, tmp_path, keep="true")
+    run_scene(scene, 4, tmp_path, keep="true")
 
 
 def test_repeated_restarts_give_a_limited_volume_no_additional_units(tmp_path):
@@ -288,10 +288,10 @@
             await rig["m0"].process.wait()
             rig["m0"].log.clear()
             await rig["m0"].start()
-            await rig.until(lambda: rig["m0"].said("started") != [], "it is back")
+            await rig.until(lambda: rig["m0"].logged("started") != [], "it is back")
         elapsed = time.monotonic() - began
         ran = len(rig.targets[0].ran)
         assert served <= ran <= 27 * elapsed + 44
-        assert rig["m0"].said("recovery_state_restored")[0]["token_levels"] == 1
+        assert rig["m0"].logged("recovery_state_restored")[0]["token_levels"] == 1
 
-    play(scene, 4, tmp_path, keep="true")
+    run_scene(scene, 4, tmp_path, keep="true")
--- a/tests/rule_checker.py
+++ b/tests/rule_checker.py
@@ -32,13 +32,13 @@
 SLACK = 1e-6
 
 
-class RuleBroken(AssertionError):
+class RuleBrokenError(AssertionError):
     """A rule was broken; the text names it."""
 
 
 def require(is_met: bool, rule: str) -> None:
     if not is_met:
-        raise RuleBroken(rule)
+        raise RuleBrokenError(rule)
 
 
 class Checker:
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -50,6 +50,12 @@
     return written
 
 
+async def read_to_end(reader):
+    """Read until the connection ends; a reset raises ConnectionResetError."""
+    while await reader.read(65536):
+        pass
+
+
 @pytest.mark.parametrize("minor", [0, 1])
 @pytest.mark.parametrize("framing", list(FRAMING_FIELDS))
 def test_a_long_response_is_streamed(framing, minor):
@@ -106,8 +112,7 @@
         await reader.readuntil(b"\r\n\r\n")
         broken.set()
         with pytest.raises(ConnectionResetError):
-            while await reader.read(65536):
-                pass
+            await read_to_end(reader)
         assert world.app.engine.counts["broken_off"] == 1
         assert len(world.targets[0].writers) <= 1  # it was not sent again
 
@@ -121,8 +126,7 @@
         serve_in_parts(world, encode_response_parts("length"), asyncio.Event(), False)
         writer.write(GET_REQUEST)
         with pytest.raises(ConnectionResetError):
-            while await reader.read(65536):
-                pass
+            await read_to_end(reader)
         assert world.app.engine.counts["broken_off"] == 1
 
     play(scene)
--- a/tests/test_nvme_controller.py
+++ b/tests/test_nvme_controller.py
@@ -246,6 +246,7 @@
             stream.writer.write(nvme.data_pdu(nvme.C2H_DATA, request.cid, 0, 0, bytes(BLOCK)))
             target.command = command
             await asyncio.sleep(10)
+            return None
 
         target.command = stop_short
         result = await world.read()
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -26,7 +26,7 @@
 )
 from stalltiller.scheduling.scheduler import Scheduler
 from tests.helpers import entry, plan, request, request_class, rules, settings
-from tests.rule_checker import RuleBroken, World, target_list
+from tests.rule_checker import RuleBrokenError, World, target_list
 
 CLASSES = (
     request_class(latency_objective=0.2, deadline=1.0),
@@ -189,5 +189,5 @@
     if broken_rule == "3: ":
         scheduler_settings = SETTINGS["one unsafe class"]
     latency = 0.7 if broken_rule == "2: keyed" else 0.1
-    with pytest.raises(RuleBroken, match=broken_rule):
+    with pytest.raises(RuleBrokenError, match=broken_rule):
         play(Broken(fault), scheduler_settings, arrivals, [(result, latency)], list_changes)
