--- a/stalltiller/fleet/swim.py
+++ b/stalltiller/fleet/swim.py
@@ -270,6 +270,7 @@
         self._send(packet.address, PacketKind.PING, number, packet.target, about=packet.target)
 
         def send_nack() -> None:
+            """Tell the member that asked that this one is alive, though its target has not answered."""
             if number in self._indirect_probes:
                 self._send(origin, PacketKind.NACK, packet.number)
 
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -125,11 +125,12 @@
     # --- Collaborators ----------------------------------------------------------------------------
     @property
     def target_client(self) -> TargetClient:
-        """What sends attempts to targets; it is set before the first target is listed."""
+        """Return what sends attempts to targets; it is set before the first target is listed."""
         return self._context.target_client
 
     @target_client.setter
     def target_client(self, target_client: TargetClient) -> None:
+        """Set it; the target clients report to the engine, so they are built after it."""
         self._context.target_client = target_client
 
     def set_admission_gate(self, admission_gate: AdmissionGate) -> None:
--- a/stalltiller/scheduling/scheduler.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -90,9 +90,9 @@
             return
         for entry in update.targets:
             self._update_target(entry)
-        listed = {entry.target_id for entry in update.targets}
+        named = {entry.target_id for entry in update.targets}
         for target_id, target in list(self.targets.items()):
-            is_left_out = update.kind is not TargetListKind.DELTA and target_id not in listed
+            is_left_out = update.kind is not TargetListKind.DELTA and target_id not in named
             if is_left_out or target.target.status is TargetStatus.REMOVED:
                 del self.targets[target_id]
             if target_id not in self.targets or target.target.status is TargetStatus.DRAINING:
