--- a/stalltiller/routing/action_dispatch.py
+++ b/stalltiller/routing/action_dispatch.py
@@ -13,6 +13,7 @@
 from stalltiller.routing.ports import Attempt, TargetEndpoint
 from stalltiller.routing.request_state import RequestOutcome, RequestState
 from stalltiller.routing.request_table import MILLISECONDS, RequestTable
+from stalltiller.routing.slow_start_state import SlowStartState
 from stalltiller.routing.target_table import TargetTable
 from stalltiller.routing.timers import TimerQueue
 from stalltiller.scheduling import (
@@ -48,12 +49,14 @@
         targets: TargetTable,
         timers: TimerQueue,
         enqueue: Callable[[Event], None],
+        slow_start_state: Callable[[TargetId], SlowStartState | None],
     ) -> None:
         self._context = context
         self._requests = requests
         self._targets = targets
         self._timers = timers
         self._enqueue = enqueue
+        self._slow_start_state = slow_start_state
 
     def dispatch(self, action: Action) -> None:
         """Carry out one action.
@@ -215,6 +218,7 @@
                 attempt=attempt.number,
                 target=attempt.target_id,
                 waited_ms=round(MILLISECONDS * waited_seconds, 1),
+                slow_start=self._slow_start_state(attempt.target_id),
             )
 
     def _report_not_started(self, action: StartAttempt, number: int, request_done: bool) -> None:
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import time
 from collections import Counter
@@ -32,6 +33,7 @@
 )
 from stalltiller.routing.request_state import RequestOutcome, RequestState
 from stalltiller.routing.request_table import RequestTable
+from stalltiller.routing.slow_start_state import slow_start_state
 from stalltiller.routing.target_table import TargetTable
 from stalltiller.routing.timers import TimerQueue
 from stalltiller.scheduling import (
@@ -79,7 +81,12 @@
         self._targets = TargetTable(loop.time)
         self._timers = TimerQueue(loop, self._schedule_batch)
         self._dispatcher = ActionDispatcher(
-            self._context, self._requests, self._targets, self._timers, self._enqueue
+            self._context,
+            self._requests,
+            self._targets,
+            self._timers,
+            self._enqueue,
+            functools.partial(slow_start_state, self._scheduler),
         )
         self._pending_events: list[Event] = []
         self._scheduled_batch: asyncio.Handle | None = None
--- a/stalltiller/scheduling/state.py
+++ b/stalltiller/scheduling/state.py
@@ -57,8 +57,8 @@
         self.allocations: dict[int, VolumeAllocation] = {}
         self.reserve_fraction = RESERVE_FRACTION
         self.slow_start_units = SlidingWindowSum()  # sent while it warms up, less those served
-        self.slow_start_turn_ends_at = 0.0
-        self.slow_start_share = self.slow_start_draw = 0.0  # of the budget; of a request that has to fit
+        self.slow_start_share = self.slow_start_others = 0.0  # of the budget; initiators that share it
+        self.slow_start_draw = self.slow_start_turn_ends_at = 0.0  # the part of a request that has to fit
         self.overload_backoff = 1.0  # factor on the share
         self.pause_duration = self.paused_until = self.paced_until = 0.0
         self.recent_key, self.recent_key_until = 0, 0.0  # the data requested last
--- a/stalltiller/scheduling/target_load.py
+++ b/stalltiller/scheduling/target_load.py
@@ -113,8 +113,8 @@
         is_first = target.slow_start_turn_ends_at == 0.0  # its length is random, so that turns are spread
         target.slow_start_turn_ends_at = self.now + window * (self.rng.random() if is_first else 1.0)
         target.slow_start_draw = self.rng.random()
-        count, shard = self.settings.initiator_count, target.target.shard
+        count, shard, shards = self.settings.initiator_count, target.target.shard, len(self.shards)
         others = count - 1.0  # until this process has run for a window
         if self.now - window > self.started_at:
-            others = self.contention.other_initiators(self.now, shard, count, len(self.shards), window)
-        target.slow_start_share = target.overload_backoff / (1.0 + others)
+            others = self.contention.other_initiators(self.now, shard, count, shards, window)
+        target.slow_start_share, target.slow_start_others = target.overload_backoff / (1.0 + others), others
--- a/stalltiller/trace.py
+++ b/stalltiller/trace.py
@@ -2,6 +2,7 @@
 
     python -m stalltiller.trace LOG...              how requests ended, by kind and by span of time
     python -m stalltiller.trace LOG... --label ID   each step of the request a client named so, in every log
+    python -m stalltiller.trace LOG... --slow-start TARGET   what a warming target was sent in each second
 
 A log is one JSON line an event, as an initiator writes it with `STALLTILLER_TRACE=1`; a line may begin with
 a time of the reader's own (as a bench writes its logs), which is then the time shown.  Request ids begin
@@ -21,6 +22,8 @@
 
 import orjson
 
+from stalltiller.slow_start_trace import WarmingAttempt, describe_slow_start
+
 SUMMARY_SPAN_SECONDS = 5.0  # of one row of the summary: short enough to see a restart or a drain
 OPEN_OUTCOME = "open"  # shown for a request that was not finished when its log ended
 HIDDEN_DETAILS = {"time", "name", "event", "label"}  # shown elsewhere in the row of a step, or in the call
@@ -167,12 +170,40 @@
     return "\n".join(rows) or f"no request {label!r}"
 
 
+def attempts_at(traces: list[RequestTrace], target: str) -> list[WarmingAttempt]:
+    """Return all attempts at a target, with what their initiators knew of its slow start."""
+    return [
+        WarmingAttempt(
+            time=step.time,
+            run=trace.run,
+            units=float(trace.steps[0].details.get("units", 0.0)),
+            is_retry=bool(step.details.get("attempt")),
+            served_at=_served_at(trace, step),
+            state=step.details.get("slow_start"),
+        )
+        for trace in traces
+        for step in trace.steps
+        if step.event is TraceEvent.ATTEMPT_STARTED and str(step.details.get("target")) == target
+    ]
+
+
+def _served_at(trace: RequestTrace, attempt: Step) -> float | None:
+    """Return when an attempt was answered; None if it failed or the log does not say."""
+    for step in trace.steps:
+        is_same = step.details.get("attempt") == attempt.details.get("attempt")
+        if step.event is TraceEvent.ATTEMPT_FINISHED and is_same and step.details.get("status") == "ok":
+            return step.time
+    return None
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the command; return its exit code, 2 if a log cannot be read."""
     description = (__doc__ or "").partition("\n")[0]
     parser = argparse.ArgumentParser(prog="python -m stalltiller.trace", description=description)
     parser.add_argument("logs", nargs="+", help="logs written with STALLTILLER_TRACE=1")
-    parser.add_argument("--label", help="the X-Request-ID of a request to follow")
+    views = parser.add_mutually_exclusive_group()
+    views.add_argument("--label", help="the X-Request-ID of a request to follow")
+    views.add_argument("--slow-start", metavar="TARGET", help="the target whose slow start to show")
     options = parser.parse_args(arguments)
     traces: list[RequestTrace] = []
     for path in options.logs:
@@ -182,7 +213,12 @@
         except OSError as error:
             print(f"stalltiller.trace: {error}", file=sys.stderr)
             return 2
-    print(follow_request(traces, options.label) if options.label else summarize(traces))
+    if options.label:
+        print(follow_request(traces, options.label))
+    elif options.slow_start:
+        print(describe_slow_start(attempts_at(traces, options.slow_start)))
+    else:
+        print(summarize(traces))
     return 0
 
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from stalltiller.trace import follow_request, read_traces, summarize
+from stalltiller.trace import follow_request, main, read_traces, summarize
 
 RUN = [
     '{"time":1.0,"event":"started"}',
@@ -59,3 +59,37 @@
     present, earlier = read_traces("n0", RUN), read_traces("n0", EARLIER_RUN)
     assert follow_request(present, "a") == follow_request(earlier, "a")
     assert summarize(present) == summarize(earlier)
+
+
+def test_the_slow_start_of_a_target_is_shown_by_second_over_all_logs(capsys, tmp_path):
+    state = '{"target_age":%s,"process_age":%s,"share":0.5,"other_initiators":1.0,"overload_backoff":1.0}'
+    logs = {
+        "n0.log": [
+            '{"time":9.0,"event":"started"}',
+            '{"time":10.1,"event":"request_received","id":1,"units":2.0}',
+            '{"time":10.1,"event":"attempt_started","id":1,"attempt":0,"target":"s-1","slow_start":%s}'
+            % (state % (0.1, 1.1)),
+            '{"time":11.3,"event":"attempt_finished","id":1,"attempt":0,"target":"s-1","status":"ok"}',
+        ],
+        "n1.log": [
+            '{"time":9.0,"event":"request_received","id":1,"units":9.0}',
+            '{"time":9.5,"event":"attempt_started","id":1,"attempt":0,"target":"s-1"}',  # before its start
+            '{"time":10.2,"event":"request_received","id":2,"units":1.0}',
+            '{"time":10.3,"event":"attempt_started","id":2,"attempt":1,"target":"s-1"}',  # unaware of it
+            '{"time":12.4,"event":"request_received","id":3,"units":3.0}',
+            '{"time":12.5,"event":"attempt_started","id":3,"attempt":0,"target":"s-1","slow_start":%s}'
+            % (state % (2.5, 8.0)),
+        ],
+    }
+    for name, lines in logs.items():
+        (tmp_path / name).write_text("\n".join(lines))
+    assert main([*(str(tmp_path / name) for name in logs), "--slow-start", "s-1"]) == 0
+    rows = [row.split() for row in capsys.readouterr().out.splitlines()[1:]]
+    assert [row[:7] for row in rows] == [
+        ["0", "2", "3.0", "0.0", "1", "2", "1"],
+        ["1", "0", "0.0", "2.0", "0", "0", "0"],
+        ["2", "1", "3.0", "0.0", "0", "1", "0"],
+    ]
+    assert [row[7] for row in rows] == ["1", "0", "0"]
+    assert main([str(tmp_path / "n0.log"), "--slow-start", "s-2"]) == 0
+    assert capsys.readouterr().out == "no attempt while it warmed up\n"
