--- a/review/1/case.py
+++ b/review/1/case.py
@@ -128,6 +128,7 @@
                 timeout=2.5 if is_write else 1.2,
                 body=request_id.encode() if is_write else b"",
             )
+            case.record("client_sent", id=request_id, kind="write" if is_write else "read")
             answer = client.ask(data)
             status = "none" if answer is None else answer.start[1]
             body = b"" if answer is None else answer.body
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -176,6 +176,7 @@
     host = Host(port)
 
     def write(block: int) -> int:
+        case.record("host_write_sent", block=block)
         completion = host.write(block)
         case.record(
             "host_write_answered", block=block, status=completion.status, no_retry=completion.no_retry
