Log data that a target sends unasked, and how long a reused connection was idle

Clients get another request's answer; neither log nor trace told whether the connection was reused at once, in the avoided range, after it, or with unread bytes. Change: the event and counter surplus_data (idle_ms, bytes) and idle_ms in the trace's attempt_finished.

--- a/stalltiller/adapters/http_target_client.py
+++ b/stalltiller/adapters/http_target_client.py
@@ -42,6 +42,8 @@
         self._reader = http.Reader(response=True)
         self._unsent_body = memoryview(b"")  # the part of a long request body not written yet
         self._attempt: Attempt | None = None  # the attempt in flight
+        self._last_attempt: Attempt | None = None  # the latest attempt whose response is complete
+        self._idle_since = 0.0  # when that response was complete
         self._stream: ResponseStream | None = None
         self._streamed_attempt: Attempt | None = None  # the attempt whose response is being streamed
         self._reserved_bytes = 0  # reserved in the target client's budget of responses
@@ -100,7 +102,7 @@
         if self._stream is not None:
             return self._forward(data)
         if self._attempt is None:
-            self.abort()  # unsolicited bytes: no request is in flight
+            self._abort_idle(len(data))
             return len(data)
         had_head = self._reader.is_head_complete
         try:
@@ -124,6 +126,13 @@
             )
         return consumed
 
+    def _abort_idle(self, received_bytes: int) -> None:
+        """Abort: data arrived although no request is in flight."""
+        if self._last_attempt is not None and not self.is_closing:
+            idle_seconds = self._target_client.loop.time() - self._idle_since
+            self._target_client.report_surplus_data(self._last_attempt, idle_seconds, received_bytes)
+        self.abort()
+
     def on_buffer_full(self) -> None:
         """Fail the attempt: the response head does not fit into the buffer."""
         self._fail_attempt("response head over the limit")
@@ -186,12 +195,18 @@
         self._reader.reset()
         self._reserve(0)
         if reuse and not self.is_closing:
-            self._target_client.pool.release(attempt, self)
+            self._release(attempt)
         else:
             attempt.channel = None
             self.abort()
         self._target_client.engine.attempt_finished(attempt, result)
 
+    def _release(self, attempt: Attempt) -> None:
+        """Return the connection to the pool after the response to an attempt."""
+        self._last_attempt = attempt
+        self._idle_since = self._target_client.loop.time()
+        self._target_client.pool.release(attempt, self)
+
     # --- Streamed responses ---
     def _should_stream(self) -> bool:
         """Return whether to stream the response from now on; after that the request can't be retried.
@@ -264,7 +279,7 @@
         self._reader.reset()
         if reuse and not self.is_closing:
             assert attempt is not None
-            self._target_client.pool.release(attempt, self)
+            self._release(attempt)
         else:
             self.abort()
         if stream is not None:
--- a/stalltiller/adapters/pooled_target_client.py
+++ b/stalltiller/adapters/pooled_target_client.py
@@ -13,6 +13,7 @@
 
 # A response that makes no progress for this long has stalled; short enough to leave time to retry a read.
 RESPONSE_STALL_TIMEOUT_SECONDS = 0.1
+MILLISECONDS_PER_SECOND = 1000
 
 
 class PooledTargetClient:
@@ -73,5 +74,18 @@
         self.engine.counts["bad_answers"] += 1
         self._log("bad_response", target=attempt.target_id if attempt else None, text=text)
 
+    def report_surplus_data(self, attempt: Attempt, idle_seconds: float, size: int) -> None:
+        """Count and log data that an idle channel received after the response to `attempt`.
+
+        `idle_seconds` is the time since the end of that response, `size` the number of bytes.
+        """
+        self.engine.counts["surplus_data"] += 1
+        self._log(
+            "surplus_data",
+            target=attempt.target_id,
+            idle_ms=round(MILLISECONDS_PER_SECOND * idle_seconds, 2),
+            bytes=size,
+        )
+
     def _on_unreachable(self, attempt: Attempt) -> None:
         self.engine.attempt_finished(attempt, AttemptResult(AttemptStatus.CONNECT_FAILED))
--- a/stalltiller/routing/request_table.py
+++ b/stalltiller/routing/request_table.py
@@ -132,6 +132,7 @@
         return state is not None and state.in_flight is attempt
 
     def _trace_attempt_finished(self, trace: Logger, attempt: Attempt, status: AttemptStatus) -> None:
+        idle_seconds = attempt.channel_idle_time
         trace(
             "attempt_finished",
             id=attempt.request_id,
@@ -139,6 +140,7 @@
             target=attempt.target_id,
             status=status.value,
             ms=round(MILLISECONDS_PER_SECOND * (self._context.loop.time() - attempt.sent_at), 1),
+            idle_ms=None if idle_seconds is None else round(MILLISECONDS_PER_SECOND * idle_seconds, 2),
         )
 
     def _remove_if_complete(self, state: RequestState) -> None:
