Do not take a late duplicate of a response for the response to the next request

Cause: TargetConnection takes the next bytes for the response to what was sent last, and ChannelPool reused a connection less than 1 ms after a response (or in the avoided 1 to 6 ms at the limit). A duplicate 2 ms late and a request 1.1 ms away cross. Evidence: idle_ms and surplus_data; excluded: reuse in the avoided range, unread bytes. Change: a connection is reused only after 10 ms of silence, without exceptions; an attempt waits for one to settle (as an attempt waits for a connect: it can be cancelled, and drains hold). From a target seen to send data unasked, a response equal to the one before it is discarded whatever its delay; if that target also repeats responses, one request a connection. A 200 before the end of its request fails the attempt.

--- a/stalltiller/adapters/http_target_client.py
+++ b/stalltiller/adapters/http_target_client.py
@@ -9,22 +9,23 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from stalltiller.adapters.http_payload import SMALL_BODY_BYTES, Payload
 from stalltiller.adapters.pooled_target_client import RESPONSE_STALL_TIMEOUT_SECONDS, PooledTargetClient
+from stalltiller.adapters.response_attribution import Attribution, ResponseAttributor, ResponseStart
 from stalltiller.adapters.response_stream import ResponseStream
 from stalltiller.protocol import http
 from stalltiller.protocol.platform import ResponseFields
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.ports import Attempt, AttemptResult
-from stalltiller.scheduling import AttemptStatus, Settings
+from stalltiller.scheduling import AttemptStatus, Settings, TargetId
 from stalltiller.transport.buffers import BufferPool, MemoryBudget
 from stalltiller.transport.connection import Connection
 
-# A target may send a duplicate of a response, which would be taken for the response to the next request.  It
-# may be in flight while the connection's idle time is within this range.  A request sent earlier reaches the
-# target before the duplicate is sent, and a target with a pending request does not repeat its last response.
-AVOIDED_IDLE_RANGE_SECONDS = (0.001, 0.006)
+# A target's duplicate of a response comes some milliseconds after it.  Both go the same way: not its length
+# matters but its variation.
+SETTLE_SECONDS = 0.01
 # A long response is streamed once more than this is received; one of unknown length after SMALL_BODY_BYTES.
 STREAM_THRESHOLD_BYTES = 8 * 1024
 SLOW_RESPONSE_SECONDS = 0.02  # a long response that takes longer than this is streamed below the threshold
@@ -33,6 +34,15 @@
 MIN_ATTEMPT_TIMEOUT_SECONDS = 0.001  # lower bound of the X-Timeout sent to targets
 
 
+@dataclass(slots=True, frozen=True)
+class FinishedResponse:
+    """The latest response on a connection that is kept: its target, its start and when it was complete."""
+
+    target_id: TargetId
+    start: ResponseStart
+    finished_at: float
+
+
 class TargetConnection(Connection):
     """A connection to a target with one attempt in flight at a time."""
 
@@ -42,8 +52,11 @@
         self._reader = http.Reader(response=True)
         self._unsent_body = memoryview(b"")  # the part of a long request body not written yet
         self._attempt: Attempt | None = None  # the attempt in flight
-        self._last_attempt: Attempt | None = None  # the latest attempt whose response is complete
-        self._idle_since = 0.0  # when that response was complete
+        self._previous: FinishedResponse | None = None  # None: the connection is new
+        self._response_start: ResponseStart | None = None  # of the response being received, once attributed
+        self._is_discarding = False  # whether a long duplicate is being received
+        self._has_discarded = False  # whether a duplicate was discarded for the attempt in flight
+        self._is_early = False  # whether the response began before the request was fully sent
         self._stream: ResponseStream | None = None
         self._streamed_attempt: Attempt | None = None  # the attempt whose response is being streamed
         self._reserved_bytes = 0  # reserved in the target client's budget of responses
@@ -91,11 +104,24 @@
         An attempt abandoned in the middle of its transfer counts as possibly executed: only a connection
         closed by the target proves otherwise.
         """
+        attempt = self._attempt
         self._attempt = None
         self._unsent_body = memoryview(b"")
         self.abort()
+        if attempt is not None and self._has_discarded:
+            self._record_discarded_response(attempt)
         return True
 
+    def is_clean(self) -> bool:
+        """Return whether nothing unexpected was received and the next response can be attributed."""
+        if not super().is_clean():
+            if not self.is_peer_closed():
+                self._report_surplus(None)
+            return False
+        return self._previous is None or self._target_client.attributor.may_reuse_connections(
+            self._previous.target_id, self._target_client.loop.time()
+        )
+
     # --- Receiving ---
     def on_data(self, data: memoryview) -> int:
         """Parse the response; return the number of bytes consumed."""
@@ -116,7 +142,10 @@
         self._last_progress_at = self._target_client.loop.time()
         if not had_head:
             self._response_started_at = self._last_progress_at
-        if self._reader.is_complete:
+            self._is_early = not self.is_fully_sent()
+        if self._is_discarding:
+            self._discard_received()
+        elif self._reader.is_complete:
             self._finish_response()
         elif self._reader.is_head_complete and self._should_stream():
             self._start_stream()
@@ -128,11 +157,20 @@
 
     def _abort_idle(self, received_bytes: int) -> None:
         """Abort: data arrived although no request is in flight."""
-        if self._last_attempt is not None and not self.is_closing:
-            idle_seconds = self._target_client.loop.time() - self._idle_since
-            self._target_client.report_surplus_data(self._last_attempt, idle_seconds, received_bytes)
+        if not self.is_closing:
+            self._report_surplus(received_bytes)
         self.abort()
 
+    def _report_surplus(self, received_bytes: int | None) -> None:
+        """Report data received while no request is in flight; its size is None if it is not read."""
+        if self._previous is None:
+            return
+        now = self._target_client.loop.time()
+        idle_seconds = now - self._previous.finished_at
+        target_id = self._previous.target_id
+        self._target_client.attributor.record_surplus(target_id, idle_seconds, now)
+        self._target_client.report_surplus_data(target_id, idle_seconds, received_bytes)
+
     def on_buffer_full(self) -> None:
         """Fail the attempt: the response head does not fit into the buffer."""
         self._fail_attempt("response head over the limit")
@@ -169,8 +207,49 @@
         self._reserved_bytes = size
         return self._target_client.response_budget.adjust_reservation(change)
 
+    # --- Attribution ---
+    def _is_response_to_attempt(self) -> bool:
+        """Return whether the response belongs to the attempt; if not, discard it or fail the attempt."""
+        head = self._reader.head
+        attempt = self._attempt
+        assert head is not None and attempt is not None
+        if self._is_early and head.status == http.STATUS_OK:
+            self._fail_attempt("the response precedes the end of the request")
+            return False
+        start = ResponseStart.of(head, self._reader.body, self._reader.is_complete)
+        previous = None if self._previous is None else self._previous.start
+        now = self._target_client.loop.time()
+        attribution = self._target_client.attributor.attribute(attempt.target_id, previous, start, now)
+        if attribution is Attribution.CURRENT:
+            self._response_start = start
+            return True
+        if attribution is Attribution.DUPLICATE and head.keeps_alive():
+            self._is_discarding = True
+            self._has_discarded = True
+            self._target_client.report_duplicate(attempt.target_id)
+            self._discard_received()
+        else:
+            self._fail_attempt("the response may be a duplicate of the previous one")
+        return False
+
+    def _discard_received(self) -> None:
+        """Discard what was received of a duplicate; after its end the response to the attempt follows."""
+        self._reader.take_body()
+        self._reserve(0)
+        if self._reader.is_complete:
+            self._reader.reset()
+            self._is_discarding = False
+
+    def _record_discarded_response(self, attempt: Attempt) -> None:
+        """Record that no response followed a discarded one in time: it was the response to the attempt."""
+        now = self._target_client.loop.time()
+        if now >= attempt.expires_at:
+            self._target_client.attributor.record_repetition(attempt.target_id, now)
+
     # --- The end of an attempt ---
     def _finish_response(self) -> None:
+        if not self._is_response_to_attempt():
+            return
         head = self._reader.head
         assert head is not None
         response_info = self._target_client.response_fields.parse(head)
@@ -189,6 +268,7 @@
         attempt = self._attempt
         assert attempt is not None
         self._attempt = None
+        self._has_discarded = False
         self._unsent_body = memoryview(b"")
         is_lost = result.status is AttemptStatus.RESET and not self._reader.is_head_complete
         self._target_client.pool.record_use(attempt, is_lost)
@@ -203,8 +283,9 @@
 
     def _release(self, attempt: Attempt) -> None:
         """Return the connection to the pool after the response to an attempt."""
-        self._last_attempt = attempt
-        self._idle_since = self._target_client.loop.time()
+        assert self._response_start is not None
+        finished_at = self._target_client.loop.time()
+        self._previous = FinishedResponse(attempt.target_id, self._response_start, finished_at)
         self._target_client.pool.release(attempt, self)
 
     # --- Streamed responses ---
@@ -227,6 +308,8 @@
 
         The attempt is reported as finished, since the target has executed the request.
         """
+        if not self._is_response_to_attempt():
+            return
         assert self._reader.head is not None
         response_info = self._target_client.response_fields.parse(self._reader.head)
         if response_info.status is not AttemptStatus.OK:
@@ -236,6 +319,7 @@
         attempt = self._attempt
         assert attempt is not None
         self._attempt = None
+        self._has_discarded = False
         self._streamed_attempt = attempt
         self._last_progress_at = self._target_client.loop.time()
         stream = ResponseStream(self, self._reader.length, self._reader.take_body())
@@ -261,6 +345,7 @@
             return len(data)
         body = self._reader.take_body()
         is_complete = self._reader.is_complete
+        self._extend_response_start(body)
         if body:
             assert self._stream is not None and self._stream.sink is not None
             self._stream.sink.write_part(body)
@@ -271,6 +356,12 @@
             self._pause_reading()
         return consumed
 
+    def _extend_response_start(self, body: bytes) -> None:
+        start = self._response_start
+        if start is not None and start.is_partial:
+            is_complete = self._reader.is_complete
+            self._response_start = ResponseStart.of(start.head, start.body + body, is_complete)
+
     def _finish_stream(self, reuse: bool) -> None:
         stream = self._stream
         self._stream = None
@@ -365,9 +456,10 @@
             idle_timeout,
             max_channels,
             log,
-            AVOIDED_IDLE_RANGE_SECONDS,
+            SETTLE_SECONDS,
         )
         self.response_budget = MemoryBudget(max_response_bytes)
+        self.attributor = ResponseAttributor()
         self.update_settings(settings)
 
     def update_settings(self, settings: Settings) -> None:
--- a/stalltiller/adapters/pooled_target_client.py
+++ b/stalltiller/adapters/pooled_target_client.py
@@ -20,8 +20,7 @@
     """Sends attempts to targets on pooled channels; subclasses open the channels.
 
     `connect_timeout` and `idle_timeout` are in seconds; `max_channels` bounds the channels to all targets
-    together.  A channel whose idle time in seconds is within `avoided_idle_range` is not reused if another is
-    available.
+    together.  A channel is not reused before it has been idle for `settle_time` seconds.
     """
 
     def __init__(
@@ -33,7 +32,7 @@
         idle_timeout: float,
         max_channels: int,
         log: Callable[..., None],
-        avoided_idle_range: tuple[float, float] = (0.0, 0.0),
+        settle_time: float = 0.0,
     ) -> None:
         self.loop = loop
         self.engine = engine
@@ -46,7 +45,7 @@
             connect_timeout,
             idle_timeout,
             max_channels,
-            avoided_idle_range,
+            settle_time,
         )
 
     async def connect(self, host: str, port: int) -> Channel:
@@ -74,15 +73,20 @@
         self.engine.counts["bad_answers"] += 1
         self._log("bad_response", target=attempt.target_id if attempt else None, text=text)
 
-    def report_surplus_data(self, attempt: Attempt, idle_seconds: float, size: int) -> None:
-        """Count and log data that an idle channel received after the response to `attempt`.
+    def report_duplicate(self, target_id: TargetId) -> None:
+        """Count and log a target's duplicate of a response, received while another was awaited."""
+        self.engine.counts["duplicate_responses"] += 1
+        self._log("duplicate_response", target=target_id)
 
-        `idle_seconds` is the time since the end of that response, `size` the number of bytes.
+    def report_surplus_data(self, target_id: TargetId, idle_seconds: float, size: int | None) -> None:
+        """Count and log data that an idle channel to a target received after a response.
+
+        `idle_seconds` is the time since the end of that response, `size` the number of bytes, None if unread.
         """
         self.engine.counts["surplus_data"] += 1
         self._log(
             "surplus_data",
-            target=attempt.target_id,
+            target=target_id,
             idle_ms=round(MILLISECONDS_PER_SECOND * idle_seconds, 2),
             bytes=size,
         )
--- /dev/null
+++ b/stalltiller/adapters/response_attribution.py
@@ -0,0 +1,115 @@
+"""Decides whether a response on a reused HTTP connection belongs to the request in flight.
+
+A response over HTTP/1.1 does not name its request.  A target may send a response a second time, and the
+duplicate may cross the next request on the connection.  The pool lets a connection settle before it is
+reused (`transport.channel_reuse`), which suffices for a duplicate that is late by milliseconds.  For a target
+that is known to send duplicates, a response that equals the previous one on its connection is not taken for
+the response to the request in flight, however late it comes.
+
+Nothing here does I/O; `HttpTargetClient` owns the one `ResponseAttributor`.  Times are on the event loop's
+clock, in seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from stalltiller.protocol.http import Head
+from stalltiller.scheduling import TargetId
+
+COMPARED_BODY_BYTES = 1024  # of each body; longer ones that begin alike count as equal
+MAX_DUPLICATE_DELAY_SECONDS = 1.0  # data on a connection that was idle for longer is no duplicate
+EVIDENCE_LIFETIME_SECONDS = 300.0  # how long what was seen of a target counts
+MAX_TARGETS = 4096  # with evidence; beyond it the oldest is forgotten
+
+
+class Attribution(Enum):
+    """What a complete response, or the start of a long one, is."""
+
+    CURRENT = auto()  # the response to the request in flight
+    DUPLICATE = auto()  # the previous response once more: the response to the request is yet to come
+    AMBIGUOUS = auto()  # either of them
+
+
+@dataclass(slots=True, frozen=True)
+class ResponseStart:
+    """A response's head and the first bytes of its body, at most COMPARED_BODY_BYTES.
+
+    `is_partial`: more of these bytes may follow.
+    """
+
+    head: Head
+    body: bytes
+    is_partial: bool = False
+
+    @classmethod
+    def of(cls, head: Head, body: bytes | bytearray, is_complete: bool) -> ResponseStart:
+        """Return the start of a response of which `body` was received so far."""
+        start = bytes(body[:COMPARED_BODY_BYTES])
+        return cls(head, start, not is_complete and len(start) < COMPARED_BODY_BYTES)
+
+    def may_equal(self, other: ResponseStart) -> bool:
+        """Return whether both are the same response as far as received."""
+        if self.head != other.head:
+            return False
+        common_size = min(len(self.body), len(other.body))
+        if self.body[:common_size] != other.body[:common_size]:
+            return False
+        size = max(len(self.body), len(other.body))
+        return all(start.is_partial or len(start.body) == size for start in (self, other))
+
+
+@dataclass(slots=True)
+class _Evidence:
+    """What was seen of a target; each counts until its time."""
+
+    sends_duplicates_until: float = 0.0
+    repeats_responses_until: float = 0.0
+
+
+class ResponseAttributor:
+    """What was seen of targets that send duplicates, or equal responses to successive requests."""
+
+    def __init__(self) -> None:
+        self._evidence: dict[TargetId, _Evidence] = {}  # in order of the latest change
+
+    def attribute(
+        self, target_id: TargetId, previous: ResponseStart | None, current: ResponseStart, now: float
+    ) -> Attribution:
+        """Return what a response is; `previous` is the one before on its connection, None on a new one."""
+        if previous is None or not current.may_equal(previous):
+            return Attribution.CURRENT
+        if not self._sends_duplicates(target_id, now):
+            self.record_repetition(target_id, now)
+            return Attribution.CURRENT
+        return Attribution.AMBIGUOUS if self._repeats_responses(target_id, now) else Attribution.DUPLICATE
+
+    def may_reuse_connections(self, target_id: TargetId, now: float) -> bool:
+        """Return whether a response on a reused connection to the target can be attributed."""
+        return not (self._sends_duplicates(target_id, now) and self._repeats_responses(target_id, now))
+
+    def record_surplus(self, target_id: TargetId, idle_seconds: float, now: float) -> None:
+        """Record data that came on a connection which had been idle for `idle_seconds`."""
+        if idle_seconds <= MAX_DUPLICATE_DELAY_SECONDS:
+            self._renew(target_id).sends_duplicates_until = now + EVIDENCE_LIFETIME_SECONDS
+
+    def record_repetition(self, target_id: TargetId, now: float) -> None:
+        """Record that the target gave equal responses to two requests."""
+        self._renew(target_id).repeats_responses_until = now + EVIDENCE_LIFETIME_SECONDS
+
+    def _sends_duplicates(self, target_id: TargetId, now: float) -> bool:
+        evidence = self._evidence.get(target_id)
+        return evidence is not None and now < evidence.sends_duplicates_until
+
+    def _repeats_responses(self, target_id: TargetId, now: float) -> bool:
+        evidence = self._evidence.get(target_id)
+        return evidence is not None and now < evidence.repeats_responses_until
+
+    def _renew(self, target_id: TargetId) -> _Evidence:
+        """Return the target's evidence, now the latest, and forget the oldest beyond the limit."""
+        evidence = self._evidence.pop(target_id, None) or _Evidence()
+        self._evidence[target_id] = evidence
+        if len(self._evidence) > MAX_TARGETS:
+            del self._evidence[next(iter(self._evidence))]
+        return evidence
--- a/stalltiller/protocol/http.py
+++ b/stalltiller/protocol/http.py
@@ -27,6 +27,7 @@
 FIELD_VALUE = re.compile(r"[\t -~\x80-\xff]*")
 LINE_END = b"\r\n"
 HEAD_END = b"\r\n\r\n"
+STATUS_OK = 200
 STATUS_SWITCHING_PROTOCOLS = 101
 BODYLESS_STATUSES = (204, 304)
 REASON_PHRASES = {
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -1,15 +1,19 @@
 """A pool of connections to targets, each of which carries one exchange at a time and is reused.
 
-A pool is used from the event loop's thread only.  It owns the idle channels and the connecting tasks; a
-channel in use is owned by its exchange.
+A pool is used from the event loop's thread only.  It owns the idle channels, the connecting tasks and the
+channels that an exchange waits for; a channel in use is owned by its exchange.
 """
 
 from __future__ import annotations
 
 import asyncio
+from bisect import insort
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, NamedTuple, Protocol
 
+from stalltiller.transport.channel_reuse import choose_channel
+
 # A channel idle for at most this time is fresh, i.e. as good as a new one: no idle timeout is that short.
 MAX_FRESH_IDLE_SECONDS = 0.1
 LOSS_RATE_GAIN = 0.05  # weight of one use in the loss rates, which cover about the last twenty uses
@@ -22,7 +26,8 @@
 class Exchange(Protocol):
     """One request to a target and its response.
 
-    The pool sets `channel` to the channel in use or to the task that opens it.  `latest_start` is the event
+    The pool sets `channel` to the channel in use, to the task that opens it or to the `SettlingChannel` that
+    the exchange waits for.  `latest_start` is the event
     loop time from which the exchange must not start, or None without a limit.  `channel_idle_time` is how
     many seconds its channel was idle before, or None if the channel is new.
     """
@@ -73,6 +78,18 @@
     channel: Channel
 
 
+@dataclass(slots=True, frozen=True)
+class SettlingChannel:
+    """An idle channel that is reserved for an exchange and not settled yet; `timer` then starts it."""
+
+    idle_channel: IdleChannel
+    timer: asyncio.TimerHandle
+
+
+# What an exchange's `channel` is before the exchange has started.
+NOT_STARTED_TYPES = (asyncio.Task, SettlingChannel, type(None))
+
+
 class ChannelPool:
     """Reuses idle channels per target address and opens new ones.
 
@@ -80,8 +97,9 @@
     limit of `max_channels` for all targets together, the channel idle for longest is closed to make room; if
     none is idle, the exchange does not start.
 
-    `avoided_idle_range` is a range of idle times in seconds: a channel whose idle time is within it is reused
-    only if no other channel can be used or opened.
+    A channel is settled, and may be reused, once it has been idle for `settle_time` seconds (see
+    `channel_reuse`).  An exchange for which no channel is settled waits for one, or gets a new one if all are
+    reserved.
     """
 
     def __init__(
@@ -92,7 +110,7 @@
         connect_timeout: float,
         idle_timeout: float,
         max_channels: int,
-        avoided_idle_range: tuple[float, float] = (0.0, 0.0),
+        settle_time: float = 0.0,
     ) -> None:
         """Create an empty pool; targets close connections idle for `idle_timeout` seconds."""
         self._loop = loop
@@ -101,7 +119,7 @@
         self._connect_timeout = connect_timeout
         self._idle_timeout = idle_timeout
         self._max_channels = max_channels
-        self._avoided_idle_range = avoided_idle_range
+        self._settle_time = settle_time
         self._channels: set[Channel] = set()  # established channels; closing ones are removed later
         self._connecting_count = 0
         self._idle: dict[Address, list[IdleChannel]] = {}  # by address, in order of last use
@@ -111,41 +129,50 @@
         self.opened_count = 0
 
     def start(self, exchange: Exchange) -> None:
-        """Start an exchange on an idle channel, or on a new one.
-
-        The candidates (see `_count_candidates`) are tried from the most recently used one on.
-        """
+        """Start an exchange on an idle channel, now or when it is settled, or on a new one."""
         idle = self._idle.get(_address_of(exchange), [])
         now = self._loop.time()
         min_idle_since = now - MAX_FRESH_IDLE_SECONDS if now < self._fresh_only_until else 0.0
-        candidate_count = self._count_candidates(idle, now)
-        while candidate_count:
-            candidate_count -= 1
-            since, channel = idle.pop(candidate_count)
-            if channel.is_clean() and since >= min_idle_since:
-                exchange.channel = channel
-                exchange.channel_idle_time = now - since
-                channel.start_exchange(exchange)
+        while reuse := choose_channel([entry.since for entry in idle], now, self._settle_time):
+            idle_channel = idle.pop(reuse.position)
+            if not idle_channel.channel.is_clean() or idle_channel.since < min_idle_since:
+                idle_channel.channel.close()
+            elif reuse.ready_at <= now:
+                self._start_on(exchange, idle_channel)
+                return
+            else:
+                timer = self._loop.call_at(reuse.ready_at, self._on_settled, exchange)
+                exchange.channel = SettlingChannel(idle_channel, timer)
                 return
-            channel.close()
         exchange.channel = self._loop.create_task(self._open(exchange))
 
-    def _count_candidates(self, idle: list[IdleChannel], now: float) -> int:
-        """Return how many channels at the start of the list, which were idle for longest, may be reused."""
-        range_start, range_end = self._avoided_idle_range
-        past_range_count = sum(since <= now - range_end for since, _ in idle)
-        if not idle:
-            return past_range_count
-        is_before_range = now - idle[-1].since < range_start
-        if is_before_range or (not past_range_count and not self._may_open()):
-            return len(idle)
-        return past_range_count
-
-    def _may_open(self) -> bool:
-        """Whether a channel may be opened without closing another."""
-        if self._channel_count() >= self._max_channels:
-            self._forget_closing_channels()
-        return self._channel_count() < self._max_channels
+    def _start_on(self, exchange: Exchange, idle_channel: IdleChannel) -> None:
+        exchange.channel = idle_channel.channel
+        exchange.channel_idle_time = self._loop.time() - idle_channel.since
+        idle_channel.channel.start_exchange(exchange)
+
+    def _on_settled(self, exchange: Exchange) -> None:
+        """Start an exchange on the channel that it waited for, unless it must not start any more."""
+        idle_channel = exchange.channel.idle_channel
+        exchange.channel = None
+        if self._is_too_late(exchange):
+            self._put_back(exchange, idle_channel)
+            self._on_unreachable(exchange)
+        elif idle_channel.channel.is_clean():
+            self._start_on(exchange, idle_channel)
+        else:
+            idle_channel.channel.close()
+            self.start(exchange)
+
+    def _is_too_late(self, exchange: Exchange) -> bool:
+        """Whether the target began to drain while the exchange waited, so that it must not start any more."""
+        return exchange.latest_start is not None and self._loop.time() >= exchange.latest_start
+
+    def _put_back(self, exchange: Exchange, idle_channel: IdleChannel) -> None:
+        """Return a reserved channel that was not used; it has been idle all the time."""
+        idle = self._idle.setdefault(_address_of(exchange), [])
+        insort(idle, idle_channel, key=_idle_since)
+        self._ensure_sweep()
 
     def _channel_count(self) -> int:
         return len(self._channels) + self._connecting_count
@@ -156,7 +183,7 @@
     def is_fully_sent(self, exchange: Exchange) -> bool:
         """Whether the target may have received the whole request."""
         channel = exchange.channel
-        return not isinstance(channel, asyncio.Task | None) and channel.is_fully_sent()
+        return not isinstance(channel, NOT_STARTED_TYPES) and channel.is_fully_sent()
 
     def abandon(self, exchange: Exchange) -> bool:
         """Abandon an exchange; return whether the target may have executed it."""
@@ -165,6 +192,10 @@
         if isinstance(channel, asyncio.Task):
             channel.cancel()
             return False
+        if isinstance(channel, SettlingChannel):
+            channel.timer.cancel()
+            self._put_back(exchange, channel.idle_channel)
+            return False
         return channel is not None and channel.abandon()
 
     def record_use(self, exchange: Exchange, lost: bool) -> None:
@@ -217,8 +248,7 @@
             self._connecting_count -= 1
         self.opened_count += 1
         self._channels.add(channel)
-        if exchange.latest_start is not None and self._loop.time() >= exchange.latest_start:
-            # The target began to drain during the connect, so no exchange may start on it any more.
+        if self._is_too_late(exchange):
             self.release(exchange, channel)
             self._on_unreachable(exchange)
             return
@@ -241,6 +271,9 @@
 
     def _add_idle(self, address: Address, channel: Channel) -> None:
         self._idle.setdefault(address, []).append(IdleChannel(self._loop.time(), channel))
+        self._ensure_sweep()
+
+    def _ensure_sweep(self) -> None:
         if self._sweep_timer is None:
             self._schedule_sweep()
 
@@ -270,6 +303,10 @@
     return Address(exchange.target_id, exchange.host, exchange.port)
 
 
+def _idle_since(idle_channel: IdleChannel) -> float:
+    return idle_channel.since
+
+
 def _close_older(idle: list[IdleChannel], expired_since: float) -> list[IdleChannel]:
     """Close the channels idle since `expired_since` or earlier; return the remaining open ones."""
     remaining = []
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -388,7 +388,6 @@
     async def scenario(harness, reader, writer):
         pool = harness.app.target_client.pool
         exchange = SimpleNamespace(channel_idle_time=0.2)
-        pool._avoided_idle_range = 0.0, 0.0  # test_races.py covers the avoided range
         assert (await harness.read()).outcome == "served"
         await asyncio.sleep(0.12)
         assert (await harness.read()).outcome == "served" and pool.opened_count == 1
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -91,7 +91,6 @@
 def test_both_connections_are_reused_after_a_long_response():
     async def scenario(harness, reader, writer):
         pool = harness.app.target_client.pool
-        pool._avoided_idle_range = 0.0, 0.0  # test_races.py covers the avoided range
         may_finish = asyncio.Event()
         may_finish.set()
         serve_in_parts(harness, encode_response_parts("chunks"), may_finish, False)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -434,46 +434,6 @@
     run_scenario(scenario, run=run_on_simulated_clock, classes=(long_deadline_class,))
 
 
-def test_a_late_duplicate_response_is_not_used_for_the_next_request(monkeypatch):
-    """The duplicate crossed the next request on the connection and was taken for its response."""
-
-    async def scenario(harness):
-        # Long enough for the second response on a slow machine.
-        harness.app.target_client.pool._avoided_idle_range = (0.0, 60.0)
-
-        async def serve_twice(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            response = http.encode_response(200, harness.targets[0].stored_data(1, BLOCK_BYTES))
-            writer.write(response)
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(response)
-            await reader.read()
-
-        original_serve, harness.targets[0].serve = harness.targets[0].serve, serve_twice
-        assert (await harness.read(tag=1)).data == harness.targets[0].stored_data(1, BLOCK_BYTES)
-        harness.targets[0].serve = original_serve
-        assert (await harness.read(tag=2)).data == harness.targets[0].stored_data(2, BLOCK_BYTES)
-
-    run_scenario(scenario)
-
-
-def test_a_connection_is_reused_outside_the_avoided_idle_range_or_at_the_connection_limit():
-    async def scenario(harness):
-        pool = harness.app.target_client.pool
-        for max_connections, min_avoided, max_avoided, opened_count in (
-            (99, 0.0, 0.0, 1),
-            (99, 0.0, 60.0, 3),
-            (3, 0.0, 60.0, 3),
-            (99, 60.0, 90.0, 3),
-        ):
-            pool._max_channels, pool._avoided_idle_range = max_connections, (min_avoided, max_avoided)
-            for _ in range(2):
-                assert (await harness.read(tag=1)).outcome == "served"
-            assert pool.opened_count == opened_count
-
-    run_scenario(scenario)
-
-
 # --- Responses that end by a reset ------------------------------------------------------------------------
 @pytest.mark.parametrize("size", [5, 20_000, 300_000])
 @pytest.mark.parametrize("reset", [True, False])
