Log the classes in force after a reload, and the class of each NVMe command

`reloaded` names the new classes; nothing told which class a command is then handled as, so that a file applied though incomplete, a fault of the transition and one of the retries looked alike. Change: the event settings_applied at both steps of a reload: classes with their effects, command_classes over NVMe/TCP.

--- a/stalltiller/daemon/protocol_adapters.py
+++ b/stalltiller/daemon/protocol_adapters.py
@@ -14,10 +14,13 @@
 from stalltiller.daemon.config import Config
 from stalltiller.daemon.log import JsonLog
 from stalltiller.daemon.resource_limits import ResourceLimits
+from stalltiller.protocol import nvme
 from stalltiller.routing.engine import Engine
 from stalltiller.scheduling import Settings
 from stalltiller.transport.buffers import BufferPool
 
+OPCODE_NAMES = {nvme.READ: "read", nvme.WRITE: "write"}
+
 
 @dataclass(slots=True, frozen=True)
 class HttpAdapters:
@@ -31,6 +34,10 @@
         self.server.update_settings(settings)
         self.target_client.update_settings(settings)
 
+    def command_classes(self, _settings: Settings) -> dict[str, str] | None:
+        """Return None: requests over HTTP name their class."""
+        return None
+
 
 @dataclass(slots=True, frozen=True)
 class NvmeAdapters:
@@ -43,6 +50,13 @@
         """Apply new settings and a new mapping; None keeps the current mapping."""
         self.server.update_settings(settings, mapping or self.server.mapping)
 
+    def command_classes(self, settings: Settings) -> dict[str, str] | None:
+        """Return the request class of read and write commands."""
+        return {
+            OPCODE_NAMES[opcode]: settings.classes[opcode_mapping.class_index].name
+            for opcode, opcode_mapping in self.server.mapping.opcodes.items()
+        }
+
 
 ProtocolAdapters = HttpAdapters | NvmeAdapters
 
--- a/stalltiller/daemon/settings_reload.py
+++ b/stalltiller/daemon/settings_reload.py
@@ -117,6 +117,11 @@
         """Apply settings, and an NVMe mapping unless it is None."""
         self._engine.update_settings(settings)
         self._adapters.update_settings(settings, mapping)
+        self._log(
+            "settings_applied",
+            classes={cls.name: cls.idempotency.value for cls in settings.classes},
+            command_classes=self._adapters.command_classes(settings),
+        )
 
     def _read_complete_config(self, read_config: Callable[[], Config]) -> Config:
         config = read_config()
