Turn down an operator's file that was cut short, and map NVMe commands by name

Cause: REQUIRED_ON_RELOAD held the top-level keys that both kinds of file share, so no section of an operator's file was required; the new classes were then put together with the old mapping, whose class_index and plan_index were places in the old lists. Change: every key of an operator's file but `known` is required, and the final line end if the file before had one. Mappings name classes and plans; a write whose data comes after a reload keeps those of its arrival, or is rejected unexecuted. The subsystem towards targets and the settings' idle and connect timeouts follow a reload; the admission gate goes by the class's name.

--- a/stalltiller/adapters/nvme_controller.py
+++ b/stalltiller/adapters/nvme_controller.py
@@ -64,6 +64,8 @@
     def update_settings(self, settings: Settings, mapping: Mapping) -> None:
         """Apply new settings and a new mapping to further commands."""
         self.mapping = mapping
+        self._class_indexes = {cls.name: index for index, cls in enumerate(settings.classes)}
+        self._plan_indexes = {plan.name: index for index, plan in enumerate(settings.plans)}
         max_delay = 1
         if settings.may_send_retry_after:
             max_delay = max(1, int(settings.max_retry_after * RETRY_DELAY_UNITS_PER_SECOND))
@@ -98,10 +100,18 @@
         return False
 
     def submit(self, io_command: IoCommand) -> None:
-        """Submit a complete command to the engine; its deadline counts from the receipt of its capsule."""
+        """Submit a complete command to the engine; its deadline counts from the receipt of its capsule.
+
+        The command is rejected if its class or its plan was dropped while the host sent its data.
+        """
         command = io_command.command
         namespace = io_command.namespace
-        opcode_mapping = self.mapping.opcodes[command.opcode]
+        opcode_mapping = io_command.opcode_mapping
+        class_index = self._class_indexes.get(opcode_mapping.request_class)
+        plan_index = self._plan_indexes.get(namespace.plan)
+        if class_index is None or plan_index is None:
+            io_command.reject(0.0)
+            return
         elapsed = self.loop.time() - io_command.received_at
         payload = Payload(
             opcode=command.opcode,
@@ -112,8 +122,8 @@
             read_size=0 if io_command.is_write else io_command.size,
         )
         client_request = ClientRequest(
-            class_index=opcode_mapping.class_index,
-            plan_index=namespace.plan_index,
+            class_index=class_index,
+            plan_index=plan_index,
             volume=namespace.volume,
             units=max(1.0, math.ceil(command.blocks / namespace.blocks_per_unit)),
             volume_initiator_count=namespace.initiator_count,
--- a/stalltiller/adapters/nvme_host_queue.py
+++ b/stalltiller/adapters/nvme_host_queue.py
@@ -256,7 +256,8 @@
         if status != nvme.OK or namespace is None:
             self.send_completion(nvme.Completion(command.cid, status, no_retry=True))
             return
-        io_command = IoCommand(self, command, namespace, self.controller.loop.time())
+        opcode_mapping = self.controller.mapping.opcodes[command.opcode]
+        io_command = IoCommand(self, command, namespace, opcode_mapping, self.controller.loop.time())
         if not self.controller.reserve(io_command):
             self.send_completion(
                 nvme.Completion(command.cid, nvme.NAMESPACE_NOT_READY, delay=BUSY_RETRY_DELAY_INDEX)
@@ -283,7 +284,7 @@
 
     def _request_data(self, io_command: IoCommand) -> None:
         """Request the data of a write by R2T; the host must send it within the deadline of a write."""
-        deadline = self.controller.mapping.opcodes[nvme.WRITE].deadline
+        deadline = io_command.opcode_mapping.deadline
         io_command.data_timer = self.controller.loop.call_later(deadline, self._on_data_timeout)
         cid = io_command.command.cid
         self.write(nvme.r2t(cid, cid, 0, io_command.size))
--- a/stalltiller/adapters/nvme_io_command.py
+++ b/stalltiller/adapters/nvme_io_command.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from stalltiller.adapters.nvme_mapping import Namespace
+from stalltiller.adapters.nvme_mapping import Namespace, OpcodeMapping
 from stalltiller.protocol import nvme
 
 if TYPE_CHECKING:
@@ -18,16 +18,23 @@
 class IoCommand:
     """A host's Read or Write command.
 
+    `namespace` and `opcode_mapping` are those in force when its capsule arrived.
     `data` accumulates the data of a write.  `request_number` is the engine's number for the request, None
     until it is submitted; `data_timer` is set for a write whose data was requested by R2T.
     """
 
     def __init__(
-        self, queue: HostQueue, command: nvme.Command, namespace: Namespace, received_at: float
+        self,
+        queue: HostQueue,
+        command: nvme.Command,
+        namespace: Namespace,
+        opcode_mapping: OpcodeMapping,
+        received_at: float,
     ) -> None:
         self.queue = queue
         self.command = command
         self.namespace = namespace
+        self.opcode_mapping = opcode_mapping
         self.received_at = received_at
         self.size = command.blocks * namespace.block_size  # bytes
         self.data = bytearray()
--- a/stalltiller/adapters/nvme_mapping.py
+++ b/stalltiller/adapters/nvme_mapping.py
@@ -1,6 +1,7 @@
 """The mapping of NVMe commands to requests, and the part of a command that is sent to a target.
 
-The mapping comes from the operator's file and does not change once loaded.
+The mapping comes from the operator's file and does not change once loaded.  It refers to request classes and
+plans by name: their positions hold for one version of the settings only.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
     """A namespace as configured in the operator's file."""
 
     volume: int
-    plan_index: int
+    plan: str  # a name in the settings
     shard: int
     initiator_count: int  # initiators that serve the volume
     blocks: int
@@ -25,7 +26,7 @@
 class OpcodeMapping(NamedTuple):
     """The request class of an opcode and its deadline in seconds."""
 
-    class_index: int
+    request_class: str  # a name in the settings
     deadline: float
 
 
--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -171,6 +171,10 @@
         self._mapping = mapping
         self._host_id = os.urandom(16)  # sent in Connect; the initiator's behaviour does not depend on it
 
+    def update_mapping(self, mapping: Mapping) -> None:
+        """Apply a new mapping to further associations."""
+        self._mapping = mapping
+
     async def connect(self, host: str, port: int) -> TargetAssociation:
         """Open an association with a target; raises OSError if the target can't be reached or rejects it."""
         queues: list[TargetQueue] = []
--- a/stalltiller/daemon/admission_gate.py
+++ b/stalltiller/daemon/admission_gate.py
@@ -55,7 +55,8 @@
             return 0.0
         if not self._target_count():
             return self.ramp.reject(now)
-        client = (client_request.volume, client_request.class_index, client_request.idempotency_key)
+        class_name = self._settings().classes[client_request.class_index].name
+        client = (client_request.volume, class_name, client_request.idempotency_key)
         return self.ramp.admit(
             now,
             client_request.shard,
--- a/stalltiller/daemon/config.py
+++ b/stalltiller/daemon/config.py
@@ -34,7 +34,7 @@
 DEFAULT_CONNECT_TIMEOUT_SECONDS = 0.25
 DEFAULT_IDLE_TIMEOUT_SECONDS = 30.0
 
-# Keys that must remain in the file on a reload; others, such as `known`, may be added or removed.
+# Keys of the platform's file that must remain on a reload; others, such as `known`, may be added or removed.
 REQUIRED_ON_RELOAD = ("name", "listen", "discovery", "admin", "seed", "limits", "settings")
 
 
@@ -90,6 +90,7 @@
     graphite: Sink | None = None
     collectd: Sink | None = None
     required_keys: frozenset[str] = frozenset()  # key paths that a reloaded file must contain
+    has_final_line_end: bool = True  # false: the file ends within a line; always true for JSON
     admin: tuple[str, int] | None = None  # the address for administration calls
     handover_folder: str | None = None  # shared by this initiator's processes; None: no handover files
     inherited_descriptor: int | None = None  # an open listening socket; None: bind `listen`
@@ -203,9 +204,14 @@
     return [str(item) for item in value] if isinstance(value, list) else []
 
 
-def parse_shared_config(data: dict, path: str) -> Config:
-    """Build the configuration from the keys that both kinds of file share; raises ConfigError."""
-    required_keys = key_paths({key: data[key] for key in REQUIRED_ON_RELOAD if data.get(key) is not None})
+def parse_shared_config(
+    data: dict, path: str, required_on_reload: tuple[str, ...] = REQUIRED_ON_RELOAD
+) -> Config:
+    """Build the configuration from the keys that both kinds of file share; raises ConfigError.
+
+    `required_on_reload` names the keys which, with all keys below them, a later file must not lack.
+    """
+    required_keys = key_paths({key: data[key] for key in required_on_reload if data.get(key) is not None})
     nested = data.get("settings")
     if not isinstance(nested, dict):
         raise ConfigError("settings are missing or not an object", path=path)
--- a/stalltiller/daemon/operator_config.py
+++ b/stalltiller/daemon/operator_config.py
@@ -24,6 +24,7 @@
     from stalltiller.daemon.recovery_service import RecoveryConfig
     from stalltiller.fleet.config import FleetConfig
 
+OPTIONAL_ON_RELOAD = ("known",)  # keys that may disappear from the file
 DEFAULT_SINK_INTERVAL_SECONDS = 10.0
 MIN_SINK_INTERVAL_SECONDS = 0.05
 MAX_SINK_INTERVAL_SECONDS = 3600
@@ -50,7 +51,8 @@
     if violation is not None:
         raise ConfigError(violation.message, key=violation.key, path=path, line=violation.line)
     try:
-        return _parse_operator_config(data, path)
+        config = _parse_operator_config(data, path)
+        return replace(config, has_final_line_end=text.endswith("\n"))
     except KeyError as error:
         raise MissingKeyError(error.args[0], path=path) from error
     except (TypeError, ValueError, AttributeError) as error:
@@ -60,7 +62,8 @@
 def _parse_operator_config(data: dict, path: str) -> Config:
     graphite = _parse_sink(data, "graphite")
     collectd = _parse_sink(data, "collectd")
-    config = replace(parse_shared_config(data, path), graphite=graphite, collectd=collectd)
+    required_keys = tuple(key for key in data if key not in OPTIONAL_ON_RELOAD)
+    config = replace(parse_shared_config(data, path, required_keys), graphite=graphite, collectd=collectd)
     if "fleet" in data:
         config = replace(config, fleet=_parse_fleet(data["fleet"], config))
     if "leases" in data:
@@ -115,29 +118,29 @@
 
 
 def _parse_nvme_mapping(data: dict, settings: Settings) -> nvme_mapping.Mapping:
-    plan_indices = {plan.name: index for index, plan in enumerate(settings.plans)}
+    plan_names = {plan.name for plan in settings.plans}
     namespaces: dict[int, nvme_mapping.Namespace] = {}
     for table in data["namespaces"]:
         namespace_id = int(table["id"])
         block_bytes = int(table.get("block_size", DEFAULT_BLOCK_BYTES))
         if not 0 < namespace_id < BROADCAST_NAMESPACE_ID or namespace_id in namespaces:
             raise ConfigError("the id is out of range or not unique", key=f"namespace {namespace_id}")
-        namespaces[namespace_id] = _parse_namespace(table, namespace_id, block_bytes, plan_indices)
+        namespaces[namespace_id] = _parse_namespace(table, namespace_id, block_bytes, plan_names)
     opcodes = _parse_opcodes(data["opcodes"], settings)
     return nvme_mapping.Mapping(str(data["subsystem"]), namespaces, opcodes)
 
 
 def _parse_namespace(
-    table: dict, namespace_id: int, block_bytes: int, plan_indices: dict[str, int]
+    table: dict, namespace_id: int, block_bytes: int, plan_names: set[str]
 ) -> nvme_mapping.Namespace:
     key = f"namespace {namespace_id}"
     if block_bytes & (block_bytes - 1) or not MIN_BLOCK_BYTES <= block_bytes <= nvme.MAX_DATA_BYTES:
         raise ConfigError("block_size must be a power of two from 512 to 64 KiB", key=key)
-    if table["plan"] not in plan_indices:
+    if table["plan"] not in plan_names:
         raise ConfigError(f"unknown plan: {table['plan']}", key=key)
     namespace = nvme_mapping.Namespace(
         int(str(table["volume"]), 16),
-        plan_indices[table["plan"]],
+        table["plan"],
         int(table["shard"]),
         int(table["hosts"]),
         int(table["blocks"]),
@@ -153,18 +156,17 @@
 
 
 def _parse_opcodes(data: dict, settings: Settings) -> dict[int, nvme_mapping.OpcodeMapping]:
-    """Map each opcode to the index of its request class and its deadline in seconds."""
-    class_indices = {cls.name: index for index, cls in enumerate(settings.classes)}
+    """Map each opcode to its request class and its deadline in seconds."""
+    classes = {cls.name: cls for cls in settings.classes}
     opcodes: dict[int, nvme_mapping.OpcodeMapping] = {}
     for name, opcode, is_write in (("read", nvme.READ, False), ("write", nvme.WRITE, True)):
         key = f"opcode {name}"
         table = data[name]
-        if table["class"] not in class_indices:
+        if table["class"] not in classes:
             raise ConfigError(f"unknown class: {table['class']}", key=key)
-        class_index = class_indices[table["class"]]
-        if settings.classes[class_index].is_write is (not is_write):
+        if classes[table["class"]].is_write is (not is_write):
             raise ConfigError(f"class {table['class']} does not allow {name} commands", key=key)
         if not table["deadline_ms"] > 0:
             raise ConfigError("deadline_ms must be positive", key=key)
-        opcodes[opcode] = nvme_mapping.OpcodeMapping(class_index, table["deadline_ms"] / 1000)
+        opcodes[opcode] = nvme_mapping.OpcodeMapping(table["class"], table["deadline_ms"] / 1000)
     return opcodes
--- a/stalltiller/daemon/protocol_adapters.py
+++ b/stalltiller/daemon/protocol_adapters.py
@@ -34,7 +34,7 @@
         self.server.update_settings(settings)
         self.target_client.update_settings(settings)
 
-    def command_classes(self, _settings: Settings) -> dict[str, str] | None:
+    def command_classes(self) -> dict[str, str] | None:
         """Return None: requests over HTTP name their class."""
         return None
 
@@ -48,12 +48,14 @@
 
     def update_settings(self, settings: Settings, mapping: Mapping | None) -> None:
         """Apply new settings and a new mapping; None keeps the current mapping."""
-        self.server.update_settings(settings, mapping or self.server.mapping)
+        mapping = mapping or self.server.mapping
+        self.server.update_settings(settings, mapping)
+        self.target_client.update_mapping(mapping)
 
-    def command_classes(self, settings: Settings) -> dict[str, str] | None:
+    def command_classes(self) -> dict[str, str] | None:
         """Return the request class of read and write commands."""
         return {
-            OPCODE_NAMES[opcode]: settings.classes[opcode_mapping.class_index].name
+            OPCODE_NAMES[opcode]: opcode_mapping.request_class
             for opcode, opcode_mapping in self.server.mapping.opcodes.items()
         }
 
--- a/stalltiller/daemon/settings_reload.py
+++ b/stalltiller/daemon/settings_reload.py
@@ -73,8 +73,8 @@
 class SettingsReloader:
     """Reads the configuration again and applies the changes that are possible at run time.
 
-    Discovery's address and the settings are applied; listening addresses, limits, the protocol and metrics
-    change only with a restart.
+    Discovery's address, the NVMe mapping and the settings with their timeouts are applied; listening
+    addresses, limits of the process, the protocol and metrics change only with a restart.
     """
 
     def __init__(
@@ -101,8 +101,8 @@
         except ConfigError as error:
             self._log("reload_failed", error=str(error))
             return
-        if (self.config.nvme is None) != (config.nvme is None):
-            config = replace(config, nvme=self.config.nvme)  # the protocol changes only with a restart
+        if self.config.nvme is None:
+            config = replace(config, nvme=None)  # the protocol changes only with a restart
         config = replace(config, settings=preserve_write_flags(self._engine.settings, config.settings))
         self._log(
             "reloaded",
@@ -120,7 +120,7 @@
         self._log(
             "settings_applied",
             classes={cls.name: cls.idempotency.value for cls in settings.classes},
-            command_classes=self._adapters.command_classes(settings),
+            command_classes=self._adapters.command_classes(),
         )
 
     def _read_complete_config(self, read_config: Callable[[], Config]) -> Config:
@@ -128,20 +128,30 @@
         missing = sorted(self.config.required_keys - config.required_keys)
         if missing:
             raise MissingKeyError(missing[0])
+        if self.config.nvme is not None and config.nvme is None:
+            raise MissingKeyError("nvme")
+        if self.config.has_final_line_end and not config.has_final_line_end:
+            raise ConfigError("the file ends within a line, unlike the one before: it was cut short")
         return config
 
     def _change_settings(self, config: Config) -> None:
         """Start a transition if anything changed or the previous one, now cancelled, had not ended."""
+        # From now on a target may close idle connections by the old timeout or by the new one.
+        idle_timeout = min(self.config.idle_timeout, config.idle_timeout)
+        self._adapters.target_client.pool.update_timeouts(config.connect_timeout, idle_timeout)
         in_transition = self._transition is not None
         if self._transition is not None:
             self._transition.cancel()
-        has_changed = config.settings != self._engine.settings or config.nvme != self.config.nvme
+        has_changed = (
+            config.settings != self._engine.settings
+            or config.nvme != self.config.nvme
+            or config.idle_timeout != self.config.idle_timeout
+        )
         if in_transition or has_changed:
             self.apply_settings(transitional_settings(self._engine.settings, config.settings))
-            self._transition = self._loop.call_later(
-                TRANSITION_SECONDS, self._end_transition, config.settings, config.nvme
-            )
+            self._transition = self._loop.call_later(TRANSITION_SECONDS, self._end_transition, config)
 
-    def _end_transition(self, settings: Settings, mapping: Mapping | None) -> None:
+    def _end_transition(self, config: Config) -> None:
         self._transition = None
-        self.apply_settings(settings, mapping)
+        self.apply_settings(config.settings, config.nvme)
+        self._adapters.target_client.pool.update_timeouts(config.connect_timeout, config.idle_timeout)
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -180,6 +180,14 @@
     def _forget_closing_channels(self) -> None:
         self._channels = {channel for channel in self._channels if not channel.is_closing}
 
+    def update_timeouts(self, connect_timeout: float, idle_timeout: float) -> None:
+        """Apply new timeouts, in seconds, to the idle channels as well."""
+        self._connect_timeout = connect_timeout
+        self._idle_timeout = idle_timeout
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._schedule_sweep()
+
     def is_fully_sent(self, exchange: Exchange) -> bool:
         """Whether the target may have received the whole request."""
         channel = exchange.channel
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -421,12 +421,14 @@
 
     def config(self) -> Config:
         namespaces = {
-            shard + 1: Namespace(VOLUME, 0, shard, 1, 1 << 40, BLOCK_BYTES, BLOCKS_PER_UNIT)
+            shard + 1: Namespace(
+                VOLUME, self.settings.plans[0].name, shard, 1, 1 << 40, BLOCK_BYTES, BLOCKS_PER_UNIT
+            )
             for shard in range(2)
         }
         opcodes = {
-            nvme.READ: OpcodeMapping(0, DEADLINE_SECONDS),
-            nvme.WRITE: OpcodeMapping(1, DEADLINE_SECONDS),
+            nvme.READ: OpcodeMapping("read", DEADLINE_SECONDS),
+            nvme.WRITE: OpcodeMapping("write", DEADLINE_SECONDS),
         }
         mapping = Mapping(SUBSYSTEM_NQN, namespaces, opcodes) if self.kind == "nvme" else None
         discovery_address = ("127.0.0.1", self.discovery.port)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -123,7 +123,10 @@
             new_settings = replace(harness.settings, classes=(WRITE, READ))
             mapping = replace(
                 harness.config().nvme,
-                opcodes={2: OpcodeMapping(1, DEADLINE_SECONDS), 1: OpcodeMapping(0, DEADLINE_SECONDS)},
+                opcodes={
+                    2: OpcodeMapping("read", DEADLINE_SECONDS),
+                    1: OpcodeMapping("write", DEADLINE_SECONDS),
+                },
             )
             harness.app.reload(lambda: replace(harness.config(), settings=new_settings, nvme=mapping))
             for tag in (1, 2):
