Give each zone that the settings lack an index of its own

Where a key holds within a zone, a write that may have run could be sent again to another zone, and run twice. Change: a name outside the list keeps a free index of its own. The scheduler only compares indexes.

--- a/stalltiller/adapters/target_directory.py
+++ b/stalltiller/adapters/target_directory.py
@@ -23,6 +23,27 @@
     attached_at: float
 
 
+class _StableIndexes:
+    """Indexes of names: the place in the settings' list; any other name keeps a free one of its own.
+
+    Guards against taking two names that the settings lack for one: a keyed write would be retried in a zone
+    that does not know its key.
+    """
+
+    def __init__(self, names: list[str]) -> None:
+        self._indexes: dict[str, int] = {}
+        for index, name in enumerate(names):
+            self._indexes.setdefault(name, index)
+        self._next_index = len(names)
+
+    def index_of(self, name: str) -> int:
+        """Return the index of a name."""
+        if name not in self._indexes:
+            self._indexes[name] = self._next_index
+            self._next_index += 1
+        return self._indexes[name]
+
+
 class TargetDirectory:
     """Derives the engine's target list from discovery's.
 
@@ -33,8 +54,8 @@
 
     def __init__(self, engine: Engine, zones: list[str], kinds: list[str]) -> None:
         self._engine = engine
-        self._zones = zones
-        self._kinds = kinds
+        self._zones = _StableIndexes(zones)
+        self._kinds = _StableIndexes(kinds)
         self._endpoints: dict[TargetId, TargetEndpoint] = {}  # as last reported by discovery
         self.detached: dict[str, float] = {}  # detachment times by name (Unix time)
         self._past_detachments: dict[str, _Detachment] = {}
@@ -42,14 +63,12 @@
         self._peer_start_times: dict[str, float] = {}  # start times reported by peers (Unix time)
 
     def to_endpoint(self, target: discovery.TargetRecord) -> TargetEndpoint:
-        """Convert an entry of discovery's list; unknown zones and types get the next free index."""
-        zone = self._zones.index(target.zone) if target.zone in self._zones else len(self._zones)
-        kind = self._kinds.index(target.kind) if target.kind in self._kinds else len(self._kinds)
+        """Convert an entry of discovery's list."""
         return TargetEndpoint(
             Target(
                 target.name,
-                zone,
-                kind,
+                self._zones.index_of(target.zone),
+                self._kinds.index_of(target.kind),
                 target.shard,
                 target.status,
                 target.weight,
--- a/tests/test_incomplete_configuration.py
+++ b/tests/test_incomplete_configuration.py
@@ -216,3 +216,24 @@
             assert harness.targets[0].received == []
 
     asyncio.run(scenario())
+
+
+def test_targets_are_in_one_zone_only_if_its_name_is_the_same():
+    """Zones that the settings lack counted as one: a keyed write was retried where its key is unknown."""
+
+    async def scenario():
+        async with InitiatorHarness("http") as harness:
+            zones = ["a", "new-1", "new-2", "new-1", "a", "new-3"]
+            for number, zone in enumerate(zones):
+                harness.discovery.set(harness.targets[0])
+                record = {**harness.discovery.lines["s-0"], "name": f"t-{number}", "zone": zone}
+                harness.discovery.lines[record["name"]] = record
+            endpoints = harness.app.engine._targets._endpoints
+            await harness.wait_until(lambda: f"t-{len(zones) - 1}" in endpoints)
+            indexes = [endpoints[f"t-{number}"].target.zone for number in range(len(zones))]
+            names_by_index = dict(zip(indexes, zones, strict=True))
+            assert [names_by_index[index] for index in indexes] == zones
+            assert len(names_by_index) == len(set(zones))
+            assert indexes[0] == harness.config().zones.index("a")
+
+    asyncio.run(scenario())
