Export the memory reserved for request bodies and the number of the engine's timers

The initiator goes over memory_mb with bodies within their budget; no figure told whether the budget is overrun, requests stay open, or something keeps what the budget has released. Change: the gauges request_bytes and timers in counters, Graphite and collectd.

--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -136,6 +136,8 @@
             "connections": self.target_client.pool.opened_count,
             "memory_kb": usage.ru_maxrss,
             "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000),
+            "timers": self.engine.timer_count,
+            "request_bytes": self._adapters.reserved_request_bytes,
             "log_dropped": self._log.dropped,
             **(self.recovery.metrics() if self.recovery is not None else {}),
             **(self.fleet.totals() if self.fleet is not None else {}),
--- a/stalltiller/daemon/metrics.py
+++ b/stalltiller/daemon/metrics.py
@@ -20,6 +20,8 @@
         "open",
         "clients",
         "memory_kb",
+        "request_bytes",
+        "timers",
         "fleet_members",
         "fleet_open",
         "fleet_token",
--- a/stalltiller/daemon/protocol_adapters.py
+++ b/stalltiller/daemon/protocol_adapters.py
@@ -34,6 +34,11 @@
         self.server.update_settings(settings)
         self.target_client.update_settings(settings)
 
+    @property
+    def reserved_request_bytes(self) -> int:
+        """The memory reserved for bodies of requests above the size from which they are counted."""
+        return self.server.request_body_budget.reserved_bytes
+
     def command_classes(self) -> dict[str, str] | None:
         """Return None: requests over HTTP name their class."""
         return None
@@ -52,6 +57,11 @@
         self.server.update_settings(settings, mapping)
         self.target_client.update_mapping(mapping)
 
+    @property
+    def reserved_request_bytes(self) -> int:
+        """The memory reserved for the data of commands in flight."""
+        return self.server.command_data_budget.reserved_bytes
+
     def command_classes(self) -> dict[str, str] | None:
         """Return the request class of read and write commands."""
         return {
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -112,6 +112,11 @@
         """The number of submitted requests that are not finished."""
         return self._requests.open_count
 
+    @property
+    def timer_count(self) -> int:
+        """The number of pending timers of the engine and its scheduler."""
+        return len(self._timers)
+
     @property
     def target_count(self) -> int:
         """The number of targets on the target list."""
--- a/stalltiller/routing/timers.py
+++ b/stalltiller/routing/timers.py
@@ -32,6 +32,9 @@
         self._sequence = itertools.count()
         self._wakeup: asyncio.TimerHandle | None = None
 
+    def __len__(self) -> int:
+        return len(self._heap)
+
     def call_at(self, due_at: float, callback: Callable[..., None], *arguments: object) -> None:
         """Have `run_due` call `callback` at `due_at` or later."""
         heapq.heappush(self._heap, _Timer(due_at, next(self._sequence), callback, arguments))
