Release the body of a request with its response, not when its attempt would expire

Cause: TimerQueue could not cancel, so that the timer of RequestTable.expire kept each attempt, with its body, until it was due, while HttpServer.request_body_budget was released with the response and let further bodies in. Change: timers can be cancelled, which releases their arguments at once; those of an attempt and of a deadline are, when it ends. The same fault elsewhere: a payload is released once no further attempt can start (client gone, response streamed), an empty view of a sent body no longer keeps it, an idle TargetQueue keeps no data, an IoCommand hands its data over.

--- a/stalltiller/adapters/http_target_client.py
+++ b/stalltiller/adapters/http_target_client.py
@@ -31,6 +31,7 @@
 SLOW_RESPONSE_SECONDS = 0.02  # a long response that takes longer than this is streamed below the threshold
 STREAM_STALL_TIMEOUT_SECONDS = 5.0  # a streamed response without data for this long fails
 MAX_BODY_WRITE_BYTES = 64 * 1024  # size of one write of a long request body
+NO_BODY = memoryview(b"")
 MIN_ATTEMPT_TIMEOUT_SECONDS = 0.001  # lower bound of the X-Timeout sent to targets
 
 
@@ -50,7 +51,7 @@
         super().__init__(target_client.buffers)
         self._target_client = target_client
         self._reader = http.Reader(response=True)
-        self._unsent_body = memoryview(b"")  # the part of a long request body not written yet
+        self._unsent_body = NO_BODY  # the part of a long request body not written yet
         self._attempt: Attempt | None = None  # the attempt in flight
         self._previous: FinishedResponse | None = None  # None: the connection is new
         self._response_start: ResponseStart | None = None  # of the response being received, once attributed
@@ -85,7 +86,8 @@
         """Write as much of a long body as the kernel accepts, which avoids buffering a copy of all of it."""
         while self._unsent_body and self.flushed and not self.is_closing:
             part = self._unsent_body[:MAX_BODY_WRITE_BYTES]
-            self._unsent_body = self._unsent_body[MAX_BODY_WRITE_BYTES:]
+            # An empty view of the body would keep all of it in memory.
+            self._unsent_body = self._unsent_body[MAX_BODY_WRITE_BYTES:] or NO_BODY
             self.write(part)
 
     def resume_writing(self) -> None:
@@ -106,7 +108,7 @@
         """
         attempt = self._attempt
         self._attempt = None
-        self._unsent_body = memoryview(b"")
+        self._unsent_body = NO_BODY
         self.abort()
         if attempt is not None and self._has_discarded:
             self._record_discarded_response(attempt)
@@ -269,7 +271,7 @@
         assert attempt is not None
         self._attempt = None
         self._has_discarded = False
-        self._unsent_body = memoryview(b"")
+        self._unsent_body = NO_BODY
         is_lost = result.status is AttemptStatus.RESET and not self._reader.is_head_complete
         self._target_client.pool.record_use(attempt, is_lost)
         self._reader.reset()
--- a/stalltiller/adapters/nvme_controller.py
+++ b/stalltiller/adapters/nvme_controller.py
@@ -118,7 +118,7 @@
             nsid=command.nsid,
             lba=command.lba,
             blocks=command.blocks,
-            data=bytes(io_command.data),
+            data=io_command.take_data(),
             read_size=0 if io_command.is_write else io_command.size,
         )
         client_request = ClientRequest(
--- a/stalltiller/adapters/nvme_io_command.py
+++ b/stalltiller/adapters/nvme_io_command.py
@@ -46,6 +46,12 @@
         """Whether the command is a Write."""
         return self.command.opcode == nvme.WRITE
 
+    def take_data(self) -> bytes:
+        """Remove and return the data of a write, which is counted once in the budget of commands."""
+        data = bytes(self.data)
+        self.data = bytearray()
+        return data
+
     def complete(self, response: bytes) -> None:
         """Send `response`, the data of a read, if any, and a successful completion."""
         if response:
--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -49,6 +49,7 @@
         self._io_queue = io_queue
         self._capsule_limit = capsule_limit
         self._attempt: Attempt | None = None
+        self._read_size = 0  # data bytes expected for it
         admin_queue.on_connection_lost = self.close
         io_queue.on_connection_lost = self.close
         self._keep_alive_timer = self._start_keep_alive_timer()
@@ -67,6 +68,7 @@
         """Send an attempt's command; write data goes into the capsule if the target accepts it there."""
         self._attempt = attempt
         payload: Payload = attempt.payload
+        self._read_size = payload.read_size
         size = len(payload.data) or payload.read_size
         capsule_data = payload.data if len(payload.data) <= self._capsule_limit else b""
 
@@ -102,7 +104,7 @@
         self._attempt = None
         if attempt is None:
             return
-        status = _attempt_status(completion, len(data) == attempt.payload.read_size)
+        status = _attempt_status(completion, len(data) == self._read_size)
         if self._io_queue.error is not None:
             status = AttemptStatus.ERROR
             self._target_client.report_failed_response(attempt, str(self._io_queue.error))
--- a/stalltiller/adapters/nvme_target_queue.py
+++ b/stalltiller/adapters/nvme_target_queue.py
@@ -185,6 +185,9 @@
 
     def _finish_command(self, completion: nvme.Completion | None) -> None:
         callback = self._callback
+        read_data = bytes(self._read_data)
         self._callback = None
+        self._read_data = bytearray()
+        self._write_data = b""
         if callback is not None:
-            callback(completion, bytes(self._read_data))
+            callback(completion, read_data)
--- a/stalltiller/routing/action_dispatch.py
+++ b/stalltiller/routing/action_dispatch.py
@@ -207,10 +207,12 @@
         )
 
     def _set_attempt_timers(self, attempt: Attempt, state: RequestState) -> None:
-        self._timers.call_at(attempt.expires_at, self._requests.expire, attempt)
+        call_at = self._timers.call_at
+        state.attempt_timers.append(call_at(attempt.expires_at, self._requests.expire, attempt))
         latest_start = attempt.latest_start
         if state.possibly_executed and latest_start is not None and latest_start < attempt.expires_at:
-            self._timers.call_at(latest_start, self._requests.cancel_if_unsent, attempt)
+            timer = call_at(latest_start, self._requests.cancel_if_unsent, attempt)
+            state.attempt_timers.append(timer)
 
     def _record_attempt_started(self, attempt: Attempt, state: RequestState) -> None:
         self._context.counts[COUNT_ATTEMPTS] += 1
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -79,9 +79,9 @@
         self._context = EngineContext(loop, epoch, settings, log, trace)
         self._scheduler = Scheduler(settings, seed, 0.0)
         self._request_ids = itertools.count(1)
-        self._requests = RequestTable(self._context, self._enqueue)
-        self._targets = TargetTable(loop.time)
         self._timers = TimerQueue(loop, self._schedule_batch)
+        self._requests = RequestTable(self._context, self._timers, self._enqueue)
+        self._targets = TargetTable(loop.time)
         self._dispatcher = ActionDispatcher(
             self._context,
             self._requests,
@@ -166,9 +166,8 @@
         deadline = now - lag + client_request.timeout
         request_id = next(self._request_ids)
         request_class = settings.classes[client_request.class_index]
-        self._requests.add(
-            RequestState(request_id, client_request, deadline, request_class, settings.max_attempts)
-        )
+        state = RequestState(request_id, client_request, deadline, request_class, settings.max_attempts)
+        self._requests.add(state)
         context.counts[COUNT_RECEIVED] += 1
         if context.trace is not None:
             self._trace_received(context.trace, request_id, client_request, lag)
@@ -179,7 +178,7 @@
             self._loop.call_soon(self._reject_unadmitted, request_id, retry_after)
             return request_id
         guard_at = max(deadline - DEADLINE_GUARD_MARGIN_SECONDS, now + MIN_SCHEDULING_SECONDS)
-        self._timers.call_at(guard_at, self._fail_at_deadline, request_id)
+        state.deadline_timer = self._timers.call_at(guard_at, self._fail_at_deadline, request_id)
         time_remaining = max(0.0, deadline - RESPONSE_MARGIN_SECONDS - now)
         self._enqueue(_scheduler_request(request_id, client_request, time_remaining))
         return request_id
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -88,7 +88,8 @@
 
     `number` counts the attempts of the request from 0.  The engine abandons the attempt at `expires_at`.  The
     target client must not send its first byte at `latest_start` or later; None means no limit, and the limit
-    may become earlier while the attempt is in flight.  `channel` is private to the target client;
+    may become earlier while the attempt is in flight.  `payload` is None once the attempt or its request has
+    finished.  `channel` is private to the target client;
     `channel_idle_time` is how long that connection was idle before, in seconds, None if it is new.
     """
 
--- a/stalltiller/routing/request_state.py
+++ b/stalltiller/routing/request_state.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from enum import StrEnum
 
 from stalltiller.routing.ports import Attempt, ClientRequest
+from stalltiller.routing.timers import Timer
 from stalltiller.scheduling import AttemptStatus, DeduplicationScope, Idempotency, RequestClass
 
 # Statuses that prove that the target did not execute the request.
@@ -29,8 +31,10 @@
 
     __slots__ = (
         "attempt_count",
+        "attempt_timers",
         "client_request",
         "deadline",
+        "deadline_timer",
         "first_executed_at",
         "in_flight",
         "is_finished",
@@ -55,10 +59,21 @@
         self.max_attempts = max_attempts
         self.attempt_count = 0
         self.in_flight: Attempt | None = None
+        self.attempt_timers: list[Timer] = []  # of the attempt in flight
+        self.deadline_timer: Timer | None = None  # set if the request is admitted
         self.possibly_executed = False  # whether a target may have executed a finished attempt
         self.first_executed_at = 0.0  # loop time at which the first such attempt was sent
         self.is_finished = False
 
+    def release_payload(self) -> None:
+        """Release the payload, of the attempt in flight as well: no further attempt starts.
+
+        Guards against keeping long bodies whose memory counts as released once the client has its response.
+        """
+        self.client_request = replace(self.client_request, payload=None)
+        if self.in_flight is not None:
+            self.in_flight.payload = None
+
     def may_be_rejected(self, in_flight_may_execute: bool) -> bool:
         """Whether the request may be rejected, which tells its client that a retry is harmless.
 
--- a/stalltiller/routing/request_table.py
+++ b/stalltiller/routing/request_table.py
@@ -11,6 +11,7 @@
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import Attempt, AttemptResult
 from stalltiller.routing.request_state import NEVER_EXECUTED, RequestOutcome, RequestState
+from stalltiller.routing.timers import TimerQueue
 from stalltiller.scheduling import AttemptFinished, AttemptStatus, Event
 
 MILLISECONDS_PER_SECOND = 1000
@@ -19,8 +20,9 @@
 class RequestTable:
     """Requests by id; each stays until it is finished and has no attempt in flight."""
 
-    def __init__(self, context: EngineContext, enqueue: Callable[[Event], None]) -> None:
+    def __init__(self, context: EngineContext, timers: TimerQueue, enqueue: Callable[[Event], None]) -> None:
         self._context = context
+        self._timers = timers
         self._enqueue = enqueue
         self._states: dict[int, RequestState] = {}
         self.open_count = 0  # requests that are not finished
@@ -66,8 +68,12 @@
                 attempts=state.attempt_count,
                 remaining_ms=round(MILLISECONDS_PER_SECOND * remaining_seconds, 1),
             )
+        if state.deadline_timer is not None:
+            self._timers.cancel([state.deadline_timer])
         if state.in_flight is not None:  # no client waits for it: it must not start any more
             self.cancel_if_unsent(state.in_flight)
+        if state.in_flight is not None:
+            state.release_payload()
         self._remove_if_complete(state)
 
     def finish_attempt(self, attempt: Attempt, result: AttemptResult) -> None:
@@ -79,6 +85,9 @@
             )
             return
         state.in_flight = None
+        self._timers.cancel(state.attempt_timers)
+        state.attempt_timers.clear()
+        attempt.payload = None
         if result.status not in NEVER_EXECUTED and not state.possibly_executed:
             state.possibly_executed = True
             state.first_executed_at = attempt.sent_at
--- a/tests/test_routing_tables.py
+++ b/tests/test_routing_tables.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from stalltiller.routing.ports import TargetEndpoint
 from stalltiller.routing.target_table import DRAIN_MARGIN_SECONDS, TargetTable
-from stalltiller.routing.timers import TimerQueue
+from stalltiller.routing.timers import MIN_CANCELLED_TO_COMPACT, TimerQueue
 from stalltiller.scheduling import TargetListKind, TargetStatus
 from tests.helpers import make_target
 
@@ -37,6 +40,54 @@
     asyncio.run(scenario())
 
 
+def test_a_cancelled_timer_does_not_run_and_releases_what_it_refers_to():
+    """Guards against timers that keep the bodies of requests in memory until they are due."""
+
+    class Body:
+        pass
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        queue = TimerQueue(loop, lambda: None)
+        now = loop.time()
+        calls = []
+        body = Body()
+        reference = weakref.ref(body)
+        timer = queue.call_at(now, calls.append, body)
+        other = queue.call_at(now, calls.append, "other")
+        del body
+        queue.cancel([timer])
+        assert reference() is None and len(queue) == 1
+        queue.cancel([timer])
+        queue.run_due(now)
+        queue.cancel([other])  # it has run
+        assert calls == ["other"] and len(queue) == 0
+
+    asyncio.run(scenario())
+
+
+@given(st.lists(st.tuples(st.integers(0, 50), st.booleans()), max_size=4 * MIN_CANCELLED_TO_COMPACT))
+def test_the_timers_that_are_not_cancelled_run_in_order_and_cancelled_ones_do_not_pile_up(steps):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        queue = TimerQueue(loop, lambda: None)
+        now = loop.time()
+        calls = []
+        expected = []
+        for number, (delay, is_cancelled) in enumerate(steps):
+            timer = queue.call_at(now + delay, calls.append, number)
+            if is_cancelled:
+                queue.cancel([timer])
+            else:
+                expected.append((delay, number))
+            assert len(queue) == len(expected)
+            assert len(queue._heap) <= 2 * len(expected) + MIN_CANCELLED_TO_COMPACT
+        queue.run_due(now + 50)
+        assert calls == [number for _, number in sorted(expected)] and len(queue) == 0
+
+    asyncio.run(scenario())
+
+
 def test_the_queue_signals_when_the_earliest_timer_is_due():
     async def scenario():
         loop = asyncio.get_running_loop()
