Let a host reuse the identifier of an aborted write before its data has come

Cause: the transfer tag of an R2T was the command's identifier, so HostQueue kept the identifier until the old data had come. Change: the tag of an aborted write is not reused while its data may come (256 a queue); the identifier is free. Old data is ignored. Result: the regression test (data never sent, before, after) failed 3 of 3 before, passes now; test_nvme_controller passes.

--- a/stalltiller/adapters/nvme_host_queue.py
+++ b/stalltiller/adapters/nvme_host_queue.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 from stalltiller.adapters.nvme_admin_commands import run_admin_command
@@ -21,6 +22,8 @@
 
 MAX_IO_QUEUES_PER_ASSOCIATION = 8
 MIN_QUEUE_ENTRIES = 2
+MAX_CANCELLED_TRANSFERS = 256  # of one queue, whose data is ignored; a host need not send it
+TAG_END = 0x10000  # transfer tags are 16-bit numbers
 MAX_COMMANDS_IN_FLIGHT = 4096  # over all hosts; further commands are rejected
 UNREAD_TIMEOUT_SECONDS = 10.0  # abort if no pending byte can be sent for this long
 DISCONNECT_CHECK_INTERVAL_SECONDS = 0.05  # while reading from the host is paused
@@ -52,8 +55,8 @@
         self.queue_id = 0  # 0 for the admin queue
         self.entry_count = 0
         self.commands: dict[int, IoCommand] = {}  # by command identifier
-        # Data still expected for cancelled writes, by command identifier.
-        self.cancelled_write_bytes: dict[int, int] = {}
+        # Data that hosts may still send for cancelled writes, in bytes by transfer tag, oldest first.
+        self._cancelled_transfers: dict[int, int] = {}
 
     # --- The connection ---
     def on_connected(self) -> None:
@@ -141,6 +144,12 @@
         return self.controller.unread_response_budget.adjust_reservation(byte_delta)
 
     # --- For the association and its commands ---
+    def expect_cancelled_data(self, transfer_tag: int, size: int) -> None:
+        """Ignore the data of a cancelled write: its host may have sent it before it learns of the end."""
+        self._cancelled_transfers[transfer_tag] = size
+        if len(self._cancelled_transfers) > MAX_CANCELLED_TRANSFERS:
+            del self._cancelled_transfers[next(iter(self._cancelled_transfers))]
+
     def cancel_commands(self) -> None:
         """Cancel all I/O commands, as when their host disconnects."""
         for command in list(self.commands.values()):
@@ -247,7 +256,7 @@
 
     # --- I/O commands ---
     def _handle_io_command(self, command: nvme.Command, data: bytes) -> None:
-        if command.cid in self.commands or command.cid in self.cancelled_write_bytes:
+        if command.cid in self.commands:
             raise nvme.PduError("command identifier already in use", nvme.BAD_FIELD, FEI_COMMAND_ID)
         if len(self.commands) >= self.entry_count - 1:
             raise nvme.PduError("commands in flight exceed the queue size", nvme.BAD_SEQUENCE)
@@ -287,7 +296,16 @@
         deadline = io_command.opcode_mapping.deadline
         io_command.data_timer = self.controller.loop.call_later(deadline, self._on_data_timeout)
         cid = io_command.command.cid
-        self.write(nvme.r2t(cid, cid, 0, io_command.size))
+        io_command.transfer_tag = self._free_transfer_tag(cid)
+        self.write(nvme.r2t(cid, io_command.transfer_tag, 0, io_command.size))
+
+    def _free_transfer_tag(self, cid: int) -> int:
+        """Return the command identifier, or the next tag after it for which no data is expected.
+
+        A host may use the identifier of an aborted write again before the data of that write has arrived.
+        """
+        used = {command.transfer_tag for command in self.commands.values()} | self._cancelled_transfers.keys()
+        return next(tag for tag in itertools.chain(range(cid, TAG_END), range(cid)) if tag not in used)
 
     def _on_data_timeout(self) -> None:
         self.controller.log("host_stalled", queue=self.queue_id)
@@ -296,15 +314,15 @@
 
     def _handle_data(self, pdu: nvme.Pdu) -> None:
         cid, tag, offset, length = nvme.parse_data(pdu)
-        if cid in self.cancelled_write_bytes:
-            self.cancelled_write_bytes[cid] -= length
-            if self.cancelled_write_bytes[cid] <= 0:
-                del self.cancelled_write_bytes[cid]
+        if tag in self._cancelled_transfers:
+            self._cancelled_transfers[tag] -= length
+            if self._cancelled_transfers[tag] <= 0:
+                del self._cancelled_transfers[tag]
             return
         io_command = self.commands.get(cid)
         if (
             io_command is None
-            or tag != cid
+            or tag != io_command.transfer_tag
             or io_command.data_timer is None
             or io_command.request_number is not None
         ):
--- a/stalltiller/adapters/nvme_io_command.py
+++ b/stalltiller/adapters/nvme_io_command.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from stalltiller.adapters.nvme_host_queue import HostQueue
 
+NO_TRANSFER_TAG = -1  # no data was requested
+
 
 class IoCommand:
     """A host's Read or Write command.
@@ -40,6 +42,7 @@
         self.data = bytearray()
         self.request_number: int | None = None
         self.data_timer: asyncio.TimerHandle | None = None
+        self.transfer_tag = NO_TRANSFER_TAG  # of the R2T that requested the data
 
     @property
     def is_write(self) -> bool:
@@ -76,7 +79,7 @@
         """Cancel the command for its host; data already requested from the host may still arrive."""
         self._release()
         if self.data_timer is not None and self.request_number is None:
-            self.queue.cancelled_write_bytes[self.command.cid] = self.size - len(self.data)
+            self.queue.expect_cancelled_data(self.transfer_tag, self.size - len(self.data))
         if self.request_number is not None:
             self.queue.controller.engine.cancel(self.request_number)
 
--- a/tests/test_nvme_controller.py
+++ b/tests/test_nvme_controller.py
@@ -186,6 +186,36 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("sends_old_data", ["never", "before", "after"])
+def test_a_host_may_reuse_the_identifier_of_an_aborted_write_whose_data_it_has_not_sent(sends_old_data):
+    """The association was closed, with all its commands; the data is told apart by its transfer tag."""
+
+    async def scenario(harness, client):
+        admin, io = await client.associate()
+        size = 32 * BLOCK_BYTES
+        old_data, new_data = b"o" * size, b"n" * size
+        write = nvme.io_command(nvme.WRITE, 4, 1, 8, 32, size)
+        io.writer.write(write)
+        _, old_tag, _, _ = nvme.parse_data(await io.next())
+        admin.writer.write(nvme.command(nvme.ABORT, 5, command_dwords=struct.pack("<HH", 1, 4)))
+        assert (await next_completion(io)).status == nvme.ABORTED
+        io.writer.write(write)
+        _, new_tag, _, _ = nvme.parse_data(await io.next())
+        transfers = {
+            "never": [(new_tag, new_data)],
+            "before": [(old_tag, old_data), (new_tag, new_data)],
+            "after": [(new_tag, new_data), (old_tag, old_data)],
+        }
+        for tag, data in transfers[sends_old_data]:
+            io.writer.write(nvme.data_pdu(nvme.H2C_DATA, 4, tag, 0, data))
+        assert (await next_completion(io)).status == nvme.OK
+        assert harness.targets[0].executed == [(8, new_data)]
+        io.writer.write(read(5))
+        assert (await next_completion(io)).status == nvme.OK
+
+    run_scenario(scenario)
+
+
 def test_losing_a_queue_closes_the_association_and_cancels_its_commands():
     async def scenario(harness, client):
         harness.targets[0].mode = "no_response"
