Attribute rejections and errors of a target that sends duplicates by new connections

Change: only equal 200s count as repetition. After a rejection or an error of a target that sends duplicates, its connection is not reused; an equal one on a connection reused before fails the attempt as possibly executed: a duplicate of a rejection proves nothing.

--- a/stalltiller/adapters/http_target_client.py
+++ b/stalltiller/adapters/http_target_client.py
@@ -120,8 +120,8 @@
             if not self.is_peer_closed():
                 self._report_surplus(None)
             return False
-        return self._previous is None or self._target_client.attributor.may_reuse_connections(
-            self._previous.target_id, self._target_client.loop.time()
+        return self._previous is None or self._target_client.attributor.may_reuse(
+            self._previous.target_id, self._previous.start, self._target_client.loop.time()
         )
 
     # --- Receiving ---
--- a/stalltiller/adapters/response_attribution.py
+++ b/stalltiller/adapters/response_attribution.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from stalltiller.protocol.http import Head
+from stalltiller.protocol.http import STATUS_OK, Head
 from stalltiller.scheduling import TargetId
 
 COMPARED_BODY_BYTES = 1024  # of each body; longer ones that begin alike count as equal
@@ -80,14 +80,24 @@
         """Return what a response is; `previous` is the one before on its connection, None on a new one."""
         if previous is None or not current.may_equal(previous):
             return Attribution.CURRENT
+        is_success = current.head.status == STATUS_OK
         if not self._sends_duplicates(target_id, now):
-            self.record_repetition(target_id, now)
+            if is_success:
+                self.record_repetition(target_id, now)
             return Attribution.CURRENT
-        return Attribution.AMBIGUOUS if self._repeats_responses(target_id, now) else Attribution.DUPLICATE
+        if not is_success or self._repeats_responses(target_id, now):
+            return Attribution.AMBIGUOUS
+        return Attribution.DUPLICATE
 
-    def may_reuse_connections(self, target_id: TargetId, now: float) -> bool:
-        """Return whether a response on a reused connection to the target can be attributed."""
-        return not (self._sends_duplicates(target_id, now) and self._repeats_responses(target_id, now))
+    def may_reuse(self, target_id: TargetId, previous: ResponseStart, now: float) -> bool:
+        """Return whether the response to another request on the connection can be attributed.
+
+        `previous` is the response before it.  Rejections and errors are alike, so that a duplicate of one
+        can't be told from another.
+        """
+        if not self._sends_duplicates(target_id, now):
+            return True
+        return previous.head.status == STATUS_OK and not self._repeats_responses(target_id, now)
 
     def record_surplus(self, target_id: TargetId, idle_seconds: float, now: float) -> None:
         """Record data that came on a connection which had been idle for `idle_seconds`."""
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import itertools
+from dataclasses import replace
 
 import pytest
 
@@ -342,11 +343,22 @@
     assert attributor.attribute(7, one, other, 1.0) is Attribution.CURRENT
     assert attributor.attribute(7, one, one, 1.0) is Attribution.DUPLICATE
     assert attributor.attribute(8, one, one, 1.0) is Attribution.CURRENT  # and 8 is known to repeat itself
-    assert attributor.may_reuse_connections(7, 1.0) and attributor.may_reuse_connections(8, 1.0)
+    assert attributor.may_reuse(7, one, 1.0) and attributor.may_reuse(8, one, 1.0)
     attributor.record_repetition(7, 1.0)
     assert attributor.attribute(7, one, one, 2.0) is Attribution.AMBIGUOUS
-    assert not attributor.may_reuse_connections(7, 2.0)
-    assert attributor.may_reuse_connections(7, EVIDENCE_LIFETIME_SECONDS + 2.0)
+    assert not attributor.may_reuse(7, one, 2.0)
+    assert attributor.may_reuse(7, one, EVIDENCE_LIFETIME_SECONDS + 2.0)
+
+
+def test_equal_rejections_are_no_repetition_and_end_the_reuse_where_duplicates_are_sent():
+    """Guards against taking the duplicate of a rejection for proof that the next request was not executed."""
+    attributor = ResponseAttributor()
+    rejection = replace(response_start(b""), head=http.Head(1, {"x-not-processed": "1"}, status=503))
+    assert attributor.attribute(7, rejection, rejection, 0.0) is Attribution.CURRENT
+    attributor.record_surplus(7, 0.01, 0.0)
+    assert attributor.may_reuse(7, response_start(b"1"), 1.0)
+    assert not attributor.may_reuse(7, rejection, 1.0)
+    assert attributor.attribute(7, rejection, rejection, 1.0) is Attribution.AMBIGUOUS
 
 
 def test_late_data_is_no_evidence_of_duplicates_and_evidence_is_bounded():
