--- a/stalltiller/adapters/response_attribution.py
+++ b/stalltiller/adapters/response_attribution.py
@@ -6,16 +6,17 @@
 that is known to send duplicates, a response that equals the previous one on its connection is not taken for
 the response to the request in flight, however late it comes.
 
-Nothing here does I/O; `HttpTargetClient` owns the one `ResponseAttributor`.  Times are on the event loop's
-clock, in seconds.
+Nothing here does I/O; `HttpTargetClient` owns the one `ResponseAttributor`, each connection its
+`ResponseHistory`.  Times are on the event loop's clock, in seconds.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from typing import NamedTuple
 
-from stalltiller.protocol.http import STATUS_OK, Head
+from stalltiller.protocol.http import STATUS_OK, Head, Reader
 from stalltiller.scheduling import TargetId
 
 COMPARED_BODY_BYTES = 1024  # of each body; longer ones that begin alike count as equal
@@ -60,6 +61,13 @@
         return all(start.is_partial or len(start.body) == size for start in (self, other))
 
 
+class Surplus(NamedTuple):
+    """The target that sent data on an idle connection, and how long the connection had been idle."""
+
+    target_id: TargetId
+    idle_seconds: float
+
+
 @dataclass(slots=True)
 class _Evidence:
     """What was seen of a target; each counts until its time."""
@@ -123,3 +131,65 @@
         if len(self._evidence) > MAX_TARGETS:
             del self._evidence[next(iter(self._evidence))]
         return evidence
+
+
+@dataclass(slots=True, frozen=True)
+class _FinishedResponse:
+    """The latest response on a connection that was kept: its target, its start and when it was complete."""
+
+    target_id: TargetId
+    start: ResponseStart
+    finished_at: float
+
+
+class ResponseHistory:
+    """The latest response on one connection, with which the next one is compared."""
+
+    def __init__(self) -> None:
+        self._previous: _FinishedResponse | None = None  # None: the connection is new
+        self._current: ResponseStart | None = None  # of the response being received, once attributed
+        self._has_duplicate = False  # whether the response being awaited was preceded by a duplicate
+
+    def attribute(
+        self, attributor: ResponseAttributor, target_id: TargetId, reader: Reader, now: float
+    ) -> Attribution:
+        """Return what the response received by `reader` so far is; its head must be complete."""
+        assert reader.head is not None
+        start = ResponseStart.of(reader.head, reader.body, reader.is_complete)
+        previous = None if self._previous is None else self._previous.start
+        attribution = attributor.attribute(target_id, previous, start, now)
+        if attribution is Attribution.CURRENT:
+            self._current = start
+        elif attribution is Attribution.DUPLICATE:
+            self._has_duplicate = True
+        return attribution
+
+    def extend(self, body: bytes, is_complete: bool) -> None:
+        """Add the next bytes of the body of a long response."""
+        start = self._current
+        if start is not None and start.is_partial:
+            self._current = ResponseStart.of(start.head, start.body + body, is_complete)
+
+    def record_finished(self, target_id: TargetId, now: float) -> None:
+        """Record the end of a response after which the connection is kept."""
+        assert self._current is not None
+        self._previous = _FinishedResponse(target_id, self._current, now)
+        self._has_duplicate = False
+
+    def record_unanswered(self, attributor: ResponseAttributor, target_id: TargetId, now: float) -> None:
+        """Record that no response came in time: what was taken for a duplicate may have been the response."""
+        if self._has_duplicate:
+            attributor.record_repetition(target_id, now)
+
+    def record_surplus(self, attributor: ResponseAttributor, now: float) -> Surplus | None:
+        """Record data on the idle connection; return its target and time, None on a new connection."""
+        if self._previous is None:
+            return None
+        surplus = Surplus(self._previous.target_id, now - self._previous.finished_at)
+        attributor.record_surplus(surplus.target_id, surplus.idle_seconds, now)
+        return surplus
+
+    def may_reuse(self, attributor: ResponseAttributor, now: float) -> bool:
+        """Return whether the response to another request on the connection can be attributed."""
+        previous = self._previous
+        return previous is None or attributor.may_reuse(previous.target_id, previous.start, now)
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -10,7 +10,7 @@
 import pytest
 
 from stalltiller.adapters.http_server import ClientConnection
-from stalltiller.adapters.http_target_client import TargetConnection
+from stalltiller.adapters.http_target_connection import TargetConnection
 from stalltiller.protocol.platform import FieldError
 from stalltiller.transport.buffers import BufferPool, MemoryBudget
 from stalltiller.transport.connection import Connection
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from stalltiller.adapters import http_server, http_target_client, request_timer
+from stalltiller.adapters import http_server, http_target_connection, request_timer
 from stalltiller.protocol import http
 from tests.stand_ins import read_message
 from tests.test_http_server import GET_REQUEST, VALID_FIELDS, run_scenario
@@ -128,7 +128,7 @@
 
 
 def test_a_long_response_that_stalls_is_aborted(monkeypatch):
-    monkeypatch.setattr(http_target_client, "STREAM_STALL_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(http_target_connection, "STREAM_STALL_TIMEOUT_SECONDS", 0.1)
 
     async def scenario(harness, reader, writer):
         serve_in_parts(harness, encode_response_parts("length"), asyncio.Event(), False)
