--- a/stalltiller/adapters/response_attribution.py
+++ b/stalltiller/adapters/response_attribution.py
@@ -12,11 +12,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 from typing import NamedTuple
 
-from stalltiller.protocol.http import STATUS_OK, Head, Reader
+from stalltiller.protocol.http import STATUS_OK, Reader
 from stalltiller.scheduling import TargetId
 
 COMPARED_BODY_BYTES = 1024  # of each body; longer ones that begin alike count as equal
@@ -35,24 +35,37 @@
 
 @dataclass(slots=True, frozen=True)
 class ResponseStart:
-    """A response's head and the first bytes of its body, at most COMPARED_BODY_BYTES.
+    """What responses are compared by: the status, the length and the first bytes of the body.
 
-    `is_partial`: more of these bytes may follow.
+    Other fields are not compared: a load report may have been measured again.  `length` is None if the head
+    does not state it, `body` has at most COMPARED_BODY_BYTES, and `is_partial` tells whether more of these
+    may follow.
     """
 
-    head: Head
+    status: int
+    length: int | None
     body: bytes
     is_partial: bool = False
 
     @classmethod
-    def of(cls, head: Head, body: bytes | bytearray, is_complete: bool) -> ResponseStart:
-        """Return the start of a response of which `body` was received so far."""
-        start = bytes(body[:COMPARED_BODY_BYTES])
-        return cls(head, start, not is_complete and len(start) < COMPARED_BODY_BYTES)
+    def of(cls, reader: Reader) -> ResponseStart:
+        """Return the start of the response received by `reader` so far; its head must be complete."""
+        assert reader.head is not None
+        body = bytes(reader.body[:COMPARED_BODY_BYTES])
+        is_partial = not reader.is_complete and len(body) < COMPARED_BODY_BYTES
+        return cls(reader.head.status, reader.length, body, is_partial)
+
+    def with_more(self, body: bytes, is_complete: bool) -> ResponseStart:
+        """Return the start extended by the next bytes of the body, if it is partial."""
+        if not self.is_partial:
+            return self
+        extended = (self.body + body)[:COMPARED_BODY_BYTES]
+        is_partial = not is_complete and len(extended) < COMPARED_BODY_BYTES
+        return replace(self, body=extended, is_partial=is_partial)
 
     def may_equal(self, other: ResponseStart) -> bool:
         """Return whether both are the same response as far as received."""
-        if self.head != other.head:
+        if (self.status, self.length) != (other.status, other.length):
             return False
         common_size = min(len(self.body), len(other.body))
         if self.body[:common_size] != other.body[:common_size]:
@@ -88,7 +101,7 @@
         """Return what a response is; `previous` is the one before on its connection, None on a new one."""
         if previous is None or not current.may_equal(previous):
             return Attribution.CURRENT
-        is_success = current.head.status == STATUS_OK
+        is_success = current.status == STATUS_OK
         if not self._sends_duplicates(target_id, now):
             if is_success:
                 self.record_repetition(target_id, now)
@@ -105,7 +118,7 @@
         """
         if not self._sends_duplicates(target_id, now):
             return True
-        return previous.head.status == STATUS_OK and not self._repeats_responses(target_id, now)
+        return previous.status == STATUS_OK and not self._repeats_responses(target_id, now)
 
     def record_surplus(self, target_id: TargetId, idle_seconds: float, now: float) -> None:
         """Record data that came on a connection which had been idle for `idle_seconds`."""
@@ -154,8 +167,7 @@
         self, attributor: ResponseAttributor, target_id: TargetId, reader: Reader, now: float
     ) -> Attribution:
         """Return what the response received by `reader` so far is; its head must be complete."""
-        assert reader.head is not None
-        start = ResponseStart.of(reader.head, reader.body, reader.is_complete)
+        start = ResponseStart.of(reader)
         previous = None if self._previous is None else self._previous.start
         attribution = attributor.attribute(target_id, previous, start, now)
         if attribution is Attribution.CURRENT:
@@ -166,9 +178,8 @@
 
     def extend(self, body: bytes, is_complete: bool) -> None:
         """Add the next bytes of the body of a long response."""
-        start = self._current
-        if start is not None and start.is_partial:
-            self._current = ResponseStart.of(start.head, start.body + body, is_complete)
+        if self._current is not None:
+            self._current = self._current.with_more(body, is_complete)
 
     def record_finished(self, target_id: TargetId, now: float) -> None:
         """Record the end of a response after which the connection is kept."""
