Log which exchange a client's connection was reset in, and how far it had come

Change: it names the request and its target and has what came from the target, what the client's machine acknowledged (delivered_bytes, new) and what was left of the client's time.

--- a/stalltiller/adapters/http_server.py
+++ b/stalltiller/adapters/http_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from http import HTTPMethod
 
 from stalltiller.adapters.http_payload import SMALL_BODY_BYTES, Payload
@@ -40,6 +41,8 @@
         self._listener = listener
         self._reader = http.Reader(response=False)
         self._request_number: int | None = None  # the engine's identifier of the request in progress
+        self._latest_request_number: int | None = None  # kept until its response is sent
+        self._response_start = 0  # bytes written before the latest response
         self._keep_alive = True
         self._rejects_requests = False  # the connection limit is exceeded: each request gets 503
         # The client pipelined more than the buffer holds: further input is dropped, and the connection closes
@@ -92,12 +95,30 @@
 
     def _report_end(self, rule: EndRule, phase: TransferPhase) -> None:
         """Log that this connection is closed although its client has not closed it."""
+        is_request = phase is TransferPhase.SENDING
+        progress = TransferProgress(phase, self._reader.bytes_received) if is_request else self._progress()
         head = self._reader.head
-        label = self._request_label if head is None else head.fields.get("x-request-id", "")
-        progress = TransferProgress(phase, self._reader.bytes_received)
-        exchange_end = ExchangeEnd(rule, self._request_number, label, None, progress, None)
+        label = self._request_label
+        if is_request:
+            label = "" if head is None else head.fields.get("x-request-id", "")
+        exchange_end = ExchangeEnd(
+            rule,
+            None if is_request else self._latest_request_number,
+            label,
+            None if self._stream is None else self._stream.attempt.target_id,
+            progress,
+            None if is_request else self._response_deadline.remaining_seconds,
+        )
         self._server.engine.report_exchange_end(exchange_end)
 
+    def _progress(self) -> TransferProgress:
+        """Return how far the latest response has come."""
+        delivered_bytes = max(0, self.acknowledged_bytes() - self._response_start)
+        if self._stream is None:
+            received_bytes = self._bytes_written - self._response_start
+            return TransferProgress(TransferPhase.RECEIVING, received_bytes, delivered_bytes=delivered_bytes)
+        return replace(self._stream.source.progress(), delivered_bytes=delivered_bytes)
+
     def on_unread(self) -> None:
         """Log that the client does not read its response."""
         self._report_end(EndRule.RESPONSE_UNREAD, TransferPhase.RECEIVING)
@@ -231,6 +252,9 @@
         self._keep_alive = head.keeps_alive()
         self._reader.reset()
         self._response_deadline.set(None)
+        self._latest_request_number = None
+        self._request_label = ""
+        self._response_start = self._bytes_written
         if head.target.partition("?")[0] == READY_PATH:
             self._write_response(200 if self._server.is_ready() else 503)
         elif self._rejects_requests:
@@ -275,6 +299,7 @@
         )
         self._request_label = request_id
         self._request_number = self._server.engine.submit(client_request)
+        self._latest_request_number = self._request_number
         self._response_deadline.set(self._server.engine.client_deadline(self._request_number))
 
     # --- Responses from the engine ---
@@ -297,7 +322,7 @@
         self.write(
             http.encode_response_head(200, response.length, None, not self._keep_alive, self._is_chunked)
         )
-        self._response_deadline.set(response.client_deadline)
+        self._response_deadline.set(response.attempt.client_deadline)
         self._response_deadline.start(self._reset_late_response)
         if response.first_part:
             self.write_part(response.first_part)
--- a/stalltiller/adapters/http_target_connection.py
+++ b/stalltiller/adapters/http_target_connection.py
@@ -324,7 +324,7 @@
         self._attempt = None
         self._streamed_attempt = attempt
         self._last_progress_at = self._target_client.loop.time()
-        stream = ResponseStream(self, self._reader.length, self._reader.take_body(), attempt.client_deadline)
+        stream = ResponseStream(self, self._reader.length, self._reader.take_body(), attempt)
         self._stream = stream
         self._reserve(0)
         self._target_client.pool.record_use(attempt, False)
--- a/stalltiller/adapters/response_deadline.py
+++ b/stalltiller/adapters/response_deadline.py
@@ -27,6 +27,11 @@
         """Whether the request has a client's time."""
         return self._client_deadline is not None
 
+    @property
+    def remaining_seconds(self) -> float | None:
+        """What is left of the client's time, None for a request without one."""
+        return None if self._client_deadline is None else self._client_deadline - self._loop.time()
+
     def set(self, client_deadline: float | None) -> None:
         """Set when the client's time is over, on the loop's clock; None if it has none.  Stops the timer."""
         self.cancel()
--- a/stalltiller/adapters/response_stream.py
+++ b/stalltiller/adapters/response_stream.py
@@ -8,6 +8,9 @@
 
 from typing import Protocol
 
+from stalltiller.routing.exchange_end import TransferProgress
+from stalltiller.routing.ports import Attempt
+
 
 class StreamSource(Protocol):
     """The target connection, which receives the response."""
@@ -15,6 +18,9 @@
     def resume_stream(self) -> None:
         """Resume reading: everything written to the sink is flushed."""
 
+    def progress(self) -> TransferProgress:
+        """Return how far the response has come from its target."""
+
     def abort_stream(self) -> None:
         """Stop receiving: the client has disconnected or its connection is being reset."""
 
@@ -38,21 +44,19 @@
     """Connects a source to a sink.
 
     `length` is the body's length in bytes, None if it is not known in advance; `first_part` is the part of
-    the body received before the stream was created.  `client_deadline` is when the client's time is over, on
-    the event loop's clock: the sink cuts off a response that is not whole soon after it.
+    the body received before the stream was created.  `attempt` is the one that the response belongs to: the
+    sink cuts off a response that is not whole soon after its client's deadline.
 
     Reading from the target is paused while the sink is not flushed.  Guards against long responses that
     together exceed the memory limit: each takes one buffer, however long it is and however slowly the client
     reads.
     """
 
-    def __init__(
-        self, source: StreamSource, length: int | None, first_part: bytes, client_deadline: float
-    ) -> None:
+    def __init__(self, source: StreamSource, length: int | None, first_part: bytes, attempt: Attempt) -> None:
         self.source = source
         self.length = length
         self.first_part = first_part
-        self.client_deadline = client_deadline
+        self.attempt = attempt
         self.sink: StreamSink | None = None
 
     @property
--- a/stalltiller/routing/exchange_end.py
+++ b/stalltiller/routing/exchange_end.py
@@ -39,12 +39,14 @@
 
     `sent_bytes` counts what the peer's machine has acknowledged of the request, `received_bytes` the body of
     the response, and `idle_seconds` is the time since its last byte, None before the first.
+    `delivered_bytes` counts what the client's machine has acknowledged of the response.
     """
 
     phase: TransferPhase
     received_bytes: int = 0
     idle_seconds: float | None = None
     sent_bytes: int = 0
+    delivered_bytes: int = 0
 
     @property
     def is_moving(self) -> bool:
@@ -55,7 +57,10 @@
 
 @dataclass(slots=True, frozen=True)
 class ExchangeEnd:
-    """An exchange that the initiator ended; `remaining_seconds` is what was left of the client's time."""
+    """An exchange that the initiator ended.
+
+    `remaining_seconds` is what was left of the client's time, negative after it; None if it has not begun.
+    """
 
     rule: EndRule
     request_id: int | None
@@ -74,6 +79,7 @@
             "phase": self.progress.phase.value,
             "sent_bytes": self.progress.sent_bytes,
             "received_bytes": self.progress.received_bytes,
+            "delivered_bytes": self.progress.delivered_bytes,
             "idle_ms": _milliseconds(self.progress.idle_seconds),
             "remaining_ms": _milliseconds(self.remaining_seconds),
         }
