--- a/stalltiller/adapters/admin_api.py
+++ b/stalltiller/adapters/admin_api.py
@@ -10,11 +10,11 @@
 
 from stalltiller.protocol import http
 from stalltiller.transport.buffers import BufferPool
-from stalltiller.transport.connection import Connection
+from stalltiller.transport.connection import Connection, TransferMonitor
 from stalltiller.transport.listener import Listener
 
 MAX_CONNECTIONS = 16  # enough for operators while using few file descriptors
-REQUEST_TIMEOUT_SECONDS = 10.0
+REQUEST_TIMEOUT_SECONDS = 10.0  # without a byte of a request
 MAX_BODY_BYTES = 1024
 
 # Receives the request body without surrounding whitespace; returns success, or the response body.
@@ -25,9 +25,13 @@
     """Handles one request in the event loop iteration that completes it, then closes the connection."""
 
     def __init__(
-        self, buffers: BufferPool, handlers: dict[tuple[str, str], AdminHandler], listener: Listener
+        self,
+        buffers: BufferPool,
+        monitor: TransferMonitor,
+        handlers: dict[tuple[str, str], AdminHandler],
+        listener: Listener,
     ) -> None:
-        super().__init__(buffers)
+        super().__init__(buffers, monitor)
         self._handlers = handlers
         self._listener = listener
         self._reader = http.Reader(response=False, max_body_bytes=MAX_BODY_BYTES)
@@ -50,6 +54,8 @@
         except http.HttpError as error:
             self._respond(error.status)
             return len(data)
+        self._listener.request_started(self)
+        self.monitor.watch(self, REQUEST_TIMEOUT_SECONDS)
         if self._reader.is_complete:
             assert self._reader.head is not None
             self._handle_request(self._reader.head, bytes(self._reader.body))
@@ -89,13 +95,21 @@
             self._listener.closing_gracefully(self)
             self.close_gracefully()
 
+    def transferred_bytes(self) -> int:
+        """Return a count that changes with each byte of the request or the response."""
+        return self.acknowledged_bytes() if self.half_closed else self.received_bytes()
+
     # --- For the listener ---
+    def is_transferring(self) -> bool:
+        """Return whether the call is in progress."""
+        return not self.half_closed or not self.is_delivered
+
     def close_if_idle(self) -> bool:
         """Return False: a connection serves only one request and is never idle."""
         return False
 
     def on_request_timeout(self) -> None:
-        """Abort: no complete request has arrived in time."""
+        """Abort: nothing of a request has arrived in time."""
         self.abort()
 
     def reject_requests(self) -> None:
@@ -107,13 +121,15 @@
         self.abort()
 
 
-def admin_listener(buffers: BufferPool, handlers: dict[tuple[str, str], AdminHandler]) -> Listener:
+def admin_listener(
+    buffers: BufferPool, monitor: TransferMonitor, handlers: dict[tuple[str, str], AdminHandler]
+) -> Listener:
     """Return the listener of the administration API; `handlers` are by method and path.
 
     Over the connection limit, the oldest connection that has sent nothing is closed first.
     """
     return Listener(
-        lambda listener: AdminConnection(buffers, handlers, listener),
+        lambda listener: AdminConnection(buffers, monitor, handlers, listener),
         MAX_CONNECTIONS,
         MAX_CONNECTIONS,
         first_request_timeout=REQUEST_TIMEOUT_SECONDS,
--- a/stalltiller/adapters/http_server.py
+++ b/stalltiller/adapters/http_server.py
@@ -14,29 +14,27 @@
 
 from stalltiller.adapters.http_payload import SMALL_BODY_BYTES, Payload
 from stalltiller.adapters.recent_request_ids import RecentRequestIds
-from stalltiller.adapters.request_timer import RequestTimer
-from stalltiller.adapters.response_deadline import ResponseDeadline
 from stalltiller.adapters.response_stream import ResponseStream
 from stalltiller.protocol import http
 from stalltiller.protocol.platform import FieldError, RequestFields
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.exchange_end import EndRule, ExchangeEnd, TransferPhase, TransferProgress
 from stalltiller.routing.ports import ClientRequest
+from stalltiller.routing.transfer_limits import REQUEST_IDLE_LIMIT_SECONDS
 from stalltiller.scheduling import Settings
 from stalltiller.transport.buffers import BufferPool, MemoryBudget
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
 
 READY_PATH = "/healthz"
-# A client that reads nothing of the response to an invalid request for longer is disconnected.
-UNREAD_TIMEOUT_SECONDS = 5.0
+READY_REQUEST_START = b"GET /healthz"
 
 
 class ClientConnection(Connection):
     """One client's connection, which serves one request at a time."""
 
     def __init__(self, server: HttpServer, listener: Listener) -> None:
-        super().__init__(server.buffers)
+        super().__init__(server.buffers, server.engine.monitor)
         self._server = server
         self._listener = listener
         self._reader = http.Reader(response=False)
@@ -48,14 +46,13 @@
         # The client pipelined more than the buffer holds: further input is dropped, and the connection closes
         # after the current request.
         self._discards_input = False
-        self._request_timer = RequestTimer(server.loop)
         self._unread_bytes = 0  # reserved in the server's budget of unread responses
         self._body_bytes = 0  # reserved in the server's budget of request bodies
         self._stream: ResponseStream | None = None  # the response being streamed
         self._is_chunked = False
         self._http_minor_version = 1
         self._request_label = ""  # the identifier of the latest request
-        self._response_deadline = ResponseDeadline(server.loop)
+        self._client_deadline: float | None = None  # of the latest request; None if it was invalid
 
     # --- Receiving ---
     def on_connected(self) -> None:
@@ -68,6 +65,9 @@
             return len(data)
         if self._is_busy:
             return 0  # the next request waits until the response to this one is flushed
+        if self._rejects_requests and not _may_be_health_check(data):
+            self._reject_excess()
+            return len(data)
         had_head = self._reader.is_head_complete
         try:
             consumed = self._reader.feed(data)
@@ -75,26 +75,22 @@
             self._reject_and_close(error.status, str(error))
             return len(data)
         if self._reader.is_complete:
-            self._request_timer.cancel()
             self._listener.request_finished(self)
             self._handle_request()
             return consumed
-        self._request_timer.record_progress(
-            self._server.longest_deadline, self._bytes_received, self._on_request_stalled
-        )
+        self.monitor.watch(self, REQUEST_IDLE_LIMIT_SECONDS)
         self._listener.request_started(self)
         if self._reader.is_head_complete and not had_head and not self._accept_head():
             return len(data)
         if not self._reserve_body(self._reader.length or self._reader.bytes_received):
-            self._reject_and_close(503, "no memory left for the body")
+            fields = _retry_after_fields(self._server.max_retry_after)
+            self._reject_and_close(503, "no memory left for the body", fields)
             return len(data)
         return consumed
 
-    def _bytes_received(self) -> int:
-        return self._reader.bytes_received
-
     def _report_end(self, rule: EndRule, phase: TransferPhase) -> None:
         """Log that this connection is closed although its client has not closed it."""
+        now = self._server.loop.time()
         is_request = phase is TransferPhase.SENDING
         progress = TransferProgress(phase, self._reader.bytes_received) if is_request else self._progress()
         head = self._reader.head
@@ -107,7 +103,7 @@
             label,
             None if self._stream is None else self._stream.attempt.target_id,
             progress,
-            None if is_request else self._response_deadline.remaining_seconds,
+            None if is_request or self._client_deadline is None else self._client_deadline - now,
         )
         self._server.engine.report_exchange_end(exchange_end)
 
@@ -119,13 +115,49 @@
             return TransferProgress(TransferPhase.RECEIVING, received_bytes, delivered_bytes=delivered_bytes)
         return replace(self._stream.source.progress(), delivered_bytes=delivered_bytes)
 
-    def on_unread(self) -> None:
-        """Log that the client does not read its response."""
-        self._report_end(EndRule.RESPONSE_UNREAD, TransferPhase.RECEIVING)
+    # --- Progress ---
+    def _watch(self) -> None:
+        """Have the transfer in progress monitored, if any."""
+        if self.is_closing or self.half_closed:
+            return  # `close_gracefully` has the rest monitored
+        if self._stream is not None or not self.flushed:
+            self.monitor.watch(self)
+        elif self._is_receiving:
+            self.monitor.watch(self, REQUEST_IDLE_LIMIT_SECONDS)
+        else:
+            self.monitor.unwatch(self)
+
+    @property
+    def _is_receiving(self) -> bool:
+        """Whether a part of a request has come."""
+        return self._request_number is None and (self.has_unread_data or self._reader.is_head_complete)
 
-    def _on_request_stalled(self) -> None:
-        self._report_end(EndRule.REQUEST_STALLED, TransferPhase.SENDING)
-        self._reject_and_close(408, "request not ended")
+    def transferred_bytes(self) -> int:
+        """Return a count that changes with each byte of the request or the response in progress."""
+        if self._stream is not None:
+            return self._stream.source.received_bytes() + self.acknowledged_bytes()
+        is_sending = not self.flushed or self.half_closed
+        return self.acknowledged_bytes() if is_sending else self._bytes_received
+
+    def is_transferring(self) -> bool:
+        """Return whether a request or a response is in progress."""
+        if self.half_closed:
+            return not self.is_delivered
+        return self._is_busy or self._is_receiving
+
+    def on_stopped(self) -> None:
+        """End a request or a response that does not go on, so that its client can tell."""
+        if self.half_closed:
+            super().on_stopped()
+        elif self._stream is not None or not self.flushed:
+            is_unread = not self.is_delivered
+            rule = EndRule.RESPONSE_UNREAD if is_unread else EndRule.RESPONSE_STOPPED
+            self._report_end(rule, TransferPhase.RECEIVING)
+            self._server.engine.counts["broken_off"] += 1
+            self.abort()
+        else:
+            self._report_end(EndRule.REQUEST_STALLED, TransferPhase.SENDING)
+            self._reject_and_close(408, "request not ended")
 
     def _accept_head(self) -> bool:
         """Validate a request's head and return whether to receive its body.
@@ -176,6 +208,7 @@
         """Continue once the kernel has accepted everything that was written."""
         self._release_unread()
         super().resume_writing()
+        self._watch()
         if self._stream is not None:
             self._stream.source.resume_stream()
         elif self._discards_input and self._request_number is None:
@@ -184,10 +217,8 @@
     def on_disconnected(self, _error: Exception | None) -> None:
         """Release all reservations and cancel the request in progress."""
         self._listener.remove(self)
-        self._request_timer.cancel()
         self._release_unread()
         self._reserve_body(0)
-        self._response_deadline.cancel()
         self._abort_stream()
         if self._request_number is not None:
             number = self._request_number
@@ -208,7 +239,6 @@
         """Shut down sending once the written bytes are sent, and drop further input."""
         if self.is_closing or self.half_closed:
             return
-        self._request_timer.cancel()
         self._reader.reset()
         self._reserve_body(0)
         self._listener.closing_gracefully(self)
@@ -223,17 +253,19 @@
             self.reset()
 
     def on_request_timeout(self) -> None:
-        """Respond with 408 or close: no complete request head has arrived in time."""
-        if self.half_closed or self.is_closing or self._reader.is_head_complete:
-            return  # `RequestTimer` limits the time for the body
-        if not self.close_if_idle():
-            self._report_end(EndRule.REQUEST_STALLED, TransferPhase.SENDING)
-            self._reject_and_close(408, "request not ended")
+        """Close: nothing of a first request has arrived in time, unless the kernel holds a part of it."""
+        self.close_if_idle()
 
     def reject_requests(self) -> None:
-        """Respond to every further request with 503."""
+        """Respond to the next request with 503, as soon as a part of it comes, and close."""
         self._rejects_requests = True
 
+    def _reject_excess(self) -> None:
+        """Respond with 503 to what has come of a request, and close: there are too many connections."""
+        fields = _retry_after_fields(self._server.max_retry_after)
+        self.write(http.encode_response(503, b"", fields, close=True))
+        self.close_gracefully()
+
     def abort_partial_responses(self) -> None:
         """Reset the connection if a response is not sent in full.
 
@@ -251,15 +283,15 @@
         self._http_minor_version = head.minor_version
         self._keep_alive = head.keeps_alive()
         self._reader.reset()
-        self._response_deadline.set(None)
+        self.monitor.unwatch(self)
+        self._client_deadline = None
         self._latest_request_number = None
         self._request_label = ""
         self._response_start = self._bytes_written
         if head.target.partition("?")[0] == READY_PATH:
             self._write_response(200 if self._server.is_ready() else 503)
         elif self._rejects_requests:
-            self._keep_alive = False
-            self.reject(self._server.max_retry_after)
+            self._reject_excess()
         else:
             self._submit(head, body)
 
@@ -270,6 +302,10 @@
         except FieldError as error:
             self._reject_bad_request(400, str(error))
             return
+        if not self._server.has_room_for_response():
+            self._reserve_body(0)
+            self._write_response(503, fields=_retry_after_fields(self._server.max_retry_after))
+            return
         request_id = head.fields["x-request-id"]
         if not self._server.recent_request_ids.claim(self._server.loop.time(), request_id):
             self._reject_bad_request(409, "X-Request-ID is not new")
@@ -300,7 +336,7 @@
         self._request_label = request_id
         self._request_number = self._server.engine.submit(client_request)
         self._latest_request_number = self._request_number
-        self._response_deadline.set(self._server.engine.client_deadline(self._request_number))
+        self._client_deadline = self._server.engine.client_deadline(self._request_number)
 
     # --- Responses from the engine ---
     def is_disconnected(self) -> bool:
@@ -322,15 +358,15 @@
         self.write(
             http.encode_response_head(200, response.length, None, not self._keep_alive, self._is_chunked)
         )
-        self._response_deadline.set(response.attempt.client_deadline)
-        self._response_deadline.start(self._reset_late_response)
+        self.monitor.watch(self)
+        if not has_framing:
+            self.set_reset_on_close(True)  # until the response is whole
         if response.first_part:
             self.write_part(response.first_part)
 
     def reject(self, retry_after: float) -> None:
         """Respond with 503, and with Retry-After in seconds if it is above zero."""
-        fields = {"Retry-After": f"{retry_after:.3f}"} if retry_after > 0 else None
-        self._finish_request(503, b"", fields)
+        self._finish_request(503, b"", _retry_after_fields(retry_after))
 
     def fail(self) -> None:
         """Respond with 504: the request may have been executed."""
@@ -351,8 +387,10 @@
     def finish_stream(self) -> None:
         """End a streamed response and continue with the next request."""
         self._stream = None
+        self.set_reset_on_close(False)
         if self._is_chunked:
             self.write(http.LAST_CHUNK)
+        self._watch()
         if not self._keep_alive or self._server.stopping:
             self.close_gracefully()
             return
@@ -364,15 +402,6 @@
         self._stream = None
         self.reset()
 
-    # --- The end of the client's time ---
-    def _reset_late_response(self) -> None:
-        """Reset the connection if its latest response is not sent in full, so that the client can tell."""
-        if self._stream is None and self.flushed:
-            return
-        self._report_end(EndRule.CLIENT_DEADLINE, TransferPhase.RECEIVING)
-        self._server.engine.counts["broken_off"] += 1
-        self.abort()
-
     def _abort_stream(self) -> None:
         """Stop receiving the response that is being streamed, if any."""
         if self._stream is not None:
@@ -387,18 +416,17 @@
         self._server.engine.counts["bad_requests"] += 1
         self._write_response(status, f"{text}\n".encode())
 
-    def _reject_and_close(self, status: int, text: str) -> None:
+    def _reject_and_close(self, status: int, text: str, fields: dict[str, str] | None = None) -> None:
         """Reject a request without receiving the rest of it and close the connection."""
         self._server.engine.counts["bad_requests"] += 1
-        self._response_deadline.set(None)
-        self.write(http.encode_response(status, f"{text}\n".encode(), close=True))
+        self.write(http.encode_response(status, f"{text}\n".encode(), fields, close=True))
         self.close_gracefully()
 
     def _write_response(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
         close = not self._keep_alive or self._server.stopping
         self.write(http.encode_response(status, body, fields, close))
         if not self.flushed and not self.is_closing:
-            self._limit_unread_time()
+            self.monitor.watch(self)
             assert self.transport is not None
             self._unread_bytes = self.transport.get_write_buffer_size()
             if not self._server.unread_response_budget.adjust_reservation(self._unread_bytes):
@@ -406,19 +434,22 @@
         if close:
             self.close_gracefully()
 
-    def _limit_unread_time(self) -> None:
-        """Limit how long a response may stay unread; one to an invalid request has no client's time."""
-        if self._response_deadline.is_known:
-            self._response_deadline.start(self._reset_late_response)
-        else:
-            self.abort_if_unread(UNREAD_TIMEOUT_SECONDS)
-
     def _release_unread(self) -> None:
         size = self._unread_bytes
         self._unread_bytes = 0
         self._server.unread_response_budget.adjust_reservation(-size)
 
 
+def _may_be_health_check(data: memoryview) -> bool:
+    """Return whether a request may be one for the initiator's health, by the bytes that have come of it."""
+    start = bytes(data[: len(READY_REQUEST_START)])
+    return READY_REQUEST_START.startswith(start)
+
+
+def _retry_after_fields(seconds: float) -> dict[str, str] | None:
+    return {"Retry-After": f"{seconds:.3f}"} if seconds > 0 else None
+
+
 class HttpServer:
     """Serves clients over HTTP/1.1; owns the state that their connections share.
 
@@ -454,6 +485,15 @@
         self.longest_deadline = max(cls.deadline for cls in settings.classes)
         self.recent_request_ids.retention_seconds = self.longest_deadline
 
+    def has_room_for_response(self) -> bool:
+        """Return whether another request may be taken, whose response its client may not read.
+
+        Guards against a budget that is exceeded by responses to requests that were taken: they would have to
+        be cut off.
+        """
+        max_bytes = (self.engine.open_request_count + 1) * SMALL_BODY_BYTES
+        return self.unread_response_budget.has_room(max_bytes)
+
     def connection(self, listener: Listener) -> ClientConnection:
         """Return the protocol object of a new connection."""
         return ClientConnection(self, listener)
--- a/stalltiller/adapters/http_target_connection.py
+++ b/stalltiller/adapters/http_target_connection.py
@@ -15,7 +15,12 @@
 from stalltiller.protocol import http
 from stalltiller.routing.exchange_end import TransferPhase, TransferProgress
 from stalltiller.routing.ports import Attempt, AttemptResult
-from stalltiller.routing.transfer_patience import MAX_SINGLE_READ_BYTES, latest_expiry, sending_phase
+from stalltiller.routing.transfer_limits import (
+    MAX_SINGLE_READ_BYTES,
+    ByteArrivals,
+    latest_expiry,
+    sending_phase,
+)
 from stalltiller.scheduling import AttemptStatus
 from stalltiller.transport.connection import Connection
 
@@ -47,8 +52,8 @@
         self._stream: ResponseStream | None = None
         self._streamed_attempt: Attempt | None = None  # the attempt whose response is being streamed
         self._reserved_bytes = 0  # reserved in the target client's budget of responses
-        self._response_started_at = 0.0  # when the response head was received
-        self._last_progress_at = 0.0  # when bytes of the response were last received
+        self._head_received_at = 0.0
+        self._arrivals: ByteArrivals | None = None  # of the response's bytes; None before the first
 
     # --- Sending ---
     def start_exchange(self, attempt: Attempt) -> None:
@@ -62,6 +67,7 @@
         if payload.deduplication_key is not None:
             fields["Idempotency-Key"] = payload.deduplication_key
         head = http.encode_request_head(payload.method, payload.target, fields, len(payload.body))
+        self._arrivals = None
         self._request_start = self._bytes_written
         self._request_bytes = len(head) + len(payload.body)
         if len(payload.body) <= SMALL_BODY_BYTES:
@@ -92,12 +98,18 @@
     def progress(self) -> TransferProgress:
         """Return how far the transfer of the attempt has come."""
         sent_bytes = self.acknowledged_bytes() - self._request_start
-        has_begun = self._reader.is_head_complete or self.has_unread_data or self._reader.has_interim_response
-        if self._stream is not None or has_begun:
-            idle_seconds = self._target_client.loop.time() - self._last_progress_at
-            received_bytes = self._reader.bytes_received
-            return TransferProgress(TransferPhase.RECEIVING, received_bytes, idle_seconds, sent_bytes)
-        return TransferProgress(sending_phase(sent_bytes, self._request_bytes), sent_bytes=sent_bytes)
+        arrivals = self._arrivals
+        if arrivals is None or self._is_discarding:
+            return TransferProgress(sending_phase(sent_bytes, self._request_bytes), sent_bytes=sent_bytes)
+        return TransferProgress(
+            TransferPhase.RECEIVING,
+            received_bytes=self._reader.bytes_received,
+            idle_seconds=self._target_client.loop.time() - arrivals.last_at,
+            sent_bytes=sent_bytes,
+            longest_pause_seconds=arrivals.longest_pause,
+            is_short=self._is_short(),
+            can_pass_on=self._reader.is_head_complete,
+        )
 
     def abandon(self) -> bool:
         """Abandon the attempt and return whether it may have been executed.
@@ -135,23 +147,23 @@
         except http.HttpError as error:
             self._fail_attempt(str(error))
             return len(data)
-        if not self._reserve(len(self._reader.body)):
-            self._fail_attempt("the memory budget for responses is exhausted")
-            return len(data)
-        self._last_progress_at = self._target_client.loop.time()
+        self._record_arrival()
         if not had_head:
-            self._response_started_at = self._last_progress_at
+            self._head_received_at = self._target_client.loop.time()
             self._is_early = not self.is_fully_sent()
+        has_memory = self._reserve(len(self._reader.body))
         if self._is_discarding:
             self._discard_received()
         elif self._reader.is_complete:
             self._finish_response()
-        elif self._reader.is_head_complete and self._should_stream():
+        elif self._reader.is_head_complete and (not has_memory or self._should_stream()):
             self._start_stream()
-        elif self._reader.is_head_complete and self._is_short():
-            self._target_client.schedule_pause_check(self._attempt, self._give_up_paused_response)
         return consumed
 
+    def _record_arrival(self) -> None:
+        now = self._target_client.loop.time()
+        self._arrivals = ByteArrivals.begin(now) if self._arrivals is None else self._arrivals.record(now)
+
     def _abort_idle(self, received_bytes: int) -> None:
         """Abort: data arrived although no request is in flight."""
         if not self.is_closing:
@@ -232,6 +244,7 @@
         self._reserve(0)
         if self._reader.is_complete:
             self._reader.reset()
+            self._arrivals = None
             self._is_discarding = False
 
     def _record_unanswered(self, attempt: Attempt) -> None:
@@ -280,19 +293,16 @@
 
     # --- Streamed responses ---
     def _is_short(self) -> bool:
-        """Whether the response is short enough to be passed on only once it is whole."""
+        """Return whether the response is short enough to be passed on only once it is whole."""
         return self._reader.length is not None and self._reader.length <= SMALL_BODY_BYTES
 
     def pass_on(self) -> bool:
-        """Stream a response that has begun, whatever its length; return False before its head is complete."""
+        """Stream a response whose head is complete, whatever its length; return False before that."""
         if self._attempt is None or not self._reader.is_head_complete or self._is_discarding:
             return False
         self._start_stream()
         return self._attempt is None
 
-    def _give_up_paused_response(self) -> None:
-        self._fail_attempt("the response paused")
-
     def _should_stream(self) -> bool:
         """Return whether to stream the response from now on; after that the request can't be retried.
 
@@ -300,10 +310,13 @@
         for the first bytes of a long response.  While only its head has come it is not streamed, so that its
         request can be retried if the connection breaks.
         """
+        assert self._attempt is not None
+        if self._attempt.is_overdue:
+            return True
         if self._is_short():
             return False
         threshold = SMALL_BODY_BYTES if self._reader.length is None else STREAM_THRESHOLD_BYTES
-        is_slow = self._last_progress_at - self._response_started_at >= SLOW_RESPONSE_SECONDS
+        is_slow = self._target_client.loop.time() - self._head_received_at >= SLOW_RESPONSE_SECONDS
         return self._reader.bytes_received > threshold or (is_slow and self._reader.bytes_received > 0)
 
     def _start_stream(self) -> None:
@@ -323,7 +336,6 @@
         assert attempt is not None
         self._attempt = None
         self._streamed_attempt = attempt
-        self._last_progress_at = self._target_client.loop.time()
         stream = ResponseStream(self, self._reader.length, self._reader.take_body(), attempt)
         self._stream = stream
         self._reserve(0)
@@ -337,7 +349,7 @@
             self._pause_reading()
 
     def _forward(self, data: memoryview) -> int:
-        self._last_progress_at = self._target_client.loop.time()
+        self._record_arrival()
         try:
             consumed = self._reader.feed(data)
         except http.HttpError as error:
--- a/stalltiller/adapters/nvme_association.py
+++ b/stalltiller/adapters/nvme_association.py
@@ -30,7 +30,8 @@
         self.queues: dict[int, HostQueue] = {}
         self.is_enabled = False
         self.is_shut_down = False
-        self.last_received_at = controller.loop.time()
+        self.last_progress_at = controller.loop.time()
+        self._acknowledged_bytes = 0  # of all queues, at the last check
         self._keep_alive_timer: asyncio.TimerHandle | None = None
         self._check_keep_alive()
 
@@ -60,7 +61,11 @@
     def _check_keep_alive(self) -> None:
         if not self.keep_alive_timeout:
             return
-        idle_seconds = self.controller.loop.time() - self.last_received_at
+        acknowledged_bytes = sum(queue.acknowledged_bytes() for queue in self.queues.values())
+        if acknowledged_bytes != self._acknowledged_bytes:  # the host reads, however slowly
+            self._acknowledged_bytes = acknowledged_bytes
+            self.last_progress_at = max(self.last_progress_at, self.controller.loop.time())
+        idle_seconds = self.controller.loop.time() - self.last_progress_at
         if idle_seconds > self.keep_alive_timeout + KEEP_ALIVE_GRACE_SECONDS:
             self.controller.log("keep_alive_expired", association=self.controller_id)
             self.close()
--- a/stalltiller/adapters/nvme_controller.py
+++ b/stalltiller/adapters/nvme_controller.py
@@ -94,13 +94,15 @@
     def reserve(self, io_command: IoCommand) -> bool:
         """Reserve memory for a command's data; return False, reserving nothing, at a limit."""
         has_memory = self.command_data_budget.adjust_reservation(io_command.size)
-        if has_memory and self.engine.open_request_count < MAX_COMMANDS_IN_FLIGHT:
+        # The responses to all commands may stay unread as well.
+        has_room = self.unread_response_budget.has_room(self.command_data_budget.reserved_bytes)
+        if has_memory and has_room and self.engine.open_request_count < MAX_COMMANDS_IN_FLIGHT:
             return True
         self.command_data_budget.adjust_reservation(-io_command.size)
         return False
 
     def submit(self, io_command: IoCommand) -> None:
-        """Submit a complete command to the engine; its deadline counts from the receipt of its capsule.
+        """Submit a complete command to the engine; its deadline counts from the receipt of its last byte.
 
         The command is rejected if its class or its plan was dropped while the host sent its data.
         """
@@ -112,7 +114,6 @@
         if class_index is None or plan_index is None:
             io_command.reject(0.0)
             return
-        elapsed = self.loop.time() - io_command.received_at
         payload = Payload(
             opcode=command.opcode,
             nsid=command.nsid,
@@ -131,7 +132,7 @@
             shard=namespace.shard,
             is_write=io_command.is_write,
             is_retry=False,
-            timeout=max(0.0, opcode_mapping.deadline - elapsed),
+            timeout=opcode_mapping.deadline,
             payload=payload,
             response_handler=io_command,
         )
--- a/stalltiller/adapters/nvme_io_command.py
+++ b/stalltiller/adapters/nvme_io_command.py
@@ -5,12 +5,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from stalltiller.adapters.nvme_mapping import Namespace, OpcodeMapping
 from stalltiller.protocol import nvme
-from stalltiller.routing.transfer_patience import response_reset_time
 
 if TYPE_CHECKING:
     from stalltiller.adapters.nvme_host_queue import HostQueue
@@ -23,7 +21,7 @@
 
     `namespace` and `opcode_mapping` are those in force when its capsule arrived.
     `data` accumulates the data of a write.  `request_number` is the engine's number for the request, None
-    until it is submitted; `data_timer` is set for a write whose data was requested by R2T.
+    until it is submitted; `awaits_data` tells of a write whose data was requested by R2T and is not complete.
     """
 
     def __init__(
@@ -32,17 +30,15 @@
         command: nvme.Command,
         namespace: Namespace,
         opcode_mapping: OpcodeMapping,
-        received_at: float,
     ) -> None:
         self.queue = queue
         self.command = command
         self.namespace = namespace
         self.opcode_mapping = opcode_mapping
-        self.received_at = received_at
         self.size = command.blocks * namespace.block_size  # bytes
         self.data = bytearray()
         self.request_number: int | None = None
-        self.data_timer: asyncio.TimerHandle | None = None
+        self.awaits_data = False
         self.transfer_tag = NO_TRANSFER_TAG  # of the R2T that requested the data
 
     @property
@@ -79,7 +75,7 @@
     def cancel(self) -> None:
         """Cancel the command for its host; data already requested from the host may still arrive."""
         self._release()
-        if self.data_timer is not None and self.request_number is None:
+        if self.awaits_data:
             self.queue.expect_cancelled_data(self.transfer_tag, self.size - len(self.data))
         if self.request_number is not None:
             self.queue.controller.engine.cancel(self.request_number)
@@ -87,13 +83,8 @@
     def _send_completion(self, status: int = nvme.OK, delay: int = 0, no_retry: bool = False) -> None:
         self._release()
         self.queue.send_completion(nvme.Completion(self.command.cid, status, 0, delay, no_retry))
-        if not self.queue.flushed:
-            client_deadline = self.received_at + self.opcode_mapping.deadline
-            self.queue.reset_if_unread_at(response_reset_time(client_deadline))
 
     def _release(self) -> None:
         """Remove the command from its queue and release its memory reservation."""
         if self.queue.commands.pop(self.command.cid, None) is not None:
             self.queue.controller.command_data_budget.adjust_reservation(-self.size)
-        if self.data_timer is not None:
-            self.data_timer.cancel()
--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -53,7 +53,6 @@
         self._read_size = 0  # data bytes expected for it
         admin_queue.on_connection_lost = self.close
         io_queue.on_connection_lost = self.close
-        io_queue.on_read_started = self._schedule_pause_check
         self._keep_alive_timer = self._start_keep_alive_timer()
 
     @property
@@ -90,14 +89,14 @@
         """Return how far the transfer of the attempt has come."""
         return self._io_queue.progress()
 
+    def received_bytes(self) -> int:
+        """Return the number of bytes received on the I/O queue."""
+        return self._io_queue.received_bytes()
+
     def pass_on(self) -> bool:
         """Return False: the data of a command is passed on with its completion."""
         return False
 
-    def _schedule_pause_check(self) -> None:
-        if self._attempt is not None:
-            self._target_client.schedule_pause_check(self._attempt, self._io_queue.give_up_read)
-
     def abandon(self) -> bool:
         """Abandon the attempt and return True: it may have been executed.
 
--- a/stalltiller/adapters/nvme_target_queue.py
+++ b/stalltiller/adapters/nvme_target_queue.py
@@ -12,7 +12,7 @@
 
 from stalltiller.protocol import nvme
 from stalltiller.routing.exchange_end import TransferPhase, TransferProgress
-from stalltiller.routing.transfer_patience import MAX_SINGLE_READ_BYTES, sending_phase
+from stalltiller.routing.transfer_limits import MAX_SINGLE_READ_BYTES, ByteArrivals, sending_phase
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.connection import Connection
 
@@ -40,12 +40,11 @@
         self._write_data = b""  # data that the target may request by R2T
         self._read_data = bytearray()
         self._read_size = 0  # data bytes expected from the target
-        self._last_progress_at = 0.0  # time of the last bytes received for a read
+        self._arrivals: ByteArrivals | None = None  # of the response to the command; None before the first
         self._max_pdu_data = nvme.MAX_DATA_BYTES
         self._initialized: asyncio.Future[None] | None = None
         self.error: nvme.PduError | None = None
         self.on_connection_lost: Callable[[], None] | None = None
-        self.on_read_started: Callable[[], None] | None = None  # a part of a read's data has come
 
     @property
     def is_busy(self) -> bool:
@@ -95,6 +94,7 @@
         self._write_data = write_data
         self._read_data = bytearray()
         self._read_size = read_size
+        self._arrivals = None
         self._request_start = self._bytes_written
         self._is_data_due = False
         self.write(encode(self._command_id))
@@ -111,27 +111,41 @@
             self.write(nvme.term(nvme.H2C_TERM, error))
             self.close()
             return len(data)
-        if self._read_data and self._callback is not None:
-            self._last_progress_at = asyncio.get_running_loop().time()
-            if self.on_read_started is not None:
-                self.on_read_started()
         return consumed
 
     def progress(self) -> TransferProgress:
         """Return how far the transfer of the command in flight has come."""
         sent_bytes = self.acknowledged_bytes() - self._request_start
-        if self._read_data:
-            idle_seconds = asyncio.get_running_loop().time() - self._last_progress_at
-            return TransferProgress(TransferPhase.RECEIVING, len(self._read_data), idle_seconds, sent_bytes)
+        if self._arrivals is not None:
+            return TransferProgress(
+                TransferPhase.RECEIVING,
+                received_bytes=len(self._read_data),
+                idle_seconds=asyncio.get_running_loop().time() - self._arrivals.last_at,
+                sent_bytes=sent_bytes,
+                longest_pause_seconds=self._arrivals.longest_pause,
+                is_short=True,
+            )
         request_bytes = self._bytes_written - self._request_start
         is_sending = self._is_data_due or len(self._write_data) > MAX_SINGLE_READ_BYTES
         phase = TransferPhase.SENDING if is_sending else sending_phase(sent_bytes, request_bytes)
         return TransferProgress(phase, sent_bytes=sent_bytes)
 
-    def give_up_read(self) -> None:
-        """Abort: the response to a read does not go on, and another attempt takes its place."""
-        self.error = nvme.PduError("read response paused before its completion")
-        self.abort()
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process received bytes, and record those of a response."""
+        super().buffer_updated(nbytes)
+        if not self.is_busy or not self._has_response_begun():
+            self._arrivals = None
+            return
+        now = asyncio.get_running_loop().time()
+        self._arrivals = ByteArrivals.begin(now) if self._arrivals is None else self._arrivals.record(now)
+
+    def _has_response_begun(self) -> bool:
+        """Return whether a part of the data or of the completion has come; an R2T is no response."""
+        if self._read_data or self._reader.is_within_pdu:
+            return True
+        return (
+            self._buffer is not None and self.has_unread_data and self._buffer[self._unread_start] != nvme.R2T
+        )
 
     def eof_received(self) -> bool:
         """Abort: a close would continue to write to a target that has shut down its side."""
--- a/stalltiller/adapters/pooled_target_client.py
+++ b/stalltiller/adapters/pooled_target_client.py
@@ -6,9 +6,8 @@
 from collections.abc import Callable
 
 from stalltiller.routing.engine import Engine
-from stalltiller.routing.exchange_end import EndRule, TransferPhase, TransferProgress
+from stalltiller.routing.exchange_end import TransferPhase, TransferProgress
 from stalltiller.routing.ports import Attempt, AttemptResult
-from stalltiller.routing.transfer_patience import is_paused
 from stalltiller.scheduling import AttemptStatus, TargetId
 from stalltiller.transport.buffers import BufferPool
 from stalltiller.transport.pool import Channel, ChannelPool
@@ -64,25 +63,16 @@
         """Return how far the transfer of an attempt has come."""
         return self.pool.progress(attempt) or TransferProgress(TransferPhase.CONNECTING)
 
+    def transferred_bytes(self, attempt: Attempt) -> int:
+        """Return a count that changes with each byte that comes from the target of an attempt."""
+        channel: Channel = attempt.channel
+        return channel.received_bytes()
+
     def pass_on(self, attempt: Attempt) -> bool:
         """Finish an attempt by passing on the rest of its response; return False if that is impossible."""
         channel: Channel = attempt.channel
         return channel.pass_on()
 
-    def schedule_pause_check(self, attempt: Attempt, give_up: Callable[[], None]) -> None:
-        """Have `give_up` called if the response to an attempt pauses and a retry could start.
-
-        Call this once the response has begun and has to be whole before it is passed on.
-        """
-        if attempt.pause_check_at is not None:
-            self.loop.call_at(attempt.pause_check_at, self._check_pause, attempt, give_up)
-            attempt.pause_check_at = None
-
-    def _check_pause(self, attempt: Attempt, give_up: Callable[[], None]) -> None:
-        if self.engine.may_retry(attempt) and is_paused(self.progress(attempt)):
-            self.engine.report_attempt_end(attempt, EndRule.RESPONSE_PAUSED)
-            give_up()
-
     def abandon(self, attempt: Attempt) -> bool:
         """Abandon an attempt and return whether it may have been executed."""
         return self.pool.abandon(attempt)
--- a/stalltiller/adapters/response_stream.py
+++ b/stalltiller/adapters/response_stream.py
@@ -15,6 +15,9 @@
 class StreamSource(Protocol):
     """The target connection, which receives the response."""
 
+    def received_bytes(self) -> int:
+        """Return a count that changes with each byte that comes from the target."""
+
     def resume_stream(self) -> None:
         """Resume reading: everything written to the sink is flushed."""
 
@@ -44,8 +47,8 @@
     """Connects a source to a sink.
 
     `length` is the body's length in bytes, None if it is not known in advance; `first_part` is the part of
-    the body received before the stream was created.  `attempt` is the one that the response belongs to: the
-    sink cuts off a response that is not whole soon after its client's deadline.
+    the body received before the stream was created.  `attempt` is the one that the response belongs to.  The
+    stream goes on until the response is whole, however long that takes, or has stopped.
 
     Reading from the target is paused while the sink is not flushed.  Guards against long responses that
     together exceed the memory limit: each takes one buffer, however long it is and however slowly the client
--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -64,7 +64,12 @@
         """Build the request path: listener, server, engine and target client."""
         self.buffers = BufferPool()
         self.engine = Engine(
-            config.settings, config.seed, self._loop, self._log, self._log if is_tracing else None
+            config.settings,
+            config.seed,
+            self._loop,
+            self._log,
+            self._log if is_tracing else None,
+            config.stream_idle_timeout,
         )
         limits = divide_resources(config.max_descriptors, config.memory_bytes)
         self._adapters = build_adapters(
@@ -91,7 +96,7 @@
         self.settings_reloader = SettingsReloader(
             config, self.engine, self._adapters, self.discovery_watch, self._loop, self._log
         )
-        self.admin = admin_listener(self.buffers, AdminCalls(self).routes())
+        self.admin = admin_listener(self.buffers, self.engine.monitor, AdminCalls(self).routes())
         self._metrics = MetricsExporter(config, self.sample, self._loop, self._tasks)
         self._shutdown = GracefulShutdown(
             self._loop, self.engine, self._adapters, self.listener, self._handover, self._log
@@ -138,6 +143,7 @@
             "memory_kb": usage.ru_maxrss,
             "cpu_ms": round((usage.ru_utime + usage.ru_stime) * 1000),
             "timers": self.engine.timer_count,
+            "monitored_transfers": len(self.engine.monitor),
             "request_bytes": self._adapters.reserved_request_bytes,
             "log_dropped": self._log.dropped,
             **(self.recovery.metrics() if self.recovery is not None else {}),
@@ -241,5 +247,6 @@
         for task in self._periodic_tasks:
             task.cancel()
         self.target_client.pool.close()
+        self.engine.monitor.close()
         if self.fleet is not None:
             await self.fleet.close()
--- a/stalltiller/daemon/config.py
+++ b/stalltiller/daemon/config.py
@@ -18,6 +18,7 @@
     parse_address,
     parse_target_list_value,
 )
+from stalltiller.routing.transfer_limits import DEFAULT_IDLE_LIMIT_SECONDS
 from stalltiller.scheduling import Settings
 from stalltiller.simulator import codec
 
@@ -33,6 +34,8 @@
 DEFAULT_MEMORY_MEGABYTES = 192
 DEFAULT_CONNECT_TIMEOUT_SECONDS = 0.25
 DEFAULT_IDLE_TIMEOUT_SECONDS = 30.0
+MIN_STREAM_IDLE_TIMEOUT_SECONDS = 0.5  # several times the interval of the checks
+MAX_STREAM_IDLE_TIMEOUT_SECONDS = 3600.0
 
 # Keys of the platform's file that must remain on a reload; others, such as `known`, may be added or removed.
 REQUIRED_ON_RELOAD = ("name", "listen", "discovery", "admin", "seed", "limits", "settings")
@@ -86,6 +89,7 @@
     kinds: list[str]
     connect_timeout: float
     idle_timeout: float  # for unused connections to targets
+    stream_idle_timeout: float  # a transfer without progress for that long has stopped
     nvme: nvme_mapping.Mapping | None = None  # None: HTTP, as on the platform
     graphite: Sink | None = None
     collectd: Sink | None = None
@@ -195,6 +199,20 @@
     return value / NANOSECONDS_PER_SECOND if isinstance(value, int | float) and value > 0 else default_seconds
 
 
+def _parse_stream_idle_timeout(limits: object) -> float:
+    value = limits.get("stream_idle_timeout") if isinstance(limits, dict) else None
+    if value is None:
+        return DEFAULT_IDLE_LIMIT_SECONDS
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not MIN_STREAM_IDLE_TIMEOUT_SECONDS <= value <= MAX_STREAM_IDLE_TIMEOUT_SECONDS:
+        raise ConfigError(
+            f"stream_idle_timeout must be from {MIN_STREAM_IDLE_TIMEOUT_SECONDS:g} to"
+            f" {MAX_STREAM_IDLE_TIMEOUT_SECONDS:g} seconds, not {value!r}",
+            key="limits",
+        )
+    return float(value)
+
+
 def _positive_integer(limits: object, key: str, default: int) -> int:
     value = limits.get(key) if isinstance(limits, dict) else None
     return value if isinstance(value, int) and value > 0 else default
@@ -238,6 +256,7 @@
             request_limits, "connect-timeout-ns", DEFAULT_CONNECT_TIMEOUT_SECONDS
         ),
         idle_timeout=_duration_seconds(request_limits, "conn-idle-ns", DEFAULT_IDLE_TIMEOUT_SECONDS),
+        stream_idle_timeout=_parse_stream_idle_timeout(process_limits),
         required_keys=required_keys,
         admin=admin,
     )
--- a/stalltiller/daemon/graceful_shutdown.py
+++ b/stalltiller/daemon/graceful_shutdown.py
@@ -2,6 +2,8 @@
 
 Guards against ending service early: clients of this initiator have no other path to their data, and an early
 exit does not bring its next start forward.  The supervisor waits for the longest deadline, at most 3 s.
+Requests that have no response by then get an answer; a transfer that has begun goes on until it ends or has
+stopped, or until the supervisor kills the process.
 """
 
 from __future__ import annotations
@@ -18,10 +20,10 @@
 MAX_DEADLINE_SECONDS = 3.0  # upper limit of the class deadlines considered
 DEADLINE_MARGIN_SECONDS = 0.1  # past the longest deadline, the drain ends and open requests are finished
 CLOSE_IDLE_BEFORE_END_SECONDS = 0.5  # from the first closing of idle connections to the end of the drain
-LINGER_SECONDS = 0.4  # after the drain, for clients to read the last responses and close
+LINGER_SECONDS = 0.4  # after the drain, for clients to close their connections
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
 LINGER_POLL_INTERVAL_SECONDS = 0.01
-# The longest time from the hand-over to the end of the process that ends.
+# From the hand-over to the end of the process that ends, unless a transfer goes on.
 MAX_DRAIN_SECONDS = MAX_DEADLINE_SECONDS + DEADLINE_MARGIN_SECONDS + LINGER_SECONDS
 
 
@@ -45,7 +47,7 @@
         self._log = log
 
     async def drain(self, has_successor: bool) -> None:
-        """Drain until no request or connection is left, or the time is up.
+        """Drain until no request or connection is left, or the time is up and no transfer goes on.
 
         With a successor, another process accepts new connections on the shared listening socket from now on;
         without one, this process accepts them until it begins to close connections.
@@ -65,6 +67,7 @@
             self._listener.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         self._engine.finish_all()
+        self._log_transfers_in_progress()
         await self._linger(end_time + LINGER_SECONDS)
 
     async def _yield_to_successor(self) -> None:
@@ -80,11 +83,15 @@
         self._log("request_ids_not_shared", error=str(error))
 
     async def _linger(self, end_time: float) -> None:
-        while self._loop.time() < end_time and len(self._listener):
+        while len(self._listener) and (self._loop.time() < end_time or self._listener.is_transferring()):
             self._listener.close_idle()
             await asyncio.sleep(LINGER_POLL_INTERVAL_SECONDS)
         self._listener.abort_partial_responses()
         await asyncio.sleep(0)
 
+    def _log_transfers_in_progress(self) -> None:
+        if self._listener.is_transferring():
+            self._log("transfers_go_on", clients=len(self._listener), open=self._engine.open_request_count)
+
     def _is_in_use(self) -> bool:
         return self._engine.open_request_count > 0 or len(self._listener) > 0
--- a/stalltiller/daemon/metrics.py
+++ b/stalltiller/daemon/metrics.py
@@ -22,6 +22,7 @@
         "memory_kb",
         "request_bytes",
         "timers",
+        "monitored_transfers",
         "fleet_members",
         "fleet_open",
         "fleet_token",
--- a/stalltiller/daemon/settings_reload.py
+++ b/stalltiller/daemon/settings_reload.py
@@ -73,8 +73,9 @@
 class SettingsReloader:
     """Reads the configuration again and applies the changes that are possible at run time.
 
-    Discovery's address, the NVMe mapping and the settings with their timeouts are applied; listening
-    addresses, limits of the process, the protocol and metrics change only with a restart.
+    Discovery's address, the NVMe mapping, the idle limit of transfers and the settings with their timeouts
+    are applied; listening addresses, other limits of the process, the protocol and metrics change only with
+    a restart.
     """
 
     def __init__(
@@ -110,6 +111,7 @@
             classes=[cls.name for cls in config.settings.classes],
         )
         self._change_settings(config)
+        self._engine.monitor.idle_limit = config.stream_idle_timeout
         self.config = config
         self._discovery_watch.change_address(config.discovery)
 
--- a/stalltiller/protocol/http.py
+++ b/stalltiller/protocol/http.py
@@ -89,11 +89,6 @@
         self.body.clear()
         return received
 
-    @property
-    def has_interim_response(self) -> bool:
-        """Return whether an interim response has come before the head that is awaited."""
-        return self.response and self.head is None and self._item_count > 0
-
     @property
     def is_head_complete(self) -> bool:
         """Return whether the head is complete."""
--- a/stalltiller/protocol/nvme_pdu.py
+++ b/stalltiller/protocol/nvme_pdu.py
@@ -94,6 +94,11 @@
         self._data = bytearray()
         self._data_length = 0
 
+    @property
+    def is_within_pdu(self) -> bool:
+        """Whether the header of a PDU has been consumed and its data is not complete."""
+        return bool(self._header)
+
     def feed(self, data: memoryview) -> tuple[int, Pdu | None]:
         """Consume bytes up to the end of a PDU; return their number, and the PDU if it is complete.
 
--- a/stalltiller/routing/action_dispatch.py
+++ b/stalltiller/routing/action_dispatch.py
@@ -17,7 +17,7 @@
 from stalltiller.routing.slow_start_state import SlowStartState
 from stalltiller.routing.target_table import TargetTable
 from stalltiller.routing.timers import TimerQueue
-from stalltiller.routing.transfer_patience import latest_expiry, may_cancel, pause_check_time
+from stalltiller.routing.transfer_limits import latest_expiry, may_cancel
 from stalltiller.scheduling import (
     Action,
     AttemptFinished,
@@ -195,8 +195,6 @@
         expires_at = latest_expiry(state.deadline)
         if action.expires_at is not None:
             expires_at = min(expires_at, action.expires_at + self._context.scheduler_epoch)
-        is_first_read = number == 0 and state.request_class.idempotency is Idempotency.SAFE
-        pause_check_at = pause_check_time(now, state.deadline) if is_first_read else None
         return Attempt(
             request_id=action.request_id,
             number=number,
@@ -209,7 +207,6 @@
             expires_at=expires_at,
             latest_start=latest_start,
             client_deadline=state.deadline,
-            pause_check_at=pause_check_at,
             trace_label=state.client_request.trace_label,
         )
 
--- a/stalltiller/routing/context.py
+++ b/stalltiller/routing/context.py
@@ -10,6 +10,7 @@
 from stalltiller.routing.exchange_end import ExchangeEnd, TransferProgress
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import AdmissionGate, Attempt, ClientRequest, TargetClient
+from stalltiller.routing.transfer_monitor import TransferMonitor
 from stalltiller.scheduling import Settings, TargetId
 
 Logger = Callable[..., None]  # takes the event's name and its details as keyword arguments
@@ -52,6 +53,10 @@
             f"no attempt to target {attempt.target_id} can have begun: no target client is set"
         )
 
+    def transferred_bytes(self, attempt: Attempt) -> int:
+        """Raise `RuntimeError`."""
+        raise RuntimeError(f"nothing can have come from target {attempt.target_id}: no target client is set")
+
     def pass_on(self, attempt: Attempt) -> bool:
         """Raise `RuntimeError`."""
         raise RuntimeError(f"target {attempt.target_id} can't have responded: no target client is set")
@@ -75,13 +80,15 @@
 class EngineContext:
     """Shared state of one engine; `engine.Engine` owns it.
 
-    `scheduler_epoch` is the loop time at which the scheduler's clock reads zero, in seconds.
+    `scheduler_epoch` is the loop time at which the scheduler's clock reads zero, in seconds.  `monitor`
+    watches the transfers of all adapters.
     """
 
     loop: asyncio.AbstractEventLoop
     scheduler_epoch: float
     settings: Settings
     log: Logger
+    monitor: TransferMonitor
     trace: Logger | None  # writes one line per step of a request; None disables tracing
     counts: Counter[str] = field(default_factory=Counter)
     target_client: TargetClient = field(default_factory=NoTargetClient)
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -21,7 +21,7 @@
 
 from stalltiller.routing.action_dispatch import ActionDispatcher
 from stalltiller.routing.context import COUNT_NOT_ADMITTED, COUNT_RECEIVED, EngineContext, Logger
-from stalltiller.routing.exchange_end import EndRule, ExchangeEnd
+from stalltiller.routing.exchange_end import ExchangeEnd
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import (
     AdmissionGate,
@@ -37,7 +37,8 @@
 from stalltiller.routing.slow_start_state import slow_start_state
 from stalltiller.routing.target_table import TargetTable
 from stalltiller.routing.timers import TimerQueue
-from stalltiller.routing.transfer_patience import latest_expiry
+from stalltiller.routing.transfer_limits import DEFAULT_IDLE_LIMIT_SECONDS, latest_expiry
+from stalltiller.routing.transfer_monitor import TransferMonitor
 from stalltiller.scheduling import (
     Action,
     ClientDisconnected,
@@ -64,7 +65,8 @@
 class Engine:
     """Holds the open requests of one initiator and the scheduler that decides about them.
 
-    All methods are called on the event loop's thread.  Times on the loop's clock are in seconds.
+    All methods are called on the event loop's thread.  Times on the loop's clock are in seconds.  `monitor`
+    ends transfers that have stopped; `idle_limit` in seconds is when.
     """
 
     def __init__(
@@ -74,11 +76,13 @@
         loop: asyncio.AbstractEventLoop,
         log: Logger,
         trace: Logger | None = None,
+        idle_limit: float = DEFAULT_IDLE_LIMIT_SECONDS,
     ) -> None:
         epoch = loop.time()
+        self.monitor = TransferMonitor(loop, idle_limit)
         self._unix_time_at_loop_zero = time.time() - epoch  # read once: unaffected by clock adjustments
         self._loop = loop
-        self._context = EngineContext(loop, epoch, settings, log, trace)
+        self._context = EngineContext(loop, epoch, settings, log, self.monitor, trace)
         self._scheduler = Scheduler(settings, seed, 0.0)
         self._request_ids = itertools.count(1)
         self._timers = TimerQueue(loop, self._schedule_batch)
@@ -190,12 +194,6 @@
         state = self._requests.get_open(request_id)
         return None if state is None else state.deadline
 
-    def may_retry(self, attempt: Attempt) -> bool:
-        """Return whether a retry could start if an attempt failed now; False if it is not in flight."""
-        is_needed = self._requests.is_needed(attempt)
-        now = self._loop.time() - self._context.scheduler_epoch
-        return is_needed and self._scheduler.may_retry(now, attempt.request_id)
-
     def cancel(self, request_id: int) -> None:
         """Finish a request whose client has disconnected."""
         state = self._requests.get_open(request_id)
@@ -207,21 +205,22 @@
         """Record the end of an attempt; its target client calls this once unless it was abandoned."""
         self._requests.finish_attempt(attempt, result)
 
-    def report_attempt_end(self, attempt: Attempt, rule: EndRule) -> None:
-        """Log that a target client ends an attempt in flight; call it before the attempt is finished."""
-        self._requests.report_end(attempt, rule)
-
     def report_exchange_end(self, exchange_end: ExchangeEnd) -> None:
         """Log that an adapter ends an exchange which no attempt in flight belongs to."""
         self._context.report_exchange_end(exchange_end)
 
     def finish_all(self) -> None:
-        """Respond to all open requests before shutdown; requests submitted later are rejected unscheduled."""
+        """Respond to all open requests before shutdown; requests submitted later are rejected unscheduled.
+
+        A request whose response has begun stays open, until the response is whole or has stopped.
+        """
         self._is_stopped = True
         for state in self._requests.snapshot():
             if state.is_finished:
                 continue
             attempt = state.in_flight
+            if attempt is not None and self._requests.pass_on_or_keep(attempt):
+                continue
             may_execute = attempt is not None and self.target_client.is_fully_sent(attempt)
             may_be_rejected = state.may_be_rejected(in_flight_may_execute=may_execute)
             outcome = RequestOutcome.REJECTED if may_be_rejected else RequestOutcome.FAILED
@@ -264,7 +263,7 @@
     def _fail_at_deadline(self, request_id: int) -> None:
         """Fail a request that is still open shortly before its deadline: its client waits no longer."""
         state = self._requests.get_open(request_id)
-        if state is None:
+        if state is None or (state.in_flight is not None and state.in_flight.is_overdue):
             return
         self._context.report_violation(GuardViolation.DEADLINE_REACHED, id=request_id)
         self._requests.finish(state, RequestOutcome.FAILED)
--- a/stalltiller/routing/exchange_end.py
+++ b/stalltiller/routing/exchange_end.py
@@ -16,11 +16,10 @@
 class EndRule(StrEnum):
     """Why the initiator ended an exchange; the values are logged as `rule`."""
 
-    RESPONSE_PAUSED = "response_paused"  # a read is tried elsewhere, since its response does not go on
     ATTEMPT_EXPIRED = "attempt_expired"  # at the time that the scheduler gave, or at the client's deadline
     ATTEMPT_CANCELLED = "attempt_cancelled"  # the scheduler takes the attempt for lost
-    CLIENT_DEADLINE = "client_deadline"  # the client has not got its whole response in its time
     REQUEST_STALLED = "request_stalled"  # the client does not go on with its request
+    RESPONSE_STOPPED = "response_stopped"  # the target does not go on with its response
     RESPONSE_UNREAD = "response_unread"  # the client does not read its response
 
 
@@ -38,8 +37,10 @@
     """How far the transfer of an attempt has come.
 
     `sent_bytes` counts what the peer's machine has acknowledged of the request, `received_bytes` the body of
-    the response, and `idle_seconds` is the time since its last byte, None before the first.
-    `delivered_bytes` counts what the client's machine has acknowledged of the response.
+    the response, `idle_seconds` is the time since its last byte, None before the first, and
+    `longest_pause_seconds` the longest time between two of them.  `delivered_bytes` counts what the client's
+    machine has acknowledged of the response.  `is_short` tells of a response that is known to be short, and
+    `can_pass_on` of one whose client can get it as it comes.
     """
 
     phase: TransferPhase
@@ -47,6 +48,9 @@
     idle_seconds: float | None = None
     sent_bytes: int = 0
     delivered_bytes: int = 0
+    longest_pause_seconds: float = 0.0
+    is_short: bool = False
+    can_pass_on: bool = False
 
     @property
     def is_moving(self) -> bool:
--- a/stalltiller/routing/request_table.py
+++ b/stalltiller/routing/request_table.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from stalltiller.routing.context import EngineContext, Logger
 from stalltiller.routing.exchange_end import EndRule, ExchangeEnd, TransferPhase
@@ -13,12 +14,28 @@
 from stalltiller.routing.ports import Attempt, AttemptResult
 from stalltiller.routing.request_state import NEVER_EXECUTED, RequestOutcome, RequestState
 from stalltiller.routing.timers import TimerQueue
-from stalltiller.routing.transfer_patience import latest_expiry
+from stalltiller.routing.transfer_limits import ExpiryAction, action_at_expiry, latest_expiry
 from stalltiller.scheduling import AttemptFinished, AttemptStatus, Event
 
 MILLISECONDS_PER_SECOND = 1000
 
 
+@dataclass(slots=True, frozen=True, eq=False)
+class OverdueResponse:
+    """The response of an attempt in flight whose client's time is over, for the transfer monitor."""
+
+    attempt: Attempt
+    requests: RequestTable
+
+    def transferred_bytes(self) -> int:
+        """Return a count that changes with each byte that comes from the target."""
+        return self.requests.transferred_bytes(self.attempt)
+
+    def on_stopped(self) -> None:
+        """End the attempt: its response does not go on."""
+        self.requests.abandon(self.attempt, AttemptStatus.TIMEOUT, EndRule.RESPONSE_STOPPED)
+
+
 class RequestTable:
     """Requests by id; each stays until it is finished and has no attempt in flight."""
 
@@ -27,6 +44,7 @@
         self._timers = timers
         self._enqueue = enqueue
         self._states: dict[int, RequestState] = {}
+        self._overdue: dict[int, OverdueResponse] = {}  # by request id
         self.open_count = 0  # requests that are not finished
 
     def __len__(self) -> int:
@@ -73,7 +91,7 @@
         if state.deadline_timer is not None:
             self._timers.cancel([state.deadline_timer])
         if state.in_flight is not None:  # no client waits for it: it must not start any more
-            self.cancel_if_unsent(state.in_flight)
+            self._cancel_unneeded(state.in_flight)
         if state.in_flight is not None:
             state.release_payload()
         self._remove_if_complete(state)
@@ -87,6 +105,8 @@
             )
             return
         state.in_flight = None
+        if attempt.is_overdue:
+            self._context.monitor.unwatch(self._overdue.pop(attempt.request_id))
         self._timers.cancel(state.attempt_timers)
         state.attempt_timers.clear()
         attempt.payload = None
@@ -117,31 +137,62 @@
             self._remove_if_complete(state)
 
     def expire(self, attempt: Attempt) -> None:
-        """End an attempt that is still in flight at its expiry time, unless its transfer is in progress."""
+        """End an attempt that is still in flight at its expiry time, unless its transfer goes on."""
         if not self._is_in_flight(attempt):
             return
-        if self.is_needed(attempt) and self._goes_on(attempt):
+        is_deadline_over = attempt.expires_at >= latest_expiry(attempt.client_deadline)
+        if self.is_needed(attempt) and self._goes_on(attempt, is_deadline_over):
             return
         self.abandon(attempt, AttemptStatus.TIMEOUT, EndRule.ATTEMPT_EXPIRED)
 
-    def _goes_on(self, attempt: Attempt) -> bool:
-        """Let a transfer in progress go on to the client's time; return whether it does.
+    def pass_on_or_keep(self, attempt: Attempt) -> bool:
+        """Pass on the response of an attempt from now on if possible; return False if it has not begun."""
+        progress = self._context.target_client.progress(attempt)
+        if progress.phase is not TransferPhase.RECEIVING:
+            return False
+        return not progress.can_pass_on or self._context.target_client.pass_on(attempt)
+
+    def transferred_bytes(self, attempt: Attempt) -> int:
+        """Return a count that changes with each byte that comes from the target of an attempt."""
+        return self._context.target_client.transferred_bytes(attempt)
 
-        A response that has begun is passed on from now on, so that it occupies the target's place in the
-        scheduler no longer than any other attempt.
+    def _goes_on(self, attempt: Attempt, is_deadline_over: bool) -> bool:
+        """Let a transfer in progress go on as `transfer_limits` decides; return whether it does.
+
+        A response that can be passed on occupies the target's place in the scheduler no longer than any other
+        attempt.
         """
         target_client = self._context.target_client
-        progress = target_client.progress(attempt)
-        if progress.phase is TransferPhase.RECEIVING and target_client.pass_on(attempt):
-            return True
-        expires_at = latest_expiry(attempt.client_deadline)
-        if not progress.is_moving or expires_at <= attempt.expires_at:
-            return False
-        attempt.expires_at = expires_at
-        timer = self._timers.call_at(expires_at, self.expire, attempt)
-        self._states[attempt.request_id].attempt_timers.append(timer)
+        match action_at_expiry(target_client.progress(attempt), is_deadline_over):
+            case ExpiryAction.ABANDON:
+                return False
+            case ExpiryAction.PASS_ON:
+                return target_client.pass_on(attempt)
+            case ExpiryAction.WAIT_FOR_DEADLINE:
+                self._wait_for_deadline(attempt)
+            case ExpiryAction.WAIT_FOR_PROGRESS:
+                self._wait_for_progress(attempt)
         return True
 
+    def _wait_for_deadline(self, attempt: Attempt) -> None:
+        attempt.expires_at = latest_expiry(attempt.client_deadline)
+        timer = self._timers.call_at(attempt.expires_at, self.expire, attempt)
+        self._states[attempt.request_id].attempt_timers.append(timer)
+
+    def _wait_for_progress(self, attempt: Attempt) -> None:
+        """Keep a response that has begun in flight until it is whole or has stopped."""
+        attempt.is_overdue = True
+        overdue = OverdueResponse(attempt, self)
+        self._overdue[attempt.request_id] = overdue
+        self._context.monitor.watch(overdue)
+
+    def _cancel_unneeded(self, attempt: Attempt) -> None:
+        """Cancel the attempt of a finished request if it must not start any more or would not expire."""
+        if attempt.is_overdue:
+            self.abandon(attempt, AttemptStatus.CANCELLED)
+        else:
+            self.cancel_if_unsent(attempt)
+
     def cancel_if_unsent(self, attempt: Attempt) -> None:
         """Cancel an attempt that must not start any more, unless its target may have received all of it."""
         if self._is_in_flight(attempt) and not self._context.target_client.is_fully_sent(attempt):
--- a/stalltiller/scheduling/scheduler.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -382,18 +382,6 @@
         allowed = (base or 0) + (fraction or 0) * self.accepted.total_since(start)
         return self.retries.total_since(start) + 1 <= allowed or (base is None and fraction is None)
 
-    def may_retry(self, now: float, request_id: int) -> bool:
-        """Return whether a retry could start at `now` if the attempt in flight failed; decides nothing."""
-        pending = self.pending.get(request_id)
-        if pending is None or pending.is_finished or not pending.is_in_flight:
-            return False
-        target = self._choose_target(pending)
-        if target is None or target.queue or now < target.paused_until or self._is_warming_up(target):
-            return False
-        is_in_time = now + max(FINAL_RESPONSE_MARGIN_SECONDS, target.latency) < pending.due_at
-        has_budget = self._has_attempts_left(pending) and self._has_retry_budget()
-        return is_in_time and has_budget and not self._will_be_abandoned(target, pending)
-
     def _retry_or_finish(self, pending: PendingRequest, status: events.AttemptStatus) -> None:
         is_first = pending.attempt_count == 1
         if status in NEVER_EXECUTED:
--- a/stalltiller/transport/buffers.py
+++ b/stalltiller/transport/buffers.py
@@ -38,6 +38,10 @@
         self._max_bytes = max_bytes
         self.reserved_bytes = 0
 
+    def has_room(self, size: int) -> bool:
+        """Return whether `size` more bytes could be reserved within the limit."""
+        return self.reserved_bytes + size <= self._max_bytes
+
     def adjust_reservation(self, byte_delta: int) -> bool:
         """Reserve `byte_delta` bytes (release if negative) and return whether the total is within the limit.
 
--- a/stalltiller/transport/connection.py
+++ b/stalltiller/transport/connection.py
@@ -1,7 +1,7 @@
 """A TCP connection that reads into a pooled buffer, which it holds only while it contains unread bytes.
 
-A connection is used from the event loop's thread only.  It owns its buffer and its timers and releases them
-when the connection is lost.
+A connection is used from the event loop's thread only.  It owns its buffer and its timer and releases them
+when the connection is lost.  A `TransferMonitor` tells it when its peer has stopped.
 """
 
 from __future__ import annotations
@@ -13,16 +13,17 @@
 import socket
 import struct
 import termios
-from typing import cast
+from typing import Any, Protocol, cast
 
 from stalltiller.transport.buffers import BufferPool
 
-# How long a gracefully closing connection waits for the peer to read the last written bytes and close.
+# How long a gracefully closing connection waits for the peer to close, once it has acknowledged all bytes.
 LINGER_TIMEOUT_SECONDS = 3.0
 INT = struct.Struct("i")  # the result of ioctl TIOCOUTQ
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 # SO_LINGER value: enabled with a timeout of zero, so that close() sends a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 
 
 def _queued_bytes(connection_socket: socket.socket) -> int:
@@ -34,6 +35,36 @@
     return INT.unpack(answer)[0]
 
 
+class TransferMonitor(Protocol):
+    """Calls `on_stopped` of a connection whose `transferred_bytes` stay the same for the idle limit."""
+
+    def watch(self, transfer: Any, idle_limit: float | None = None) -> None:
+        """Watch a connection; `idle_limit` is in seconds, None for the usual one."""
+
+    def unwatch(self, transfer: Any) -> None:
+        """Stop watching a connection, if it is watched."""
+
+    def is_watched(self, transfer: Any) -> bool:
+        """Return whether a connection is watched."""
+
+
+class NoMonitor:
+    """The monitor of connections that owe their peers nothing after they are closed."""
+
+    def watch(self, transfer: Any, idle_limit: float | None = None) -> None:
+        """Do nothing."""
+
+    def unwatch(self, transfer: Any) -> None:
+        """Do nothing."""
+
+    def is_watched(self, _transfer: Any) -> bool:
+        """Return False."""
+        return False
+
+
+NO_MONITOR = NoMonitor()
+
+
 class Connection(asyncio.BufferedProtocol):
     """Base class of all connections; subclasses process the received bytes.
 
@@ -41,14 +72,15 @@
     `_fill` once hid the method `_fill` of a subclass, so that every response raised a TypeError.
     """
 
-    def __init__(self, buffers: BufferPool) -> None:
+    def __init__(self, buffers: BufferPool, monitor: TransferMonitor = NO_MONITOR) -> None:
         self._buffers = buffers
+        self.monitor = monitor
         self._buffer: bytearray | None = None
         self._unread_start = 0
         self._unread_end = 0
         self._paused = False  # whether reading from the kernel is paused
         self._bytes_written = 0
-        self._read_check_timer: asyncio.TimerHandle | None = None  # runs `_check_peer_reads`
+        self._bytes_received = 0
         self._linger_timer: asyncio.TimerHandle | None = None  # runs `_on_linger_timeout`
         self.flushed = True  # whether the kernel has accepted every byte written so far
         self.half_closed = False  # whether sending is shut down; received bytes are then dropped
@@ -69,11 +101,12 @@
         """Handle a buffer that is full of unconsumed bytes; the default pauses reading."""
         self._pause_reading()
 
-    def on_unread(self) -> None:
-        """Handle a peer that does not read; the connection is reset after this."""
-
-    def on_unread_in_time(self) -> None:
-        """Handle a peer that has not read a response in its time; the connection is reset after this."""
+    def on_stopped(self) -> None:
+        """Handle a peer that makes no progress; the default closes, visibly if it has not got all bytes."""
+        if self.is_delivered:
+            self.abort()
+        else:
+            self.reset()
 
     def on_disconnected(self, error: Exception | None) -> None:
         """Handle the loss of the connection; `error` is None after an orderly close."""
@@ -125,34 +158,10 @@
         if transport.is_closing():  # the write failed because the peer had already closed
             self.flushed = False
 
-    def abort_if_unread(self, timeout: float) -> None:
-        """Reset if the kernel accepts none of the pending bytes within `timeout` seconds.
-
-        Guards against a peer that sends requests and does not read the responses.  A slow reader stays
-        connected: the timeout restarts if the kernel has accepted any bytes.
-        """
-        if self._read_check_timer is not None or self.flushed or self.transport is None:
-            return
-        self._read_check_timer = asyncio.get_running_loop().call_later(
-            timeout, self._check_peer_reads, timeout, self._bytes_accepted(self.transport)
-        )
-
     def _bytes_accepted(self, transport: asyncio.Transport) -> int:
         """Return the number of bytes that the kernel has accepted since the connection was established."""
         return self._bytes_written - transport.get_write_buffer_size()
 
-    def reset_if_unread_at(self, due_at: float) -> None:
-        """Reset at `due_at`, on the loop's clock, if the kernel has not accepted all bytes written so far."""
-        loop = asyncio.get_running_loop()
-        loop.call_at(due_at, self._reset_if_unaccepted, self._bytes_written)
-
-    def _reset_if_unaccepted(self, byte_count: int) -> None:
-        transport = self.transport
-        if transport is None or transport.is_closing() or self._bytes_accepted(transport) >= byte_count:
-            return
-        self.on_unread_in_time()
-        self.reset()
-
     def acknowledged_bytes(self) -> int:
         """Return the number of bytes that the peer's machine has acknowledged since the connection began.
 
@@ -163,21 +172,24 @@
             return self._bytes_written
         return self._bytes_accepted(transport) - _queued_bytes(transport.get_extra_info("socket"))
 
-    def _check_peer_reads(self, timeout: float, accepted_before: int) -> None:
-        self._read_check_timer = None
-        if self.flushed or self.transport is None:
-            return
-        if self._bytes_accepted(self.transport) == accepted_before:
-            self.on_unread()
-            self.reset()
-        else:
-            self.abort_if_unread(timeout)
+    @property
+    def is_delivered(self) -> bool:
+        """Whether the peer's machine has acknowledged every byte written so far."""
+        return self.flushed and self.acknowledged_bytes() >= self._bytes_written
+
+    def received_bytes(self) -> int:
+        """Return the number of bytes received since the connection was established."""
+        return self._bytes_received
+
+    def transferred_bytes(self) -> int:
+        """Return a count that changes with each byte that the peer's machine acknowledges."""
+        return self.acknowledged_bytes()
 
     def close_gracefully(self) -> None:
         """Close so that all written bytes reach the peer.
 
         Sending is shut down, received bytes are dropped, and the connection closes when the peer closes it or
-        after LINGER_TIMEOUT_SECONDS.
+        LINGER_TIMEOUT_SECONDS after it has acknowledged all bytes.
 
         Closing while received bytes are unread or still arriving would reset the connection, and the peer
         would lose data that it has not read yet.
@@ -195,7 +207,7 @@
         if self._paused:
             self._paused = False
             transport.resume_reading()
-        self.abort_if_unread(LINGER_TIMEOUT_SECONDS)
+        self.monitor.watch(self)
         self._start_linger_timer()
 
     def _start_linger_timer(self) -> None:
@@ -204,10 +216,9 @@
         )
 
     def _on_linger_timeout(self) -> None:
-        if self.flushed:
+        if self.is_delivered or not self.monitor.is_watched(self):
             self.abort()
-        else:  # the peer reads slowly; `abort_if_unread` aborts the connection if it stops reading
-            self.abort_if_unread(LINGER_TIMEOUT_SECONDS)
+        else:  # the peer reads slowly; the monitor ends the connection if it stops
             self._start_linger_timer()
 
     def close(self) -> None:
@@ -229,12 +240,20 @@
 
     def reset(self) -> None:
         """Close immediately with a TCP reset, so that the peer recognises a partial response."""
+        if self.transport is not None:
+            self.set_reset_on_close(True)
+            self.transport.abort()
+
+    def set_reset_on_close(self, is_enabled: bool) -> None:
+        """Have any close of the socket, also by the end of the process, reset the connection.
+
+        Guards against a partial response that looks whole because the end of the connection delimits it.
+        """
         if self.transport is not None:
             with contextlib.suppress(OSError):
                 self.transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE if is_enabled else CLOSE_IN_ORDER
                 )
-            self.transport.abort()
 
     def resume_processing(self) -> None:
         """Pass unread bytes to `on_data` again and resume reading if the buffer has room."""
@@ -268,6 +287,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Implement `asyncio.BufferedProtocol`: process received bytes."""
         self._unread_end += nbytes
+        self._bytes_received += nbytes
         self._process_buffer()
 
     def pause_writing(self) -> None:
@@ -285,9 +305,9 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Implement `asyncio.BaseProtocol`: cancel timers, release the buffer and notify the subclass."""
-        for timer in (self._read_check_timer, self._linger_timer):
-            if timer is not None:
-                timer.cancel()
+        self.monitor.unwatch(self)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         self._release_buffer()
         self.on_disconnected(error)
 
--- a/stalltiller/transport/listener.py
+++ b/stalltiller/transport/listener.py
@@ -28,9 +28,8 @@
 # A client that connects to send a request has usually begun to send it within this time.  Connections silent
 # for longer are the first to be closed over the limit.
 FIRST_BYTE_TIMEOUT_SECONDS = 0.1
-# A new connection that has sent nothing of its first request head for this long is closed.
+# A new connection that has sent nothing for this long is closed.
 FIRST_REQUEST_TIMEOUT_SECONDS = 2.3
-MAX_FIRST_REQUEST_SECONDS = 10.0  # for a head that goes on arriving; a protocol may have a shorter limit
 # Clients open a limited number of connections to an initiator, so idle ones keep others from sending.
 IDLE_TIMEOUT_SECONDS = 2.0
 CROWDED_IDLE_TIMEOUT_SECONDS = 0.3  # idle timeout while there are more connections than usual
@@ -43,7 +42,7 @@
         """Close if no request is in progress; return whether the connection was idle."""
 
     def on_request_timeout(self) -> None:
-        """Reject an overdue first request or close, unless the request head is complete."""
+        """Close: nothing of a first request has arrived in time."""
 
     def reject_requests(self) -> None:
         """Reject the next request, then close."""
@@ -52,6 +51,13 @@
     def is_closing(self) -> bool:
         """Whether the connection is closing or closed."""
 
+    @property
+    def is_delivered(self) -> bool:
+        """Whether the client's machine has acknowledged every byte written so far."""
+
+    def is_transferring(self) -> bool:
+        """Return whether a request or a response is in progress."""
+
     def abort(self) -> None:
         """Close immediately; unsent bytes are dropped."""
 
@@ -63,13 +69,13 @@
     """Accepts client connections and closes some of them when there are more than `max_connections`.
 
     Over the limit, connections are closed in this order: those that have sent nothing within
-    FIRST_BYTE_TIMEOUT_SECONDS; idle ones; those still sending their first request, starting with the one
-    silent for longest; the new connection itself.  If more than MAX_REJECTED_CONNECTIONS are over the limit,
-    a connection that is closing gracefully is aborted before idle ones are closed.
+    FIRST_BYTE_TIMEOUT_SECONDS; idle ones; others that have sent nothing; the new connection itself.  If more
+    than MAX_REJECTED_CONNECTIONS are over the limit, a connection that is closing gracefully and whose
+    client has all its bytes is aborted before idle ones are closed.  No request or response in progress is
+    cut off for a new connection.
 
-    The order guards against clients that open hundreds of connections and send nothing or never finish a
-    request.  Otherwise they would displace other clients' idle connections, new connections whose first
-    request is in flight, and slow senders.
+    The order guards against clients that open hundreds of connections and send nothing.  Otherwise they would
+    displace other clients' idle connections, and slow senders.
     """
 
     def __init__(
@@ -94,8 +100,8 @@
         self._listening_socket: socket.socket | None = None
         # Each dict maps connections to a time on the monotonic clock and is ordered by that time.
         self._awaiting_first_request: dict[ManagedConnection, float] = {}  # time of establishment
-        # The connections awaiting their first request that have sent part of it: time of the last receipt.
-        self._sending_first_request: dict[ManagedConnection, float] = {}
+        # The connections awaiting their first request that have sent part of it.
+        self._sending_first_request: set[ManagedConnection] = set()
         self._established: dict[ManagedConnection, float] = {}  # have sent a request: time of the last use
         self._lingering: dict[ManagedConnection, float] = {}  # closing gracefully: time of the shutdown
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -163,12 +169,11 @@
         self.shed_count += 1
         if self._abort_silent_connection():
             return
-        if excess > self._max_rejected and self._lingering:
-            next(iter(self._lingering)).abort()
+        if excess > self._max_rejected and self._abort_delivered():
             return
         if any(other.close_if_idle() for other in self._established):
             return
-        if self._abort_slowest_first_request(connection):
+        if self._abort_unused(connection):
             return
         if excess > self._max_rejected:
             connection.abort()
@@ -186,10 +191,19 @@
                 return True
         return False
 
-    def _abort_slowest_first_request(self, newest: ManagedConnection) -> bool:
-        """Abort the first-request connection that is silent for longest; return whether there was one."""
-        for connection in (*self._sending_first_request, *self._awaiting_first_request):
-            if connection is not newest and not connection.is_closing:
+    def _abort_unused(self, newest: ManagedConnection) -> bool:
+        """Abort the oldest connection that has sent nothing yet; return whether there was one."""
+        for connection in self._awaiting_first_request:
+            is_unused = connection not in self._sending_first_request
+            if is_unused and connection is not newest and not connection.is_closing:
+                connection.abort()
+                return True
+        return False
+
+    def _abort_delivered(self) -> bool:
+        """Abort the oldest closing connection whose client has all its bytes; return whether one was."""
+        for connection in self._lingering:
+            if connection.is_delivered:
                 connection.abort()
                 return True
         return False
@@ -197,13 +211,12 @@
     def request_started(self, connection: ManagedConnection) -> None:
         """Record that part of a request was received."""
         if connection in self._awaiting_first_request:
-            self._sending_first_request.pop(connection, None)
-            self._sending_first_request[connection] = time.monotonic()
+            self._sending_first_request.add(connection)
 
     def request_finished(self, connection: ManagedConnection) -> None:
         """Record that a complete request was received or its response sent, as the last use."""
         self._awaiting_first_request.pop(connection, None)
-        self._sending_first_request.pop(connection, None)
+        self._sending_first_request.discard(connection)
         self._established.pop(connection, None)
         self._established[connection] = time.monotonic()
 
@@ -215,7 +228,7 @@
     def remove(self, connection: ManagedConnection) -> None:
         """Stop tracking a connection."""
         self._awaiting_first_request.pop(connection, None)
-        self._sending_first_request.pop(connection, None)
+        self._sending_first_request.discard(connection)
         self._established.pop(connection, None)
         self._lingering.pop(connection, None)
 
@@ -224,6 +237,11 @@
         for connection in (*self._awaiting_first_request, *self._established):
             connection.close_if_idle()
 
+    def is_transferring(self) -> bool:
+        """Return whether a request or a response is in progress on any connection."""
+        connections = (*self._awaiting_first_request, *self._established, *self._lingering)
+        return any(connection.is_transferring() for connection in connections)
+
     def abort_partial_responses(self) -> None:
         """Abort the partial responses on all connections, so that clients recognise them as incomplete."""
         for connection in (*self._awaiting_first_request, *self._established, *self._lingering):
@@ -249,15 +267,13 @@
         for connection, since in list(self._awaiting_first_request.items()):
             if now - since < self._first_request_timeout:
                 break
-            received_at = self._sending_first_request.get(connection, since)
-            is_sending = now - received_at < self._first_request_timeout
-            if not is_sending or now - since >= MAX_FIRST_REQUEST_SECONDS:
+            if connection not in self._sending_first_request:  # others are monitored
                 connection.on_request_timeout()
 
     def _abort_excess_lingering(self, now: float) -> None:
         excess = len(self) - self._max_connections
         for connection, since in list(self._lingering.items())[: max(0, excess)]:
-            if now - since >= SWEEP_INTERVAL_SECONDS:
+            if now - since >= SWEEP_INTERVAL_SECONDS and connection.is_delivered:
                 connection.abort()  # the client had time to read its last response
 
     def _expire_idle(self, now: float) -> None:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -14,6 +14,7 @@
 from stalltiller.daemon.application import Application
 from stalltiller.daemon.config import Config
 from stalltiller.protocol import http, nvme
+from stalltiller.routing.transfer_limits import DEFAULT_IDLE_LIMIT_SECONDS
 from stalltiller.scheduling import Idempotency
 from tests.helpers import plan, request_class, rules, settings
 
@@ -445,6 +446,7 @@
             ["m"],
             0.25,
             30.0,
+            DEFAULT_IDLE_LIMIT_SECONDS,
             mapping,
         )
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -336,6 +336,7 @@
 
         harness.targets[0].serve = send_partial_response
         client = connect_client(harness)
+        harness.app.engine.monitor.idle_limit = 0.3
         client.sendall(encode_get(1).replace(b"HTTP/1.1", b"HTTP/1.0"))
         await harness.wait_until(lambda: harness.app.engine.counts["relayed"] == 1)
         harness.app.stop.set()
