Poll discovery beside a list that arrives slowly, not in its place

What operators saw: a list that took over 3 s, or paused for 1 s, was cut off and polled again from its start. Cause: MAX_RESPONSE_SECONDS and RESPONSE_PAUSE_TIMEOUT_SECONDS of the watch limited its length. Change: the response goes on until it is whole, its idle limit, or another one is whole; after 2 s or a pause of 1 s another poll is made beside it, three at most in all. What an older poll brings late does not replace a newer list.

--- a/stalltiller/adapters/discovery_codec.py
+++ b/stalltiller/adapters/discovery_codec.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from stalltiller.protocol import discovery, http
 
@@ -13,6 +14,18 @@
 UNKNOWN_VERSION_STATUSES = (400, 404, 410, 416)
 
 
+@dataclass(slots=True)
+class _WatchState:
+    """What the codecs of one watch share.
+
+    `known_version` is None if no version is known; `list_count` counts the lists that were applied.
+    """
+
+    known_version: int | None
+    may_wait: bool  # whether the next poll may wait: after the first response, or if none is needed soon
+    list_count: int = 0
+
+
 class WatchCodec:
     """Polls for changes since the known version, or for the full list if no version is known.
 
@@ -34,10 +47,16 @@
     ) -> None:
         self._host = host
         self._on_list = on_list
-        self._poll_wait_ms = round(poll_wait * 1000)
+        self._poll_wait = poll_wait
+        self._state = _WatchState(known_version, first_poll_may_wait)
         self._reader = http.Reader(response=True, max_body_bytes=http.MAX_DISCOVERY_RESPONSE_BYTES)
-        self._known_version = known_version
-        self._may_wait = first_poll_may_wait  # after the first response, or if none is needed soon
+        self._list_count_at_poll = 0
+
+    def for_connection(self) -> WatchCodec:
+        """Return a codec of the same watch for a connection of its own."""
+        codec = WatchCodec(self._host, self._on_list, self._poll_wait)
+        codec._state = self._state
+        return codec
 
     def encode_poll(self, may_wait: bool = True) -> bytes:
         """Return the next poll.
@@ -45,8 +64,9 @@
         A poll with `may_wait` False, made after a poll that timed out, soon shows whether discovery is back.
         """
         self._reader.reset()
-        wait_ms = self._poll_wait_ms if self._may_wait and may_wait else 0
-        path = discovery.target_list_path(self._known_version, wait_ms)
+        self._list_count_at_poll = self._state.list_count
+        wait_ms = round(self._poll_wait * 1000) if self._state.may_wait and may_wait else 0
+        path = discovery.target_list_path(self._state.known_version, wait_ms)
         return http.encode_request("GET", path, {"Host": self._host}, b"")
 
     def feed(self, data: memoryview) -> int:
@@ -67,19 +87,31 @@
         head = self._reader.head
         assert head is not None
         if head.status in UNKNOWN_VERSION_STATUSES:
-            self._known_version = None
+            self._state.known_version = None
         if head.status != 200:
             raise ValueError(f"discovery responded with status {head.status}")
         try:
             target_list = discovery.parse_target_list(bytes(self._reader.body))
         except discovery.DiscoveryError as error:
             raise ValueError(str(error)) from error
+        if not self._is_superseded(target_list):
+            self._apply(target_list)
+        return head.keeps_alive()
+
+    def _is_superseded(self, target_list: discovery.TargetList) -> bool:
+        """Return whether the response to a later poll came first and is as new."""
+        known_version = self._state.known_version
+        has_other_list = self._state.list_count != self._list_count_at_poll
+        return has_other_list and known_version is not None and target_list.version <= known_version
+
+    def _apply(self, target_list: discovery.TargetList) -> None:
+        state = self._state
         if not target_list.is_full and (
-            self._known_version is None or target_list.version < self._known_version
+            state.known_version is None or target_list.version < state.known_version
         ):
-            self._known_version = None  # the versions are not comparable: poll for the full list
+            state.known_version = None  # the versions are not comparable: poll for the full list
             raise ValueError("target list changes do not apply to the known version")
-        self._known_version = target_list.version
-        self._may_wait = True
+        state.known_version = target_list.version
+        state.may_wait = True
+        state.list_count += 1
         self._on_list(target_list)
-        return head.keeps_alive()
--- a/stalltiller/daemon/discovery_watch.py
+++ b/stalltiller/daemon/discovery_watch.py
@@ -59,7 +59,7 @@
         poll_policy: PollPolicy = backoff_policy
         if self._recovery is not None:
             poll_policy = self._recovery.poll_policy(backoff_policy)
-        watch = Watch(self.address, self._buffers, codec, poll_policy, self._on_failure)
+        watch = Watch(self.address, self._buffers, self._engine.monitor, codec, poll_policy, self._on_failure)
         self._task = self._tasks.start(watch.run())
 
     def change_address(self, address: tuple[str, int]) -> None:
--- a/stalltiller/transport/watch.py
+++ b/stalltiller/transport/watch.py
@@ -1,6 +1,6 @@
-"""Long polling of the discovery service on one connection, with the next poll right after each response.
+"""Long polling of the discovery service, with the next poll right after each response.
 
-A watch owns its connection and runs in its owner's task; cancelling the task closes the connection.
+A watch owns its connections and runs in its owner's task; cancelling the task closes the connection.
 """
 
 from __future__ import annotations
@@ -12,16 +12,18 @@
 from typing import Protocol
 
 from stalltiller.transport.buffers import BufferPool
-from stalltiller.transport.connection import Connection
+from stalltiller.transport.connection import Connection, TransferMonitor
 
 CONNECT_TIMEOUT_SECONDS = 1.0  # an unresponsive address must not use up the timeout of a whole poll
 # Once discovery has a change, every initiator is assumed to know it after this time, even if polls failed.
 NOTIFICATION_DEADLINE_SECONDS = 6.0
 
-# A response that has begun may go on while it arrives: a list that comes slowly would never be whole if each
-# poll ended at its timeout.
-RESPONSE_PAUSE_TIMEOUT_SECONDS = 1.0  # a response that pauses for longer has stopped
-MAX_RESPONSE_SECONDS = 3.0  # from its first byte; leaves time to learn of a change by another poll
+# A response that has begun goes on arriving.  If it takes longer than this, another poll is made beside it,
+# which leaves time to learn of a change from that one.
+MAX_SOLE_PAUSE_SECONDS = 1.0  # without a byte
+MAX_SOLE_RESPONSE_SECONDS = 2.0  # from its first byte
+TIMER_MARGIN_SECONDS = 0.001  # lets a wait end after its time, not just before it
+MAX_SLOW_RESPONSES = 2  # beside the latest poll
 
 # Polls of the agent on the same machine are cheap, so failed ones are retried soon.
 AGENT_POLL_WAIT_SECONDS = 2.0  # how long a poll may wait for a change; a lost response is detected soon after
@@ -117,45 +119,57 @@
         Returns whether the connection stays open, or None if the response is incomplete.
         """
 
+    def for_connection(self) -> Codec:
+        """Return a codec of the same watch for a connection of its own."""
 
-def _ignore_progress() -> None:
-    """Do nothing: no poll is in flight."""
 
-
-class _ResponseTimeout:
-    """Extends the timeout of a poll while its response arrives."""
-
-    def __init__(self, timeout: asyncio.Timeout) -> None:
-        self._timeout = timeout
-        self._latest: float | None = None  # the end of the time for the response, from its first byte on
-
-    def extend(self) -> None:
-        """Allow for further bytes after those that have just arrived."""
-        due_at = self._timeout.when()
-        if due_at is None or self._timeout.expired():
-            return
-        now = asyncio.get_running_loop().time()
-        if self._latest is None:
-            self._latest = max(due_at, now + MAX_RESPONSE_SECONDS)
-        self._timeout.reschedule(min(self._latest, max(due_at, now + RESPONSE_PAUSE_TIMEOUT_SECONDS)))
+class SlowResponseError(TimeoutError):
+    """A response goes on arriving, and another poll is made beside it."""
 
 
 class _PollConnection(Connection):
     """A connection to discovery with at most one poll in flight."""
 
-    def __init__(self, buffers: BufferPool, codec: Codec) -> None:
-        super().__init__(buffers)
+    def __init__(self, buffers: BufferPool, monitor: TransferMonitor, codec: Codec) -> None:
+        super().__init__(buffers, monitor)
         self._codec = codec
         # The result of the poll in flight: whether the connection stays open.
         self.response: asyncio.Future[bool] | None = None
-        self.on_progress: Callable[[], None] = _ignore_progress  # called when bytes of a response arrive
+        self._first_byte_at: float | None = None  # of the response
+        self._last_byte_at = 0.0
+
+    def request(self, may_wait: bool) -> asyncio.Future[bool]:
+        """Send a poll and return the future of its response."""
+        self._first_byte_at = None
+        response: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        response.add_done_callback(_retrieve_exception)  # also of a poll that nobody waits for any more
+        self.response = response
+        self.write(self._codec.encode_poll(may_wait))
+        return response
+
+    @property
+    def is_arriving(self) -> bool:
+        """Whether a part of the response has come, and not all of it."""
+        return self.has_begun and self.response is not None and not self.response.done()
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the response has come."""
+        return self._first_byte_at is not None
+
+    def sole_until(self, timeout_at: float) -> float:
+        """Return until when no other poll is needed beside this one, which times out at `timeout_at`."""
+        if self._first_byte_at is None:
+            return timeout_at
+        pause_ends_at = self._last_byte_at + MAX_SOLE_PAUSE_SECONDS
+        return min(pause_ends_at, self._first_byte_at + MAX_SOLE_RESPONSE_SECONDS)
 
     def on_data(self, data: memoryview) -> int:
         """Decode a response; abort if no poll is in flight."""
         if self.response is None or self.response.done():
             self.abort()
             return len(data)
-        self.on_progress()
+        self._record_progress()
         try:
             consumed = self._codec.feed(data)
             stays_open = self._codec.finish()
@@ -164,9 +178,20 @@
             self.abort()
             return len(data)
         if stays_open is not None:
+            self.monitor.unwatch(self)
             self.response.set_result(stays_open)
         return consumed
 
+    def _record_progress(self) -> None:
+        self._last_byte_at = asyncio.get_running_loop().time()
+        if self._first_byte_at is None:
+            self._first_byte_at = self._last_byte_at
+            self.monitor.watch(self)
+
+    def transferred_bytes(self) -> int:
+        """Return the number of bytes received."""
+        return self.received_bytes()
+
     def on_buffer_full(self) -> None:
         """Abort: the response head is too long."""
         self.abort()
@@ -177,23 +202,35 @@
             self.response.set_exception(ConnectionResetError("discovery closed the connection"))
 
 
+def _retrieve_exception(response: asyncio.Future[bool]) -> None:
+    if not response.cancelled():
+        response.exception()
+
+
 class Watch:
-    """Polls discovery until cancelled; passes each failure to `on_error` and retries after a backoff."""
+    """Polls discovery until cancelled; passes each failure to `on_error` and retries after a backoff.
+
+    A response that goes on arriving slowly is not cut off: another poll is made beside it, and it is given up
+    once the response to that one is whole.
+    """
 
     def __init__(
         self,
         address: tuple[str, int],
         buffers: BufferPool,
+        monitor: TransferMonitor,
         codec: Codec,
         poll_policy: PollPolicy,
         on_error: Callable[[Exception], None],
     ) -> None:
         self._address = address
         self._buffers = buffers
+        self._monitor = monitor
         self._codec = codec
         self._poll_policy = poll_policy
         self._on_error = on_error
         self._connection: _PollConnection | None = None
+        self._slow_connections: list[_PollConnection] = []  # whose responses go on arriving
 
     async def run(self) -> None:
         """Poll until the task is cancelled; no response is applied after that."""
@@ -207,6 +244,9 @@
                     await self._poll(may_wait=not timed_out)
                     consecutive_errors = 0
                     timed_out = False
+                except SlowResponseError as error:
+                    self._on_error(error)
+                    timed_out = True
                 except (OSError, ValueError) as error:  # TimeoutError is an OSError
                     self._abort_connection()
                     self._on_error(error)
@@ -216,38 +256,68 @@
                     await asyncio.sleep(backoff)
         finally:
             self._abort_connection()
+            self._abort_slow_connections()
 
     async def _poll(self, may_wait: bool) -> None:
-        """Make one poll, on a new connection if none is open; raise OSError or ValueError if it fails."""
+        """Make one poll, on a new connection if none is open.
+
+        Raises OSError or ValueError if it fails, and SlowResponseError if its response goes on arriving.
+        """
         connection = self._connection
         if connection is None or connection.is_closing:
             connect_timeout = min(CONNECT_TIMEOUT_SECONDS, self._poll_policy.timeout(False))
             async with asyncio.timeout(connect_timeout):
                 connection = await self._open()
                 self._connection = connection
-        async with asyncio.timeout(self._poll_policy.timeout(may_wait)) as timeout:
-            connection.on_progress = _ResponseTimeout(timeout).extend
-            try:
-                stays_open = await self._request(connection, may_wait)
-            finally:
-                connection.on_progress = _ignore_progress
-        if not stays_open:
+        timeout_at = asyncio.get_running_loop().time() + self._poll_policy.timeout(may_wait)
+        response = connection.request(may_wait)
+        await self._wait(connection, response, timeout_at)
+        self._abort_slow_connections()  # what this one brings is newer
+        if not response.result():
             connection.close()
             self._connection = None
 
+    async def _wait(
+        self, connection: _PollConnection, response: asyncio.Future[bool], timeout_at: float
+    ) -> None:
+        """Wait for a response, for as long as it keeps coming if there are enough other slow ones."""
+        loop = asyncio.get_running_loop()
+        while not response.done():
+            remaining = connection.sole_until(timeout_at) - loop.time()
+            if remaining > 0:
+                await asyncio.wait([response], timeout=remaining + TIMER_MARGIN_SECONDS)
+            elif not connection.has_begun:
+                raise TimeoutError
+            elif self._count_slow_responses() < MAX_SLOW_RESPONSES:
+                self._slow_connections.append(connection)
+                self._connection = None
+                raise SlowResponseError("the target list arrives slowly: polling beside it")
+            else:
+                await asyncio.wait([response], timeout=MAX_SOLE_PAUSE_SECONDS)
+        response.result()
+
+    def _count_slow_responses(self) -> int:
+        """Close the slow connections whose polls have ended, and return the number of the others."""
+        for connection in self._slow_connections:
+            if not connection.is_arriving:
+                connection.abort()
+        self._slow_connections = [slow for slow in self._slow_connections if slow.is_arriving]
+        return len(self._slow_connections)
+
     def _abort_connection(self) -> None:
         if self._connection is not None:
             self._connection.abort()
             self._connection = None
 
+    def _abort_slow_connections(self) -> None:
+        for connection in self._slow_connections:
+            connection.abort()
+        self._slow_connections = []
+
     async def _open(self) -> _PollConnection:
         loop = asyncio.get_running_loop()
         _, connection = await loop.create_connection(
-            lambda: _PollConnection(self._buffers, self._codec), *self._address
+            lambda: _PollConnection(self._buffers, self._monitor, self._codec.for_connection()),
+            *self._address,
         )
         return connection
-
-    async def _request(self, connection: _PollConnection, may_wait: bool) -> bool:
-        connection.response = asyncio.get_running_loop().create_future()
-        connection.write(self._codec.encode_poll(may_wait))
-        return await connection.response
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,8 +10,15 @@
 
 from stalltiller.adapters.discovery_codec import WatchCodec
 from stalltiller.protocol import http
+from stalltiller.routing.transfer_limits import DEFAULT_IDLE_LIMIT_SECONDS
+from stalltiller.routing.transfer_monitor import TransferMonitor
 from stalltiller.transport.buffers import BufferPool
-from stalltiller.transport.watch import NOTIFICATION_DEADLINE_SECONDS, BackoffPollPolicy, Watch
+from stalltiller.transport.watch import (
+    MAX_SLOW_RESPONSES,
+    NOTIFICATION_DEADLINE_SECONDS,
+    BackoffPollPolicy,
+    Watch,
+)
 from tests.simulated_clock import run_on_simulated_clock
 from tests.stand_ins import StubServer, read_message
 
@@ -19,6 +26,8 @@
 DRIP_BYTES = 40
 DRIP_INTERVAL_SECONDS = 0.37
 KNOWN_VERSION = 41
+CHANGE_INTERVAL_SECONDS = 1.0
+LIST_LIMIT_SECONDS = 3.0  # that a watch had for a whole list
 
 
 @pytest.mark.parametrize(
@@ -77,6 +86,12 @@
                 writer.write(response)
 
 
+def start_watch(address, codec: WatchCodec, poll_policy: BackoffPollPolicy) -> asyncio.Task[None]:
+    monitor = TransferMonitor(asyncio.get_running_loop(), DEFAULT_IDLE_LIMIT_SECONDS)
+    watch = Watch(address, BufferPool(), monitor, codec, poll_policy, lambda _: None)
+    return asyncio.create_task(watch.run())
+
+
 def notification_delay(
     poll_policy: BackoffPollPolicy, script: list[str], outage: float = 0.0
 ) -> tuple[float, list[str]]:
@@ -98,7 +113,7 @@
 
         # The first poll waits for a change, like that of an established watch.
         codec = WatchCodec("d", on_list, poll_policy.poll_wait, KNOWN_VERSION, first_poll_may_wait=True)
-        watch = asyncio.create_task(Watch(address, BufferPool(), codec, poll_policy, lambda _: None).run())
+        watch = start_watch(address, codec, poll_policy)
         if outage:
             await asyncio.sleep(outage)
             await discovery.open()
@@ -183,6 +198,95 @@
     assert delay <= NOTIFICATION_DEADLINE_SECONDS
 
 
+class SlowDiscovery(StubServer):
+    """Discovery that has a change every second and takes some time to write its first lists."""
+
+    PIECES = 16
+
+    def __init__(self, seconds: float, fast_from: int | None) -> None:
+        super().__init__()
+        self.seconds = seconds
+        self.fast_from = fast_from  # the number of the first poll whose response comes at once
+        self.poll_count = 0
+        self.arriving = 0
+        self.max_arriving = 0
+        self.cut_off = 0
+
+    async def serve(self, reader, writer) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            path = (await read_message(reader)).head.target
+            number = self.poll_count
+            self.poll_count += 1
+            body = json.dumps(
+                {"index": KNOWN_VERSION + 1 + int(loop.time()), "snapshot": True, "endpoints": []}
+            )
+            response = http.encode_response(200, body.encode())
+            is_fast = self.fast_from is not None and number >= self.fast_from
+            if is_fast and not path.endswith("wait_ms=0"):
+                await asyncio.sleep(CHANGE_INTERVAL_SECONDS)
+            await self._write(writer, response, 0.0 if is_fast else self.seconds)
+
+    async def _write(self, writer, response: bytes, seconds: float) -> None:
+        self.arriving += 1
+        self.max_arriving = max(self.max_arriving, self.arriving)
+        size = -(-len(response) // self.PIECES)
+        try:
+            for start in range(0, len(response), size):
+                writer.write(response[start : start + size])
+                await writer.drain()
+                await asyncio.sleep(seconds / self.PIECES)
+        except ConnectionError:
+            self.cut_off += 1
+            raise
+        finally:
+            self.arriving -= 1
+
+
+@pytest.mark.parametrize("factor", [0.5, 1.2, 3.0])
+@pytest.mark.parametrize("fast_from", [None, 1, 2])
+@pytest.mark.parametrize("poll_policy", POLL_POLICIES)
+def test_a_list_goes_on_arriving_beside_other_polls_until_one_of_them_is_whole(
+    poll_policy, fast_from, factor
+):
+    """Guards against a list that is cut off after 3 s, and against a change that waits for it."""
+    seconds = factor * LIST_LIMIT_SECONDS
+
+    async def scenario():
+        discovery = SlowDiscovery(seconds, fast_from)
+        await discovery.open()
+        loop = asyncio.get_running_loop()
+        versions: list[int] = []
+        whole = loop.create_future()
+
+        def on_list(target_list):
+            versions.append(target_list.version)
+            if not whole.done():
+                whole.set_result(loop.time())
+
+        started_at = loop.time()
+        codec = WatchCodec("d", on_list, poll_policy.poll_wait, KNOWN_VERSION, first_poll_may_wait=True)
+        watch = start_watch(("127.0.0.1", discovery.port), codec, poll_policy)
+        async with asyncio.timeout(60):
+            delay = await whole - started_at
+        cut_off_before = discovery.cut_off
+        max_arriving = discovery.max_arriving  # later on it also counts polls that were given up
+        await asyncio.sleep(12.0)
+        watch.cancel()
+        await asyncio.gather(watch, return_exceptions=True)
+        discovery.close()
+        return delay, cut_off_before, max_arriving, versions
+
+    delay, cut_off_before, max_arriving, versions = run_on_simulated_clock(scenario())
+    assert cut_off_before == 0
+    assert max_arriving <= 1 + MAX_SLOW_RESPONSES
+    assert versions == sorted(versions)
+    if fast_from is None or seconds <= LIST_LIMIT_SECONDS:
+        assert delay <= seconds + 0.5
+    else:
+        assert delay <= NOTIFICATION_DEADLINE_SECONDS
+
+
 def feed_response(codec: WatchCodec, status: int, **list_fields: object) -> None:
     body = json.dumps({"endpoints": [], **list_fields}).encode()
     codec.feed(memoryview(http.encode_response(status, body)))
@@ -271,8 +375,7 @@
 
         poll_policy = BackoffPollPolicy.for_remote_discovery(10.0)
         codec = WatchCodec("d", on_list, poll_policy.poll_wait, known_version)
-        watch = Watch(("127.0.0.1", discovery.port), BufferPool(), codec, poll_policy, lambda _: None)
-        tasks.append(asyncio.create_task(watch.run()))
+        tasks.append(start_watch(("127.0.0.1", discovery.port), codec, poll_policy))
     try:
         deadline = time.monotonic() + 1.5
         while not all(seen_versions) and time.monotonic() < deadline:
