Let a fleet's synchronisation go on while its bytes keep coming

Cause: SYNC_TIMEOUT_SECONDS limited a push-pull synchronisation to 2 s in all, and a response that its peer read slowly as well. Change: the transfer monitor ends it at the idle limit; connecting keeps its 2 s.

--- a/stalltiller/daemon/fleet_participation.py
+++ b/stalltiller/daemon/fleet_participation.py
@@ -42,6 +42,7 @@
             name,
             config,
             buffers,
+            engine.monitor,
             log,
             lambda: engine.open_request_count,
             engine.settings.initiator_index,
--- a/stalltiller/fleet/membership_agent.py
+++ b/stalltiller/fleet/membership_agent.py
@@ -31,10 +31,10 @@
 from stalltiller.fleet.status import MembershipStatus, MemberStatus, SharedBudgetsStatus
 from stalltiller.fleet.swim import Swim
 from stalltiller.transport.buffers import BufferPool
-from stalltiller.transport.connection import Connection
+from stalltiller.transport.connection import Connection, TransferMonitor
 
 LENGTH_PREFIX = struct.Struct(">I")  # length in bytes of the encoded state that follows
-SYNC_TIMEOUT_SECONDS = 2.0  # many round trips: a member that takes longer counts as unreachable
+SYNC_CONNECT_TIMEOUT_SECONDS = 2.0  # many round trips: a member that takes longer is unreachable
 MAX_CONCURRENT_SYNCS = 8  # limit in each direction, as each synchronisation may hold a whole table in memory
 # Datagrams received above this rate are dropped and counted, so that a flood leaves processor time.
 MAX_PACKETS_PER_SECOND = 2000
@@ -50,20 +50,23 @@
     """
 
     def __init__(self, agent: MembershipAgent, state: bytes | None) -> None:
-        super().__init__(agent.buffers)
+        super().__init__(agent.buffers, agent.monitor)
         self._agent = agent
         self._state = state
         self._received = bytearray()
-        self._deadline: asyncio.TimerHandle | None = None
 
     def on_connected(self) -> None:
         """Send the state (client), or register the synchronisation within the limit (server)."""
-        self._deadline = asyncio.get_running_loop().call_later(SYNC_TIMEOUT_SECONDS, self.abort)
+        self.monitor.watch(self)
         if self._state is not None:
             self.write(self._state)
         elif not self._agent.admit_sync(self):
             self.abort()
 
+    def transferred_bytes(self) -> int:
+        """Return a count that changes with each byte that comes or is acknowledged."""
+        return self.received_bytes() + self.acknowledged_bytes()
+
     def on_data(self, data: memoryview) -> int:
         """Buffer the peer's state; handle it and close once it is complete."""
         self._received += data
@@ -83,9 +86,7 @@
         self.close()
 
     def on_disconnected(self, _error: Exception | None) -> None:
-        """Cancel the timeout and unregister the synchronisation."""
-        if self._deadline is not None:
-            self._deadline.cancel()
+        """Unregister the synchronisation."""
         self._agent.release_sync(self)
 
 
@@ -101,12 +102,14 @@
         name: str,
         config: FleetConfig,
         buffers: BufferPool,
+        monitor: TransferMonitor,
         log: Log,
         load: Callable[[], int],
         initiator_index: int = UNKNOWN_INITIATOR_INDEX,
     ) -> None:
         self.config = config
         self.buffers = buffers
+        self.monitor = monitor
         self._log = log
         self._load = load
         self._loop = asyncio.get_running_loop()
@@ -232,7 +235,7 @@
     async def _connect_sync(self, address: Address) -> None:
         state = self._encoded_state()
         with contextlib.suppress(OSError):  # includes TimeoutError; the protocol retries later
-            async with asyncio.timeout(SYNC_TIMEOUT_SECONDS):
+            async with asyncio.timeout(SYNC_CONNECT_TIMEOUT_SECONDS):
                 await self._loop.create_connection(lambda: PushPullConnection(self, state), *address)
 
     def _encoded_state(self) -> bytes:
