Remember an identifier for as long as its exchange goes on, in both processes

What could happen: an exchange that goes on longer than the longest deadline lost its identifier, which ran again beside it; the next process of an upgrade forgot those of the one before after 4.5 s and its own window. Cause: windows sized by the length of an exchange and of a drain. Change: an identifier is claimed until its exchange ends; a lock on the file of claims tells the next process whether the one before still takes requests and whether it has ended.

--- a/stalltiller/adapters/http_server.py
+++ b/stalltiller/adapters/http_server.py
@@ -220,6 +220,7 @@
         self._release_unread()
         self._reserve_body(0)
         self._abort_stream()
+        self._release_request_id()
         if self._request_number is not None:
             number = self._request_number
             self._request_number = None
@@ -372,8 +373,13 @@
         """Respond with 504: the request may have been executed."""
         self._finish_request(504)
 
+    def _release_request_id(self) -> None:
+        """Let the identifier of the latest request, whose exchange is over, be forgotten some time later."""
+        self._server.recent_request_ids.release(self._request_label)
+
     def _finish_request(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
         self._request_number = None
+        self._release_request_id()
         self._reserve_body(0)
         self._listener.request_finished(self)
         self._write_response(status, body, fields)
@@ -387,6 +393,7 @@
     def finish_stream(self) -> None:
         """End a streamed response and continue with the next request."""
         self._stream = None
+        self._release_request_id()
         self.set_reset_on_close(False)
         if self._is_chunked:
             self.write(http.LAST_CHUNK)
--- a/stalltiller/adapters/recent_request_ids.py
+++ b/stalltiller/adapters/recent_request_ids.py
@@ -32,9 +32,11 @@
 
 
 class RecentRequestIds:
-    """Remembers request identifiers, usually for `retention_seconds` to twice that time.
+    """Remembers request identifiers, usually for `retention_seconds` to twice that time after their release.
 
-    A claim starts a new generation if the current one is older than `retention_seconds` or full.
+    An identifier is claimed until it is released, however long its exchange goes on, and one of another
+    process until that has ended.  A claim starts a new generation if the current one is older than
+    `retention_seconds` or full.
 
     Guards against a client that reuses the identifier of another client's request: a target would take its
     request for a second attempt of the first one, which may still be in flight.
@@ -45,6 +47,8 @@
         self._next_rotation_at = 0.0
         self._current: set[bytes] = set()
         self._previous: set[bytes] = set()
+        self._open: set[bytes] = set()  # of exchanges in progress
+        self._other: set[bytes] = set()  # of another process that has not ended
         self._journal: ClaimJournal = NoJournal()
 
     def claim(self, now: float, request_id: str) -> bool:
@@ -53,23 +57,32 @@
             self._previous = self._current
             self._current = set()
             self._next_rotation_at = now + self.retention_seconds
-        digest = hashlib.blake2b(request_id.encode(), digest_size=DIGEST_BYTES).digest()
-        if digest in self._current or digest in self._previous:
+        digest = _digest(request_id)
+        if any(digest in known for known in (self._current, self._previous, self._open, self._other)):
             return False
-        self._current.update(self._journal.append(digest))
-        if digest in self._current:
+        self._other.update(self._journal.append(digest))
+        if digest in self._other:
             return False
         self._current.add(digest)
+        self._open.add(digest)
         return True
 
+    def release(self, request_id: str) -> None:
+        """Record that the exchange of a claimed identifier has ended: it is remembered from now on."""
+        digest = _digest(request_id)
+        if digest in self._open:
+            self._open.remove(digest)
+            self._current.add(digest)
+
     def share(self, journal: ClaimJournal, claimed: Iterable[bytes] = ()) -> None:
         """Claim through a journal from now on; `claimed` are the digests that others have claimed before."""
         self._journal = journal
-        self.add(claimed)
+        self._other.update(claimed)
 
-    def add(self, claimed: Iterable[bytes]) -> None:
-        """Add the digests of identifiers that another process has claimed."""
-        self._current.update(claimed)
+    def end_sharing(self, claimed: Iterable[bytes]) -> None:
+        """Remember what another process, which has ended, has claimed, for the usual time from now on."""
+        self._current.update(self._other, claimed)
+        self._other.clear()
 
     def is_shared_through(self, journal: ClaimJournal) -> bool:
         """Return whether identifiers are claimed through this journal at present."""
@@ -77,4 +90,8 @@
 
     def digests(self) -> set[bytes]:
         """Return the digests of all identifiers that are remembered."""
-        return self._current | self._previous
+        return self._current | self._previous | self._open | self._other
+
+
+def _digest(request_id: str) -> bytes:
+    return hashlib.blake2b(request_id.encode(), digest_size=DIGEST_BYTES).digest()
--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -8,9 +8,11 @@
 from typing import TYPE_CHECKING
 
 from stalltiller.adapters.admin_api import admin_listener
+from stalltiller.adapters.recent_request_ids import RecentRequestIds
 from stalltiller.adapters.target_directory import TargetDirectory
 from stalltiller.daemon.admin_calls import AdminCalls
 from stalltiller.daemon.background_tasks import BackgroundTasks
+from stalltiller.daemon.claim_journal import FileClaimJournal
 from stalltiller.daemon.config import Config, format_address
 from stalltiller.daemon.detached_targets import DetachedTargets
 from stalltiller.daemon.discovery_watch import DiscoveryWatch
@@ -33,6 +35,7 @@
     from stalltiller.fleet.config import FleetConfig
 
 ACCEPT_LOCK_POLL_INTERVAL_SECONDS = 0.01
+PREDECESSOR_POLL_INTERVAL_SECONDS = 0.5
 SHARING_MARGIN_SECONDS = 1.0  # for a process before this one that ends late
 MAX_DISCOVERY_WAIT_SECONDS = 1.0  # if discovery has not responded by then, the known target list is used
 COUNTERS_INTERVAL_SECONDS = 5.0  # between log lines with the counters
@@ -209,8 +212,20 @@
             recent_ids, lambda error: self._log("request_ids_not_shared", error=str(error))
         )
         if journal is not None:
-            delay = MAX_DRAIN_SECONDS + SHARING_MARGIN_SECONDS
-            self._loop.call_later(delay, self._handover.end_sharing, recent_ids, journal)
+            self._tasks.start(self._follow_predecessor(recent_ids, journal))
+
+    async def _follow_predecessor(self, recent_ids: RecentRequestIds, journal: FileClaimJournal) -> None:
+        """Share identifiers while the process before takes requests, and keep its own until it has ended.
+
+        A process of an older version does not tell: it has ended after its longest drain.
+        """
+        await asyncio.sleep(MAX_DRAIN_SECONDS + SHARING_MARGIN_SECONDS)
+        while journal.may_other_claim():
+            await asyncio.sleep(PREDECESSOR_POLL_INTERVAL_SECONDS)
+        self._handover.stop_claiming(recent_ids, journal)
+        while not journal.has_other_ended():
+            await asyncio.sleep(PREDECESSOR_POLL_INTERVAL_SECONDS)
+        self._handover.end_sharing(recent_ids, journal)
 
     async def _join_fleet(self, config: Config, fleet_config: FleetConfig) -> None:
         from stalltiller.daemon.fleet_participation import FleetParticipation  # not imported on the platform
--- a/stalltiller/daemon/claim_journal.py
+++ b/stalltiller/daemon/claim_journal.py
@@ -4,10 +4,14 @@
 order, in which each process finds those of the other before its own.  The process that ends creates the file
 with what it remembers before it lets the other process accept clients.  Nothing waits: a file that can't be
 used leaves each process with its own claims.
+
+A lock on the file tells the other process how long to share: it is exclusive while the process that ends may
+claim identifiers, and shared until it has ended, which releases it.
 """
 
 from __future__ import annotations
 
+import fcntl
 import os
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -35,6 +39,7 @@
         temporary_path = path.with_suffix(f".ids.{os.getpid()}")
         temporary_path.write_bytes(records)
         descriptor = os.open(temporary_path, os.O_RDWR | os.O_APPEND | os.O_CLOEXEC)
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         temporary_path.replace(path)
         return cls(descriptor, len(records), on_error)
 
@@ -61,6 +66,29 @@
         self._position = end
         return others
 
+    def end_claims(self) -> None:
+        """Tell the other process that this one claims nothing more, although it has not ended."""
+        try:
+            fcntl.flock(self._descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
+        except OSError as error:
+            self._on_error(error)
+
+    def may_other_claim(self) -> bool:
+        """Return whether the process that created the file may still claim identifiers."""
+        return not self._can_lock(fcntl.LOCK_SH)
+
+    def has_other_ended(self) -> bool:
+        """Return whether the process that created the file has ended."""
+        return self._can_lock(fcntl.LOCK_EX)
+
+    def _can_lock(self, operation: int) -> bool:
+        try:
+            fcntl.flock(self._descriptor, operation | fcntl.LOCK_NB)
+        except OSError:
+            return False
+        fcntl.flock(self._descriptor, fcntl.LOCK_UN)
+        return True
+
     def close(self) -> list[bytes]:
         """Close the file and return the claims of the other process since the last call."""
         others: list[bytes] = []
--- a/stalltiller/daemon/graceful_shutdown.py
+++ b/stalltiller/daemon/graceful_shutdown.py
@@ -67,6 +67,7 @@
             self._listener.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         self._engine.finish_all()
+        self._handover.end_claims()
         self._log_transfers_in_progress()
         await self._linger(end_time + LINGER_SECONDS)
 
--- a/stalltiller/daemon/process_handover.py
+++ b/stalltiller/daemon/process_handover.py
@@ -40,6 +40,7 @@
             self._claims_path = base.with_suffix(".ids")
         self._last_version: FileVersion | None = None  # the detached targets' file, last read or written
         self._lock_descriptor: int | None = None
+        self._published_claims: FileClaimJournal | None = None
 
     # --- Detached targets ---------------------------------------------------------------------------
     def has_changed(self) -> bool:
@@ -86,6 +87,12 @@
             on_error(error)
         else:
             recent_ids.share(journal)
+            self._published_claims = journal
+
+    def end_claims(self) -> None:
+        """Tell the next process that this one, which is about to end, takes no more requests."""
+        if self._published_claims is not None:
+            self._published_claims.end_claims()
 
     def adopt_claims(
         self, recent_ids: RecentRequestIds, on_error: Callable[[OSError], None]
@@ -103,17 +110,25 @@
         recent_ids.share(journal, digests)
         return journal
 
+    def stop_claiming(self, recent_ids: RecentRequestIds, journal: FileClaimJournal) -> None:
+        """Claim without the previous process from now on, which takes no more requests.
+
+        What it has claimed stays claimed until `end_sharing`, since its exchanges may go on.  If this process
+        shares with the next one by now, it goes on doing so.
+        """
+        if recent_ids.is_shared_through(journal):
+            recent_ids.share(NoJournal())
+
     def end_sharing(self, recent_ids: RecentRequestIds, journal: FileClaimJournal) -> None:
         """Keep what the previous process, which has ended, claimed last, and remove the file.
 
         If this process shares with the next one by now, that file stays.
         """
-        claimed = journal.close()
-        if not recent_ids.is_shared_through(journal):
-            recent_ids.add(claimed)
-            return
-        recent_ids.share(NoJournal(), claimed)
-        if self._claims_path is not None:
+        is_file_of_next = not recent_ids.is_shared_through(journal) and self._published_claims is not None
+        if recent_ids.is_shared_through(journal):
+            recent_ids.share(NoJournal())
+        recent_ids.end_sharing(journal.close())
+        if self._claims_path is not None and not is_file_of_next:
             self._claims_path.unlink(missing_ok=True)
 
     # --- The lock on accepting clients --------------------------------------------------------------
--- a/tests/test_claim_journal.py
+++ b/tests/test_claim_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import os
 
 import pytest
 
@@ -87,3 +88,35 @@
     assert recent_ids.claim(0.0, "first")
     assert all(recent_ids.claim(4.9 * number / 40_000, f"id{number}") for number in range(40_000))
     assert not recent_ids.claim(4.95, "first")
+
+
+def test_an_identifier_is_remembered_while_its_exchange_goes_on_and_for_the_retention_after_it():
+    """Guards against an identifier that is forgotten while its response is still being passed on."""
+    recent_ids = RecentRequestIds(5.0)
+    assert recent_ids.claim(0.0, "long")
+    for number in range(1, 8):
+        assert recent_ids.claim(6.0 * number, f"other{number}")
+        assert not recent_ids.claim(6.0 * number, "long")
+    recent_ids.release("long")
+    assert not recent_ids.claim(46.0, "long")
+    assert recent_ids.claim(60.0, "other") and recent_ids.claim(70.0, "another")
+    assert recent_ids.claim(71.0, "long")
+
+
+def test_what_a_process_has_claimed_stays_claimed_until_it_has_ended(sharing, tmp_path):
+    """Guards against a sharing that ends with the time of a drain, while an exchange of it goes on."""
+    next_handover = ProcessHandover(str(tmp_path), "n1")
+    assert sharing.old.claim(0.0, "long")
+    sharing.handover.publish_claims(sharing.old, sharing.errors.append)
+    sharing.journal = next_handover.adopt_claims(sharing.new, sharing.errors.append)
+    assert sharing.journal.may_other_claim() and not sharing.journal.has_other_ended()
+    sharing.handover.end_claims()
+    assert not sharing.journal.may_other_claim() and not sharing.journal.has_other_ended()
+    next_handover.stop_claiming(sharing.new, sharing.journal)
+    assert all(sharing.new.claim(6.0 * number, f"other{number}") for number in range(1, 8))
+    assert not sharing.new.claim(50.0, "long")
+    os.close(sharing.handover._published_claims._descriptor)  # as the end of its process does
+    assert sharing.journal.has_other_ended()
+    next_handover.end_sharing(sharing.new, sharing.journal)
+    assert not sharing.new.claim(50.0, "long")
+    assert not (tmp_path / "stalltiller-n1.ids").exists()
