--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -256,6 +256,29 @@
 }
 
 
+async def _drip_to_the_end(member, count, reader, writer):
+    """A write whose body comes bytes at a time for as long as the test goes on."""
+    data = member.request(count, "PUT", body=bytes(60_000))
+    for start in range(0, len(data), 200):
+        writer.write(data[start : start + 200])
+        await writer.drain()
+        await asyncio.sleep(0.1)
+
+
+async def _read_to_the_end(member, count, reader, writer):
+    """A read whose response is read bytes at a time for as long as the test goes on."""
+    writer.write(member.request(count, "GET"))
+    while await reader.read(16_384):
+        await asyncio.sleep(0.1)
+
+
+# Clients that go on to the test's end, long after their time.
+ENDLESS_BEHAVIOURS: dict[str, Behaviour] = {
+    "drip-to-the-end": _drip_to_the_end,
+    "read-to-the-end": _read_to_the_end,
+}
+
+
 def run_crowd(names: list[str], size: int, port: int, shards: list[int], seconds: float, seed: int) -> None:
     """Run `size` clients, each with one behaviour after the other, for some seconds."""
 
@@ -265,7 +288,7 @@
         for count in itertools.count():
             if time.monotonic() >= ends_at:
                 return
-            behave = BEHAVIOURS[names[(number + count) % len(names)]]
+            behave = (BEHAVIOURS | ENDLESS_BEHAVIOURS)[names[(number + count) % len(names)]]
             with contextlib.suppress(OSError, EOFError, TimeoutError):
                 async with asyncio.timeout(8.0):
                     reader, writer = await asyncio.open_connection(stand_ins.HOST, port, limit=8192)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -1,22 +1,35 @@
-"""Crowds of slow and stopped clients: the memory limit holds, and other clients are served (issue 48)."""
+"""Crowds of slow and stopped clients: the memory limit holds, and others are served (issues 48 and 52)."""
 
 from __future__ import annotations
 
 import pytest
 
-from tests.crowd import BEHAVIOURS, PLAIN_CLIENTS, Crowd, MemoryWatch, PlainLoad, PlainResult
+from tests.crowd import (
+    BEHAVIOURS,
+    ENDLESS_BEHAVIOURS,
+    PLAIN_CLIENTS,
+    Crowd,
+    MemoryWatch,
+    PlainLoad,
+    PlainResult,
+)
 from tests.slow_peers import Script, site
 
 CROWD_TARGETS = 8
 CROWD_SECONDS = 3.5
+ENDLESS_SECONDS = 7.0  # longer than the longest deadline
+EXCESS_CLIENTS = 300  # more than half of the descriptors allow
 SEED = 48
 LATENCY_OBJECTIVE_SECONDS = 0.2  # of the plain clients' class
 LIMITS = {"usual": (192, 1024, 400), "half": (96, 512, 200)}  # MB, descriptors, clients
 
 
-def run_crowd(folder, names: list[str], limits: str) -> tuple[float, PlainResult, list[dict]]:
+def run_crowd(
+    folder, names: list[str], limits: str, seconds: float = CROWD_SECONDS, size: int | None = None
+) -> tuple[float, PlainResult, list[dict]]:
     """Return the peak of anonymous memory in MB, what plain clients saw and the initiator's log."""
-    memory_mb, descriptors, size = LIMITS[limits]
+    memory_mb, descriptors, usual_size = LIMITS[limits]
+    size = size or usual_size
     plain = PlainLoad(CROWD_TARGETS)
     options = {
         "memory_mb": memory_mb,
@@ -28,8 +41,8 @@
     try:
         with site(folder, CROWD_TARGETS, **options) as opened:
             watch = MemoryWatch(opened.program.process.pid)
-            crowd = Crowd(names, size, opened.port, list(range(CROWD_TARGETS)), CROWD_SECONDS, SEED)
-            plain.start(opened.port, CROWD_SECONDS)
+            crowd = Crowd(names, size, opened.port, list(range(CROWD_TARGETS)), seconds, SEED)
+            plain.start(opened.port, seconds)
             try:
                 result = plain.result()
                 crowd.wait()
@@ -52,3 +65,26 @@
     assert plain.late == []
     assert plain.p99 < LATENCY_OBJECTIVE_SECONDS
     assert [event for event in events if event["event"] in ("fault", "loop_error", "output")] == []
+
+
+@pytest.mark.parametrize("limits", list(LIMITS))
+@pytest.mark.parametrize("name", list(ENDLESS_BEHAVIOURS))
+def test_a_crowd_that_reads_or_drips_to_the_end_is_not_cut_off_and_others_are_served(name, limits, tmp_path):
+    """Guards against a bound on memory or latency that holds only because slow clients are cut off."""
+    peak_mb, plain, events = run_crowd(tmp_path, [name], limits, ENDLESS_SECONDS)
+    print(f"{name} {limits}: {peak_mb:.1f} MB, p99 {plain.p99:.3f} s, served {plain.served_fraction:.3f}")
+    assert peak_mb < LIMITS[limits][0]
+    assert plain.late == []
+    assert plain.p99 < LATENCY_OBJECTIVE_SECONDS
+    assert plain.served_fraction > 0.9
+    assert [event for event in events if event["event"] in ("exchange_ended", "fault", "loop_error")] == []
+
+
+@pytest.mark.parametrize("name", list(ENDLESS_BEHAVIOURS))
+def test_new_work_is_rejected_before_a_crowd_over_the_connection_limit_is_cut_off(name, tmp_path):
+    """Guards against slow transfers that are cut off for new connections, and against late rejections."""
+    peak_mb, plain, events = run_crowd(tmp_path, [name], "half", ENDLESS_SECONDS, EXCESS_CLIENTS)
+    print(f"{name}: {peak_mb:.1f} MB, p99 {plain.p99:.3f} s, served {plain.served_fraction:.3f}")
+    assert peak_mb < LIMITS["half"][0]
+    assert plain.p99 < LATENCY_OBJECTIVE_SECONDS
+    assert [event for event in events if event["event"] in ("exchange_ended", "fault", "loop_error")] == []
