--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -16,7 +16,7 @@
 from stalltiller.daemon.config import Config, format_address
 from stalltiller.daemon.detached_targets import DetachedTargets
 from stalltiller.daemon.discovery_watch import DiscoveryWatch
-from stalltiller.daemon.graceful_shutdown import MAX_DRAIN_SECONDS, GracefulShutdown
+from stalltiller.daemon.graceful_shutdown import MAX_ACCEPTING_SECONDS, GracefulShutdown
 from stalltiller.daemon.log import JsonLog
 from stalltiller.daemon.metrics import MetricsExporter
 from stalltiller.daemon.process_handover import ProcessHandover
@@ -217,9 +217,9 @@
     async def _follow_predecessor(self, recent_ids: RecentRequestIds, journal: FileClaimJournal) -> None:
         """Share identifiers while the process before takes requests, and keep its own until it has ended.
 
-        A process of an older version does not tell: it has ended after its longest drain.
+        A process of an older version does not tell: it takes no more requests after the time waited for here.
         """
-        await asyncio.sleep(MAX_DRAIN_SECONDS + SHARING_MARGIN_SECONDS)
+        await asyncio.sleep(MAX_ACCEPTING_SECONDS + SHARING_MARGIN_SECONDS)
         while journal.may_other_claim():
             await asyncio.sleep(PREDECESSOR_POLL_INTERVAL_SECONDS)
         self._handover.stop_claiming(recent_ids, journal)
--- a/stalltiller/daemon/graceful_shutdown.py
+++ b/stalltiller/daemon/graceful_shutdown.py
@@ -23,8 +23,8 @@
 LINGER_SECONDS = 0.4  # after the drain, for clients to close their connections
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
 LINGER_POLL_INTERVAL_SECONDS = 0.01
-# From the hand-over to the end of the process that ends, unless a transfer goes on.
-MAX_DRAIN_SECONDS = MAX_DEADLINE_SECONDS + DEADLINE_MARGIN_SECONDS + LINGER_SECONDS
+# From the hand-over on, a process that ends may take requests for that long; its transfers may last longer.
+MAX_ACCEPTING_SECONDS = MAX_DEADLINE_SECONDS + DEADLINE_MARGIN_SECONDS + LINGER_SECONDS
 
 
 class GracefulShutdown:
--- a/tests/slow_peers.py
+++ b/tests/slow_peers.py
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import json
 import os
+import select
 import signal
 import socket
+import struct
 import subprocess
 import sys
+import termios
 import threading
 import time
 from collections.abc import Iterator
@@ -34,6 +38,8 @@
 EARLY_SECONDS = 0.05  # before its time a client may be told that its time will not suffice
 RECEIVE_BUFFER_BYTES = 32 * 1024  # small, so that a peer that does not read is noticed soon
 START_SECONDS = 20.0
+STALL_POLL_MILLISECONDS = 10
+INT = struct.Struct("i")  # the result of ioctl FIONREAD
 
 
 @dataclass(frozen=True)
@@ -92,6 +98,9 @@
     first_byte_at: float | None = None
     ended_at: float = 0.0
     how: str = ""  # how the exchange ended
+    reset_after: float | None = (
+        None  # seconds without progress, if it was reset while its client did not read
+    )
 
 
 @dataclass(frozen=True)
@@ -405,12 +414,12 @@
         return seen
 
     def _pause(self) -> None:
-        """Stop reading for some time, once."""
+        """Stop reading for some time, once, and note a reset that comes meanwhile."""
         limit = self._call.stops_reading_after
         if limit is None or self._has_stopped or len(self._body) < limit:
             return
         self._has_stopped = True
-        time.sleep(self._call.stops_reading_seconds)
+        self.seen.reset_after = seconds_to_reset(self._connection, self._call.stops_reading_seconds)
 
     def _receive(self, data: bytes) -> None:
         seen = self.seen
@@ -432,6 +441,25 @@
             time.sleep(len(data) / self._call.read_bytes_per_second)
 
 
+def seconds_to_reset(connection: socket.socket, seconds: float) -> float | None:
+    """Read nothing for some seconds; return how long after its last bytes the connection was reset, or None.
+
+    What comes meanwhile stays in the kernel's buffer and is progress: its machine acknowledges it.
+    """
+    poll = select.poll()
+    poll.register(connection, 0)  # errors and ends are always reported
+    started_at = progress_at = time.monotonic()
+    unread_bytes = 0
+    while time.monotonic() - started_at < seconds:
+        if poll.poll(STALL_POLL_MILLISECONDS):
+            return time.monotonic() - progress_at
+        before = unread_bytes
+        unread_bytes = INT.unpack(fcntl.ioctl(connection, termios.FIONREAD, bytes(INT.size)))[0]
+        if unread_bytes != before:
+            progress_at = time.monotonic()
+    return None
+
+
 def is_close_delimited(head: bytes) -> bool:
     return b"content-length" not in head.lower() and b"chunked" not in head.lower()
 
@@ -507,5 +535,9 @@
     is_whole = seen.status == 200 and seen.is_whole and seen.body_bytes >= script.size
     has_stopped = call.stops_reading_after is not None and call.stops_reading_seconds > IDLE_LIMIT_SECONDS
     if has_stopped:
-        return None if not seen.is_whole and seen.how != "timed out" else f"no visible end: {what}"
+        if seen.is_whole or seen.how == "timed out" or seen.reset_after is None:
+            return f"no visible end: {what}"
+        is_early = seen.reset_after < IDLE_LIMIT_SECONDS - EARLY_SECONDS
+        is_late = seen.reset_after > IDLE_LIMIT_SECONDS + IDLE_SLACK_SECONDS
+        return f"reset {seen.reset_after:.3f} s after its last bytes: {what}" if is_early or is_late else None
     return None if is_whole else f"a sound reader was cut off: {what}"
