Reject at once where streamed responses hold the connections to targets

Cause, by the answers' times and the counters of a run alone: 212 streamed responses held all 212 connections to targets. New requests were taken all the same; 553 attempts for 500 requests, 310 of them ended connect_failed for want of a connection, and each paused a sound target, until the scheduler gave up.

Change: routing/channel_capacity.py decides, purely: all connections in use, and more than half of them by streamed responses, means none is free soon. The engine asks it for each request of both protocols and rejects with Retry-After (counter rejected_without_channel). Short exchanges free theirs soon, so nothing changes for them. ChannelPool.max_channels is readable now; the test that sets it uses the new name.

The engine's test fails before (no such counter; the attempt starts).

--- a/stalltiller/adapters/http_target_connection.py
+++ b/stalltiller/adapters/http_target_connection.py
@@ -292,6 +292,11 @@
         self._target_client.pool.release(attempt, self)
 
     # --- Streamed responses ---
+    @property
+    def is_streaming(self) -> bool:
+        """Whether a response is being passed on to its client as it comes."""
+        return self._stream is not None
+
     def _is_short(self) -> bool:
         """Return whether the response is short enough to be passed on only once it is whole."""
         return self._reader.length is not None and self._reader.length <= SMALL_BODY_BYTES
--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -60,6 +60,11 @@
         """Whether one of the two connections is closing or closed."""
         return self._admin_queue.is_closing or self._io_queue.is_closing
 
+    @property
+    def is_streaming(self) -> bool:
+        """Always False: the data of a command is passed on with its completion."""
+        return False
+
     def is_clean(self) -> bool:
         """Return whether the association is open and nothing unexpected was received on the I/O queue."""
         # The admin queue may hold the response to a Keep Alive.
--- a/stalltiller/adapters/pooled_target_client.py
+++ b/stalltiller/adapters/pooled_target_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from stalltiller.routing.channel_capacity import ChannelUse
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.exchange_end import TransferPhase, TransferProgress
 from stalltiller.routing.ports import Attempt, AttemptResult
@@ -81,6 +82,12 @@
         """Close the idle channels to a target."""
         self.pool.close_idle(target_id)
 
+    def channel_use(self) -> ChannelUse:
+        """Return how many channels are in use."""
+        if not self.pool.is_full():
+            return ChannelUse(self.pool.max_channels)
+        return ChannelUse(self.pool.max_channels, True, self.pool.streamed_count())
+
     def report_failed_response(self, attempt: Attempt | None, text: str) -> None:
         """Count and log a response that is malformed, stalled or too large; only its attempt fails."""
         self.engine.counts["bad_answers"] += 1
--- a/stalltiller/routing/context.py
+++ b/stalltiller/routing/context.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from stalltiller.routing.channel_capacity import ChannelUse
 from stalltiller.routing.exchange_end import ExchangeEnd, TransferProgress
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import AdmissionGate, Attempt, ClientRequest, TargetClient
@@ -18,6 +19,7 @@
 # Names of exported counters; others are the values of `RequestOutcome` and `attempt_STATUS` for each status.
 COUNT_RECEIVED = "taken"
 COUNT_NOT_ADMITTED = "turned_back"
+COUNT_WITHOUT_CHANNEL = "rejected_without_channel"
 COUNT_ATTEMPTS = "attempts"
 COUNT_GUARD_VIOLATIONS = "faults"
 
@@ -71,6 +73,10 @@
         """Raise `RuntimeError`."""
         raise RuntimeError(f"cannot close connections to target {target_id}: no target client is set")
 
+    def channel_use(self) -> ChannelUse:
+        """Return that no channel is in use."""
+        return ChannelUse(max_count=1)
+
 
 def discard_peer_message(initiator_index: int | None, data: bytes) -> None:
     """Discard a peer message; used if there is no peer network."""
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -20,7 +20,14 @@
 from typing import TypeVar
 
 from stalltiller.routing.action_dispatch import ActionDispatcher
-from stalltiller.routing.context import COUNT_NOT_ADMITTED, COUNT_RECEIVED, EngineContext, Logger
+from stalltiller.routing.channel_capacity import has_channel_soon
+from stalltiller.routing.context import (
+    COUNT_NOT_ADMITTED,
+    COUNT_RECEIVED,
+    COUNT_WITHOUT_CHANNEL,
+    EngineContext,
+    Logger,
+)
 from stalltiller.routing.exchange_end import ExchangeEnd
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import (
@@ -177,9 +184,7 @@
         context.counts[COUNT_RECEIVED] += 1
         if context.trace is not None:
             self._trace_received(context.trace, request_id, client_request, lag)
-        retry_after = context.admission_gate.admit(client_request)
-        if self._is_stopped:
-            retry_after = settings.max_retry_after or MIN_SCHEDULING_SECONDS
+        retry_after = self._retry_delay(client_request)
         if retry_after > 0.0:
             self._loop.call_soon(self._reject_unadmitted, request_id, retry_after)
             return request_id
@@ -189,6 +194,16 @@
         self._enqueue(_scheduler_request(request_id, client_request, time_remaining))
         return request_id
 
+    def _retry_delay(self, client_request: ClientRequest) -> float:
+        """Return 0 for a request to schedule, otherwise the retry delay of its rejection in seconds."""
+        longest_delay = self.settings.max_retry_after or MIN_SCHEDULING_SECONDS
+        if self._is_stopped:
+            return longest_delay
+        if not has_channel_soon(self.target_client.channel_use()):
+            self.counts[COUNT_WITHOUT_CHANNEL] += 1
+            return longest_delay
+        return self._context.admission_gate.admit(client_request)
+
     def client_deadline(self, request_id: int) -> float | None:
         """Return when the time of an open request's client is over; None if the request is not open."""
         state = self._requests.get_open(request_id)
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from stalltiller.routing.channel_capacity import ChannelUse
 from stalltiller.routing.exchange_end import TransferProgress
 from stalltiller.scheduling import AttemptStatus, Target, TargetId
 
@@ -160,6 +161,9 @@
     def close_idle(self, target_id: TargetId) -> None:
         """Close the idle connections to a target."""
 
+    def channel_use(self) -> ChannelUse:
+        """Return how many connections to targets are in use."""
+
 
 @dataclass(slots=True, frozen=True)
 class TargetEndpoint:
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -47,6 +47,10 @@
     def is_closing(self) -> bool:
         """Whether the connection is closing or closed."""
 
+    @property
+    def is_streaming(self) -> bool:
+        """Whether a response is being passed on whose exchange has ended for its owner."""
+
     def is_clean(self) -> bool:
         """Whether the connection is open and no unexpected data was received."""
 
@@ -127,7 +131,7 @@
         self._on_unreachable = on_unreachable
         self._connect_timeout = connect_timeout
         self._idle_timeout = idle_timeout
-        self._max_channels = max_channels
+        self.max_channels = max_channels
         self._settle_time = settle_time
         self._channels: set[Channel] = set()  # established channels; closing ones are removed later
         self._connecting_count = 0
@@ -183,6 +187,17 @@
         insort(idle, idle_channel, key=_idle_since)
         self._ensure_sweep()
 
+    def is_full(self) -> bool:
+        """Return whether the limit is reached and no channel is idle."""
+        if self._channel_count() < self.max_channels:
+            return False
+        self._forget_closing_channels()
+        return self._channel_count() >= self.max_channels and not any(self._idle.values())
+
+    def streamed_count(self) -> int:
+        """Return the number of channels on which a response is being streamed."""
+        return sum(channel.is_streaming for channel in self._channels)
+
     def _channel_count(self) -> int:
         return len(self._channels) + self._connecting_count
 
@@ -279,10 +294,10 @@
 
     def _ensure_capacity(self) -> bool:
         """Close an idle channel if the limit is exceeded; return whether a channel may be opened."""
-        if self._channel_count() <= self._max_channels:
+        if self._channel_count() <= self.max_channels:
             return True
         self._forget_closing_channels()
-        if self._channel_count() <= self._max_channels:
+        if self._channel_count() <= self.max_channels:
             return True
         idle_lists = [idle for idle in self._idle.values() if idle]
         if not idle_lists:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from stalltiller.routing.channel_capacity import ChannelUse
 from stalltiller.routing.engine import Engine
 from stalltiller.routing.exchange_end import TransferPhase, TransferProgress
 from stalltiller.routing.ports import AttemptResult, ClientRequest, TargetEndpoint
@@ -59,6 +60,7 @@
         self.progress_made = TransferProgress(TransferPhase.WAITING)
         self.passed_on = []
         self.may_pass_on = False
+        self.use = ChannelUse(max_count=4)
 
     def start(self, attempt):
         self.started.append(attempt)
@@ -80,6 +82,9 @@
         self.abandoned.append(attempt)
         return self.may_execute
 
+    def channel_use(self):
+        return self.use
+
 
 class ScriptedScheduler:
     """Replaces the scheduler; `actions_for` returns the actions for an event."""
@@ -153,6 +158,29 @@
         await asyncio.sleep(0)
 
 
+@pytest.mark.parametrize(
+    ("use", "responses", "started_count"),
+    [
+        (ChannelUse(4, is_full=True, streamed_count=3), [("refused", 1.5)], 0),
+        (ChannelUse(4, is_full=True, streamed_count=2), [], 1),  # the others free theirs soon
+        (ChannelUse(4, is_full=False, streamed_count=3), [], 1),
+    ],
+)
+def test_a_request_is_rejected_at_once_if_streamed_responses_hold_the_channels(use, responses, started_count):
+    """Guards against a rejection only after attempts at a channel, which pause a sound target."""
+
+    async def scenario(engine, scheduler):
+        engine.target_client.use = use
+        handler = RecordingResponseHandler()
+        engine.submit(client_request(handler))
+        await run_batches()
+        assert handler.responses == responses
+        assert len(engine.target_client.started) == started_count
+        assert engine.counts["rejected_without_channel"] == len(responses)
+
+    run_scenario(scenario, on_request(START))
+
+
 @pytest.mark.parametrize(
     ("actions", "responses", "started_count"),
     [
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -375,7 +375,7 @@
 
 def test_channels_to_targets_are_limited_and_idle_ones_are_evicted():
     async def scenario(harness, reader, writer):
-        harness.app.target_client.pool._max_channels = 2
+        harness.app.target_client.pool.max_channels = 2
         harness.targets[0].delay = 0.05
         results = await asyncio.gather(*(harness.read(tag, 0) for tag in range(1, 6)))
         assert [result.outcome for result in results] == ["served"] * 5
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -135,7 +135,7 @@
     """Guards against an exception for a pool that can't open another connection."""
 
     async def scenario(harness):
-        harness.app.target_client.pool._max_channels = 1
+        harness.app.target_client.pool.max_channels = 1
         target = DistantTarget(harness.targets[0], 0.0013, 0.002)
         await send_requests(harness, target, [0.0] * 6)
         assert target.duplicates
