Split the HTTP server: connections and requests in modules of their own

Change: http_client_connection.py is a client's connection, http_requests.py the pure functions between HTTP and the engine, http_server.py what connections share. Nothing else moves; three tests patch the constant where it is used now.

--- a/stalltiller/adapters/nvme_controller.py
+++ b/stalltiller/adapters/nvme_controller.py
@@ -95,8 +95,8 @@
         """Reserve memory for a command's data; return False, reserving nothing, at a limit."""
         has_memory = self.command_data_budget.adjust_reservation(io_command.size)
         # The responses to all commands may stay unread as well.
-        has_room = self.unread_response_budget.has_room(self.command_data_budget.reserved_bytes)
-        if has_memory and has_room and self.engine.open_request_count < MAX_COMMANDS_IN_FLIGHT:
+        can_hold_responses = self.unread_response_budget.can_reserve(self.command_data_budget.reserved_bytes)
+        if has_memory and can_hold_responses and self.engine.open_request_count < MAX_COMMANDS_IN_FLIGHT:
             return True
         self.command_data_budget.adjust_reservation(-io_command.size)
         return False
--- a/stalltiller/transport/buffers.py
+++ b/stalltiller/transport/buffers.py
@@ -38,7 +38,7 @@
         self._max_bytes = max_bytes
         self.reserved_bytes = 0
 
-    def has_room(self, size: int) -> bool:
+    def can_reserve(self, size: int) -> bool:
         """Return whether `size` more bytes could be reserved within the limit."""
         return self.reserved_bytes + size <= self._max_bytes
 
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from stalltiller.adapters.http_server import ClientConnection
+from stalltiller.adapters.http_client_connection import ClientConnection
 from stalltiller.adapters.http_target_connection import TargetConnection
 from stalltiller.protocol.platform import FieldError
 from stalltiller.routing.transfer_monitor import TransferMonitor
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -94,7 +94,7 @@
 
 
 def test_an_incomplete_request_times_out_with_408(monkeypatch):
-    monkeypatch.setattr("stalltiller.adapters.http_server.REQUEST_IDLE_LIMIT_SECONDS", 0.05)
+    monkeypatch.setattr("stalltiller.adapters.http_client_connection.REQUEST_IDLE_LIMIT_SECONDS", 0.05)
 
     async def scenario(harness, reader, writer):
         writer.write(GET_REQUEST[:-2])
@@ -110,7 +110,7 @@
 def test_a_new_connection_without_a_complete_request_times_out(monkeypatch, encoded_request, expected_start):
     """Guards against silent clients that hold file descriptors forever, as hundreds of them did."""
     monkeypatch.setattr("stalltiller.transport.listener.FIRST_REQUEST_TIMEOUT_SECONDS", 0.1)
-    monkeypatch.setattr("stalltiller.adapters.http_server.REQUEST_IDLE_LIMIT_SECONDS", 0.1)
+    monkeypatch.setattr("stalltiller.adapters.http_client_connection.REQUEST_IDLE_LIMIT_SECONDS", 0.1)
 
     async def scenario(harness, reader, writer):
         writer.write(encoded_request)
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -220,7 +220,7 @@
 
 
 def test_a_slow_request_body_is_accepted_and_a_stalled_one_times_out(monkeypatch):
-    monkeypatch.setattr("stalltiller.adapters.http_server.REQUEST_IDLE_LIMIT_SECONDS", 0.3)
+    monkeypatch.setattr("stalltiller.adapters.http_client_connection.REQUEST_IDLE_LIMIT_SECONDS", 0.3)
     monkeypatch.setattr("stalltiller.transport.listener.FIRST_REQUEST_TIMEOUT_SECONDS", 0.2)
 
     async def scenario(harness, reader, writer):
