Keep the ports of a fleet of the tests until its processes have them

Change: the rig keeps a bound socket on each port to its end. It has SO_REUSEADDR and does not listen, so that a member may listen there, also after a restart; another rig tries without the option and is refused. UDP ports are kept by their TCP twins, as only rigs use this range.

--- a/tests/fleet/rig.py
+++ b/tests/fleet/rig.py
@@ -32,27 +32,28 @@
 CONDITION_TIMEOUT_SECONDS = 40.0  # many times the usual wait on an idle machine
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are unused over both TCP and UDP.
+def reserve_ports(count: int) -> list[socket.socket]:
+    """Return sockets bound to ports that are unused over both TCP and UDP; each keeps its port until closed.
 
-    They lie below the ephemeral range, as a client of the test could take an ephemeral port before the
-    process that is to listen there starts.
+    A server of the program may still listen there: both sockets have SO_REUSEADDR, and the one that keeps the
+    port doesn't listen.  Another rig, which tries its ports without that option, does not get them.  They lie
+    below the ephemeral range, as a client of the test could take an ephemeral port over UDP.
     """
-    sockets = []
-    ports = []
+    reserved: list[socket.socket] = []
     for port in random.sample(range(12000, 32000), 2000):
-        tcp = socket.socket()
-        udp = socket.socket(type=socket.SOCK_DGRAM)
-        sockets += [tcp, udp]
-        with contextlib.suppress(OSError):
-            tcp.bind(("127.0.0.1", port))
-            udp.bind(("127.0.0.1", port))
-            ports.append(port)
-        if len(ports) == count:
+        if len(reserved) == count:
             break
-    for bound_socket in sockets:
-        bound_socket.close()
-    return ports
+        tcp = socket.socket()
+        with socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                tcp.close()
+                continue
+        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.append(tcp)
+    return reserved
 
 
 class Process:
@@ -244,7 +245,8 @@
     """A fleet of processes with stubs for its targets and discovery services."""
 
     def __init__(self, size: int, folder: Path, **changes: str) -> None:
-        ports = free_ports(4 * size)
+        self._reserved = reserve_ports(4 * size)
+        ports = [reserved.getsockname()[1] for reserved in self._reserved]
         seeds = [ports[3], ports[7]]
         changes = {"probe_every_s": "0.2", "probe_timeout_s": "0.1", **changes}
         # Whether the members persist their recovery state, each in a folder of its own.
@@ -293,6 +295,8 @@
         self.proxy.close()
         for stub in (self.discovery, self.second_discovery, *self.targets):
             stub.close()
+        for reserved in self._reserved:
+            reserved.close()
         if error_type is not None:
             lines = [line for member in self.members.values() for line in member.log]
             for line in sorted(lines, key=lambda line: line["time"]):
