Let the scheduler answer for an attempt that ends as late as the deadline guard

Cause: an attempt expires 15 ms before its client's deadline, the guard 8 ms before. A process held up for 7 ms there has both due in one batch, where due timers run before the scheduler sees the attempt's end: the guard answers 504 for what the scheduler rejects with 503 (also what never ran) and logs a fault, and the scheduler's answer comes second and logs another. Being held up is no fault of the request.

Change: the guard waits until 2 ms after the latest attempt's end, as it does after the arrival; the batch that ended the attempt calls the scheduler at once. A scheduler that does not answer is still stopped before the deadline.

--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -62,7 +62,8 @@
 
 # The deadline guard fails a request that is still open this long before the client's deadline.
 DEADLINE_GUARD_MARGIN_SECONDS = 0.008
-# The deadline guard waits at least this long after arrival, so that the scheduler sees the request first.
+# The deadline guard waits at least this long after a request's arrival and after its latest attempt's end, so
+# that the scheduler sees these first.
 MIN_SCHEDULING_SECONDS = 0.002
 MAX_LAG_SECONDS = 0.25  # upper bound of the time that a request is assumed to have waited unread
 
@@ -280,6 +281,10 @@
         state = self._requests.get_open(request_id)
         if state is None or (state.in_flight is not None and state.in_flight.is_overdue):
             return
+        scheduled_by = state.attempt_ended_at + MIN_SCHEDULING_SECONDS
+        if self._loop.time() < scheduled_by:  # both were due in this batch
+            state.deadline_timer = self._timers.call_at(scheduled_by, self._fail_at_deadline, request_id)
+            return
         self._context.report_violation(GuardViolation.DEADLINE_REACHED, id=request_id)
         self._requests.finish(state, RequestOutcome.FAILED)
         self._enqueue(ClientDisconnected(request_id))  # the scheduler treats it as a disconnected client
--- a/stalltiller/routing/request_state.py
+++ b/stalltiller/routing/request_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from enum import StrEnum
 
@@ -31,6 +32,7 @@
 
     __slots__ = (
         "attempt_count",
+        "attempt_ended_at",
         "attempt_timers",
         "client_request",
         "deadline",
@@ -58,6 +60,7 @@
         self.request_class = request_class
         self.max_attempts = max_attempts
         self.attempt_count = 0
+        self.attempt_ended_at = -math.inf  # loop time at which the latest attempt ended
         self.in_flight: Attempt | None = None
         self.attempt_timers: list[Timer] = []  # of the attempt in flight
         self.deadline_timer: Timer | None = None  # set if the request is admitted
--- a/stalltiller/routing/request_table.py
+++ b/stalltiller/routing/request_table.py
@@ -105,6 +105,7 @@
             )
             return
         state.in_flight = None
+        state.attempt_ended_at = self._context.loop.time()
         if attempt.is_overdue:
             self._context.monitor.unwatch(self._overdue.pop(attempt.request_id))
         self._timers.cancel(state.attempt_timers)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -295,6 +296,31 @@
     run_scenario(scenario, lambda event: ())
 
 
+def test_the_scheduler_answers_for_an_attempt_that_expires_in_a_batch_as_late_as_the_deadline_guard():
+    """Guards against a violation, and a failure for a rejection, only because this process was held up."""
+
+    async def scenario(engine, target_client):
+        loop = asyncio.get_running_loop()
+        target_client.may_execute = False
+        handler = RecordingResponseHandler()
+        deadline = loop.time() + 0.1
+        engine.submit(client_request(handler, 0.1))
+        await run_batches()
+        assert len(target_client.started) == 1
+        time.sleep(deadline - 0.004 - loop.time())  # the attempt's expiry and the guard are due in one batch
+        await asyncio.sleep(0.02)
+        assert (handler.responses, engine.counts["faults"]) == ([("refused", 0.5)], 0)
+
+    run_scenario(
+        scenario,
+        lambda event: (StartAttempt(1, 1, 0.085),)
+        if isinstance(event, Request)
+        else (Reject(1, 0.5),)
+        if isinstance(event, AttemptFinished)
+        else (),
+    )
+
+
 def test_a_request_that_arrives_just_before_its_deadline_is_rejected_by_the_scheduler():
     """The deadline guard was due in the loop iteration of the request's arrival and reported a violation."""
 
