--- a/tests/slow_peers.py
+++ b/tests/slow_peers.py
@@ -235,13 +235,18 @@
     """One process of the initiator, started with the interpreter of the tests; `events` is its log."""
 
     def __init__(
-        self, name: str, descriptors: tuple[int, ...], variables: dict[str, str], events: list[dict]
+        self,
+        name: str,
+        descriptors: tuple[int, ...],
+        variables: dict[str, str],
+        events: list[dict],
+        arguments: tuple[str, ...] = (),
     ) -> None:
         self.name = name
         self.events = events
         environment = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "stalltiller"],
+            [sys.executable, "-m", "stalltiller", *arguments],
             cwd=stand_ins.ROOT,
             env={**environment, **variables},
             stdout=subprocess.PIPE,
