Answer at the client's time for a response of which the client has no byte

Callers saw: no answer at their time, but up to the idle limit (5 s) later, where the target had sent an interim response or a part of a head, or a part of a read over NVMe/TCP. Change: such an attempt expires at the client's time; WAIT_FOR_PROGRESS, the overdue attempts and the byte counts that only they used are gone.

--- a/stalltiller/adapters/nvme_target_client.py
+++ b/stalltiller/adapters/nvme_target_client.py
@@ -94,10 +94,6 @@
         """Return how far the transfer of the attempt has come."""
         return self._io_queue.progress()
 
-    def received_bytes(self) -> int:
-        """Return the number of bytes received on the I/O queue."""
-        return self._io_queue.received_bytes()
-
     def pass_on(self) -> bool:
         """Return False: the data of a command is passed on with its completion."""
         return False
--- a/stalltiller/adapters/pooled_target_client.py
+++ b/stalltiller/adapters/pooled_target_client.py
@@ -64,11 +64,6 @@
         """Return how far the transfer of an attempt has come."""
         return self.pool.progress(attempt) or TransferProgress(TransferPhase.CONNECTING)
 
-    def transferred_bytes(self, attempt: Attempt) -> int:
-        """Return a count that changes with each byte that comes from the target of an attempt."""
-        channel: Channel = attempt.channel
-        return channel.received_bytes()
-
     def pass_on(self, attempt: Attempt) -> bool:
         """Finish an attempt by passing on the rest of its response; return False if that is impossible."""
         channel: Channel = attempt.channel
--- a/stalltiller/routing/context.py
+++ b/stalltiller/routing/context.py
@@ -55,10 +55,6 @@
             f"no attempt to target {attempt.target_id} can have begun: no target client is set"
         )
 
-    def transferred_bytes(self, attempt: Attempt) -> int:
-        """Raise `RuntimeError`."""
-        raise RuntimeError(f"nothing can have come from target {attempt.target_id}: no target client is set")
-
     def pass_on(self, attempt: Attempt) -> bool:
         """Raise `RuntimeError`."""
         raise RuntimeError(f"target {attempt.target_id} can't have responded: no target client is set")
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -279,7 +279,7 @@
     def _fail_at_deadline(self, request_id: int) -> None:
         """Fail a request that is still open shortly before its deadline: its client waits no longer."""
         state = self._requests.get_open(request_id)
-        if state is None or (state.in_flight is not None and state.in_flight.is_overdue):
+        if state is None:
             return
         scheduled_by = state.attempt_ended_at + MIN_SCHEDULING_SECONDS
         if self._loop.time() < scheduled_by:  # both were due in this batch
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -94,9 +94,8 @@
     `latest_start` or later; None means no limit, and the limit may become earlier while the attempt is in
     flight.  `payload` is None once the attempt or its request has finished.  `channel` is private to the
     target client; `channel_idle_time` is how long that connection was idle before, in seconds, None if it is
-    new.  `client_deadline` is when the client's time is over.  The response of an attempt that `is_overdue`
-    has begun before and goes on after that; it is to be passed on as soon as possible.  `trace_label` is the
-    client's identifier of the request.
+    new.  `client_deadline` is when the client's time is over.  `trace_label` is the client's identifier of
+    the request.
     """
 
     request_id: int
@@ -112,7 +111,6 @@
     channel: Any = field(default=None, repr=False)
     channel_idle_time: float | None = None
     client_deadline: float = math.inf
-    is_overdue: bool = False
     trace_label: str = ""
 
 
@@ -146,9 +144,6 @@
     def progress(self, attempt: Attempt) -> TransferProgress:
         """Return how far the transfer of an attempt has come."""
 
-    def transferred_bytes(self, attempt: Attempt) -> int:
-        """Return a count that changes with each byte that comes from the target of an attempt."""
-
     def pass_on(self, attempt: Attempt) -> bool:
         """Finish an attempt by passing on the rest of its response as it arrives, if its progress allows it.
 
--- a/stalltiller/routing/request_table.py
+++ b/stalltiller/routing/request_table.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 from stalltiller.routing.context import EngineContext, Logger
 from stalltiller.routing.exchange_end import EndRule, ExchangeEnd, TransferPhase
@@ -20,22 +19,6 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-@dataclass(slots=True, frozen=True, eq=False)
-class OverdueResponse:
-    """The response of an attempt in flight whose client's time is over, for the transfer monitor."""
-
-    attempt: Attempt
-    requests: RequestTable
-
-    def transferred_bytes(self) -> int:
-        """Return a count that changes with each byte that comes from the target."""
-        return self.requests.transferred_bytes(self.attempt)
-
-    def on_stopped(self) -> None:
-        """End the attempt: its response does not go on."""
-        self.requests.abandon(self.attempt, AttemptStatus.TIMEOUT, EndRule.RESPONSE_STOPPED)
-
-
 class RequestTable:
     """Requests by id; each stays until it is finished and has no attempt in flight."""
 
@@ -44,7 +27,6 @@
         self._timers = timers
         self._enqueue = enqueue
         self._states: dict[int, RequestState] = {}
-        self._overdue: dict[int, OverdueResponse] = {}  # by request id
         self.open_count = 0  # requests that are not finished
 
     def __len__(self) -> int:
@@ -91,7 +73,7 @@
         if state.deadline_timer is not None:
             self._timers.cancel([state.deadline_timer])
         if state.in_flight is not None:  # no client waits for it: it must not start any more
-            self._cancel_unneeded(state.in_flight)
+            self.cancel_if_unsent(state.in_flight)
         if state.in_flight is not None:
             state.release_payload()
         self._remove_if_complete(state)
@@ -106,8 +88,6 @@
             return
         state.in_flight = None
         state.attempt_ended_at = self._context.loop.time()
-        if attempt.is_overdue:
-            self._context.monitor.unwatch(self._overdue.pop(attempt.request_id))
         self._timers.cancel(state.attempt_timers)
         state.attempt_timers.clear()
         attempt.payload = None
@@ -153,10 +133,6 @@
             return False
         return not progress.can_pass_on or self._context.target_client.pass_on(attempt)
 
-    def transferred_bytes(self, attempt: Attempt) -> int:
-        """Return a count that changes with each byte that comes from the target of an attempt."""
-        return self._context.target_client.transferred_bytes(attempt)
-
     def _goes_on(self, attempt: Attempt, is_deadline_over: bool) -> bool:
         """Let a transfer in progress go on as `transfer_limits` decides; return whether it does.
 
@@ -171,8 +147,6 @@
                 return target_client.pass_on(attempt)
             case ExpiryAction.WAIT_FOR_DEADLINE:
                 self._wait_for_deadline(attempt)
-            case ExpiryAction.WAIT_FOR_PROGRESS:
-                self._wait_for_progress(attempt)
         return True
 
     def _wait_for_deadline(self, attempt: Attempt) -> None:
@@ -180,20 +154,6 @@
         timer = self._timers.call_at(attempt.expires_at, self.expire, attempt)
         self._states[attempt.request_id].attempt_timers.append(timer)
 
-    def _wait_for_progress(self, attempt: Attempt) -> None:
-        """Keep a response that has begun in flight until it is whole or has stopped."""
-        attempt.is_overdue = True
-        overdue = OverdueResponse(attempt, self)
-        self._overdue[attempt.request_id] = overdue
-        self._context.monitor.watch(overdue)
-
-    def _cancel_unneeded(self, attempt: Attempt) -> None:
-        """Cancel the attempt of a finished request if it must not start any more or would not expire."""
-        if attempt.is_overdue:
-            self.abandon(attempt, AttemptStatus.CANCELLED)
-        else:
-            self.cancel_if_unsent(attempt)
-
     def cancel_if_unsent(self, attempt: Attempt) -> None:
         """Cancel an attempt that must not start any more, unless its target may have received all of it."""
         if self._is_in_flight(attempt) and not self._context.target_client.is_fully_sent(attempt):
--- a/stalltiller/routing/transfer_limits.py
+++ b/stalltiller/routing/transfer_limits.py
@@ -4,9 +4,10 @@
 from one that is slow.  Progress is a byte that came or that the peer's machine has acknowledged.  A transfer
 that makes none for the idle limit has stopped, and nothing else ends one that has begun.
 
-A response that has not begun by its client's time comes too late, so that its client gets an answer then.
-The same holds for a response that is short and silent at that moment: nothing of it has been passed on, and
-it may never become whole.
+A response has begun once its client has a byte of it.  One that can't be passed on by its client's time comes
+too late, and its client gets an answer then: the target is silent, still reads the request, or has sent an
+interim response, a part of a head, or a part of a read over NVMe/TCP.  The same holds for a response that is
+short and silent at that moment, since it may never become whole.
 
 Everything here is pure.  Times are on one monotonic clock, in seconds.
 """
@@ -88,11 +89,10 @@
     ABANDON = "abandon"
     PASS_ON = "pass_on"  # the client gets the response as it comes
     WAIT_FOR_DEADLINE = "wait_for_deadline"  # the client's
-    WAIT_FOR_PROGRESS = "wait_for_progress"  # it goes on until it is whole or has stopped
 
 
 def latest_expiry(client_deadline: float) -> float:
-    """Return when an attempt expires whose response has not begun."""
+    """Return when an attempt expires whose client has no byte of a response."""
     return client_deadline - RESPONSE_MARGIN_SECONDS
 
 
@@ -109,9 +109,7 @@
         return ExpiryAction.ABANDON
     if progress.phase is not TransferPhase.RECEIVING or (progress.is_short and is_silent(progress)):
         return wait
-    if progress.can_pass_on:
-        return ExpiryAction.PASS_ON
-    return ExpiryAction.WAIT_FOR_PROGRESS if is_deadline_over else ExpiryAction.WAIT_FOR_DEADLINE
+    return ExpiryAction.PASS_ON if progress.can_pass_on else wait
 
 
 def may_cancel(progress: TransferProgress) -> bool:
--- a/stalltiller/transport/pool.py
+++ b/stalltiller/transport/pool.py
@@ -63,9 +63,6 @@
     def progress(self) -> Any:
         """How far the exchange in flight has come."""
 
-    def received_bytes(self) -> int:
-        """Return a count that changes with each byte that comes from the target."""
-
     def pass_on(self) -> bool:
         """Finish the exchange by passing on the rest of its response; return False if that is impossible."""
 
