Let every response be due by the end of a drain, and expire attempts then

Cause: an attempt knew its client's time only (20.7 s). finish_all answered for those that were silent, but kept one whose target had sent an interim response or a part of a head (candidate A), and passed an error on as a finished attempt that the scheduler then tried again, with nothing to end it (B). Change: routing/response_deadline.py: a request's response is due at min(its client's deadline, the drain's end), set on arrival and, in open requests, as the drain begins (Engine.begin_drain, at the signal; the first signal counts). Attempts expire by it like by the client's time (ExpiryReason); the scheduler has it as the request's deadline (DeadlineShortened, Request.response_due_in), so that it rejects at once what can't be done by then and starts nothing that can't end; ResponseDue gives it the last turn even if the loop is late. finish_all runs 0.05 s after the drain's end and what it finds is a violation (OPEN_AFTER_DRAIN). A short response whose body comes slowly is passed on as it comes in a drain, since its client would get an answer in its place. Requests in the last 0.02 s and later are rejected at once. The steps are in routing/drain_schedule.py. Log: drain_started, rule drain_ended, counter rejected_after_drain, due_ms in the trace. Checks changed: finish_all is no longer the normal end, so its two tests use begin_drain and demand the same outcome, no attempt after it and no violation, or that the violation is counted; the one of a part of a head that goes on is replaced by eight cases that demand the answer by the drain's end. Names of patched constants moved.

--- a/stalltiller/adapters/http_target_connection.py
+++ b/stalltiller/adapters/http_target_connection.py
@@ -61,7 +61,7 @@
         self._attempt = attempt
         payload: Payload = attempt.payload
         is_long = len(payload.body) > MAX_SINGLE_READ_BYTES
-        expires_at = latest_expiry(attempt.client_deadline) if is_long else attempt.expires_at
+        expires_at = latest_expiry(attempt.deadline.due_at) if is_long else attempt.expires_at
         timeout = max(MIN_ATTEMPT_TIMEOUT_SECONDS, expires_at - self._target_client.loop.time())
         fields = {"Host": payload.host, "X-Request-ID": payload.request_id, "X-Timeout": f"{timeout:.3f}"}
         if payload.deduplication_key is not None:
@@ -313,9 +313,11 @@
 
         Guards against targets that write slowly: 64 KiB of chunks took up to 1.1 s, and the client waits
         for the first bytes of a long response.  While only its head has come it is not streamed, so that its
-        request can be retried if the connection breaks.
+        request can be retried if the connection breaks.  A short one is streamed in a drain that ends before
+        the client's time: a client that has no byte by then gets an answer in its place.
         """
-        if self._is_short():
+        assert self._attempt is not None
+        if self._is_short() and not self._attempt.deadline.is_set_by_drain:
             return False
         threshold = SMALL_BODY_BYTES if self._reader.length is None else STREAM_THRESHOLD_BYTES
         is_slow = self._target_client.loop.time() - self._head_received_at >= SLOW_RESPONSE_SECONDS
--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -16,7 +16,7 @@
 from stalltiller.daemon.config import Config, format_address
 from stalltiller.daemon.detached_targets import DetachedTargets
 from stalltiller.daemon.discovery_watch import DiscoveryWatch
-from stalltiller.daemon.graceful_shutdown import MAX_ACCEPTING_SECONDS, GracefulShutdown
+from stalltiller.daemon.graceful_shutdown import GracefulShutdown
 from stalltiller.daemon.log import JsonLog
 from stalltiller.daemon.metrics import MetricsExporter
 from stalltiller.daemon.process_handover import ProcessHandover
@@ -24,6 +24,7 @@
 from stalltiller.daemon.resource_limits import divide_resources
 from stalltiller.daemon.settings_reload import SettingsReloader
 from stalltiller.protocol.discovery import TargetList
+from stalltiller.routing.drain_schedule import MAX_ACCEPTING_SECONDS
 from stalltiller.routing.engine import Engine
 from stalltiller.scheduling import TargetListKind
 from stalltiller.transport.buffers import BufferPool
@@ -126,6 +127,11 @@
                 await self.recovery.stop()
             self._log("stopped", **self.engine.counts)
 
+    def terminate(self) -> None:
+        """Begin to shut down."""
+        self._shutdown.begin(self._loop.time())
+        self.stop.set()
+
     def reload(self, read_config: Callable[[], Config]) -> None:
         """Read the configuration again; see SettingsReloader."""
         self.settings_reloader.reload(read_config)
--- a/stalltiller/daemon/graceful_shutdown.py
+++ b/stalltiller/daemon/graceful_shutdown.py
@@ -1,9 +1,9 @@
 """Shuts down without losing a request: continue to serve, close idle connections, finish open requests.
 
 Guards against ending service early: clients of this initiator have no other path to their data, and an early
-exit does not bring its next start forward.  The supervisor waits for the longest deadline, at most 3 s.
-Requests that have no response by then get an answer; a transfer that has begun goes on until it ends or has
-stopped, or until the supervisor kills the process.
+exit does not bring its next start forward.  Every response is due at the end of the drain
+(`routing/drain_schedule.py`), which the engine enforces; a response that has begun goes on until it ends or
+has stopped, or until the supervisor kills the process.
 """
 
 from __future__ import annotations
@@ -13,22 +13,20 @@
 
 from stalltiller.daemon.process_handover import ProcessHandover
 from stalltiller.daemon.protocol_adapters import ProtocolAdapters
+from stalltiller.routing.drain_schedule import DrainSchedule, drain_schedule
 from stalltiller.routing.engine import Engine
 from stalltiller.transport.listener import Listener
 
-KEEP_LISTENING_SECONDS = 0.5  # after SIGTERM, even without open requests: clients are notified late
-MAX_DEADLINE_SECONDS = 3.0  # upper limit of the class deadlines considered
-DEADLINE_MARGIN_SECONDS = 0.1  # past the longest deadline, the drain ends and open requests are finished
-CLOSE_IDLE_BEFORE_END_SECONDS = 0.5  # from the first closing of idle connections to the end of the drain
-LINGER_SECONDS = 0.4  # after the drain, for clients to close their connections
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
 LINGER_POLL_INTERVAL_SECONDS = 0.01
-# From the hand-over on, a process that ends may take requests for that long; its transfers may last longer.
-MAX_ACCEPTING_SECONDS = MAX_DEADLINE_SECONDS + DEADLINE_MARGIN_SECONDS + LINGER_SECONDS
+MILLISECONDS_PER_SECOND = 1000
 
 
 class GracefulShutdown:
-    """Drains one initiator; it owns none of the components that it drains."""
+    """Drains one initiator; it owns none of the components that it drains.
+
+    `begin` and then `drain` are called once the process has been told to end.
+    """
 
     def __init__(
         self,
@@ -45,6 +43,26 @@
         self._listener = listener
         self._handover = handover
         self._log = log
+        self._schedule: DrainSchedule | None = None
+
+    def begin(self, signalled_at: float) -> DrainSchedule:
+        """Let all responses be due by the end of a drain; return its schedule.
+
+        `signalled_at` is the loop time of the signal.  Only the first call counts: neither later signals nor
+        new settings move the end.
+        """
+        if self._schedule is None:
+            longest_deadline = max(cls.deadline for cls in self._engine.settings.classes)
+            self._schedule = drain_schedule(signalled_at, longest_deadline)
+            now = self._loop.time()
+            self._log(
+                "drain_started",
+                open=self._engine.open_request_count,
+                ends_in_ms=round(MILLISECONDS_PER_SECOND * (self._schedule.ends_at - now), 1),
+                held_up_ms=round(MILLISECONDS_PER_SECOND * (now - signalled_at), 1),
+            )
+            self._engine.begin_drain(self._schedule.ends_at)
+        return self._schedule
 
     async def drain(self, has_successor: bool) -> None:
         """Drain until no request or connection is left, or the time is up and no transfer goes on.
@@ -52,24 +70,23 @@
         With a successor, another process accepts new connections on the shared listening socket from now on;
         without one, this process accepts them until it begins to close connections.
         """
-        longest_deadline = max(cls.deadline for cls in self._engine.settings.classes)
-        end_time = self._loop.time() + min(longest_deadline, MAX_DEADLINE_SECONDS) + DEADLINE_MARGIN_SECONDS
+        schedule = self.begin(self._loop.time())
         self._listener.keep_idle = True
         if has_successor:
             await self._yield_to_successor()
-        await asyncio.sleep(KEEP_LISTENING_SECONDS)
-        while self._loop.time() < end_time - CLOSE_IDLE_BEFORE_END_SECONDS and self._is_in_use():
+        await asyncio.sleep(max(0.0, schedule.keep_listening_until - self._loop.time()))
+        while self._loop.time() < schedule.close_idle_at and self._is_in_use():
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         # Without a successor, connections in the kernel's backlog are accepted and served too.
         await self._listener.stop(accept_backlog=not has_successor)
         self._adapters.server.stopping = True  # connections close after their next response
-        while self._loop.time() < end_time and self._is_in_use():
+        while self._loop.time() < schedule.finish_at and self._is_in_use():
             self._listener.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
         self._engine.finish_all()
         self._handover.end_claims()
         self._log_transfers_in_progress()
-        await self._linger(end_time + LINGER_SECONDS)
+        await self._linger(schedule.linger_until)
 
     async def _yield_to_successor(self) -> None:
         """Let the next process accept clients; here connections close after their next response."""
--- a/stalltiller/daemon/serve.py
+++ b/stalltiller/daemon/serve.py
@@ -34,7 +34,7 @@
     loop.set_exception_handler(log_loop_error)
     application = Application(config, log, loop, is_tracing)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, application.stop.set)
+        loop.add_signal_handler(signal_number, application.terminate)
     loop.add_signal_handler(signal.SIGHUP, application.reload, read_config_on_reload)
     await application.run()
 
--- a/stalltiller/routing/action_dispatch.py
+++ b/stalltiller/routing/action_dispatch.py
@@ -165,7 +165,7 @@
             return GuardViolation.TOO_MANY_ATTEMPTS
         if endpoint is None or (latest_start is not None and now >= latest_start):
             return GuardViolation.TARGET_UNAVAILABLE
-        return None
+        return GuardViolation.DRAIN_OVER if now >= state.deadline.drain_end else None
 
     def _latest_start(self, state: RequestState, target_id: TargetId) -> float | None:
         """Return the time from which an attempt must not start; None if its start is not limited.
@@ -192,7 +192,7 @@
         latest_start: float | None,
         now: float,
     ) -> Attempt:
-        expires_at = latest_expiry(state.deadline)
+        expires_at = latest_expiry(state.deadline.due_at)
         if action.expires_at is not None:
             expires_at = min(expires_at, action.expires_at + self._context.scheduler_epoch)
         return Attempt(
@@ -206,7 +206,7 @@
             sent_at=now,
             expires_at=expires_at,
             latest_start=latest_start,
-            client_deadline=state.deadline,
+            deadline=state.deadline,
             trace_label=state.client_request.trace_label,
         )
 
@@ -221,13 +221,13 @@
     def _record_attempt_started(self, attempt: Attempt, state: RequestState) -> None:
         self._context.counts[COUNT_ATTEMPTS] += 1
         if self._context.trace is not None:
-            waited_seconds = attempt.sent_at - state.deadline + state.client_request.timeout
+            arrived_at = state.deadline.client_deadline - state.client_request.timeout
             self._context.trace(
                 "attempt_started",
                 id=attempt.request_id,
                 attempt=attempt.number,
                 target=attempt.target_id,
-                waited_ms=round(MILLISECONDS_PER_SECOND * waited_seconds, 1),
+                waited_ms=round(MILLISECONDS_PER_SECOND * (attempt.sent_at - arrived_at), 1),
                 slow_start=self._slow_start_state(attempt.target_id),
             )
 
--- a/stalltiller/routing/context.py
+++ b/stalltiller/routing/context.py
@@ -19,6 +19,7 @@
 # Names of exported counters; others are the values of `RequestOutcome` and `attempt_STATUS` for each status.
 COUNT_RECEIVED = "taken"
 COUNT_NOT_ADMITTED = "turned_back"
+COUNT_AFTER_DRAIN = "rejected_after_drain"
 COUNT_WITHOUT_CHANNEL = "rejected_without_channel"
 COUNT_ATTEMPTS = "attempts"
 COUNT_GUARD_VIOLATIONS = "faults"
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -6,7 +6,7 @@
 The engine owns the scheduler, its clock, the open requests, the known targets and one heap of timers.  It
 makes no scheduling decisions, but enforces invariants whatever adapters and scheduler do: one final response
 per request, one attempt in flight at a time, no attempt at a target after its drain grace, and a response
-before the client's deadline.  `guard.GuardViolation` lists these invariants.
+before the client's deadline and the end of a drain.  `guard.GuardViolation` lists these invariants.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from stalltiller.routing.action_dispatch import ActionDispatcher
 from stalltiller.routing.channel_capacity import has_channel_soon
 from stalltiller.routing.context import (
+    COUNT_AFTER_DRAIN,
     COUNT_NOT_ADMITTED,
     COUNT_RECEIVED,
     COUNT_WITHOUT_CHANNEL,
@@ -41,6 +42,7 @@
 )
 from stalltiller.routing.request_state import RequestOutcome, RequestState
 from stalltiller.routing.request_table import RequestTable
+from stalltiller.routing.response_deadline import NO_DRAIN, ResponseDeadline
 from stalltiller.routing.slow_start_state import slow_start_state
 from stalltiller.routing.target_table import TargetTable
 from stalltiller.routing.timers import TimerQueue
@@ -49,9 +51,11 @@
 from stalltiller.scheduling import (
     Action,
     ClientDisconnected,
+    DeadlineShortened,
     Event,
     PeerMessage,
     Request,
+    ResponseDue,
     Settings,
     SettingsChanged,
     TargetId,
@@ -60,8 +64,10 @@
 )
 from stalltiller.scheduling.scheduler import Scheduler
 
-# The deadline guard fails a request that is still open this long before the client's deadline.
+# The deadline guard fails a request that is still open this long before its response is due.
 DEADLINE_GUARD_MARGIN_SECONDS = 0.008
+# A request that comes less than this before the end of a drain is rejected at once.
+MIN_TIME_IN_DRAIN_SECONDS = 0.02
 # The deadline guard waits at least this long after a request's arrival and after its latest attempt's end, so
 # that the scheduler sees these first.
 MIN_SCHEDULING_SECONDS = 0.002
@@ -106,7 +112,7 @@
         )
         self._pending_events: list[Event] = []
         self._scheduled_batch: asyncio.Handle | None = None
-        self._is_stopped = False  # whether `finish_all` has ended all requests
+        self._drain_end = NO_DRAIN  # loop time
         self._last_batch_ended_at = epoch
         self._last_batch_duration = 0.0
 
@@ -177,7 +183,7 @@
         settings = context.settings
         now = self._loop.time()
         lag = self._estimate_lag(now)
-        deadline = now - lag + client_request.timeout
+        deadline = ResponseDeadline(now - lag + client_request.timeout, self._drain_end)
         request_id = next(self._request_ids)
         request_class = settings.classes[client_request.class_index]
         state = RequestState(request_id, client_request, deadline, request_class, settings.max_attempts)
@@ -189,16 +195,17 @@
         if retry_after > 0.0:
             self._loop.call_soon(self._reject_unadmitted, request_id, retry_after)
             return request_id
-        guard_at = max(deadline - DEADLINE_GUARD_MARGIN_SECONDS, now + MIN_SCHEDULING_SECONDS)
-        state.deadline_timer = self._timers.call_at(guard_at, self._fail_at_deadline, request_id)
-        time_remaining = max(0.0, latest_expiry(deadline) - now)
-        self._enqueue(_scheduler_request(request_id, client_request, time_remaining))
+        self._set_deadline_timer(state)
+        time_remaining = max(0.0, latest_expiry(deadline.client_deadline) - now)
+        response_due_in = max(0.0, latest_expiry(deadline.due_at) - now)
+        self._enqueue(_scheduler_request(request_id, client_request, time_remaining, response_due_in))
         return request_id
 
     def _retry_delay(self, client_request: ClientRequest) -> float:
         """Return 0 for a request to schedule, otherwise the retry delay of its rejection in seconds."""
         longest_delay = self.settings.max_retry_after or MIN_SCHEDULING_SECONDS
-        if self._is_stopped:
+        if self._loop.time() >= self._drain_end - MIN_TIME_IN_DRAIN_SECONDS:
+            self.counts[COUNT_AFTER_DRAIN] += 1
             return longest_delay
         if not has_channel_soon(self.target_client.channel_use()):
             self.counts[COUNT_WITHOUT_CHANNEL] += 1
@@ -208,7 +215,7 @@
     def client_deadline(self, request_id: int) -> float | None:
         """Return when the time of an open request's client is over; None if the request is not open."""
         state = self._requests.get_open(request_id)
-        return None if state is None else state.deadline
+        return None if state is None else state.deadline.client_deadline
 
     def cancel(self, request_id: int) -> None:
         """Finish a request whose client has disconnected."""
@@ -225,28 +232,73 @@
         """Log that an adapter ends an exchange which no attempt in flight belongs to."""
         self._context.report_exchange_end(exchange_end)
 
-    def finish_all(self) -> None:
-        """Respond to all open requests before shutdown; requests submitted later are rejected unscheduled.
+    # --- The end of the process -------------------------------------------------------------------
+    def begin_drain(self, ends_at: float) -> None:
+        """Let every response be due at `ends_at` on the loop's clock, at the latest; the first call counts.
 
-        A request whose response has begun stays open, until the response is whole or has stopped.
+        Requests that come later are rejected at once.  Responses that are being passed on go on.
         """
-        self._is_stopped = True
+        if self._drain_end != NO_DRAIN:
+            return
+        self._drain_end = ends_at
+        for state in self._requests.snapshot():
+            if not state.is_finished:
+                self._shorten_deadline(state)
+
+    def _shorten_deadline(self, state: RequestState) -> None:
+        state.deadline = state.deadline.with_drain(self._drain_end)
+        if not state.deadline.is_set_by_drain or state.deadline_timer is None:
+            return
+        self._timers.cancel([state.deadline_timer])
+        self._set_deadline_timer(state)
+        if state.in_flight is not None:
+            self._requests.limit_expiry(state.in_flight, state.deadline)
+        response_due_in = max(0.0, latest_expiry(state.deadline.due_at) - self._loop.time())
+        self._enqueue(DeadlineShortened(state.request_id, response_due_in))
+
+    def finish_all(self) -> None:
+        """Respond to requests that are still open after the end of a drain, each of which is a violation."""
         for state in self._requests.snapshot():
-            if state.is_finished:
-                continue
-            attempt = state.in_flight
-            if attempt is not None and self._requests.pass_on_or_keep(attempt):
-                continue
-            may_execute = attempt is not None and self.target_client.is_fully_sent(attempt)
-            may_be_rejected = state.may_be_rejected(in_flight_may_execute=may_execute)
-            outcome = RequestOutcome.REJECTED if may_be_rejected else RequestOutcome.FAILED
-            self._requests.finish(state, outcome)
-            self._enqueue(ClientDisconnected(state.request_id))  # then the scheduler starts no attempt for it
-            handler = state.client_request.response_handler
-            if may_be_rejected:
-                handler.reject(self.settings.max_retry_after)
-            else:
-                handler.fail()
+            is_rejected_soon = state.deadline_timer is None  # it was not admitted
+            if not state.is_finished and not is_rejected_soon:
+                self._finish_after_drain(state)
+
+    def _finish_after_drain(self, state: RequestState) -> None:
+        attempt = state.in_flight
+        self._context.report_violation(
+            GuardViolation.OPEN_AFTER_DRAIN,
+            id=state.request_id,
+            label=state.client_request.trace_label,
+            target=None if attempt is None else attempt.target_id,
+            phase=None if attempt is None else self.target_client.progress(attempt).phase.value,
+        )
+        may_execute = attempt is not None and self.target_client.is_fully_sent(attempt)
+        may_be_rejected = state.may_be_rejected(in_flight_may_execute=may_execute)
+        outcome = RequestOutcome.REJECTED if may_be_rejected else RequestOutcome.FAILED
+        self._requests.finish(state, outcome)
+        self._enqueue(ClientDisconnected(state.request_id))  # then the scheduler starts no attempt for it
+        handler = state.client_request.response_handler
+        if may_be_rejected:
+            handler.reject(self.settings.max_retry_after)
+        else:
+            handler.fail()
+
+    # --- Deadlines --------------------------------------------------------------------------------
+    def _set_deadline_timer(self, state: RequestState) -> None:
+        due_at = max(latest_expiry(state.deadline.due_at), self._loop.time() + MIN_SCHEDULING_SECONDS)
+        state.deadline_timer = self._timers.call_at(due_at, self._announce_response_due, state.request_id)
+
+    def _announce_response_due(self, request_id: int) -> None:
+        """Have the scheduler respond to a request; its attempt in flight, if any, expires now."""
+        state = self._requests.get_open(request_id)
+        if state is None:
+            return
+        if state.in_flight is None:
+            self._enqueue(ResponseDue(request_id))
+        guard_at = max(
+            state.deadline.due_at - DEADLINE_GUARD_MARGIN_SECONDS, self._loop.time() + MIN_SCHEDULING_SECONDS
+        )
+        state.deadline_timer = self._timers.call_at(guard_at, self._fail_at_deadline, request_id)
 
     def _estimate_lag(self, now: float) -> float:
         """Estimate how long a request has waited unread: the duration of a batch that has just ended."""
@@ -364,7 +416,9 @@
             return []
 
 
-def _scheduler_request(request_id: int, client_request: ClientRequest, time_remaining: float) -> Request:
+def _scheduler_request(
+    request_id: int, client_request: ClientRequest, time_remaining: float, response_due_in: float
+) -> Request:
     return Request(
         request_id=request_id,
         class_index=client_request.class_index,
@@ -377,4 +431,5 @@
         is_write=client_request.is_write,
         is_retry=client_request.is_retry,
         time_remaining=time_remaining,
+        response_due_in=response_due_in,
     )
--- a/stalltiller/routing/exchange_end.py
+++ b/stalltiller/routing/exchange_end.py
@@ -17,6 +17,7 @@
     """Why the initiator ended an exchange; the values are logged as `rule`."""
 
     ATTEMPT_EXPIRED = "attempt_expired"  # at the time that the scheduler gave, or at the client's deadline
+    DRAIN_ENDED = "drain_ended"  # the process shuts down, and the client has no byte of the response
     ATTEMPT_CANCELLED = "attempt_cancelled"  # the scheduler takes the attempt for lost
     REQUEST_STALLED = "request_stalled"  # the client does not go on with its request
     RESPONSE_STOPPED = "response_stopped"  # the target does not go on with its response
--- a/stalltiller/routing/guard.py
+++ b/stalltiller/routing/guard.py
@@ -19,4 +19,6 @@
         "an attempt at a target that is unlisted, past its drain grace or past the deduplication window"
     )
     UNSAFE_REJECTION = "a rejection of a request that may have been executed"
+    DRAIN_OVER = "an attempt after the end of the drain"
+    OPEN_AFTER_DRAIN = "a request was still open after the end of the drain"
     DEADLINE_REACHED = "a request was still open shortly before its deadline"
--- a/stalltiller/routing/ports.py
+++ b/stalltiller/routing/ports.py
@@ -14,8 +14,11 @@
 
 from stalltiller.routing.channel_capacity import ChannelUse
 from stalltiller.routing.exchange_end import TransferProgress
+from stalltiller.routing.response_deadline import ResponseDeadline
 from stalltiller.scheduling import AttemptStatus, Target, TargetId
 
+NO_DEADLINE = ResponseDeadline(math.inf)
+
 
 class ResponseHandler(Protocol):
     """Sends the final response to a request's client.
@@ -94,8 +97,9 @@
     `latest_start` or later; None means no limit, and the limit may become earlier while the attempt is in
     flight.  `payload` is None once the attempt or its request has finished.  `channel` is private to the
     target client; `channel_idle_time` is how long that connection was idle before, in seconds, None if it is
-    new.  `client_deadline` is when the client's time is over.  `trace_label` is the client's identifier of
-    the request.
+    new.  `deadline` is when the client's final response is due.  If that is the end of a drain, a slow
+    response is passed on as it comes, so that its client has begun to get it by then.  `trace_label` is the
+    client's identifier of the request.
     """
 
     request_id: int
@@ -110,7 +114,7 @@
     latest_start: float | None = None
     channel: Any = field(default=None, repr=False)
     channel_idle_time: float | None = None
-    client_deadline: float = math.inf
+    deadline: ResponseDeadline = NO_DEADLINE
     trace_label: str = ""
 
 
--- a/stalltiller/routing/request_state.py
+++ b/stalltiller/routing/request_state.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 
 from stalltiller.routing.ports import Attempt, ClientRequest
+from stalltiller.routing.response_deadline import ResponseDeadline
 from stalltiller.routing.timers import Timer
 from stalltiller.scheduling import AttemptStatus, DeduplicationScope, Idempotency, RequestClass
 
@@ -26,8 +27,8 @@
 class RequestState:
     """A request from its arrival until it is finished and has no attempt in flight.
 
-    `deadline` is the client's deadline on the loop's clock.  `request_class` and `max_attempts` come from the
-    settings at its arrival; later settings do not change them.
+    `deadline` is when its final response is due, on the loop's clock.  `request_class` and `max_attempts` are
+    those of the settings at its arrival.
     """
 
     __slots__ = (
@@ -50,7 +51,7 @@
         self,
         request_id: int,
         client_request: ClientRequest,
-        deadline: float,
+        deadline: ResponseDeadline,
         request_class: RequestClass,
         max_attempts: int,
     ) -> None:
--- a/stalltiller/routing/request_table.py
+++ b/stalltiller/routing/request_table.py
@@ -8,12 +8,19 @@
 from collections.abc import Callable, Iterator
 
 from stalltiller.routing.context import EngineContext, Logger
-from stalltiller.routing.exchange_end import EndRule, ExchangeEnd, TransferPhase
+from stalltiller.routing.exchange_end import EndRule, ExchangeEnd
 from stalltiller.routing.guard import GuardViolation
 from stalltiller.routing.ports import Attempt, AttemptResult
 from stalltiller.routing.request_state import NEVER_EXECUTED, RequestOutcome, RequestState
+from stalltiller.routing.response_deadline import ResponseDeadline
 from stalltiller.routing.timers import TimerQueue
-from stalltiller.routing.transfer_limits import ExpiryAction, action_at_expiry, latest_expiry
+from stalltiller.routing.transfer_limits import (
+    ExpiryAction,
+    ExpiryReason,
+    action_at_expiry,
+    expiry_reason,
+    latest_expiry,
+)
 from stalltiller.scheduling import AttemptFinished, AttemptStatus, Event
 
 MILLISECONDS_PER_SECOND = 1000
@@ -62,13 +69,15 @@
         self.open_count -= 1
         self._context.counts[outcome.value] += 1
         if self._context.trace is not None:
-            remaining_seconds = state.deadline - self._context.loop.time()
+            now = self._context.loop.time()
+            remaining_seconds = state.deadline.client_deadline - now
             self._context.trace(
                 "request_finished",
                 id=state.request_id,
                 outcome=outcome.value,
                 attempts=state.attempt_count,
                 remaining_ms=round(MILLISECONDS_PER_SECOND * remaining_seconds, 1),
+                due_ms=round(MILLISECONDS_PER_SECOND * (state.deadline.due_at - now), 1),
             )
         if state.deadline_timer is not None:
             self._timers.cancel([state.deadline_timer])
@@ -121,26 +130,26 @@
         """End an attempt that is still in flight at its expiry time, unless its transfer goes on."""
         if not self._is_in_flight(attempt):
             return
-        is_deadline_over = attempt.expires_at >= latest_expiry(attempt.client_deadline)
-        if self.is_needed(attempt) and self._goes_on(attempt, is_deadline_over):
+        reason = expiry_reason(attempt.expires_at, attempt.deadline)
+        if self.is_needed(attempt) and self._goes_on(attempt, reason):
             return
-        self.abandon(attempt, AttemptStatus.TIMEOUT, EndRule.ATTEMPT_EXPIRED)
+        rule = EndRule.DRAIN_ENDED if reason is ExpiryReason.DRAIN_END else EndRule.ATTEMPT_EXPIRED
+        self.abandon(attempt, AttemptStatus.TIMEOUT, rule)
 
-    def pass_on_or_keep(self, attempt: Attempt) -> bool:
-        """Pass on the response of an attempt from now on if possible; return False if it has not begun."""
-        progress = self._context.target_client.progress(attempt)
-        if progress.phase is not TransferPhase.RECEIVING:
-            return False
-        return not progress.can_pass_on or self._context.target_client.pass_on(attempt)
+    def limit_expiry(self, attempt: Attempt, deadline: ResponseDeadline) -> None:
+        """Let an attempt in flight expire by an earlier deadline of its request."""
+        attempt.deadline = deadline
+        attempt.expires_at = min(attempt.expires_at, latest_expiry(deadline.due_at))
+        self._set_expiry_timer(attempt)
 
-    def _goes_on(self, attempt: Attempt, is_deadline_over: bool) -> bool:
+    def _goes_on(self, attempt: Attempt, reason: ExpiryReason) -> bool:
         """Let a transfer in progress go on as `transfer_limits` decides; return whether it does.
 
         A response that can be passed on occupies the target's place in the scheduler no longer than any other
         attempt.
         """
         target_client = self._context.target_client
-        match action_at_expiry(target_client.progress(attempt), is_deadline_over):
+        match action_at_expiry(target_client.progress(attempt), reason):
             case ExpiryAction.ABANDON:
                 return False
             case ExpiryAction.PASS_ON:
@@ -150,7 +159,10 @@
         return True
 
     def _wait_for_deadline(self, attempt: Attempt) -> None:
-        attempt.expires_at = latest_expiry(attempt.client_deadline)
+        attempt.expires_at = latest_expiry(attempt.deadline.due_at)
+        self._set_expiry_timer(attempt)
+
+    def _set_expiry_timer(self, attempt: Attempt) -> None:
         timer = self._timers.call_at(attempt.expires_at, self.expire, attempt)
         self._states[attempt.request_id].attempt_timers.append(timer)
 
@@ -165,7 +177,7 @@
         state = self._states[attempt.request_id]
         if not progress.is_moving:
             return
-        remaining = state.deadline - self._context.loop.time()
+        remaining = state.deadline.client_deadline - self._context.loop.time()
         exchange_end = ExchangeEnd(
             rule, attempt.request_id, attempt.trace_label, attempt.target_id, progress, remaining
         )
--- a/stalltiller/routing/transfer_limits.py
+++ b/stalltiller/routing/transfer_limits.py
@@ -7,7 +7,8 @@
 A response has begun once its client has a byte of it.  One that can't be passed on by its client's time comes
 too late, and its client gets an answer then: the target is silent, still reads the request, or has sent an
 interim response, a part of a head, or a part of a read over NVMe/TCP.  The same holds for a response that is
-short and silent at that moment, since it may never become whole.
+short and silent at that moment, since it may never become whole.  By the end of a drain each client without
+a byte gets an answer, since the process may be killed soon after.
 
 Everything here is pure.  Times are on one monotonic clock, in seconds.
 """
@@ -18,6 +19,7 @@
 from enum import Enum
 
 from stalltiller.routing.exchange_end import TransferPhase, TransferProgress
+from stalltiller.routing.response_deadline import ResponseDeadline
 
 DEFAULT_IDLE_LIMIT_SECONDS = 5.0
 # A client that stops in its request gets its error within 3 s of its last byte.
@@ -83,17 +85,32 @@
         return replace(self, last_at=now, longest_pause=max(self.longest_pause, now - self.last_at))
 
 
+class ExpiryReason(Enum):
+    """Why an attempt expires."""
+
+    ATTEMPT_TIMEOUT = "attempt_timeout"  # the time that the scheduler gave it is over
+    CLIENT_DEADLINE = "client_deadline"
+    DRAIN_END = "drain_end"
+
+
 class ExpiryAction(Enum):
     """What happens to an attempt at its expiry."""
 
     ABANDON = "abandon"
     PASS_ON = "pass_on"  # the client gets the response as it comes
-    WAIT_FOR_DEADLINE = "wait_for_deadline"  # the client's
+    WAIT_FOR_DEADLINE = "wait_for_deadline"  # the latest time of the response
 
 
-def latest_expiry(client_deadline: float) -> float:
+def latest_expiry(response_due_at: float) -> float:
     """Return when an attempt expires whose client has no byte of a response."""
-    return client_deadline - RESPONSE_MARGIN_SECONDS
+    return response_due_at - RESPONSE_MARGIN_SECONDS
+
+
+def expiry_reason(expires_at: float, deadline: ResponseDeadline) -> ExpiryReason:
+    """Return why an attempt expires at `expires_at`."""
+    if expires_at < latest_expiry(deadline.due_at):
+        return ExpiryReason.ATTEMPT_TIMEOUT
+    return ExpiryReason.DRAIN_END if deadline.is_set_by_drain else ExpiryReason.CLIENT_DEADLINE
 
 
 def is_silent(progress: TransferProgress) -> bool:
@@ -102,10 +119,11 @@
     return (progress.idle_seconds or 0.0) >= silence
 
 
-def action_at_expiry(progress: TransferProgress, is_deadline_over: bool) -> ExpiryAction:
-    """Return what happens to an attempt whose client waits for it; `is_deadline_over`: the client's."""
-    wait = ExpiryAction.ABANDON if is_deadline_over else ExpiryAction.WAIT_FOR_DEADLINE
-    if not progress.is_moving:
+def action_at_expiry(progress: TransferProgress, reason: ExpiryReason) -> ExpiryAction:
+    """Return what happens to an attempt whose client waits for it and has no byte of a response."""
+    is_timeout = reason is ExpiryReason.ATTEMPT_TIMEOUT
+    wait = ExpiryAction.WAIT_FOR_DEADLINE if is_timeout else ExpiryAction.ABANDON
+    if not progress.is_moving or reason is ExpiryReason.DRAIN_END:
         return ExpiryAction.ABANDON
     if progress.phase is not TransferPhase.RECEIVING or (progress.is_short and is_silent(progress)):
         return wait
--- a/stalltiller/scheduling/events.py
+++ b/stalltiller/scheduling/events.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -43,6 +44,7 @@
     shard: the shard that holds the data, None for a new object, which any target may store.
     is_write, is_retry: whether the request writes, and whether the client marked it as a retry.
     time_remaining: seconds until the client times out.
+    response_due_in: seconds until its final response is due, if that is earlier than the client's time-out.
     """
 
     request_id: int
@@ -56,6 +58,22 @@
     is_write: bool
     is_retry: bool
     time_remaining: float
+    response_due_in: float = math.inf
+
+
+@dataclass(slots=True, frozen=True)
+class DeadlineShortened:
+    """The final response to an open request is due sooner than announced, in `response_due_in` seconds."""
+
+    request_id: int
+    response_due_in: float
+
+
+@dataclass(slots=True, frozen=True)
+class ResponseDue:
+    """The final response to a request without an attempt in flight is due now."""
+
+    request_id: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,6 +154,8 @@
 Event = (
     TargetListUpdate
     | Request
+    | DeadlineShortened
+    | ResponseDue
     | FirstByte
     | AttemptFinished
     | ClientDisconnected
--- a/stalltiller/scheduling/scheduler.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -78,6 +78,8 @@
                 return [self._finish_attempt(event)]
             case events.ClientDisconnected(request_id) if request_id in self.pending:
                 return [self._finish_request(self.pending[request_id])]
+            case events.DeadlineShortened() | events.ResponseDue() if event.request_id in self.pending:
+                return [self._handle_deadline(event, self.pending[event.request_id])]
             case events.TimerFired(token) if token == WATCH_TIMER:
                 self.actions.append(actions.WatchTargetList(True))
             case events.TimerFired():
@@ -158,10 +160,13 @@
             volume.initiator_count = count
         volume.demand.add(now, request.units)
         volume.requested_at = now
-        deadline = now + request.time_remaining
+        time_allowed = min(request.time_remaining, request.response_due_in)
+        deadline = now + time_allowed
         due_at = min(self._objective_due_at(request, request_class), deadline - FINAL_RESPONSE_MARGIN_SECONDS)
         key, attempts = request.idempotency_key if request_class.in_order else 0, settings.max_attempts
-        pending = PendingRequest(request, request_class, volume, due_at, deadline, key, attempts)
+        pending = PendingRequest(
+            request, request_class, volume, due_at, deadline, time_allowed, key, attempts
+        )
         self.pending[request.request_id] = pending
         if is_unknown and not self._has_room_for_volume():
             self._reject_or_fail(pending)
@@ -172,6 +177,22 @@
         self.ordered.append(key, pending)
         return self._enqueue(pending)
 
+    def _handle_deadline(
+        self, event: events.DeadlineShortened | events.ResponseDue, pending: PendingRequest
+    ) -> TargetState | None:
+        """Shorten the time of a request, or respond if it is over and no attempt is in flight.
+
+        What can't be done by a shorter deadline is rejected in this batch.
+        """
+        if isinstance(event, events.DeadlineShortened):
+            deadline = min(pending.deadline, self.now + event.response_due_in)
+            pending.time_allowed -= pending.deadline - deadline
+            pending.deadline = deadline
+            pending.due_at = min(pending.due_at, deadline - FINAL_RESPONSE_MARGIN_SECONDS)
+        elif not pending.is_finished and not pending.is_in_flight:
+            self._reject_or_fail(pending)
+        return pending.target
+
     def _objective_due_at(self, request: events.Request, request_class: RequestClass) -> float:
         """Return the time at which the latency objective, counted from the client's first try, ends.
 
@@ -304,7 +325,7 @@
         return self.now + expected >= pending.deadline - FINAL_RESPONSE_MARGIN_SECONDS
 
     def _is_send_overdue(self, pending: PendingRequest) -> bool:
-        unsent_until = pending.deadline - MAX_UNSENT_FRACTION * pending.request.time_remaining
+        unsent_until = pending.deadline - MAX_UNSENT_FRACTION * pending.time_allowed
         return not pending.has_reached_target and self.now + POLL_INTERVAL_SECONDS >= unsent_until
 
     def _value_per_unit(self, pending: PendingRequest) -> float:
--- a/stalltiller/scheduling/state.py
+++ b/stalltiller/scheduling/state.py
@@ -82,7 +82,8 @@
     request_class: RequestClass
     volume: Volume
     due_at: float  # end of the latency objective
-    deadline: float
+    deadline: float  # when the final response is due
+    time_allowed: float  # seconds from the arrival to the deadline
     ordering_key: int  # requests of one key run one at a time; 0 for none
     max_attempts: int  # from the settings when the request arrived
     attempt_count: int = 0
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -271,7 +272,8 @@
         await run_batches()
         engine.finish_all()
         await run_batches()
-        assert handler.responses == [("refused", 1.5)] and engine.counts["faults"] == 0
+        # That it was open is the only violation.
+        assert handler.responses == [("refused", 1.5)] and engine.counts["faults"] == 1
         assert ClientDisconnected(number) in engine._scheduler.events
 
     run_scenario(scenario, lambda event: ())
@@ -401,19 +403,126 @@
     run_scenario(scenario, on_request(StartAttempt(1, 1, 0.05)))
 
 
-def test_responses_that_have_begun_go_on_when_all_requests_are_finished_for_a_shutdown():
+DRAIN_SECONDS = 0.3
+BEGUN = TransferProgress(TransferPhase.RECEIVING, 100, 0.0)
+
+
+@pytest.mark.parametrize("is_before", [True, False], ids=["before the drain", "in the drain"])
+@pytest.mark.parametrize(
+    ("progress", "may_execute", "response"),
+    [
+        (TransferProgress(TransferPhase.CONNECTING), False, ("refused", 1.5)),
+        (TransferProgress(TransferPhase.WAITING), True, ("failed",)),
+        (BEGUN, True, ("failed",)),  # an interim response or a part of a head
+        (replace(BEGUN, can_pass_on=True, is_short=True), True, ("failed",)),
+    ],
+)
+def test_a_client_without_a_byte_is_answered_by_the_end_of_a_drain(
+    progress, may_execute, response, is_before
+):
+    """Guards against attempts that are kept past the end of a drain, up to their clients' time (issue 55)."""
+
     async def scenario(engine, target_client):
-        target_client.progress_made = TransferProgress(TransferPhase.RECEIVING, 100, 0.0)
-        handlers = [RecordingResponseHandler(), RecordingResponseHandler()]
-        engine.submit(client_request(handlers[0], 0.4))
+        loop = asyncio.get_running_loop()
+        target_client.progress_made = progress
+        target_client.may_execute = may_execute
+        handler = RecordingResponseHandler()
+        drain_end = loop.time() + DRAIN_SECONDS
+        if not is_before:
+            engine.begin_drain(drain_end)
+        engine.submit(client_request(handler, 20.0))
         await run_batches()
-        engine.submit(client_request(handlers[1], 0.4))
+        engine.begin_drain(drain_end)
+        engine.begin_drain(drain_end + 9.0)  # a second signal
+        assert [attempt.deadline.due_at for attempt in target_client.started] == [drain_end]
+        await asyncio.sleep(DRAIN_SECONDS - 0.05)
+        assert handler.responses == []
+        await asyncio.sleep(0.05)
         engine.finish_all()
-        assert [len(handler.responses) for handler in handlers] == [0, 1]
-        engine.attempt_finished(target_client.started[0], AttemptResult(AttemptStatus.OK, "menu"))
-        assert len(handlers[0].responses) == 1
+        assert handler.responses == [response]
+        assert target_client.abandoned == target_client.started and not target_client.passed_on
+        assert engine.counts["faults"] == 0
 
-    run_scenario(scenario, on_request(StartAttempt(1, 1, 0.05)))
+    unsafe_class = request_class(idempotency=Idempotency.UNSAFE, latency_objective=0.5, deadline=25.0)
+    run_scenario(scenario, served_class=unsafe_class)
+
+
+@pytest.mark.parametrize("status", [AttemptStatus.ERROR, AttemptStatus.RESET, AttemptStatus.CONNECT_FAILED])
+@pytest.mark.parametrize("fails_before_end", [0.005, 0.03, 0.1])
+def test_an_attempt_that_fails_about_the_end_of_a_drain_is_not_started_again_after_it(
+    status, fails_before_end
+):
+    """Guards against a retry with nothing to end it but its client's time (issue 55)."""
+
+    async def scenario(engine, target_client):
+        loop = asyncio.get_running_loop()
+        handler = RecordingResponseHandler()
+        drain_end = loop.time() + DRAIN_SECONDS
+        engine.begin_drain(drain_end)
+        engine.submit(client_request(handler, 20.0))
+        await run_batches()
+        await asyncio.sleep(drain_end - fails_before_end - loop.time())
+        if not handler.responses:
+            engine.attempt_finished(target_client.started[0], AttemptResult(status))
+        await asyncio.sleep(drain_end - loop.time() + 0.02)
+        engine.finish_all()
+        assert len(handler.responses) == 1 and engine.open_request_count == 0
+        assert all(attempt.sent_at < drain_end for attempt in target_client.started)
+        assert engine.counts["faults"] == 0
+
+    run_scenario(scenario, served_class=request_class(latency_objective=0.5, deadline=25.0))
+
+
+def test_requests_about_the_end_of_a_drain_are_rejected_at_once_and_never_sent():
+    async def scenario(engine, target_client):
+        loop = asyncio.get_running_loop()
+        handlers = [RecordingResponseHandler() for _ in range(2)]
+        engine.begin_drain(loop.time() + 0.01)
+        engine.submit(client_request(handlers[0], 20.0))
+        engine.finish_all()  # its rejection follows
+        await asyncio.sleep(0.02)
+        engine.submit(client_request(handlers[1], 20.0))
+        await run_batches()
+        assert [handler.responses for handler in handlers] == [[("refused", 1.5)]] * 2
+        assert target_client.started == []
+        assert (engine.counts["faults"], engine.counts["rejected_after_drain"]) == (0, 2)
+
+    run_scenario(scenario)
+
+
+def test_a_process_that_is_held_up_across_the_end_of_a_drain_still_answers_without_a_violation():
+    """Guards against a guard that fails requests which the scheduler has had no turn to reject."""
+
+    async def scenario(engine, target_client):
+        handlers = [RecordingResponseHandler() for _ in range(40)]  # more than the target takes at once
+        engine.begin_drain(asyncio.get_running_loop().time() + 0.1)
+        for handler in handlers:
+            engine.submit(client_request(handler, 20.0))
+        await run_batches()
+        started_ids = {attempt.request_id for attempt in target_client.started}
+        queued = [handler for number, handler in enumerate(handlers, 1) if number not in started_ids]
+        assert started_ids and queued
+        time.sleep(0.2)
+        await run_batches()
+        await run_batches()
+        engine.finish_all()
+        assert all(len(handler.responses) == 1 for handler in handlers)
+        assert {handler.responses[0][0] for handler in queued} == {"refused"}
+        assert engine.counts["faults"] == 0
+
+    unsafe_class = request_class(idempotency=Idempotency.UNSAFE, latency_objective=0.2, deadline=25.0)
+    run_scenario(scenario, served_class=unsafe_class)
+
+
+def test_a_request_that_is_open_after_a_drain_is_answered_and_logged():
+    async def scenario(engine, target_client):
+        handler = RecordingResponseHandler()
+        engine.submit(client_request(handler, 20.0))
+        await run_batches()
+        engine.finish_all()
+        assert handler.responses == [("failed",)] and engine.counts["faults"] == 1
+
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize("phase", [TransferPhase.WAITING, TransferPhase.RECEIVING])
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -320,8 +320,8 @@
 
 def test_after_sigterm_open_connections_are_served_until_every_request_is_finished(monkeypatch):
     """Guards against an immediate close: clients have no other initiator until this one restarts."""
-    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.KEEP_LISTENING_SECONDS", 0.05)
-    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.CLOSE_IDLE_BEFORE_END_SECONDS", 0.1)
+    monkeypatch.setattr("stalltiller.routing.drain_schedule.KEEP_LISTENING_SECONDS", 0.05)
+    monkeypatch.setattr("stalltiller.routing.drain_schedule.CLOSE_IDLE_BEFORE_END_SECONDS", 0.1)
     monkeypatch.setattr("stalltiller.transport.listener.IDLE_TIMEOUT_SECONDS", 0.01)
     monkeypatch.setattr("stalltiller.transport.listener.SWEEP_INTERVAL_SECONDS", 0.01)
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -17,6 +17,7 @@
 
 from stalltiller.adapters import http_server as http_server
 from stalltiller.protocol import http, nvme
+from stalltiller.routing.response_deadline import NO_DRAIN
 from stalltiller.scheduling import Idempotency
 from tests.helpers import request_class
 from tests.simulated_clock import run_on_simulated_clock
@@ -282,8 +283,8 @@
 
 def test_a_request_that_is_complete_only_after_finish_all_is_rejected_not_dropped(monkeypatch):
     """The process ended without a response to a request that it had read."""
-    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.KEEP_LISTENING_SECONDS", 0.01)
-    monkeypatch.setattr("stalltiller.daemon.graceful_shutdown.CLOSE_IDLE_BEFORE_END_SECONDS", 0.01)
+    monkeypatch.setattr("stalltiller.routing.drain_schedule.KEEP_LISTENING_SECONDS", 0.01)
+    monkeypatch.setattr("stalltiller.routing.drain_schedule.CLOSE_IDLE_BEFORE_END_SECONDS", 0.01)
 
     async def scenario(harness):
         client = connect_client(harness)
@@ -306,17 +307,20 @@
 
 
 @pytest.mark.parametrize("write", [False, True])
-def test_finish_all_cancels_an_attempt_that_has_not_started_and_rejects_its_request(write):
+def test_the_end_of_a_drain_cancels_an_attempt_that_has_not_started_and_rejects_its_request(write):
     """An attempt of a finished request started once its connection was established; a write was failed."""
 
     async def scenario(harness):
+        engine = harness.app.engine
+        harness.app.target_client.pool._connect_timeout = 9.0
         gate = ConnectionGate(harness)
         client_task = asyncio.create_task(harness.write(tag=1) if write else harness.read(tag=1))
         await harness.wait_until(lambda: gate.held_count == 1)
-        harness.app.engine.finish_all()
-        gate.is_open.set()
+        engine.begin_drain(asyncio.get_running_loop().time() + 0.1)
         assert (await client_task).outcome == "refused"
-        harness.app.engine._is_stopped = False
+        engine.finish_all()
+        gate.is_open.set()
+        engine._drain_end = NO_DRAIN
         assert (await harness.read(tag=2)).outcome == "served"
         assert [tag for _, tag in harness.targets[0].received] == [2]
 
@@ -326,7 +330,7 @@
 def test_a_long_response_that_the_shutdown_truncates_does_not_look_complete(monkeypatch):
     """For an HTTP/1.0 client, an orderly close of the connection completes a response without a length."""
     for name in ("KEEP_LISTENING_SECONDS", "CLOSE_IDLE_BEFORE_END_SECONDS", "LINGER_SECONDS"):
-        monkeypatch.setattr(f"stalltiller.daemon.graceful_shutdown.{name}", 0.01)
+        monkeypatch.setattr(f"stalltiller.routing.drain_schedule.{name}", 0.01)
 
     async def scenario(harness):
         async def send_partial_response(reader, writer):
--- a/tests/test_transfer_limits.py
+++ b/tests/test_transfer_limits.py
@@ -7,13 +7,16 @@
 import pytest
 
 from stalltiller.routing.exchange_end import TransferPhase, TransferProgress
+from stalltiller.routing.response_deadline import ResponseDeadline
 from stalltiller.routing.transfer_limits import (
     CHECK_INTERVAL_SECONDS,
     ByteArrivals,
     ExpiryAction,
+    ExpiryReason,
     ProgressRecord,
     RunningClock,
     action_at_expiry,
+    expiry_reason,
     is_silent,
     latest_expiry,
     may_cancel,
@@ -48,8 +51,9 @@
     ],
 )
 def test_what_happens_at_an_expiry_depends_on_progress_alone(progress, before, over):
-    assert action_at_expiry(progress, is_deadline_over=False) is before
-    assert action_at_expiry(progress, is_deadline_over=True) is over
+    assert action_at_expiry(progress, ExpiryReason.ATTEMPT_TIMEOUT) is before
+    assert action_at_expiry(progress, ExpiryReason.CLIENT_DEADLINE) is over
+    assert action_at_expiry(progress, ExpiryReason.DRAIN_END) is ABANDON
 
 
 @pytest.mark.parametrize(
@@ -95,6 +99,31 @@
     assert 0.0 < 20.0 - latest_expiry(20.0) < 0.05
 
 
+@pytest.mark.parametrize(
+    ("deadline", "expires_at", "reason"),
+    [
+        (ResponseDeadline(20.0), 19.9, ExpiryReason.ATTEMPT_TIMEOUT),
+        (ResponseDeadline(20.0), latest_expiry(20.0), ExpiryReason.CLIENT_DEADLINE),
+        (ResponseDeadline(20.0, 3.1), 3.0, ExpiryReason.ATTEMPT_TIMEOUT),
+        (ResponseDeadline(20.0, 3.1), latest_expiry(3.1), ExpiryReason.DRAIN_END),
+        (ResponseDeadline(2.0, 3.1), latest_expiry(2.0), ExpiryReason.CLIENT_DEADLINE),
+    ],
+)
+def test_an_attempt_expires_for_the_earlier_of_its_clients_deadline_and_the_drains_end(
+    deadline, expires_at, reason
+):
+    assert expiry_reason(expires_at, deadline) is reason
+
+
+def test_the_end_of_a_drain_never_moves_back():
+    deadline = ResponseDeadline(20.0)
+    assert (deadline.due_at, deadline.is_set_by_drain) == (20.0, False)
+    deadline = deadline.with_drain(3.1)
+    assert (deadline.due_at, deadline.is_set_by_drain) == (3.1, True)
+    assert deadline.with_drain(9.0) == deadline
+    assert ResponseDeadline(2.0).with_drain(3.1).due_at == 2.0
+
+
 def test_a_transfer_has_stopped_once_nothing_has_moved_for_the_limit():
     record = ProgressRecord(7, 10.0)
     record.observe(10.9, 8)
