--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -18,6 +18,7 @@
 from stalltiller.daemon.discovery_watch import DiscoveryWatch
 from stalltiller.daemon.graceful_shutdown import GracefulShutdown
 from stalltiller.daemon.log import JsonLog
+from stalltiller.daemon.loop_heartbeat import LoopHeartbeat
 from stalltiller.daemon.metrics import MetricsExporter
 from stalltiller.daemon.process_handover import ProcessHandover
 from stalltiller.daemon.protocol_adapters import build_adapters
@@ -59,6 +60,7 @@
         self.fleet: FleetParticipation | None = None
         self.recovery: RecoveryService | None = None
         self._tasks = BackgroundTasks(loop)
+        self._heartbeat = LoopHeartbeat(loop)
         self._periodic_tasks: list[asyncio.Task[None]] = []
         self._build_data_path(config, is_tracing)
         self._build_control_path(config)
@@ -109,6 +111,7 @@
     async def run(self) -> None:
         """Serve until `stop` is set, then drain the open requests; raises OSError."""
         config = self.settings_reloader.config
+        self._heartbeat.start()
         async with self._tasks:
             await self._open(config)
             self._start_background_work()
@@ -128,8 +131,8 @@
             self._log("stopped", **self.engine.counts)
 
     def terminate(self) -> None:
-        """Begin to shut down."""
-        self._shutdown.begin(self._loop.time())
+        """Begin to shut down; the time counts from when the signal that is handled now may have been sent."""
+        self._shutdown.begin(self._heartbeat.earliest_signal_time())
         self.stop.set()
 
     def reload(self, read_config: Callable[[], Config]) -> None:
@@ -261,6 +264,7 @@
     # --- Shutdown -----------------------------------------------------------------------------------
     async def _close(self) -> None:
         """Close everything except the recovery service, which saves its state after the last request."""
+        self._heartbeat.stop()
         self._metrics.close()
         self.listener.close()
         self.admin.close()
