Answer a request that waits behind a response which a shutdown lets go on

Callers would see: a request pipelined behind a streamed response got no answer if that response ended in a shutdown: finish_stream closed the connection as soon as the process was stopping. Change: the connection goes on with what has come, whose answer closes it, and is closed only when idle, also once a slow client has read the rest.

--- a/stalltiller/adapters/http_client_connection.py
+++ b/stalltiller/adapters/http_client_connection.py
@@ -211,6 +211,13 @@
             self._stream.source.resume_stream()
         elif self._discards_input and self._request_number is None:
             self.close_gracefully()
+        else:
+            self._close_if_stopping()
+
+    def _close_if_stopping(self) -> None:
+        """Close an idle connection if the process shuts down; one with an unread request stays open."""
+        if self._server.stopping:
+            self.close_if_idle()
 
     def on_disconnected(self, _error: Exception | None) -> None:
         """Release all reservations and cancel the request in progress."""
@@ -367,18 +374,19 @@
         self.write(http.encode_chunk(data) if self._is_chunked else data)
 
     def finish_stream(self) -> None:
-        """End a streamed response and continue with the next request."""
+        """End a streamed response and continue with the next request, which may have come meanwhile."""
         self._stream = None
         self._release_request_id()
         self.set_reset_on_close(False)
         if self._is_chunked:
             self.write(http.LAST_CHUNK)
         self._watch()
-        if not self._keep_alive or self._server.stopping:
+        if not self._keep_alive:
             self.close_gracefully()
             return
         self._listener.request_finished(self)
         self.resume_processing()
+        self._close_if_stopping()
 
     def fail_stream(self) -> None:
         """Reset the connection, so that the client sees that the response is incomplete."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 import struct
 
@@ -31,6 +32,8 @@
     read_message,
 )
 
+PART_BYTES = 100_000  # of a long response
+
 
 def encode_get(tag: int, **fields: str) -> bytes:
     return http.encode_request(
@@ -327,6 +330,42 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("ends_after_drain", [False, True])
+def test_a_request_behind_a_response_that_a_shutdown_waits_for_has_its_answer(ends_after_drain):
+    """The connection was closed after the response, without an answer to the request behind it."""
+
+    async def scenario(harness):
+        may_end = asyncio.Event()
+
+        async def send_slowly(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {2 * PART_BYTES}\r\n\r\n".encode()
+            writer.write(head + b"x" * PART_BYTES)
+            await may_end.wait()
+            writer.write(b"x" * PART_BYTES)
+            await asyncio.get_running_loop().create_future()
+
+        harness.targets[0].serve = send_slowly
+        client = connect_client(harness)
+        client.sendall(encode_get(1))
+        await harness.wait_until(lambda: harness.app.engine.counts["relayed"] == 1)
+        client.sendall(encode_get(2).replace(b"shard=0", b"shard=1"))
+        harness.app.stop.set()
+        await harness.wait_until(lambda: harness.app.server.stopping)
+        if ends_after_drain:
+            await harness.wait_until(
+                lambda: harness.app.engine._drain_end < asyncio.get_running_loop().time()
+            )
+        may_end.set()
+        received = await read_to_end(client)
+        assert received.count(b"x") == 2 * PART_BYTES
+        answers = re.findall(rb"HTTP/1.1 (\d+)", received)
+        assert answers == [b"200", b"503" if ends_after_drain else b"200"]
+        client.close()
+
+    run_scenario(scenario)
+
+
 def test_a_long_response_that_the_shutdown_truncates_does_not_look_complete(monkeypatch):
     """For an HTTP/1.0 client, an orderly close of the connection completes a response without a length."""
     for name in ("KEEP_LISTENING_SECONDS", "CLOSE_IDLE_BEFORE_END_SECONDS", "LINGER_SECONDS"):
