Give the engine its turns at the end of a drain before what is open counts as a violation

Cause: finish_all was due at a time, and the shutdown's task may be first in the turn after a suspension. Change: after the end the shutdown gives the engine up to five turns of 10 ms, while requests are open.

--- a/stalltiller/daemon/graceful_shutdown.py
+++ b/stalltiller/daemon/graceful_shutdown.py
@@ -19,6 +19,7 @@
 
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
 LINGER_POLL_INTERVAL_SECONDS = 0.01
+MAX_RESPONSE_POLLS = 5  # at the end of the drain, each LINGER_POLL_INTERVAL_SECONDS long
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -80,9 +81,10 @@
         # Without a successor, connections in the kernel's backlog are accepted and served too.
         await self._listener.stop(accept_backlog=not has_successor)
         self._adapters.server.stopping = True  # connections close after their next response
-        while self._loop.time() < schedule.finish_at and self._is_in_use():
+        while self._loop.time() < schedule.ends_at and self._is_in_use():
             self._listener.close_idle()
             await asyncio.sleep(DRAIN_POLL_INTERVAL_SECONDS)
+        await self._wait_for_responses()
         self._engine.finish_all()
         self._handover.end_claims()
         self._log_transfers_in_progress()
@@ -100,6 +102,16 @@
     def _report_sharing_error(self, error: OSError) -> None:
         self._log("request_ids_not_shared", error=str(error))
 
+    async def _wait_for_responses(self) -> None:
+        """Let the engine give the responses that are due at the end of the drain.
+
+        It is given turns of the loop, not a time: after a suspension it has to have run first.
+        """
+        for _ in range(MAX_RESPONSE_POLLS):
+            if not self._engine.open_request_count:
+                return
+            await asyncio.sleep(LINGER_POLL_INTERVAL_SECONDS)
+
     async def _linger(self, end_time: float) -> None:
         while len(self._listener) and (self._loop.time() < end_time or self._listener.is_transferring()):
             self._listener.close_idle()
--- a/stalltiller/routing/drain_schedule.py
+++ b/stalltiller/routing/drain_schedule.py
@@ -14,7 +14,6 @@
 MAX_DEADLINE_SECONDS = 3.0  # upper limit of the class deadlines considered
 DEADLINE_MARGIN_SECONDS = 0.1  # past the longest deadline, the drain ends: every response is due
 CLOSE_IDLE_BEFORE_END_SECONDS = 0.5  # from the first closing of idle connections to the end of the drain
-FINISH_GRACE_SECONDS = 0.05  # after the drain, for the responses that are due at its end
 LINGER_SECONDS = 0.4  # after the drain, for clients to close their connections
 # From the hand-over on, a process that ends may take requests for that long; its transfers may last longer.
 MAX_ACCEPTING_SECONDS = MAX_DEADLINE_SECONDS + DEADLINE_MARGIN_SECONDS + LINGER_SECONDS
@@ -25,14 +24,13 @@
     """When the steps of a shutdown are due.
 
     New connections are accepted until `keep_listening_until` at least.  From `close_idle_at` on, idle
-    connections are closed.  Every response is due at `ends_at`; at `finish_at` none may be missing.
-    Connections are closed by their clients until `linger_until`, later only if a transfer goes on.
+    connections are closed.  Every response is due at `ends_at`.  Connections are closed by their clients
+    until `linger_until`, later only if a transfer goes on.
     """
 
     keep_listening_until: float
     close_idle_at: float
     ends_at: float
-    finish_at: float
     linger_until: float
 
 
@@ -43,6 +41,5 @@
         keep_listening_until=signalled_at + KEEP_LISTENING_SECONDS,
         close_idle_at=ends_at - CLOSE_IDLE_BEFORE_END_SECONDS,
         ends_at=ends_at,
-        finish_at=ends_at + FINISH_GRACE_SECONDS,
         linger_until=ends_at + LINGER_SECONDS,
     )
--- a/tests/test_drain_schedule.py
+++ b/tests/test_drain_schedule.py
@@ -15,5 +15,5 @@
     schedule = drain_schedule(100.0, longest_deadline)
     kill_at = 100.0 + min(longest_deadline, 3.0) + KILL_MARGIN_SECONDS
     assert schedule.ends_at - 100.0 >= min(longest_deadline, 3.0)
-    assert schedule.close_idle_at < schedule.ends_at < schedule.finish_at < schedule.linger_until < kill_at
-    assert kill_at - schedule.finish_at > MAX_HELD_UP_SECONDS
+    assert schedule.close_idle_at < schedule.ends_at < schedule.linger_until < kill_at
+    assert kill_at - schedule.ends_at > MAX_HELD_UP_SECONDS
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -13,6 +13,7 @@
 import re
 import socket
 import struct
+import time
 
 import pytest
 
@@ -330,6 +331,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("kind", ["http", "nvme"])
+@pytest.mark.parametrize("held_up", ["as it is told to end", "across the end"])
+def test_a_process_that_is_held_up_in_its_shutdown_answers_without_a_violation(held_up, kind, monkeypatch):
+    """The drain ended before the engine had had a turn to expire its attempts."""
+    monkeypatch.setattr("stalltiller.routing.drain_schedule.MAX_DEADLINE_SECONDS", 0.2)
+    monkeypatch.setattr("stalltiller.routing.drain_schedule.KEEP_LISTENING_SECONDS", 0.05)
+
+    async def scenario(harness):
+        harness.targets[0].mode = "no_response"
+        client_task = asyncio.create_task(harness.read(tag=1))
+        await harness.wait_until(lambda: harness.targets[0].executed)
+        if held_up == "as it is told to end":
+            time.sleep(0.45)
+            harness.app.terminate()
+        else:
+            harness.app.terminate()
+            await asyncio.sleep(0.2)
+            time.sleep(0.25)
+        assert (await client_task).outcome in ("refused", "failed")
+        await asyncio.wait_for(harness.running, 5)
+
+    run_scenario(scenario, kind)
+
+
 @pytest.mark.parametrize("ends_after_drain", [False, True])
 def test_a_request_behind_a_response_that_a_shutdown_waits_for_has_its_answer(ends_after_drain):
     """The connection was closed after the response, without an answer to the request behind it."""
