Count a shutdown over NVMe/TCP by the longest deadline of the opcodes

Seen with a site whose opcodes have shorter deadlines than a class that no opcode uses: no completion at SIGKILL. Cause: the drain's end counted the deadlines of all classes, but a host waits for the deadline of its opcode, so that the kill may come sooner. Change: each protocol's adapters tell the longest deadline of their clients.

--- a/stalltiller/daemon/graceful_shutdown.py
+++ b/stalltiller/daemon/graceful_shutdown.py
@@ -53,8 +53,7 @@
         new settings move the end.
         """
         if self._schedule is None:
-            longest_deadline = max(cls.deadline for cls in self._engine.settings.classes)
-            self._schedule = drain_schedule(signalled_at, longest_deadline)
+            self._schedule = drain_schedule(signalled_at, self._adapters.longest_deadline)
             now = self._loop.time()
             self._log(
                 "drain_started",
--- a/stalltiller/daemon/protocol_adapters.py
+++ b/stalltiller/daemon/protocol_adapters.py
@@ -45,6 +45,11 @@
         """The identifiers of recent requests, which the processes of an upgrade share."""
         return self.server.recent_request_ids
 
+    @property
+    def longest_deadline(self) -> float:
+        """The longest time that a client waits, in seconds: that of the request classes."""
+        return self.server.longest_deadline
+
     def command_classes(self) -> dict[str, str] | None:
         """Return None: requests over HTTP name their class."""
         return None
@@ -73,6 +78,11 @@
         """None: a command is identified within its association, which ends with its process."""
         return None
 
+    @property
+    def longest_deadline(self) -> float:
+        """The longest time that a host waits, in seconds: that of the opcodes, which are all it can send."""
+        return max(opcode_mapping.deadline for opcode_mapping in self.server.mapping.opcodes.values())
+
     def command_classes(self) -> dict[str, str] | None:
         """Return the request class of read and write commands."""
         return {
--- a/tests/shutdown_nvme.py
+++ b/tests/shutdown_nvme.py
@@ -258,9 +258,6 @@
             assert old_lines in settings
             new_lines = f'name = "{name}"\naim-ns = {0.8e9 * deadline:.0f}\ngive-up-ns = {1e9 * deadline:.0f}'
             settings = settings.replace(old_lines, new_lines)
-        longest = 1e9 * max(self._deadlines.values())
-        settings = settings.replace("aim-ns = 1500000000", f"aim-ns = {0.5 * longest:.0f}")
-        settings = settings.replace("give-up-ns = 5000000000", f"give-up-ns = {longest:.0f}")
         lines = [
             'name = "n1"',
             f'listen = "{stand_ins.HOST}:0"',
