--- a/tests/shutdown_http.py
+++ b/tests/shutdown_http.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import socket
 import struct
-from collections.abc import Iterator
 from pathlib import Path
 
 from review import stand_ins
-from review.stand_ins import Discovery, Server, Stream
+from review.stand_ins import Server, Stream
 from tests.shutdown_play import (
     END_SECONDS,
     Behaviour,
@@ -21,13 +19,15 @@
     send_request,
     wait_for_close,
 )
-from tests.slow_peers import START_SECONDS, Program, is_body_whole, is_close_delimited
+from tests.shutdown_site import ShutdownSite
+from tests.slow_peers import is_body_whole, is_close_delimited
 
 DRIP_SECONDS = 0.04  # between two drips
 SHORT_BYTES = 2_000
 LONG_BYTES = 300_000
 BODY = b"x" * SHORT_BYTES
 LONG_HEAD = b"HTTP/1.1 200 OK\r\nX-Padding: " + b"p" * 4_000
+REQUEST_ID_PREFIX = "end"  # before the number of the exchange
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Classes with their time to answer, in seconds: the longest counts as 3 s.
 LONG_CLASSES = {"order-read": 1.2, "order-write": 2.5, "report-export": 25.0, "menu-write": 25.0}
@@ -78,14 +78,14 @@
     def __init__(self, exchange: Exchange, timeline: Timeline) -> None:
         self._exchange = exchange
         self._timeline = timeline
-        self.begun: dict[str, list[float]] = {}  # when each attempt of a request began
-        self.complete: dict[str, int] = {}  # attempts of each request that came whole
+        self.begun: dict[int, list[float]] = {}
+        self.complete: dict[int, int] = {}
         self.server = Server(self._serve)
 
     def _serve(self, stream: Stream) -> None:
         while (message := self._read(stream)) is not None:
-            request_id = message.fields["x-request-id"]
-            self.complete[request_id] = self.complete.get(request_id, 0) + 1
+            number = int(message.fields["x-request-id"].removeprefix(REQUEST_ID_PREFIX))
+            self.complete[number] = self.complete.get(number, 0) + 1
             if not self._respond(stream):
                 return
 
@@ -100,7 +100,8 @@
                 return None
             stream.unread += data
         request_id = stream.unread.partition(b"X-Request-ID: ")[2].split(b"\r\n")[0].decode()
-        self.begun.setdefault(request_id, []).append(self._timeline.now())
+        number = int(request_id.removeprefix(REQUEST_ID_PREFIX))
+        self.begun.setdefault(number, []).append(self._timeline.now())
         return stream.read()
 
     def _respond(self, stream: Stream) -> bool:
@@ -173,8 +174,8 @@
             seen.how = "closed"
 
 
-class HttpSite:
-    """An initiator as a process, discovery, and one target for each exchange, or for each `shard_count`th."""
+class HttpSite(ShutdownSite):
+    """A site whose request classes have the given deadlines, in seconds."""
 
     def __init__(
         self,
@@ -184,21 +185,18 @@
         classes: dict[str, float],
         shard_count: int = 0,
     ) -> None:
-        self.plan = plan
-        self.exchanges = exchanges
-        self._folder = folder
         self._classes = classes
-        self.shard_count = shard_count or len(exchanges)
-        self.timeline = Timeline()
-        self.events: list[dict] = []
-        self.targets = [HttpTarget(exchange, self.timeline) for exchange in exchanges[: self.shard_count]]
-        self.discovery = Discovery(lambda event, **details: None)
-        for shard, target in enumerate(self.targets):
-            if exchanges[shard].listed_at is None:
-                self.discovery.set(f"s-{shard}", target.server.port, shard)
-        self.programs: list[Program] = []
+        super().__init__(folder, plan, exchanges, shard_count)
 
-    def write_config(self, listen: str) -> Path:
+    def make_target(self, exchange: Exchange) -> HttpTarget:
+        return HttpTarget(exchange, self.timeline)
+
+    def make_client(self, number: int, exchange: Exchange) -> HttpClient:
+        data = encode_request(exchange, number, number % self.shard_count)
+        return HttpClient(self.port, exchange, data, self.timeline)
+
+    def write_config(self, listen: str) -> tuple[dict[str, str], tuple[str, ...]]:
+        """Write the example with other classes."""
         config = json.loads((stand_ins.ROOT / "examples" / "config.json").read_text())
         config.update(listen=listen, discovery=f"{stand_ins.HOST}:{self.discovery.server.port}")
         settings = config["settings"]
@@ -210,94 +208,19 @@
             item["aim-ns"] = min(item["aim-ns"], round(0.8 * item["give-up-ns"]))
         settings["family-info"]["changes-data"].append(True)
         settings["family-info"]["shards"] = self.shard_count
-        path = self._folder / "config.json"
+        path = self.folder / "config.json"
         path.write_text(json.dumps(config))
-        return path
-
-    def start(self, listening: socket.socket | None = None) -> None:
-        """Start the process; with a listening socket, one that has a successor."""
-        address = f"{stand_ins.HOST}:{0 if listening is None else listening.getsockname()[1]}"
-        self._config = self.write_config(address)
-        self.program = self.start_process("n1", listening, self.events)
-        stand_ins.wait_until(lambda: self.program.has_logged("started"), START_SECONDS, "the initiator runs")
-        listen = next(line["listen"] for line in self.events if line["event"] == "started")
-        self.port = int(listen.rpartition(":")[2])
-        stand_ins.wait_until(lambda: stand_ins.is_healthy(self.port), START_SECONDS, "the initiator is ready")
-
-    def start_process(self, name: str, listening: socket.socket | None, events: list[dict]) -> Program:
-        variables = {
-            "PROXY_CONFIG": str(self._config),
-            "TMPDIR": str(self._folder),
-            "PYTHONUNBUFFERED": "1",
-            "STALLTILLER_TRACE": "1",
-        }
-        descriptors: tuple[int, ...] = ()
-        if listening is not None:
-            descriptors = (listening.fileno(),)
-            variables.update(PROXY_INHERITED_FD=str(listening.fileno()), PROXY_ADMIN=f"{stand_ins.HOST}:0")
-        program = Program(name, descriptors, variables, events)
-        self.programs.append(program)
-        return program
-
-    def connect_clients(self) -> list[HttpClient]:
-        """Open the connections of all clients; SIGTERM comes soon after."""
-        clients = [
-            HttpClient(
-                self.port,
-                exchange,
-                encode_request(exchange, number, number % self.shard_count),
-                self.timeline,
-            )
-            for number, exchange in enumerate(self.exchanges)
-        ]
-        self.timeline.start()
-        return clients
-
-    def list_late_targets(self) -> None:
-        """List the targets that are not listed from the start; runs in a thread of its own."""
-        late = [(item.listed_at, shard) for shard, item in enumerate(self.exchanges[: self.shard_count])]
-        for listed_at, shard in sorted((at, shard) for at, shard in late if at is not None):
-            self.timeline.sleep_until(listed_at)
-            self.discovery.set(f"s-{shard}", self.targets[shard].server.port, shard)
-
-    def record_attempts(self, seen: list[Seen]) -> None:
-        """Add to what the clients saw what the targets got of their requests."""
-        for number, one in enumerate(seen):
-            target = self.targets[number % self.shard_count]
-            one.attempts = target.begun.get(request_id(number), [])
-            one.complete_attempts = target.complete.get(request_id(number), 0)
-
-    def close(self) -> None:
-        for program in self.programs:
-            program.kill()
-        self.discovery.server.close()
-        for target in self.targets:
-            target.server.close()
-
-
-def request_id(number: int) -> str:
-    return f"end{number}"
+        return {"PROXY_CONFIG": str(path)}, ()
 
 
 def encode_request(exchange: Exchange, number: int, shard: int) -> bytes:
     return stand_ins.request(
         exchange.class_name,
         number,
-        request_id(number),
+        f"{REQUEST_ID_PREFIX}{number}",
         method="GET" if exchange.class_name in SAFE_CLASSES else "PUT",
         shard=shard,
         volume=0x3B4D60000 + number,
         timeout=exchange.timeout,
         body=b"" if exchange.class_name in SAFE_CLASSES else b"menu",
     )
-
-
-@contextlib.contextmanager
-def http_site(
-    folder: Path, plan: Plan, exchanges: list[Exchange], classes: dict[str, float], **options
-) -> Iterator:
-    opened = HttpSite(folder, plan, exchanges, classes, **options)
-    try:
-        yield opened
-    finally:
-        opened.close()
--- a/tests/shutdown_nvme.py
+++ b/tests/shutdown_nvme.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from review import stand_ins
-from review.stand_ins import Discovery, Server, Stream
+from review.stand_ins import Server, Stream
 from stalltiller.protocol import nvme
 from tests.shutdown_play import (
     END_SECONDS,
@@ -20,11 +20,12 @@
     send_request,
     wait_for_close,
 )
-from tests.slow_peers import START_SECONDS, Program
+from tests.shutdown_site import ShutdownSite
 
 SUBSYSTEM = "nqn.2026-12.example:canteen"
 BLOCK_BYTES = 4096
-DATA_BYTES = 4 * BLOCK_BYTES
+DATA_BLOCKS = 4  # of each exchange, at the address of its number
+DATA_BYTES = DATA_BLOCKS * BLOCK_BYTES
 DRIP_BYTES = 64
 DRIP_SECONDS = 0.04
 COMMAND_ID = 9
@@ -84,8 +85,8 @@
     def __init__(self, exchange: Exchange, timeline: Timeline) -> None:
         self._exchange = exchange
         self._timeline = timeline
-        self.begun: list[float] = []
-        self.complete = 0
+        self.begun: dict[int, list[float]] = {}
+        self.complete: dict[int, int] = {}
         self.server = Server(self._serve)
 
     def _serve(self, stream: Stream) -> None:
@@ -113,12 +114,13 @@
         pdus.send(nvme.completion(nvme.Completion(command.cid, nvme.OK, result), 0, 0))
 
     def _run(self, pdus: PduStream, command: nvme.Command, data: bytes) -> None:
-        self.begun.append(self._timeline.now())
+        number = command.lba // DATA_BLOCKS
+        self.begun.setdefault(number, []).append(self._timeline.now())
         if command.opcode == nvme.WRITE and len(data) < command.length:
             pdus.send(nvme.r2t(command.cid, 5, len(data), command.length - len(data)))
             while len(data) < command.length:
                 data += pdus.next().data
-        self.complete += 1
+        self.complete[number] = self.complete.get(number, 0) + 1
         self._respond(pdus, command)
 
     def _respond(self, pdus: PduStream, command: nvme.Command) -> None:
@@ -176,7 +178,9 @@
 class NvmeHost:
     """A host with one association and one command."""
 
-    def __init__(self, port: int, exchange: Exchange, number: int, timeline: Timeline) -> None:
+    def __init__(
+        self, port: int, exchange: Exchange, number: int, namespace: int, timeline: Timeline
+    ) -> None:
         self._exchange = exchange
         self._timeline = timeline
         self.seen = Seen()
@@ -184,7 +188,13 @@
         data = b"" if is_read else b"d" * BLOCK_BYTES
         size = DATA_BYTES if is_read else BLOCK_BYTES
         self._data = nvme.io_command(
-            nvme.READ if is_read else nvme.WRITE, COMMAND_ID, number + 1, 0, size // BLOCK_BYTES, size, data
+            nvme.READ if is_read else nvme.WRITE,
+            COMMAND_ID,
+            namespace,
+            number * DATA_BLOCKS,
+            size // BLOCK_BYTES,
+            size,
+            data,
         )
         self._admin, controller = self._open_queue(port, 0, nvme.DYNAMIC_CONTROLLER_ID)
         self._admin.send(nvme.property_set(2, nvme.CC, nvme.CC_ENABLE))
@@ -227,28 +237,30 @@
             seen.first_byte_at = seen.ended_at
 
 
-class NvmeSite:
-    """An initiator as a process, discovery, and one target and one namespace for each exchange."""
+class NvmeSite(ShutdownSite):
+    """A site with one namespace for each shard; `deadlines` in seconds are those of the classes."""
 
     def __init__(
-        self, folder: Path, plan: Plan, exchanges: list[Exchange], deadlines: dict[str, float]
+        self,
+        folder: Path,
+        plan: Plan,
+        exchanges: list[Exchange],
+        deadlines: dict[str, float],
+        shard_count: int = 0,
     ) -> None:
-        self.plan = plan
-        self.exchanges = exchanges
-        self._folder = folder
         self._deadlines = deadlines
-        self.timeline = Timeline()
-        self.events: list[dict] = []
-        self.targets = [NvmeTarget(exchange, self.timeline) for exchange in exchanges]
-        self.discovery = Discovery(lambda event, **details: None)
-        for shard, target in enumerate(self.targets):
-            if exchanges[shard].listed_at is None:
-                self.discovery.set(f"s-{shard}", target.server.port, shard)
+        super().__init__(folder, plan, exchanges, shard_count)
+
+    def make_target(self, exchange: Exchange) -> NvmeTarget:
+        return NvmeTarget(exchange, self.timeline)
 
-    def write_config(self) -> Path:
+    def make_client(self, number: int, exchange: Exchange) -> NvmeHost:
+        return NvmeHost(self.port, exchange, number, number % self.shard_count + 1, self.timeline)
+
+    def write_config(self, listen: str) -> tuple[dict[str, str], tuple[str, ...]]:
         """Write an operator's file: the example with other namespaces and deadlines."""
         text = (stand_ins.ROOT / "deploy" / "operator.toml").read_text()
-        settings = text[text.index("[settings]") :].replace("shards = 2", f"shards = {len(self.exchanges)}")
+        settings = text[text.index("[settings]") :].replace("shards = 2", f"shards = {self.shard_count}")
         for name, old in (
             (READ_CLASS, ("200000000", "1200000000")),
             (WRITE_CLASS, ("300000000", "2500000000")),
@@ -260,12 +272,12 @@
             settings = settings.replace(old_lines, new_lines)
         lines = [
             'name = "n1"',
-            f'listen = "{stand_ins.HOST}:0"',
+            f'listen = "{listen}"',
             f'discovery = "{stand_ins.HOST}:{self.discovery.server.port}"',
-            "[limits]\nsockets = 1024\nmemory_mb = 192",
+            "[limits]\nsockets = 2048\nmemory_mb = 192",
             f'[nvme]\nsubsystem = "{SUBSYSTEM}"',
         ]
-        for shard in range(len(self.exchanges)):
+        for shard in range(self.shard_count):
             lines += [
                 f"[[nvme.namespaces]]\nid = {shard + 1}\nshard = {shard}\nhosts = 1",
                 f'volume = "{0x3B4D60000 + shard:x}"\nplan = "standard"',
@@ -274,42 +286,6 @@
         for opcode, name in (("read", READ_CLASS), ("write", WRITE_CLASS)):
             deadline_ms = round(1000 * self._deadlines[name])
             lines.append(f'[nvme.opcodes.{opcode}]\nclass = "{name}"\ndeadline_ms = {deadline_ms}')
-        path = self._folder / "operator.toml"
+        path = self.folder / "operator.toml"
         path.write_text("\n".join((*lines, settings)))
-        return path
-
-    def start(self) -> None:
-        variables = {"TMPDIR": str(self._folder), "PYTHONUNBUFFERED": "1", "STALLTILLER_TRACE": "1"}
-        self.program = Program("n1", (), variables, self.events, (str(self.write_config()),))
-        stand_ins.wait_until(lambda: self.program.has_logged("started"), START_SECONDS, "the initiator runs")
-        listen = next(line["listen"] for line in self.events if line["event"] == "started")
-        self._port = int(listen.rpartition(":")[2])
-        stand_ins.wait_until(lambda: self.program.has_logged("list"), START_SECONDS, "the targets are known")
-
-    def connect_clients(self) -> list[NvmeHost]:
-        """Open the associations of all hosts; SIGTERM comes soon after."""
-        hosts = [
-            NvmeHost(self._port, exchange, number, self.timeline)
-            for number, exchange in enumerate(self.exchanges)
-        ]
-        self.timeline.start()
-        return hosts
-
-    def list_late_targets(self) -> None:
-        """List the targets that are not listed from the start; runs in a thread of its own."""
-        late = [(item.listed_at, shard) for shard, item in enumerate(self.exchanges)]
-        for listed_at, shard in sorted((at, shard) for at, shard in late if at is not None):
-            self.timeline.sleep_until(listed_at)
-            self.discovery.set(f"s-{shard}", self.targets[shard].server.port, shard)
-
-    def record_attempts(self, seen: list[Seen]) -> None:
-        """Add to what the hosts saw what the targets got of their commands."""
-        for target, one in zip(self.targets, seen, strict=True):
-            one.attempts = target.begun
-            one.complete_attempts = target.complete
-
-    def close(self) -> None:
-        self.program.kill()
-        self.discovery.server.close()
-        for target in self.targets:
-            target.server.close()
+        return {}, (str(path),)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -355,6 +356,37 @@
     run_scenario(scenario, kind)
 
 
+class UpgradeHarness(InitiatorHarness):
+    """The process before an upgrade, which listens on an inherited socket."""
+
+    def adjust_config(self, config):
+        self.listening = socket.create_server(("127.0.0.1", 0))
+        return replace(config, inherited_descriptor=self.listening.detach())
+
+
+@pytest.mark.parametrize("kind", ["http", "nvme"])
+@pytest.mark.parametrize("write", [False, True])
+def test_the_process_before_an_upgrade_answers_by_the_end_of_its_drain(write, kind, monkeypatch):
+    """Guards against requests at the old process that wait for their targets up to their clients' time."""
+    monkeypatch.setattr("stalltiller.routing.drain_schedule.MAX_DEADLINE_SECONDS", 0.2)
+    monkeypatch.setattr("stalltiller.routing.drain_schedule.KEEP_LISTENING_SECONDS", 0.05)
+
+    async def scenario():
+        async with UpgradeHarness(kind) as harness:
+            harness.targets[0].mode = "no_response"
+            client_task = asyncio.create_task(harness.write(tag=1) if write else harness.read(tag=1))
+            await harness.wait_until(lambda: harness.targets[0].executed)
+            signalled_at = time.monotonic()
+            harness.app.terminate()
+            outcome = (await client_task).outcome
+            assert time.monotonic() - signalled_at < 0.35  # its client would wait for longer
+            assert outcome == ("failed" if write else "refused")
+            await asyncio.wait_for(harness.running, 5)
+            assert harness.faults() == []
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("ends_after_drain", [False, True])
 def test_a_request_behind_a_response_that_a_shutdown_waits_for_has_its_answer(ends_after_drain):
     """The connection was closed after the response, without an answer to the request behind it."""
