--- a/stalltiller/daemon/application.py
+++ b/stalltiller/daemon/application.py
@@ -132,7 +132,7 @@
 
     def terminate(self) -> None:
         """Begin to shut down; the time counts from when the signal that is handled now may have been sent."""
-        self._shutdown.begin(self._heartbeat.earliest_signal_time())
+        self._shutdown.begin_drain(self._heartbeat.earliest_signal_time())
         self.stop.set()
 
     def reload(self, read_config: Callable[[], Config]) -> None:
--- a/stalltiller/daemon/graceful_shutdown.py
+++ b/stalltiller/daemon/graceful_shutdown.py
@@ -26,7 +26,7 @@
 class GracefulShutdown:
     """Drains one initiator; it owns none of the components that it drains.
 
-    `begin` and then `drain` are called once the process has been told to end.
+    `begin_drain` and then `drain` are called once the process has been told to end.
     """
 
     def __init__(
@@ -46,7 +46,7 @@
         self._log = log
         self._schedule: DrainSchedule | None = None
 
-    def begin(self, signalled_at: float) -> DrainSchedule:
+    def begin_drain(self, signalled_at: float) -> DrainSchedule:
         """Let all responses be due by the end of a drain; return its schedule.
 
         `signalled_at` is the loop time of the signal.  Only the first call counts: neither later signals nor
@@ -70,7 +70,7 @@
         With a successor, another process accepts new connections on the shared listening socket from now on;
         without one, this process accepts them until it begins to close connections.
         """
-        schedule = self.begin(self._loop.time())
+        schedule = self.begin_drain(self._loop.time())
         self._listener.keep_idle = True
         if has_successor:
             await self._yield_to_successor()
--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -40,9 +40,9 @@
     TargetClient,
     TargetEndpoint,
 )
+from stalltiller.routing.request_deadlines import MIN_SCHEDULING_SECONDS, RequestDeadlines
 from stalltiller.routing.request_state import RequestOutcome, RequestState
 from stalltiller.routing.request_table import RequestTable
-from stalltiller.routing.response_deadline import NO_DRAIN, ResponseDeadline
 from stalltiller.routing.slow_start_state import slow_start_state
 from stalltiller.routing.target_table import TargetTable
 from stalltiller.routing.timers import TimerQueue
@@ -51,11 +51,9 @@
 from stalltiller.scheduling import (
     Action,
     ClientDisconnected,
-    DeadlineShortened,
     Event,
     PeerMessage,
     Request,
-    ResponseDue,
     Settings,
     SettingsChanged,
     TargetId,
@@ -64,13 +62,6 @@
 )
 from stalltiller.scheduling.scheduler import Scheduler
 
-# The deadline guard fails a request that is still open this long before its response is due.
-DEADLINE_GUARD_MARGIN_SECONDS = 0.008
-# A request that comes less than this before the end of a drain is rejected at once.
-MIN_TIME_IN_DRAIN_SECONDS = 0.02
-# The deadline guard waits at least this long after a request's arrival and after its latest attempt's end, so
-# that the scheduler sees these first.
-MIN_SCHEDULING_SECONDS = 0.002
 MAX_LAG_SECONDS = 0.25  # upper bound of the time that a request is assumed to have waited unread
 
 Result = TypeVar("Result")
@@ -101,6 +92,7 @@
         self._request_ids = itertools.count(1)
         self._timers = TimerQueue(loop, self._schedule_batch)
         self._requests = RequestTable(self._context, self._timers, self._enqueue)
+        self._deadlines = RequestDeadlines(self._context, self._requests, self._timers, self._enqueue)
         self._targets = TargetTable(loop.time)
         self._dispatcher = ActionDispatcher(
             self._context,
@@ -112,7 +104,6 @@
         )
         self._pending_events: list[Event] = []
         self._scheduled_batch: asyncio.Handle | None = None
-        self._drain_end = NO_DRAIN  # loop time
         self._last_batch_ended_at = epoch
         self._last_batch_duration = 0.0
 
@@ -183,7 +174,7 @@
         settings = context.settings
         now = self._loop.time()
         lag = self._estimate_lag(now)
-        deadline = ResponseDeadline(now - lag + client_request.timeout, self._drain_end)
+        deadline = self._deadlines.deadline_for(now - lag + client_request.timeout)
         request_id = next(self._request_ids)
         request_class = settings.classes[client_request.class_index]
         state = RequestState(request_id, client_request, deadline, request_class, settings.max_attempts)
@@ -195,7 +186,7 @@
         if retry_after > 0.0:
             self._loop.call_soon(self._reject_unadmitted, request_id, retry_after)
             return request_id
-        self._set_deadline_timer(state)
+        self._deadlines.enforce(state)
         time_remaining = max(0.0, latest_expiry(deadline.client_deadline) - now)
         response_due_in = max(0.0, latest_expiry(deadline.due_at) - now)
         self._enqueue(_scheduler_request(request_id, client_request, time_remaining, response_due_in))
@@ -204,7 +195,7 @@
     def _retry_delay(self, client_request: ClientRequest) -> float:
         """Return 0 for a request to schedule, otherwise the retry delay of its rejection in seconds."""
         longest_delay = self.settings.max_retry_after or MIN_SCHEDULING_SECONDS
-        if self._loop.time() >= self._drain_end - MIN_TIME_IN_DRAIN_SECONDS:
+        if self._deadlines.is_drain_over():
             self.counts[COUNT_AFTER_DRAIN] += 1
             return longest_delay
         if not has_channel_soon(self.target_client.channel_use()):
@@ -238,67 +229,11 @@
 
         Requests that come later are rejected at once.  Responses that are being passed on go on.
         """
-        if self._drain_end != NO_DRAIN:
-            return
-        self._drain_end = ends_at
-        for state in self._requests.snapshot():
-            if not state.is_finished:
-                self._shorten_deadline(state)
-
-    def _shorten_deadline(self, state: RequestState) -> None:
-        state.deadline = state.deadline.with_drain(self._drain_end)
-        if not state.deadline.is_set_by_drain or state.deadline_timer is None:
-            return
-        self._timers.cancel([state.deadline_timer])
-        self._set_deadline_timer(state)
-        if state.in_flight is not None:
-            self._requests.limit_expiry(state.in_flight, state.deadline)
-        response_due_in = max(0.0, latest_expiry(state.deadline.due_at) - self._loop.time())
-        self._enqueue(DeadlineShortened(state.request_id, response_due_in))
+        self._deadlines.begin_drain(ends_at)
 
     def finish_all(self) -> None:
         """Respond to requests that are still open after the end of a drain, each of which is a violation."""
-        for state in self._requests.snapshot():
-            is_rejected_soon = state.deadline_timer is None  # it was not admitted
-            if not state.is_finished and not is_rejected_soon:
-                self._finish_after_drain(state)
-
-    def _finish_after_drain(self, state: RequestState) -> None:
-        attempt = state.in_flight
-        self._context.report_violation(
-            GuardViolation.OPEN_AFTER_DRAIN,
-            id=state.request_id,
-            label=state.client_request.trace_label,
-            target=None if attempt is None else attempt.target_id,
-            phase=None if attempt is None else self.target_client.progress(attempt).phase.value,
-        )
-        may_execute = attempt is not None and self.target_client.is_fully_sent(attempt)
-        may_be_rejected = state.may_be_rejected(in_flight_may_execute=may_execute)
-        outcome = RequestOutcome.REJECTED if may_be_rejected else RequestOutcome.FAILED
-        self._requests.finish(state, outcome)
-        self._enqueue(ClientDisconnected(state.request_id))  # then the scheduler starts no attempt for it
-        handler = state.client_request.response_handler
-        if may_be_rejected:
-            handler.reject(self.settings.max_retry_after)
-        else:
-            handler.fail()
-
-    # --- Deadlines --------------------------------------------------------------------------------
-    def _set_deadline_timer(self, state: RequestState) -> None:
-        due_at = max(latest_expiry(state.deadline.due_at), self._loop.time() + MIN_SCHEDULING_SECONDS)
-        state.deadline_timer = self._timers.call_at(due_at, self._announce_response_due, state.request_id)
-
-    def _announce_response_due(self, request_id: int) -> None:
-        """Have the scheduler respond to a request; its attempt in flight, if any, expires now."""
-        state = self._requests.get_open(request_id)
-        if state is None:
-            return
-        if state.in_flight is None:
-            self._enqueue(ResponseDue(request_id))
-        guard_at = max(
-            state.deadline.due_at - DEADLINE_GUARD_MARGIN_SECONDS, self._loop.time() + MIN_SCHEDULING_SECONDS
-        )
-        state.deadline_timer = self._timers.call_at(guard_at, self._fail_at_deadline, request_id)
+        self._deadlines.finish_all()
 
     def _estimate_lag(self, now: float) -> float:
         """Estimate how long a request has waited unread: the duration of a batch that has just ended."""
@@ -328,20 +263,6 @@
             retry_after = min(retry_after, self.settings.max_retry_after)
             state.client_request.response_handler.reject(retry_after)
 
-    def _fail_at_deadline(self, request_id: int) -> None:
-        """Fail a request that is still open shortly before its deadline: its client waits no longer."""
-        state = self._requests.get_open(request_id)
-        if state is None:
-            return
-        scheduled_by = state.attempt_ended_at + MIN_SCHEDULING_SECONDS
-        if self._loop.time() < scheduled_by:  # both were due in this batch
-            state.deadline_timer = self._timers.call_at(scheduled_by, self._fail_at_deadline, request_id)
-            return
-        self._context.report_violation(GuardViolation.DEADLINE_REACHED, id=request_id)
-        self._requests.finish(state, RequestOutcome.FAILED)
-        self._enqueue(ClientDisconnected(request_id))  # the scheduler treats it as a disconnected client
-        state.client_request.response_handler.fail()
-
     # --- Updates from outside ---------------------------------------------------------------------
     def update_targets(self, kind: TargetListKind, endpoints: Iterable[TargetEndpoint]) -> None:
         """Apply an update of the target list; the grace of targets newly listed as draining starts now."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -325,7 +325,7 @@
         assert (await client_task).outcome == "refused"
         engine.finish_all()
         gate.is_open.set()
-        engine._drain_end = NO_DRAIN
+        engine._deadlines._drain_end = NO_DRAIN
         assert (await harness.read(tag=2)).outcome == "served"
         assert [tag for _, tag in harness.targets[0].received] == [2]
 
@@ -411,7 +411,7 @@
         await harness.wait_until(lambda: harness.app.server.stopping)
         if ends_after_drain:
             await harness.wait_until(
-                lambda: harness.app.engine._drain_end < asyncio.get_running_loop().time()
+                lambda: harness.app.engine._deadlines._drain_end < asyncio.get_running_loop().time()
             )
         may_end.set()
         received = await read_to_end(client)
