--- a/stalltiller/adapters/http_client_connection.py
+++ b/stalltiller/adapters/http_client_connection.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from stalltiller.adapters.client_exchange import ClientExchange, request_ended
 from stalltiller.adapters.http_payload import SMALL_BODY_BYTES
 from stalltiller.adapters.http_requests import (
     READY_PATH,
@@ -19,7 +19,7 @@
 from stalltiller.adapters.response_stream import ResponseStream
 from stalltiller.protocol import http
 from stalltiller.protocol.platform import FieldError
-from stalltiller.routing.exchange_end import EndRule, ExchangeEnd, TransferPhase, TransferProgress
+from stalltiller.routing.exchange_end import EndRule
 from stalltiller.routing.transfer_limits import REQUEST_IDLE_LIMIT_SECONDS
 from stalltiller.transport.connection import Connection
 from stalltiller.transport.listener import Listener
@@ -37,8 +37,7 @@
         self._listener = listener
         self._reader = http.Reader(response=False)
         self._request_number: int | None = None  # the engine's identifier of the request in progress
-        self._latest_request_number: int | None = None  # kept until its response is sent
-        self._response_start = 0  # bytes written before the latest response
+        self._exchange = ClientExchange()  # the latest one
         self._keep_alive = True
         self._rejects_requests = False  # the connection limit is exceeded: each request gets 503
         # The client pipelined more than the buffer holds: further input is dropped, and the connection closes
@@ -49,8 +48,6 @@
         self._stream: ResponseStream | None = None  # the response being streamed
         self._is_chunked = False
         self._http_minor_version = 1
-        self._request_label = ""  # the identifier of the latest request
-        self._client_deadline: float | None = None  # of the latest request; None if it was invalid
 
     # --- Receiving ---
     def on_connected(self) -> None:
@@ -86,33 +83,6 @@
             return len(data)
         return consumed
 
-    def _report_end(self, rule: EndRule, phase: TransferPhase) -> None:
-        """Log that this connection is closed although its client has not closed it."""
-        now = self._server.loop.time()
-        is_request = phase is TransferPhase.SENDING
-        progress = TransferProgress(phase, self._reader.bytes_received) if is_request else self._progress()
-        head = self._reader.head
-        label = self._request_label
-        if is_request:
-            label = "" if head is None else head.fields.get("x-request-id", "")
-        exchange_end = ExchangeEnd(
-            rule,
-            None if is_request else self._latest_request_number,
-            label,
-            None if self._stream is None else self._stream.attempt.target_id,
-            progress,
-            None if is_request or self._client_deadline is None else self._client_deadline - now,
-        )
-        self._server.engine.report_exchange_end(exchange_end)
-
-    def _progress(self) -> TransferProgress:
-        """Return how far the latest response has come."""
-        delivered_bytes = max(0, self.acknowledged_bytes() - self._response_start)
-        if self._stream is None:
-            received_bytes = self._bytes_written - self._response_start
-            return TransferProgress(TransferPhase.RECEIVING, received_bytes, delivered_bytes=delivered_bytes)
-        return replace(self._stream.source.progress(), delivered_bytes=delivered_bytes)
-
     # --- Progress ---
     def _watch(self) -> None:
         """Have the transfer in progress monitored, if any."""
@@ -150,11 +120,15 @@
         elif self._stream is not None or not self.flushed:
             is_unread = not self.is_delivered
             rule = EndRule.RESPONSE_UNREAD if is_unread else EndRule.RESPONSE_STOPPED
-            self._report_end(rule, TransferPhase.RECEIVING)
+            now = self._server.loop.time()
+            end = self._exchange.response_ended(
+                rule, now, self._stream, self._bytes_written, self.acknowledged_bytes()
+            )
+            self._server.engine.report_exchange_end(end)
             self._server.engine.counts["broken_off"] += 1
             self.abort()
         else:
-            self._report_end(EndRule.REQUEST_STALLED, TransferPhase.SENDING)
+            self._server.engine.report_exchange_end(request_ended(EndRule.REQUEST_STALLED, self._reader))
             self._reject_and_close(408, "request not ended")
 
     def _accept_head(self) -> bool:
@@ -290,10 +264,7 @@
         self._keep_alive = head.keeps_alive()
         self._reader.reset()
         self.monitor.unwatch(self)
-        self._client_deadline = None
-        self._latest_request_number = None
-        self._request_label = ""
-        self._response_start = self._bytes_written
+        self._exchange = ClientExchange(self._bytes_written)
         if head.target.partition("?")[0] == READY_PATH:
             self._write_response(200 if self._server.is_ready() else 503)
         elif self._rejects_requests:
@@ -317,10 +288,10 @@
             self._reject_bad_request(409, "X-Request-ID is not new")
             return
         client_request = build_client_request(head, body, request_info, self)
-        self._request_label = request_id
         self._request_number = self._server.engine.submit(client_request)
-        self._latest_request_number = self._request_number
-        self._client_deadline = self._server.engine.client_deadline(self._request_number)
+        self._exchange.label = request_id
+        self._exchange.request_number = self._request_number
+        self._exchange.client_deadline = self._server.engine.client_deadline(self._request_number)
 
     # --- Responses from the engine ---
     def is_disconnected(self) -> bool:
@@ -358,7 +329,7 @@
 
     def _release_request_id(self) -> None:
         """Let the identifier of the latest request, whose exchange is over, be forgotten some time later."""
-        self._server.recent_request_ids.release(self._request_label)
+        self._server.recent_request_ids.release(self._exchange.label)
 
     def _finish_request(self, status: int, body: bytes = b"", fields: dict[str, str] | None = None) -> None:
         self._request_number = None
