--- a/tests/test_shutdown_judge.py
+++ b/tests/test_shutdown_judge.py
@@ -1,4 +1,4 @@
-"""How `fault_of` judges what a client got by the kill: case tables, so that its tests can't pass by accident."""
+"""How `fault_of` judges what a client got by the kill: case tables."""
 
 from __future__ import annotations
 
