Tell the scheduler the time that is left when its batch runs

Cause: events carry spans that were counted as they were enqueued; a suspension before their batch added its length to the scheduler's deadline. Change: a batch that runs more than 5 ms after its first event counts the time left anew. The stand-in over NVMe/TCP skips data that it has asked for and doesn't use.

--- a/stalltiller/routing/engine.py
+++ b/stalltiller/routing/engine.py
@@ -62,6 +62,8 @@
 )
 from stalltiller.scheduling.scheduler import Scheduler
 
+# The time left of requests is counted anew for a batch that runs later than this after its first event.
+MAX_BATCH_DELAY_SECONDS = 0.005
 MAX_LAG_SECONDS = 0.25  # upper bound of the time that a request is assumed to have waited unread
 
 Result = TypeVar("Result")
@@ -104,6 +106,7 @@
         )
         self._pending_events: list[Event] = []
         self._scheduled_batch: asyncio.Handle | None = None
+        self._batch_scheduled_at = epoch
         self._last_batch_ended_at = epoch
         self._last_batch_duration = 0.0
 
@@ -310,6 +313,7 @@
 
     def _schedule_batch(self) -> None:
         if self._scheduled_batch is None:
+            self._batch_scheduled_at = self._loop.time()
             self._scheduled_batch = self._loop.call_soon(self._process_batch)
 
     def _process_batch(self) -> None:
@@ -319,6 +323,8 @@
         self._scheduled_batch = None
         events = self._pending_events
         self._pending_events = []
+        if started_at - self._batch_scheduled_at > MAX_BATCH_DELAY_SECONDS:
+            events = [self._deadlines.with_time_left(event, started_at) for event in events]
         if events:
             for action in self._call_scheduler(started_at, events):
                 self._dispatcher.dispatch(action)
--- a/stalltiller/routing/request_deadlines.py
+++ b/stalltiller/routing/request_deadlines.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from stalltiller.routing.context import EngineContext
 from stalltiller.routing.guard import GuardViolation
@@ -15,7 +16,7 @@
 from stalltiller.routing.response_deadline import NO_DRAIN, ResponseDeadline
 from stalltiller.routing.timers import TimerQueue
 from stalltiller.routing.transfer_limits import latest_expiry
-from stalltiller.scheduling import ClientDisconnected, DeadlineShortened, Event, ResponseDue
+from stalltiller.scheduling import ClientDisconnected, DeadlineShortened, Event, Request, ResponseDue
 
 # The deadline guard answers a request that is still open this long before its response is due.
 DEADLINE_GUARD_MARGIN_SECONDS = 0.008
@@ -57,6 +58,23 @@
         due_at = max(latest_expiry(state.deadline.due_at), now + MIN_SCHEDULING_SECONDS)
         state.deadline_timer = self._timers.call_at(due_at, self._announce_response_due, state.request_id)
 
+    def with_time_left(self, event: Event, now: float) -> Event:
+        """Return an event with the time that is left at `now`.
+
+        Guards against a process that was held up between a request's arrival and its batch: the scheduler
+        would count the time from the batch on.
+        """
+        if not isinstance(event, Request | DeadlineShortened):
+            return event
+        state = self._requests.get_open(event.request_id)
+        if state is None:
+            return event
+        response_due_in = max(0.0, latest_expiry(state.deadline.due_at) - now)
+        if isinstance(event, DeadlineShortened):
+            return replace(event, response_due_in=response_due_in)
+        time_remaining = max(0.0, latest_expiry(state.deadline.client_deadline) - now)
+        return replace(event, time_remaining=time_remaining, response_due_in=response_due_in)
+
     # --- The end of the process -------------------------------------------------------------------
     def begin_drain(self, ends_at: float) -> None:
         """Let every response be due at `ends_at` at the latest; the first call counts."""
--- a/tests/shutdown_nvme.py
+++ b/tests/shutdown_nvme.py
@@ -97,6 +97,8 @@
             pdus.send(nvme.ic_response())
             while True:
                 pdu = pdus.next()
+                if pdu.kind != nvme.COMMAND_CAPSULE:  # data for an R2T that this target makes no use of
+                    continue
                 command = nvme.parse_command(pdu)
                 if command.opcode in (nvme.READ, nvme.WRITE):
                     self._run(pdus, command, pdu.data)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -473,6 +473,26 @@
     run_scenario(scenario, served_class=request_class(latency_objective=0.5, deadline=25.0))
 
 
+@pytest.mark.parametrize("is_draining", [False, True])
+def test_the_scheduler_is_told_the_time_that_is_left_when_its_batch_runs(is_draining):
+    """Guards against attempts for requests whose time was over while the process was suspended (issue 55)."""
+
+    async def scenario(engine, target_client):
+        if is_draining:
+            engine.begin_drain(asyncio.get_running_loop().time() + 0.4)
+        handlers = [RecordingResponseHandler() for _ in range(2)]
+        engine.submit(client_request(handlers[0], 0.6))
+        engine.submit(client_request(handlers[1], 20.0))
+        time.sleep(0.3)
+        await run_batches()
+        received = [event for event in engine._scheduler.events if isinstance(event, Request)]
+        left = [min(event.time_remaining, event.response_due_in) for event in received]
+        assert 0.0 < left[0] < (0.1 if is_draining else 0.3)
+        assert 0.0 < left[1] < (0.1 if is_draining else 19.7)
+
+    run_scenario(scenario, lambda event: ())
+
+
 def test_requests_about_the_end_of_a_drain_are_rejected_at_once_and_never_sent():
     async def scenario(engine, target_client):
         loop = asyncio.get_running_loop()
