Give an attempt that goes on the whole drain, although its own time ends in it

Found by reading: limit_expiry set a second timer at the time of the first where the attempt's own time was earlier than the drain's end; the first let a transfer in progress go on, and the second, at the same time, took the new expiry for reached and ended it. Requests that their targets read slowly, and heads in pieces, would have been ended early in a shutdown. Change: a timer is set only for an earlier expiry.

--- a/stalltiller/routing/request_table.py
+++ b/stalltiller/routing/request_table.py
@@ -139,8 +139,10 @@
     def limit_expiry(self, attempt: Attempt, deadline: ResponseDeadline) -> None:
         """Let an attempt in flight expire by an earlier deadline of its request."""
         attempt.deadline = deadline
-        attempt.expires_at = min(attempt.expires_at, latest_expiry(deadline.due_at))
-        self._set_expiry_timer(attempt)
+        expires_at = latest_expiry(deadline.due_at)
+        if expires_at < attempt.expires_at:
+            attempt.expires_at = expires_at
+            self._set_expiry_timer(attempt)
 
     def _goes_on(self, attempt: Attempt, reason: ExpiryReason) -> bool:
         """Let a transfer in progress go on as `transfer_limits` decides; return whether it does.
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -473,6 +473,27 @@
     run_scenario(scenario, served_class=request_class(latency_objective=0.5, deadline=25.0))
 
 
+@pytest.mark.parametrize(
+    "progress", [TransferProgress(TransferPhase.SENDING, sent_bytes=100), BEGUN], ids=["sending", "begun"]
+)
+def test_an_attempt_that_goes_on_has_the_whole_drain_although_its_own_time_ends_in_it(progress):
+    """Guards against two expiry timers at one time: the second took the first one's wait for the deadline."""
+
+    async def scenario(engine, target_client):
+        loop = asyncio.get_running_loop()
+        target_client.progress_made = progress
+        engine.submit(client_request(RecordingResponseHandler(), 20.0))
+        await run_batches()
+        drain_end = loop.time() + DRAIN_SECONDS
+        engine.begin_drain(drain_end)
+        await asyncio.sleep(DRAIN_SECONDS - 0.05)
+        assert target_client.started and not target_client.abandoned
+        await asyncio.sleep(0.05)
+        assert target_client.abandoned == target_client.started
+
+    run_scenario(scenario, on_request(StartAttempt(1, 1, 0.1)))
+
+
 @pytest.mark.parametrize("is_draining", [False, True])
 def test_the_scheduler_is_told_the_time_that_is_left_when_its_batch_runs(is_draining):
     """Guards against attempts for requests whose time was over while the process was suspended (issue 55)."""
