Let a queued request wait through a drain as long as its client's time allows

Found by reading: in a drain the scheduler gave up requests that no target had received in half of the time left of them, so that one that had waited for 6 of 20 s was rejected as SIGTERM came, 3 s before the drain's end. Cause: the shortened deadline went into that rule, which is about the client's time. Change: the rule keeps the client's time; what can't be done by the drain's end is rejected as before.

--- a/stalltiller/scheduling/scheduler.py
+++ b/stalltiller/scheduling/scheduler.py
@@ -160,12 +160,13 @@
             volume.initiator_count = count
         volume.demand.add(now, request.units)
         volume.requested_at = now
-        time_allowed = min(request.time_remaining, request.response_due_in)
-        deadline = now + time_allowed
+        client_deadline = now + request.time_remaining
+        deadline = min(client_deadline, now + request.response_due_in)
         due_at = min(self._objective_due_at(request, request_class), deadline - FINAL_RESPONSE_MARGIN_SECONDS)
         key, attempts = request.idempotency_key if request_class.in_order else 0, settings.max_attempts
+        unsent_until = client_deadline - MAX_UNSENT_FRACTION * request.time_remaining
         pending = PendingRequest(
-            request, request_class, volume, due_at, deadline, time_allowed, key, attempts
+            request, request_class, volume, due_at, deadline, unsent_until, key, attempts
         )
         self.pending[request.request_id] = pending
         if is_unknown and not self._has_room_for_volume():
@@ -185,10 +186,8 @@
         What can't be done by a shorter deadline is rejected in this batch.
         """
         if isinstance(event, events.DeadlineShortened):
-            deadline = min(pending.deadline, self.now + event.response_due_in)
-            pending.time_allowed -= pending.deadline - deadline
-            pending.deadline = deadline
-            pending.due_at = min(pending.due_at, deadline - FINAL_RESPONSE_MARGIN_SECONDS)
+            pending.deadline = min(pending.deadline, self.now + event.response_due_in)
+            pending.due_at = min(pending.due_at, pending.deadline - FINAL_RESPONSE_MARGIN_SECONDS)
         elif not pending.is_finished and not pending.is_in_flight:
             self._reject_or_fail(pending)
         return pending.target
@@ -325,8 +324,8 @@
         return self.now + expected >= pending.deadline - FINAL_RESPONSE_MARGIN_SECONDS
 
     def _is_send_overdue(self, pending: PendingRequest) -> bool:
-        unsent_until = pending.deadline - MAX_UNSENT_FRACTION * pending.time_allowed
-        return not pending.has_reached_target and self.now + POLL_INTERVAL_SECONDS >= unsent_until
+        is_overdue = self.now + POLL_INTERVAL_SECONDS >= pending.unsent_until
+        return is_overdue and not pending.has_reached_target
 
     def _value_per_unit(self, pending: PendingRequest) -> float:
         """Return the estimated value of a unit of a request."""
--- a/stalltiller/scheduling/state.py
+++ b/stalltiller/scheduling/state.py
@@ -83,7 +83,7 @@
     volume: Volume
     due_at: float  # end of the latency objective
     deadline: float  # when the final response is due
-    time_allowed: float  # seconds from the arrival to the deadline
+    unsent_until: float  # if no target has fully received it by then, it is rejected or failed
     ordering_key: int  # requests of one key run one at a time; 0 for none
     max_attempts: int  # from the settings when the request arrived
     attempt_count: int = 0
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -7,7 +7,10 @@
 from stalltiller.scheduling import (
     Action,
     AttemptStatus,
+    DeadlineShortened,
     Reject,
+    ResponseDue,
+    StartAttempt,
     TimerFired,
     admission,
     scheduler,
@@ -310,3 +313,25 @@
     )
     harness = SchedulerHarness(classes=classes, plans=(plan(limit=10.0, burst=8.0),))
     assert harness.started_request_ids(1.0, request(1, class_index=1, units=8.0)) == [1]
+
+
+def test_a_queued_request_is_not_rejected_because_a_drain_has_begun():
+    """Guards against half of what a drain leaves of a client's time taken for half of that time (issue 55)."""
+    harness = SchedulerHarness(targets=(), classes=(request_class(latency_objective=18.0, deadline=20.0),))
+    assert harness.handle(0.0, request(1, time_remaining=20.0)) == []
+    assert harness.handle(6.0, DeadlineShortened(1, response_due_in=3.0)) == []
+    assert harness.poll(8.9) == []
+    assert [type(action) for action in harness.poll(8.99)] == [Reject]
+
+
+def test_a_request_in_a_drain_is_rejected_at_once_if_it_cannot_be_served_by_its_end():
+    harness = SchedulerHarness(classes=(request_class(latency_objective=18.0, deadline=20.0),))
+    actions = harness.handle(0.0, request(1, time_remaining=20.0, response_due_in=0.5))
+    assert [type(action) for action in actions] == [Reject]
+
+
+def test_a_request_whose_response_is_due_is_answered_unless_an_attempt_is_in_flight():
+    harness = SchedulerHarness()
+    assert [type(action) for action in harness.handle(0.0, request(1), request(2, shard=9))] == [StartAttempt]
+    actions = harness.handle(0.1, ResponseDue(1), ResponseDue(2), ResponseDue(3))
+    assert [(type(action), action.request_id) for action in actions] == [(Reject, 2)]
