--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -316,7 +316,7 @@
 
 
 def test_a_queued_request_is_not_rejected_because_a_drain_has_begun():
-    """Guards against half of what a drain leaves of a client's time taken for half of that time (issue 55)."""
+    """Guards against half of what a drain leaves of a client's time, taken for half of that time."""
     harness = SchedulerHarness(targets=(), classes=(request_class(latency_objective=18.0, deadline=20.0),))
     assert harness.handle(0.0, request(1, time_remaining=20.0)) == []
     assert harness.handle(6.0, DeadlineShortened(1, response_due_in=3.0)) == []
